--- a/internal/cmd/daemon.go
+++ b/internal/cmd/daemon.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/logsink"
 )
 
 // The exit codes of all programs.
@@ -40,9 +42,9 @@
 	return a
 }
 
-// Daemon runs a program that is made of the parts that its main links in, until SIGTERM or SIGINT. It returns the
-// exit code.
-func Daemon(name, help string) int {
+// Daemon runs a program that is made of the parts that its main links in, or of the named ones and their needs where
+// main names some, until SIGTERM or SIGINT. It returns the exit code.
+func Daemon(name, help string, named ...string) int {
 	a := newApp(name, help, os.Stdout, os.Stderr)
 	file := a.Flag("settings", "The settings file (TOML); docs/SETTINGS.md lists the keys.").Required().String()
 	check := a.Flag("check", "Only check the settings, and say each wrong line.").Bool()
@@ -51,6 +53,9 @@
 		return ExitUsage
 	}
 	parts := kernel.Registered()
+	if len(named) > 0 {
+		parts = kernel.Select(named...)
+	}
 	sections := kernel.Sections(parts)
 	if problems := kernel.LoadSettings(*file, sections); len(problems) > 0 {
 		for _, p := range problems {
@@ -62,18 +67,21 @@
 		fmt.Printf("%s: %s is good\n", name, *file)
 		return ExitDone
 	}
-	return runDaemon(name, parts, sections)
+	return runDaemon(name, *file, parts, sections)
 }
 
-func runDaemon(name string, parts []kernel.Part, sections map[string]kernel.Section) int {
-	l := newLogger(sections["process"].(*kernel.Process))
+func runDaemon(name, file string, parts []kernel.Part, sections map[string]kernel.Section) int {
+	sink := logsink.New(os.Stdout)
+	l := newLogger(sections["process"].(*kernel.Process), sink)
 	h, err := kernel.NewHost(parts, sections, l, kernel.NewClock(time.Now))
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: can't start: %v\n", name, err)
 		return ExitFailed
 	}
+	h.Metric("log_lines_dropped", sink.Dropped)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	go watchReload(ctx, l, file, parts, sections)
 	l.Info().Str("program", name).Str("release", Version).Msg("started")
 	if err := h.Run(ctx); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: stopped: %v\n", name, err)
@@ -83,10 +91,40 @@
 	return ExitDone
 }
 
-func newLogger(p *kernel.Process) *log.Logger {
+func newLogger(p *kernel.Process, w io.Writer) *log.Logger {
 	return &log.Logger{
 		Level:   log.ParseLevel(p.LogLevel),
 		Context: log.NewContext(nil).Str("vm", p.VM).Str("domain", p.Domain).Value(),
-		Writer:  &log.IOWriter{Writer: os.Stderr},
+		Writer:  &log.IOWriter{Writer: w},
+	}
+}
+
+// watchReload reads the settings again at SIGHUP and says what has changed. Addresses and limits are taken at the next
+// start; a file that is wrong changes nothing.
+func watchReload(ctx context.Context, l *log.Logger, file string, parts []kernel.Part, old map[string]kernel.Section) {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	defer signal.Stop(c)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c:
+		}
+		fresh := kernel.Sections(parts)
+		problems := kernel.LoadSettings(file, fresh)
+		for _, p := range problems {
+			l.Warn().Str("problem", p.String()).Msg("settings not reloaded")
+		}
+		if len(problems) > 0 {
+			continue
+		}
+		for name, s := range fresh {
+			if !reflect.DeepEqual(s, old[name]) {
+				l.Warn().Str("section", name).Msg("settings changed: they hold from the next start on")
+			}
+		}
+		l.Level = log.ParseLevel(fresh["process"].(*kernel.Process).LogLevel)
+		l.Info().Msg("settings reloaded")
 	}
 }
--- /dev/null
+++ b/internal/facts/facts.go
@@ -0,0 +1,170 @@
+// Package facts holds what a process believes of the configuration and the upstreams around it. Sources put facts in;
+// decisions read them. A fact is replaced as a whole and never goes back to an older revision.
+package facts
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/id"
+)
+
+// Held is a version of a model that an upstream serves whole.
+type Held struct {
+	Model    id.Model
+	Revision id.Revision
+}
+
+// Instance is one start of an upstream as the list of upstreams has it.
+type Instance struct {
+	ID      id.Instance
+	Pool    id.Pool
+	Address string
+	Domain  id.Domain
+	Slots   int
+	Leaving bool
+	Held    []Held
+}
+
+// Holds returns the revision of a model that an upstream serves whole; 0 is none.
+func (i *Instance) Holds(m id.Model) id.Revision {
+	return Revision(i.Held, m)
+}
+
+// Revision finds a model in a list; 0 is none.
+func Revision(l []Held, m id.Model) id.Revision {
+	for _, h := range l {
+		if h.Model == m {
+			return h.Revision
+		}
+	}
+	return 0
+}
+
+// Wanted is the newest weights that operators have named for a model.
+type Wanted struct {
+	Revision id.Revision
+	// Learnt is when this process read of it, by the steady clock.
+	Learnt time.Time
+}
+
+// Facts is safe for concurrent use.
+type Facts struct {
+	catalog atomic.Pointer[catalog.Catalog]
+	now     func() time.Time
+
+	mu        sync.Mutex
+	wanted    map[id.Model]Wanted
+	instances map[id.Instance]*Instance
+	list      atomic.Pointer[[]*Instance]
+	change    chan struct{}
+}
+
+// New makes an empty set of facts.
+func New(now func() time.Time) *Facts {
+	f := &Facts{
+		now: now, wanted: map[id.Model]Wanted{}, instances: map[id.Instance]*Instance{},
+		change: make(chan struct{}),
+	}
+	f.list.Store(&[]*Instance{})
+	return f
+}
+
+// Catalog returns the configuration in force, or nil before the first one.
+func (f *Facts) Catalog() *catalog.Catalog {
+	return f.catalog.Load()
+}
+
+// SetCatalog takes a configuration unless it is older than the one in force; it says whether it was taken.
+func (f *Facts) SetCatalog(c *catalog.Catalog) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if old := f.catalog.Load(); old != nil && old.Revision >= c.Revision {
+		return false
+	}
+	f.catalog.Store(c)
+	f.notify()
+	return true
+}
+
+// SetWanted takes the weights that operators name for a model unless it knows newer ones.
+func (f *Facts) SetWanted(m id.Model, r id.Revision) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.wanted[m].Revision >= r {
+		return false
+	}
+	f.wanted[m] = Wanted{Revision: r, Learnt: f.now()}
+	f.notify()
+	return true
+}
+
+// firstRevision is what a model has before operators name another one.
+const firstRevision = 1
+
+// Wanted returns the newest weights named for a model.
+func (f *Facts) Wanted(m id.Model) Wanted {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, ok := f.wanted[m]
+	if !ok {
+		return Wanted{Revision: firstRevision}
+	}
+	return w
+}
+
+// SetInstance takes an upstream's entry in the list.
+func (f *Facts) SetInstance(i *Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.instances[i.ID]
+	f.instances[i.ID] = i
+	f.publish()
+	if old == nil || old.Leaving != i.Leaving {
+		f.notify()
+	}
+}
+
+// DropInstance removes an upstream that has left the list.
+func (f *Facts) DropInstance(n id.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.instances, n)
+	f.publish()
+	f.notify()
+}
+
+// Instances returns the list of upstreams; do not change it.
+func (f *Facts) Instances() []*Instance {
+	return *f.list.Load()
+}
+
+// Instance returns one upstream or nil.
+func (f *Facts) Instance(n id.Instance) *Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.instances[n]
+}
+
+// publish makes the list that readers share; the caller holds the lock.
+func (f *Facts) publish() {
+	l := make([]*Instance, 0, len(f.instances))
+	for _, i := range f.instances {
+		l = append(l, i)
+	}
+	f.list.Store(&l)
+}
+
+// Changed returns a channel that closes with the next change of the configuration, the wanted weights or who is listed.
+func (f *Facts) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.change
+}
+
+func (f *Facts) notify() {
+	close(f.change)
+	f.change = make(chan struct{})
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,252 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/placement"
+	"github.com/springrail/springrail/internal/upconn"
+)
+
+const (
+	// heldAnswer is the longest answer that is held whole before its head goes out, in bytes, so that one that breaks
+	// off can be asked for again or reported as failed. The users' answers are below 5 KB.
+	heldAnswer = 64 << 10
+	// firstStall is how long beyond twice its predicted time a first event may take before another upstream is asked.
+	firstStall = 700 * time.Millisecond
+	// eventStall is how long a stream may pause before it is continued elsewhere: a pass takes 150 ms, and callers
+	// leave after 3.2 s.
+	eventStall = 1200 * time.Millisecond
+	// refusedRetry is when a caller may come back whose request an upstream itself refused.
+	refusedRetry = 250 * time.Millisecond
+)
+
+// attempt sends the request to one upstream. It returns nil once the caller has its answer.
+func (f *flight) attempt(ctx context.Context) *problem {
+	g := f.gateway
+	c, p := f.choose()
+	if p != nil {
+		return p
+	}
+	f.tried[c.Instance] = true
+	f.upstream = c.Address
+	if !f.headSent {
+		f.predicted = c.Predicted
+	}
+	flight := g.tracker.Begin(c.Address, f.ask.Prompt, c.Predicted)
+	defer flight.End()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	t := &try{flight: f, choice: c, mark: flight, ctx: ctx}
+	if f.route.Kind == catalog.Streaming && f.route.Resumable {
+		t.watchdog = time.AfterFunc(2*c.Predicted+firstStall, stop)
+		defer t.watchdog.Stop()
+	}
+	f.attempts++
+	e, err := g.pool.Send(ctx, c.Address, f.message(c))
+	switch {
+	case errors.Is(err, upconn.ErrNotSent):
+		f.attempts--
+		g.tracker.Failed(c.Address)
+		return notRun("no connection to the upstream", refusedRetry)
+	case err != nil:
+		return t.broke("the upstream broke off before its answer")
+	}
+	t.exchange = e
+	defer func() { e.End(t.whole) }()
+	return t.take()
+}
+
+// message makes what is sent to an upstream.
+func (f *flight) message(c placement.Choice) *upconn.Request {
+	r := f.request
+	h := passOn(r.Header)
+	s := Send{Instance: c.Instance, Organisation: f.org, Left: f.deadline.Sub(f.gateway.now()), After: f.events.last}
+	if service := f.catalog.Services[f.pool]; service != nil {
+		s.Revision = f.wanted(service)
+	}
+	f.gateway.dialect.Prepare(h, s)
+	return &upconn.Request{
+		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: h, Body: f.body, Rest: f.rest, Length: r.ContentLength,
+	}
+}
+
+// try is one attempt's exchange with an upstream.
+type try struct {
+	flight   *flight
+	choice   placement.Choice
+	mark     *placement.Flight
+	exchange *upconn.Exchange
+	watchdog *time.Timer
+	ctx      context.Context
+	// whole is true once the answer has been read to its end, so that the connection can be used again.
+	whole bool
+	begun bool
+}
+
+// broke is an exchange that ended early. An upstream is blamed unless the caller or the clock ended it.
+func (t *try) broke(text string) *problem {
+	f := t.flight
+	f.neverRan = false
+	if f.request.Context().Err() == nil && f.gateway.now().Before(f.deadline) {
+		f.gateway.tracker.Failed(t.choice.Address)
+		f.gateway.pool.Forget(t.choice.Address)
+	}
+	return &problem{text: text}
+}
+
+// take passes an answer on, or says why it is none.
+func (t *try) take() *problem {
+	f, e := t.flight, t.exchange
+	d := f.gateway.dialect
+	v := d.Verdict(e.StatusCode, e.Header)
+	if v.NotRun {
+		_, err := io.Copy(io.Discard, io.LimitReader(e.Body, heldAnswer))
+		t.whole = err == nil
+		return notRun("the upstream refused: "+strconv.Itoa(e.StatusCode), refusedRetry)
+	}
+	f.neverRan = false
+	ok := e.StatusCode >= http.StatusOK && e.StatusCode < http.StatusMultipleChoices
+	if f.headSent && !ok {
+		return &problem{text: "the upstream did not continue the stream"}
+	}
+	if v.Revision > 0 && f.revision == 0 {
+		f.revision = v.Revision
+	}
+	if ok && f.route.Kind == catalog.Streaming {
+		return t.stream()
+	}
+	return t.plain()
+}
+
+// plain passes an answer on that is no stream.
+func (t *try) plain() *problem {
+	f, e := t.flight, t.exchange
+	t.started()
+	body, err := io.ReadAll(io.LimitReader(e.Body, heldAnswer))
+	if err != nil {
+		return t.broke("the upstream broke off in its answer")
+	}
+	if f.gateway.dialect.Promise(e.StatusCode) {
+		// The upstream says "not run" in its status and does not prove it: passed on, it would be our promise.
+		t.whole = true
+		return &problem{text: "the upstream answered " + strconv.Itoa(e.StatusCode) + " without proof"}
+	}
+	if e.StatusCode >= http.StatusInternalServerError && f.route.Kind == catalog.Safe && f.canRepeat() {
+		t.whole = true
+		return &problem{text: "the upstream answered " + strconv.Itoa(e.StatusCode)}
+	}
+	long := len(body) == heldAnswer
+	t.head(!long, len(body))
+	if _, err := f.w.Write(body); err != nil {
+		return t.callerGone()
+	}
+	if long {
+		if _, err := io.Copy(f.w, e.Body); err != nil {
+			return t.broke("the upstream broke off in its answer")
+		}
+	}
+	t.whole = true
+	f.done(strconv.Itoa(e.StatusCode))
+	return nil
+}
+
+// canRepeat says whether a safe request that an upstream failed may be offered to another one.
+func (f *flight) canRepeat() bool {
+	return f.attempts < f.route.MaxAttempts && f.rest == nil && f.gateway.now().Before(f.deadline)
+}
+
+// started notes that the upstream has begun to answer.
+func (t *try) started() {
+	if t.begun {
+		return
+	}
+	t.begun = true
+	f := t.flight
+	took := t.mark.Started()
+	if !f.headSent {
+		f.first = f.gateway.now().Sub(f.arrived)
+		f.gateway.tally.observe(histTime, f.first)
+		f.gateway.tally.observe(histDecision, took-t.choice.Predicted)
+	}
+}
+
+// head sends the answer's head, with its length where the whole body is there.
+func (t *try) head(sized bool, length int) {
+	f, e := t.flight, t.exchange
+	if f.headSent {
+		return
+	}
+	f.headSent = true
+	to := f.w.Header()
+	for name, values := range passOn(e.Header) {
+		to[name] = values
+	}
+	if len(to["Content-Type"]) == 0 {
+		to["Content-Type"] = nil
+	}
+	if sized {
+		to.Set("Content-Length", strconv.Itoa(length))
+	}
+	if f.gateway.leaving.Load() {
+		to.Set("Connection", "close")
+	}
+	f.w.WriteHeader(e.StatusCode)
+}
+
+func (t *try) callerGone() *problem {
+	return &problem{text: "the caller takes no more", final: true}
+}
+
+// stream passes events on as they come. Of a resumable stream only whole events go out, so that another upstream can
+// take it up after any of them.
+func (t *try) stream() *problem {
+	f, e := t.flight, t.exchange
+	out := http.NewResponseController(f.w)
+	buffer := make([]byte, readSize)
+	f.events.restart()
+	for {
+		n, err := e.Body.Read(buffer)
+		if n > 0 {
+			t.started()
+			if t.watchdog != nil {
+				t.watchdog.Reset(eventStall)
+			}
+			ready := f.events.feed(buffer[:n], f.route.Resumable)
+			if len(ready) > 0 {
+				t.head(false, 0)
+				if _, werr := f.w.Write(ready); werr != nil || out.Flush() != nil {
+					return t.callerGone()
+				}
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF) && f.events.partial():
+			return t.broke("the upstream ended its stream within an event")
+		case errors.Is(err, io.EOF):
+			t.head(false, 0)
+			t.whole = true
+			f.done("stream")
+			return nil
+		case err != nil:
+			return t.broke("the upstream broke off its stream")
+		}
+	}
+}
+
+// readSize is the most that is read from a stream at once, in bytes; an event is about a hundred.
+const readSize = 4 << 10
+
+// done notes an answer that the caller has whole.
+func (f *flight) done(outcome string) {
+	f.gateway.tally.add("answered")
+	if f.attempts > 1 {
+		f.gateway.tally.add("answered_after_repeat")
+	}
+	f.logLine("answered", outcome)
+}
--- /dev/null
+++ b/internal/gateway/dialect.go
@@ -0,0 +1,67 @@
+// Package gateway passes callers' requests on to upstreams by route. It decides who may call, which upstream takes a
+// request, what is refused early, what may be sent again, and how an answer reaches its caller whole.
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/springrail/springrail/internal/id"
+)
+
+// Ask is what a caller says of its request beside method, path and body.
+type Ask struct {
+	Request id.Request
+	// Key is the caller's key, or empty.
+	Key string
+	// Patience is how long the caller waits; 0 where it does not say.
+	Patience time.Duration
+	Model    id.Model
+	// Prompt and MostAnswer are in tokens.
+	Prompt, MostAnswer float64
+	// Continued is true for a stream that goes on after an event that the caller has.
+	Continued bool
+}
+
+// Send is what the gateway tells an upstream.
+type Send struct {
+	Instance     id.Instance
+	Organisation id.Organisation
+	// Left is how long the answer may take.
+	Left time.Duration
+	// Revision is the version that must be served; 0 leaves it to the upstream.
+	Revision id.Revision
+	// After is the last event that the caller has; empty for none.
+	After string
+}
+
+// Verdict is what the header of an answer says beside its status.
+type Verdict struct {
+	// NotRun says that the upstream did not run the request and never will.
+	NotRun bool
+	// Revision is the version that the answer is made with; 0 where it does not say.
+	Revision id.Revision
+}
+
+// Dialect translates headers between the product and the platform.
+type Dialect struct {
+	// Read returns what a caller asks.
+	Read func(h http.Header) Ask
+	// Prepare changes a copy of the caller's header into that of a send.
+	Prepare func(h http.Header, s Send)
+	// Verdict reads an upstream's answer.
+	Verdict func(status int, h http.Header) Verdict
+	// Promise says whether a status promises a caller that its request was not run.
+	Promise func(status int) bool
+	// Unseal takes the upstream's proof off an answer that is not passed on as it came.
+	Unseal func(h http.Header)
+	// RetryAfter sets when a refused caller may come back.
+	RetryAfter func(h http.Header, d time.Duration)
+	// Echoed says whether an answer belongs to a request.
+	Echoed func(request, answer http.Header) bool
+	// VersionLine returns the version that the first line of an event names; 0 is none.
+	VersionLine func(line []byte) id.Revision
+}
+
+// DialectPart is the name of the part that gives the Dialect.
+const DialectPart = "dialect"
--- /dev/null
+++ b/internal/gateway/part.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"context"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/phuslu/log"
+
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/placement"
+	"github.com/springrail/springrail/internal/reports"
+	"github.com/springrail/springrail/internal/upconn"
+)
+
+// PartName is what other parts name in their needs.
+const PartName = "gateway"
+
+// Settings is the section [gateway].
+type Settings struct {
+	Listen string `toml:"listen"`
+	// SwapWithin is how soon after it was named a version must be the only one in use.
+	SwapWithin time.Duration `toml:"swap_within"`
+	// RepeatRatio, RepeatSlack and RepeatWindow bound what all gateways send beyond the first send of each request.
+	RepeatRatio  float64       `toml:"repeat_ratio"`
+	RepeatSlack  float64       `toml:"repeat_slack"`
+	RepeatWindow time.Duration `toml:"repeat_window"`
+}
+
+// NewSettings returns the defaults.
+func NewSettings() *Settings {
+	return &Settings{SwapWithin: 8 * time.Second, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindow: 10 * time.Second}
+}
+
+// Check implements kernel.Section.
+func (s *Settings) Check(c *kernel.Checker) {
+	_, _, err := net.SplitHostPort(s.Listen)
+	c.Require(err == nil, "listen", `an IP number and port such as "127.0.0.1:8080"`)
+	c.Require(s.SwapWithin > 0, "swap_within", "a time above 0")
+	c.Require(s.RepeatRatio >= 0, "repeat_ratio", "a number of 0 or more")
+	c.Require(s.RepeatSlack >= 0, "repeat_slack", "a number of 0 or more")
+	c.Require(s.RepeatWindow >= time.Second, "repeat_window", "a time of at least 1s")
+}
+
+func init() {
+	kernel.Register(kernel.Part{
+		Name:     PartName,
+		Section:  PartName,
+		Needs:    []string{facts.PartName, DialectPart, reports.SubscriberPart},
+		Settings: func() kernel.Section { return NewSettings() },
+		New:      newPart,
+	})
+}
+
+const (
+	// dialTimeout is how long a connection may take to come up. The longest way on today's platforms is 6 ms; an
+	// upstream whose queue of connections is full answers after a second at the earliest.
+	dialTimeout = 300 * time.Millisecond
+	// headTimeout bounds how long a caller may take to send a head.
+	headTimeout = 5 * time.Second
+	// callerIdle is how long a caller's connection may rest; it is above the platforms' 15 s, so that the caller is
+	// the one that closes.
+	callerIdle = time.Minute
+	// mostHead bounds a head in bytes before a configuration says how large one may be.
+	mostHead = 64 << 10
+	// leaveQuiet is how long a leaving process takes new connections: a balancer that asks once a second leaves it
+	// out after two questions.
+	leaveQuiet = 3 * time.Second
+	// leaveShare is the part of the time for a planned stop after which requests that still run are given up.
+	leaveShare = 0.9
+)
+
+// Gateway serves callers.
+type Gateway struct {
+	settings *Settings
+	dialect  *Dialect
+	facts    *facts.Facts
+	tracker  *placement.Tracker
+	budget   *placement.Budget
+	pool     *upconn.Pool
+	domain   id.Domain
+	log      *log.Logger
+	tally    *tally
+	now      func() time.Time
+	random   func() *rand.Rand
+
+	listener net.Listener
+	server   *http.Server
+	inFlight atomic.Int64
+	leaving  atomic.Bool
+}
+
+func newPart(h *kernel.Host) (any, error) {
+	s := h.Section(PartName).(*Settings)
+	l, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, trace.Wrap(err, "gateway.listen")
+	}
+	d := h.Part(DialectPart).(*Dialect)
+	sub := h.Part(reports.SubscriberPart).(*reports.Subscriber)
+	dial := (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext
+	g := New(s, d, h.Part(facts.PartName).(*facts.Facts), sub.Tracker(), sub.Gateways, dial, h.Identity.Domain, h.Log)
+	g.listener = l
+	h.Metric("requests", g.tally.vars)
+	h.Metric("in_flight", expvar.Func(func() any { return g.inFlight.Load() }))
+	return g, nil
+}
+
+// New makes a gateway; gateways returns the number of processes that share the budget for repeats.
+func New(s *Settings, d *Dialect, f *facts.Facts, t *placement.Tracker, gateways func() int,
+	dial func(ctx context.Context, network, address string) (net.Conn, error), own id.Domain, l *log.Logger,
+) *Gateway {
+	rule := placement.BudgetRule{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow}
+	g := &Gateway{
+		settings: s, dialect: d, facts: f, tracker: t, domain: own, log: l, tally: newTally(), now: time.Now,
+		budget: placement.NewBudget(rule, gateways, time.Now),
+		pool:   upconn.New(dial, time.Now, d.Echoed),
+		random: func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) },
+	}
+	g.pool.Dialled = func() { g.tally.add("dialled") }
+	g.server = &http.Server{
+		Handler: g, ReadHeaderTimeout: headTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: mostHead,
+		ErrorLog: nil,
+	}
+	return g
+}
+
+// Run serves until the context ends.
+func (g *Gateway) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { g.server.Close() })
+	defer stop()
+	if err := g.server.Serve(g.listener); ctx.Err() == nil {
+		return trace.Wrap(err)
+	}
+	return nil
+}
+
+// NotReady implements kernel.Readier.
+func (g *Gateway) NotReady() string {
+	switch {
+	case g.leaving.Load():
+		return "leaving"
+	case g.facts.Catalog() == nil:
+		return "no configuration yet"
+	default:
+		return ""
+	}
+}
+
+// Drain implements kernel.Drainer: callers are sent elsewhere while what runs is finished.
+func (g *Gateway) Drain(ctx context.Context) {
+	g.leaving.Store(true)
+	until, ok := ctx.Deadline()
+	if ok {
+		left := time.Duration(leaveShare * float64(until.Sub(g.now())))
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, left)
+		defer stop()
+	}
+	pause(ctx, leaveQuiet)
+	g.server.SetKeepAlivesEnabled(false)
+	for ctx.Err() == nil && g.inFlight.Load() > 0 {
+		pause(ctx, drainLook)
+	}
+}
+
+// drainLook is how often a leaving process looks whether it is done.
+const drainLook = 20 * time.Millisecond
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/internal/id/id.go
+++ b/internal/id/id.go
@@ -36,3 +36,12 @@
 
 // Chunk is the index of a chunk in its version, from 0.
 type Chunk uint32
+
+// Instance names one start of an upstream process; a restart gets a new one.
+type Instance string
+
+// Route names a rule that leads requests to a pool.
+type Route string
+
+// Revision orders the weights of one model; a higher one is newer.
+type Revision uint64
--- a/internal/kernel/host.go
+++ b/internal/kernel/host.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"expvar"
+	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -121,6 +123,17 @@
 	return h.metrics
 }
 
+// MetricsPath is where metrics are served.
+const MetricsPath = "/debug/vars"
+
+// ServeMetrics writes the parts' metrics and Go's own, in the form of package expvar.
+func (h *Host) ServeMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	_, _ = fmt.Fprintf(w, "{\n%q: %s", "springrail", h.metrics)
+	expvar.Do(func(kv expvar.KeyValue) { _, _ = fmt.Fprintf(w, ",\n%q: %s", kv.Key, kv.Value) })
+	_, _ = fmt.Fprintln(w, "\n}")
+}
+
 // Readier is a part that can say that it is not ready to serve.
 type Readier interface {
 	// NotReady says what is missing, or nothing.
--- a/internal/kernel/part.go
+++ b/internal/kernel/part.go
@@ -52,6 +52,30 @@
 	return slices.Clone(registry)
 }
 
+// Select returns the named parts of the binary with all that they need, so that a package may register parts for
+// several programs.
+func Select(names ...string) []Part {
+	wanted := map[string]bool{}
+	var want func(name string)
+	want = func(name string) {
+		if wanted[name] {
+			return
+		}
+		wanted[name] = true
+		for _, p := range registry {
+			if p.Name == name {
+				for _, n := range p.Needs {
+					want(n)
+				}
+			}
+		}
+	}
+	for _, n := range names {
+		want(n)
+	}
+	return slices.DeleteFunc(Registered(), func(p Part) bool { return !wanted[p.Name] })
+}
+
 // order sorts parts so that each comes after those that it needs.
 func order(parts []Part) ([]Part, error) {
 	byName := map[string]Part{}
--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -41,9 +41,11 @@
 	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
 }
 
-// Decode reads the manifest that a version pins; it is ErrOther where the hash or the sizes differ.
+// Decode reads the manifest that a version pins; it is ErrOther where the hash or the sizes differ. A version without a
+// pin, which only a platform that names versions by number has, is checked by its sizes alone.
 func Decode(raw []byte, v *pb.Version) (*pb.Manifest, error) {
-	if sum := sha256.Sum256(raw); string(sum[:]) != string(v.GetManifestSha256()) {
+	pin := v.GetManifestSha256()
+	if sum := sha256.Sum256(raw); len(pin) > 0 && string(sum[:]) != string(pin) {
 		return nil, trace.Wrap(ErrOther, "another hash")
 	}
 	m := &pb.Manifest{}
--- /dev/null
+++ b/internal/placement/budget.go
@@ -0,0 +1,88 @@
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"github.com/springrail/springrail/internal/id"
+)
+
+const (
+	// budgetParts is the number of parts that a window is counted in.
+	budgetParts = 10
+	// budgetShare is the part of the fleet's allowance that is used: requests are spread unevenly over gateways, and
+	// the number of gateways is known only with a lag.
+	budgetShare = 0.7
+)
+
+// BudgetRule is what all gateways together may send beyond the first send of each request.
+type BudgetRule struct {
+	// Ratio is the allowance for each request in the window, and Slack what is allowed on top.
+	Ratio, Slack float64
+	Window       time.Duration
+}
+
+// Budget keeps this process within its part of the fleet's allowance without a message: the ratio counts its own
+// requests only, and the slack is shared equally by the gateways known.
+type Budget struct {
+	rule     BudgetRule
+	gateways func() int
+	now      func() time.Time
+	// start is the zero of the parts: differences of times follow the steady clock, whatever the time of day does.
+	start time.Time
+	mu    sync.Mutex
+	pools map[id.Pool]*window
+}
+
+// window counts requests and repeats by parts of the window.
+type window struct {
+	newest   int64
+	requests [budgetParts]int
+	repeats  [budgetParts]int
+}
+
+// NewBudget makes a budget; gateways returns how many processes share it.
+func NewBudget(r BudgetRule, gateways func() int, now func() time.Time) *Budget {
+	return &Budget{rule: r, gateways: gateways, now: now, start: now(), pools: map[id.Pool]*window{}}
+}
+
+func (b *Budget) window(p id.Pool) (*window, int) {
+	w := b.pools[p]
+	if w == nil {
+		w = &window{}
+		b.pools[p] = w
+	}
+	part := budgetParts + int64(b.now().Sub(b.start)/(b.rule.Window/budgetParts))
+	for w.newest < part {
+		w.newest = max(w.newest+1, part-budgetParts)
+		i := w.newest % budgetParts
+		w.requests[i], w.repeats[i] = 0, 0
+	}
+	return w, int(part % budgetParts)
+}
+
+// Request notes a request for a pool.
+func (b *Budget) Request(p id.Pool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, i := b.window(p)
+	w.requests[i]++
+}
+
+// Take allows a repeated send, or not.
+func (b *Budget) Take(p id.Pool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, i := b.window(p)
+	requests, repeats := 0, 0
+	for k := range budgetParts {
+		requests += w.requests[k]
+		repeats += w.repeats[k]
+	}
+	slack := b.rule.Slack / float64(max(1, b.gateways()))
+	if float64(repeats+1) > budgetShare*(b.rule.Ratio*float64(requests)+slack) {
+		return false
+	}
+	w.repeats[i]++
+	return true
+}
--- /dev/null
+++ b/internal/placement/choose.go
@@ -0,0 +1,93 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/springrail/springrail/internal/id"
+)
+
+const (
+	// farCost is what a send beyond the own failure domain is counted as: two ways through the network and the price
+	// of the bytes, which at the users' prices is near a hundredth of a request's worth.
+	farCost = 25 * time.Millisecond
+	// jitter is the share of a cost that is drawn at random, so that several processes with the same view do not all
+	// choose the same upstream.
+	jitter = 0.15
+	// unknownCost is added where an upstream's own figures are missing: they are a fifth of a second old at the most
+	// while its stager lives.
+	unknownCost = 60 * time.Millisecond
+)
+
+// Choice is an upstream with the time until the first event that it was chosen for.
+type Choice struct {
+	Candidate
+	Predicted time.Duration
+}
+
+// Choose returns the upstream whose predicted first event costs least among those not tried. Suspects are taken only
+// where nothing else is left.
+func Choose(l []Candidate, tried map[id.Instance]bool, predict func(c *Candidate) time.Duration, r *rand.Rand) (Choice, bool) {
+	if c, ok := cheapest(l, tried, predict, r, false); ok {
+		return c, true
+	}
+	return cheapest(l, tried, predict, r, true)
+}
+
+func cheapest(l []Candidate, tried map[id.Instance]bool, predict func(c *Candidate) time.Duration, r *rand.Rand,
+	suspects bool,
+) (Choice, bool) {
+	var best Choice
+	found := false
+	least := 0.0
+	for i := range l {
+		c := &l[i]
+		if tried[c.Instance] || c.Suspect != suspects {
+			continue
+		}
+		d := predict(c)
+		cost := float64(d) * (1 - jitter*r.Float64())
+		if !c.Near {
+			cost += float64(farCost)
+		}
+		if !c.Known {
+			cost += float64(unknownCost)
+		}
+		if !found || cost < least {
+			best, least, found = Choice{Candidate: *c, Predicted: d}, cost, true
+		}
+	}
+	return best, found
+}
+
+// usualWork is the time that a plain upstream is taken to need for a request; only ratios between upstreams matter.
+const usualWork = 60 * time.Millisecond
+
+// PlainWait predicts the answer of an upstream that is no engine from this process's own requests there.
+func PlainWait(c *Candidate) time.Duration {
+	return usualWork * time.Duration(1+c.InFlight)
+}
+
+const (
+	// aimShare is the part of the aim that a prediction may fill: what is left covers its error and the way back.
+	aimShare = 0.95
+)
+
+// InTime says whether a predicted first event keeps the aim after what has passed already.
+func InTime(predicted, passed, aim time.Duration) bool {
+	return float64(predicted+passed) <= aimShare*float64(aim)
+}
+
+const (
+	// leastRetry is the shortest time after which a refused caller is asked to come back, and mostRetry the longest:
+	// callers heed up to a third of the time that they have, two seconds of the usual six.
+	leastRetry = 300 * time.Millisecond
+	mostRetry  = 1900 * time.Millisecond
+)
+
+// RetryAfter is when the best upstream is expected to have room again, spread so that callers do not come back at once.
+func RetryAfter(predicted, aim time.Duration, r *rand.Rand) time.Duration {
+	d := predicted - aim
+	d = min(max(d, leastRetry), mostRetry)
+	return d + time.Duration(r.Float64()*float64(leastRetry))
+}
--- /dev/null
+++ b/internal/placement/predict.go
@@ -0,0 +1,83 @@
+// Package placement decides which upstream a request goes to, and whether it can be in time at all. The decisions are
+// pure: they take a view of the upstreams, the time and a random source.
+package placement
+
+import (
+	"time"
+
+	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/id"
+)
+
+// Candidate is what is known of an upstream that may take a request.
+type Candidate struct {
+	Instance id.Instance
+	Address  string
+	// Near is true in the own failure domain.
+	Near bool
+	// Slots is the number of requests that the upstream runs at once.
+	Slots int
+	// Running and Waiting are the upstream's own figures, with this process's sends since then added to Waiting.
+	Running, Waiting int
+	// Backlog is the number of prompt tokens that wait to be read there, as far as it can be told.
+	Backlog float64
+	// Known says that Running and Waiting are fresh; otherwise they are a guess from the own requests alone.
+	Known bool
+	// InFlight is the number of this process's requests there.
+	InFlight int
+	// Pace is how many times longer than usual the upstream works.
+	Pace float64
+	// Suspect is true after failures that have not yet been outlived.
+	Suspect bool
+}
+
+// load is the number of requests at the upstream.
+func (c *Candidate) load() int {
+	return c.Running + c.Waiting
+}
+
+// Model predicts times on one sort of engine.
+type Model struct {
+	engine *catalog.Engine
+}
+
+// NewModel makes the model of an engine.
+func NewModel(e *catalog.Engine) Model {
+	return Model{engine: e}
+}
+
+// pass is how long the token steps of one pass take with a number of running requests.
+func (m Model) pass(running int) time.Duration {
+	if running <= 0 {
+		return 0
+	}
+	e := m.engine
+	context := float64(running) * (e.UsualPrompt + e.UsualAnswer/2) / 1000
+	step := e.Step + time.Duration(running)*e.PerSequence + time.Duration(context*float64(e.ContextPer1k))
+	return time.Duration(e.Stride) * step
+}
+
+// read is how long a number of prompt tokens takes to read.
+func (m Model) read(tokens float64) time.Duration {
+	return time.Duration(tokens / m.engine.ReadPerSecond * float64(time.Second))
+}
+
+// PerRequest is the engine's time for a usual request when all slots are taken: what each place in the queue costs.
+func (m Model) PerRequest(slots int) time.Duration {
+	e := m.engine
+	passes := e.UsualAnswer / float64(max(1, e.Stride))
+	return time.Duration(passes*float64(m.pass(slots))/float64(max(1, slots))) + m.read(e.UsualPrompt)
+}
+
+// FirstEvent predicts the time from sending a request to an upstream until its first event.
+func (m Model) FirstEvent(c *Candidate, prompt float64) time.Duration {
+	slots := max(1, c.Slots)
+	pass := m.pass(min(c.load(), slots))
+	tokens := prompt + c.Backlog
+	passes := 1 + tokens/float64(max(1, m.engine.ReadChunk))
+	d := pass/2 + m.read(tokens) + time.Duration(passes*float64(pass))
+	if over := c.load() + 1 - slots; over > 0 {
+		d = pass + m.read(prompt) + time.Duration(over)*m.PerRequest(slots)
+	}
+	return time.Duration(float64(d) * max(1, c.Pace))
+}
--- /dev/null
+++ b/internal/reports/subscriber.go
@@ -0,0 +1,255 @@
+// Package reports carries the figures of upstreams from the stagers beside them to the gateways that use them, by
+// datagrams: a lost one is made good by the next. A gateway subscribes to each stager again and again; a stager reports
+// to those that did so lately, and so needs no list of gateways.
+package reports
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/placement"
+)
+
+// SubscriberPart is what other parts name in their needs.
+const SubscriberPart = "subscriber"
+
+const (
+	// subscribeEvery is how often a gateway renews its subscriptions; a stager forgets one after subscriptionLife.
+	subscribeEvery   = time.Second
+	subscriptionLife = 3500 * time.Millisecond
+	// datagramBytes is above any report: a few models with names of some tens of bytes.
+	datagramBytes = 2048
+	// defaultGateways is how many gateways are taken to share the budgets before a stager has said so.
+	defaultGateways = 8
+)
+
+// Settings is the section [subscriber] or [reporter].
+type Settings struct {
+	// Listen is the address of the datagrams of this process.
+	Listen string `toml:"listen"`
+	// Port is the port of the datagrams of stagers.
+	Port int `toml:"port"`
+}
+
+// Check implements kernel.Section.
+func (s *Settings) Check(c *kernel.Checker) {
+	_, _, err := net.SplitHostPort(s.Listen)
+	c.Require(err == nil, "listen", `an IP number and port such as "127.0.0.1:7700"`)
+	c.Require(s.Port > 0 && s.Port < 1<<16, "port", "a port from 1 to 65535")
+}
+
+func init() {
+	kernel.Register(kernel.Part{
+		Name:     SubscriberPart,
+		Section:  SubscriberPart,
+		Needs:    []string{facts.PartName},
+		Settings: func() kernel.Section { return &Settings{} },
+		New: func(h *kernel.Host) (any, error) {
+			s := h.Section(SubscriberPart).(*Settings)
+			c, err := listen(s.Listen)
+			if err != nil {
+				return nil, trace.Wrap(err, "subscriber.listen")
+			}
+			r := NewSubscriber(c, s.Port, h.Part(facts.PartName).(*facts.Facts), time.Now, h.Log)
+			h.Metric("reports", r.vars)
+			return r, nil
+		},
+	})
+}
+
+func listen(address string) (*net.UDPConn, error) {
+	a, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	c, err := net.ListenUDP("udp4", a)
+	return c, trace.Wrap(err)
+}
+
+// Subscriber is a gateway's end.
+type Subscriber struct {
+	conn    *net.UDPConn
+	port    int
+	facts   *facts.Facts
+	tracker *placement.Tracker
+	now     func() time.Time
+	log     *log.Logger
+	vars    *expvar.Map
+
+	mu     sync.Mutex
+	newest map[string]order
+	// gateways is the newest number of subscribers that each stager has told.
+	gateways map[string]int
+}
+
+// order is the place of a report among those of its stager. Incarnations are random, as the time of day may jump; a
+// report of the one before the current is late.
+type order struct {
+	incarnation, before, number uint64
+}
+
+// NewSubscriber makes a subscriber over a socket; port is that of the stagers.
+func NewSubscriber(c *net.UDPConn, port int, f *facts.Facts, now func() time.Time, l *log.Logger) *Subscriber {
+	return &Subscriber{
+		conn: c, port: port, facts: f, tracker: placement.NewTracker(now), now: now, log: l, vars: new(expvar.Map),
+		newest: map[string]order{}, gateways: map[string]int{},
+	}
+}
+
+// Tracker returns what is known of upstreams' load.
+func (s *Subscriber) Tracker() *placement.Tracker {
+	return s.tracker
+}
+
+// Gateways is the number of gateways that stagers know, this one included. The largest count is the safe one.
+func (s *Subscriber) Gateways() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := 0
+	for _, n := range s.gateways {
+		most = max(most, n)
+	}
+	if most == 0 {
+		return defaultGateways
+	}
+	return most
+}
+
+// Run subscribes and takes reports until the context ends.
+func (s *Subscriber) Run(ctx context.Context) error {
+	defer context.AfterFunc(ctx, func() { s.conn.Close() })()
+	go s.subscribe(ctx)
+	buffer := make([]byte, datagramBytes)
+	for ctx.Err() == nil {
+		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() == nil {
+				s.vars.Add("receive_failed", 1)
+				wait(ctx, failedPause)
+			}
+			continue
+		}
+		s.take(buffer[:n])
+	}
+	return nil
+}
+
+// failedPause keeps a socket that fails from taking the processor.
+const failedPause = 50 * time.Millisecond
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// take reads one report; what is not one is counted and dropped.
+func (s *Subscriber) take(b []byte) {
+	var r pb.UpstreamReport
+	if err := proto.Unmarshal(b, &r); err != nil || r.GetAddress() == "" {
+		s.vars.Add("malformed", 1)
+		return
+	}
+	if !s.newer(&r) {
+		s.vars.Add("late", 1)
+		return
+	}
+	s.vars.Add("taken", 1)
+	p := placement.Report{
+		Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), Pace: r.GetPace(),
+		Closed: r.GetClosed(), Down: r.GetDown(), Taken: s.now(),
+	}
+	for _, h := range r.GetHeld() {
+		p.Held = append(p.Held, facts.Held{Model: id.Model(h.GetModel()), Revision: id.Revision(h.GetRevision())})
+	}
+	s.tracker.SetReport(r.GetAddress(), p)
+}
+
+// newer notes a report's place and says whether it follows all that came before.
+func (s *Subscriber) newer(r *pb.UpstreamReport) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.newest[r.GetAddress()]
+	switch {
+	case r.GetIncarnation() == o.incarnation && r.GetNumber() <= o.number:
+		return false
+	case r.GetIncarnation() == o.before && o.before != 0:
+		return false
+	case r.GetIncarnation() != o.incarnation:
+		o.before, o.incarnation = o.incarnation, r.GetIncarnation()
+	}
+	o.number = r.GetNumber()
+	s.newest[r.GetAddress()] = o
+	s.gateways[r.GetAddress()] = int(r.GetSubscribers())
+	return true
+}
+
+// subscribe renews the subscriptions at the stagers of all engines in the list.
+func (s *Subscriber) subscribe(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.renew()
+		changed := s.facts.Changed()
+		t := time.NewTimer(subscribeEvery)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (s *Subscriber) renew() {
+	b, err := proto.Marshal(&pb.ReportSubscription{Sender: s.conn.LocalAddr().String()})
+	if err != nil {
+		s.log.Error().Err(err).Msg("a subscription can't be encoded")
+		return
+	}
+	c := s.facts.Catalog()
+	if c == nil {
+		return
+	}
+	listed := map[string]bool{}
+	for _, i := range s.facts.Instances() {
+		listed[i.Address] = true
+		if p := c.Services[i.Pool]; p == nil || p.Engine == nil {
+			continue
+		}
+		host, _, err := net.SplitHostPort(i.Address)
+		if err != nil {
+			continue
+		}
+		to := &net.UDPAddr{IP: net.ParseIP(host), Port: s.port}
+		if _, err := s.conn.WriteToUDP(b, to); err != nil {
+			s.vars.Add("send_failed", 1)
+		}
+	}
+	s.sweep(listed)
+}
+
+// sweep forgets stagers whose upstreams are no longer listed.
+func (s *Subscriber) sweep(listed map[string]bool) {
+	s.mu.Lock()
+	for a := range s.newest {
+		if !listed[a] {
+			delete(s.newest, a)
+			delete(s.gateways, a)
+		}
+	}
+	s.mu.Unlock()
+	s.tracker.Sweep(listed)
+}
--- /dev/null
+++ b/internal/stager/part.go
@@ -0,0 +1,221 @@
+package stager
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
+
+	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/gen/springrail/v1/springrailv1connect"
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/reports"
+	"github.com/springrail/springrail/internal/rpc"
+	"github.com/springrail/springrail/internal/swarm"
+	"github.com/springrail/springrail/internal/transfer"
+)
+
+// PartName is what other parts name in their needs.
+const PartName = "stager"
+
+// Settings is the section [stager].
+type Settings struct {
+	// Pool is the pool that the upstream beside this process belongs to.
+	Pool string `toml:"pool"`
+	// PeerPort is the port of other stagers' internal listeners.
+	PeerPort int `toml:"peer_port"`
+	// UplinkBytesPerSecond paces what goes to other stagers, so that answers of the upstream, which leave by the same
+	// link, go first; 0 does not pace.
+	UplinkBytesPerSecond int `toml:"uplink_bytes_per_second"`
+	// SwapWithin is how soon after it was named a version must be the only one in use.
+	SwapWithin time.Duration `toml:"swap_within"`
+	// MemoryBytes caps the memory for chunks.
+	MemoryBytes int `toml:"memory_bytes"`
+}
+
+// Check implements kernel.Section.
+func (s *Settings) Check(c *kernel.Checker) {
+	c.Require(s.Pool != "", "pool", "the pool of the upstream beside this process")
+	c.Require(s.PeerPort > 0 && s.PeerPort < 1<<16, "peer_port", "a port from 1 to 65535")
+	c.Require(s.UplinkBytesPerSecond >= 0, "uplink_bytes_per_second", "a whole number of bytes, or 0 for no pacing")
+	c.Require(s.SwapWithin > 0, "swap_within", "a time above 0")
+	c.Require(s.MemoryBytes > 0, "memory_bytes", "a whole number of bytes above 0")
+}
+
+func init() {
+	kernel.Register(kernel.Part{
+		Name:    PartName,
+		Section: PartName,
+		Needs:   []string{facts.PartName, PortsPart, reports.ReporterPart, rpc.PartName},
+		Settings: func() kernel.Section {
+			return &Settings{SwapWithin: 8 * time.Second, MemoryBytes: 64 << 20}
+		},
+		New: func(h *kernel.Host) (any, error) {
+			return newPart(h), nil
+		},
+	})
+}
+
+// Stager works for the one upstream beside it.
+type Stager struct {
+	settings *Settings
+	ports    *Ports
+	facts    *facts.Facts
+	reporter *reports.Reporter
+	log      *log.Logger
+	now      func() time.Time
+	env      transfer.Env
+	peers    transfer.Links
+	stats    transfer.Stats
+	orders   *expvar.Map
+
+	mu    sync.Mutex
+	state State
+	// down is true while the upstream gives no answer, and closed while it is about to load weights.
+	down, closed bool
+}
+
+func newPart(h *kernel.Host) *Stager {
+	s := h.Section(PartName).(*Settings)
+	r := h.Part(rpc.PartName).(*rpc.Server)
+	g := New(s, h.Part(PortsPart).(*Ports), h.Part(facts.PartName).(*facts.Facts), transfer.PeerLinks(r),
+		swarm.Member{Domain: h.Identity.Domain}, h.Events, h.Log)
+	g.reporter = h.Part(reports.ReporterPart).(*reports.Reporter)
+	pace := rate.NewLimiter(rate.Inf, pacedBytes)
+	if s.UplinkBytesPerSecond > 0 {
+		pace = rate.NewLimiter(rate.Limit(s.UplinkBytesPerSecond), pacedBytes)
+	}
+	u := transfer.NewUploads(g.env.Shelf, g.env.Settings.Uploads, pace, &g.stats)
+	u.Register(r.Handle)
+	r.Handle(springrailv1connect.NewSwarmServiceHandler(u))
+	h.Metric("swarm", expvar.Func(func() any { return g.stats.Read() }))
+	h.Metric("orders", g.orders)
+	return g
+}
+
+const (
+	// pacedBytes is the most that leaves at once; it is the piece that uploads write in.
+	pacedBytes = 64 << 10
+	// uploads and downloads are chunk transfers at one time. A chunk of the users' is 24 KB, 27 ms of their links.
+	uploads, downloads = 3, 6
+	// patience is how long a lane of chunks may stand still before the next stager draws from the origin.
+	patience = 600 * time.Millisecond
+	// drawTimeout bounds one draw from the origin.
+	drawTimeout = 3 * time.Second
+)
+
+// New makes a stager; self is its place, without a name.
+func New(s *Settings, p *Ports, f *facts.Facts, l transfer.Links, self swarm.Member, e *kernel.EventRing, g *log.Logger) *Stager {
+	self.VM = id.VM(p.Address)
+	t := transfer.NewSettings()
+	t.Uploads, t.Downloads, t.Patience, t.DrawTimeout = uploads, downloads, patience, drawTimeout
+	st := &Stager{settings: s, ports: p, facts: f, log: g, now: time.Now, peers: l, orders: new(expvar.Map)}
+	st.env = transfer.Env{
+		Settings: t, Self: self, Shelf: transfer.NewShelf(int64(s.MemoryBytes)), Log: g, Events: e, Stats: &st.stats,
+	}
+	return st
+}
+
+const (
+	// lookEvery is how often the upstream's own report is read; it is on the same machine.
+	lookEvery = 100 * time.Millisecond
+	// reportEvery is how often a report goes out without a change of what the upstream serves.
+	reportEvery = 200 * time.Millisecond
+)
+
+// Run works until the context ends.
+func (s *Stager) Run(ctx context.Context) error {
+	go s.work(ctx)
+	last := s.now()
+	for ctx.Err() == nil {
+		changed := s.look(ctx)
+		if now := s.now(); changed || now.Sub(last) >= reportEvery-lookEvery/2 {
+			s.publish()
+			last = now
+		}
+		pause(ctx, lookEvery)
+	}
+	return nil
+}
+
+// look reads the upstream's report and says whether what it serves has changed.
+func (s *Stager) look(ctx context.Context) bool {
+	state, err := s.ports.Upstream.State(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	down := err != nil
+	changed := down != s.down || state.Busy != s.state.Busy || !sameHeld(state.Held, s.state.Held)
+	if down != s.down {
+		s.log.Info().Bool("down", down).Err(err).Msg("the upstream beside this process")
+	}
+	s.down, s.state = down, state
+	return changed
+}
+
+func sameHeld(a, b []facts.Held) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// setClosed says whether the upstream takes new work, and tells the gateways at once.
+func (s *Stager) setClosed(closed bool) {
+	s.mu.Lock()
+	changed := s.closed != closed
+	s.closed = closed
+	s.mu.Unlock()
+	if changed {
+		s.publish()
+	}
+}
+
+func (s *Stager) publish() {
+	s.mu.Lock()
+	r := &pb.UpstreamReport{
+		Address: s.ports.Address, Running: uint32(s.state.Running), Waiting: uint32(s.state.Waiting),
+		KvUsed: s.state.KVUsed, KvTotal: s.state.KVTotal, Pace: s.state.Pace, Closed: s.closed, Down: s.down,
+	}
+	for _, h := range s.state.Held {
+		r.Held = append(r.Held, &pb.HeldWeights{Model: string(h.Model), Revision: uint64(h.Revision)})
+	}
+	s.mu.Unlock()
+	s.reporter.Publish(r)
+}
+
+// current returns the upstream's newest state.
+func (s *Stager) current() (State, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state, !s.down
+}
+
+// peerAddress is the internal listener of the stager beside an upstream.
+func (s *Stager) peerAddress(upstream string) string {
+	host, _, err := net.SplitHostPort(upstream)
+	if err != nil {
+		return upstream
+	}
+	return net.JoinHostPort(host, strconv.Itoa(s.settings.PeerPort))
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/stager/ports.go
@@ -0,0 +1,66 @@
+// Package stager brings the weights that operators name onto the upstream beside it: it fetches their chunks from its
+// neighbours and the origin, stages them, and orders the upstream to load them once all are there and verified. It tells
+// the gateways what the upstream is doing.
+package stager
+
+import (
+	"context"
+	"errors"
+
+	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
+)
+
+var (
+	// ErrNoChunk says that a chunk is not staged.
+	ErrNoChunk = errors.New("the chunk is not staged")
+	// ErrRefused says that the upstream did not take an order.
+	ErrRefused = errors.New("the upstream refused the order")
+)
+
+// State is what the upstream says of itself at this moment.
+type State struct {
+	Running, Waiting int
+	KVUsed, KVTotal  uint64
+	Pace             float64
+	// Busy is true while an order is carried out.
+	Busy bool
+	// Orders counts the orders that the upstream has taken since its start.
+	Orders uint64
+	Held   []facts.Held
+}
+
+// Order tells the upstream to load what is staged.
+type Order struct {
+	Model    id.Model
+	Revision id.Revision
+	// After is the number of orders that the upstream must have taken, so that one that was overtaken is refused.
+	After uint64
+}
+
+// Upstream is the way to the upstream beside the stager; function fields so that tests can replace each.
+type Upstream struct {
+	State  func(ctx context.Context) (State, error)
+	Staged func(ctx context.Context, m id.Model) ([]id.Chunk, error)
+	Get    func(ctx context.Context, m id.Model, c id.Chunk) ([]byte, error)
+	Put    func(ctx context.Context, m id.Model, c id.Chunk, data []byte) error
+	Load   func(ctx context.Context, o Order) error
+}
+
+// Origin is the way to the place that weights come from.
+type Origin struct {
+	Manifest func(ctx context.Context, address string, m id.Model, r id.Revision) (*pb.Manifest, error)
+	Chunk    func(ctx context.Context, address string, m id.Model, r id.Revision, c id.Chunk) ([]byte, error)
+}
+
+// Ports is what the platform's part gives the stager.
+type Ports struct {
+	// Address is the upstream's, as the list of upstreams has it.
+	Address  string
+	Upstream Upstream
+	Origin   Origin
+}
+
+// PortsPart is the name of the part that gives the Ports.
+const PortsPart = "stager ports"
--- /dev/null
+++ b/internal/stager/work.go
@@ -0,0 +1,187 @@
+package stager
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/manifest"
+	"github.com/springrail/springrail/internal/swarm"
+	"github.com/springrail/springrail/internal/transfer"
+)
+
+// goal is a version of a model that the upstream should serve.
+type goal struct {
+	model    id.Model
+	wanted   facts.Wanted
+	engine   *catalog.Engine
+	pool     id.Pool
+	origin   string
+	rollout  *pb.Rollout
+	holding  *transfer.Holding
+	download *transfer.Download
+}
+
+// name is the rollout's ID: the same at all stagers.
+func (g *goal) name() string {
+	return fmt.Sprintf("%s@%d", g.model, g.wanted.Revision)
+}
+
+const (
+	// workPause is the wait between two looks at the goal while nothing changes.
+	workPause = 500 * time.Millisecond
+	// failedPause is the wait after a step that failed.
+	failedPause = 200 * time.Millisecond
+)
+
+// work brings the upstream to the newest version named, again and again.
+func (s *Stager) work(ctx context.Context) {
+	var old *goal
+	for ctx.Err() == nil {
+		changed := s.facts.Changed()
+		g, ok := s.goal()
+		if !ok {
+			waitFor(ctx, changed, workPause)
+			continue
+		}
+		if old != nil && old.name() != g.name() {
+			s.env.Shelf.End(id.Rollout(old.name()))
+		}
+		old = g
+		if err := s.reach(ctx, g); err != nil && ctx.Err() == nil {
+			s.log.Warn().Err(err).Str("model", string(g.model)).Uint64("revision", uint64(g.wanted.Revision)).
+				Msg("the version is not served yet")
+			pause(ctx, failedPause)
+		}
+	}
+}
+
+func waitFor(ctx context.Context, changed <-chan struct{}, most time.Duration) {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-t.C:
+	}
+}
+
+// goal finds the pool of the upstream beside this process and the version of its model that operators want.
+func (s *Stager) goal() (*goal, bool) {
+	c := s.facts.Catalog()
+	if c == nil {
+		return nil, false
+	}
+	for _, p := range c.Services {
+		if p.Engine == nil || string(p.Name) != s.settings.Pool || len(p.Engine.Models) == 0 {
+			continue
+		}
+		m := p.Engine.Models[0]
+		return &goal{model: m, wanted: s.facts.Wanted(m), engine: p.Engine, pool: p.Name, origin: c.Origin()}, true
+	}
+	return nil, false
+}
+
+// errSuperseded says that operators have named a newer version.
+var errSuperseded = errors.New("a newer version was named")
+
+// reach fetches, stages and loads a version, and returns once it is served and something has changed.
+func (s *Stager) reach(ctx context.Context, g *goal) error {
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	go s.watch(ctx, g, stop)
+	if err := s.open(g); err != nil {
+		return err
+	}
+	go g.download.Run(ctx)
+	err := s.stage(ctx, g)
+	if err == nil {
+		err = s.load(ctx, g)
+	}
+	if err != nil {
+		if cause := context.Cause(ctx); errors.Is(cause, errSuperseded) {
+			s.log.Info().Str("version", g.name()).Msg("superseded by a newer version")
+			return nil
+		}
+		return err
+	}
+	return s.keep(ctx, g)
+}
+
+// watch ends the work on a version once operators name a newer one.
+func (s *Stager) watch(ctx context.Context, g *goal, stop context.CancelCauseFunc) {
+	for ctx.Err() == nil {
+		changed := s.facts.Changed()
+		if s.facts.Wanted(g.model).Revision != g.wanted.Revision {
+			stop(errSuperseded)
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+// open makes the holding and the download of a version.
+func (s *Stager) open(g *goal) error {
+	e := g.engine
+	if e.Chunks <= 0 || e.ChunkBytes <= 0 {
+		return trace.Errorf("the configuration gives no size of the weights of %s", g.model)
+	}
+	g.rollout = &pb.Rollout{Id: g.name(), Version: &pb.Version{
+		Model: string(g.model), Name: fmt.Sprint(g.wanted.Revision),
+		TotalBytes: uint64(e.Chunks) * uint64(e.ChunkBytes), ChunkBytes: uint64(e.ChunkBytes),
+	}}
+	h, err := s.env.Shelf.Open(g.rollout)
+	if err != nil {
+		return err
+	}
+	g.holding = h
+	links := s.peers
+	links.Members = func() []transfer.Member { return s.members(g) }
+	links.Draw = func(ctx context.Context, _ *pb.Rollout, object string, from, length int64) (transfer.Drawn, error) {
+		return s.draw(ctx, g, object, from, length)
+	}
+	env := s.env
+	env.Local = func(ctx context.Context, h *transfer.Holding) { s.adopt(ctx, g, h) }
+	g.download = transfer.NewDownload(env, g.rollout, h, links)
+	return nil
+}
+
+// members lists the upstreams of the pool with their stagers' addresses.
+func (s *Stager) members(g *goal) []transfer.Member {
+	l := []transfer.Member{{Member: s.env.Self, Address: s.peerAddress(s.ports.Address)}}
+	for _, i := range s.facts.Instances() {
+		if i.Pool == g.pool && i.Address != s.ports.Address {
+			l = append(l, transfer.Member{
+				Member:  swarm.Member{VM: id.VM(i.Address), Domain: i.Domain},
+				Address: s.peerAddress(i.Address),
+			})
+		}
+	}
+	return l
+}
+
+// draw takes the manifest or a chunk from the origin.
+func (s *Stager) draw(ctx context.Context, g *goal, object string, from, length int64) (transfer.Drawn, error) {
+	if length < 0 {
+		m, err := s.ports.Origin.Manifest(ctx, g.origin, g.model, g.wanted.Revision)
+		if err != nil {
+			return transfer.Drawn{}, err
+		}
+		raw, err := manifest.Encode(m)
+		return transfer.Drawn{Data: raw, OriginBytes: int64(len(raw))}, err
+	}
+	c := id.Chunk(from / int64(g.engine.ChunkBytes))
+	data, err := s.ports.Origin.Chunk(ctx, g.origin, g.model, g.wanted.Revision, c)
+	s.stats.AddOrigin(int64(len(data)))
+	return transfer.Drawn{Data: data, OriginBytes: int64(len(data))}, err
+}
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"expvar"
-	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -61,7 +59,7 @@
 // Run serves until the context ends.
 func (p *Part) Run(ctx context.Context) error {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /debug/vars", p.vars)
+	mux.HandleFunc("GET "+kernel.MetricsPath, p.host.ServeMetrics)
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if ok, why := p.host.Ready(); !ok {
@@ -73,14 +71,6 @@
 	return rpc.Serve(ctx, &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}, p.listener, nil)
 }
 
-// vars writes the parts' metrics and Go's own, in the form of package expvar.
-func (p *Part) vars(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	_, _ = fmt.Fprintf(w, "{\n%q: %s", "springrail", p.host.Metrics())
-	expvar.Do(func(kv expvar.KeyValue) { _, _ = fmt.Fprintf(w, ",\n%q: %s", kv.Key, kv.Value) })
-	_, _ = fmt.Fprintln(w, "\n}")
-}
-
 // Events implements the process service.
 func (p *Part) Events(_ context.Context, r *pb.EventsRequest) (*pb.EventsResponse, error) {
 	return &pb.EventsResponse{Events: List(p.host, r)}, nil
--- a/internal/transfer/download.go
+++ b/internal/transfer/download.go
@@ -80,6 +80,7 @@
 	events   *kernel.EventRing
 	stats    *Stats
 	random   *rand.Rand
+	local    func(ctx context.Context, h *Holding)
 
 	mu         sync.Mutex
 	neighbours map[id.VM]*neighbour
@@ -107,13 +108,26 @@
 	drawFailures int
 }
 
-// newDownload makes a download that has not started.
-func newDownload(m *Manager, r *pb.Rollout, h *Holding) *Download {
+// Env is what the downloads of one VM share. Seed fixes the choices between equals.
+type Env struct {
+	Settings *Settings
+	Self     swarm.Member
+	Shelf    *Shelf
+	Log      *log.Logger
+	Events   *kernel.EventRing
+	Stats    *Stats
+	Seed     uint64
+	// Local, where set, fills a holding that has its manifest with chunks that this VM has kept elsewhere.
+	Local func(ctx context.Context, h *Holding)
+}
+
+// NewDownload makes a download that has not started.
+func NewDownload(e Env, r *pb.Rollout, h *Holding, l Links) *Download {
 	chunks := int(config.ChunkCount(r.GetVersion()))
 	return &Download{
-		rollout: r, holding: h, shelf: m.shelf, links: m.links(r), settings: m.settings, self: m.self,
-		log: m.host.Log, events: m.host.Events, stats: &m.stats,
-		random:     rand.New(rand.NewPCG(rendezvous.Weight(r.GetId(), m.self.VM), m.seed)),
+		rollout: r, holding: h, shelf: e.Shelf, links: l, settings: e.Settings, self: e.Self,
+		log: e.Log, events: e.Events, stats: e.Stats, local: e.Local,
+		random:     rand.New(rand.NewPCG(rendezvous.Weight(r.GetId(), e.Self.VM), e.Seed)),
 		neighbours: map[id.VM]*neighbour{}, dead: map[id.VM]time.Time{}, rarity: make([]int, chunks),
 		have: swarm.NewSet(chunks), inFlight: map[id.Chunk]int{}, wake: make(chan struct{}, 1), renew: make(chan struct{}, 1),
 		reason: "waits for the manifest",
@@ -130,6 +144,9 @@
 	if !d.fetchManifest(ctx) {
 		return
 	}
+	if d.local != nil {
+		d.local(ctx, d.holding)
+	}
 	d.reuse()
 	for ctx.Err() == nil && !d.holding.Complete() {
 		d.schedule(ctx)
--- a/internal/transfer/download_test.go
+++ b/internal/transfer/download_test.go
@@ -78,7 +78,7 @@
 	m := &Manager{host: h, settings: settings, self: swarm.Member{VM: "self", Domain: "d"}, shelf: NewShelf(1 << 30)}
 	holding, err := m.shelf.Open(s.rollout)
 	Expect(err).NotTo(HaveOccurred())
-	d := newDownload(m, s.rollout, holding)
+	d := NewDownload(m.env(), s.rollout, holding, Links{})
 	d.links = Links{
 		Members: func() []Member {
 			l := []Member{{Member: m.self, Address: "self"}}
--- a/internal/transfer/holding.go
+++ b/internal/transfer/holding.go
@@ -42,7 +42,8 @@
 	return &Holding{rollout: r, epoch: epoch, have: swarm.NewSet(0), change: make(chan struct{})}
 }
 
-// SetManifest takes the manifest if it has the hash that the rollout pins and fits its sizes.
+// SetManifest takes the manifest if it has the hash that the rollout pins and fits its sizes. Where the rollout pins
+// none, the first manifest of the right sizes is the pin from then on.
 func (h *Holding) SetManifest(raw []byte) error {
 	m, err := manifest.Decode(raw, h.rollout.GetVersion())
 	if err != nil {
@@ -161,3 +162,8 @@
 func epochNow() uint64 {
 	return uint64(time.Now().UnixNano())
 }
+
+// Epoch tells this holding from an earlier one of the same rollout.
+func (h *Holding) Epoch() uint64 {
+	return h.epoch
+}
--- a/internal/transfer/links.go
+++ b/internal/transfer/links.go
@@ -14,6 +14,7 @@
 	"github.com/springrail/springrail/internal/config"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/platform"
+	"github.com/springrail/springrail/internal/rpc"
 	"github.com/springrail/springrail/internal/swarm"
 )
 
@@ -29,18 +30,25 @@
 
 // links makes a download's ways to others over the process's internal client and the platform.
 func (m *Manager) links(r *pb.Rollout) Links {
+	l := PeerLinks(m.rpc)
+	l.Members = func() []Member { return m.members(r) }
+	l.Draw = m.draw
+	return l
+}
+
+// PeerLinks makes a download's ways to its neighbours over the process's internal client; Members and Draw are the
+// caller's to set.
+func PeerLinks(s *rpc.Server) Links {
 	return Links{
-		Members: func() []Member { return m.members(r) },
 		FetchChunk: func(ctx context.Context, address string, name id.Rollout, c id.Chunk, size int64) ([]byte, error) {
-			return m.get(ctx, fmt.Sprintf("%s%s%s/%d", m.rpc.URL(address), chunkPath, name, c), size, true)
+			return get(ctx, s, fmt.Sprintf("%s%s%s/%d", s.URL(address), chunkPath, name, c), size, true)
 		},
 		FetchManifest: func(ctx context.Context, address string, name id.Rollout) ([]byte, error) {
-			return m.get(ctx, m.rpc.URL(address)+manifestPath+string(name), maxManifest, false)
+			return get(ctx, s, s.URL(address)+manifestPath+string(name), maxManifest, false)
 		},
 		Have: func(ctx context.Context, address string, q *pb.HaveRequest) (*pb.HaveResponse, error) {
-			return m.rpc.Swarm(address).Have(ctx, q)
+			return s.Swarm(address).Have(ctx, q)
 		},
-		Draw: m.draw,
 	}
 }
 
@@ -64,12 +72,12 @@
 }
 
 // get takes size bytes, or up to size where exact is false.
-func (m *Manager) get(ctx context.Context, url string, size int64, exact bool) ([]byte, error) {
+func get(ctx context.Context, s *rpc.Server, url string, size int64, exact bool) ([]byte, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	a, err := m.rpc.Bulk().Do(r)
+	a, err := s.Bulk().Do(r)
 	if err != nil {
 		return nil, trace.Wrap(errors.Join(ErrPeer, err))
 	}
--- a/internal/transfer/part.go
+++ b/internal/transfer/part.go
@@ -113,11 +113,18 @@
 	h.Metric("swarm", expvar.Func(func() any { return m.Counters() }))
 	h.Metric("swarm_memory_bytes", expvar.Func(func() any { return m.MemoryUsed() }))
 	u := NewUploads(m.shelf, s.Uploads, pace, &m.stats)
-	u.register(r.Handle)
+	u.Register(r.Handle)
 	r.Handle(springrailv1connect.NewSwarmServiceHandler(u))
 	return m
 }
 
+func (m *Manager) env() Env {
+	return Env{
+		Settings: m.settings, Self: m.self, Shelf: m.shelf, Log: m.host.Log, Events: m.host.Events,
+		Stats: &m.stats, Seed: m.seed,
+	}
+}
+
 // Counters returns what the transfers have moved.
 func (m *Manager) Counters() Counters {
 	return m.stats.Read()
@@ -226,7 +233,7 @@
 		return
 	}
 	ctx, stop := context.WithCancel(ctx)
-	d := &running{Download: newDownload(m, r, h), stop: stop}
+	d := &running{Download: NewDownload(m.env(), r, h, m.links(r)), stop: stop}
 	m.downloads[id.Rollout(r.GetId())] = d
 	d.event(kernel.EventRolloutLearnt, "")
 	go d.Run(ctx)
--- a/internal/transfer/serve.go
+++ b/internal/transfer/serve.go
@@ -36,8 +36,8 @@
 	return &Uploads{shelf: s, slots: make(chan struct{}, slots), pace: pace, stats: t}
 }
 
-// register adds the handlers.
-func (u *Uploads) register(handle func(path string, h http.Handler)) {
+// Register adds the handlers.
+func (u *Uploads) Register(handle func(path string, h http.Handler)) {
 	handle("GET "+chunkPath+"{rollout}/{chunk}", http.HandlerFunc(u.chunk))
 	handle("GET "+manifestPath+"{rollout}", http.HandlerFunc(u.manifest))
 }
--- a/internal/transfer/stats.go
+++ b/internal/transfer/stats.go
@@ -40,3 +40,8 @@
 		Busy: s.busy.Load(), Corrupt: s.corrupt.Load(), Failed: s.failed.Load(), Messages: s.questions.Load(),
 	}
 }
+
+// AddOrigin counts bytes drawn from the origin.
+func (s *Stats) AddOrigin(n int64) {
+	s.origin.Add(n)
+}
--- /dev/null
+++ b/internal/upconn/pool.go
@@ -0,0 +1,157 @@
+package upconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Pool sends requests over kept connections.
+type Pool struct {
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	now  func() time.Time
+	idle idle
+	// echoed says whether an answer's header belongs to a request.
+	echoed func(request, answer http.Header) bool
+	// Dialled counts new connections.
+	Dialled func()
+}
+
+// New makes a pool. Echoed tells an answer to this request from a late one to another request.
+func New(dial func(ctx context.Context, network, address string) (net.Conn, error), now func() time.Time,
+	echoed func(request, answer http.Header) bool,
+) *Pool {
+	return &Pool{
+		dial: dial, now: now, echoed: echoed, idle: idle{conns: map[string][]*conn{}}, Dialled: func() {},
+	}
+}
+
+// Exchange is a request that was sent and the head of its answer.
+type Exchange struct {
+	*http.Response
+	pool *Pool
+	conn *conn
+	stop func() bool
+	// uploaded closes once a long body has been sent; nil for bodies that were sent whole.
+	uploaded chan struct{}
+	ended    bool
+}
+
+// maxStray bounds the answers to other requests that are passed over on one connection.
+const maxStray = 4
+
+// Send sends a request to an address and returns the head of the answer. The context's end breaks the connection, and
+// with it the upstream's work. Errors are ErrNotSent or ErrBroken.
+func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
+	c := p.idle.take(address, p.now())
+	if c == nil {
+		fresh, err := p.connect(ctx, address)
+		if err != nil {
+			return nil, trace.Wrap(errors.Join(ErrNotSent, err))
+		}
+		c = fresh
+	}
+	e := &Exchange{pool: p, conn: c}
+	e.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	if err := e.exchange(r); err != nil {
+		e.stop()
+		c.Close()
+		return nil, trace.Wrap(errors.Join(ErrBroken, err))
+	}
+	return e, nil
+}
+
+func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
+	p.Dialled()
+	n, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: n, address: address, r: bufio.NewReaderSize(n, readBuffer), w: bufio.NewWriterSize(n, readBuffer)}, nil
+}
+
+// exchange sends the request and reads the head of its answer.
+func (e *Exchange) exchange(r *Request) error {
+	c := e.conn
+	r.writeHead(c.w)
+	if r.Rest == nil {
+		_, _ = c.w.Write(r.Body)
+	}
+	if err := c.w.Flush(); err != nil {
+		return err
+	}
+	if r.Rest != nil {
+		e.uploaded = make(chan struct{})
+		go e.upload(r)
+	}
+	return e.readHead(r)
+}
+
+// upload sends a long body beside the answer, which may come before the body's end.
+func (e *Exchange) upload(r *Request) {
+	if r.writeRest(e.conn.w) == nil {
+		close(e.uploaded)
+	}
+}
+
+// readHead passes over answers that belong to other requests and informational ones.
+func (e *Exchange) readHead(r *Request) error {
+	for range maxStray {
+		a, err := http.ReadResponse(e.conn.r, &http.Request{Method: r.Method})
+		if err != nil {
+			return err
+		}
+		if a.StatusCode < http.StatusOK {
+			continue
+		}
+		if e.pool.echoed(r.Header, a.Header) {
+			e.Response = a
+			return nil
+		}
+		if _, err := io.Copy(io.Discard, a.Body); err != nil {
+			return err
+		}
+	}
+	return errors.New("only answers to other requests came")
+}
+
+// End gives the connection back after a whole answer; otherwise it closes it, which ends the upstream's work.
+func (e *Exchange) End(whole bool) {
+	if e.ended {
+		return
+	}
+	e.ended = true
+	live := e.stop()
+	keep := keepFor(e.Response)
+	if !whole || !live || keep <= 0 || e.conn.r.Buffered() > 0 || !e.sent() {
+		e.conn.Close()
+		return
+	}
+	e.conn.kept = true
+	e.conn.idleUntil = e.pool.now().Add(keep)
+	e.pool.idle.put(e.conn, e.pool.now())
+}
+
+// sent says whether the whole body has left; where an answer came early the rest of it is still due there.
+func (e *Exchange) sent() bool {
+	if e.uploaded == nil {
+		return true
+	}
+	select {
+	case <-e.uploaded:
+		return true
+	default:
+		return false
+	}
+}
+
+// Forget closes the idle connections to an address.
+func (p *Pool) Forget(address string) {
+	p.idle.drop(address)
+}
