--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -55,8 +55,9 @@
 	catalog atomic.Pointer[catalog.Catalog]
 	now     func() time.Time
 
-	mu        sync.Mutex
-	wanted    map[id.Model]Wanted
+	mu sync.Mutex
+	// wanted lists the versions named for a model, oldest first.
+	wanted    map[id.Model][]Wanted
 	instances map[id.Instance]*Instance
 	list      atomic.Pointer[[]*Instance]
 	change    chan struct{}
@@ -65,7 +66,7 @@
 // New makes an empty set of facts.
 func New(now func() time.Time) *Facts {
 	f := &Facts{
-		now: now, wanted: map[id.Model]Wanted{}, instances: map[id.Instance]*Instance{},
+		now: now, wanted: map[id.Model][]Wanted{}, instances: map[id.Instance]*Instance{},
 		change: make(chan struct{}),
 	}
 	f.list.Store(&[]*Instance{})
@@ -93,26 +94,52 @@
 func (f *Facts) SetWanted(m id.Model, r id.Revision) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.wanted[m].Revision >= r {
+	l := f.wanted[m]
+	if newest(l).Revision >= r {
 		return false
 	}
-	f.wanted[m] = Wanted{Revision: r, Learnt: f.now()}
+	if len(l) >= maxNamed {
+		l = l[1:]
+	}
+	f.wanted[m] = append(l[:len(l):len(l)], Wanted{Revision: r, Learnt: f.now()})
 	f.notify()
 	return true
 }
 
-// firstRevision is what a model has before operators name another one.
-const firstRevision = 1
+const (
+	// firstRevision is what a model has before operators name another one.
+	firstRevision = 1
+	// maxNamed bounds the named versions that are remembered of a model; only those of the last seconds matter.
+	maxNamed = 16
+)
+
+func newest(l []Wanted) Wanted {
+	if len(l) == 0 {
+		return Wanted{Revision: firstRevision}
+	}
+	return l[len(l)-1]
+}
 
 // Wanted returns the newest weights named for a model.
 func (f *Facts) Wanted(m id.Model) Wanted {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w, ok := f.wanted[m]
-	if !ok {
-		return Wanted{Revision: firstRevision}
+	return newest(f.wanted[m])
+}
+
+// Required returns the oldest version of a model that may still take requests: each version has to be in use, or a newer
+// one, within a time of its naming, whatever has been named since. It is 0 where any will do.
+func (f *Facts) Required(m id.Model, within time.Duration) id.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	l := f.wanted[m]
+	for i := len(l) - 1; i >= 0; i-- {
+		if now.Sub(l[i].Learnt) > within {
+			return l[i].Revision
+		}
 	}
-	return w
+	return 0
 }
 
 // SetInstance takes an upstream's entry in the list.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -68,7 +68,9 @@
 	h := passOn(r.Header)
 	s := Send{Instance: c.Instance, Organisation: f.org, Left: f.deadline.Sub(f.gateway.now()), After: f.events.last}
 	if service := f.catalog.Services[f.pool]; service != nil {
-		s.Revision = f.wanted(service)
+		if least, _ := f.required(service); least > 0 {
+			s.Revision = c.Revision
+		}
 	}
 	f.gateway.dialect.Prepare(h, s)
 	return &upconn.Request{
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -94,7 +94,8 @@
 	listener net.Listener
 	server   *http.Server
 	inFlight atomic.Int64
-	leaving  atomic.Bool
+	// leaving sends callers elsewhere for their next request; closing refuses what still comes.
+	leaving, closing atomic.Bool
 }
 
 func newPart(h *kernel.Host) (any, error) {
@@ -136,10 +137,11 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { g.server.Close() })
 	defer stop()
-	if err := g.server.Serve(g.listener); ctx.Err() == nil {
-		return trace.Wrap(err)
+	err := g.server.Serve(g.listener)
+	if ctx.Err() != nil || g.closing.Load() {
+		return nil
 	}
-	return nil
+	return trace.Wrap(err)
 }
 
 // NotReady implements kernel.Readier.
@@ -165,10 +167,14 @@
 		defer stop()
 	}
 	pause(ctx, leaveQuiet)
-	g.server.SetKeepAlivesEnabled(false)
+	g.closing.Store(true)
 	for ctx.Err() == nil && g.inFlight.Load() > 0 {
 		pause(ctx, drainLook)
 	}
+	// Shutdown closes idle connections and waits for those on which a request has begun to come in.
+	if err := g.server.Shutdown(ctx); err != nil {
+		g.log.Warn().Int64("in_flight", g.inFlight.Load()).Msg("leaving with requests in flight")
+	}
 }
 
 // drainLook is how often a leaving process looks whether it is done.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -61,6 +61,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	f := &flight{gateway: g, request: r, w: w, arrived: g.now(), ask: g.dialect.Read(r.Header), tried: map[id.Instance]bool{}, neverRan: true}
+	if g.closing.Load() {
+		f.refuse("leaving", leastRetryAfter)
+		return
+	}
 	if !f.admit() {
 		return
 	}
@@ -295,12 +299,12 @@
 
 // swapMargin is taken off the time within which a version must be the only one in use: a request may wait at the
 // upstream before it begins.
-const swapMargin = 1200 * time.Millisecond
+const swapMargin = 900 * time.Millisecond
 
 // candidates lists the upstreams that may take the request now.
 func (f *flight) candidates(s *catalog.Service) []placement.Candidate {
 	g := f.gateway
-	want := f.wanted(s)
+	least, exact := f.required(s)
 	usual := 0.0
 	if s.Engine != nil {
 		usual = s.Engine.UsualPrompt
@@ -310,10 +314,15 @@
 		if i.Pool != f.pool || i.Leaving {
 			continue
 		}
-		if s.Engine != nil && !f.serves(i, want) {
-			continue
+		held := id.Revision(0)
+		if s.Engine != nil {
+			var ok bool
+			if held, ok = f.serves(i); !ok || held < least || (exact && held != least) {
+				continue
+			}
 		}
 		c := g.tracker.Candidate(i, usual)
+		c.Revision = held
 		c.Near = i.Domain == g.domain
 		if s.Engine != nil && c.Slots == 0 {
 			c.Slots = s.Engine.Slots
@@ -323,34 +332,30 @@
 	return l
 }
 
-// wanted is the version that an upstream must serve, or 0 where any will do.
-func (f *flight) wanted(s *catalog.Service) id.Revision {
+// required is the oldest version that an upstream may serve; 0 where any will do. A stream that goes on elsewhere must
+// find the version that it began with.
+func (f *flight) required(s *catalog.Service) (least id.Revision, exact bool) {
 	if s.Engine == nil || f.ask.Model == "" {
-		return 0
+		return 0, false
 	}
 	if f.headSent && f.revision > 0 {
-		return f.revision
+		return f.revision, true
 	}
-	w := f.gateway.facts.Wanted(f.ask.Model)
-	if !w.Learnt.IsZero() && f.gateway.now().Sub(w.Learnt) > f.gateway.settings.SwapWithin-swapMargin {
-		return w.Revision
-	}
-	return 0
+	return f.gateway.facts.Required(f.ask.Model, f.gateway.settings.SwapWithin-swapMargin), false
 }
 
-// serves says whether an upstream holds the model whole, in the wanted version where one is; a fresh report goes before
-// the list.
-func (f *flight) serves(u *facts.Instance, want id.Revision) bool {
+// serves says whether an upstream holds the model whole, and in which version; a fresh report goes before the list.
+func (f *flight) serves(u *facts.Instance) (id.Revision, bool) {
 	held := u.Held
 	if r, ok := f.gateway.tracker.Fresh(u.Address); ok {
 		if r.Closed || r.Down {
-			return false
+			return 0, false
 		}
 		held = r.Held
 	}
 	if f.ask.Model == "" {
-		return true
+		return 0, true
 	}
-	has := facts.Revision(held, f.ask.Model)
-	return has > 0 && (want == 0 || has == want)
+	r := facts.Revision(held, f.ask.Model)
+	return r, r > 0
 }
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -13,6 +13,8 @@
 type Candidate struct {
 	Instance id.Instance
 	Address  string
+	// Revision is the version of the model that it serves; 0 for plain services.
+	Revision id.Revision
 	// Near is true in the own failure domain.
 	Near bool
 	// Slots is the number of requests that the upstream runs at once.
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -58,7 +58,8 @@
 			put++
 		}
 		if put == g.engine.Chunks {
-			s.log.Info().Str("version", g.name()).Int64("since_named_ms", s.sinceNamed(g)).Msg("all chunks staged")
+			s.log.Info().Str("version", g.name()).Int64("since_named_ms", s.sinceNamed(g)).
+				Int64("origin_bytes", s.stats.Read().Origin).Msg("all chunks staged")
 			return nil
 		}
 		if len(fresh) == 0 {
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -102,11 +102,13 @@
 
 const (
 	// pacedBytes is the most that leaves at once; it is the piece that uploads write in.
-	pacedBytes = 64 << 10
+	pacedBytes = 16 << 10
 	// uploads and downloads are chunk transfers at one time. A chunk of the users' is 24 KB, 27 ms of their links.
 	uploads, downloads = 3, 6
-	// patience is how long a lane of chunks may stand still before the next stager draws from the origin.
-	patience = 600 * time.Millisecond
+	// patience is how long a lane of chunks may stand still before the next stager draws from the origin. News of a
+	// chunk travels by hops; with 600 ms, 3.4 copies were drawn for two versions, and each beyond the first costs
+	// the burst 2.6 s of the origin's link.
+	patience = 1500 * time.Millisecond
 	// drawTimeout bounds one draw from the origin.
 	drawTimeout = 3 * time.Second
 )
@@ -116,7 +118,7 @@
 	self.VM = id.VM(p.Address)
 	t := transfer.NewSettings()
 	t.Uploads, t.Downloads, t.Patience, t.DrawTimeout = uploads, downloads, patience, drawTimeout
-	st := &Stager{settings: s, ports: p, facts: f, log: g, now: time.Now, peers: l, orders: new(expvar.Map)}
+	st := &Stager{down: true, settings: s, ports: p, facts: f, log: g, now: time.Now, peers: l, orders: new(expvar.Map)}
 	st.env = transfer.Env{
 		Settings: t, Self: self, Shelf: transfer.NewShelf(int64(s.MemoryBytes)), Log: g, Events: e, Stats: &st.stats,
 	}
--- a/internal/stager/work.go
+++ b/internal/stager/work.go
@@ -51,6 +51,11 @@
 			waitFor(ctx, changed, workPause)
 			continue
 		}
+		if _, up := s.current(); !up {
+			// Its staged chunks may be all that is needed; asking others first would draw them from the origin.
+			pause(ctx, lookEvery)
+			continue
+		}
 		if old != nil && old.name() != g.name() {
 			s.env.Shelf.End(id.Rollout(old.name()))
 		}
@@ -147,8 +152,8 @@
 	g.holding = h
 	links := s.peers
 	links.Members = func() []transfer.Member { return s.members(g) }
-	links.Draw = func(ctx context.Context, _ *pb.Rollout, object string, from, length int64) (transfer.Drawn, error) {
-		return s.draw(ctx, g, object, from, length)
+	links.Draw = func(ctx context.Context, _ *pb.Rollout, _ string, from, length int64) (transfer.Drawn, error) {
+		return s.draw(ctx, g, from, length)
 	}
 	env := s.env
 	env.Local = func(ctx context.Context, h *transfer.Holding) { s.adopt(ctx, g, h) }
@@ -170,8 +175,8 @@
 	return l
 }
 
-// draw takes the manifest or a chunk from the origin.
-func (s *Stager) draw(ctx context.Context, g *goal, object string, from, length int64) (transfer.Drawn, error) {
+// draw takes a chunk from the origin, or the manifest for a negative length.
+func (s *Stager) draw(ctx context.Context, g *goal, from, length int64) (transfer.Drawn, error) {
 	if length < 0 {
 		m, err := s.ports.Origin.Manifest(ctx, g.origin, g.model, g.wanted.Revision)
 		if err != nil {
--- a/internal/swarm/pick.go
+++ b/internal/swarm/pick.go
@@ -10,6 +10,8 @@
 // Peer is what a VM knows of one neighbour.
 type Peer struct {
 	VM id.VM
+	// Far is true in another failure domain.
+	Far bool
 	// Has holds the chunks that the neighbour has said it holds.
 	Has *Set
 	// InFlight is the number of transfers from it.
@@ -40,7 +42,9 @@
 	Peers    []*Peer
 	// Rarity is the number of neighbours that hold a chunk.
 	Rarity []int
-	Limits Limits
+	// MayImport says whether a chunk may be taken from another failure domain now; nil allows all.
+	MayImport func(c id.Chunk) bool
+	Limits    Limits
 }
 
 // PickPeer chooses the next chunk and the neighbour to take it from: the rarest that a free neighbour holds, ties
@@ -51,13 +55,13 @@
 		return 0, nil
 	}
 	if c, ok := rarest(v, free, r, 0); ok {
-		return c, leastBusy(free, c, r)
+		return c, leastBusy(v, free, c, r)
 	}
 	if v.Chunks-v.Have.Len() > v.Limits.EndGame {
 		return 0, nil
 	}
 	if c, ok := rarest(v, free, r, 1); ok {
-		return c, leastBusy(free, c, r)
+		return c, leastBusy(v, free, c, r)
 	}
 	return 0, nil
 }
@@ -83,7 +87,7 @@
 	found, ties := 0, 0
 	v.Have.Missing(v.Chunks, func(c id.Chunk) bool {
 		n := v.Rarity[c]
-		if n == 0 || v.InFlight[c] != inFlight || (found > 0 && n > found) || !anyHas(free, c) {
+		if n == 0 || v.InFlight[c] != inFlight || (found > 0 && n > found) || !anyGives(v, free, c) {
 			return true
 		}
 		if n < found || found == 0 {
@@ -99,20 +103,39 @@
 	return best, found > 0
 }
 
-func anyHas(peers []*Peer, c id.Chunk) bool {
+// gives says whether a neighbour may be asked for a chunk. One in another failure domain is left alone while the chunk
+// is to be had in the own domain, or is another VM's to bring there.
+func (v *View) gives(p *Peer, c id.Chunk) bool {
+	if !p.Has.Has(c) {
+		return false
+	}
+	return !p.Far || v.MayImport == nil || (v.MayImport(c) && !v.near(c))
+}
+
+// near says whether a neighbour of the own failure domain holds a chunk.
+func (v *View) near(c id.Chunk) bool {
+	for _, p := range v.Peers {
+		if !p.Far && p.Has.Has(c) {
+			return true
+		}
+	}
+	return false
+}
+
+func anyGives(v *View, peers []*Peer, c id.Chunk) bool {
 	for _, p := range peers {
-		if p.Has.Has(c) {
+		if v.gives(p, c) {
 			return true
 		}
 	}
 	return false
 }
 
-func leastBusy(peers []*Peer, c id.Chunk, r *rand.Rand) *Peer {
+func leastBusy(v *View, peers []*Peer, c id.Chunk, r *rand.Rand) *Peer {
 	var best *Peer
 	ties := 0
 	for _, p := range peers {
-		if !p.Has.Has(c) {
+		if !v.gives(p, c) {
 			continue
 		}
 		switch {
@@ -128,16 +151,17 @@
 	return best
 }
 
-// PickDraw chooses the lane's next chunk that no neighbour holds, in order, so that the origin's link carries few
-// chunks at a time and the first ones are soon in the swarm.
-func PickDraw(v *View, l Lanes, lane int) (id.Chunk, bool) {
+// PickDraw chooses the lane's next chunk that no neighbour holds. The lane's first VM draws in order, so that the
+// origin's link carries few chunks at a time and the first ones are soon in the swarm. A VM that helps out draws from the
+// end: the first one may be slow rather than dead, and what it draws next is not drawn twice.
+func PickDraw(v *View, l Lanes, lane, rank int) (id.Chunk, bool) {
 	var next id.Chunk
 	ok := false
 	v.Have.Missing(v.Chunks, func(c id.Chunk) bool {
 		if l.Lane(c) == lane && v.Rarity[c] == 0 && v.InFlight[c] == 0 {
 			next, ok = c, true
 		}
-		return !ok
+		return !ok || rank > 0
 	})
 	return next, ok
 }
--- a/internal/swarm/swarm_test.go
+++ b/internal/swarm/swarm_test.go
@@ -194,7 +194,7 @@
 		return
 	}
 	for lane, rank := range lanes.Ranks(m.VM) {
-		if c, ok := PickDraw(v, lanes, lane); ok && MayDraw(rank, copies, time.Time{}, time.Second, v.Now) {
+		if c, ok := PickDraw(v, lanes, lane, rank); ok && MayDraw(rank, copies, time.Time{}, time.Second, v.Now) {
 			w.drawn[c]++
 			v.Have.Add(c)
 			return
--- a/internal/transfer/download.go
+++ b/internal/transfer/download.go
@@ -89,7 +89,10 @@
 	rarity     []int
 	inFlight   map[id.Chunk]int
 	lanes      swarm.Lanes
-	ranks      []int
+	importers  swarm.Importers
+	// seen is when a neighbour was first known to hold a chunk.
+	seen  []time.Time
+	ranks []int
 	// laneSeen is when a lane last moved by others' draws, laneCount how many of its chunks others have brought.
 	laneSeen  []time.Time
 	laneCount []int
@@ -128,7 +131,7 @@
 		rollout: r, holding: h, shelf: e.Shelf, links: l, settings: e.Settings, self: e.Self,
 		log: e.Log, events: e.Events, stats: e.Stats, local: e.Local,
 		random:     rand.New(rand.NewPCG(rendezvous.Weight(r.GetId(), e.Self.VM), e.Seed)),
-		neighbours: map[id.VM]*neighbour{}, dead: map[id.VM]time.Time{}, rarity: make([]int, chunks),
+		neighbours: map[id.VM]*neighbour{}, dead: map[id.VM]time.Time{}, rarity: make([]int, chunks), seen: make([]time.Time, chunks),
 		have: swarm.NewSet(chunks), inFlight: map[id.Chunk]int{}, wake: make(chan struct{}, 1), renew: make(chan struct{}, 1),
 		reason: "waits for the manifest",
 	}
@@ -185,11 +188,13 @@
 func (d *Download) refresh(ctx context.Context) {
 	members := d.links.Members()
 	address := map[id.VM]string{}
+	domain := map[id.VM]id.Domain{}
 	var all, live []swarm.Member
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, m := range members {
 		address[m.VM] = m.Address
+		domain[m.VM] = m.Domain
 		all = append(all, m.Member)
 		if time.Since(d.dead[m.VM]) > blameDead {
 			live = append(live, m.Member)
@@ -197,6 +202,7 @@
 	}
 	d.lanes = swarm.NewLanes(d.rollout.GetId(), all)
 	d.ranks = d.lanes.Ranks(d.self.VM)
+	d.importers = swarm.NewImporters(d.rollout.GetId(), d.self, live)
 	for len(d.laneSeen) < d.lanes.Count() {
 		d.laneSeen = append(d.laneSeen, time.Now())
 		d.laneBytes = append(d.laneBytes, 0)
@@ -206,7 +212,7 @@
 	for _, v := range swarm.Neighbours(d.rollout.GetId(), d.self, live, d.settings.Neighbours) {
 		wanted[v] = true
 		if d.neighbours[v] == nil {
-			d.meet(ctx, v, address[v])
+			d.meet(ctx, v, address[v], domain[v] != d.self.Domain)
 		}
 	}
 	for v, n := range d.neighbours {
@@ -219,9 +225,9 @@
 // blameDead is how long a VM that gave no answer is not chosen as a neighbour.
 const blameDead = 10 * time.Second
 
-func (d *Download) meet(ctx context.Context, v id.VM, address string) {
+func (d *Download) meet(ctx context.Context, v id.VM, address string, far bool) {
 	n := &neighbour{address: address}
-	n.VM = v
+	n.VM, n.Far = v, far
 	n.Has = swarm.NewSet(len(d.rarity))
 	ctx, n.stop = context.WithCancel(ctx)
 	d.neighbours[v] = n
@@ -292,7 +298,7 @@
 	}
 	for lane := range d.ranks {
 		for d.mayDraw(lane, v.Now) {
-			c, ok := swarm.PickDraw(v, d.lanes, lane)
+			c, ok := swarm.PickDraw(v, d.lanes, lane, d.ranks[lane])
 			if !ok {
 				break
 			}
@@ -305,8 +311,10 @@
 }
 
 func (d *Download) view() *swarm.View {
+	now := time.Now()
 	v := &swarm.View{
-		Now: time.Now(), Chunks: len(d.rarity), Have: d.have, InFlight: d.inFlight, Rarity: d.rarity,
+		MayImport: func(c id.Chunk) bool { return d.importers.May(c, now.Sub(d.seen[c])) },
+		Now:       now, Chunks: len(d.rarity), Have: d.have, InFlight: d.inFlight, Rarity: d.rarity,
 		Limits: swarm.Limits{
 			PerPeer: d.settings.PerPeer, Total: d.settings.Downloads, EndGame: d.settings.Downloads / 2,
 		},
--- a/internal/transfer/fetch.go
+++ b/internal/transfer/fetch.go
@@ -94,6 +94,9 @@
 	for _, c := range a.GetChunks() {
 		if int(c) < len(d.rarity) && n.Has.Add(id.Chunk(c)) {
 			d.noteSeen(id.Chunk(c))
+			if d.rarity[c] == 0 {
+				d.seen[c] = time.Now()
+			}
 			d.rarity[c]++
 		}
 	}
--- a/internal/transfer/serve.go
+++ b/internal/transfer/serve.go
@@ -15,8 +15,9 @@
 const (
 	chunkPath    = "/swarm/chunk/"
 	manifestPath = "/swarm/manifest/"
-	// writeBytes is the piece that pacing works on.
-	writeBytes = 64 << 10
+	// writeBytes is the piece that pacing works on. It is what may stand in front of a live answer on the same link:
+	// 18 ms on links of 7.3 Mbit/s.
+	writeBytes = 16 << 10
 	// maxWait bounds a neighbour's long poll.
 	maxWait = 5 * time.Second
 	// haveSettle joins chunks that arrive close together into one answer.
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -103,7 +103,7 @@
 // readHead passes over answers that belong to other requests and informational ones.
 func (e *Exchange) readHead(r *Request) error {
 	for range maxStray {
-		a, err := http.ReadResponse(e.conn.r, &http.Request{Method: r.Method})
+		a, err := http.ReadResponse(e.conn.r, &http.Request{Method: r.Method}) //nolint:bodyclose // End closes the connection
 		if err != nil {
 			return err
 		}
