Transfers give way to live requests on narrow links; stalled upstreams are left alone

Change: downloads in flight are bounded by the time that they queue (200 ms), uploads go one at a time once one takes 400 ms; a stalled upstream is suspect for 1.5 s; an upstream that lags behind half of the others gets no requests from half of the swap time on; a request that stalled once is sent on though late. 11 lanes, one draw at once.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -95,7 +95,12 @@
 func (t *try) broke(text string) *problem {
 	f := t.flight
 	f.neverRan = false
-	if f.request.Context().Err() == nil && f.gateway.now().Before(f.deadline) {
+	switch {
+	case f.request.Context().Err() != nil || !f.gateway.now().Before(f.deadline):
+	case t.ctx.Err() != nil:
+		f.gateway.tracker.Stalled(t.choice.Address)
+		return &problem{text: "the upstream stalled"}
+	default:
 		f.gateway.tracker.Failed(t.choice.Address)
 		f.gateway.pool.Forget(t.choice.Address)
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -285,7 +285,12 @@
 		return c, &problem{text: "no upstream", notRun: true, final: true, retry: noUpstreamRetry}
 	}
 	free := c.Known && c.Running+c.Waiting < c.Slots/2
-	if !f.headSent && !free && !placement.InTime(c.Predicted, g.now().Sub(f.arrived), f.route.Aim) {
+	passed := g.now().Sub(f.arrived)
+	if f.attempts > 0 {
+		// The request has been at an upstream already: late is better than not at all.
+		passed = 0
+	}
+	if !f.headSent && !free && !placement.InTime(c.Predicted, passed, f.route.Aim) {
 		f.predicted = c.Predicted
 		retry := placement.RetryAfter(c.Predicted, f.route.Aim, g.random())
 		return c, &problem{text: "too busy", notRun: true, final: true, retry: retry}
@@ -329,6 +334,29 @@
 		}
 		l = append(l, c)
 	}
+	return f.preferNew(s, l)
+}
+
+// preferShare is the part of the time for a swap after which upstreams that still serve the older version are left out
+// where half of them serve the newer one: what waits in the queue of one that freezes would begin too late.
+const preferShare = 0.5
+
+// preferNew drops upstreams that lag behind a version that most serve.
+func (f *flight) preferNew(s *catalog.Service, l []placement.Candidate) []placement.Candidate {
+	if s.Engine == nil || f.headSent {
+		return l
+	}
+	within := time.Duration(preferShare * float64(f.gateway.settings.SwapWithin))
+	least := f.gateway.facts.Required(f.ask.Model, within)
+	var fresh []placement.Candidate
+	for _, c := range l {
+		if c.Revision >= least {
+			fresh = append(fresh, c)
+		}
+	}
+	if 2*len(fresh) >= len(l) {
+		return fresh
+	}
 	return l
 }
 
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -14,6 +14,9 @@
 	// suspectBase is how long an upstream is left alone after a first failure, and suspectMost bounds the doubling.
 	suspectBase = 400 * time.Millisecond
 	suspectMost = 4 * time.Second
+	// stallBase is the same for an upstream that let a request wait far beyond its predicted time: what is slow, cut
+	// off or frozen stays so for seconds.
+	stallBase = 1500 * time.Millisecond
 	// paceWeight is the weight of the newest observation in an upstream's observed pace.
 	paceWeight = 0.2
 	// shareOfAll is how many gateways are taken to send as much as this one to an upstream whose own figures are not
@@ -133,10 +136,19 @@
 
 // Failed notes that an upstream failed a request, and leaves it alone for a while.
 func (t *Tracker) Failed(address string) {
+	t.suspect(address, suspectBase)
+}
+
+// Stalled notes that an upstream let a request wait, and leaves it alone for longer.
+func (t *Tracker) Stalled(address string) {
+	t.suspect(address, stallBase)
+}
+
+func (t *Tracker) suspect(address string, base time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.at(address)
-	d := suspectBase << min(u.failures, 4)
+	d := base << min(u.failures, 4)
 	u.failures++
 	u.until = t.now().Add(min(d, suspectMost))
 }
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -16,6 +16,10 @@
 
 // adopt takes what lies staged beside the upstream from an earlier life of this process. Only verified chunks count.
 func (s *Stager) adopt(ctx context.Context, g *goal, h *transfer.Holding) {
+	if s.adopted.Swap(true) {
+		// Whatever lies there now this process has put there itself.
+		return
+	}
 	l, err := s.ports.Upstream.Staged(ctx, g.model)
 	if err != nil {
 		s.log.Info().Err(err).Str("version", g.name()).Msg("nothing staged to take over")
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -75,6 +76,8 @@
 	peers    transfer.Links
 	stats    transfer.Stats
 	orders   *expvar.Map
+	// adopted is true once what lay staged at the start of this process has been looked at.
+	adopted atomic.Bool
 
 	mu    sync.Mutex
 	state State
@@ -93,6 +96,7 @@
 		pace = rate.NewLimiter(rate.Limit(s.UplinkBytesPerSecond), pacedBytes)
 	}
 	u := transfer.NewUploads(g.env.Shelf, g.env.Settings.Uploads, pace, &g.stats)
+	u.SlowAfter = slowUpload
 	u.Register(r.Handle)
 	r.Handle(springrailv1connect.NewSwarmServiceHandler(u))
 	h.Metric("swarm", expvar.Func(func() any { return g.stats.Read() }))
@@ -108,7 +112,12 @@
 	// patience is how long a lane of chunks may stand still before the next stager draws from the origin. News of a
 	// chunk travels by hops; with 600 ms, 3.4 copies were drawn for two versions, and each beyond the first costs
 	// the burst 2.6 s of the origin's link.
-	patience = 1500 * time.Millisecond
+	patience = 700 * time.Millisecond
+	// queueMost is the longest time that chunks may hold up a live request on its way here: a link of the users' that
+	// is squeezed to an eighth made 1.6 s of what is 150 ms else.
+	queueMost = 200 * time.Millisecond
+	// slowUpload is the time of a chunk on an eighth of a link, with one other beside it.
+	slowUpload = 400 * time.Millisecond
 	// drawTimeout bounds one draw from the origin.
 	drawTimeout = 3 * time.Second
 )
@@ -118,6 +127,7 @@
 	self.VM = id.VM(p.Address)
 	t := transfer.NewSettings()
 	t.Uploads, t.Downloads, t.Patience, t.DrawTimeout = uploads, downloads, patience, drawTimeout
+	t.QueueMost = queueMost
 	st := &Stager{down: true, settings: s, ports: p, facts: f, log: g, now: time.Now, peers: l, orders: new(expvar.Map)}
 	st.env = transfer.Env{
 		Settings: t, Self: self, Shelf: transfer.NewShelf(int64(s.MemoryBytes)), Log: g, Events: e, Stats: &st.stats,
--- a/internal/swarm/lane.go
+++ b/internal/swarm/lane.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// minLanes is the fewest VMs that draw from the origin at one time. Two would fill a link of two VM links only
-	// while neither stalls.
-	minLanes = 3
+	// minLanes is the fewest VMs that draw from the origin at one time, where there are as many. Each drawer's link has
+	// to carry its chunks to all its neighbours: with 3 drawers those links bound a burst over 20 VMs at 4.1 s, with 11
+	// at 3.9 s (bound 2.6 s), and 64 VMs took 1.28 and 1.27 of the bound, with 1.29 and 1.01 origin copies.
+	minLanes = 11
 	// defaultCopiesTime and defaultCopiesBytes are the origin budgets where a rollout sets none. The reserve beyond
 	// the first copy is drawn only after a drawer has stalled or a domain has been cut off.
 	defaultCopiesTime  = 3
--- a/internal/transfer/download.go
+++ b/internal/transfer/download.go
@@ -24,9 +24,9 @@
 	tick = 100 * time.Millisecond
 	// refreshEvery is how often the neighbours are chosen anew.
 	refreshEvery = time.Second
-	// drawsAtOnce is the number of chunks that a VM draws from a source at one time; the second hides the latency
-	// of the first.
-	drawsAtOnce = 2
+	// drawsAtOnce is the number of chunks that a VM draws from a source at one time. The other lanes fill the source's
+	// link while one waits for its next chunk.
+	drawsAtOnce = 1
 	// stallFloor is the shortest time after which a transfer counts as stalled.
 	stallFloor = 500 * time.Millisecond
 	// stallFactor is how many times the usual time of a chunk a transfer may take.
@@ -98,6 +98,8 @@
 	laneCount []int
 	drawing   int
 	usual     time.Duration
+	// moving is the number of transfers under way when the last one was delivered.
+	moving    int
 	delivered int
 	begun     time.Time
 	renew     chan struct{}
@@ -310,13 +312,23 @@
 	}
 }
 
+// downloads is the number of chunks that may be on their way at one time: fewer than the settings allow where the link
+// has become so narrow that they would queue in front of live requests. The caller holds the lock.
+func (d *Download) downloads() int {
+	if d.settings.QueueMost <= 0 || d.delivered < usualKnown || d.usual <= 0 {
+		return d.settings.Downloads
+	}
+	perChunk := d.usual / time.Duration(max(1, d.moving))
+	return min(max(1, int(d.settings.QueueMost/max(1, perChunk))), d.settings.Downloads)
+}
+
 func (d *Download) view() *swarm.View {
 	now := time.Now()
 	v := &swarm.View{
 		MayImport: func(c id.Chunk) bool { return d.importers.May(c, now.Sub(d.seen[c])) },
 		Now:       now, Chunks: len(d.rarity), Have: d.have, InFlight: d.inFlight, Rarity: d.rarity,
 		Limits: swarm.Limits{
-			PerPeer: d.settings.PerPeer, Total: d.settings.Downloads, EndGame: d.settings.Downloads / 2,
+			PerPeer: d.settings.PerPeer, Total: d.downloads(), EndGame: d.settings.Downloads / 2,
 		},
 	}
 	for _, name := range slices.Sorted(maps.Keys(d.neighbours)) {
--- a/internal/transfer/fetch.go
+++ b/internal/transfer/fetch.go
@@ -49,16 +49,21 @@
 func (d *Download) pauseForNews() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	moving := 0
-	for _, n := range d.inFlight {
-		moving += n
-	}
-	if moving < d.settings.Downloads/2 {
+	if d.transfers() < d.settings.Downloads/2 {
 		return 0
 	}
 	return d.settings.HaveEvery
 }
 
+// transfers is the number of chunks on their way; the caller holds the lock.
+func (d *Download) transfers() int {
+	n := 0
+	for _, k := range d.inFlight {
+		n += k
+	}
+	return n
+}
+
 func (d *Download) noteSilent(ctx context.Context, n *neighbour) {
 	if ctx.Err() != nil {
 		return
@@ -151,6 +156,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.moving = d.transfers()
 	n.InFlight--
 	d.release(c)
 	if ctx.Err() == nil {
--- a/internal/transfer/part.go
+++ b/internal/transfer/part.go
@@ -36,6 +36,9 @@
 	HaveEvery            time.Duration `toml:"have_every"`
 	BusyRetry            time.Duration `toml:"busy_retry"`
 	DrawTimeout          time.Duration `toml:"draw_timeout"`
+	// QueueMost is the longest time that chunks on their way to this VM may hold up a live request on the same link; 0
+	// sets no bound.
+	QueueMost time.Duration `toml:"queue_most"`
 }
 
 // NewSettings returns the defaults.
@@ -60,6 +63,7 @@
 	c.Require(s.Patience >= 10*time.Millisecond, "patience", "a time of at least 10ms")
 	c.Require(s.HaveEvery > 0, "have_every", "a time above 0")
 	c.Require(s.BusyRetry > 0, "busy_retry", "a time above 0")
+	c.Require(s.QueueMost >= 0, "queue_most", "a time, or 0 for no bound")
 	c.Require(s.DrawTimeout > 0, "draw_timeout", "a time above 0")
 }
 
--- a/internal/transfer/serve.go
+++ b/internal/transfer/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -30,6 +31,10 @@
 	slots chan struct{}
 	pace  *rate.Limiter
 	stats *Stats
+	// SlowAfter is the time of one chunk from which on uploads go one at a time, as on a link that has become narrow
+	// several would hold up the live answers that leave by it; 0 sets no bound.
+	SlowAfter time.Duration
+	slow      atomic.Bool
 }
 
 // NewUploads serves from a shelf with a number of slots; pace is in bytes a second.
@@ -55,14 +60,14 @@
 		http.Error(w, "chunk not held", http.StatusNotFound)
 		return
 	}
-	select {
-	case u.slots <- struct{}{}:
-	default:
+	if !u.enter() {
 		u.stats.busy.Add(1)
 		http.Error(w, "busy", http.StatusServiceUnavailable)
 		return
 	}
 	defer func() { <-u.slots }()
+	start := time.Now()
+	defer func() { u.slow.Store(u.SlowAfter > 0 && time.Since(start) > u.SlowAfter) }()
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	u.write(r.Context(), w, data)
 }
@@ -81,6 +86,19 @@
 	}
 }
 
+// enter takes an upload slot, or only the first one while uploads are slow.
+func (u *Uploads) enter() bool {
+	if u.slow.Load() && len(u.slots) > 0 {
+		return false
+	}
+	select {
+	case u.slots <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
 // manifest waits a while for the manifest, so that it runs through the swarm as fast as its links.
 func (u *Uploads) manifest(w http.ResponseWriter, r *http.Request) {
 	h := u.shelf.Find(id.Rollout(r.PathValue("rollout")))
