--- a/internal/transfer/download_test.go
+++ b/internal/transfer/download_test.go
@@ -107,6 +107,22 @@
 }
 
 var _ = Describe("a download", func() {
+	It("draws on after an outage of the source in which it has tried more often than its budget has chunks", func() {
+		s := newSource(8)
+		failures := 0
+		d := download(s, 0, func(l *Links) {
+			l.Draw = func(ctx context.Context, r *pb.Rollout, object string, from, length int64) (Drawn, error) {
+				if object == objectContent && failures < 30 {
+					failures++
+					return Drawn{}, errGone
+				}
+				return s.draw(ctx, r, object, from, length)
+			}
+		})
+		d.settings.Patience = 8 * time.Millisecond
+		Expect(finish(d, 5*time.Second)).To(BeTrue())
+	})
+
 	It("that has taken a lane over goes on without a wait for each chunk", func() {
 		s := newSource(60)
 		started := time.Now()
--- a/internal/transfer/fetch.go
+++ b/internal/transfer/fetch.go
@@ -289,6 +289,8 @@
 		d.drawFailures = 0
 		d.reason = "fetching"
 	case ctx.Err() == nil:
+		// What the source did not send does not count: in a long outage failed draws would use up the whole budget.
+		d.laneBytes[d.lanes.Lane(c)] -= max(0, size-got.OriginBytes)
 		d.drawFailures++
 		d.drawRetry = time.Now().Add(d.drawPause(err))
 		d.reason = drawReason(err)
