--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -115,6 +115,10 @@
 	// drainMost is how long an upstream that gets no new requests is given to finish those that run. Most do in a
 	// second; waiting for the longest would leave it almost idle for up to four.
 	drainMost = 900 * time.Millisecond
+	// queueMostDrain is how long those that wait are given to begin: one pass takes up to 150 ms.
+	queueMostDrain = 250 * time.Millisecond
+	// lastSends is how long requests may still arrive that were sent before the gateways knew.
+	lastSends = 20 * time.Millisecond
 	// loadTimeout is how long an order may take: requests run for up to 6 s, and loading takes less than one.
 	loadTimeout = 9 * time.Second
 )
@@ -148,12 +152,13 @@
 	return w < waves-1
 }
 
-// drain waits until the upstream, which gets no new requests, has finished those that run, and says whether it has.
-func (s *Stager) drain(ctx context.Context) bool {
-	until := s.now().Add(drainMost)
+// drain waits until the upstream, which gets no new requests, has finished what is asked, and says whether it has.
+func (s *Stager) drain(ctx context.Context, most time.Duration, done func(u State) bool) bool {
+	until := s.now().Add(most)
+	pause(ctx, lastSends)
 	for ctx.Err() == nil && s.now().Before(until) {
 		state, err := s.ports.Upstream.State(ctx)
-		if err != nil || state.Running+state.Waiting == 0 {
+		if err != nil || done(state) {
 			return true
 		}
 		pause(ctx, servedLook)
@@ -175,7 +180,13 @@
 	}
 	s.setClosed(true)
 	defer s.setClosed(false)
-	cut = cut && !s.drain(ctx)
+	if s.superseded(g) {
+		// It is finished late: requests that wait are let in, those that run are finished by the upstream.
+		s.drain(ctx, queueMostDrain, func(u State) bool { return u.Waiting == 0 })
+		cut = false
+	} else {
+		cut = cut && !s.drain(ctx, drainMost, func(u State) bool { return u.Running+u.Waiting == 0 })
+	}
 	state, err := s.ports.Upstream.State(ctx)
 	if err != nil {
 		return trace.Wrap(err)
