--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -26,11 +26,8 @@
 	Slots   int
 	Leaving bool
 	Held    []Held
-}
-
-// Holds returns the revision of a model that an upstream serves whole; 0 is none.
-func (i *Instance) Holds(m id.Model) id.Revision {
-	return Revision(i.Held, m)
+	// Seen orders what the list says: of two entries, the one with the higher number was written later.
+	Seen uint64
 }
 
 // Revision finds a model in a list; 0 is none.
@@ -175,10 +172,17 @@
 	return f.instances[n]
 }
 
-// publish makes the list that readers share; the caller holds the lock.
+// publish makes the list that readers share. Where several entries name one address, the one written last holds it: the
+// others are of upstreams that have ended there. The caller holds the lock.
 func (f *Facts) publish() {
-	l := make([]*Instance, 0, len(f.instances))
+	holder := make(map[string]*Instance, len(f.instances))
 	for _, i := range f.instances {
+		if h := holder[i.Address]; h == nil || h.Seen < i.Seen {
+			holder[i.Address] = i
+		}
+	}
+	l := make([]*Instance, 0, len(holder))
+	for _, i := range holder {
 		l = append(l, i)
 	}
 	f.list.Store(&l)
