--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,10 +67,8 @@
 	r := f.request
 	h := passOn(r.Header)
 	s := Send{Instance: c.Instance, Organisation: f.org, Left: f.deadline.Sub(f.gateway.now()), After: f.events.last}
-	if service := f.catalog.Services[f.pool]; service != nil {
-		if least, _ := f.required(service); least > 0 {
-			s.Revision = c.Revision
-		}
+	if f.headSent || f.gateway.facts.Required(f.ask.Model, f.gateway.settings.SwapWithin-swapMargin) > 0 {
+		s.Revision = c.Revision
 	}
 	f.gateway.dialect.Prepare(h, s)
 	return &upconn.Request{
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -306,25 +306,31 @@
 // upstream before it begins.
 const swapMargin = 900 * time.Millisecond
 
+const (
+	// swapCaution is how many times the predicted wait a request is taken to wait: one in ten takes longer than 1.7
+	// times.
+	swapCaution = 2
+	// swapArrival is the time for the way to the upstream, on a link that is shared with chunks.
+	swapArrival = 300 * time.Millisecond
+)
+
 // candidates lists the upstreams that may take the request now.
 func (f *flight) candidates(s *catalog.Service) []placement.Candidate {
 	g := f.gateway
-	least, exact := f.required(s)
 	usual := 0.0
+	var m placement.Model
 	if s.Engine != nil {
 		usual = s.Engine.UsualPrompt
+		m = placement.NewModel(s.Engine)
 	}
 	var l []placement.Candidate
 	for _, i := range g.facts.Instances() {
 		if i.Pool != f.pool || i.Leaving {
 			continue
 		}
-		held := id.Revision(0)
-		if s.Engine != nil {
-			var ok bool
-			if held, ok = f.serves(i); !ok || held < least || (exact && held != least) {
-				continue
-			}
+		held, ok := f.serves(s, i)
+		if !ok {
+			continue
 		}
 		c := g.tracker.Candidate(i, usual)
 		c.Revision = held
@@ -332,7 +338,9 @@
 		if s.Engine != nil && c.Slots == 0 {
 			c.Slots = s.Engine.Slots
 		}
-		l = append(l, c)
+		if s.Engine == nil || f.fits(m, &c) {
+			l = append(l, c)
+		}
 	}
 	return f.preferNew(s, l)
 }
@@ -360,20 +368,25 @@
 	return l
 }
 
-// required is the oldest version that an upstream may serve; 0 where any will do. A stream that goes on elsewhere must
-// find the version that it began with.
-func (f *flight) required(s *catalog.Service) (least id.Revision, exact bool) {
-	if s.Engine == nil || f.ask.Model == "" {
-		return 0, false
+// fits says whether an upstream's version may still take the request: it must begin there before the time of that
+// version is over, and a stream that goes on elsewhere must find the version that it began with.
+func (f *flight) fits(m placement.Model, c *placement.Candidate) bool {
+	if f.ask.Model == "" {
+		return true
 	}
-	if f.headSent && f.revision > 0 {
-		return f.revision, true
+	if f.headSent && f.revision > 0 && c.Revision != f.revision {
+		return false
 	}
-	return f.gateway.facts.Required(f.ask.Model, f.gateway.settings.SwapWithin-swapMargin), false
+	wait := time.Duration(swapCaution * float64(m.FirstEvent(c, f.ask.Prompt)))
+	margin := max(swapMargin, wait+swapArrival)
+	return c.Revision >= f.gateway.facts.Required(f.ask.Model, f.gateway.settings.SwapWithin-margin)
 }
 
 // serves says whether an upstream holds the model whole, and in which version; a fresh report goes before the list.
-func (f *flight) serves(u *facts.Instance) (id.Revision, bool) {
+func (f *flight) serves(s *catalog.Service, u *facts.Instance) (id.Revision, bool) {
+	if s.Engine == nil {
+		return 0, true
+	}
 	held := u.Held
 	if r, ok := f.gateway.tracker.Fresh(u.Address); ok {
 		if r.Closed || r.Down {
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -110,6 +110,9 @@
 	// a burst of the users' weights takes 4 s of 8, and an upstream is out for a second and a half.
 	secondWave = 0.58
 	waveStep   = 0.15
+	// cutShare is the part of the time for a swap after which requests are not cut any more: others that serve the same
+	// version could not let them in before its time is over.
+	cutShare = 0.62
 	// staleShare is the part of the time for a swap after which an older version takes no requests any more.
 	staleShare = 0.88
 	// drainMost is how long an upstream that gets no new requests is given to finish those that run. Most do in a
@@ -149,7 +152,7 @@
 	}
 	share := secondWave + float64(w-1)*waveStep
 	pause(ctx, g.wanted.Learnt.Add(time.Duration(share*float64(s.settings.SwapWithin))).Sub(s.now()))
-	return w < waves-1
+	return w < waves-1 && s.now().Sub(g.wanted.Learnt) < time.Duration(cutShare*float64(s.settings.SwapWithin))
 }
 
 // drain waits until the upstream, which gets no new requests, has finished what is asked, and says whether it has.
