--- /dev/null
+++ b/internal/facts/facts_test.go
@@ -0,0 +1,75 @@
+package facts
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/spec"
+)
+
+func TestFacts(t *testing.T) {
+	spec.Run(t, "Facts")
+}
+
+var _ = Describe("facts", func() {
+	var now time.Time
+	var f *Facts
+	BeforeEach(func() {
+		now = time.Unix(1000, 0)
+		f = New(func() time.Time { return now })
+	})
+
+	It("never go back to an older configuration or version", func() {
+		Expect(f.SetCatalog(catalog.New(5, nil, nil, nil, catalog.Limits{}))).To(BeTrue())
+		Expect(f.SetCatalog(catalog.New(4, nil, nil, nil, catalog.Limits{}))).To(BeFalse())
+		Expect(f.Catalog().Revision).To(Equal(uint64(5)))
+		Expect(f.Wanted("m").Revision).To(Equal(id.Revision(1)))
+		Expect(f.SetWanted("m", 3)).To(BeTrue())
+		Expect(f.SetWanted("m", 2)).To(BeFalse())
+		Expect(f.Wanted("m").Revision).To(Equal(id.Revision(3)))
+	})
+
+	It("hold each version to the time since its own naming, whatever is named after it", func() {
+		f.SetWanted("m", 2)
+		now = now.Add(4 * time.Second)
+		f.SetWanted("m", 3)
+		Expect(f.Required("m", 8*time.Second)).To(BeZero())
+		now = now.Add(5 * time.Second)
+		Expect(f.Required("m", 8*time.Second)).To(Equal(id.Revision(2)))
+		now = now.Add(4 * time.Second)
+		Expect(f.Required("m", 8*time.Second)).To(Equal(id.Revision(3)))
+	})
+
+	It("remember a bounded number of versions", func() {
+		for r := range id.Revision(100) {
+			f.SetWanted("m", r+2)
+		}
+		Expect(f.wanted["m"]).To(HaveLen(maxNamed))
+		Expect(f.Wanted("m").Revision).To(Equal(id.Revision(101)))
+	})
+
+	It("give an address to the entry that was written last", func() {
+		f.SetInstance(&Instance{ID: "new", Address: "a", Seen: 9})
+		f.SetInstance(&Instance{ID: "old", Address: "a", Seen: 3})
+		Expect(f.Instances()).To(HaveLen(1))
+		Expect(f.Instances()[0].ID).To(Equal(id.Instance("new")))
+		f.DropInstance("new")
+		Expect(f.Instances()[0].ID).To(Equal(id.Instance("old")))
+	})
+
+	It("wake who waits for a change", func() {
+		c := f.Changed()
+		f.SetInstance(&Instance{ID: "i", Address: "a"})
+		Expect(c).To(BeClosed())
+		c = f.Changed()
+		f.SetInstance(&Instance{ID: "i", Address: "a", Seen: 2})
+		Expect(c).NotTo(BeClosed())
+		f.SetInstance(&Instance{ID: "i", Address: "a", Leaving: true})
+		Expect(c).To(BeClosed())
+	})
+})
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,448 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
+
+	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/placement"
+	"github.com/springrail/springrail/internal/spec"
+)
+
+func TestGateway(t *testing.T) {
+	spec.Run(t, "The gateway")
+}
+
+// The headers of the dialect that these specs speak.
+const (
+	xRequest  = "X-Request"
+	xKey      = "X-Key"
+	xWait     = "X-Wait-Ms"
+	xModel    = "X-Model"
+	xInstance = "X-Instance"
+	xOrg      = "X-Org"
+	xAfter    = "X-After"
+	xRevision = "X-Revision"
+	xNotRun   = "X-Not-Run"
+	xRetry    = "X-Retry-Ms"
+)
+
+func testDialect() *Dialect {
+	return &Dialect{
+		Read: func(h http.Header) Ask {
+			ms, _ := strconv.Atoi(h.Get(xWait))
+			return Ask{
+				Request: id.Request(h.Get(xRequest)), Key: h.Get(xKey), Model: id.Model(h.Get(xModel)),
+				Patience: time.Duration(ms) * time.Millisecond, Prompt: 100,
+			}
+		},
+		Prepare: func(h http.Header, s Send) {
+			h.Del(xKey)
+			h.Set(xInstance, string(s.Instance))
+			h.Set(xOrg, string(s.Organisation))
+			h.Set(xWait, strconv.FormatInt(s.Left.Milliseconds(), 10))
+			if s.After != "" {
+				h.Set(xAfter, s.After)
+			}
+		},
+		Verdict: func(_ int, h http.Header) Verdict {
+			n, _ := strconv.Atoi(h.Get(xRevision))
+			return Verdict{NotRun: h.Get(xNotRun) != "", Revision: id.Revision(n)}
+		},
+		Promise:    func(status int) bool { return status == http.StatusServiceUnavailable },
+		RetryAfter: func(h http.Header, d time.Duration) { h.Set(xRetry, strconv.FormatInt(d.Milliseconds(), 10)) },
+		Echoed:     func(q, a http.Header) bool { return q.Get(xRequest) == a.Get(xRequest) },
+	}
+}
+
+// backstage is a gateway with upstreams that a spec plays.
+type backstage struct {
+	gateway *Gateway
+	facts   *facts.Facts
+	tracker *placement.Tracker
+	server  *httptest.Server
+	mu      sync.Mutex
+	arrived map[string][]string
+}
+
+func newBackstage(routes ...*catalog.Route) *backstage {
+	f := facts.New(time.Now)
+	services := []*catalog.Service{{Name: "plain"}, {Name: "engines", Engine: &catalog.Engine{
+		Slots: 4, Step: time.Millisecond, ReadPerSecond: 100000, ReadChunk: 2048, Stride: 5, UsualPrompt: 100, UsualAnswer: 20,
+	}}}
+	orgs := []*catalog.Organisation{{Name: "gym", Keys: []string{"secret"}}}
+	f.SetCatalog(catalog.New(7, routes, services, orgs, catalog.Limits{HeaderBytes: 2000, BodyBytes: 1000}))
+	b := &backstage{facts: f, tracker: placement.NewTracker(time.Now), arrived: map[string][]string{}}
+	dial := (&net.Dialer{Timeout: time.Second}).DialContext
+	quiet := &log.Logger{Level: log.PanicLevel}
+	b.gateway = New(NewSettings(), testDialect(), f, b.tracker, func() int { return 1 }, dial, "d", quiet)
+	b.server = httptest.NewServer(b.gateway)
+	DeferCleanup(b.server.Close)
+	return b
+}
+
+// route makes a public route to a pool.
+func route(kind catalog.Kind, pool id.Pool) *catalog.Route {
+	return &catalog.Route{
+		Name: "r", Host: "h.example", PathPrefix: "/p/", Kind: kind, Timeout: 2 * time.Second, Aim: time.Second,
+		Shares: []catalog.Share{{Pool: pool, Weight: 1}}, MaxAttempts: 2, Public: true, Resumable: kind == catalog.Streaming,
+	}
+}
+
+// upstream adds an upstream whose connections are played by hand after the request has been read.
+func (b *backstage) upstream(name string, pool id.Pool, play func(q *http.Request, body string, c net.Conn)) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.play(name, c, play)
+		}
+	}()
+	b.facts.SetInstance(&facts.Instance{
+		ID: id.Instance(name), Pool: pool, Address: l.Addr().String(), Domain: "d", Slots: 4,
+		Held: []facts.Held{{Model: "m", Revision: 1}},
+	})
+}
+
+func (b *backstage) play(name string, c net.Conn, play func(q *http.Request, body string, c net.Conn)) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(q.Body)
+		b.mu.Lock()
+		b.arrived[q.Header.Get(xRequest)] = append(b.arrived[q.Header.Get(xRequest)], name)
+		b.mu.Unlock()
+		play(q, string(body), c)
+		if q.Header.Get("X-Hang-Up") != "" {
+			return
+		}
+	}
+}
+
+// runs is the number of upstreams that a request arrived at.
+func (b *backstage) runs(request string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.arrived[request])
+}
+
+// reply writes a whole answer.
+func reply(c net.Conn, q *http.Request, status int, extra, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 %d x\r\n%s: %s\r\nContent-Length: %d\r\n%s\r\n%s",
+		status, xRequest, q.Header.Get(xRequest), len(body), extra, body)
+}
+
+// ask sends a caller's request; header fields come in pairs.
+func (b *backstage) ask(method, path, body string, fields ...string) (*http.Response, string, error) {
+	q, err := http.NewRequest(method, b.server.URL+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	q.Host = "h.example"
+	q.Header.Set(xRequest, "1")
+	for i := 0; i < len(fields); i += 2 {
+		q.Header.Set(fields[i], fields[i+1])
+	}
+	a, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(q)
+	if err != nil {
+		return nil, "", err
+	}
+	defer a.Body.Close()
+	got, err := io.ReadAll(a.Body)
+	return a, string(got), err
+}
+
+var _ = Describe("a request", func() {
+	It("reaches its upstream unchanged, with the gateway's word on who asks", func() {
+		r := route(catalog.Unsafe, "plain")
+		r.Public = false
+		b := newBackstage(r)
+		b.upstream("u", "plain", func(q *http.Request, body string, c net.Conn) {
+			reply(c, q, 200, "X-Seal: s\r\n", q.Method+" "+q.RequestURI+" "+body+" "+q.Header.Get(xOrg)+q.Header.Get(xKey)+q.Header.Get("X-Drop")+" "+q.Host)
+		})
+		a, body, err := b.ask("POST", "/p/a%2Fb?q=%20x", "hello", xKey, "secret", xOrg, "rival", "Connection", "X-Drop", "X-Drop", "1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("POST /p/a%2Fb?q=%20x hello gym h.example"))
+		Expect(a.Header.Get("X-Seal")).To(Equal("s"))
+	})
+
+	DescribeTable("is turned away without an upstream", func(status int, path, body string, fields ...string) {
+		r := route(catalog.Unsafe, "plain")
+		r.Public = false
+		b := newBackstage(r)
+		b.upstream("u", "plain", func(q *http.Request, _ string, c net.Conn) { reply(c, q, 200, "", "") })
+		a, _, err := b.ask("POST", path, body, fields...)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(status))
+		Expect(b.runs("1")).To(BeZero())
+	},
+		Entry("no route", 404, "/other/", "", xKey, "secret"), Entry("no key", 401, "/p/", ""),
+		Entry("another key", 401, "/p/", "", xKey, "guess"), Entry("long body", 413, "/p/", strings.Repeat("x", 1001), xKey, "secret"),
+		Entry("long head", 431, "/p/", "", xKey, "secret", "X-Long", strings.Repeat("x", 2000)))
+
+	It("is promised not to have run where there is no upstream, with a time to come back", func() {
+		b := newBackstage(route(catalog.Unsafe, "plain"))
+		a, _, err := b.ask("POST", "/p/", "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(503))
+		Expect(a.Header.Get(xRetry)).NotTo(BeEmpty())
+	})
+
+	It("is not run a second time after its upstream broke off, and is not promised to be unrun", func() {
+		b := newBackstage(route(catalog.Unsafe, "plain"))
+		for _, n := range []string{"u", "v"} {
+			b.upstream(n, "plain", func(*http.Request, string, net.Conn) {})
+		}
+		a, _, err := b.ask("POST", "/p/", "x", "X-Hang-Up", "1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(502))
+		Expect(b.runs("1")).To(Equal(1))
+	})
+
+	It("goes to another upstream where the first proved that it did not run it", func() {
+		b := newBackstage(route(catalog.Unsafe, "plain"))
+		var first sync.Once
+		for _, n := range []string{"u", "v"} {
+			b.upstream(n, "plain", func(q *http.Request, _ string, c net.Conn) {
+				refused := false
+				first.Do(func() { refused = true; reply(c, q, 503, xNotRun+": 1\r\n", "") })
+				if !refused {
+					reply(c, q, 200, "", "ran")
+				}
+			})
+		}
+		a, body, err := b.ask("POST", "/p/", "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(200))
+		Expect(body).To(Equal("ran"))
+		Expect(b.runs("1")).To(Equal(2))
+	})
+
+	It("that its upstream calls unrun without proof is not promised to its caller", func() {
+		b := newBackstage(route(catalog.Unsafe, "plain"))
+		b.upstream("u", "plain", func(q *http.Request, _ string, c net.Conn) { reply(c, q, 503, "", "") })
+		a, _, err := b.ask("POST", "/p/", "x")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(502))
+	})
+
+	It("that is safe is asked again after a failure, within the route's attempts", func() {
+		b := newBackstage(route(catalog.Safe, "plain"))
+		for _, n := range []string{"u", "v", "w"} {
+			b.upstream(n, "plain", func(q *http.Request, _ string, c net.Conn) { reply(c, q, 500, "", "bad") })
+		}
+		a, _, err := b.ask("GET", "/p/", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(500))
+		Expect(b.runs("1")).To(Equal(2))
+	})
+
+	It("is answered at its route's time", func() {
+		r := route(catalog.Unsafe, "plain")
+		r.Timeout = 100 * time.Millisecond
+		b := newBackstage(r)
+		b.upstream("u", "plain", func(*http.Request, string, net.Conn) { time.Sleep(time.Second) })
+		start := time.Now()
+		a, _, err := b.ask("POST", "/p/", "x", xWait, "5000")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(504))
+		Expect(time.Since(start)).To(BeNumerically("<", 400*time.Millisecond))
+	})
+
+	It("ends at its upstream within half a second of its caller's leaving", func() {
+		b := newBackstage(route(catalog.Unsafe, "plain"))
+		gone := make(chan struct{}, 1)
+		b.upstream("u", "plain", func(_ *http.Request, _ string, c net.Conn) {
+			_, _ = c.Read(make([]byte, 1))
+			gone <- struct{}{}
+		})
+		ctx, leave := context.WithCancel(context.Background())
+		q, _ := http.NewRequestWithContext(ctx, "POST", b.server.URL+"/p/", strings.NewReader("x"))
+		q.Host = "h.example"
+		left := time.AfterFunc(100*time.Millisecond, leave)
+		defer left.Stop()
+		_, err := http.DefaultClient.Do(q)
+		Expect(err).To(HaveOccurred())
+		Eventually(gone).WithTimeout(500 * time.Millisecond).Should(Receive())
+	})
+})
+
+// stream writes the head of a stream and then pieces as they stand.
+func stream(c net.Conn, q *http.Request, extra string, pieces ...string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 x\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n%s\r\n",
+		xRequest, q.Header.Get(xRequest), extra)
+	for _, p := range pieces {
+		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(p), p)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+var _ = Describe("a stream", func() {
+	const all = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+
+	// resume is an upstream that breaks off within its second event, or goes on after what its caller has.
+	resume := func(q *http.Request, _ string, c net.Conn) {
+		if q.Header.Get(xAfter) == "" {
+			stream(c, q, xRevision+": 1\r\nX-Seal: first\r\n", "id: 1\ndata: a\n\nid: 2\nda")
+			return
+		}
+		stream(c, q, xRevision+": 1\r\nX-Seal: second\r\n", "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n")
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	}
+
+	It("that breaks within an event goes on elsewhere: no event is lost, doubled or in part, and the head stays", func() {
+		b := newBackstage(route(catalog.Streaming, "engines"))
+		b.upstream("u", "engines", resume)
+		b.upstream("v", "engines", resume)
+		a, body, err := b.ask("POST", "/p/", "x", xModel, "m", "X-Hang-Up", "1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal(all))
+		Expect(a.Header.Get("X-Seal")).To(Equal("first"))
+	})
+
+	It("never looks complete where nobody can go on with its version", func() {
+		b := newBackstage(route(catalog.Streaming, "engines"))
+		b.upstream("u", "engines", resume)
+		b.upstream("v", "engines", resume)
+		for _, i := range b.facts.Instances() {
+			if i.ID == "v" {
+				b.facts.SetInstance(&facts.Instance{ID: i.ID, Pool: i.Pool, Address: i.Address, Domain: "far", Slots: 4,
+					Held: []facts.Held{{Model: "m", Revision: 2}}, Seen: 1})
+			}
+		}
+		broken := 0
+		for range 8 {
+			_, body, err := b.ask("POST", "/p/", "x", xModel, "m", "X-Hang-Up", "1")
+			if err != nil {
+				broken++
+				Expect(body).To(Equal("id: 1\ndata: a\n\n"))
+			}
+		}
+		Expect(broken).To(BeNumerically(">", 0))
+	})
+
+	It("reaches its caller event by event", func() {
+		b := newBackstage(route(catalog.Streaming, "engines"))
+		b.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
+			stream(c, q, "", "id: 1\ndata: a\n\n")
+			time.Sleep(300 * time.Millisecond)
+			stream2 := "id: 2\ndata: b\n\n"
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(stream2), stream2)
+		})
+		q, _ := http.NewRequest("POST", b.server.URL+"/p/", strings.NewReader("x"))
+		q.Host = "h.example"
+		q.Header.Set(xModel, "m")
+		start := time.Now()
+		a, err := http.DefaultClient.Do(q)
+		Expect(err).NotTo(HaveOccurred())
+		defer a.Body.Close()
+		_, err = io.ReadFull(a.Body, make([]byte, len("id: 1\ndata: a\n\n")))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(start)).To(BeNumerically("<", 200*time.Millisecond))
+	})
+
+	It("begins only where its model is served, in a version whose time is not over", func() {
+		b := newBackstage(route(catalog.Streaming, "engines"))
+		b.upstream("u", "engines", resume)
+		b.facts.SetWanted("m", 2)
+		b.gateway.settings.SwapWithin = swapMargin + 10*time.Millisecond
+		time.Sleep(30 * time.Millisecond)
+		a, _, err := b.ask("POST", "/p/", "x", xModel, "m")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(503))
+		Expect(b.runs("1")).To(BeZero())
+		b.tracker.SetReport(b.facts.Instances()[0].Address, placement.LoadReport{
+			Held: []facts.Held{{Model: "m", Revision: 2}}, Taken: time.Now(),
+		})
+		_, _, _ = b.ask("POST", "/p/", "x", xModel, "m", xRequest, "2", "X-Hang-Up", "1")
+		Expect(b.runs("2")).To(Equal(1))
+	})
+
+	It("is refused at once where every upstream is too busy to be in time", func() {
+		r := route(catalog.Streaming, "engines")
+		r.Aim = 50 * time.Millisecond
+		b := newBackstage(r)
+		b.upstream("u", "engines", resume)
+		b.tracker.SetReport(b.facts.Instances()[0].Address, placement.LoadReport{
+			Running: 4, Waiting: 30, Held: []facts.Held{{Model: "m", Revision: 1}}, Taken: time.Now(),
+		})
+		start := time.Now()
+		a, _, err := b.ask("POST", "/p/", "x", xModel, "m")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(503))
+		Expect(time.Since(start)).To(BeNumerically("<", 50*time.Millisecond))
+		Expect(b.runs("1")).To(BeZero())
+	})
+})
+
+var _ = Describe("a planned stop", func() {
+	It("finishes what runs, turns later requests away as unrun, and leaves the balancer at once", func() {
+		b := newBackstage(route(catalog.Unsafe, "plain"))
+		b.upstream("u", "plain", func(q *http.Request, _ string, c net.Conn) {
+			time.Sleep(leaveQuiet + 300*time.Millisecond)
+			reply(c, q, 200, "", "whole")
+		})
+		b.gateway.facts.Catalog().Match("h.example", "/p/").Timeout = 10 * time.Second
+		type result struct {
+			body string
+			err  error
+		}
+		done := make(chan result, 1)
+		go func() {
+			_, body, err := b.ask("POST", "/p/", "x")
+			done <- result{body: body, err: err}
+		}()
+		Eventually(func() int { return b.runs("1") }).Should(Equal(1))
+		ctx, stop := context.WithTimeout(context.Background(), 8*time.Second)
+		defer stop()
+		go b.gateway.Drain(ctx)
+		Eventually(b.gateway.NotReady).Should(Equal("leaving"))
+		time.Sleep(leaveQuiet + 50*time.Millisecond)
+		a, _, err := b.ask("POST", "/p/", "x", xRequest, "2")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(503))
+		r := <-done
+		Expect(r.err).NotTo(HaveOccurred())
+		Expect(r.body).To(Equal("whole"))
+	})
+})
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"), 3)
+	f.Add([]byte("\n\n\n"), 1)
+	f.Fuzz(func(t *testing.T, b []byte, step int) {
+		step = max(1, step%17)
+		var whole, pieces events
+		one := string(whole.feed(b, true))
+		var all strings.Builder
+		for i := 0; i < len(b); i += step {
+			all.Write(pieces.feed(b[i:min(len(b), i+step)], true))
+		}
+		if all.String() != one || pieces.last != whole.last {
+			t.Fatalf("%q in pieces of %d, %q at once", all.String(), step, one)
+		}
+	})
+}
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// budgetParts is the number of parts that a window is counted in.
+	// budgetParts is the number of parts that a window is counted in. Any span of the window's length touches one part
+	// more, and has at least one part less whole: repeats are counted over the former, requests over the latter.
 	budgetParts = 10
+	keptParts   = budgetParts + 1
 	// budgetShare is the part of the fleet's allowance that is used: requests are spread unevenly over gateways, and
 	// the number of gateways is known only with a lag.
 	budgetShare = 0.7
@@ -37,8 +39,8 @@
 // window counts requests and repeats by parts of the window.
 type window struct {
 	newest   int64
-	requests [budgetParts]int
-	repeats  [budgetParts]int
+	requests [keptParts]int
+	repeats  [keptParts]int
 }
 
 // NewBudget makes a budget; gateways returns how many processes share it.
@@ -52,13 +54,13 @@
 		w = &window{}
 		b.pools[p] = w
 	}
-	part := budgetParts + int64(b.now().Sub(b.start)/(b.rule.Window/budgetParts))
+	part := keptParts + int64(b.now().Sub(b.start)/(b.rule.Window/budgetParts))
 	for w.newest < part {
-		w.newest = max(w.newest+1, part-budgetParts)
-		i := w.newest % budgetParts
+		w.newest = max(w.newest+1, part-keptParts)
+		i := w.newest % keptParts
 		w.requests[i], w.repeats[i] = 0, 0
 	}
-	return w, int(part % budgetParts)
+	return w, int(part % keptParts)
 }
 
 // Request notes a request for a pool.
@@ -75,9 +77,12 @@
 	defer b.mu.Unlock()
 	w, i := b.window(p)
 	requests, repeats := 0, 0
-	for k := range budgetParts {
-		requests += w.requests[k]
+	for back := range keptParts {
+		k := (i + keptParts - back) % keptParts
 		repeats += w.repeats[k]
+		if back < budgetParts-1 {
+			requests += w.requests[k]
+		}
 	}
 	slack := b.rule.Slack / float64(max(1, b.gateways()))
 	if float64(repeats+1) > budgetShare*(b.rule.Ratio*float64(requests)+slack) {
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -24,8 +24,8 @@
 	shareOfAll = 6
 )
 
-// Report is what an upstream's stager says of it.
-type Report struct {
+// LoadReport is what an upstream's stager says of it.
+type LoadReport struct {
 	Running, Waiting int
 	Pace             float64
 	Held             []facts.Held
@@ -45,7 +45,7 @@
 
 // upstream is what the tracker keeps of one address.
 type upstream struct {
-	report   Report
+	report   LoadReport
 	sent     map[*sent]struct{}
 	failures int
 	until    time.Time
@@ -75,19 +75,19 @@
 }
 
 // SetReport takes an upstream's figures.
-func (t *Tracker) SetReport(address string, r Report) {
+func (t *Tracker) SetReport(address string, r LoadReport) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.at(address).report = r
 }
 
 // Fresh returns an upstream's report if it is new enough to be believed.
-func (t *Tracker) Fresh(address string) (Report, bool) {
+func (t *Tracker) Fresh(address string) (LoadReport, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.known[address]
 	if u == nil || t.now().Sub(u.report.Taken) > reportLife {
-		return Report{}, false
+		return LoadReport{}, false
 	}
 	return u.report, true
 }
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -169,7 +169,7 @@
 		return
 	}
 	s.vars.Add("taken", 1)
-	p := placement.Report{
+	p := placement.LoadReport{
 		Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), Pace: r.GetPace(),
 		Closed: r.GetClosed(), Down: r.GetDown(), Narrow: r.GetNarrow(), Taken: s.now(),
 	}
