Processes tell each other how far the operators' records are read; a load that was lost is noticed; spoilt draws

Specs found: a server that starts anew during a load held its stager for 9 s; one spoilt draw left the last VM that may draw without its lane; a transfer ended by its own download counted as failed (seen once beside load, traced).

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -58,13 +58,16 @@
 	instances map[id.Instance]*Instance
 	list      atomic.Pointer[[]*Instance]
 	change    chan struct{}
+	// heard is the newest offset of the operators' records that this process or another one has read.
+	heard   uint64
+	hearing chan struct{}
 }
 
 // New makes an empty set of facts.
 func New(now func() time.Time) *Facts {
 	f := &Facts{
 		now: now, wanted: map[id.Model][]Wanted{}, instances: map[id.Instance]*Instance{},
-		change: make(chan struct{}),
+		change: make(chan struct{}), hearing: make(chan struct{}),
 	}
 	f.list.Store(&[]*Instance{})
 	return f
@@ -195,6 +198,26 @@
 	return f.change
 }
 
+// Heard notes that some process has read the operators' records up to an offset. A reader that waits for them at the
+// store may be passed over there, and learns of them here.
+func (f *Facts) Heard(offset uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if offset <= f.heard {
+		return
+	}
+	f.heard = offset
+	close(f.hearing)
+	f.hearing = make(chan struct{})
+}
+
+// Hearing returns the newest offset heard of, and a channel that closes when there is a newer one.
+func (f *Facts) Hearing() (uint64, <-chan struct{}) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heard, f.hearing
+}
+
 func (f *Facts) notify() {
 	close(f.change)
 	f.change = make(chan struct{})
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/kernel"
 )
 
@@ -26,13 +27,14 @@
 	kernel.Register(kernel.Part{
 		Name:     ReporterPart,
 		Section:  ReporterPart,
+		Needs:    []string{facts.PartName},
 		Settings: func() kernel.Section { return &Settings{} },
 		New: func(h *kernel.Host) (any, error) {
 			c, err := listen(h.Section(ReporterPart).(*Settings).Listen)
 			if err != nil {
 				return nil, trace.Wrap(err, "reporter.listen")
 			}
-			r := NewReporter(c, time.Now, h.Log)
+			r := NewReporter(c, h.Part(facts.PartName).(*facts.Facts), time.Now, h.Log)
 			h.Metric("reports", r.vars)
 			return r, nil
 		},
@@ -42,6 +44,7 @@
 // Reporter is a stager's end.
 type Reporter struct {
 	conn        *net.UDPConn
+	facts       *facts.Facts
 	now         func() time.Time
 	log         *log.Logger
 	vars        *expvar.Map
@@ -59,9 +62,9 @@
 }
 
 // NewReporter makes a reporter over a socket.
-func NewReporter(c *net.UDPConn, now func() time.Time, l *log.Logger) *Reporter {
+func NewReporter(c *net.UDPConn, f *facts.Facts, now func() time.Time, l *log.Logger) *Reporter {
 	return &Reporter{
-		conn: c, now: now, log: l, vars: new(expvar.Map), incarnation: rand.Uint64() | 1,
+		conn: c, facts: f, now: now, log: l, vars: new(expvar.Map), incarnation: rand.Uint64() | 1,
 		subscribers: map[string]subscriber{},
 	}
 }
@@ -95,6 +98,7 @@
 		r.vars.Add("malformed", 1)
 		return
 	}
+	r.facts.Heard(s.GetConfigOffset())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if _, known := r.subscribers[s.GetSender()]; !known && len(r.subscribers) >= maxSubscribers {
@@ -115,6 +119,7 @@
 		}
 	}
 	r.number++
+	p.ConfigOffset, _ = r.facts.Hearing()
 	p.Incarnation, p.Number, p.Subscribers = r.incarnation, r.number, uint32(len(r.subscribers))
 	b, err := proto.Marshal(p)
 	if err != nil {
--- /dev/null
+++ b/internal/reports/reports_test.go
@@ -0,0 +1,146 @@
+package reports
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/placement"
+	"github.com/springrail/springrail/internal/spec"
+)
+
+func TestReports(t *testing.T) {
+	spec.Run(t, "Reports")
+}
+
+var (
+	quiet    = &log.Logger{Level: log.PanicLevel}
+	describe = ginkgo.Describe
+	it       = ginkgo.It
+)
+
+func socket() *net.UDPConn {
+	c, err := listen("127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	ginkgo.DeferCleanup(func() { _ = c.Close() })
+	return c
+}
+
+func port(c *net.UDPConn) int {
+	return c.LocalAddr().(*net.UDPAddr).Port
+}
+
+var _ = describe("reports", func() {
+	it("reach the gateways that subscribe, and only as long as they do", func() {
+		now := time.Now()
+		r := NewReporter(socket(), facts.New(time.Now), func() time.Time { return now }, quiet)
+		ctx, stop := context.WithCancel(context.Background())
+		ginkgo.DeferCleanup(stop)
+		go func() { _ = r.Run(ctx) }()
+		f := facts.New(time.Now)
+		f.SetCatalog(catalog.New(1, nil, []*catalog.Service{{Name: "p", Engine: &catalog.Engine{}}, {Name: "plain"}}, nil, catalog.Limits{}))
+		f.SetInstance(&facts.Instance{ID: "i", Pool: "p", Address: "127.0.0.1:9"})
+		f.SetInstance(&facts.Instance{ID: "j", Pool: "plain", Address: "127.0.0.2:9"})
+		s := NewSubscriber(socket(), port(r.conn), f, time.Now, quiet)
+		go func() { _ = s.Run(ctx) }()
+		Eventually(func() bool {
+			r.Publish(&pb.UpstreamReport{Address: "127.0.0.1:9", Running: 3, Held: []*pb.HeldWeights{{Model: "m", Revision: 2}}})
+			l, ok := s.Tracker().Fresh("127.0.0.1:9")
+			return ok && l.Running == 3 && l.Held[0] == facts.Held{Model: "m", Revision: 2}
+		}).Should(BeTrue())
+		Expect(s.Gateways()).To(Equal(1))
+		r.mu.Lock()
+		now = now.Add(subscriptionLife + time.Second)
+		r.mu.Unlock()
+		r.Publish(&pb.UpstreamReport{})
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		Expect(r.subscribers).To(BeEmpty())
+	})
+
+	it("that are late, doubled, of an earlier start or no reports change nothing", func() {
+		s := NewSubscriber(socket(), 1, facts.New(time.Now), time.Now, quiet)
+		send := func(incarnation, number uint64, running uint32) {
+			b, err := proto.Marshal(&pb.UpstreamReport{Address: "a", Incarnation: incarnation, Number: number, Running: running})
+			Expect(err).NotTo(HaveOccurred())
+			s.take(b)
+		}
+		running := func() int {
+			l, _ := s.Tracker().Fresh("a")
+			return l.Running
+		}
+		send(900, 1, 1)
+		send(900, 2, 2)
+		send(900, 1, 9)
+		Expect(running()).To(Equal(2))
+		send(5, 1, 3)
+		Expect(running()).To(Equal(3), "a restart draws a new incarnation, which may be lower")
+		send(900, 3, 9)
+		s.take([]byte("\xff\xff\xff"))
+		s.take(nil)
+		Expect(running()).To(Equal(3))
+	})
+
+	it("tell a process that others have read newer records of the operators", func() {
+		far := facts.New(time.Now)
+		r := NewReporter(socket(), far, time.Now, quiet)
+		b, _ := proto.Marshal(&pb.ReportSubscription{Sender: "127.0.0.1:9", ConfigOffset: 7})
+		r.take(b)
+		heard, hearing := far.Hearing()
+		Expect(heard).To(Equal(uint64(7)))
+		near := facts.New(time.Now)
+		s := NewSubscriber(socket(), 1, near, time.Now, quiet)
+		b, _ = proto.Marshal(&pb.UpstreamReport{Address: "a", Incarnation: 1, Number: 1, ConfigOffset: 9})
+		s.take(b)
+		heard, _ = near.Hearing()
+		Expect(heard).To(Equal(uint64(9)))
+		far.Heard(5)
+		Expect(hearing).NotTo(BeClosed())
+		far.Heard(8)
+		Expect(hearing).To(BeClosed())
+	})
+
+	it("say how many gateways share the budgets, and a safe number before that", func() {
+		s := NewSubscriber(socket(), 1, facts.New(time.Now), time.Now, quiet)
+		Expect(s.Gateways()).To(Equal(defaultGateways))
+		for i, n := range []uint32{3, 7, 5} {
+			b, _ := proto.Marshal(&pb.UpstreamReport{Address: string(rune('a' + i)), Incarnation: 1, Number: 1, Subscribers: n})
+			s.take(b)
+		}
+		Expect(s.Gateways()).To(Equal(7))
+		s.sweep(map[string]bool{"a": true})
+		Expect(s.Gateways()).To(Equal(3))
+	})
+
+	it("are refused beyond a bounded number of subscribers, and to senders that are no addresses", func() {
+		r := NewReporter(socket(), facts.New(time.Now), time.Now, quiet)
+		for i := range maxSubscribers + 5 {
+			b, _ := proto.Marshal(&pb.ReportSubscription{Sender: net.JoinHostPort("127.0.0.1", itoa(i+1))})
+			r.take(b)
+		}
+		r.take([]byte("\x0a\x05nowhe"))
+		Expect(r.subscribers).To(HaveLen(maxSubscribers))
+	})
+})
+
+func itoa(n int) string {
+	return (&net.TCPAddr{Port: n}).String()[1:]
+}
+
+func FuzzReport(f *testing.F) {
+	b, _ := proto.Marshal(&pb.UpstreamReport{Address: "a", Incarnation: 1, Number: 1})
+	f.Add(b)
+	s := &Subscriber{facts: facts.New(time.Now), newest: map[string]order{}, gateways: map[string]int{}, now: time.Now,
+		tracker: placement.NewTracker(time.Now), vars: new(expvar.Map)}
+	f.Fuzz(func(_ *testing.T, b []byte) { s.take(b) })
+}
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -169,6 +169,7 @@
 		return
 	}
 	s.vars.Add("taken", 1)
+	s.facts.Heard(r.GetConfigOffset())
 	p := placement.LoadReport{
 		Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), Pace: r.GetPace(),
 		Closed: r.GetClosed(), Down: r.GetDown(), Narrow: r.GetNarrow(), Taken: s.now(),
@@ -214,7 +215,8 @@
 }
 
 func (s *Subscriber) renew() {
-	b, err := proto.Marshal(&pb.ReportSubscription{Sender: s.conn.LocalAddr().String()})
+	heard, _ := s.facts.Hearing()
+	b, err := proto.Marshal(&pb.ReportSubscription{Sender: s.conn.LocalAddr().String(), ConfigOffset: heard})
 	if err != nil {
 		s.log.Error().Err(err).Msg("a subscription can't be encoded")
 		return
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -205,7 +204,7 @@
 	s.log.Info().Str("version", g.name()).Uint64("after", state.Orders).Bool("cut", cut).Int("running", state.Running).
 		Int64("since_named_ms", s.sinceNamed(g)).
 		Msg("load ordered")
-	return s.waitServed(ctx, g)
+	return s.waitServed(ctx, g, state.Orders+1)
 }
 
 // taken says whether the upstream has taken an order whose answer was lost.
@@ -214,20 +213,33 @@
 	return err == nil && state.Orders > before
 }
 
-func (s *Stager) waitServed(ctx context.Context, g *goal) error {
+// waitServed waits until the upstream serves the version. One that has started anew in between, or that carries out
+// nothing and does not serve it, never will by this order.
+func (s *Stager) waitServed(ctx context.Context, g *goal, taken uint64) error {
 	until := s.now().Add(loadTimeout)
+	idleUntil := s.now().Add(idleMost)
 	for ctx.Err() == nil && s.now().Before(until) {
 		state, err := s.ports.Upstream.State(ctx)
-		if err == nil && facts.Revision(state.Held, g.model) == g.wanted.Revision {
+		switch {
+		case err != nil || state.Busy:
+			idleUntil = s.now().Add(idleMost)
+		case facts.Revision(state.Held, g.model) == g.wanted.Revision:
 			s.log.Info().Str("version", g.name()).Int64("since_named_ms", s.sinceNamed(g)).Msg("version served")
 			s.look(ctx)
 			return nil
+		case state.Orders < taken:
+			return trace.Wrap(ErrRefused, "the upstream has started anew")
+		case s.now().After(idleUntil):
+			return trace.Wrap(ErrRefused, "the upstream is idle without %s", g.name())
 		}
 		pause(ctx, servedLook)
 	}
-	return trace.Wrap(fmt.Errorf("the upstream does not serve %s: %w", g.name(), ErrRefused))
+	return trace.Wrap(ErrRefused, "the upstream does not serve %s", g.name())
 }
 
+// idleMost is how long an upstream may carry out nothing before the order is taken for lost.
+const idleMost = 400 * time.Millisecond
+
 // servedLook is how often the upstream is asked whether it has loaded: what it waits costs capacity.
 const servedLook = 25 * time.Millisecond
 
--- /dev/null
+++ b/internal/swarm/import_test.go
@@ -0,0 +1,66 @@
+package swarm
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/springrail/springrail/internal/id"
+)
+
+var _ = Describe("the import of a chunk into a failure domain", func() {
+	It("is one VM's at once, each VM's share about the same, and everybody's in the end", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			n := rapid.IntRange(1, 12).Draw(t, "VMs")
+			var l []Member
+			for i := range n {
+				l = append(l, Member{VM: id.VM(fmt.Sprint(i)), Domain: "d"}, Member{VM: id.VM(fmt.Sprint("x", i)), Domain: "far"})
+			}
+			chunk := id.Chunk(rapid.IntRange(0, 500).Draw(t, "chunk"))
+			first := 0
+			for i := 0; i < len(l); i += 2 {
+				m := NewImporters("k", l[i], l)
+				if m.May(chunk, 0) {
+					first++
+				}
+				if !m.May(chunk, ImportStep*12) {
+					t.Fatalf("VM %s may never bring chunk %d", l[i].VM, chunk)
+				}
+			}
+			if first != 1 {
+				t.Fatalf("%d VMs bring chunk %d at once", first, chunk)
+			}
+		})
+	})
+
+	It("is not asked of a far neighbour while a near one holds the chunk, or before the VM's turn", func() {
+		far, near := &Peer{VM: "far", Far: true, Has: NewSet(2)}, &Peer{VM: "near", Has: NewSet(2)}
+		far.Has.Add(0)
+		far.Has.Add(1)
+		near.Has.Add(1)
+		v := &View{
+			Chunks: 2, Have: NewSet(2), InFlight: map[id.Chunk]int{}, Peers: []*Peer{far, near}, Rarity: []int{1, 2},
+			Limits: Limits{PerPeer: 2, Total: 4}, MayImport: func(id.Chunk) bool { return false },
+		}
+		r := rand.New(rand.NewPCG(1, 1))
+		c, p := PickPeer(v, r)
+		Expect(p).To(Equal(near))
+		Expect(c).To(Equal(id.Chunk(1)))
+		v.MayImport = func(id.Chunk) bool { return true }
+		c, p = PickPeer(v, r)
+		Expect(p).To(Equal(far))
+		Expect(c).To(Equal(id.Chunk(0)))
+	})
+
+	It("is drawn from a lane's end by a VM that helps out", func() {
+		v := &View{Chunks: 9, Have: NewSet(9), InFlight: map[id.Chunk]int{}, Rarity: make([]int, 9)}
+		l := NewLanes("k", []Member{{VM: "a", Domain: "d"}})
+		c, _ := PickDraw(v, l, 0, 0)
+		Expect(c).To(Equal(id.Chunk(0)))
+		c, _ = PickDraw(v, l, 0, 1)
+		Expect(c).To(Equal(id.Chunk(8)))
+	})
+})
--- a/internal/transfer/download.go
+++ b/internal/transfer/download.go
@@ -108,6 +108,8 @@
 	// originBytes counts draws of all lanes, and laneBytes those of each against this VM's part of its budget.
 	originBytes atomic.Int64
 	laneBytes   []int64
+	// laneSpoilt counts bytes of each lane that came and were thrown away.
+	laneSpoilt []int64
 	// drawRetry is when a source may be asked again after drawFailures failures in a row.
 	drawRetry    time.Time
 	drawFailures int
@@ -208,6 +210,7 @@
 	for len(d.laneSeen) < d.lanes.Count() {
 		d.laneSeen = append(d.laneSeen, time.Now())
 		d.laneBytes = append(d.laneBytes, 0)
+		d.laneSpoilt = append(d.laneSpoilt, 0)
 		d.laneCount = append(d.laneCount, 0)
 	}
 	wanted := map[id.VM]bool{}
--- a/internal/transfer/fetch.go
+++ b/internal/transfer/fetch.go
@@ -146,7 +146,10 @@
 		o = swarm.Busy
 	case err != nil:
 		o = swarm.Failed
-		d.stats.failed.Add(1)
+		if ctx.Err() == nil {
+			// A second transfer of a chunk ends with the download that asked for it, through no fault of anybody's.
+			d.stats.failed.Add(1)
+		}
 		d.stats.broken.Add(int64(len(data)))
 	default:
 		d.stats.received.Add(int64(len(data)))
@@ -290,7 +293,7 @@
 		d.reason = "fetching"
 	case ctx.Err() == nil:
 		// What the source did not send does not count: in a long outage failed draws would use up the whole budget.
-		d.laneBytes[d.lanes.Lane(c)] -= max(0, size-got.OriginBytes)
+		d.refund(d.lanes.Lane(c), size, got.OriginBytes)
 		d.drawFailures++
 		d.drawRetry = time.Now().Add(d.drawPause(err))
 		d.reason = drawReason(err)
@@ -298,6 +301,17 @@
 	d.poke()
 }
 
+// refund gives the budget of a lane back for a draw that failed: what was not sent, and spoilt bytes up to once the lane,
+// as the last VM that may draw would else never hold it whole. The caller holds the lock.
+func (d *Download) refund(lane int, size, sent int64) {
+	back := max(0, size-sent)
+	if spoilt := size - back; d.laneSpoilt[lane]+spoilt <= d.allowance(lane) {
+		d.laneSpoilt[lane] += spoilt
+		back = size
+	}
+	d.laneBytes[lane] -= back
+}
+
 // drawPause is the wait after a draw that failed. Corrupt bytes cost the budget, so it doubles with each in a row; a
 // source without an answer costs nothing and is asked steadily.
 func (d *Download) drawPause(err error) time.Duration {
