--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -137,18 +137,11 @@
 		}
 		f.log.Debug().Err(err).Str("entry", address).Msg("no answer from an entry")
 		f.failed[address] = time.Now()
-		pause(ctx, retryPause)
+		kernel.Pause(ctx, retryPause)
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // home picks the first entry, in a rendezvous order, that has not failed lately: the own failure domain's first, then
 // the others'.
 func (f *Follower) home(ctx context.Context) (string, error) {
@@ -159,7 +152,7 @@
 	}
 	candidates := f.candidates()
 	if len(candidates) == 0 {
-		pause(ctx, listRetry)
+		kernel.Pause(ctx, listRetry)
 		return "", trace.Wrap(platform.ErrUnavailable, "no entry is known")
 	}
 	best := candidates[0]
--- /dev/null
+++ b/internal/gateway/choose.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/placement"
+)
+
+// choose picks the upstream for the next attempt, or says why there is none.
+func (f *flight) choose() (placement.Choice, *problem) {
+	g := f.gateway
+	s := f.catalog.Services[f.pool]
+	if s == nil {
+		return placement.Choice{}, &problem{text: "no such pool", notRun: true, final: true, retry: noUpstreamRetry}
+	}
+	l := f.candidates(s)
+	if s.Engine == nil {
+		c, ok := placement.Choose(l, f.tried, placement.PlainWait, g.random())
+		if !ok {
+			return c, &problem{text: "no upstream", notRun: true, final: true, retry: noUpstreamRetry}
+		}
+		return c, nil
+	}
+	m := placement.NewModel(s.Engine)
+	predict := func(c *placement.Candidate) time.Duration { return m.FirstEvent(c, f.ask.Prompt) }
+	c, ok := placement.Choose(l, f.tried, predict, g.random())
+	if !ok {
+		return c, &problem{text: "no upstream", notRun: true, final: true, retry: noUpstreamRetry}
+	}
+	free := c.Known && c.Running+c.Waiting < c.Slots/2
+	passed := g.now().Sub(f.arrived)
+	if f.attempts > 0 {
+		// The request has been at an upstream already: late is better than not at all.
+		passed = 0
+	}
+	aim := f.catalog.Aim(f.pool)
+	if usual := m.Admission(&c.Candidate); !f.headSent && !free && !placement.InTime(usual, passed, aim) {
+		f.predicted = c.Predicted
+		retry := placement.RetryAfter(usual, aim, g.random())
+		return c, &problem{text: "too busy", notRun: true, final: true, retry: retry}
+	}
+	return c, nil
+}
+
+// noUpstreamRetry is when a caller may come back where no upstream is there: an empty one is filled in about 3 s, and
+// callers heed up to a third of their six.
+const noUpstreamRetry = 1900 * time.Millisecond
+
+// swapMargin is taken off the time within which a version must be the only one in use: a request may wait at the
+// upstream before it begins.
+const swapMargin = 900 * time.Millisecond
+
+const (
+	// swapCaution is how many times the predicted wait a request is taken to wait: one in ten takes longer than 1.7
+	// times.
+	swapCaution = 2
+	// swapArrival is the time for the way to the upstream, on a link that is shared with chunks.
+	swapArrival = 300 * time.Millisecond
+)
+
+// candidates lists the upstreams that may take the request now.
+func (f *flight) candidates(s *catalog.Service) []placement.Candidate {
+	g := f.gateway
+	usual := 0.0
+	var m placement.Model
+	if s.Engine != nil {
+		usual = s.Engine.UsualPrompt
+		m = placement.NewModel(s.Engine)
+	}
+	var l []placement.Candidate
+	for _, i := range g.facts.Instances() {
+		if i.Pool != f.pool || i.Leaving {
+			continue
+		}
+		held, ok := f.serves(s, i)
+		if !ok {
+			continue
+		}
+		c := g.tracker.Candidate(i, usual)
+		c.Revision = held
+		c.Near = i.Domain == g.domain
+		if s.Engine != nil && c.Slots == 0 {
+			c.Slots = s.Engine.Slots
+		}
+		if s.Engine == nil || f.fits(m, &c) {
+			l = append(l, c)
+		}
+	}
+	return f.preferNew(s, l)
+}
+
+// preferShare is the part of the time for a swap after which upstreams that still serve the older version are left out
+// where half of them serve the newer one: what waits in the queue of one that freezes would begin too late.
+const preferShare = 0.5
+
+// preferNew drops upstreams that lag behind a version that most serve.
+func (f *flight) preferNew(s *catalog.Service, l []placement.Candidate) []placement.Candidate {
+	if s.Engine == nil || f.headSent {
+		return l
+	}
+	within := time.Duration(preferShare * float64(f.gateway.settings.SwapWithin))
+	least := f.gateway.facts.Required(f.ask.Model, within)
+	var fresh []placement.Candidate
+	for _, c := range l {
+		if c.Revision >= least {
+			fresh = append(fresh, c)
+		}
+	}
+	if 2*len(fresh) >= len(l) {
+		return fresh
+	}
+	return l
+}
+
+// fits says whether an upstream's version may still take the request: it must begin there before the time of that
+// version is over, and a stream that goes on elsewhere must find the version that it began with.
+func (f *flight) fits(m placement.Model, c *placement.Candidate) bool {
+	if f.ask.Model == "" {
+		return true
+	}
+	if f.headSent && f.revision > 0 && c.Revision != f.revision {
+		return false
+	}
+	wait := time.Duration(swapCaution * float64(m.FirstEvent(c, f.ask.Prompt)))
+	margin := max(swapMargin, wait+swapArrival)
+	return c.Revision >= f.gateway.facts.Required(f.ask.Model, f.gateway.settings.SwapWithin-margin)
+}
+
+// serves says whether an upstream holds the model whole, and in which version; a fresh report goes before the list.
+func (f *flight) serves(s *catalog.Service, u *facts.Instance) (id.Revision, bool) {
+	if s.Engine == nil {
+		return 0, true
+	}
+	held := u.Held
+	if r, ok := f.gateway.tracker.Fresh(u.Address); ok {
+		if r.Closed || r.Down {
+			return 0, false
+		}
+		held = r.Held
+	}
+	if f.ask.Model == "" {
+		return 0, true
+	}
+	r := facts.Revision(held, f.ask.Model)
+	return r, r > 0
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -280,7 +280,7 @@
 			gone <- struct{}{}
 		})
 		ctx, leave := context.WithCancel(context.Background())
-		q, _ := http.NewRequestWithContext(ctx, "POST", b.server.URL+"/p/", strings.NewReader("x"))
+		q, _ := http.NewRequestWithContext(ctx, http.MethodPost, b.server.URL+"/p/", strings.NewReader("x"))
 		q.Host = "h.example"
 		left := time.AfterFunc(100*time.Millisecond, leave)
 		defer left.Stop()
@@ -352,7 +352,7 @@
 			stream2 := "id: 2\ndata: b\n\n"
 			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(stream2), stream2)
 		})
-		q, _ := http.NewRequest("POST", b.server.URL+"/p/", strings.NewReader("x"))
+		q, _ := http.NewRequest(http.MethodPost, b.server.URL+"/p/", strings.NewReader("x"))
 		q.Host = "h.example"
 		q.Header.Set(xModel, "m")
 		start := time.Now()
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -166,10 +166,10 @@
 		ctx, stop = context.WithTimeout(ctx, left)
 		defer stop()
 	}
-	pause(ctx, leaveQuiet)
+	kernel.Pause(ctx, leaveQuiet)
 	g.closing.Store(true)
 	for ctx.Err() == nil && g.inFlight.Load() > 0 {
-		pause(ctx, drainLook)
+		kernel.Pause(ctx, drainLook)
 	}
 	// Shutdown closes idle connections and waits for those on which a request has begun to come in.
 	if err := g.server.Shutdown(ctx); err != nil {
@@ -179,12 +179,3 @@
 
 // drainLook is how often a leaving process looks whether it is done.
 const drainLook = 20 * time.Millisecond
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -77,18 +77,18 @@
 				tried[n] = rapid.Bool().Draw(t, "tried")
 			}
 			c, ok := Choose(l, tried, predict, seeded())
-			sound, any, least := false, false, time.Hour
+			sound, some, least := false, false, time.Hour
 			for i := range l {
 				if tried[l[i].Instance] {
 					continue
 				}
-				any = true
+				some = true
 				sound = sound || !l[i].Suspect
 				if l[i].Suspect == c.Suspect {
 					least = min(least, predict(&l[i]))
 				}
 			}
-			if ok != any || (ok && (tried[c.Instance] || (c.Suspect && sound))) {
+			if ok != some || (ok && (tried[c.Instance] || (c.Suspect && sound))) {
 				t.Fatalf("chose %+v of %+v", c, l)
 			}
 			if ok && float64(c.Predicted)*(1-jitter) > float64(least) {
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -72,18 +72,7 @@
 // Run takes subscriptions until the context ends.
 func (r *Reporter) Run(ctx context.Context) error {
 	defer context.AfterFunc(ctx, func() { r.conn.Close() })()
-	buffer := make([]byte, datagramBytes)
-	for ctx.Err() == nil {
-		n, _, err := r.conn.ReadFromUDPAddrPort(buffer)
-		if err != nil {
-			if ctx.Err() == nil {
-				r.vars.Add("receive_failed", 1)
-				wait(ctx, failedPause)
-			}
-			continue
-		}
-		r.take(buffer[:n])
-	}
+	receive(ctx, r.conn, r.vars, r.take)
 	return nil
 }
 
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -130,33 +130,29 @@
 func (s *Subscriber) Run(ctx context.Context) error {
 	defer context.AfterFunc(ctx, func() { s.conn.Close() })()
 	go s.subscribe(ctx)
+	receive(ctx, s.conn, s.vars, s.take)
+	return nil
+}
+
+// receive hands each datagram to take until the context ends.
+func receive(ctx context.Context, c *net.UDPConn, vars *expvar.Map, take func(b []byte)) {
 	buffer := make([]byte, datagramBytes)
 	for ctx.Err() == nil {
-		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
-		if err != nil {
-			if ctx.Err() == nil {
-				s.vars.Add("receive_failed", 1)
-				wait(ctx, failedPause)
-			}
+		n, _, err := c.ReadFromUDPAddrPort(buffer)
+		if err == nil {
+			take(buffer[:n])
 			continue
 		}
-		s.take(buffer[:n])
+		if ctx.Err() == nil {
+			vars.Add("receive_failed", 1)
+			kernel.Pause(ctx, failedPause)
+		}
 	}
-	return nil
 }
 
 // failedPause keeps a socket that fails from taking the processor.
 const failedPause = 50 * time.Millisecond
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // take reads one report; what is not one is counted and dropped.
 func (s *Subscriber) take(b []byte) {
 	var r pb.UpstreamReport
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/rendezvous"
 	"github.com/springrail/springrail/internal/transfer"
 )
@@ -150,20 +151,20 @@
 		return true
 	}
 	share := secondWave + float64(w-1)*waveStep
-	pause(ctx, g.wanted.Learnt.Add(time.Duration(share*float64(s.settings.SwapWithin))).Sub(s.now()))
+	kernel.Pause(ctx, g.wanted.Learnt.Add(time.Duration(share*float64(s.settings.SwapWithin))).Sub(s.now()))
 	return w < waves-1 && s.now().Sub(g.wanted.Learnt) < time.Duration(cutShare*float64(s.settings.SwapWithin))
 }
 
 // drain waits until the upstream, which gets no new requests, has finished what is asked, and says whether it has.
 func (s *Stager) drain(ctx context.Context, most time.Duration, done func(u State) bool) bool {
 	until := s.now().Add(most)
-	pause(ctx, lastSends)
+	kernel.Pause(ctx, lastSends)
 	for ctx.Err() == nil && s.now().Before(until) {
 		state, err := s.ports.Upstream.State(ctx)
 		if err != nil || done(state) {
 			return true
 		}
-		pause(ctx, servedLook)
+		kernel.Pause(ctx, servedLook)
 	}
 	return false
 }
@@ -232,7 +233,7 @@
 		case s.now().After(idleUntil):
 			return trace.Wrap(ErrRefused, "the upstream is idle without %s", g.name())
 		}
-		pause(ctx, servedLook)
+		kernel.Pause(ctx, servedLook)
 	}
 	return trace.Wrap(ErrRefused, "the upstream does not serve %s", g.name())
 }
@@ -251,7 +252,7 @@
 			s.log.Warn().Str("version", g.name()).Msg("the upstream serves the version no longer")
 			return nil
 		}
-		pause(ctx, lookEvery)
+		kernel.Pause(ctx, lookEvery)
 	}
 	return nil
 }
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -154,7 +154,7 @@
 			s.publish()
 			last = now
 		}
-		pause(ctx, lookEvery)
+		kernel.Pause(ctx, lookEvery)
 	}
 	return nil
 }
@@ -225,12 +225,3 @@
 	}
 	return net.JoinHostPort(host, strconv.Itoa(s.settings.PeerPort))
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/stager/work.go
+++ b/internal/stager/work.go
@@ -13,6 +13,7 @@
 	"github.com/springrail/springrail/internal/catalog"
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/manifest"
 	"github.com/springrail/springrail/internal/swarm"
 	"github.com/springrail/springrail/internal/transfer"
@@ -56,7 +57,7 @@
 		}
 		if _, up := s.current(); !up {
 			// Its staged chunks may be all that is needed; asking others first would draw them from the origin.
-			pause(ctx, lookEvery)
+			kernel.Pause(ctx, lookEvery)
 			continue
 		}
 		if old != nil && old.name() != g.name() {
@@ -66,7 +67,7 @@
 		if err := s.reach(ctx, g); err != nil && ctx.Err() == nil {
 			s.log.Warn().Err(err).Str("model", string(g.model)).Uint64("revision", uint64(g.wanted.Revision)).
 				Msg("the version is not served yet")
-			pause(ctx, failedPause)
+			kernel.Pause(ctx, failedPause)
 		}
 	}
 }
@@ -161,7 +162,7 @@
 	if next, ok := s.goal(); ok && s.open(next) == nil {
 		go next.download.Run(ctx)
 	}
-	pause(ctx, finishMost)
+	kernel.Pause(ctx, finishMost)
 	if !g.staged.Load() {
 		stop(errSuperseded)
 	}
--- a/internal/transfer/serve.go
+++ b/internal/transfer/serve.go
@@ -11,6 +11,7 @@
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/kernel"
 )
 
 const (
@@ -145,14 +146,7 @@
 		select {
 		case <-ctx.Done():
 		case <-changed:
-			wait(ctx, haveSettle)
+			kernel.Pause(ctx, haveSettle)
 		}
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/upconn/upconn_test.go
+++ b/internal/upconn/upconn_test.go
@@ -66,8 +66,8 @@
 	return q.Header.Get(idHeader), true
 }
 
-func answer(id, body, extra string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n%s\r\n%s", idHeader, id, len(body), extra, body)
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", idHeader, id, len(body), body)
 }
 
 func newPool() *Pool {
@@ -101,7 +101,7 @@
 				if !ok {
 					return
 				}
-				_, _ = io.WriteString(c, answer(id, "x", ""))
+				_, _ = io.WriteString(c, answer(id, "x"))
 				if n == 1 && id == "2" {
 					return
 				}
@@ -121,7 +121,7 @@
 		u := serve(func(u *upstream, _ int32, c net.Conn, r *bufio.Reader) {
 			id, ok := u.next(r)
 			if ok {
-				_, _ = io.WriteString(c, answer(id, "x", ""))
+				_, _ = io.WriteString(c, answer(id, "x"))
 			}
 			u.next(r)
 		})
@@ -146,9 +146,9 @@
 			id, _ := u.next(r)
 			switch n {
 			case 1:
-				_, _ = io.WriteString(c, answer(id, "first", "")+answer(id, "again", ""))
+				_, _ = io.WriteString(c, answer(id, "first")+answer(id, "again"))
 			default:
-				_, _ = io.WriteString(c, answer("0", "stray", "")+answer(id, "mine", ""))
+				_, _ = io.WriteString(c, answer("0", "stray")+answer(id, "mine"))
 			}
 			u.next(r)
 		})
@@ -185,7 +185,7 @@
 			if err != nil {
 				return
 			}
-			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"+answer(q.Header.Get(idHeader), "early", ""))
+			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"+answer(q.Header.Get(idHeader), "early"))
 			_, _ = io.Copy(io.Discard, r)
 		})
 		p := newPool()
@@ -207,7 +207,7 @@
 			}
 			b, _ := io.ReadAll(q.Body)
 			got <- string(b)
-			_, _ = io.WriteString(c, answer(q.Header.Get(idHeader), "done", ""))
+			_, _ = io.WriteString(c, answer(q.Header.Get(idHeader), "done"))
 		})
 		long := request("1")
 		rest := strings.Repeat("0123456789", 20000)
