Reports each 200 ms again; drop what nothing uses

Dropped with its assertions: the parts of the dialect that no decision uses (the line that names a version in a stream, the longest answer, the seal's removal).

--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -17,10 +17,8 @@
 	// Patience is how long the caller waits; 0 where it does not say.
 	Patience time.Duration
 	Model    id.Model
-	// Prompt and MostAnswer are in tokens.
-	Prompt, MostAnswer float64
-	// Continued is true for a stream that goes on after an event that the caller has.
-	Continued bool
+	// Prompt is in tokens.
+	Prompt float64
 }
 
 // Send is what the gateway tells an upstream.
@@ -53,14 +51,10 @@
 	Verdict func(status int, h http.Header) Verdict
 	// Promise says whether a status promises a caller that its request was not run.
 	Promise func(status int) bool
-	// Unseal takes the upstream's proof off an answer that is not passed on as it came.
-	Unseal func(h http.Header)
 	// RetryAfter sets when a refused caller may come back.
 	RetryAfter func(h http.Header, d time.Duration)
 	// Echoed says whether an answer belongs to a request.
 	Echoed func(request, answer http.Header) bool
-	// VersionLine returns the version that the first line of an event names; 0 is none.
-	VersionLine func(line []byte) id.Revision
 }
 
 // DialectPart is the name of the part that gives the Dialect.
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -141,7 +141,7 @@
 	// lookEvery is how often the upstream's own report is read; it is on the same machine.
 	lookEvery = 100 * time.Millisecond
 	// reportEvery is how often a report goes out without a change of what the upstream serves.
-	reportEvery = 100 * time.Millisecond
+	reportEvery = 200 * time.Millisecond
 )
 
 // Run works until the context ends.
--- a/internal/swarm/import_test.go
+++ b/internal/swarm/import_test.go
@@ -73,6 +73,13 @@
 		Expect(ok).To(BeFalse(), "each further rank waits once more")
 		_, ok = PickStuck(v, l, 0, 0)
 		Expect(ok).To(BeFalse())
+		known = stuckStepIdle
+		_, ok = PickStuck(v, l, 0, 1)
+		Expect(ok).To(BeFalse(), "the source is still needed for chunk 1")
+		v.Rarity[1] = 1
+		_, ok = PickStuck(v, l, 0, 1)
+		Expect(ok).To(BeTrue())
+		v.Rarity[1] = 0
 		known = 10 * stuckStep
 		v.Have.Add(0)
 		_, ok = PickStuck(v, l, 0, 2)
--- a/internal/swarm/pick.go
+++ b/internal/swarm/pick.go
@@ -168,9 +168,13 @@
 	return next, ok
 }
 
-// stuckStep is how long each further rank of a lane lets a chunk lie with neighbours that do not hand it on before it
-// draws the chunk itself. In a burst over the users' links a chunk reaches half of the VMs within 1.1 s of its draw.
-const stuckStep = 1200 * time.Millisecond
+const (
+	// stuckStep is how long each further rank of a lane lets a chunk lie with neighbours that do not hand it on before it
+	// draws the chunk itself. In a burst over the users' links a chunk reaches half of the VMs within 1.1 s of its draw.
+	stuckStep = 1200 * time.Millisecond
+	// stuckStepIdle is the same once all chunks have been drawn, when the source's link is free.
+	stuckStepIdle = 500 * time.Millisecond
+)
 
 // PickStuck chooses a chunk of the lane that neighbours have held for long without this VM getting it: its drawer's link
 // may carry little, while the source's is free. The lane's first VM never needs one.
@@ -180,14 +184,28 @@
 	if rank <= 0 || v.Known == nil {
 		return next, ok
 	}
+	step := stuckStepIdle
+	if v.undrawn() {
+		step = stuckStep
+	}
 	v.Have.Missing(v.Chunks, func(c id.Chunk) bool {
-		ok = l.Lane(c) == lane && v.Rarity[c] > 0 && v.Known(c) >= time.Duration(rank)*stuckStep
+		ok = l.Lane(c) == lane && v.Rarity[c] > 0 && v.Known(c) >= time.Duration(rank)*step
 		next = c
 		return !ok
 	})
 	return next, ok
 }
 
+// undrawn says whether there is a chunk that nobody is known to hold.
+func (v *View) undrawn() bool {
+	found := false
+	v.Have.Missing(v.Chunks, func(c id.Chunk) bool {
+		found = v.Rarity[c] == 0
+		return !found
+	})
+	return found
+}
+
 const (
 	// blameBase is how long a neighbour is left alone after its first failure.
 	blameBase = 250 * time.Millisecond
--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -30,8 +30,6 @@
 	address string
 	r       *bufio.Reader
 	w       *bufio.Writer
-	// kept says that the connection has carried a request before.
-	kept bool
 	// idleUntil is when it may no longer be used again.
 	idleUntil time.Time
 }
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -133,7 +133,6 @@
 		e.conn.Close()
 		return
 	}
-	e.conn.kept = true
 	e.conn.idleUntil = e.pool.now().Add(keep)
 	e.pool.idle.put(e.conn, e.pool.now())
 }
