--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -32,8 +32,8 @@
 	}
 	free := c.Known && c.Running+c.Waiting < c.Slots/2
 	passed := g.now().Sub(f.arrived)
-	if f.attempts > 0 {
-		// The request has been at an upstream already: late is better than not at all.
+	if len(f.tried) > 0 {
+		// The request has been offered to an upstream already: late is better than not at all.
 		passed = 0
 	}
 	aim := f.catalog.Aim(f.pool)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/placement"
 	"github.com/springrail/springrail/internal/spec"
+	"github.com/springrail/springrail/internal/upconn"
 )
 
 func TestGateway(t *testing.T) {
@@ -398,6 +399,42 @@
 	})
 })
 
+var _ = Describe("an upstream that takes no connection", func() {
+	It("costs its requests no more than the time to find out: they go on late rather than not at all", func() {
+		r := route(catalog.Streaming, "engines")
+		r.Aim = 100 * time.Millisecond
+		b := newBackstage(r)
+		b.upstream("v", "engines", func(q *http.Request, _ string, c net.Conn) {
+			stream(c, q, xRevision+": 1\r\n", "id: 1\ndata: a\n\n")
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+		})
+		dead := "127.0.0.1:1"
+		b.facts.SetInstance(&facts.Instance{
+			ID: "dead", Pool: "engines", Address: dead, Domain: "d", Slots: 4, Held: []facts.Held{{Model: "m", Revision: 1}},
+		})
+		for _, i := range b.facts.Instances() {
+			l := placement.LoadReport{Held: i.Held, Taken: time.Now().Add(time.Minute)}
+			if i.Address != dead {
+				l.Running = 2
+			}
+			b.tracker.SetReport(i.Address, l)
+		}
+		dial := (&net.Dialer{}).DialContext
+		b.gateway.pool = upconn.New(func(ctx context.Context, network, address string) (net.Conn, error) {
+			if address == dead {
+				time.Sleep(2 * r.Aim)
+				return nil, io.ErrUnexpectedEOF
+			}
+			return dial(ctx, network, address)
+		}, time.Now, testDialect().Echoed)
+		for i := range 20 {
+			a, _, err := b.ask("POST", "/p/", "x", xModel, "m", xRequest, strconv.Itoa(i), "X-Hang-Up", "1")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(a.StatusCode).To(Equal(200))
+		}
+	})
+})
+
 var _ = Describe("a planned stop", func() {
 	It("finishes what runs, turns later requests away as unrun, and leaves the balancer at once", func() {
 		b := newBackstage(route(catalog.Unsafe, "plain"))
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -62,7 +62,7 @@
 const (
 	// dialTimeout is how long a connection may take to come up. The longest way on today's platforms is 6 ms; an
 	// upstream whose queue of connections is full answers after a second at the earliest.
-	dialTimeout = 300 * time.Millisecond
+	dialTimeout = 150 * time.Millisecond
 	// headTimeout bounds how long a caller may take to send a head.
 	headTimeout = 5 * time.Second
 	// callerIdle is how long a caller's connection may rest; it is above the platforms' 15 s, so that the caller is
