A lane's first VM, too, draws again what a neighbour holds and does not hand on

Cause: the spec 'does not wait for a neighbour that holds chunks and hands none on' failed under the race detector. It had passed only because the neighbour was given up for silence after 3 s: the lane's first VM never drew a stuck chunk, as it was taken to hold what it drew; one that was killed and started anew does not. The spec now asks for 2.8 s, which failed without the change; the pure spec that said the opposite is replaced.

--- a/internal/swarm/import_test.go
+++ b/internal/swarm/import_test.go
@@ -72,7 +72,9 @@
 		_, ok = PickStuck(v, l, 0, 2)
 		Expect(ok).To(BeFalse(), "each further rank waits once more")
 		_, ok = PickStuck(v, l, 0, 0)
-		Expect(ok).To(BeFalse())
+		Expect(ok).To(BeTrue(), "the first rank may have started anew and lost what it drew")
+		_, ok = PickStuck(v, l, 0, -1)
+		Expect(ok).To(BeFalse(), "a VM that is no member draws nothing")
 		known = stuckStepIdle
 		_, ok = PickStuck(v, l, 0, 1)
 		Expect(ok).To(BeFalse(), "the source is still needed for chunk 1")
--- a/internal/swarm/pick.go
+++ b/internal/swarm/pick.go
@@ -177,11 +177,12 @@
 )
 
 // PickStuck chooses a chunk of the lane that neighbours have held for long without this VM getting it: its drawer's link
-// may carry little, while the source's is free. The lane's first VM never needs one.
+// may carry little, while the source's is free. The lane's first VM has what it drew, unless it has started anew since; then
+// it waits no longer than the second.
 func PickStuck(v *View, l Lanes, lane, rank int) (id.Chunk, bool) {
 	var next id.Chunk
 	ok := false
-	if rank <= 0 || v.Known == nil {
+	if rank < 0 || v.Known == nil {
 		return next, ok
 	}
 	step := stuckStepIdle
@@ -189,7 +190,7 @@
 		step = stuckStep
 	}
 	v.Have.Missing(v.Chunks, func(c id.Chunk) bool {
-		ok = l.Lane(c) == lane && v.Rarity[c] > 0 && v.Known(c) >= time.Duration(rank)*step
+		ok = l.Lane(c) == lane && v.Rarity[c] > 0 && v.Known(c) >= time.Duration(max(1, rank))*step
 		next = c
 		return !ok
 	})
--- a/internal/transfer/download_test.go
+++ b/internal/transfer/download_test.go
@@ -122,7 +122,8 @@
 				return nil, ctx.Err()
 			}
 		})
-		Expect(finish(d, 8*time.Second)).To(BeTrue())
+		// A silent neighbour is given up after 3 s; this one is not silent.
+		Expect(finish(d, 2800*time.Millisecond)).To(BeTrue())
 	})
 
 	It("draws on after an outage of the source in which it has tried more often than its budget has chunks", func() {
