--- /dev/null
+++ b/internal/facts/absence.go
@@ -0,0 +1,72 @@
+package facts
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/springrail/springrail/internal/id"
+)
+
+// lapseGrace is how long an upstream whose entry lapsed while the list was away is kept: if it lives, its entry is back
+// within about two seconds (the users' letter).
+const lapseGrace = 2 * time.Second
+
+// Absences decides when an upstream without an entry in the list is taken as gone: at once, or after a grace where the
+// list was away. It is used by one goroutine.
+type Absences struct {
+	facts *Facts
+	now   func() time.Time
+	log   *log.Logger
+	// until is the end of the grace after the list's return.
+	until time.Time
+	due   map[id.Instance]time.Time
+}
+
+// NewAbsences makes an empty set of absences.
+func NewAbsences(f *Facts, now func() time.Time, l *log.Logger) *Absences {
+	return &Absences{facts: f, now: now, log: l, due: map[id.Instance]time.Time{}}
+}
+
+// Returned notes that the list is to be had again after it was away.
+func (a *Absences) Returned() {
+	a.until = a.now().Add(lapseGrace)
+}
+
+// Note takes a change of the list: an upstream's entry was written, or is gone.
+func (a *Absences) Note(n id.Instance, listed bool) {
+	if listed {
+		delete(a.due, n)
+		return
+	}
+	if a.facts.Instance(n) != nil {
+		a.due[n] = a.until
+	}
+}
+
+// KeepOnly takes a whole list: upstreams that are not in it have no entry.
+func (a *Absences) KeepOnly(l []id.Instance) {
+	listed := map[id.Instance]bool{}
+	for _, n := range l {
+		listed[n] = true
+	}
+	for _, n := range a.facts.known() {
+		if !listed[n] {
+			a.due[n] = a.until
+		}
+	}
+	a.Sweep()
+}
+
+// Sweep drops the upstreams whose grace is over.
+func (a *Absences) Sweep() {
+	now := a.now()
+	for n, due := range a.due {
+		if now.Before(due) {
+			continue
+		}
+		a.log.Info().Str("instance", string(n)).Msg("upstream gone from the list")
+		a.facts.DropInstance(n)
+		delete(a.due, n)
+	}
+}
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -175,6 +175,17 @@
 	return f.instances[n]
 }
 
+// known lists all entries, those included whose address another one holds.
+func (f *Facts) known() []id.Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := make([]id.Instance, 0, len(f.instances))
+	for n := range f.instances {
+		l = append(l, n)
+	}
+	return l
+}
+
 // publish makes the list that readers share. Where several entries name one address, the one written last holds it: the
 // others are of upstreams that have ended there. The caller holds the lock.
 func (f *Facts) publish() {
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
 
 	"github.com/springrail/springrail/internal/catalog"
 	"github.com/springrail/springrail/internal/id"
@@ -72,4 +73,25 @@
 		f.SetInstance(&Instance{ID: "i", Address: "a", Leaving: true})
 		Expect(c).To(BeClosed())
 	})
+
+	It("drop an upstream whose entry goes at once, and later where the list was away", func() {
+		a := NewAbsences(f, func() time.Time { return now }, &log.Logger{Level: log.PanicLevel})
+		add := func(n id.Instance) { f.SetInstance(&Instance{ID: n, Address: string(n)}) }
+		add("a")
+		a.Note("a", false)
+		a.Sweep()
+		Expect(f.Instances()).To(BeEmpty())
+		for _, n := range []id.Instance{"a", "b"} {
+			add(n)
+		}
+		a.Returned()
+		a.KeepOnly(nil)
+		Expect(f.Instances()).To(HaveLen(2))
+		now = now.Add(lapseGrace / 2)
+		a.Note("a", true)
+		now = now.Add(lapseGrace)
+		a.Sweep()
+		Expect(f.Instances()).To(HaveLen(1))
+		Expect(f.Instances()[0].ID).To(Equal(id.Instance("a")))
+	})
 })
