--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -51,14 +51,14 @@
 
 // swapMargin is taken off the time within which a version must be the only one in use: a request may wait at the
 // upstream before it begins.
-const swapMargin = 900 * time.Millisecond
+const swapMargin = 1400 * time.Millisecond
 
 const (
 	// swapCaution is how many times the predicted wait a request is taken to wait: one in ten takes longer than 1.7
 	// times.
 	swapCaution = 2
 	// swapArrival is the time for the way to the upstream, on a link that is shared with chunks.
-	swapArrival = 300 * time.Millisecond
+	swapArrival = 600 * time.Millisecond
 )
 
 // candidates lists the upstreams that may take the request now.
