--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -54,8 +54,7 @@
 const swapMargin = 1400 * time.Millisecond
 
 const (
-	// swapCaution is how many times the predicted wait a request is taken to wait: one in ten takes longer than 1.7
-	// times.
+	// swapCaution is how many times the predicted wait a request is taken to wait; one in ten still takes longer.
 	swapCaution = 2
 	// swapArrival is the time for the way to the upstream, on a link that is shared with chunks.
 	swapArrival = 600 * time.Millisecond
