--- /dev/null
+++ b/internal/gateway/stream_test.go
@@ -0,0 +1,143 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/placement"
+)
+
+// stream writes the head of a stream and then pieces as they stand.
+func stream(c net.Conn, q *http.Request, extra string, pieces ...string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 x\r\n%s: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n%s\r\n",
+		xRequest, q.Header.Get(xRequest), extra)
+	for _, p := range pieces {
+		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(p), p)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+var _ = Describe("a stream", func() {
+	const all = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+
+	// resume is an upstream that breaks off within its second event, or goes on after what its caller has.
+	resume := func(q *http.Request, _ string, c net.Conn) {
+		if q.Header.Get(xAfter) == "" {
+			stream(c, q, xRevision+": 1\r\nX-Seal: first\r\n", "id: 1\ndata: a\n\nid: 2\nda")
+			return
+		}
+		stream(c, q, xRevision+": 1\r\nX-Seal: second\r\n", "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n")
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	}
+
+	It("that breaks within an event goes on elsewhere: no event is lost, doubled or in part, and the head stays", func() {
+		b := newBackstage(route(catalog.Streaming, "engines"))
+		b.upstream("u", "engines", resume)
+		b.upstream("v", "engines", resume)
+		a, body, err := b.ask("POST", "/p/", "x", xModel, "m", "X-Hang-Up", "1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal(all))
+		Expect(a.Header.Get("X-Seal")).To(Equal("first"))
+	})
+
+	It("never looks complete where nobody can go on with its version", func() {
+		b := newBackstage(route(catalog.Streaming, "engines"))
+		b.upstream("u", "engines", resume)
+		b.upstream("v", "engines", resume)
+		for _, i := range b.facts.Instances() {
+			if i.ID == "v" {
+				b.facts.SetInstance(&facts.Instance{ID: i.ID, Pool: i.Pool, Address: i.Address, Domain: "far", Slots: 4,
+					Held: []facts.Held{{Model: "m", Revision: 2}}, Seen: 1})
+			}
+		}
+		broken := 0
+		for range 8 {
+			_, body, err := b.ask("POST", "/p/", "x", xModel, "m", "X-Hang-Up", "1")
+			if err != nil {
+				broken++
+				Expect(body).To(Equal("id: 1\ndata: a\n\n"))
+			}
+		}
+		Expect(broken).To(BeNumerically(">", 0))
+	})
+
+	It("reaches its caller event by event", func() {
+		b := newBackstage(route(catalog.Streaming, "engines"))
+		b.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
+			stream(c, q, "", "id: 1\ndata: a\n\n")
+			time.Sleep(300 * time.Millisecond)
+			stream2 := "id: 2\ndata: b\n\n"
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(stream2), stream2)
+		})
+		q, _ := http.NewRequest(http.MethodPost, b.server.URL+"/p/", strings.NewReader("x"))
+		q.Host = "h.example"
+		q.Header.Set(xModel, "m")
+		start := time.Now()
+		a, err := http.DefaultClient.Do(q)
+		Expect(err).NotTo(HaveOccurred())
+		defer a.Body.Close()
+		_, err = io.ReadFull(a.Body, make([]byte, len("id: 1\ndata: a\n\n")))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(start)).To(BeNumerically("<", 200*time.Millisecond))
+	})
+
+	It("begins only where its model is served, in a version whose time is not over", func() {
+		b := newBackstage(route(catalog.Streaming, "engines"))
+		b.upstream("u", "engines", resume)
+		b.facts.SetWanted("m", 2)
+		b.gateway.settings.SwapWithin = swapMargin + 10*time.Millisecond
+		time.Sleep(30 * time.Millisecond)
+		a, _, err := b.ask("POST", "/p/", "x", xModel, "m")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(503))
+		Expect(b.runs("1")).To(BeZero())
+		b.tracker.SetReport(b.facts.Instances()[0].Address, placement.LoadReport{
+			Held: []facts.Held{{Model: "m", Revision: 2}}, Taken: time.Now(),
+		})
+		_, _, _ = b.ask("POST", "/p/", "x", xModel, "m", xRequest, "2", "X-Hang-Up", "1")
+		Expect(b.runs("2")).To(Equal(1))
+	})
+
+	It("is refused at once where every upstream is too busy to be in time", func() {
+		r := route(catalog.Streaming, "engines")
+		r.Aim = 50 * time.Millisecond
+		b := newBackstage(r)
+		b.upstream("u", "engines", resume)
+		b.tracker.SetReport(b.facts.Instances()[0].Address, placement.LoadReport{
+			Running: 4, Waiting: 30, Held: []facts.Held{{Model: "m", Revision: 1}}, Taken: time.Now(),
+		})
+		start := time.Now()
+		a, _, err := b.ask("POST", "/p/", "x", xModel, "m")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(503))
+		Expect(time.Since(start)).To(BeNumerically("<", 50*time.Millisecond))
+		Expect(b.runs("1")).To(BeZero())
+	})
+})
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"), 3)
+	f.Add([]byte("\n\n\n"), 1)
+	f.Fuzz(func(t *testing.T, b []byte, step int) {
+		step = max(1, step%17)
+		var whole, pieces events
+		one := string(whole.feed(b, true))
+		var all strings.Builder
+		for i := 0; i < len(b); i += step {
+			all.Write(pieces.feed(b[i:min(len(b), i+step)], true))
+		}
+		if all.String() != one || pieces.last != whole.last {
+			t.Fatalf("%q in pieces of %d, %q at once", all.String(), step, one)
+		}
+	})
+}
