A silent last upstream is waited for: nobody else may take its stream up

Cause: the watchdog of resumable streams ended an attempt after 0.7 s of silence also where the route's attempts were used up, so the stream was cut although its upstream still worked on it. Ruled out: the deadline (6 s) and the caller. Now the watchdog runs only while an attempt is left, and does not fire while the budget allows no repeat. The spec 'waits on while its last upstream is silent' failed before (the answer broke off after 0.7 s).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,11 +43,11 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	t := &try{flight: f, choice: c, mark: flight, ctx: ctx}
-	if f.route.Kind == catalog.Streaming && f.route.Resumable {
-		t.watchdog = time.AfterFunc(2*c.Predicted+firstStall, stop)
+	f.attempts++
+	if f.route.Kind == catalog.Streaming && f.route.Resumable && f.attemptsLeft() {
+		t.watchdog = time.AfterFunc(2*c.Predicted+firstStall, func() { t.stalled(stop) })
 		defer t.watchdog.Stop()
 	}
-	f.attempts++
 	e, err := g.pool.Send(ctx, c.Address, f.message(c))
 	switch {
 	case errors.Is(err, upconn.ErrNotSent):
@@ -89,6 +89,18 @@
 	begun bool
 }
 
+// stalled gives a silent upstream up where another one may be asked. Without that, waiting on is all that can still
+// bring the caller its answer.
+func (t *try) stalled(stop context.CancelFunc) {
+	g := t.flight.gateway
+	if g.budget.Left(t.flight.pool) {
+		stop()
+		return
+	}
+	g.tally.add("stall_waited_for_budget")
+	t.watchdog.Reset(eventStall)
+}
+
 // broke is an exchange that ended early. An upstream is blamed unless the caller or the clock ended it.
 func (t *try) broke(text string) *problem {
 	f := t.flight
@@ -171,7 +183,12 @@
 
 // canRepeat says whether a safe request that an upstream failed may be offered to another one.
 func (f *flight) canRepeat() bool {
-	return f.attempts < f.route.MaxAttempts && f.rest == nil && f.gateway.now().Before(f.deadline)
+	return f.attemptsLeft() && f.gateway.now().Before(f.deadline)
+}
+
+// attemptsLeft says whether the route lets the request be offered once more, and its body is still there.
+func (f *flight) attemptsLeft() bool {
+	return f.attempts < f.route.MaxAttempts && f.rest == nil
 }
 
 // started notes that the upstream has begun to answer.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -175,9 +175,9 @@
 // again says whether the request may be offered to another upstream after a failure.
 func (f *flight) again(ctx context.Context, p *problem) bool {
 	switch {
-	case ctx.Err() != nil || p.final || f.rest != nil:
+	case ctx.Err() != nil || p.final || !f.attemptsLeft():
 		return false
-	case len(f.tried) > mostTries || f.attempts >= f.route.MaxAttempts:
+	case len(f.tried) > mostTries:
 		return false
 	case !p.notRun && !f.route.Idempotent():
 		return false
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -50,6 +50,29 @@
 		Expect(a.Header.Get("X-Seal")).To(Equal("first"))
 	})
 
+	It("waits on while its last upstream is silent: nobody else may take it up, so giving up would only cut it", func() {
+		patient := route(catalog.Streaming, "engines")
+		patient.Timeout = 6 * time.Second
+		b := newBackstage(patient)
+		slow := func(q *http.Request, _ string, c net.Conn) {
+			if q.Header.Get(xAfter) == "" {
+				stream(c, q, xRevision+": 1\r\n", "id: 1\ndata: a\n\n")
+				return
+			}
+			time.Sleep(firstStall + 300*time.Millisecond)
+			stream(c, q, xRevision+": 1\r\n", "id: 2\ndata: b\n\n")
+			time.Sleep(eventStall + 100*time.Millisecond)
+			stream3 := "id: 3\ndata: c\n\n"
+			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(stream3), stream3)
+		}
+		for _, name := range []string{"u", "v", "w"} {
+			b.upstream(name, "engines", slow)
+		}
+		_, body, err := b.ask("POST", "/p/", "x", xModel, "m", "X-Hang-Up", "1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal(all))
+	})
+
 	It("never looks complete where nobody can go on with its version", func() {
 		b := newBackstage(route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", resume)
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -76,6 +76,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w, i := b.window(p)
+	if !b.left(w, i) {
+		return false
+	}
+	w.repeats[i]++
+	return true
+}
+
+// Left says whether a repeated send would be allowed now.
+func (b *Budget) Left(p id.Pool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left(b.window(p))
+}
+
+func (b *Budget) left(w *window, i int) bool {
 	requests, repeats := 0, 0
 	for back := range keptParts {
 		k := (i + keptParts - back) % keptParts
@@ -85,9 +100,5 @@
 		}
 	}
 	slack := b.rule.Slack / float64(max(1, b.gateways()))
-	if float64(repeats+1) > budgetShare*(b.rule.Ratio*float64(requests)+slack) {
-		return false
-	}
-	w.repeats[i]++
-	return true
+	return float64(repeats+1) <= budgetShare*(b.rule.Ratio*float64(requests)+slack)
 }
