--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -54,6 +54,7 @@
 	put := 0
 	for ctx.Err() == nil && !s.served(g) {
 		changed := g.holding.Changed()
+		s.closeAhead(g)
 		fresh := g.holding.Since(g.holding.Epoch(), uint32(put))
 		for _, c := range fresh {
 			if err := s.ports.Upstream.Put(ctx, g.model, id.Chunk(c), g.holding.Chunk(id.Chunk(c))); err != nil {
@@ -74,6 +75,37 @@
 	return trace.Wrap(ctx.Err())
 }
 
+// closeAhead lets an upstream of the first wave take nothing new shortly before its version is there, so that the order
+// need not wait for requests that are on their way. It opens again where the rest of the version is late.
+func (s *Stager) closeAhead(g *goal) {
+	state, up := s.current()
+	if !up || facts.Revision(state.Held, g.model) == 0 || g.wanted.Learnt.IsZero() || s.superseded(g) {
+		return
+	}
+	if g.closedAhead {
+		s.mu.Lock()
+		late := s.closed && s.now().Sub(s.closedAt) > aheadMost
+		s.mu.Unlock()
+		if late {
+			s.log.Warn().Str("version", g.name()).Msg("open again: the rest of the version is late")
+			s.setClosed(false)
+		}
+		return
+	}
+	held, all := g.holding.Count()
+	if held == 0 || all == 0 || s.wave(g) > 0 {
+		return
+	}
+	left := s.now().Sub(g.wanted.Learnt) / time.Duration(held) * time.Duration(all-held)
+	if left <= lastSends {
+		g.closedAhead = true
+		s.setClosed(true)
+	}
+}
+
+// aheadMost is how long an upstream that was closed ahead waits for the rest of its version.
+const aheadMost = time.Second
+
 // sinceNamed is the time since this process read of the version in ms, or 0 for a version that was there before.
 func (s *Stager) sinceNamed(g *goal) int64 {
 	if g.wanted.Learnt.IsZero() {
@@ -118,10 +150,10 @@
 	// drainMost is how long an upstream that gets no new requests is given to finish those that run. Most do in a
 	// second; waiting for the longest would leave it almost idle for up to four.
 	drainMost = 900 * time.Millisecond
-	// queueMostDrain is how long those that wait are given to begin: one pass takes up to 150 ms.
-	queueMostDrain = 250 * time.Millisecond
-	// lastSends is how long requests may still arrive that were sent before the gateways knew.
-	lastSends = 20 * time.Millisecond
+	// lastSends is how long requests may still arrive that were sent before the gateways knew: one more report in case
+	// the first was lost, and the way on a link that is shared with chunks. An upstream that freezes in the moment of an
+	// order begins what waits there when it wakes, on the older version.
+	lastSends = reportEvery + 50*time.Millisecond
 	// loadTimeout is how long an order may take: requests run for up to 6 s, and loading takes less than one.
 	loadTimeout = 9 * time.Second
 )
@@ -155,10 +187,13 @@
 	return w < waves-1 && s.now().Sub(g.wanted.Learnt) < time.Duration(cutShare*float64(s.settings.SwapWithin))
 }
 
-// drain waits until the upstream, which gets no new requests, has finished what is asked, and says whether it has.
-func (s *Stager) drain(ctx context.Context, most time.Duration, done func(u State) bool) bool {
-	until := s.now().Add(most)
-	kernel.Pause(ctx, lastSends)
+// drain waits until the upstream, which was closed a moment ago, has finished what is asked, and says whether it has.
+func (s *Stager) drain(ctx context.Context, done func(u State) bool) bool {
+	s.mu.Lock()
+	closedAt := s.closedAt
+	s.mu.Unlock()
+	until := closedAt.Add(drainMost)
+	kernel.Pause(ctx, closedAt.Add(lastSends).Sub(s.now()))
 	for ctx.Err() == nil && s.now().Before(until) {
 		state, err := s.ports.Upstream.State(ctx)
 		if err != nil || done(state) {
@@ -182,12 +217,15 @@
 		return err
 	}
 	s.setClosed(true)
-	if s.superseded(g) {
-		// It is finished late: requests that wait are let in, those that run are finished by the upstream.
-		s.drain(ctx, queueMostDrain, func(u State) bool { return u.Waiting == 0 })
+	switch held, _ := s.current(); {
+	case facts.Revision(held.Held, g.model) == 0:
+		// Nobody sends it anything.
+	case cut && !s.superseded(g):
+		cut = !s.drain(ctx, func(u State) bool { return u.Running+u.Waiting == 0 })
+	default:
+		// Requests that wait are let in, those that run are finished by the upstream.
 		cut = false
-	} else {
-		cut = cut && !s.drain(ctx, drainMost, func(u State) bool { return u.Running+u.Waiting == 0 })
+		s.drain(ctx, func(u State) bool { return u.Waiting == 0 })
 	}
 	state, err := s.ports.Upstream.State(ctx)
 	if err != nil {
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -81,8 +81,9 @@
 
 	mu    sync.Mutex
 	state State
-	// down is true while the upstream gives no answer, and closed while it is about to load weights.
+	// down is true while the upstream gives no answer, and closed while it is about to load weights, since closedAt.
 	down, closed bool
+	closedAt     time.Time
 	// fetching is the newest download.
 	fetching *transfer.Download
 }
@@ -118,6 +119,9 @@
 	// queueMost is the longest time that chunks may hold up a live request on its way here: a link of the users' that
 	// is squeezed to an eighth made 1.6 s of what is 150 ms else.
 	queueMost = 200 * time.Millisecond
+	// newsEvery is how often a busy stager asks its neighbours what they hold. A chunk goes three to four hops: with 250 ms
+	// between two questions the median stager had a version 4.2 s after its naming, with 80 ms 4.16 s, with 40 ms 4.0 s.
+	newsEvery = 40 * time.Millisecond
 	// slowUpload is the time of a chunk on an eighth of a link, with one other beside it.
 	slowUpload = 400 * time.Millisecond
 	// drawTimeout bounds one draw from the origin.
@@ -129,7 +133,7 @@
 	self.VM = id.VM(p.Address)
 	t := transfer.NewSettings()
 	t.Uploads, t.Downloads, t.Patience, t.DrawTimeout = uploads, downloads, patience, drawTimeout
-	t.QueueMost = queueMost
+	t.QueueMost, t.HaveEvery = queueMost, newsEvery
 	st := &Stager{down: true, settings: s, ports: p, facts: f, log: g, now: time.Now, peers: l, orders: new(expvar.Map)}
 	st.env = transfer.Env{
 		Settings: t, Self: self, Shelf: transfer.NewShelf(int64(s.MemoryBytes)), Log: g, Events: e, Stats: &st.stats,
@@ -190,6 +194,9 @@
 	s.mu.Lock()
 	changed := s.closed != closed
 	s.closed = closed
+	if changed {
+		s.closedAt = s.now()
+	}
 	s.mu.Unlock()
 	if changed {
 		s.publish()
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -283,6 +283,62 @@
 	})
 })
 
+var _ = Describe("an upstream that is about to load", func() {
+	It("is given no order while a request waits there that was sent before the gateways knew", func() {
+		e := newEngine(facts.Held{Model: "m", Revision: 1})
+		s, f := start(e, 4*time.Second)
+		Eventually(func() bool { _, up := s.current(); return up }).Should(BeTrue())
+		f.SetWanted("m", 2)
+		closed := func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.closed }
+		Eventually(closed).WithPolling(time.Millisecond).WithTimeout(soon).Should(BeTrue())
+		time.Sleep(lastSends / 2)
+		e.do(func() { e.state.Waiting = 1 })
+		Consistently(func() int { e.mu.Lock(); defer e.mu.Unlock(); return len(e.orders) }).
+			WithTimeout(lastSends).Should(BeZero())
+		e.do(func() { e.state.Waiting = 0 })
+		Eventually(e.serves).WithTimeout(soon).Should(Equal(id.Revision(2)))
+	})
+
+	It("is closed shortly before its version is there, and opened again where the rest is late", func() {
+		now := time.Now()
+		f := facts.New(time.Now)
+		f.SetWanted("m", 2)
+		quiet := &log.Logger{Level: log.PanicLevel}
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		s := &Stager{
+			facts: f, ports: &Ports{Address: "127.0.0.1:9"}, log: quiet, now: func() time.Time { return now },
+			state:    State{Held: []facts.Held{{Model: "m", Revision: 1}}},
+			reporter: reports.NewReporter(c, f, time.Now, quiet),
+		}
+		s.env.Self = swarm.Member{VM: "127.0.0.1:9", Domain: "d"}
+		shelf := transfer.NewShelf(1 << 20)
+		g := &goal{model: "m", pool: "p", wanted: facts.Wanted{Revision: 2, Learnt: now.Add(-time.Second)}}
+		g.holding, err = shelf.Open(&pb.Rollout{Id: "m@2", Version: &pb.Version{TotalBytes: chunks * chunkBytes, ChunkBytes: chunkBytes}})
+		Expect(err).NotTo(HaveOccurred())
+		m, err := manifest.New(bytes.NewReader(content(2)), chunkBytes)
+		Expect(err).NotTo(HaveOccurred())
+		raw, err := manifest.Encode(m)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(g.holding.SetManifest(raw)).To(Succeed())
+		closed := func() bool { return s.closed }
+		for c := range id.Chunk(chunks - 1) {
+			s.closeAhead(g)
+			Expect(closed()).To(BeFalse(), "after %d chunks", c)
+			_, err := g.holding.Add(c, content(2)[int(c)*chunkBytes:][:chunkBytes])
+			Expect(err).NotTo(HaveOccurred())
+		}
+		s.closeAhead(g)
+		Expect(closed()).To(BeTrue())
+		now = now.Add(aheadMost + time.Millisecond)
+		s.closeAhead(g)
+		Expect(closed()).To(BeFalse())
+		s.closeAhead(g)
+		Expect(closed()).To(BeFalse())
+	})
+})
+
 var _ = Describe("the waves of a domain", func() {
 	It("hold about a third each, and every upstream has one", func() {
 		got := map[int]int{}
--- a/internal/stager/work.go
+++ b/internal/stager/work.go
@@ -31,6 +31,8 @@
 	download *transfer.Download
 	// staged is true once all chunks lie beside the upstream.
 	staged atomic.Bool
+	// closedAhead is true once the upstream has been closed before the version was staged.
+	closedAhead bool
 }
 
 // name is the rollout's ID: the same at all stagers.
