--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -102,10 +103,26 @@
 	return Serve(ctx, server, s.listener, s.keys)
 }
 
-// Serve runs an HTTP server until the context ends, then closes what is left.
+// lastWrites is how long a server that stops goes on writing what its handlers have handed over. HTTP/2 buffers it, so
+// that a connection that is closed at once loses the ends of answers; long polls end with it.
+const lastWrites = 250 * time.Millisecond
+
+// Serve runs an HTTP server until the context ends, lets out what handlers have written, and closes what is left.
 func Serve(ctx context.Context, server *http.Server, l net.Listener, k *keys) error {
-	stop := context.AfterFunc(ctx, func() { server.Close() })
-	defer stop()
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		last, end := context.WithTimeout(context.WithoutCancel(ctx), lastWrites)
+		defer end()
+		if server.Shutdown(last) != nil {
+			server.Close()
+		}
+	})
+	defer func() {
+		if !stop() {
+			<-closed
+		}
+	}()
 	var err error
 	if k != nil {
 		server.TLSConfig = k.server()
