What is learnt of a VM's link holds for its next download; an old version behind a narrow link ends sooner

Gateways now stop sending an older version there 2 s earlier, and a stager whose second burst begins two seconds after the first still knows that its link is narrow. Both specs fail before.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -58,6 +58,9 @@
 	swapCaution = 2
 	// swapArrival is the time for the way to the upstream, on a link that is shared with chunks.
 	swapArrival = 600 * time.Millisecond
+	// swapNarrow is added for an upstream behind a link that has become narrow: on one of an eighth of the users' a
+	// request was on its way for 1.4 s.
+	swapNarrow = 2 * time.Second
 )
 
 // candidates lists the upstreams that may take the request now.
@@ -125,6 +128,9 @@
 	}
 	wait := time.Duration(swapCaution * float64(m.FirstEvent(c, f.ask.Prompt)))
 	margin := max(swapMargin, wait+swapArrival)
+	if c.Narrow {
+		margin += swapNarrow
+	}
 	return c.Revision >= f.gateway.facts.Required(f.ask.Model, f.gateway.settings.SwapWithin-margin)
 }
 
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -131,6 +131,24 @@
 		Expect(b.runs("2")).To(Equal(1))
 	})
 
+	It("is kept from an older version behind a narrow link earlier, as it would be long on its way", func() {
+		b := newBackstage(route(catalog.Streaming, "engines"))
+		b.upstream("u", "engines", resume)
+		b.facts.SetWanted("m", 2)
+		b.gateway.settings.SwapWithin = swapMargin + time.Second
+		report := placement.LoadReport{Narrow: true, Held: []facts.Held{{Model: "m", Revision: 1}}, Taken: time.Now()}
+		b.tracker.SetReport(b.facts.Instances()[0].Address, report)
+		time.Sleep(5 * time.Millisecond)
+		a, _, err := b.ask("POST", "/p/", "x", xModel, "m", xRequest, "1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(503))
+		Expect(b.runs("1")).To(BeZero())
+		report.Narrow = false
+		b.tracker.SetReport(b.facts.Instances()[0].Address, report)
+		_, _, _ = b.ask("POST", "/p/", "x", xModel, "m", xRequest, "2", "X-Hang-Up", "1")
+		Expect(b.runs("2")).To(Equal(1))
+	})
+
 	It("is refused at once where every upstream is too busy to be in time", func() {
 		r := route(catalog.Streaming, "engines")
 		r.Aim = 50 * time.Millisecond
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -29,6 +29,8 @@
 	InFlight int
 	// Pace is how many times longer than usual the upstream works.
 	Pace float64
+	// Narrow is true while requests queue on their way there.
+	Narrow bool
 	// Suspect is true after failures that have not yet been outlived.
 	Suspect bool
 }
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -178,7 +178,8 @@
 		}
 		return c
 	}
-	c.Suspect = c.Suspect || u.report.Narrow
+	c.Narrow = u.report.Narrow
+	c.Suspect = c.Suspect || c.Narrow
 	c.Running, c.Waiting = u.report.Running, u.report.Waiting
 	c.Pace = max(c.Pace, u.report.Pace)
 	c.Backlog = float64(u.report.Waiting) * usualPrompt
--- a/internal/stager/work.go
+++ b/internal/stager/work.go
@@ -199,6 +199,9 @@
 	env.Local = func(ctx context.Context, h *transfer.Holding) { s.adopt(ctx, g, h) }
 	g.download = transfer.NewDownload(env, g.rollout, h, links)
 	s.mu.Lock()
+	if s.fetching != nil {
+		g.download.TakeLink(s.fetching)
+	}
 	s.fetching = g.download
 	s.mu.Unlock()
 	return nil
--- a/internal/transfer/download.go
+++ b/internal/transfer/download.go
@@ -340,6 +340,16 @@
 	return d.narrow() && !d.holding.Complete()
 }
 
+// TakeLink takes over what another download of this VM has learnt of its link.
+func (d *Download) TakeLink(o *Download) {
+	o.mu.Lock()
+	usual, moving, delivered := o.usual, o.moving, o.delivered
+	o.mu.Unlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.usual, d.moving, d.delivered = usual, moving, min(delivered, usualKnown)
+}
+
 func (d *Download) narrow() bool {
 	return d.settings.QueueMost > 0 && d.downloads() == 1
 }
--- a/internal/transfer/download_test.go
+++ b/internal/transfer/download_test.go
@@ -270,3 +270,18 @@
 		Expect(time.Since(started)).To(BeNumerically("<", time.Second))
 	})
 })
+
+var _ = Describe("what a download has learnt of its VM's link", func() {
+	It("holds for the next one from its first chunk on", func() {
+		s := newSource(4)
+		old, next := download(s, 0, nil), download(s, 0, nil)
+		for _, d := range []*Download{old, next} {
+			d.settings.QueueMost = 200 * time.Millisecond
+		}
+		old.usual, old.moving, old.delivered = time.Second, 1, 40
+		Expect(old.Narrow()).To(BeTrue())
+		Expect(next.Narrow()).To(BeFalse())
+		next.TakeLink(old)
+		Expect(next.Narrow()).To(BeTrue())
+	})
+})
