--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -146,7 +146,10 @@
 		return err
 	}
 	for i, t := range a.GetTopics() {
-		f.take(f.logs[i], t)
+		if err := f.take(f.logs[i], t); err != nil {
+			f.source = ""
+			return err
+		}
 		f.from[i] = t.GetFrom()
 	}
 	f.epoch = a.GetEpoch()
@@ -167,7 +170,7 @@
 	return nil
 }
 
-func (f *Follower) take(l *Log, t *pb.TopicChanges) {
+func (f *Follower) take(l *Log, t *pb.TopicChanges) error {
 	now := f.now()
 	b := Batch{
 		Whole: t.GetWhole(), Next: t.GetNext(),
@@ -175,19 +178,26 @@
 		Grace:     now.Add(time.Duration(t.GetGraceMs()) * time.Millisecond),
 	}
 	for _, r := range t.GetRecords() {
-		b.Records = append(b.Records, Record{Key: r.GetKey(), Value: valueOf(r), Offset: r.GetOffset()})
+		v, err := valueOf(r)
+		if err != nil {
+			return err
+		}
+		b.Records = append(b.Records, Record{Key: r.GetKey(), Value: v, Offset: r.GetOffset()})
 	}
 	l.Take(b)
+	return nil
 }
 
-// valueOf keeps an empty value apart from none.
-func valueOf(r *pb.RelayedRecord) []byte {
+// valueOf unpacks a value, and keeps an empty one apart from none.
+func valueOf(r *pb.RelayedRecord) ([]byte, error) {
 	switch {
 	case r.GetDropped():
-		return nil
+		return nil, nil
+	case r.GetPacked():
+		return unpack(r.GetValue())
 	case r.GetValue() == nil:
-		return []byte{}
+		return []byte{}, nil
 	default:
-		return r.GetValue()
+		return r.GetValue(), nil
 	}
 }
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -22,6 +22,26 @@
 	seen uint64
 	// change is the number of the change that brought the record.
 	change uint64
+	// packed is the value compressed, once a follower has asked for it.
+	packed []byte
+}
+
+// told is a record as followers get it, its value compressed where packed is not nil.
+type told struct {
+	Record
+	packed []byte
+}
+
+// tell compresses a long value once for all followers.
+func (e *entry) tell(l *log.Logger) told {
+	if e.packed == nil && len(e.Value) >= packFrom {
+		packed, err := pack(e.Value)
+		if err != nil {
+			l.Error().Err(err).Str("key", e.Key).Msg("a record can't be compressed")
+		}
+		e.packed = packed
+	}
+	return told{Record: e.Record, packed: e.packed}
 }
 
 // Log holds the newest record of each key of a topic and applies what changes. It is safe for concurrent use.
@@ -136,7 +156,7 @@
 		l.dropped--
 	}
 	l.changes++
-	e.Record, e.change = r, l.changes
+	e.Record, e.change, e.packed = r, l.changes, nil
 	if l.dropped > mostDropped {
 		l.forget()
 	}
@@ -210,7 +230,7 @@
 
 // Changes is what a follower is told.
 type Changes struct {
-	Records []Record
+	Records []told
 	Whole   bool
 	// Last is the number of the last change.
 	Last  uint64
@@ -232,7 +252,7 @@
 	c.Whole = epoch != l.epoch || from < l.forgotten || from > l.changes
 	for _, e := range l.entries {
 		if (c.Whole && e.Value != nil) || (!c.Whole && e.change > from) {
-			c.Records = append(c.Records, e.Record)
+			c.Records = append(c.Records, e.tell(l.log))
 		}
 	}
 	return c, l.changed, l.started
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -1,6 +1,7 @@
 package records
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"expvar"
@@ -304,7 +305,11 @@
 				}
 				if rapid.Bool().Draw(t, "follows") {
 					c, _, _ := source.Since(epoch, from)
-					follower.Take(Batch{Records: c.Records, Whole: c.Whole, Next: c.Next, Confirmed: now})
+					var l []Record
+					for _, r := range c.Records {
+						l = append(l, r.Record)
+					}
+					follower.Take(Batch{Records: l, Whole: c.Whole, Next: c.Next, Confirmed: now})
 					epoch, from = source.epoch, c.Last
 					if len(follower.entries) > 0 && !maps.Equal(a, b) {
 						t.Fatalf("source %v, follower %v", a, b)
@@ -349,6 +354,25 @@
 	})
 })
 
+var _ = Describe("a long record", func() {
+	It("is handed on compressed, and a spoilt or endless one is refused", func() {
+		f := facts.New(time.Now)
+		value := bytes.Repeat([]byte(`{"name":"r","host":"h.example"},`), 2000)
+		source := NewLog(Topic{Name: "t", Apply: func(Record) error { return nil }}, f, time.Now, quiet)
+		source.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: value}}, Next: 1})
+		c, _, _ := source.Since(0, 0)
+		m := tell("t", c)
+		Expect(len(m.GetRecords()[0].GetValue())).To(BeNumerically("<", len(value)/10))
+		Expect(valueOf(m.GetRecords()[0])).To(Equal(value))
+		_, err := valueOf(&pb.RelayedRecord{Packed: true, Value: []byte("no gzip")})
+		Expect(err).To(HaveOccurred())
+		endless, err := pack(make([]byte, unpackMost+1))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = valueOf(&pb.RelayedRecord{Packed: true, Value: endless})
+		Expect(err).To(HaveOccurred())
+	})
+})
+
 var _ = Describe("an answer of a source", func() {
 	It("is refused where a topic is missing, another one or of an impossible age", func() {
 		f := facts.New(time.Now)
--- a/internal/records/service.go
+++ b/internal/records/service.go
@@ -75,7 +75,11 @@
 		Topic: topic, Whole: c.Whole, From: c.Last, Next: c.Next, AgeMs: c.Age.Milliseconds(), GraceMs: c.Grace.Milliseconds(),
 	}
 	for _, r := range c.Records {
-		t.Records = append(t.Records, &pb.RelayedRecord{Key: r.Key, Value: r.Value, Dropped: r.Value == nil, Offset: r.Offset})
+		m := &pb.RelayedRecord{Key: r.Key, Value: r.Value, Dropped: r.Value == nil, Offset: r.Offset}
+		if r.packed != nil {
+			m.Value, m.Packed = r.packed, true
+		}
+		t.Records = append(t.Records, m)
 	}
 	return t
 }
--- /dev/null
+++ b/internal/standin/keyed.go
@@ -0,0 +1,214 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/base64"
+	"encoding/binary"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// KeyedFaults are the faults of the store.
+type KeyedFaults struct {
+	// Status, where above 0, answers every call.
+	Status int `json:"status"`
+	// Silent gives no answer at all.
+	Silent bool `json:"silent"`
+	// DelayMs is added to every call.
+	DelayMs int `json:"delay_ms"`
+}
+
+// keyedRecord is a record of a keyed topic; a nil value drops the key.
+type keyedRecord struct {
+	key   string
+	value []byte
+}
+
+// keyedTopic is a topic's log; first is the oldest offset that may still be read.
+type keyedTopic struct {
+	records []keyedRecord
+	first   int
+}
+
+// KeyedStore plays the metadata store of the users' platform as far as springrail reads it: keyed topics of one partition,
+// read by offset or by key.
+type KeyedStore struct {
+	mu     sync.Mutex
+	topics map[string]*keyedTopic
+	faults KeyedFaults
+	change chan struct{}
+	calls  int
+	// away holds the IP addresses of callers that are turned away with 503.
+	away map[string]bool
+}
+
+// NewKeyedStore makes an empty store.
+func NewKeyedStore() *KeyedStore {
+	return &KeyedStore{topics: map[string]*keyedTopic{}, change: make(chan struct{}), away: map[string]bool{}}
+}
+
+// Put appends a record; a nil value drops the key.
+func (s *KeyedStore) Put(topic, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(topic)
+	t.records = append(t.records, keyedRecord{key: key, value: value})
+	close(s.change)
+	s.change = make(chan struct{})
+}
+
+// Forget drops the history of a topic: what has been written can be read by key only.
+func (s *KeyedStore) Forget(topic string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(topic)
+	t.first = len(t.records)
+}
+
+// SetFaults replaces the faults.
+func (s *KeyedStore) SetFaults(f KeyedFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// TurnAway refuses the calls of an IP address, or no longer.
+func (s *KeyedStore) TurnAway(ip string, away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away[ip] = away
+}
+
+// Calls is the number of calls that came.
+func (s *KeyedStore) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// topic returns a topic, which comes into being on its first use; the caller holds the lock.
+func (s *KeyedStore) topic(name string) *keyedTopic {
+	t := s.topics[name]
+	if t == nil {
+		t = &keyedTopic{}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// ServeHTTP implements http.Handler.
+func (s *KeyedStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	f := s.faults
+	if s.away[callerIP(r)] {
+		f.Status = http.StatusServiceUnavailable
+	}
+	s.mu.Unlock()
+	time.Sleep(time.Duration(f.DelayMs) * time.Millisecond)
+	switch {
+	case f.Silent:
+		<-r.Context().Done()
+		cut()
+	case f.Status > 0:
+		w.WriteHeader(f.Status)
+	case r.URL.Path == "/v1/log-newest":
+		s.newest(w, r)
+	case r.URL.Path == "/v1/log-read":
+		s.read(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// newestPage is the most items of one answer.
+const newestPage = 500
+
+// newest answers with the newest record of each key, a page at a time.
+func (s *KeyedStore) newest(w http.ResponseWriter, r *http.Request) {
+	type item struct {
+		Key    string `json:"tlsKey"`
+		Value  string `json:"value"`
+		Offset int    `json:"offset"`
+	}
+	page := struct {
+		Items []item `json:"items"`
+		More  bool   `json:"more"`
+		End   int    `json:"end"`
+	}{Items: []item{}}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	page.End = len(t.records)
+	newest := map[string]int{}
+	for i, k := range t.records {
+		newest[k.key] = i
+	}
+	after := r.URL.Query().Get("sinceRevision")
+	for _, key := range slices.Sorted(maps.Keys(newest)) {
+		i := newest[key]
+		if key <= after && after != "" || t.records[i].value == nil {
+			continue
+		}
+		if len(page.Items) == newestPage {
+			page.More = true
+			break
+		}
+		page.Items = append(page.Items, item{Key: key, Value: base64.StdEncoding.EncodeToString(t.records[i].value), Offset: i})
+	}
+	writeJSON(w, page)
+}
+
+// read answers with the records from an offset on, or waits for one.
+func (s *KeyedStore) read(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, err := strconv.Atoi(q.Get("from"))
+	if err != nil || from < 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(q.Get("waitMs"))
+	over := time.After(time.Duration(wait) * time.Millisecond)
+	for ended := wait == 0; ; {
+		s.mu.Lock()
+		t, change := s.topic(q.Get("topic")), s.change
+		switch {
+		case from < t.first:
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		case from < len(t.records) || ended:
+			raw := t.encode(from)
+			s.mu.Unlock()
+			_, _ = w.Write(raw)
+			return
+		}
+		s.mu.Unlock()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-over:
+			ended = true
+		case <-change:
+		}
+	}
+}
+
+// encode writes the end and the first offset, then each record from an offset on: a length, the key's length, the key
+// and the value.
+func (t *keyedTopic) encode(from int) []byte {
+	var b bytes.Buffer
+	_ = binary.Write(&b, binary.BigEndian, uint64(len(t.records)))
+	_ = binary.Write(&b, binary.BigEndian, uint64(t.first))
+	for _, k := range t.records[min(from, len(t.records)):] {
+		_ = binary.Write(&b, binary.BigEndian, uint32(1+len(k.key)+len(k.value)))
+		b.WriteByte(byte(len(k.key)))
+		b.WriteString(k.key)
+		b.Write(k.value)
+	}
+	return b.Bytes()
+}
--- /dev/null
+++ b/internal/standin/modelserver.go
@@ -0,0 +1,268 @@
+package standin
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Versions are what the origin of the users' platform gives: versions of one model, made from their numbers.
+type Versions struct {
+	Model      string
+	Chunks     int
+	ChunkBytes int
+}
+
+// Chunk returns a chunk of a version.
+func (w Versions) Chunk(version, n int) []byte {
+	b := make([]byte, w.ChunkBytes)
+	_, _ = rand.NewChaCha8([32]byte{byte(version), byte(version >> 8), byte(n), byte(n >> 8)}).Read(b)
+	return b
+}
+
+// ServeHTTP answers as the origin does.
+func (w Versions) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	version, _ := strconv.Atoi(r.URL.Query().Get("version"))
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/v1/manifest/"):
+		var digests []string
+		for n := range w.Chunks {
+			sum := sha256.Sum256(w.Chunk(version, n))
+			digests = append(digests, hex.EncodeToString(sum[:]))
+		}
+		writeJSON(out, map[string]any{"model": w.Model, "version": version, "chunk_bytes": w.ChunkBytes, "digests": digests})
+	case strings.HasPrefix(r.URL.Path, "/v1/piece/"):
+		n, _ := strconv.Atoi(r.URL.Query().Get("n"))
+		_, _ = out.Write(w.Chunk(version, n))
+	default:
+		out.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// Ran is one run of a request at a model server.
+type Ran struct {
+	Request  string
+	Instance string
+	Version  int
+	After    int
+	At       time.Time
+}
+
+const (
+	// modelWarm is how long a model server takes to load what is staged.
+	modelWarm = 100 * time.Millisecond
+	// modelEvent is the time between two events of a stream.
+	modelEvent = 20 * time.Millisecond
+	// modelEvents is the length of a stream in events.
+	modelEvents = 12
+)
+
+// ModelServer plays a model server of the users' platform. Its fields may change only while nothing is served.
+type ModelServer struct {
+	Instance string
+	Slots    int
+	Weights  Versions
+	// Note is told of each run, and Broken of each promise that the system has broken towards it.
+	Note   func(r Ran)
+	Broken func(what string)
+
+	mu      sync.Mutex
+	version int
+	staged  map[int][]byte
+	busy    bool
+	orders  int
+	running int
+}
+
+// Serving returns the version that is served; 0 is none.
+func (s *ModelServer) Serving() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// Set makes the server serve a version, as one does that the users' platform has filled.
+func (s *ModelServer) Set(version int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = version
+}
+
+// ServeHTTP implements http.Handler.
+func (s *ModelServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/v1/report":
+		s.report(w)
+	case r.URL.Path == "/v1/order":
+		s.order(w, r)
+	case strings.HasPrefix(r.URL.Path, "/v1/stage-"):
+		s.stage(w, r)
+	default:
+		s.request(w, r)
+	}
+}
+
+// Models is what the server says of itself in its report and in the list.
+func (s *ModelServer) Models() []map[string]any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.version == 0 {
+		return []map[string]any{}
+	}
+	return []map[string]any{{"name": s.Weights.Model, "version": s.version}}
+}
+
+func (s *ModelServer) report(w http.ResponseWriter) {
+	models := s.Models()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, map[string]any{
+		"stage": "both", "models": models, "busy": s.busy, "sequence": s.orders, "waiting": 0, "running": s.running,
+		"kvUsed": 0, "kvTotal": 1, "pace": 1,
+	})
+}
+
+// stage keeps chunks, from the own machine only.
+func (s *ModelServer) stage(w http.ResponseWriter, r *http.Request) {
+	if host, _, _ := net.SplitHostPort(r.Host); callerIP(r) != host {
+		s.Broken("a chunk staged from another machine, " + callerIP(r))
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.staged == nil {
+		s.staged = map[int][]byte{}
+	}
+	n, err := strconv.Atoi(r.URL.Query().Get("n"))
+	switch {
+	case r.Method == http.MethodPut && err == nil:
+		s.staged[n], _ = io.ReadAll(r.Body)
+	case err == nil && s.staged[n] != nil:
+		_, _ = w.Write(s.staged[n])
+	case err == nil:
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		held := []int{}
+		for n := range s.staged {
+			held = append(held, n)
+		}
+		writeJSON(w, map[string]any{"held": held})
+	}
+}
+
+// order loads what is staged. Chunks of another version or spoilt ones are a broken promise.
+func (s *ModelServer) order(w http.ResponseWriter, r *http.Request) {
+	var o struct {
+		Op               string `json:"op"`
+		Version          int    `json:"version"`
+		ExpectedSequence int    `json:"expectedRevision"`
+	}
+	if json.NewDecoder(r.Body).Decode(&o) != nil || o.Op != "start" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.version == o.Version:
+		w.WriteHeader(http.StatusOK)
+		return
+	case s.busy || o.ExpectedSequence != s.orders:
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	for n := range s.Weights.Chunks {
+		if !bytes.Equal(s.staged[n], s.Weights.Chunk(o.Version, n)) {
+			s.Broken(fmt.Sprintf("%s was ordered to load version %d with a wrong chunk %d", s.Instance, o.Version, n))
+			break
+		}
+	}
+	s.orders++
+	s.busy = true
+	time.AfterFunc(modelWarm, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.busy, s.version = false, o.Version
+	})
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// request runs a caller's request: a stream where it names a model, a short answer elsewhere.
+func (s *ModelServer) request(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	version, reason := s.enter(r)
+	if reason != 0 {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(reason)
+		return
+	}
+	defer s.leave()
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	s.Note(Ran{Request: r.Header.Get("Request-Id"), Instance: s.Instance, Version: version, After: after, At: time.Now()})
+	w.Header().Set("Response-Seal", s.Instance+"."+r.Header.Get("Request-Id"))
+	if r.Header.Get("Model") == "" {
+		time.Sleep(modelEvent)
+		_, _ = fmt.Fprintf(w, "%s %s", r.Header.Get("Request-Id"), body)
+		return
+	}
+	w.Header().Set("Versions", strconv.Itoa(version))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := after + 1; n <= modelEvents && r.Context().Err() == nil; n++ {
+		time.Sleep(modelEvent)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d %d\n\n", n, r.Header.Get("Request-Id"), version, n)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// StreamOf is the body of a whole stream of a version.
+func StreamOf(request string, version int) string {
+	var b strings.Builder
+	for n := 1; n <= modelEvents; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s %d %d\n\n", n, request, version, n)
+	}
+	return b.String()
+}
+
+// enter takes a slot, or says with which status the request is refused.
+func (s *ModelServer) enter(r *http.Request) (version, reason int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	expected := r.Header.Get("Expect-Version")
+	switch {
+	case r.Header.Get("Target-Instance") != s.Instance:
+		return 0, http.StatusMisdirectedRequest
+	case r.Header.Get("Model") != "" && (s.version == 0 || expected != "" && expected != strconv.Itoa(s.version)):
+		return 0, http.StatusMisdirectedRequest
+	case s.running >= s.Slots || s.busy:
+		return 0, http.StatusServiceUnavailable
+	}
+	s.running++
+	return s.version, 0
+}
+
+func (s *ModelServer) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+// callerIP is the address that a request comes from, without its port.
+func callerIP(r *http.Request) string {
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	return host
+}
