--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -23,6 +23,10 @@
 	now   func() time.Time
 	// wait is how long a read waits at the store for a record, and pause how long the reader waits between two reads.
 	wait, pause time.Duration
+	// whole makes the next reading one of the newest records only. After a failure what was written meanwhile may be many
+	// versions of a long record: read one after the other by all processes, they kept the store and narrow links busy
+	// beyond the time of an answer, for good.
+	whole bool
 }
 
 // Run reads until the context ends.
@@ -37,6 +41,7 @@
 		case errors.Is(err, platform.ErrExpired):
 			r.log.Restart()
 		case err != nil:
+			r.whole = true
 			r.log.Lost(err)
 			kernel.Pause(ctx, retryPause)
 		case r.pause > 0:
@@ -58,7 +63,7 @@
 // step makes one call and takes what it brings.
 func (r *Reader) step(ctx context.Context) error {
 	next, started := r.log.Position()
-	if !started {
+	if !started || r.whole {
 		return r.restart(ctx)
 	}
 	ctx, stop, wait := r.patience(ctx, next)
@@ -81,6 +86,7 @@
 	if err != nil {
 		return err
 	}
+	r.whole = false
 	r.log.Take(Batch{Records: l, Whole: true, Next: next, Confirmed: r.now()})
 	r.heard(next)
 	return nil
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -35,7 +35,9 @@
 	mu    sync.Mutex
 	logs  map[string][]Record
 	calls int
-	down  bool
+	// longest is the most records that one reading has returned.
+	longest int
+	down    bool
 }
 
 func (s *fakeStore) put(topic, key, value string) {
@@ -88,6 +90,7 @@
 				over := len(l) > 0 || !time.Now().Before(until)
 				if over {
 					s.calls++
+					s.longest = max(s.longest, len(l))
 				}
 				s.mu.Unlock()
 				if over {
@@ -229,6 +232,28 @@
 	})
 })
 
+var _ = Describe("a process that has lost the store", func() {
+	It("takes only the newest records once the store is back, not all that was written meanwhile", func() {
+		s := &fakeStore{logs: map[string][]Record{}}
+		s.put("op", "config", "0")
+		p, _ := newProcess("a", s, nobody)
+		Eventually(func() string { return p.value("config") }).Should(Equal("0"))
+		s.setDown(true)
+		time.Sleep(100 * time.Millisecond)
+		for i := range 50 {
+			s.put("op", "config", fmt.Sprint(i))
+		}
+		s.mu.Lock()
+		s.longest = 0
+		s.mu.Unlock()
+		s.setDown(false)
+		Eventually(func() string { return p.value("config") }).WithTimeout(2 * time.Second).Should(Equal("49"))
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		Expect(s.longest).To(BeNumerically("<=", 1))
+	})
+})
+
 var _ = Describe("the sources of a failure domain", func() {
 	It("are ordered alike by all: exactly one gateway follows nobody, and nobody follows one that follows it", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
