--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -146,7 +146,14 @@
 		return err
 	}
 	for i, t := range a.GetTopics() {
-		if err := f.take(f.logs[i], t); err != nil {
+		err := f.take(f.logs[i], t)
+		if errors.Is(err, errNoBase) {
+			// No fault of the source: this process has read other records meanwhile. It asks for the whole.
+			f.log.Info().Err(err).Str("source", address).Msg("records are asked for as a whole")
+			f.source = ""
+			return nil
+		}
+		if err != nil {
 			f.source = ""
 			return err
 		}
@@ -178,7 +185,7 @@
 		Grace:     now.Add(time.Duration(t.GetGraceMs()) * time.Millisecond),
 	}
 	for _, r := range t.GetRecords() {
-		v, err := valueOf(r)
+		v, err := l.valueOf(r)
 		if err != nil {
 			return err
 		}
@@ -188,13 +195,22 @@
 	return nil
 }
 
+// errNoBase says that a patch builds on a value that this process does not have.
+var errNoBase = errors.New("the record that a patch builds on is not there")
+
 // valueOf unpacks a value, and keeps an empty one apart from none.
-func valueOf(r *pb.RelayedRecord) ([]byte, error) {
+func (l *Log) valueOf(r *pb.RelayedRecord) ([]byte, error) {
 	switch {
 	case r.GetDropped():
 		return nil, nil
+	case r.GetPatched():
+		base := l.valueAt(r.GetKey(), r.GetBase())
+		if base == nil {
+			return nil, trace.Wrap(errNoBase, "key %s, offset %d", r.GetKey(), r.GetBase())
+		}
+		return unpack(r.GetValue(), base)
 	case r.GetPacked():
-		return unpack(r.GetValue())
+		return unpack(r.GetValue(), nil)
 	case r.GetValue() == nil:
 		return []byte{}, nil
 	default:
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -22,28 +22,47 @@
 	seen uint64
 	// change is the number of the change that brought the record.
 	change uint64
-	// packed is the value compressed, once a follower has asked for it.
-	packed []byte
+	// before is the record that this one has replaced, and beforeChange the number of the change that brought it.
+	before       Record
+	beforeChange uint64
+	// packed is the value compressed, and patch the same on top of the value before, once a follower has asked for it.
+	packed, patch []byte
 }
 
-// told is a record as followers get it, its value compressed where packed is not nil.
+// told is a record as followers get it: with its value, that value compressed, or a patch of the value at an offset.
 type told struct {
 	Record
-	packed []byte
+	packed  []byte
+	patched bool
+	base    uint64
 }
 
-// tell compresses a long value once for all followers.
-func (e *entry) tell(l *log.Logger) told {
-	if e.packed == nil && len(e.Value) >= packFrom {
-		packed, err := pack(e.Value)
-		if err != nil {
-			l.Error().Err(err).Str("key", e.Key).Msg("a record can't be compressed")
-		}
-		e.packed = packed
+// tell says what a follower that has all changes up to one needs; long values are compressed once for all followers.
+func (e *entry) tell(from uint64, l *log.Logger) told {
+	if len(e.Value) < packFrom {
+		return told{Record: e.Record}
+	}
+	if e.before.Value != nil && from >= e.beforeChange && from < e.change {
+		e.patch = packOnce(e.patch, e.Value, e.before.Value, l)
+		return told{Record: e.Record, packed: e.patch, patched: true, base: e.before.Offset}
 	}
+	e.packed = packOnce(e.packed, e.Value, nil, l)
 	return told{Record: e.Record, packed: e.packed}
 }
 
+// packOnce returns what has been compressed before, or compresses it.
+func packOnce(done, value, base []byte, l *log.Logger) []byte {
+	if done != nil {
+		return done
+	}
+	packed, err := pack(value, base)
+	if err != nil {
+		l.Error().Err(err).Msg("a record can't be compressed")
+		return nil
+	}
+	return packed
+}
+
 // Log holds the newest record of each key of a topic and applies what changes. It is safe for concurrent use.
 type Log struct {
 	topic  Topic
@@ -156,7 +175,8 @@
 		l.dropped--
 	}
 	l.changes++
-	e.Record, e.change, e.packed = r, l.changes, nil
+	e.before, e.beforeChange = e.Record, e.change
+	e.Record, e.change, e.packed, e.patch = r, l.changes, nil, nil
 	if l.dropped > mostDropped {
 		l.forget()
 	}
@@ -251,9 +271,22 @@
 	}
 	c.Whole = epoch != l.epoch || from < l.forgotten || from > l.changes
 	for _, e := range l.entries {
-		if (c.Whole && e.Value != nil) || (!c.Whole && e.change > from) {
-			c.Records = append(c.Records, e.tell(l.log))
+		switch {
+		case c.Whole && e.Value != nil:
+			c.Records = append(c.Records, e.tell(l.changes, l.log))
+		case !c.Whole && e.change > from:
+			c.Records = append(c.Records, e.tell(from, l.log))
 		}
 	}
 	return c, l.changed, l.started
 }
+
+// valueAt returns the value of a key if its newest record is the one at an offset.
+func (l *Log) valueAt(key string, offset uint64) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.entries[key]; e != nil && e.Offset == offset {
+		return e.Value
+	}
+	return nil
+}
--- a/internal/records/pack.go
+++ b/internal/records/pack.go
@@ -1,46 +1,46 @@
 package records
 
 import (
-	"bytes"
-	"compress/gzip"
-	"io"
-
 	"github.com/gravitational/trace"
+	"github.com/klauspost/compress/zstd"
 )
 
 const (
-	// packFrom is the size in bytes from which on a value is compressed. A configuration with 1,600 routes has 560 KB and
-	// goes to 40 processes over a link of 40 Mbit/s: 4 s as it is, a tenth of that compressed.
+	// packFrom is the size in bytes from which on a value is compressed. A configuration with 1,600 routes has 600 KB, a
+	// quarter of that compressed, and goes to 38 processes over a link of 40 Mbit/s; one that follows it differs by some
+	// hundred bytes.
 	packFrom = 4 << 10
 	// unpackMost bounds what a compressed value may become, in bytes.
 	unpackMost = 16 << 20
+	// baseID names the value that a patch builds on; a message holds one patch of a key.
+	baseID = 1
 )
 
-// pack compresses a value.
-func pack(value []byte) ([]byte, error) {
-	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
-	if _, err := w.Write(value); err != nil {
-		return nil, trace.Wrap(err)
+// pack compresses a value, building on a base where there is one.
+func pack(value, base []byte) ([]byte, error) {
+	o := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithEncoderCRC(true)}
+	if base != nil {
+		o = append(o, zstd.WithEncoderDictRaw(baseID, base))
 	}
-	if err := w.Close(); err != nil {
+	e, err := zstd.NewWriter(nil, o...)
+	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return b.Bytes(), nil
+	defer e.Close()
+	return e.EncodeAll(value, nil), nil
 }
 
 // unpack undoes pack.
-func unpack(packed []byte) ([]byte, error) {
-	r, err := gzip.NewReader(bytes.NewReader(packed))
-	if err != nil {
-		return nil, trace.Wrap(err)
+func unpack(packed, base []byte) ([]byte, error) {
+	o := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(unpackMost)}
+	if base != nil {
+		o = append(o, zstd.WithDecoderDictRaw(baseID, base))
 	}
-	value, err := io.ReadAll(io.LimitReader(r, unpackMost+1))
+	d, err := zstd.NewReader(nil, o...)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if len(value) > unpackMost {
-		return nil, trace.LimitExceeded("a record of more than %d bytes", unpackMost)
-	}
-	return value, nil
+	defer d.Close()
+	value, err := d.DecodeAll(packed, nil)
+	return value, trace.Wrap(err)
 }
--- a/internal/records/service.go
+++ b/internal/records/service.go
@@ -77,7 +77,7 @@
 	for _, r := range c.Records {
 		m := &pb.RelayedRecord{Key: r.Key, Value: r.Value, Dropped: r.Value == nil, Offset: r.Offset}
 		if r.packed != nil {
-			m.Value, m.Packed = r.packed, true
+			m.Value, m.Packed, m.Patched, m.Base = r.packed, true, r.patched, r.base
 		}
 		t.Records = append(t.Records, m)
 	}
