--- a/cmd/springrail-stager/main.go
+++ b/cmd/springrail-stager/main.go
@@ -5,8 +5,8 @@
 	"os"
 
 	"github.com/springrail/springrail/internal/cmd"
-	_ "github.com/springrail/springrail/internal/stager"
 	_ "github.com/springrail/springrail/internal/records"
+	_ "github.com/springrail/springrail/internal/stager"
 	_ "github.com/springrail/springrail/internal/vars"
 	_ "github.com/springrail/springrail/platform"
 )
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -61,6 +61,9 @@
 	// swapNarrow is added for an upstream behind a link that has become narrow: on one of an eighth of the users' a
 	// request was on its way for 1.4 s.
 	swapNarrow = 2 * time.Second
+	// swapResume is the margin for a stream that goes on elsewhere on an older version: few upstreams still serve it then,
+	// and one that took such streams of others let one wait for 2.4 s.
+	swapResume = 3 * time.Second
 )
 
 // candidates lists the upstreams that may take the request now.
@@ -131,6 +134,9 @@
 	if c.Narrow {
 		margin += swapNarrow
 	}
+	if f.headSent {
+		margin = max(margin, swapResume)
+	}
 	return c.Revision >= f.gateway.facts.Required(f.ask.Model, f.gateway.settings.SwapWithin-margin)
 }
 
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -149,6 +149,24 @@
 		Expect(b.runs("2")).To(Equal(1))
 	})
 
+	It("goes on elsewhere on an older version only with time to spare", func() {
+		for _, spare := range []time.Duration{swapMargin + time.Second, swapResume + time.Second} {
+			b := newBackstage(route(catalog.Streaming, "engines"))
+			b.upstream("u", "engines", resume)
+			b.upstream("v", "engines", resume)
+			b.facts.SetWanted("m", 2)
+			b.gateway.settings.SwapWithin = spare
+			time.Sleep(5 * time.Millisecond)
+			_, body, err := b.ask("POST", "/p/", "x", xModel, "m", "X-Hang-Up", "1")
+			if spare < swapResume {
+				Expect(err).To(HaveOccurred(), "cut, and known to be")
+				continue
+			}
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal(all))
+		}
+	})
+
 	It("is refused at once where every upstream is too busy to be in time", func() {
 		r := route(catalog.Streaming, "engines")
 		r.Aim = 50 * time.Millisecond
