A process that the store turns away keeps following, and is not followed back

An answer now names the process that has read the store, and is refused by just that process; and a process that does not get through to the store goes on following until it does. The spec (two gateways, the first turned away) fails without either.

--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -35,13 +35,18 @@
 	takeoverMost = 12
 )
 
-// errStale says that a source has itself lost the store.
-var errStale = errors.New("the source's records are too old")
+var (
+	// errStale says that a source has itself lost the store.
+	errStale = errors.New("the source's records are too old")
+	// errOwn says that a source has its records from this process.
+	errOwn = errors.New("the source follows this process")
+)
 
 // Follower keeps the logs up to date from other processes and opens the gate to the store where none will do.
 type Follower struct {
 	logs   []*Log
 	gate   *gate
+	origin *origin
 	self   string
 	domain id.Domain
 	// gateways lists those of the own failure domain, this process included once others know it.
@@ -85,13 +90,14 @@
 	}
 }
 
-// choose picks the source to follow: a preferred one, or any other while the store is out of reach; empty is none.
+// choose picks the source to follow: a preferred one, or any other while this process does not get through to the store;
+// empty is none.
 func (f *Follower) choose() (address string, preferred bool) {
 	first, others := Sources(f.domain, f.gateways(), f.self)
 	if a := f.sound(first); a != "" {
 		return a, true
 	}
-	if f.age() > freshMost {
+	if f.now().Sub(f.origin.ownAt()) > freshMost {
 		return f.sound(others), false
 	}
 	return "", false
@@ -202,11 +208,15 @@
 		f.from[i] = t.GetFrom()
 	}
 	f.epoch = a.GetEpoch()
+	f.origin.set(a.GetOrigin())
 	return nil
 }
 
 // check says whether an answer has all topics, none of them too old.
 func (f *Follower) check(a *pb.FollowResponse) error {
+	if o := a.GetOrigin(); o != "" && o == f.self {
+		return trace.Wrap(errOwn)
+	}
 	if len(a.GetTopics()) != len(f.logs) {
 		return trace.Wrap(errStale, "%d of %d topics", len(a.GetTopics()), len(f.logs))
 	}
--- a/internal/records/part.go
+++ b/internal/records/part.go
@@ -83,17 +83,18 @@
 	vars.Set("age_ms", expvar.Func(func() any {
 		return map[string]int64{"operators": operators.Age().Milliseconds(), "upstreams": upstreams.Age().Milliseconds()}
 	}))
+	o := newOrigin(self, now)
 	w := &Follower{
-		logs: logs, gate: g, self: self, domain: d, gateways: f.Gateways, now: now, log: l, vars: vars,
+		logs: logs, gate: g, origin: o, self: self, domain: d, gateways: f.Gateways, now: now, log: l, vars: vars,
 		blamed: map[string]time.Time{}, startUntil: now().Add(s.StartWait),
 	}
 	return &Records{
 		readers: []*Reader{
-			{store: &p.Store, log: operators, facts: f, gate: g, now: now, tryPause: w.tryPause, wait: s.ConfigWait},
-			{store: &p.Store, log: upstreams, facts: f, gate: g, now: now, tryPause: w.tryPause, pause: s.ListEvery},
+			{store: &p.Store, log: operators, facts: f, gate: g, now: now, own: o.setOwn, tryPause: w.tryPause, wait: s.ConfigWait},
+			{store: &p.Store, log: upstreams, facts: f, gate: g, now: now, own: o.setOwn, tryPause: w.tryPause, pause: s.ListEvery},
 		},
 		follower: w,
-		service:  &Service{logs: logs},
+		service:  &Service{logs: logs, origin: o},
 	}
 }
 
--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -21,6 +21,8 @@
 	facts *facts.Facts
 	gate  *gate
 	now   func() time.Time
+	// own notes that the records come from the store itself.
+	own func()
 	// tryPause is the wait after a failure.
 	tryPause func() time.Duration
 	// wait is how long a read waits at the store for a record, and pause how long the reader waits between two reads.
@@ -79,6 +81,7 @@
 		}
 		return err
 	}
+	r.own()
 	r.log.Take(Batch{Records: l, Next: end, Confirmed: r.now()})
 	r.heard(end)
 	return nil
@@ -91,6 +94,7 @@
 		return err
 	}
 	r.whole = false
+	r.own()
 	r.log.Take(Batch{Records: l, Whole: true, Next: next, Confirmed: r.now()})
 	r.heard(next)
 	return nil
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -315,6 +315,44 @@
 	})
 })
 
+var _ = Describe("the first gateway of a domain that the store turns away", func() {
+	It("follows the next one, which goes on reading the store and does not follow it back", func() {
+		s := &fakeStore{logs: map[string][]Record{}}
+		s.put("op", "config", "1")
+		s.put("up", "u", "here")
+		away := &fakeStore{logs: s.logs}
+		var mu sync.Mutex
+		all := map[string]*process{}
+		ask := func(ctx context.Context, address string, q *pb.FollowRequest) (*pb.FollowResponse, error) {
+			mu.Lock()
+			p := all[address]
+			mu.Unlock()
+			return p.service.Follow(ctx, q)
+		}
+		order, _ := Sources("d", []string{"a", "b"}, "")
+		first, _ := newProcess(order[0], away, ask)
+		second, _ := newProcess(order[1], s, ask)
+		mu.Lock()
+		all[order[0]], all[order[1]] = first, second
+		mu.Unlock()
+		for _, p := range all {
+			p.facts.SeeGateway("a")
+			p.facts.SeeGateway("b")
+			Eventually(func() string { return p.value("u") }).Should(Equal("here"))
+		}
+		away.setDown(true)
+		time.Sleep(freshMost + time.Second)
+		for range 40 {
+			for _, p := range all {
+				p.facts.SeeGateway("a")
+				p.facts.SeeGateway("b")
+				Expect(p.follower.age()).To(BeNumerically("<", 1300*time.Millisecond))
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+})
+
 var _ = Describe("processes whose source fails", func() {
 	It("take over one after the other, so that most follow the one that has", func() {
 		now := time.Now()
--- a/internal/records/service.go
+++ b/internal/records/service.go
@@ -15,7 +15,8 @@
 
 // Service hands the logs on to followers.
 type Service struct {
-	logs []*Log
+	logs   []*Log
+	origin *origin
 }
 
 // Follow implements the record service: it returns what has changed in the topics asked for, or waits for a change.
@@ -52,7 +53,7 @@
 // answer collects what the follower lacks now, with the channels that tell of the next change of each topic.
 func (s *Service) answer(q *pb.FollowRequest) (*pb.FollowResponse, [topics]<-chan struct{}, error) {
 	var changed [topics]<-chan struct{}
-	a := &pb.FollowResponse{Epoch: s.logs[0].epoch}
+	a := &pb.FollowResponse{Epoch: s.logs[0].epoch, Origin: s.origin.get()}
 	for i, l := range s.logs {
 		from := uint64(0)
 		for _, p := range q.GetPositions() {
