--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -1,13 +1,11 @@
 package records
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"expvar"
 	"fmt"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -386,148 +384,6 @@
 	})
 })
 
-var _ = Describe("a log", func() {
-	topic := func(got map[string]string) Topic {
-		return Topic{Name: "t", Apply: func(r Record) error {
-			if r.Value == nil {
-				delete(got, r.Key)
-				return nil
-			}
-			got[r.Key] = string(r.Value)
-			return nil
-		}}
-	}
-
-	It("leads any follower to its own state, whatever was asked when and however old what the source reads is", func() {
-		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			a, b := map[string]string{}, map[string]string{}
-			f := facts.New(time.Now)
-			now := time.Now()
-			clock := func() time.Time { return now }
-			source, follower := NewLog(topic(a), f, clock, quiet), NewLog(topic(b), f, clock, quiet)
-			offset, epoch, from := uint64(0), uint64(0), uint64(0)
-			source.Take(Batch{Whole: true, Confirmed: now})
-			for range rapid.IntRange(1, 60).Draw(t, "steps") {
-				key := rapid.SampledFrom([]string{"k", "l", "m"}).Draw(t, "key")
-				r := Record{Key: key, Offset: offset}
-				if rapid.Bool().Draw(t, "kept") {
-					r.Value = []byte(rapid.SampledFrom([]string{"x", "y", ""}).Draw(t, "value"))
-				}
-				if rapid.IntRange(0, 5).Draw(t, "stale") == 0 && offset > 3 {
-					r.Offset = offset - 3
-				} else {
-					offset++
-				}
-				source.Take(Batch{Records: []Record{r}, Next: offset, Confirmed: now})
-				if rapid.IntRange(0, 20).Draw(t, "forget") == 0 {
-					source.mu.Lock()
-					source.forget()
-					source.mu.Unlock()
-				}
-				if rapid.Bool().Draw(t, "follows") {
-					c, _, _ := source.Since(epoch, from)
-					var l []Record
-					for _, r := range c.Records {
-						l = append(l, r.Record)
-					}
-					follower.Take(Batch{Records: l, Whole: c.Whole, Next: c.Next, Confirmed: now})
-					epoch, from = source.epoch, c.Last
-					if len(follower.entries) > 0 && !maps.Equal(a, b) {
-						t.Fatalf("source %v, follower %v", a, b)
-					}
-				}
-			}
-		})
-	})
-
-	It("does not count a heartbeat as a change", func() {
-		got := map[string]string{}
-		o := topic(got)
-		o.Reduce = func(v []byte) []byte { return v[:1] }
-		l := NewLog(o, facts.New(time.Now), time.Now, quiet)
-		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a1")}}, Next: 1})
-		c, changed, _ := l.Since(l.epoch, 0)
-		l.Take(Batch{Records: []Record{{Key: "k", Value: []byte("a2"), Offset: 1}}, Next: 2})
-		Expect(changed).NotTo(BeClosed())
-		l.Take(Batch{Records: []Record{{Key: "k", Value: []byte("b3"), Offset: 2}}, Next: 3})
-		Expect(changed).To(BeClosed())
-		l.Take(Batch{Records: []Record{{Key: "k", Value: []byte("a2"), Offset: 1}}, Next: 2})
-		Expect(got).To(Equal(map[string]string{"k": "b"}), "an older record does not come back")
-		c, _, _ = l.Since(l.epoch, c.Last)
-		Expect(c.Records).To(HaveLen(1))
-	})
-
-	It("keeps upstreams whose records went while its source had lost the store for the source's grace", func() {
-		now := time.Now()
-		f := facts.New(time.Now)
-		l := NewLog(Topic{Name: "t", Upstreams: true, Apply: func(r Record) error {
-			if r.Value != nil {
-				f.SetInstance(&facts.Instance{ID: id.Instance(r.Key)})
-			}
-			return nil
-		}}, f, func() time.Time { return now }, quiet)
-		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a")}}, Next: 1})
-		l.Take(Batch{Records: []Record{{Key: "k", Offset: 1}}, Next: 2, Grace: now.Add(time.Second)})
-		Expect(f.Instance("k")).NotTo(BeNil())
-		now = now.Add(2 * time.Second)
-		l.Take(Batch{Next: 2})
-		Expect(f.Instance("k")).To(BeNil())
-	})
-})
-
-var _ = Describe("a long record", func() {
-	long := func(n int) []byte {
-		r := rand.New(rand.NewPCG(1, 2))
-		var b bytes.Buffer
-		for i := range 4000 {
-			if i == 2000 {
-				fmt.Fprintf(&b, "changed %d", n)
-			}
-			fmt.Fprintf(&b, `{"name":"r-%x","host":"h.example"},`, r.Uint64())
-		}
-		return b.Bytes()
-	}
-	newPair := func() (source, follower *Log) {
-		f := facts.New(time.Now)
-		t := Topic{Name: "t", Apply: func(Record) error { return nil }}
-		source, follower = NewLog(t, f, time.Now, quiet), NewLog(t, f, time.Now, quiet)
-		source.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: long(0)}}, Next: 1})
-		return source, follower
-	}
-
-	It("is handed on compressed, and as a patch to those that have the one before", func() {
-		source, follower := newPair()
-		c, _, _ := source.Since(0, 0)
-		m := tell("t", c).GetRecords()[0]
-		Expect(len(m.GetValue())).To(BeNumerically("<", len(long(0))/2))
-		Expect(follower.valueOf(m)).To(Equal(long(0)))
-		follower.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: long(0)}}, Next: 1})
-		source.Take(Batch{Records: []Record{{Key: "k", Value: long(1), Offset: 1}}, Next: 2})
-		c, _, _ = source.Since(source.epoch, c.Last)
-		m = tell("t", c).GetRecords()[0]
-		Expect(len(m.GetValue())).To(BeNumerically("<", 2000))
-		Expect(follower.valueOf(m)).To(Equal(long(1)))
-		follower.Take(Batch{Records: []Record{{Key: "k", Value: long(5), Offset: 5}}, Next: 6})
-		_, err := follower.valueOf(m)
-		Expect(errors.Is(err, errNoBase)).To(BeTrue())
-		source.Take(Batch{Records: []Record{{Key: "k", Value: long(2), Offset: 2}}, Next: 3})
-		c, _, _ = source.Since(source.epoch, 1)
-		Expect(tell("t", c).GetRecords()[0].GetPatched()).To(BeFalse(), "the follower lacks the one before")
-		c, _, _ = source.Since(0, 0)
-		Expect(tell("t", c).GetRecords()[0].GetPatched()).To(BeFalse())
-	})
-
-	It("that is spoilt or endless is refused", func() {
-		_, follower := newPair()
-		_, err := follower.valueOf(&pb.RelayedRecord{Packed: true, Value: []byte("no zstd")})
-		Expect(err).To(HaveOccurred())
-		endless, err := pack(make([]byte, unpackMost+1), nil)
-		Expect(err).NotTo(HaveOccurred())
-		_, err = follower.valueOf(&pb.RelayedRecord{Packed: true, Value: endless})
-		Expect(err).To(HaveOccurred())
-	})
-})
-
 var _ = Describe("an answer of a source", func() {
 	It("is refused where a topic is missing, another one or of an impossible age", func() {
 		f := facts.New(time.Now)
