--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -350,7 +350,7 @@
 				p.facts.SeeGateway("b")
 			}
 		}
-		Eventually(reads).WithTimeout(5 * time.Second).Should(BeFalse(), "it follows the first one")
+		Eventually(reads).WithTimeout(5*time.Second).Should(BeFalse(), "it follows the first one")
 		away.setDown(true)
 		Eventually(reads).WithTimeout(freshMost + 2*time.Second).Should(BeTrue())
 		Eventually(first.follower.age).WithTimeout(freshMost + 2*time.Second).Should(BeNumerically("<", freshMost))
