--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 GOLANGCI := .bin/golangci-lint
 GOLANGCI_VERSION := v2.15.0
 # The suites with goroutines of their own; the others are pure.
-RACED := ./internal/fleet/... ./internal/kernel/... ./internal/transfer/... ./internal/upstream/...
+RACED := ./internal/fleet/... ./internal/kernel/... ./internal/records/... ./internal/transfer/... ./internal/upstream/...
 PREFIX ?= /usr/local
 
 .PHONY: build demo examples test race lint generate stale install clean
