An entry leaves a VM alone for a second that took no connection

An agent that has ended carries nothing, so it looks like the least busy upstream until its status says that it has gone, late under load; each request that met it spent the budget for retries until that was empty. The spec 'leaves a VM alone that took no connection' fails before.

--- a/internal/dispatch/try.go
+++ b/internal/dispatch/try.go
@@ -96,6 +96,7 @@
 // broken is a connection that failed: not run only if it was never made.
 func (t *try) broken(err error) error {
 	if rpc.NeverConnected(err) && !t.started {
+		t.dispatcher.router.NoConnection(t.candidate.VM)
 		return &NotRun{After: defaultRetry, Detail: "the upstream's VM takes no connection"}
 	}
 	return t.unknown("the connection to the upstream's VM broke")
--- a/internal/router/choose.go
+++ b/internal/router/choose.go
@@ -18,6 +18,8 @@
 	Near bool
 	// InFlight is the number of requests that this entry has there.
 	InFlight int
+	// Refusing is true shortly after the VM took no connection.
+	Refusing bool
 	// Reported is the number that the upstream had by its last report, others' included.
 	Reported int
 }
@@ -34,7 +36,7 @@
 // requests of one prompt prefix together while that upstream is at most boundedLoad times as busy as the mean; other
 // requests take the less busy of two at random.
 func Choose(all []Candidate, tried map[id.VM]bool, affinity string, r *rand.Rand) (Candidate, bool) {
-	l := nearest(all, tried)
+	l := nearest(taking(all, tried), tried)
 	switch {
 	case len(l) == 0:
 		return Candidate{}, false
@@ -53,6 +55,21 @@
 	return a, true
 }
 
+// taking leaves out the candidates that took no connection a moment ago, unless all untried ones did. An idle VM that has
+// ended looks like the least busy one until its status says so.
+func taking(all []Candidate, tried map[id.VM]bool) []Candidate {
+	var l []Candidate
+	for _, c := range all {
+		if !c.Refusing && !tried[c.VM] {
+			l = append(l, c)
+		}
+	}
+	if len(l) > 0 {
+		return l
+	}
+	return all
+}
+
 // nearest returns the untried candidates of the own failure domain, or where there are none, of the others.
 func nearest(all []Candidate, tried map[id.VM]bool) []Candidate {
 	var near, far []Candidate
--- a/internal/router/choose_test.go
+++ b/internal/router/choose_test.go
@@ -55,6 +55,20 @@
 		})
 	})
 
+	It("leaves a VM alone that took no connection a moment ago, also where it looks idle, unless no other is left", func() {
+		l := []Candidate{{VM: "ended", Near: true, Refusing: true}, {VM: "busy", Near: true, InFlight: 40}, {VM: "far"}}
+		r := rand.New(rand.NewPCG(1, 2))
+		for range 50 {
+			c, ok := Choose(l, nil, "", r)
+			Expect(ok).To(BeTrue())
+			Expect(c.VM).To(Equal(id.VM("busy")))
+			c, _ = Choose(l, map[id.VM]bool{"busy": true}, "", r)
+			Expect(c.VM).To(Equal(id.VM("far")))
+			c, _ = Choose(l, map[id.VM]bool{"busy": true, "far": true}, "", r)
+			Expect(c.VM).To(Equal(id.VM("ended")))
+		}
+	})
+
 	It("keeps a prompt prefix on one upstream until that is busier than the others by a quarter", func() {
 		l := []Candidate{{VM: "a"}, {VM: "b"}, {VM: "c"}, {VM: "d"}}
 		r := rand.New(rand.NewPCG(1, 2))
--- a/internal/router/part.go
+++ b/internal/router/part.go
@@ -57,6 +57,8 @@
 	view     view
 	inFlight map[id.VM]int
 	reported map[id.VM]int
+	// refusing says until when a VM that took no connection is left alone.
+	refusing map[id.VM]time.Time
 }
 
 // New makes a router with its seams: the configuration, the statuses with their change signal, and the VM list.
@@ -65,7 +67,7 @@
 ) *Router {
 	return &Router{
 		domain: d, state: state, statuses: statuses, changed: changed, list: list, events: e,
-		gates: NewGates(), inFlight: map[id.VM]int{}, reported: map[id.VM]int{},
+		gates: NewGates(), inFlight: map[id.VM]int{}, reported: map[id.VM]int{}, refusing: map[id.VM]time.Time{},
 	}
 }
 
@@ -159,6 +161,7 @@
 	out := make([]Candidate, len(l))
 	for i, c := range l {
 		c.InFlight, c.Reported = r.inFlight[c.VM], r.reported[c.VM]
+		c.Refusing = time.Now().Before(r.refusing[c.VM])
 		out[i] = c
 	}
 	return out
@@ -202,3 +205,20 @@
 		}
 	}
 }
+
+// refusingFor is how long a VM that took no connection is left alone where others are to be had: its status says within
+// about a second that it has ended.
+const refusingFor = time.Second
+
+// NoConnection notes that a VM took no connection.
+func (r *Router) NoConnection(v id.VM) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for name, until := range r.refusing {
+		if now.After(until) {
+			delete(r.refusing, name)
+		}
+	}
+	r.refusing[v] = now.Add(refusingFor)
+}
