--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -47,7 +47,7 @@
 	<-a.ended
 }
 
-// KillEngine ends the engine alone.
+// KillEngine ends the engine alone, and returns once it takes no connection.
 func (a *Agent) KillEngine() {
 	a.engine()
 }
@@ -104,7 +104,12 @@
 	if err != nil {
 		return "", err
 	}
-	ctx, a.engine = context.WithCancel(ctx)
+	ctx, kill := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	a.engine = func() {
+		kill()
+		<-ended
+	}
 	var h http.Handler
 	if service {
 		a.Service = standin.NewService()
@@ -113,6 +118,9 @@
 		a.Engine = standin.NewEngine(ctx, f.size.Engine)
 		h = a.Engine.Handler()
 	}
-	f.Running.Go(func() { _ = standin.ServeOn(ctx, l, h) })
+	f.Running.Go(func() {
+		defer close(ended)
+		_ = standin.ServeOn(ctx, l, h)
+	})
 	return "http://" + l.Addr().String(), nil
 }
