--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -179,7 +179,7 @@
 for _ in 1 2; do
   curl -fsS "$caller/svc/frontdesk/freeze" -H 'Authorization: Bearer gym-caller' -H 'Idempotency-Key: freeze-1' -d 'member 7'
 done
-curl -fsS "http://127.0.0.1:$((base + 407))/stats" | grep -q '"freeze-1":1'
+curl -fsS "http://127.0.0.1:$((base + 407))/stats" | grep '"freeze-1":1' > /dev/null
 echo "it ran once"
 
 say "the time line of the rollout"
@@ -189,14 +189,14 @@
 
 say "what was proved and measured"
 for i in 1 2 3 4 5 6; do
-  curl -fsS "http://127.0.0.1:$((base + 400 + i))/stats" | grep -q "\"$sum\":1"
+  curl -fsS "http://127.0.0.1:$((base + 400 + i))/stats" | grep "\"$sum\":1" > /dev/null
 done
 echo "every engine loaded bytes of manifest $sum"
 drawn=$(curl -fsS "http://$platform/stats" | sed 's/.*"origin_bytes":\([0-9]*\).*/\1/')
 echo "live on 6 of 6 VMs after $lasted ms; the origin sent $drawn bytes, $((drawn * 100 / 67108864)) hundredths of a copy"
 
-curl -fsS "http://127.0.0.1:$((base + 301))/debug/vars" | grep -q '"Received"'
-curl -fsS "http://127.0.0.1:$((base + 111))/debug/vars" | grep -q '"answered"\|"config_offset"'
+curl -fsS "http://127.0.0.1:$((base + 301))/debug/vars" | grep '"Received"' > /dev/null
+curl -fsS "http://127.0.0.1:$((base + 111))/debug/vars" | grep '"answered"\|"config_offset"' > /dev/null
 curl -fsS -o /dev/null "http://127.0.0.1:$((base + 301))/livez"
 echo "memory: entry-1 $(rss entry-1) MB, engine-1's agent $(rss engine-1) MB with 64 MB of chunks, service-1's agent $(rss service-1) MB"
 
