An answer of another process is no return of the store

Each failure of its own reading counted as a loss and each answer as the store's return, so that upstreams whose records went had two seconds of grace again each half second, which its followers took over. Now the store counts as lost only once nothing has confirmed the records for 1.1 s. The spec fails before.

--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -206,11 +206,14 @@
 	}
 }
 
-// Lost notes that no source can be reached.
+// Lost notes that the store can't be reached. While another process still hands fresh records on, nothing is lost: upstreams
+// whose records go are gone, and get no grace.
 func (l *Log) Lost(err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.note(err)
+	if l.now().Sub(l.confirmed) > freshMost {
+		l.note(err)
+	}
 }
 
 // note logs when the records are lost and when they are to be had again; the caller holds the lock.
--- a/internal/records/log_test.go
+++ b/internal/records/log_test.go
@@ -88,6 +88,25 @@
 		Expect(c.Records).To(HaveLen(1))
 	})
 
+	It("gives no grace where only this process can't reach the store and another one hands fresh records on", func() {
+		now := time.Now()
+		f := facts.New(time.Now)
+		l := NewLog(Topic{Name: "t", Upstreams: true, Apply: func(r Record) error {
+			if r.Value != nil {
+				f.SetInstance(&facts.Instance{ID: id.Instance(r.Key)})
+			}
+			return nil
+		}}, f, func() time.Time { return now }, quiet)
+		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a")}, {Key: "l", Value: []byte("a")}}, Next: 1, Confirmed: now})
+		l.Lost(errOwn)
+		l.Take(Batch{Records: []Record{{Key: "k", Offset: 1}}, Next: 2, Confirmed: now})
+		Expect(f.Instance("k")).To(BeNil())
+		now = now.Add(freshMost + time.Millisecond)
+		l.Lost(errOwn)
+		l.Take(Batch{Records: []Record{{Key: "l", Offset: 2}}, Next: 3, Confirmed: now})
+		Expect(f.Instance("l")).NotTo(BeNil(), "the store was away for all")
+	})
+
 	It("keeps upstreams whose records went while its source had lost the store for the source's grace", func() {
 		now := time.Now()
 		f := facts.New(time.Now)
