Refusals say what decided them; springrail losses reads the logs

Cause: a refused request's line said "too busy" or "no upstream" and nothing of which upstreams were left out and why, so that the losses of a swap could not be traced to a decision.

Change: the line of a request that is not served names the nearest upstream, its predicted wait, the aim it was held against, the age of its report, how many upstreams were left out by reason, and the Retry-After.

--- /dev/null
+++ b/internal/cmd/cmd_losses.go
@@ -0,0 +1,78 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/springrail/springrail/internal/losses"
+)
+
+// shownGroups is how many failure domains, routes or organisations a table shows: what fits on a screen.
+const shownGroups = "12"
+
+var cmdLosses = command{
+	name: "losses",
+	help: "Read the logs of gateways and stagers: which requests were lost, when and why.",
+	setup: func(c *kingpin.CmdClause) action {
+		files := c.Arg("log", "Log files of any number of processes; none reads standard input.").Strings()
+		span := c.Flag("span", "Length of a row of the first table.").Default("1s").Duration()
+		most := c.Flag("most", "Rows of each further table, the worst first.").Default(shownGroups).Int()
+		plot := c.Flag("plot", "File for a plot; its ending says the form, such as .svg or .png.").String()
+		return func(_ context.Context, e *env) error {
+			if *span < time.Millisecond || *most < 1 {
+				return fmt.Errorf("--span must be at least 1ms and --most at least 1")
+			}
+			var l losses.Log
+			if err := readLogs(&l, *files); err != nil {
+				return err
+			}
+			a, err := l.Account(*span)
+			if err != nil {
+				return err
+			}
+			if *plot != "" {
+				if err := a.Plot(*plot); err != nil {
+					return fmt.Errorf("--plot: %w", err)
+				}
+			}
+			if !e.json {
+				return a.Text(e.out, *most)
+			}
+			j := json.NewEncoder(e.out)
+			j.SetIndent("", "  ")
+			return j.Encode(a)
+		}
+	},
+}
+
+// readLogs reads files in turn, or standard input where none is named.
+func readLogs(l *losses.Log, files []string) error {
+	if len(files) == 0 {
+		return readLog(l, "standard input", os.Stdin)
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("a log can't be read: %w", err)
+		}
+		err = readLog(l, name, f)
+		f.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(l *losses.Log, name string, r io.Reader) error {
+	if err := l.Read(r); err != nil {
+		return fmt.Errorf("%s can't be read to its end: %w", name, err)
+	}
+	return nil
+}
--- a/internal/cmd/operator.go
+++ b/internal/cmd/operator.go
@@ -49,7 +49,7 @@
 var commands = []command{
 	cmdOrganisationPut, cmdOrganisationGet, cmdOrganisationList,
 	cmdRolloutCreate, cmdRolloutStatus, cmdRolloutList, cmdRolloutCancel, cmdRolloutRollback,
-	cmdVMList, cmdChangeGet, cmdTimeline, cmdManifest, cmdToken,
+	cmdVMList, cmdChangeGet, cmdTimeline, cmdLosses, cmdManifest, cmdToken,
 }
 
 // groupHelp describes the nouns.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -278,5 +278,5 @@
 	if f.attempts > 1 {
 		f.gateway.tally.add("answered_after_repeat")
 	}
-	f.logLine("answered", outcome)
+	f.logLine(outcomeAnswered, outcome)
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -16,6 +16,7 @@
 	if s == nil {
 		return placement.Choice{}, &problem{text: "no such pool", notRun: true, final: true, retry: noUpstreamRetry}
 	}
+	f.reckoning = reckoning{}
 	l := f.candidates(s)
 	if s.Engine == nil {
 		c, ok := placement.Choose(l, f.tried, placement.PlainWait, g.random())
@@ -37,7 +38,10 @@
 		passed = 0
 	}
 	aim := f.catalog.Aim(f.pool)
-	if usual := m.Admission(&c.Candidate); !f.headSent && !free && !placement.InTime(usual, passed, aim) {
+	usual := m.Admission(&c.Candidate)
+	k := &f.reckoning
+	k.nearest, k.wait, k.passed, k.aim, k.age, k.known = c.Address, usual, passed, aim, c.Age, c.Known
+	if !f.headSent && !free && !placement.InTime(usual, passed, aim) {
 		f.predicted = c.Predicted
 		retry := placement.RetryAfter(usual, aim, g.random())
 		return c, &problem{text: "too busy", notRun: true, final: true, retry: retry}
@@ -77,7 +81,11 @@
 	}
 	var l []placement.Candidate
 	for _, i := range g.facts.Instances() {
-		if i.Pool != f.pool || i.Leaving {
+		if i.Pool != f.pool {
+			continue
+		}
+		if i.Leaving {
+			f.reckoning.out.leaving++
 			continue
 		}
 		held, ok := f.serves(s, i)
@@ -94,7 +102,11 @@
 			l = append(l, c)
 		}
 	}
-	return f.preferNew(s, l)
+	l = f.preferNew(s, l)
+	for i := range l {
+		f.reckoning.out.note(&l[i], f.tried[l[i].Instance])
+	}
+	return l
 }
 
 // preferShare is the part of the time for a swap after which upstreams that still serve the older version are left out
@@ -115,6 +127,7 @@
 		}
 	}
 	if 2*len(fresh) >= len(l) {
+		f.reckoning.out.lagging = len(l) - len(fresh)
 		return fresh
 	}
 	return l
@@ -127,6 +140,7 @@
 		return true
 	}
 	if f.headSent && f.revision > 0 && c.Revision != f.revision {
+		f.reckoning.out.other++
 		return false
 	}
 	wait := time.Duration(swapCaution * float64(m.FirstEvent(c, f.ask.Prompt)))
@@ -137,7 +151,11 @@
 	if f.headSent {
 		margin = max(margin, swapResume)
 	}
-	return c.Revision >= f.gateway.facts.Required(f.ask.Model, f.gateway.settings.SwapWithin-margin)
+	if c.Revision < f.gateway.facts.Required(f.ask.Model, f.gateway.settings.SwapWithin-margin) {
+		f.reckoning.out.over++
+		return false
+	}
+	return true
 }
 
 // serves says whether an upstream holds the model whole, and in which version; a fresh report goes before the list.
@@ -147,7 +165,12 @@
 	}
 	held := u.Held
 	if r, ok := f.gateway.tracker.Fresh(u.Address); ok {
-		if r.Closed || r.Down {
+		switch {
+		case r.Closed:
+			f.reckoning.out.closed++
+			return 0, false
+		case r.Down:
+			f.reckoning.out.down++
 			return 0, false
 		}
 		held = r.Held
@@ -156,5 +179,8 @@
 		return 0, true
 	}
 	r := facts.Revision(held, f.ask.Model)
+	if r == 0 {
+		f.reckoning.out.empty++
+	}
 	return r, r > 0
 }
--- /dev/null
+++ b/internal/gateway/reckoning.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/springrail/springrail/internal/placement"
+)
+
+// reckoning is what the newest choice for a request rested on. It goes into the log line of a request that was not
+// served, so that the line says why.
+type reckoning struct {
+	out leftOut
+	// nearest is the upstream that came nearest to taking the request, and wait its predicted first event for a usual
+	// request; aim is what wait and passed, the time that had gone by, were held against.
+	nearest           string
+	wait, passed, aim time.Duration
+	// age is how old the nearest upstream's report was, and known whether there was one to go by.
+	age   time.Duration
+	known bool
+}
+
+// leftOut counts the upstreams of the pool that could not be chosen, each under the first reason that held.
+type leftOut struct {
+	// leaving ones are about to end, closed ones about to load weights, down ones silent towards their stager.
+	leaving, closed, down int
+	// empty ones serve no version of the model; over ones serve one whose time ends before the request would begin;
+	// other ones not the version that the stream began with; lagging ones are passed over for a newer version.
+	empty, over, other, lagging int
+	// suspect ones have failed lately, narrow ones are behind a link on which requests queue: both are last resorts.
+	suspect, narrow int
+	// tried ones have had this request.
+	tried int
+}
+
+// note counts what of the candidates is no first choice.
+func (o *leftOut) note(c *placement.Candidate, tried bool) {
+	switch {
+	case tried:
+		o.tried++
+	case c.Narrow:
+		o.narrow++
+	case c.Suspect:
+		o.suspect++
+	}
+}
+
+// MarshalObject implements log.ObjectMarshaler; reasons that no upstream was left out for are not written.
+func (o *leftOut) MarshalObject(e *log.Entry) {
+	for _, r := range []struct {
+		name string
+		n    int
+	}{
+		{"leaving", o.leaving},
+		{"closed", o.closed},
+		{"down", o.down},
+		{"empty", o.empty},
+		{"over", o.over},
+		{"other", o.other},
+		{"lagging", o.lagging},
+		{"suspect", o.suspect},
+		{"narrow", o.narrow},
+		{"tried", o.tried},
+	} {
+		if r.n > 0 {
+			e.Int(r.name, r.n)
+		}
+	}
+}
+
+// log adds the reckoning to a request's line.
+func (k *reckoning) log(e *log.Entry) {
+	if k.out != (leftOut{}) {
+		e.Object("left_out", &k.out)
+	}
+	if k.nearest == "" {
+		return
+	}
+	e.Str("nearest", k.nearest).Int64("wait_ms", k.wait.Milliseconds()).Int64("passed_ms", k.passed.Milliseconds()).
+		Int64("aim_ms", k.aim.Milliseconds())
+	if k.known {
+		e.Int64("report_age_ms", k.age.Milliseconds())
+	}
+}
--- /dev/null
+++ b/internal/gateway/reckoning_test.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
+
+	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/placement"
+)
+
+// refusalLine is what a refused request's log line holds.
+type refusalLine struct {
+	Why         string         `json:"why"`
+	LeftOut     map[string]int `json:"left_out"`
+	Nearest     string         `json:"nearest"`
+	WaitMs      int64          `json:"wait_ms"`
+	AimMs       int64          `json:"aim_ms"`
+	ReportAgeMs *int64         `json:"report_age_ms"`
+	RetryMs     int64          `json:"retry_ms"`
+}
+
+var _ = Describe("the log line of a refused request", func() {
+	var b *backstage
+	var out bytes.Buffer
+	lines := func() refusalLine {
+		var l refusalLine
+		Expect(json.Unmarshal(out.Bytes(), &l)).To(Succeed())
+		return l
+	}
+	ask := func() {
+		q, err := http.NewRequest(http.MethodPost, b.server.URL+"/p/x", nil)
+		Expect(err).NotTo(HaveOccurred())
+		q.Host = "h.example"
+		q.Header.Set(xModel, "m")
+		a, err := http.DefaultClient.Do(q)
+		Expect(err).NotTo(HaveOccurred())
+		a.Body.Close()
+		Expect(a.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	}
+	instance := func(name string, f func(i *facts.Instance)) {
+		i := &facts.Instance{ID: id.Instance(name), Pool: "engines", Address: name, Domain: "d", Slots: 4, Held: []facts.Held{{Model: "m", Revision: 1}}}
+		f(i)
+		b.facts.SetInstance(i)
+	}
+
+	BeforeEach(func() {
+		out.Reset()
+		b = newBackstage(route(catalog.Streaming, "engines"))
+		b.gateway.log = &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &out}}
+	})
+
+	It("counts why each upstream was left out", func() {
+		for n, f := range map[string]func(i *facts.Instance){
+			"a": func(i *facts.Instance) { i.Leaving = true },
+			"b": func(i *facts.Instance) { i.Held = nil },
+			"c": func(*facts.Instance) {},
+			"d": func(*facts.Instance) {},
+		} {
+			instance(n, f)
+		}
+		b.tracker.SetReport("c", placement.LoadReport{Closed: true, Taken: time.Now()})
+		b.tracker.SetReport("d", placement.LoadReport{Down: true, Taken: time.Now()})
+		ask()
+		l := lines()
+		Expect(l.Why).To(Equal("no upstream"))
+		Expect(l.LeftOut).To(Equal(map[string]int{"leaving": 1, "empty": 1, "closed": 1, "down": 1}))
+		Expect(l.Nearest).To(BeEmpty())
+		Expect(l.RetryMs).To(Equal(noUpstreamRetry.Milliseconds()))
+	})
+
+	It("names the upstream that came nearest, its wait, the aim and the age of its report", func() {
+		instance("a", func(*facts.Instance) {})
+		b.tracker.SetReport("a", placement.LoadReport{
+			Running: 4, Waiting: 400, Taken: time.Now(), Held: []facts.Held{{Model: "m", Revision: 1}},
+		})
+		ask()
+		l := lines()
+		Expect(l.Why).To(Equal("too busy"))
+		Expect(l.Nearest).To(Equal("a"))
+		Expect(l.AimMs).To(Equal(int64(1000)))
+		Expect(l.WaitMs).To(BeNumerically(">", l.AimMs))
+		Expect(l.ReportAgeMs).NotTo(BeNil())
+		Expect(l.RetryMs).To(BeNumerically(">", 0))
+	})
+})
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -45,10 +45,12 @@
 	neverRan bool
 	events   events
 	revision id.Revision
-	// note collects what the decisions rested on, for the log line.
+	// What the decisions rested on, for the log line; retry is the Retry-After of a refusal.
 	predicted time.Duration
 	first     time.Duration
 	upstream  string
+	reckoning reckoning
+	retry     time.Duration
 }
 
 // ServeHTTP implements http.Handler.
@@ -212,7 +214,8 @@
 
 // refuse promises the caller that the request was not run, and says when to come back.
 func (f *flight) refuse(why string, retry time.Duration) {
-	f.gateway.dialect.RetryAfter(f.w.Header(), max(retry, leastRetryAfter))
+	f.retry = max(retry, leastRetryAfter)
+	f.gateway.dialect.RetryAfter(f.w.Header(), f.retry)
 	f.fail(http.StatusServiceUnavailable, why)
 }
 
@@ -229,6 +232,9 @@
 	f.logLine(http.StatusText(status), why)
 }
 
+// outcomeAnswered is the outcome of a request whose caller has its answer whole.
+const outcomeAnswered = "answered"
+
 // logLine writes the one line of a request: what came of it and what decided it.
 func (f *flight) logLine(outcome, why string) {
 	g := f.gateway
@@ -238,12 +244,19 @@
 		e = e.Uint64("config", f.catalog.Revision)
 	}
 	if f.route != nil {
-		e = e.Str("route", string(f.route.Name)).Str("organisation", string(f.org)).Str("pool", string(f.pool))
+		e = e.Str("route", string(f.route.Name)).Str("organisation", string(f.org)).Str("pool", string(f.pool)).
+			Int64("route_aim_ms", f.route.Aim.Milliseconds())
 	}
 	if f.upstream != "" {
 		e = e.Str("upstream", f.upstream).Int64("predicted_ms", f.predicted.Milliseconds()).
 			Int64("first_ms", f.first.Milliseconds()).Uint64("revision", uint64(f.revision))
 	}
+	if outcome != outcomeAnswered {
+		f.reckoning.log(e)
+	}
+	if f.retry > 0 {
+		e = e.Int64("retry_ms", f.retry.Milliseconds())
+	}
 	e.Msg("request")
 }
 
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -25,6 +25,8 @@
 	Backlog float64
 	// Known says that Running and Waiting are fresh; otherwise they are a guess from the own requests alone.
 	Known bool
+	// Age is how old the upstream's figures are, where they are known.
+	Age time.Duration
 	// InFlight is the number of this process's requests there.
 	InFlight int
 	// Pace is how many times longer than usual the upstream works.
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -178,6 +178,7 @@
 		}
 		return c
 	}
+	c.Age = now.Sub(u.report.Taken)
 	c.Narrow = u.report.Narrow
 	c.Suspect = c.Suspect || c.Narrow
 	c.Running, c.Waiting = u.report.Running, u.report.Waiting
