A link is narrow by its quickest deliveries, not by its senders' pace

Cause: a download took the mean time of its last chunks as the time of its VM's own link. A sender that shares its link among three uploads makes that 103 ms and more on a healthy link of 34 ms; from 100 ms on one chunk at a time was let on the link, which kept the estimate there, and gateways took the upstream for a last resort and closed the older version on it two seconds earlier. Found with the new lines of refused requests: 5 to 10 of 18 upstreams "narrow" in a burst.

Change: the quickest of the last four deliveries counts, and an upstream is passed over only where even one chunk holds a live request up for longer than queue_most.

--- a/internal/transfer/download.go
+++ b/internal/transfer/download.go
@@ -98,13 +98,13 @@
 	laneCount []int
 	drawing   int
 	usual     time.Duration
-	// moving is the number of transfers under way when the last one was delivered.
-	moving    int
 	delivered int
-	begun     time.Time
-	renew     chan struct{}
-	reason    string
-	wake      chan struct{}
+	// link is what deliveries have shown of this VM's own link.
+	link   linkTime
+	begun  time.Time
+	renew  chan struct{}
+	reason string
+	wake   chan struct{}
 	// originBytes counts draws of all lanes, and laneBytes those of each against this VM's part of its budget.
 	originBytes atomic.Int64
 	laneBytes   []int64
@@ -333,7 +333,7 @@
 	go d.draw(ctx, c)
 }
 
-// Narrow says whether the link to this VM carries so little that one chunk at a time is all that is let on it.
+// Narrow says whether the link to this VM carries so little that even one chunk holds up a live request for too long.
 func (d *Download) Narrow() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -343,24 +343,25 @@
 // TakeLink takes over what another download of this VM has learnt of its link.
 func (d *Download) TakeLink(o *Download) {
 	o.mu.Lock()
-	usual, moving, delivered := o.usual, o.moving, o.delivered
+	usual, link, delivered := o.usual, o.link, o.delivered
 	o.mu.Unlock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.usual, d.moving, d.delivered = usual, moving, min(delivered, usualKnown)
+	d.usual, d.link, d.delivered = usual, link, min(delivered, usualKnown)
 }
 
 func (d *Download) narrow() bool {
-	return d.settings.QueueMost > 0 && d.downloads() == 1
+	perChunk, known := d.link.chunk()
+	return known && d.settings.QueueMost > 0 && perChunk > d.settings.QueueMost
 }
 
 // downloads is the number of chunks that may be on their way at one time: fewer than the settings allow where the link
 // has become so narrow that they would queue in front of live requests. The caller holds the lock.
 func (d *Download) downloads() int {
-	if d.settings.QueueMost <= 0 || d.delivered < usualKnown || d.usual <= 0 {
+	perChunk, known := d.link.chunk()
+	if d.settings.QueueMost <= 0 || !known {
 		return d.settings.Downloads
 	}
-	perChunk := d.usual / time.Duration(max(1, d.moving))
 	return min(max(1, int(d.settings.QueueMost/max(1, perChunk))), d.settings.Downloads)
 }
 
--- a/internal/transfer/download_test.go
+++ b/internal/transfer/download_test.go
@@ -278,10 +278,30 @@
 		for _, d := range []*Download{old, next} {
 			d.settings.QueueMost = 200 * time.Millisecond
 		}
-		old.usual, old.moving, old.delivered = time.Second, 1, 40
+		for range linkSamples {
+			old.link.note(time.Second, 1)
+		}
+		old.usual, old.delivered = time.Second, 40
 		Expect(old.Narrow()).To(BeTrue())
 		Expect(next.Narrow()).To(BeFalse())
 		next.TakeLink(old)
 		Expect(next.Narrow()).To(BeTrue())
 	})
+
+	It("is not blamed for senders that are slow, and shows a narrow link after a few chunks", func() {
+		d := download(newSource(4), 0, nil)
+		d.settings.QueueMost = 200 * time.Millisecond
+		const healthy = 40 * time.Millisecond
+		for range 20 {
+			d.link.note(healthy, 1)
+			d.link.note(12*healthy, 1)
+			d.link.note(9*healthy, 1)
+			d.link.note(12*healthy, 1)
+			Expect(d.Narrow()).To(BeFalse())
+		}
+		for range linkSamples {
+			d.link.note(8*healthy*2, 2)
+		}
+		Expect(d.Narrow()).To(BeTrue())
+	})
 })
--- a/internal/transfer/fetch.go
+++ b/internal/transfer/fetch.go
@@ -159,7 +159,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.moving = d.transfers()
+	sharing := d.transfers()
 	n.InFlight--
 	d.release(c)
 	if ctx.Err() == nil {
@@ -169,10 +169,12 @@
 	case swarm.Delivered:
 		n.silent = 0
 		d.delivered++
+		d.link.note(time.Since(start), sharing)
 		d.usual += (time.Since(start) - d.usual) / time.Duration(min(d.delivered, usualOver))
 	case swarm.Failed:
 		if errors.Is(ask.Err(), context.DeadlineExceeded) {
 			d.usual += d.usual / 2
+			d.link.note(time.Since(start), sharing)
 		}
 		if ctx.Err() == nil {
 			d.countSilent(n)
