The older version serves to its end; what has not begun there is given up in time

Cause: with half of the upstreams on the newer version gateways left the others out from half of the time for a swap on, and took 1.4 s off its end, as guards against an upstream that freezes with a request in its queue and begins it when it wakes.

Change: a request that has not begun 0.2 s before its version's end is given up there, whatever is left of the budget; this costs nothing while none freezes. The rule that left lagging upstreams out is gone, the margin is 1 s for 1.4, the time for the way 0.4 s for 0.6.

Guards weighed: leaving lagging upstreams out (costs service always), an order that makes the engine stop (needs the new version staged), giving up what has not begun (taken).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/springrail/springrail/internal/catalog"
@@ -48,6 +49,10 @@
 		t.watchdog = time.AfterFunc(2*c.Predicted+firstStall, func() { t.stalled(stop) })
 		defer t.watchdog.Stop()
 	}
+	if until := f.beginBy(c); !until.IsZero() {
+		t.end = time.AfterFunc(until.Sub(g.now()), func() { t.ended(stop) })
+		defer t.end.Stop()
+	}
 	e, err := g.pool.Send(ctx, c.Address, f.message(c))
 	switch {
 	case errors.Is(err, upconn.ErrNotSent):
@@ -83,10 +88,41 @@
 	mark     *placement.Flight
 	exchange *upconn.Exchange
 	watchdog *time.Timer
-	ctx      context.Context
+	// end gives up what has not begun when the version's time is over; see beginBy.
+	end *time.Timer
+	ctx context.Context
 	// whole is true once the answer has been read to its end, so that the connection can be used again.
 	whole bool
 	begun bool
+	// answering is true once the upstream has sent anything of its answer.
+	answering atomic.Bool
+}
+
+// beginGuard is taken off a version's time: the upstream needs to see that the request is given up.
+const beginGuard = 200 * time.Millisecond
+
+// beginBy is when a request that has not begun by then must be given up at an upstream, because the version there may begin
+// none any more; zero where nothing ends. It guards against an upstream that freezes with the request in its queue and
+// begins it when it wakes, and costs nothing while none does: upstreams that lag behind need not be left out for it in the
+// second half of the time for a swap.
+func (f *flight) beginBy(c placement.Choice) time.Time {
+	if c.Revision == 0 || f.ask.Model == "" {
+		return time.Time{}
+	}
+	until := f.gateway.facts.Until(f.ask.Model, c.Revision, f.gateway.settings.SwapWithin)
+	if until.IsZero() {
+		return until
+	}
+	return until.Add(-beginGuard)
+}
+
+// ended gives the request up at an upstream whose version's time is over, if it has not begun.
+func (t *try) ended(stop context.CancelFunc) {
+	if t.answering.Load() {
+		return
+	}
+	t.flight.gateway.tally.add("version_ended_before_begin")
+	stop()
 }
 
 // stalled gives a silent upstream up where another one may be asked. Without that, waiting on is all that can still
@@ -197,6 +233,7 @@
 		return
 	}
 	t.begun = true
+	t.answering.Store(true)
 	f := t.flight
 	took := t.mark.Started()
 	if !f.headSent {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -67,14 +67,14 @@
 const noUpstreamRetry = 1900 * time.Millisecond
 
 // swapMargin is taken off the time within which a version must be the only one in use: a request may wait at the
-// upstream before it begins.
-const swapMargin = 1400 * time.Millisecond
+// upstream before it begins, and this process may have read of the version later than others.
+const swapMargin = time.Second
 
 const (
 	// swapCaution is how many times the predicted wait a request is taken to wait; one in ten still takes longer.
 	swapCaution = 2
 	// swapArrival is the time for the way to the upstream, on a link that is shared with chunks.
-	swapArrival = 600 * time.Millisecond
+	swapArrival = 400 * time.Millisecond
 	// swapNarrow is added for an upstream behind a link that has become narrow: on one of an eighth of the users' a
 	// request was on its way for 1.4 s.
 	swapNarrow = 2 * time.Second
@@ -114,37 +114,12 @@
 			l = append(l, c)
 		}
 	}
-	l = f.preferNew(s, l)
 	for i := range l {
 		f.reckoning.out.note(&l[i], f.tried[l[i].Instance])
 	}
 	return l
 }
 
-// preferShare is the part of the time for a swap after which upstreams that still serve the older version are left out
-// where half of them serve the newer one: what waits in the queue of one that freezes would begin too late.
-const preferShare = 0.5
-
-// preferNew drops upstreams that lag behind a version that most serve.
-func (f *flight) preferNew(s *catalog.Service, l []placement.Candidate) []placement.Candidate {
-	if s.Engine == nil || f.headSent {
-		return l
-	}
-	within := time.Duration(preferShare * float64(f.gateway.settings.SwapWithin))
-	least := f.gateway.facts.Required(f.ask.Model, within)
-	var fresh []placement.Candidate
-	for _, c := range l {
-		if c.Revision >= least {
-			fresh = append(fresh, c)
-		}
-	}
-	if 2*len(fresh) >= len(l) {
-		f.reckoning.out.lagging = len(l) - len(fresh)
-		return fresh
-	}
-	return l
-}
-
 // fits says whether an upstream's version may still take the request: it must begin there before the time of that
 // version is over, and a stream that goes on elsewhere must find the version that it began with.
 func (f *flight) fits(m placement.Model, c *placement.Candidate) bool {
--- a/internal/gateway/reckoning.go
+++ b/internal/gateway/reckoning.go
@@ -26,8 +26,8 @@
 	// leaving ones are about to end, closed ones about to load weights, down ones silent towards their stager.
 	leaving, closed, down int
 	// empty ones serve no version of the model; over ones serve one whose time ends before the request would begin;
-	// other ones not the version that the stream began with; lagging ones are passed over for a newer version.
-	empty, over, other, lagging int
+	// other ones not the version that the stream began with.
+	empty, over, other int
 	// suspect ones have failed lately, narrow ones are behind a link on which requests queue: both are last resorts.
 	suspect, narrow int
 	// tried ones have had this request.
@@ -58,7 +58,6 @@
 		{"empty", o.empty},
 		{"over", o.over},
 		{"other", o.other},
-		{"lagging", o.lagging},
 		{"suspect", o.suspect},
 		{"narrow", o.narrow},
 		{"tried", o.tried},
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -167,6 +167,25 @@
 		}
 	})
 
+	It("is given up at an upstream that has not begun it when the version's time is over, budget or not", func() {
+		r := route(catalog.Streaming, "engines")
+		r.Timeout = 5 * time.Second
+		b := newBackstage(r)
+		b.gateway.budget = placement.NewBudget(placement.BudgetRule{Window: time.Second}, func() int { return 1 }, time.Now)
+		gone := make(chan time.Time, 1)
+		b.upstream("frozen", "engines", func(_ *http.Request, _ string, c net.Conn) {
+			_, _ = c.Read(make([]byte, 1))
+			gone <- time.Now()
+		})
+		named := time.Now()
+		b.facts.SetWanted("m", 2)
+		b.gateway.settings.SwapWithin = swapMargin + 300*time.Millisecond
+		a, _, err := b.ask("POST", "/p/", "x", xModel, "m")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(502), "it may have run")
+		Expect((<-gone).Sub(named)).To(BeNumerically("~", b.gateway.settings.SwapWithin-beginGuard, 150*time.Millisecond))
+	})
+
 	It("is refused at once where every upstream is too busy to be in time", func() {
 		r := route(catalog.Streaming, "engines")
 		r.Aim = 50 * time.Millisecond
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -142,7 +142,7 @@
 	// could not let them in before its time is over.
 	cutBefore = 3 * time.Second
 	// closeBefore is the time before a version's end at which its last upstream stops taking requests.
-	closeBefore = 1400 * time.Millisecond
+	closeBefore = time.Second
 	// drainMost is how long an upstream that gets no new requests is given to finish those that run. Most do in a
 	// second; waiting for the longest would leave it almost idle for up to four.
 	drainMost = 900 * time.Millisecond
