Change-overs as observed; Retry-After within what the caller heeds

Cause: the plan of a swap took 1.3 s for each change-over, and refusals asked callers back within 1.9 s: figures of deployments whose engines answer in a second and whose callers wait six.

Change: a stager learns how long its own change-overs take; Retry-After stays within a third of the time that the caller has left, and says 3 s, or that third, where no upstream is there.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -14,14 +14,14 @@
 	g := f.gateway
 	s := f.catalog.Services[f.pool]
 	if s == nil {
-		return placement.Choice{}, &problem{text: "no such pool", notRun: true, final: true, retry: noUpstreamRetry}
+		return placement.Choice{}, &problem{text: "no such pool", notRun: true, final: true, retry: f.retryAfter(placement.NoUpstreamRetry)}
 	}
 	f.reckoning = reckoning{}
 	l := f.candidates(s)
 	if s.Engine == nil {
 		c, ok := placement.Choose(l, f.tried, &placement.Outlook{First: placement.PlainWait, Domain: g.domain}, g.random())
 		if !ok {
-			return c, &problem{text: "no upstream", notRun: true, final: true, retry: noUpstreamRetry}
+			return c, &problem{text: "no upstream", notRun: true, final: true, retry: f.retryAfter(placement.NoUpstreamRetry)}
 		}
 		return c, nil
 	}
@@ -34,7 +34,7 @@
 	aim := f.catalog.Aim(f.pool)
 	c, ok := placement.Choose(l, f.tried, f.outlook(m, s.Engine, l, passed, aim), g.random())
 	if !ok {
-		return c, &problem{text: "no upstream", notRun: true, final: true, retry: noUpstreamRetry}
+		return c, &problem{text: "no upstream", notRun: true, final: true, retry: f.retryAfter(placement.NoUpstreamRetry)}
 	}
 	usual := m.Admission(&c.Candidate)
 	k := &f.reckoning
@@ -43,7 +43,7 @@
 		return c, nil
 	}
 	f.predicted = c.Predicted
-	retry := placement.RetryAfter(usual, aim, g.random())
+	retry := f.retryAfter(usual - aim)
 	return c, &problem{text: "too busy", notRun: true, final: true, retry: retry}
 }
 
@@ -62,9 +62,10 @@
 	}
 }
 
-// noUpstreamRetry is when a caller may come back where no upstream is there: an empty one is filled in about 3 s, and
-// callers heed up to a third of their six.
-const noUpstreamRetry = 1900 * time.Millisecond
+// retryAfter is when the caller may come back for which there is expected to be room after a time.
+func (f *flight) retryAfter(room time.Duration) time.Duration {
+	return placement.RetryAfter(room, f.callerGives.Sub(f.gateway.now()), f.gateway.random())
+}
 
 // swapMargin is taken off the time within which a version must be the only one in use: a request may wait at the
 // upstream before it begins, and this process may have read of the version later than others.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -58,15 +58,19 @@
 }
 
 const (
-	// leastRetry is the shortest time after which a refused caller is asked to come back, and mostRetry the longest:
-	// callers heed up to a third of the time that they have, two seconds of the usual six.
+	// leastRetry is the shortest time after which a refused caller is asked to come back: the queue of an upstream moves by
+	// three requests in it.
 	leastRetry = 300 * time.Millisecond
-	mostRetry  = 1900 * time.Millisecond
+	// retryShare is the part of the time that they have left that callers heed.
+	retryShare = 1.0 / 3
+	// NoUpstreamRetry is when a caller may come back where no upstream is there: an empty one is filled in about 3 s.
+	NoUpstreamRetry = 3 * time.Second
 )
 
-// RetryAfter is when the best upstream is expected to have room again, spread so that callers do not come back at once.
-func RetryAfter(predicted, aim time.Duration, r *rand.Rand) time.Duration {
-	d := predicted - aim
-	d = min(max(d, leastRetry), mostRetry)
-	return d + time.Duration(r.Float64()*float64(leastRetry))
+// RetryAfter is when there is expected to be room again, within what a caller heeds that has a time left, and spread so that
+// callers do not come back at once.
+func RetryAfter(room, left time.Duration, r *rand.Rand) time.Duration {
+	most := max(leastRetry, time.Duration(retryShare*float64(left)))
+	d := min(max(room, leastRetry), most)
+	return min(d+time.Duration(r.Float64()*float64(leastRetry)), most)
 }
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -166,7 +166,7 @@
 	if held == 0 || until.IsZero() || g.wanted.Learnt.IsZero() {
 		return swapplan.View{}, false
 	}
-	v := swapplan.View{Staged: staged, HeldUntil: until.Add(-closeBefore), Out: loadTakes}
+	v := swapplan.View{Staged: staged, HeldUntil: until.Add(-closeBefore), Out: s.expectedOut()}
 	vms := []id.VM{s.env.Self.VM}
 	for _, i := range s.facts.Instances() {
 		if i.Pool != g.pool || i.Domain != s.env.Self.Domain || i.Address == s.ports.Address {
@@ -259,8 +259,10 @@
 	}
 	g.loading.Store(true)
 	s.setClosed(true)
-	switch held, _ := s.current(); {
-	case facts.Revision(held.Held, g.model) == 0:
+	before, _ := s.current()
+	swaps := facts.Revision(before.Held, g.model) > 0
+	switch {
+	case !swaps:
 		// Nobody sends it anything.
 	case cut:
 		cut = !s.drain(ctx, func(u State) bool { return u.Running+u.Waiting == 0 })
@@ -285,7 +287,31 @@
 	s.log.Info().Str("version", g.name()).Uint64("after", state.Orders).Bool("cut", cut).Int("running", state.Running).
 		Int64("since_named_ms", s.sinceNamed(g)).
 		Msg("load ordered")
-	return s.waitServed(ctx, g, state.Orders+1)
+	if err := s.waitServed(ctx, g, state.Orders+1); err != nil {
+		return err
+	}
+	if swaps {
+		s.noteOut()
+	}
+	return nil
+}
+
+// outWeight is the weight of the newest change-over in the time that one is expected to take.
+const outWeight = 0.5
+
+// noteOut learns how long a change-over has kept this upstream from taking requests.
+func (s *Stager) noteOut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	took := s.now().Sub(s.closedAt)
+	s.out += time.Duration(outWeight * float64(took-s.out))
+}
+
+// expectedOut is how long a change-over is expected to take.
+func (s *Stager) expectedOut() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.out
 }
 
 // taken says whether the upstream has taken an order whose answer was lost.
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -84,6 +84,8 @@
 	// down is true while the upstream gives no answer, and closed while it is about to load weights, since closedAt.
 	down, closed bool
 	closedAt     time.Time
+	// out is how long a change-over is expected to keep the upstream from taking requests.
+	out time.Duration
 	// fetching is the newest download.
 	fetching *transfer.Download
 }
@@ -134,7 +136,7 @@
 	t := transfer.NewSettings()
 	t.Uploads, t.Downloads, t.Patience, t.DrawTimeout = uploads, downloads, patience, drawTimeout
 	t.QueueMost, t.HaveEvery = queueMost, newsEvery
-	st := &Stager{down: true, settings: s, ports: p, facts: f, log: g, now: time.Now, peers: l, orders: new(expvar.Map)}
+	st := &Stager{down: true, out: loadTakes, settings: s, ports: p, facts: f, log: g, now: time.Now, peers: l, orders: new(expvar.Map)}
 	st.env = transfer.Env{
 		Settings: t, Self: self, Shelf: transfer.NewShelf(int64(s.MemoryBytes)), Log: g, Events: e, Stats: &st.stats,
 	}
