Predictions rest on the upstream's own pace, not on how long answers took

It carries a queue that is over into the prediction for seconds; an engine's report tells its pace.

Change: Tracker.slow and its three constants are gone.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,7 +39,7 @@
 	if !f.headSent {
 		f.predicted = c.Predicted
 	}
-	flight := g.tracker.Begin(c.Address, f.ask.Prompt, c.Predicted)
+	flight := g.tracker.Begin(c.Address, f.ask.Prompt)
 	defer flight.End()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -18,11 +17,6 @@
 	// stallBase is the same for an upstream that let a request wait far beyond its predicted time: what is slow, cut
 	// off or frozen stays so for seconds.
 	stallBase = 1500 * time.Millisecond
-	// paceWeight is the weight of the newest observation in an upstream's observed pace.
-	paceWeight = 0.2
-	// slowMemory is the time in which an observed slowness fades by e without another one: an upstream that gets a few
-	// requests a second of each gateway is looked at again that soon.
-	slowMemory = 2 * time.Second
 	// shareOfAll is how many gateways are taken to send as much as this one to an upstream whose own figures are not
 	// known; today's deployments have six or seven.
 	shareOfAll = 6
@@ -53,15 +47,6 @@
 	sent     map[*sent]struct{}
 	failures int
 	until    time.Time
-	// slow is the observed time over the predicted one, as a running mean, at the time of the last observation.
-	slow   float64
-	slowAt time.Time
-}
-
-// slowness is the observed time over the predicted one, faded towards the usual since it was observed. Without that a
-// process that takes an upstream for slow sends it nothing and never learns better.
-func (u *upstream) slowness(now time.Time) float64 {
-	return 1 + (u.slow-1)*math.Exp(-now.Sub(u.slowAt).Seconds()/slowMemory.Seconds())
 }
 
 // Tracker follows this process's own requests at each upstream, and what upstreams say. It is safe for concurrent use.
@@ -79,7 +64,7 @@
 func (t *Tracker) at(address string) *upstream {
 	u := t.known[address]
 	if u == nil {
-		u = &upstream{sent: map[*sent]struct{}{}, slow: 1}
+		u = &upstream{sent: map[*sent]struct{}{}}
 		t.known[address] = u
 	}
 	return u
@@ -105,42 +90,34 @@
 
 // Flight is a request at an upstream.
 type Flight struct {
-	tracker   *Tracker
-	upstream  *upstream
-	sent      *sent
-	predicted time.Duration
+	tracker  *Tracker
+	upstream *upstream
+	sent     *sent
 }
 
 // Begin notes a request that is about to be sent.
-func (t *Tracker) Begin(address string, tokens float64, predicted time.Duration) *Flight {
+func (t *Tracker) Begin(address string, tokens float64) *Flight {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.at(address)
 	s := &sent{at: t.now(), tokens: tokens}
 	u.sent[s] = struct{}{}
-	return &Flight{tracker: t, upstream: u, sent: s, predicted: predicted}
+	return &Flight{tracker: t, upstream: u, sent: s}
 }
 
-// Started notes the first event and how far off the prediction was.
+// Started notes the first event and returns the time that it took. How long requests took of late is no part of a prediction:
+// an upstream's own report tells its pace, and a gateway that took all for slow, from a queue that was long over, sent them
+// nothing and refused 157 of 167 requests in ten seconds.
 func (f *Flight) Started() time.Duration {
 	t := f.tracker
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	took := t.now().Sub(f.sent.at)
 	f.sent.started = true
-	u := f.upstream
-	u.failures = 0
-	if f.predicted > 0 {
-		ratio := float64(took) / float64(f.predicted)
-		slow := u.slowness(t.now())
-		u.slow, u.slowAt = slow+paceWeight*(min(ratio, suspectRatio)-slow), t.now()
-	}
+	f.upstream.failures = 0
 	return took
 }
 
-// suspectRatio bounds one observation, so that a single stall does not mark an upstream for long.
-const suspectRatio = 8
-
 // End notes that the request is over.
 func (f *Flight) End() {
 	f.tracker.mu.Lock()
@@ -179,7 +156,6 @@
 	}
 	c.InFlight = len(u.sent)
 	c.Suspect = now.Before(u.until)
-	c.Pace = max(1, u.slowness(now))
 	c.Known = now.Sub(u.report.Taken) <= reportLife
 	if !c.Known {
 		c.Waiting = shareOfAll * len(u.sent)
@@ -194,7 +170,7 @@
 	c.Narrow = u.report.Narrow
 	c.Suspect = c.Suspect || c.Narrow
 	c.Running, c.Waiting = u.report.Running, u.report.Waiting
-	c.Pace = max(c.Pace, u.report.Pace)
+	c.Pace = max(1, u.report.Pace)
 	c.Backlog = float64(u.report.Waiting) * usualPrompt
 	for s := range u.sent {
 		if s.at.After(u.report.Taken) {
