The stager's plan in a file of its own; the choice of an engine in a function of its own

Cause: reading. internal/stager/load.go had grown to 400 lines, gateway.choose to 50. Of several older versions in a domain the one that ends last counts, where the list's order decided before. No change of policy; specs of stager, gateway, swapplan pass.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -11,40 +11,51 @@
 
 // choose picks the upstream for the next attempt, or says why there is none.
 func (f *flight) choose() (placement.Choice, *problem) {
-	g := f.gateway
 	s := f.catalog.Services[f.pool]
 	if s == nil {
-		return placement.Choice{}, &problem{text: "no such pool", notRun: true, final: true, retry: f.retryAfter(placement.NoUpstreamRetry)}
+		return placement.Choice{}, f.noRoom("no such pool", placement.NoUpstreamRetry)
 	}
 	f.reckoning = reckoning{}
 	l := f.candidates(s)
-	if s.Engine == nil {
-		c, ok := placement.Choose(l, f.tried, &placement.Outlook{First: placement.PlainWait, Domain: g.domain}, g.random())
-		if !ok {
-			return c, &problem{text: "no upstream", notRun: true, final: true, retry: f.retryAfter(placement.NoUpstreamRetry)}
-		}
-		return c, nil
+	if s.Engine != nil {
+		return f.chooseEngine(s.Engine, l)
 	}
-	m := placement.NewModel(s.Engine)
+	w := &placement.Outlook{First: placement.PlainWait, Domain: f.gateway.domain}
+	c, ok := placement.Choose(l, f.tried, w, f.gateway.random())
+	if !ok {
+		return c, f.noRoom("no upstream", placement.NoUpstreamRetry)
+	}
+	return c, nil
+}
+
+// chooseEngine picks a model engine, if a place is left there in which the request would begin in time.
+func (f *flight) chooseEngine(e *catalog.Engine, l []placement.Candidate) (placement.Choice, *problem) {
+	g := f.gateway
+	m := placement.NewModel(e)
 	passed := f.lost + g.now().Sub(f.arrived)
 	if len(f.tried) > 0 {
 		// The request has been offered to an upstream already: late is better than not at all.
 		passed = 0
 	}
 	aim := f.catalog.Aim(f.pool)
-	c, ok := placement.Choose(l, f.tried, f.outlook(m, s.Engine, l, passed, aim), g.random())
+	c, ok := placement.Choose(l, f.tried, f.outlook(m, e, l, passed, aim), g.random())
 	if !ok {
-		return c, &problem{text: "no upstream", notRun: true, final: true, retry: f.retryAfter(placement.NoUpstreamRetry)}
+		return c, f.noRoom("no upstream", placement.NoUpstreamRetry)
 	}
 	usual := m.Admission(&c.Candidate)
 	k := &f.reckoning
 	k.nearest, k.wait, k.passed, k.aim, k.age, k.known = c.Address, usual, passed, aim, c.Age, c.Known
+	// A stream that has begun is not refused any more.
 	if f.headSent || c.Room {
 		return c, nil
 	}
 	f.predicted = c.Predicted
-	retry := f.retryAfter(usual - aim)
-	return c, &problem{text: "too busy", notRun: true, final: true, retry: retry}
+	return c, f.noRoom("too busy", usual-aim)
+}
+
+// noRoom refuses the request before it was sent anywhere; there is expected to be room after a time.
+func (f *flight) noRoom(text string, room time.Duration) *problem {
+	return &problem{text: text, notRun: true, final: true, retry: f.retryAfter(room)}
 }
 
 // outlook is what is expected until the next reports come, which are twice as far apart as they are old on the mean.
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -10,8 +10,6 @@
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
-	"github.com/springrail/springrail/internal/rendezvous"
-	"github.com/springrail/springrail/internal/swapplan"
 	"github.com/springrail/springrail/internal/transfer"
 )
 
@@ -138,17 +136,9 @@
 }
 
 const (
-	// cutBefore is the time before a version's end from which on its requests are not cut any more: others that serve it
-	// could not let them in before its time is over.
-	cutBefore = 3 * time.Second
-	// closeBefore is the time before a version's end at which its last upstream stops taking requests.
-	closeBefore = time.Second
 	// drainMost is how long an upstream that gets no new requests is given to finish those that run. Most do in a
 	// second; waiting for the longest would leave it almost idle for up to four.
 	drainMost = 900 * time.Millisecond
-	// loadTakes is how long a change-over takes from the last request to the first before one has been observed: the
-	// drain, the order and the load of the users' engines.
-	loadTakes = 1300 * time.Millisecond
 	// lastSends is how long requests may still arrive that were sent before the gateways knew: one more report in case
 	// the first was lost, and the way on a link that is shared with chunks. An upstream that freezes in the moment of an
 	// order begins what waits there when it wakes, on the older version.
@@ -157,77 +147,6 @@
 	loadTimeout = 9 * time.Second
 )
 
-// view is what the plan for this upstream rests on, and whether there is anything to plan: an upstream that gets no
-// requests as it is may load at once.
-func (s *Stager) view(g *goal, staged time.Time) (swapplan.View, bool) {
-	state, _ := s.current()
-	held := facts.Revision(state.Held, g.model)
-	until := s.facts.Until(g.model, held, s.settings.SwapWithin)
-	if held == 0 || until.IsZero() || g.wanted.Learnt.IsZero() {
-		return swapplan.View{}, false
-	}
-	v := swapplan.View{Staged: staged, HeldUntil: until.Add(-closeBefore), Out: s.expectedOut()}
-	vms := []id.VM{s.env.Self.VM}
-	for _, i := range s.facts.Instances() {
-		if i.Pool != g.pool || i.Domain != s.env.Self.Domain || i.Address == s.ports.Address {
-			continue
-		}
-		vms = append(vms, id.VM(i.Address))
-		other := facts.Revision(i.Held, g.model)
-		if end := s.facts.Until(g.model, other, s.settings.SwapWithin); other > 0 && other < held && !end.IsZero() {
-			v.OlderUntil = end.Add(-closeBefore)
-		}
-	}
-	v.Rank, v.Size = rendezvous.Rank(g.name(), vms, s.env.Self.VM), len(vms)
-	v.Bridge = s.use(g, &v) == swapplan.Bridges
-	return v, true
-}
-
-// use is what a version is still good for: the newest is always needed.
-func (s *Stager) use(g *goal, v *swapplan.View) swapplan.Use {
-	n := g.newer.Load()
-	if n == nil {
-		return swapplan.Needed
-	}
-	held, all := n.holding.Count()
-	next := swapplan.Next{Begun: n.begun, Held: held, All: all, Usual: v.Staged.Sub(g.wanted.Learnt)}
-	return swapplan.UseOf(v.HeldUntil, v.Out, next, s.now())
-}
-
-// loadAt is when this upstream is to stop taking requests for a version that is whole at a moment.
-func (s *Stager) loadAt(g *goal, staged time.Time) time.Time {
-	v, ok := s.view(g, staged)
-	if !ok {
-		return staged
-	}
-	return swapplan.LoadAt(v)
-}
-
-// turn waits until this upstream may load, and says whether requests that still run after a while may be cut: others can
-// take them up as long as some serve the same version.
-func (s *Stager) turn(ctx context.Context, g *goal) (cut bool) {
-	staged := s.now()
-	for ctx.Err() == nil {
-		v, ok := s.view(g, staged)
-		if !ok {
-			return false
-		}
-		wait := swapplan.LoadAt(v).Sub(s.now())
-		needless := s.use(g, &v) == swapplan.Needless
-		if wait <= 0 && !needless {
-			return v.HeldUntil.Add(closeBefore).Sub(s.now()) > cutBefore
-		}
-		if needless {
-			wait = turnLook
-		}
-		kernel.Pause(ctx, min(wait, turnLook))
-	}
-	return false
-}
-
-// turnLook is how often a waiting upstream looks at its plan again: others load, and the load changes.
-const turnLook = 200 * time.Millisecond
-
 // drain waits until the upstream, which was closed a moment ago, has finished what is asked, and says whether it has.
 func (s *Stager) drain(ctx context.Context, done func(u State) bool) bool {
 	s.mu.Lock()
@@ -296,24 +215,6 @@
 	return nil
 }
 
-// outWeight is the weight of the newest change-over in the time that one is expected to take.
-const outWeight = 0.5
-
-// noteOut learns how long a change-over has kept this upstream from taking requests.
-func (s *Stager) noteOut() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	took := s.now().Sub(s.closedAt)
-	s.out += time.Duration(outWeight * float64(took-s.out))
-}
-
-// expectedOut is how long a change-over is expected to take.
-func (s *Stager) expectedOut() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.out
-}
-
 // taken says whether the upstream has taken an order whose answer was lost.
 func (s *Stager) taken(ctx context.Context, before uint64) bool {
 	state, err := s.ports.Upstream.State(ctx)
--- a/internal/swapplan/plan.go
+++ b/internal/swapplan/plan.go
@@ -11,7 +11,7 @@
 	Staged time.Time
 	// HeldUntil is when the version that the upstream serves may take no new requests any more.
 	HeldUntil time.Time
-	// OlderUntil is the same for the oldest version that others of the domain serve, or zero where none is older.
+	// OlderUntil is the same for the older versions that others of the domain serve, or zero where none is older.
 	OlderUntil time.Time
 	// Rank is the upstream's place among the Size upstreams of its domain, from 0.
 	Rank, Size int
