--- a/internal/losses/plot.go
+++ b/internal/losses/plot.go
@@ -1,3 +1,4 @@
+//nolint:misspell // The plotting library spells some names in American English.
 package losses
 
 import (
