--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,7 +39,7 @@
 	if !f.headSent {
 		f.predicted = c.Predicted
 	}
-	flight := g.tracker.Begin(c.Address, f.ask.Prompt)
+	flight := g.load.Tracker.Begin(c.Address, f.ask.Prompt)
 	defer flight.End()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -57,7 +57,7 @@
 	switch {
 	case errors.Is(err, upconn.ErrNotSent):
 		f.attempts--
-		g.tracker.Failed(c.Address)
+		g.load.Tracker.Failed(c.Address)
 		return notRun("no connection to the upstream", refusedRetry)
 	case err != nil:
 		return t.broke("the upstream broke off before its answer")
@@ -144,12 +144,12 @@
 	switch {
 	case f.request.Context().Err() != nil || !f.gateway.now().Before(f.deadline):
 	case t.ctx.Err() != nil:
-		f.gateway.tracker.Stalled(t.choice.Address)
+		f.gateway.load.Tracker.Stalled(t.choice.Address)
 		return &problem{text: "the upstream stalled"}
 	case f.gateway.closed(t.choice.Address):
 		// It ends its requests to load weights; there is nothing wrong with it.
 	default:
-		f.gateway.tracker.Failed(t.choice.Address)
+		f.gateway.load.Tracker.Failed(t.choice.Address)
 		f.gateway.pool.Forget(t.choice.Address)
 	}
 	return &problem{text: text}
@@ -157,7 +157,7 @@
 
 // closed says whether an upstream is about to load weights.
 func (g *Gateway) closed(address string) bool {
-	r, ok := g.tracker.Fresh(address)
+	r, ok := g.load.Tracker.Fresh(address)
 	return ok && r.Closed
 }
 
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -117,7 +117,7 @@
 		if !ok {
 			continue
 		}
-		c := g.tracker.Candidate(i, usual)
+		c := g.load.Tracker.Candidate(i, usual)
 		c.Revision = held
 		if s.Engine != nil && c.Slots == 0 {
 			c.Slots = s.Engine.Slots
@@ -163,7 +163,7 @@
 		return 0, true
 	}
 	held := u.Held
-	if r, ok := f.gateway.tracker.Fresh(u.Address); ok {
+	if r, ok := f.gateway.load.Tracker.Fresh(u.Address); ok {
 		switch {
 		case r.Closed:
 			f.reckoning.out.closed++
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -82,7 +82,6 @@
 	settings *Settings
 	dialect  *Dialect
 	facts    *facts.Facts
-	tracker  *placement.Tracker
 	load     Load
 	budget   *placement.Budget
 	patience *placement.Patience
@@ -133,7 +132,7 @@
 ) *Gateway {
 	rule := placement.BudgetRule{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow}
 	g := &Gateway{
-		settings: s, dialect: d, facts: f, tracker: k.Tracker, load: k, domain: own, log: l, tally: newTally(), now: time.Now,
+		settings: s, dialect: d, facts: f, load: k, domain: own, log: l, tally: newTally(), now: time.Now,
 		budget:   placement.NewBudget(rule, k.Gateways, time.Now),
 		patience: placement.NewPatience(time.Now),
 		pool:     upconn.New(dial, time.Now, d.Echoed),
