--- /dev/null
+++ b/internal/records/deletion_test.go
@@ -0,0 +1,205 @@
+package records
+
+import (
+	"maps"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/springrail/springrail/internal/facts"
+)
+
+// replica is a log with what it has made of the records, and its place at the source that it follows.
+type replica struct {
+	*Log
+	got    map[string]string
+	source *replica
+	from   uint64
+}
+
+func newReplica(f *facts.Facts, now func() time.Time) *replica {
+	r := &replica{got: map[string]string{}}
+	r.Log = NewLog(Topic{Name: "t", Apply: func(c Record) error {
+		if c.Value == nil {
+			delete(r.got, c.Key)
+			return nil
+		}
+		r.got[c.Key] = string(c.Value)
+		return nil
+	}}, f, now, quiet)
+	return r
+}
+
+// ask returns what a source tells this replica, as Follower takes it.
+func (r *replica) ask(source *replica, now time.Time) (Batch, bool) {
+	epoch := source.epoch
+	if r.source != source {
+		r.source, r.from, epoch = source, 0, 0
+	}
+	c, _, started := source.Since(epoch, r.from)
+	if !started {
+		r.source = nil
+		return Batch{}, false
+	}
+	b := Batch{Whole: c.Whole, Next: c.Next, Confirmed: now}
+	for _, t := range c.Records {
+		b.Records = append(b.Records, t.Record)
+	}
+	r.from = c.Last
+	return b, true
+}
+
+func (r *replica) follow(source *replica, now time.Time) {
+	if b, ok := r.ask(source, now); ok {
+		r.Take(b)
+	}
+}
+
+// Upstreams were sent requests for as long as they served after they had left. The first reader of a failure domain was cut
+// off from the store for eight seconds and followed the second; others of the domain followed it. Just before the cut healed
+// three upstreams left whose records went, and three that wrote it in theirs. The first reader then read all records anew and
+// concluded from their absence that the three had gone. It gave that word the offset of the record that it ended; each
+// follower had a record of that offset and took the word for known. Evidence: the three that had written it were named by all
+// processes of the domain, the three others by none of 67 that followed, and by those that had read the store themselves.
+var _ = Describe("a key whose record goes while its reader does not read", func() {
+	var now time.Time
+	var f *facts.Facts
+	BeforeEach(func() {
+		now = time.Now()
+		f = facts.New(time.Now)
+	})
+	clock := func() time.Time { return now }
+
+	It("is gone at the followers too once the reader has read all records anew", func() {
+		source, follower := newReplica(f, clock), newReplica(f, clock)
+		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), Offset: 3}}, Next: 4, Confirmed: now})
+		follower.follow(source, now)
+		source.Take(Batch{Whole: true, Next: 9, Confirmed: now})
+		follower.follow(source, now)
+		Expect(follower.got).To(BeEmpty())
+	})
+
+	It("is back where it was written again after the reading, and stays where that was before", func() {
+		source, follower := newReplica(f, clock), newReplica(f, clock)
+		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), Offset: 3}}, Next: 4, Confirmed: now})
+		follower.follow(source, now)
+		source.Take(Batch{Whole: true, Next: 9, Confirmed: now})
+		source.Take(Batch{Records: []Record{{Key: "u", Value: []byte("back"), Offset: 9}}, Next: 10, Confirmed: now})
+		follower.follow(source, now)
+		Expect(follower.got).To(Equal(map[string]string{"u": "back"}))
+		follower.Take(Batch{Whole: true, Next: 9, Confirmed: now})
+		Expect(follower.got).To(Equal(map[string]string{"u": "back"}), "an older reading does not end it")
+	})
+
+	It("leaves all replicas alike, whoever read what when, followed whom, and whenever an answer came", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			w := &world{now: now, first: 0}
+			for range 3 {
+				w.replicas = append(w.replicas, newReplica(f, clock))
+			}
+			for range rapid.IntRange(1, 40).Draw(t, "steps") {
+				w.step(t)
+			}
+			want := w.state()
+			w.read(w.replicas[0])
+			for _, r := range w.replicas[1:] {
+				r.follow(w.replicas[0], now)
+			}
+			for i, r := range w.replicas {
+				if !maps.Equal(r.got, want) {
+					t.Fatalf("replica %d has %v, the store %v", i, r.got, want)
+				}
+			}
+		})
+	})
+})
+
+// world is a store that forgets its history, with replicas of it.
+type world struct {
+	now      time.Time
+	records  []Record
+	first    uint64
+	replicas []*replica
+	// late is an answer on its way, and whose it is.
+	late   *Batch
+	lateTo *replica
+}
+
+func (w *world) state() map[string]string {
+	m := map[string]string{}
+	for _, r := range w.records {
+		if r.Value == nil {
+			delete(m, r.Key)
+			continue
+		}
+		m[r.Key] = string(r.Value)
+	}
+	return m
+}
+
+// whole is what a reading of all records returns; dropped keys are not among them.
+func (w *world) whole() Batch {
+	newest := map[string]Record{}
+	for _, r := range w.records {
+		newest[r.Key] = r
+	}
+	b := Batch{Whole: true, Next: uint64(len(w.records)), Confirmed: w.now}
+	for _, r := range newest {
+		if r.Value != nil {
+			b.Records = append(b.Records, r)
+		}
+	}
+	return b
+}
+
+// read is a reader's step: the newest records, or all where these are no longer to be had.
+func (w *world) read(r *replica) {
+	next, started := r.Position()
+	if !started || next < w.first {
+		r.Take(w.whole())
+		return
+	}
+	r.Take(Batch{Records: append([]Record(nil), w.records[next:]...), Next: uint64(len(w.records)), Confirmed: w.now})
+}
+
+// step draws what happens next.
+func (w *world) step(t *rapid.T) {
+	r := rapid.SampledFrom(w.replicas).Draw(t, "replica")
+	switch rapid.SampledFrom([]string{"write", "write", "drop", "forget", "read", "whole", "follow", "follow", "ask", "answer"}).Draw(t, "step") {
+	case "write":
+		v := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "value")
+		w.records = append(w.records, Record{Key: w.key(t), Value: []byte(v), Offset: uint64(len(w.records))})
+	case "drop":
+		w.records = append(w.records, Record{Key: w.key(t), Offset: uint64(len(w.records))})
+	case "forget":
+		w.first = uint64(len(w.records))
+	case "read":
+		w.read(r)
+	case "whole":
+		r.Take(w.whole())
+	case "follow":
+		r.follow(w.other(t, r), w.now)
+	case "ask":
+		b := w.whole()
+		w.late, w.lateTo = &b, r
+	case "answer":
+		if w.late != nil {
+			w.lateTo.Take(*w.late)
+			w.late = nil
+		}
+	}
+}
+
+func (w *world) key(t *rapid.T) string {
+	return rapid.SampledFrom([]string{"k", "l"}).Draw(t, "key")
+}
+
+func (w *world) other(t *rapid.T, r *replica) *replica {
+	for {
+		if o := rapid.SampledFrom(w.replicas).Draw(t, "source"); o != r {
+			return o
+		}
+	}
+}
--- /dev/null
+++ b/internal/spec/knownred_test.go
@@ -0,0 +1,27 @@
+package spec
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSpec(t *testing.T) {
+	Run(t, "Running specs")
+}
+
+var _ = Describe("the list of known red specs", func() {
+	It("names specs of one package by their whole text", func() {
+		l, err := redSpecs("internal/a | x does (not) y | a cause | 7\n\ninternal/b | z | another | 8\n", "internal/a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l).To(Equal([]string{` x does \(not\) y$`}))
+	})
+
+	It("is refused where a line lacks its cause or its spec", func() {
+		for _, list := range []string{"internal/a | x | 7", "internal/a |  | a cause | 7"} {
+			_, err := redSpecs(list, "internal/a")
+			Expect(err).To(HaveOccurred())
+		}
+	})
+})
--- a/internal/spec/spec.go
+++ b/internal/spec/spec.go
@@ -29,6 +29,7 @@
 	set(t, "rapid.nofailfile", "true")
 	c, r := ginkgo.GinkgoConfiguration()
 	c.RandomSeed = seed
+	c.SkipStrings = append(c.SkipStrings, knownRed(t)...)
 	ginkgo.RunSpecs(t, name, c, r)
 }
 
