--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -3,6 +3,7 @@
 package facts
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,10 +44,19 @@
 // Wanted is the newest weights that operators have named for a model.
 type Wanted struct {
 	Revision id.Revision
-	// Learnt is when this process read of it, by the steady clock.
+	// Named is a moment before operators named it, by the steady clock; zero where none is known. The time of older versions
+	// runs from it: what this process learns late must not come on top.
+	Named time.Time
+	// Learnt is when this process read of it.
 	Learnt time.Time
 }
 
+// over says whether the time within which the weights have to be in use has passed. Where it is not known when they were
+// named, it may have.
+func (w Wanted) over(now time.Time, within time.Duration) bool {
+	return w.Named.IsZero() || now.Sub(w.Named) > within
+}
+
 // Facts is safe for concurrent use.
 type Facts struct {
 	catalog atomic.Pointer[catalog.Catalog]
@@ -92,20 +102,44 @@
 	return true
 }
 
-// SetWanted takes the weights that operators name for a model unless it knows newer ones.
-func (f *Facts) SetWanted(m id.Model, r id.Revision) bool {
+// Naming is what this process has read of new weights.
+type Naming struct {
+	Revision id.Revision
+	// Named is a moment before the naming; Missed is one before any naming that this process has not read. Zero where
+	// none is known.
+	Named, Missed time.Time
+}
+
+// SetWanted takes the weights that operators name for a model unless it knows newer ones, and says whether they are news.
+func (f *Facts) SetWanted(m id.Model, n Naming) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l := f.wanted[m]
-	if newest(l).Revision >= r {
+	last := newest(l)
+	switch {
+	case last.Revision == n.Revision && len(l) > 0 && last.Named.IsZero() && !n.Named.IsZero():
+		l = slices.Clone(l)
+		l[len(l)-1].Named = n.Named
+		f.wanted[m] = l
+		f.notify()
+		return false
+	case last.Revision >= n.Revision:
 		return false
+	case last.Revision+1 < n.Revision:
+		// Others may have been named in between, the first of them ever since the last reading.
+		l = remember(l, Wanted{Revision: n.Revision - 1, Named: n.Missed, Learnt: f.now()})
 	}
+	f.wanted[m] = remember(l, Wanted{Revision: n.Revision, Named: n.Named, Learnt: f.now()})
+	f.notify()
+	return true
+}
+
+// remember adds to the versions named for a model; the slice given stays as it is.
+func remember(l []Wanted, w Wanted) []Wanted {
 	if len(l) >= maxNamed {
 		l = l[1:]
 	}
-	f.wanted[m] = append(l[:len(l):len(l)], Wanted{Revision: r, Learnt: f.now()})
-	f.notify()
-	return true
+	return append(l[:len(l):len(l)], w)
 }
 
 const (
@@ -137,21 +171,24 @@
 	now := f.now()
 	l := f.wanted[m]
 	for i := len(l) - 1; i >= 0; i-- {
-		if now.Sub(l[i].Learnt) > within {
+		if l[i].over(now, within) {
 			return l[i].Revision
 		}
 	}
 	return 0
 }
 
-// Until returns when a version of a model may take no new requests any more: a time after the first newer one was named.
-// It is zero for a version that nothing newer is known to follow.
+// Until returns when a version of a model may take no new requests any more: a time after the first newer one was named,
+// or when this process read of that one where it does not know since when it is named. It is zero for a version that nothing newer is known to follow.
 func (f *Facts) Until(m id.Model, r id.Revision, within time.Duration) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, w := range f.wanted[m] {
+		if w.Revision > r && w.Named.IsZero() {
+			return w.Learnt
+		}
 		if w.Revision > r {
-			return w.Learnt.Add(within)
+			return w.Named.Add(within)
 		}
 	}
 	return time.Time{}
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -20,6 +20,7 @@
 var _ = Describe("facts", func() {
 	var now time.Time
 	var f *Facts
+	named := func(r id.Revision) Naming { return Naming{Revision: r, Named: now, Missed: now} }
 	BeforeEach(func() {
 		now = time.Unix(1000, 0)
 		f = New(func() time.Time { return now })
@@ -30,27 +31,47 @@
 		Expect(f.SetCatalog(catalog.New(4, nil, nil, nil, catalog.Limits{}))).To(BeFalse())
 		Expect(f.Catalog().Revision).To(Equal(uint64(5)))
 		Expect(f.Wanted("m").Revision).To(Equal(id.Revision(1)))
-		Expect(f.SetWanted("m", 3)).To(BeTrue())
-		Expect(f.SetWanted("m", 2)).To(BeFalse())
+		Expect(f.SetWanted("m", named(3))).To(BeTrue())
+		Expect(f.SetWanted("m", named(2))).To(BeFalse())
 		Expect(f.Wanted("m").Revision).To(Equal(id.Revision(3)))
 	})
 
 	It("know when a version may take no new requests any more: a time after the first newer one was named", func() {
 		Expect(f.Until("m", 1, time.Second)).To(BeZero())
-		f.SetWanted("m", 2)
-		named := now
+		f.SetWanted("m", named(2))
+		second := now
 		now = now.Add(time.Second)
-		f.SetWanted("m", 5)
-		Expect(f.Until("m", 1, time.Second)).To(Equal(named.Add(time.Second)))
+		f.SetWanted("m", named(5))
+		Expect(f.Until("m", 1, time.Second)).To(Equal(second.Add(time.Second)))
 		Expect(f.Until("m", 2, time.Second)).To(Equal(now.Add(time.Second)))
 		Expect(f.Until("m", 3, time.Second)).To(Equal(now.Add(time.Second)))
 		Expect(f.Until("m", 5, time.Second)).To(BeZero())
 	})
 
+	It("give no time to older versions where it is not known since when a newer one is named, until it is", func() {
+		Expect(f.SetWanted("m", Naming{Revision: 2})).To(BeTrue())
+		Expect(f.Required("m", time.Second)).To(Equal(id.Revision(2)))
+		Expect(f.Until("m", 1, time.Second)).To(Equal(now))
+		since := now.Add(-200 * time.Millisecond)
+		Expect(f.SetWanted("m", Naming{Revision: 2, Named: since})).To(BeFalse(), "the version is known")
+		Expect(f.Required("m", time.Second)).To(BeZero())
+		Expect(f.Until("m", 1, time.Second)).To(Equal(since.Add(time.Second)))
+		Expect(f.SetWanted("m", Naming{Revision: 2, Named: now})).To(BeFalse())
+		Expect(f.Until("m", 1, time.Second)).To(Equal(since.Add(time.Second)), "the first that is known stays")
+	})
+
+	It("count the time of a version from the first newer one, also where only a later one was read", func() {
+		missed := now.Add(-3 * time.Second)
+		f.SetWanted("m", named(2))
+		f.SetWanted("m", Naming{Revision: 4, Named: now, Missed: missed})
+		Expect(f.Until("m", 2, 10*time.Second)).To(Equal(missed.Add(10 * time.Second)))
+		Expect(f.Until("m", 3, 10*time.Second)).To(Equal(now.Add(10 * time.Second)))
+	})
+
 	It("hold each version to the time since its own naming, whatever is named after it", func() {
-		f.SetWanted("m", 2)
+		f.SetWanted("m", named(2))
 		now = now.Add(4 * time.Second)
-		f.SetWanted("m", 3)
+		f.SetWanted("m", named(3))
 		Expect(f.Required("m", 8*time.Second)).To(BeZero())
 		now = now.Add(5 * time.Second)
 		Expect(f.Required("m", 8*time.Second)).To(Equal(id.Revision(2)))
@@ -60,7 +81,7 @@
 
 	It("remember a bounded number of versions", func() {
 		for r := range id.Revision(100) {
-			f.SetWanted("m", r+2)
+			f.SetWanted("m", named(r+2))
 		}
 		Expect(f.wanted["m"]).To(HaveLen(maxNamed))
 		Expect(f.Wanted("m").Revision).To(Equal(id.Revision(101)))
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -117,7 +117,7 @@
 	It("begins only where its model is served, in a version whose time is not over", func() {
 		b := newBackstage(route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", resume)
-		b.facts.SetWanted("m", 2)
+		b.facts.SetWanted("m", secondNamed())
 		b.gateway.settings.SwapWithin = swapMargin + 10*time.Millisecond
 		time.Sleep(30 * time.Millisecond)
 		a, _, err := b.ask("POST", "/p/", "x", xModel, "m")
@@ -134,7 +134,7 @@
 	It("is kept from an older version behind a narrow link earlier, as it would be long on its way", func() {
 		b := newBackstage(route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", resume)
-		b.facts.SetWanted("m", 2)
+		b.facts.SetWanted("m", secondNamed())
 		b.gateway.settings.SwapWithin = swapMargin + time.Second
 		report := placement.LoadReport{Narrow: true, Held: []facts.Held{{Model: "m", Revision: 1}}, Taken: time.Now()}
 		b.tracker.SetReport(b.facts.Instances()[0].Address, report)
@@ -154,7 +154,7 @@
 			b := newBackstage(route(catalog.Streaming, "engines"))
 			b.upstream("u", "engines", resume)
 			b.upstream("v", "engines", resume)
-			b.facts.SetWanted("m", 2)
+			b.facts.SetWanted("m", secondNamed())
 			b.gateway.settings.SwapWithin = spare
 			time.Sleep(5 * time.Millisecond)
 			_, body, err := b.ask("POST", "/p/", "x", xModel, "m", "X-Hang-Up", "1")
@@ -177,13 +177,13 @@
 			_, _ = c.Read(make([]byte, 1))
 			gone <- time.Now()
 		})
-		named := time.Now()
-		b.facts.SetWanted("m", 2)
+		since := time.Now()
+		b.facts.SetWanted("m", secondNamed())
 		b.gateway.settings.SwapWithin = swapMargin + 300*time.Millisecond
 		a, _, err := b.ask("POST", "/p/", "x", xModel, "m")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(a.StatusCode).To(Equal(502), "it may have run")
-		Expect((<-gone).Sub(named)).To(BeNumerically("~", b.gateway.settings.SwapWithin-beginGuard, 150*time.Millisecond))
+		Expect((<-gone).Sub(since)).To(BeNumerically("~", b.gateway.settings.SwapWithin-beginGuard, 150*time.Millisecond))
 	})
 
 	It("is refused at once where every upstream is too busy to be in time", func() {
@@ -219,3 +219,8 @@
 		}
 	})
 }
+
+// secondNamed is what a process has read of a second version that is named just now.
+func secondNamed() facts.Naming {
+	return facts.Naming{Revision: 2, Named: time.Now(), Missed: time.Now()}
+}
--- a/internal/records/deletion_test.go
+++ b/internal/records/deletion_test.go
@@ -1,6 +1,7 @@
 package records
 
 import (
+	"fmt"
 	"maps"
 	"time"
 
@@ -43,7 +44,7 @@
 		r.source = nil
 		return Batch{}, false
 	}
-	b := Batch{Whole: c.Whole, Next: c.Next, Confirmed: now}
+	b := Batch{Whole: c.Whole, Next: c.Next, Confirmed: now, Gapped: c.Gapped, GapFrom: c.GapFrom}
 	for _, t := range c.Records {
 		b.Records = append(b.Records, t.Record)
 	}
@@ -51,8 +52,11 @@
 	return b, true
 }
 
+// follow asks a source, and for the whole where its changes do not do, as Follower does.
 func (r *replica) follow(source *replica, now time.Time) {
-	if b, ok := r.ask(source, now); ok {
+	if b, ok := r.ask(source, now); ok && !r.Take(b) {
+		r.from = askWhole
+		b, _ = r.ask(source, now)
 		r.Take(b)
 	}
 }
@@ -81,6 +85,25 @@
 		Expect(follower.got).To(BeEmpty())
 	})
 
+	It("is gone at a follower that has read a newer record of it itself", func() {
+		source, follower := newReplica(f, clock), newReplica(f, clock)
+		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), Offset: 3}}, Next: 4, Confirmed: now})
+		follower.follow(source, now)
+		follower.Take(Batch{Records: []Record{{Key: "u", Value: []byte("busy"), Offset: 6}}, Next: 7, Confirmed: now})
+		source.Take(Batch{Whole: true, Next: 9, Confirmed: now})
+		follower.follow(source, now)
+		Expect(follower.got).To(BeEmpty())
+	})
+
+	It("is gone at a follower where its record was the last one written before the reading", func() {
+		source, follower := newReplica(f, clock), newReplica(f, clock)
+		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), Offset: 3}}, Next: 4, Confirmed: now})
+		follower.follow(source, now)
+		source.Take(Batch{Whole: true, Next: 4, Confirmed: now})
+		follower.follow(source, now)
+		Expect(follower.got).To(BeEmpty())
+	})
+
 	It("is back where it was written again after the reading, and stays where that was before", func() {
 		source, follower := newReplica(f, clock), newReplica(f, clock)
 		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), Offset: 3}}, Next: 4, Confirmed: now})
@@ -109,7 +132,7 @@
 			}
 			for i, r := range w.replicas {
 				if !maps.Equal(r.got, want) {
-					t.Fatalf("replica %d has %v, the store %v", i, r.got, want)
+					t.Fatalf("replica %d has %v, the store %v, after %v", i, r.got, want, w.did)
 				}
 			}
 		})
@@ -125,6 +148,8 @@
 	// late is an answer on its way, and whose it is.
 	late   *Batch
 	lateTo *replica
+	// did tells what happened, for a failure.
+	did []string
 }
 
 func (w *world) state() map[string]string {
@@ -166,13 +191,16 @@
 
 // step draws what happens next.
 func (w *world) step(t *rapid.T) {
-	r := rapid.SampledFrom(w.replicas).Draw(t, "replica")
-	switch rapid.SampledFrom([]string{"write", "write", "drop", "forget", "read", "whole", "follow", "follow", "ask", "answer"}).Draw(t, "step") {
+	n := rapid.IntRange(0, len(w.replicas)-1).Draw(t, "replica")
+	r := w.replicas[n]
+	step := rapid.SampledFrom([]string{"write", "write", "drop", "forget", "read", "whole", "follow", "follow", "ask", "answer"}).Draw(t, "step")
+	w.did = append(w.did, fmt.Sprint(n, " ", step))
+	switch step {
 	case "write":
 		v := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "value")
-		w.records = append(w.records, Record{Key: w.key(t), Value: []byte(v), Offset: uint64(len(w.records))})
+		w.write(w.key(t), []byte(v))
 	case "drop":
-		w.records = append(w.records, Record{Key: w.key(t), Offset: uint64(len(w.records))})
+		w.write(w.key(t), nil)
 	case "forget":
 		w.first = uint64(len(w.records))
 	case "read":
@@ -180,7 +208,9 @@
 	case "whole":
 		r.Take(w.whole())
 	case "follow":
-		r.follow(w.other(t, r), w.now)
+		o := w.other(t, n)
+		w.did = append(w.did, fmt.Sprint("of ", o))
+		r.follow(w.replicas[o], w.now)
 	case "ask":
 		b := w.whole()
 		w.late, w.lateTo = &b, r
@@ -192,14 +222,17 @@
 	}
 }
 
+func (w *world) write(key string, value []byte) {
+	r := Record{Key: key, Value: value, Offset: uint64(len(w.records))}
+	w.did = append(w.did, fmt.Sprintf("%s=%s@%d", key, value, r.Offset))
+	w.records = append(w.records, r)
+}
+
 func (w *world) key(t *rapid.T) string {
 	return rapid.SampledFrom([]string{"k", "l"}).Draw(t, "key")
 }
 
-func (w *world) other(t *rapid.T, r *replica) *replica {
-	for {
-		if o := rapid.SampledFrom(w.replicas).Draw(t, "source"); o != r {
-			return o
-		}
-	}
+// other draws a replica that is not the n-th.
+func (w *world) other(t *rapid.T, n int) int {
+	return (n + rapid.IntRange(1, len(w.replicas)-1).Draw(t, "source")) % len(w.replicas)
 }
--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"math"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -28,6 +29,9 @@
 	staleFor = 300 * time.Millisecond
 	// lookPause is the wait before sources are looked for again.
 	lookPause = 100 * time.Millisecond
+	// differPause is the least time between two questions for the whole because the source holds other records. Where the
+	// difference is not settled by one, this process knows newer ones, and the source reads them within 0.7 s.
+	differPause = 2 * time.Second
 	// takeoverStep is how much longer each further process of a domain lets those before it take over the reading of the
 	// store: all at once, they choked a link of 24 Mbit/s between regions with configurations of 600 KB.
 	takeoverStep = 250 * time.Millisecond
@@ -64,6 +68,8 @@
 	source     string
 	epoch      uint64
 	from       []uint64
+	// wholeAgain is when a whole topic may be asked for again because the source holds other records.
+	wholeAgain time.Time
 }
 
 // Run follows until the context ends.
@@ -184,6 +190,7 @@
 	ask, stop := context.WithTimeout(ctx, followWait+followSlack)
 	defer stop()
 	f.vars.Add("asked", 1)
+	asked := f.now()
 	a, err := f.ask(ask, address, q)
 	if err != nil {
 		f.source = ""
@@ -193,8 +200,9 @@
 		f.source = ""
 		return err
 	}
+	answered := asked.Add(time.Duration(max(0, a.GetHeldMs())) * time.Millisecond)
 	for i, t := range a.GetTopics() {
-		err := f.take(f.logs[i], t)
+		taken, err := f.take(f.logs[i], t, answered)
 		if errors.Is(err, errNoBase) {
 			// No fault of the source: this process has read other records meanwhile. It asks for the whole.
 			f.log.Info().Err(err).Str("source", address).Msg("records are asked for as a whole")
@@ -206,12 +214,36 @@
 			return err
 		}
 		f.from[i] = t.GetFrom()
+		if !taken {
+			f.log.Info().Str("source", address).Str("topic", t.GetTopic()).Uint64("gap_from", t.GetGapFrom()).
+				Msg("records are asked for as a whole: this process has read further than the source had")
+			f.from[i] = askWhole
+		}
 	}
 	f.epoch = a.GetEpoch()
 	f.origin.set(a.GetOrigin())
+	f.compare(address, a)
 	return nil
 }
 
+// askWhole is a position that no source has reached: its answer is the whole.
+const askWhole = math.MaxUint64
+
+// compare asks for a whole topic where the source holds other records although it has read just as far: a word that was
+// lost on the way would otherwise be missing for good.
+func (f *Follower) compare(address string, a *pb.FollowResponse) {
+	now := f.now()
+	for i, t := range a.GetTopics() {
+		if t.Digest == nil || !f.logs[i].Differs(t.GetNext(), t.GetDigest()) || now.Before(f.wholeAgain) {
+			continue
+		}
+		f.vars.Add("differed", 1)
+		f.log.Warn().Str("source", address).Str("topic", t.GetTopic()).Uint64("next", t.GetNext()).
+			Msg("the source holds other records; they are asked for as a whole")
+		f.from[i], f.wholeAgain = askWhole, now.Add(differPause)
+	}
+}
+
 // check says whether an answer has all topics, none of them too old.
 func (f *Follower) check(a *pb.FollowResponse) error {
 	if o := a.GetOrigin(); o != "" && o == f.self {
@@ -229,22 +261,33 @@
 	return nil
 }
 
-func (f *Follower) take(l *Log, t *pb.TopicChanges) error {
+// take merges what a source tells of a topic; it answered at the moment given or later.
+func (f *Follower) take(l *Log, t *pb.TopicChanges, answered time.Time) (bool, error) {
 	now := f.now()
 	b := Batch{
 		Whole: t.GetWhole(), Next: t.GetNext(),
 		Confirmed: now.Add(-time.Duration(t.GetAgeMs()) * time.Millisecond),
 		Grace:     now.Add(time.Duration(t.GetGraceMs()) * time.Millisecond),
+		Settled:   before(answered, t.SettledMs),
+		Gapped:    t.GapFrom != nil,
+		GapFrom:   t.GetGapFrom(),
 	}
 	for _, r := range t.GetRecords() {
 		v, err := l.valueOf(r)
 		if err != nil {
-			return err
+			return false, err
 		}
-		b.Records = append(b.Records, Record{Key: r.GetKey(), Value: v, Offset: r.GetOffset()})
+		b.Records = append(b.Records, Record{Key: r.GetKey(), Value: v, Offset: r.GetOffset(), After: before(answered, r.AbsentMs)})
 	}
-	l.Take(b)
-	return nil
+	return l.Take(b), nil
+}
+
+// before is the moment an age before another; zero where the age is not known.
+func before(t time.Time, age *int64) time.Time {
+	if age == nil || *age < 0 {
+		return time.Time{}
+	}
+	return t.Add(-time.Duration(*age) * time.Millisecond)
 }
 
 // errNoBase says that a patch builds on a value that this process does not have.
--- a/internal/records/gate.go
+++ b/internal/records/gate.go
@@ -27,16 +27,17 @@
 	return true
 }
 
-// pass waits until the gate is open or the context ends.
-func (g *gate) pass(ctx context.Context) {
+// pass waits until the gate is open or the context ends, and says whether it had to wait.
+func (g *gate) pass(ctx context.Context) bool {
 	g.mu.Lock()
 	c := g.closed
 	g.mu.Unlock()
 	if c == nil {
-		return
+		return false
 	}
 	select {
 	case <-ctx.Done():
 	case <-c:
 	}
+	return true
 }
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -17,9 +17,8 @@
 
 // entry is a key's newest record.
 type entry struct {
+	// Record's offset is that of the newest record read, which may have changed nothing.
 	Record
-	// seen is the offset of the newest record read, which may have changed nothing.
-	seen uint64
 	// change is the number of the change that brought the record.
 	change uint64
 	// before is the record that this one has replaced, and beforeChange the number of the change that brought it.
@@ -35,19 +34,23 @@
 	packed  []byte
 	patched bool
 	base    uint64
+	// absent is how long ago the store is known not to have had the record; below 0 where that is not known.
+	absent time.Duration
 }
 
 // tell says what a follower that has all changes up to one needs; long values are compressed once for all followers.
-func (e *entry) tell(from uint64, l *log.Logger) told {
-	if len(e.Value) < packFrom {
-		return told{Record: e.Record}
-	}
-	if e.before.Value != nil && from >= e.beforeChange && from < e.change {
+func (e *entry) tell(from uint64, now time.Time, l *log.Logger) told {
+	t := told{Record: e.Record, absent: sinceKnown(now, e.After)}
+	switch {
+	case len(e.Value) < packFrom:
+	case e.before.Value != nil && from >= e.beforeChange && from < e.change:
 		e.patch = packOnce(e.patch, e.Value, e.before.Value, l)
-		return told{Record: e.Record, packed: e.patch, patched: true, base: e.before.Offset}
+		t.packed, t.patched, t.base = e.patch, true, e.before.Offset
+	default:
+		e.packed = packOnce(e.packed, e.Value, nil, l)
+		t.packed = e.packed
 	}
-	e.packed = packOnce(e.packed, e.Value, nil, l)
-	return told{Record: e.Record, packed: e.packed}
+	return t
 }
 
 // packOnce returns what has been compressed before, or compresses it.
@@ -76,10 +79,15 @@
 	dropped int
 	// changes counts the changes; forgotten is the last one that can't be told any more as a change.
 	changes, forgotten uint64
-	// forgottenNext is the offset below which a key that is not held may have been dropped.
-	forgottenNext uint64
-	next          uint64
+	// gap is the newest part of the topic that was not read record by record.
+	gap gap
+	// next is the offset from which on nothing has been read; all that was written before it is held.
+	next uint64
+	// settled is a moment at which the store had nothing from next on; zero where none is known.
+	settled       time.Time
 	started, lost bool
+	// digest is that of all keys that are held; see digest.go.
+	digest uint64
 	// confirmed is when the store last said that nothing is missing.
 	confirmed time.Time
 	changed   chan struct{}
@@ -96,6 +104,12 @@
 	return g
 }
 
+// gap is a part of a topic of which only the newest records were read: what came and went in it is not known.
+type gap struct {
+	// from is the offset at which it begins, and change the number of the change that it counts as.
+	from, change uint64
+}
+
 // Batch is what a source says of a topic.
 type Batch struct {
 	Records []Record
@@ -105,21 +119,42 @@
 	Next uint64
 	// Confirmed is when the store said so.
 	Confirmed time.Time
+	// Settled is a moment at which the store had nothing from Next on: when it was asked, as its answer may have been
+	// long on its way. Zero where none is known.
+	Settled time.Time
+	// Own says that this process has read it from the store itself.
+	Own bool
+	// Gapped says that the source has not read record by record from GapFrom on.
+	Gapped  bool
+	GapFrom uint64
 	// Grace is the end of the time in which keys that are gone may come back.
 	Grace time.Time
 }
 
-// Take merges a batch. Records older than what is known change nothing.
-func (l *Log) Take(b Batch) {
+// Take merges a batch. Records older than what is known change nothing. It is false, and nothing is taken, where this
+// process has read further itself than its source had before a gap: what it knows of the gap may be over, and the batch
+// can't tell.
+func (l *Log) Take(b Batch) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.note(nil)
-	if l.absent != nil {
+	if b.Gapped && !b.Whole && l.next > b.GapFrom {
+		return false
+	}
+	l.note(nil, b.Own)
+	if l.absent != nil && (!l.started || b.Confirmed.Sub(l.confirmed) > freshMost) {
+		// Where this process has had fresh records all the time, its source alone had lost the store, and upstreams whose
+		// records went have gone: with the grace of a first reader that was cut off the last process knew after 4.5 s.
 		l.absent.GraceUntil(b.Grace)
 	}
 	before := l.changes
 	for _, r := range b.Records {
-		l.merge(r, b.Whole)
+		if r.Offset >= l.next {
+			r.Missed = l.settled
+		}
+		if r.Missed.After(r.After) {
+			r.After = r.Missed
+		}
+		l.merge(r, b)
 	}
 	if b.Whole {
 		l.keepOnly(b)
@@ -127,7 +162,10 @@
 	if l.absent != nil {
 		l.absent.Sweep()
 	}
-	l.next = max(l.next, b.Next)
+	if (b.Whole && l.started && b.Next > l.next) || b.Gapped {
+		l.skip()
+	}
+	l.advance(b)
 	l.started = l.started || b.Whole
 	if b.Confirmed.After(l.confirmed) {
 		l.confirmed = b.Confirmed
@@ -136,35 +174,77 @@
 		close(l.changed)
 		l.changed = make(chan struct{})
 	}
+	return true
+}
+
+// skip notes that a batch leaves a gap; followers that lack an earlier one too get the whole. The caller holds the lock.
+func (l *Log) skip() {
+	l.forgotten = max(l.forgotten, l.gap.change)
+	l.changes++
+	l.gap = gap{from: l.next, change: l.changes}
+}
+
+// advance notes how far the store has been read; the caller holds the lock.
+func (l *Log) advance(b Batch) {
+	if b.Next > l.next || (b.Next == l.next && b.Settled.After(l.settled)) {
+		l.next, l.settled = b.Next, b.Settled
+	}
 }
 
-// merge takes a record; the caller holds the lock.
-func (l *Log) merge(r Record, whole bool) {
+// merge takes a record of a batch; the caller holds the lock.
+func (l *Log) merge(r Record, b Batch) {
 	e := l.entries[r.Key]
-	if e == nil {
-		if r.Value == nil || (!whole && r.Offset < l.forgottenNext) {
-			return
-		}
+	held := e != nil && e.Value != nil
+	current := b.Whole && b.Next >= l.next
+	switch {
+	case !held && !current && r.Offset < l.next, e == nil && r.Value == nil:
+		// A key that is not held was dropped before next: the record is older than that.
+		return
+	case e == nil:
 		e = &entry{}
 		l.entries[r.Key] = e
-	} else if r.Offset <= e.seen {
+	case r.Offset == e.Offset && r.Value != nil:
+		l.date(e, r)
+		return
+	case r.Offset < e.Offset:
 		return
 	}
-	e.seen = r.Offset
 	if r.Value != nil && l.topic.Reduce != nil {
 		r.Value = l.topic.Reduce(r.Value)
 	}
-	if e.change > 0 && (r.Value == nil) == (e.Value == nil) && bytes.Equal(r.Value, e.Value) {
+	if e.change == 0 || (r.Value == nil) != (e.Value == nil) || !bytes.Equal(r.Value, e.Value) {
+		l.change(e, r)
+		return
+	}
+	r.After = e.After
+	if b.Whole {
+		// The key may have had another value meanwhile, which a follower has read itself: this one is told as newer.
+		l.number(e, r)
 		return
 	}
-	l.change(e, r)
+	e.Record = r
 }
 
-// change numbers a new record of a key and applies it; the caller holds the lock.
-func (l *Log) change(e *entry, r Record) {
+// date takes over when the store did not have a held record yet, where that has not been known here. The caller holds the
+// lock.
+func (l *Log) date(e *entry, r Record) {
+	if e.Value == nil || !e.After.IsZero() || r.After.IsZero() {
+		return
+	}
+	e.After = r.After
+	l.apply(e.Record)
+}
+
+// apply hands a record to the product.
+func (l *Log) apply(r Record) {
 	if err := l.topic.Apply(r); err != nil {
 		l.log.Warn().Err(err).Str("topic", l.topic.Name).Str("key", r.Key).Uint64("offset", r.Offset).Msg("record skipped")
 	}
+}
+
+// change numbers a new record of a key and applies it; the caller holds the lock.
+func (l *Log) change(e *entry, r Record) {
+	l.apply(r)
 	if l.absent != nil {
 		l.absent.Note(id.Instance(r.Key), r.Value != nil)
 	}
@@ -174,14 +254,20 @@
 	if r.Value != nil && e.change > 0 && e.Value == nil {
 		l.dropped--
 	}
-	l.changes++
-	e.before, e.beforeChange = e.Record, e.change
-	e.Record, e.change, e.packed, e.patch = r, l.changes, nil, nil
+	l.digest += digestOf(r) - digestOf(e.Record)
+	l.number(e, r)
 	if l.dropped > mostDropped {
 		l.forget()
 	}
 }
 
+// number makes a record one that followers are told; the caller holds the lock.
+func (l *Log) number(e *entry, r Record) {
+	l.changes++
+	e.before, e.beforeChange = e.Record, e.change
+	e.Record, e.change, e.packed, e.patch = r, l.changes, nil, nil
+}
+
 // forget drops the memory of dropped keys: followers that lag behind get the whole. The caller holds the lock.
 func (l *Log) forget() {
 	for k, e := range l.entries {
@@ -189,20 +275,25 @@
 			delete(l.entries, k)
 		}
 	}
-	l.dropped, l.forgotten, l.forgottenNext = 0, l.changes, l.next
+	l.dropped, l.forgotten = 0, l.changes
 }
 
 // keepOnly drops the keys that a whole list lacks, unless they were written after it; the caller holds the lock.
+//
+// The drop is dated by the reading that shows it, not by the record that it ends: followers have that record, and would take
+// the drop for known. A key that is written again has an offset from Next on.
 func (l *Log) keepOnly(b Batch) {
 	listed := map[string]bool{}
 	for _, r := range b.Records {
 		listed[r.Key] = true
 	}
 	for k, e := range l.entries {
-		if listed[k] || e.Value == nil || e.seen >= b.Next {
+		if listed[k] || e.Value == nil || e.Offset >= b.Next {
 			continue
 		}
-		l.change(e, Record{Key: k, Offset: e.seen})
+		l.log.Info().Str("topic", l.topic.Name).Str("key", k).Uint64("offset", e.Offset).Uint64("next", b.Next).
+			Msg("key not among all records any more")
+		l.change(e, Record{Key: k, Offset: b.Next - 1})
 	}
 }
 
@@ -212,15 +303,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.now().Sub(l.confirmed) > freshMost {
-		l.note(err)
+		l.note(err, true)
 	}
 }
 
-// note logs when the records are lost and when they are to be had again; the caller holds the lock.
-func (l *Log) note(err error) {
+// note logs when the records are lost and when they are to be had again. Where another process hands on what it has read
+// meanwhile, the store was not away for all, and its word on a grace counts. The caller holds the lock.
+func (l *Log) note(err error, own bool) {
 	switch {
 	case err != nil && !l.lost:
 		l.log.Warn().Err(err).Str("topic", l.topic.Name).Uint64("next", l.next).Msg("the store is lost")
+	case err == nil && l.lost && !own:
+		l.log.Info().Str("topic", l.topic.Name).Uint64("next", l.next).Msg("another process hands the records on")
 	case err == nil && l.lost:
 		l.log.Info().Str("topic", l.topic.Name).Uint64("next", l.next).Msg("the store is back")
 		if l.absent != nil {
@@ -237,13 +331,6 @@
 	return l.next, l.started
 }
 
-// Restart makes the next reading a whole one.
-func (l *Log) Restart() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.started = false
-}
-
 // Age is how long ago the store confirmed that nothing is missing.
 func (l *Log) Age() time.Duration {
 	l.mu.Lock()
@@ -260,6 +347,14 @@
 	Next  uint64
 	Age   time.Duration
 	Grace time.Duration
+	// Settled is how long ago the store is known to have had nothing from Next on; below 0 where that is not known.
+	Settled time.Duration
+	Digest  uint64
+	// Own says that this process has read it from the store itself.
+	Own bool
+	// Gapped says that the changes leave out what came and went from GapFrom on.
+	Gapped  bool
+	GapFrom uint64
 }
 
 // Since returns what has changed after a change of an epoch, and a channel that closes with the next one. It is false
@@ -268,22 +363,32 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	c := Changes{Last: l.changes, Next: l.next, Age: now.Sub(l.confirmed)}
+	c := Changes{Last: l.changes, Next: l.next, Age: now.Sub(l.confirmed), Settled: sinceKnown(now, l.settled), Digest: l.digest}
 	if l.absent != nil {
 		c.Grace = l.absent.Grace()
 	}
+	// A position beyond the changes asks for the whole.
 	c.Whole = epoch != l.epoch || from < l.forgotten || from > l.changes
+	c.Gapped, c.GapFrom = from < l.gap.change, l.gap.from
 	for _, e := range l.entries {
 		switch {
 		case c.Whole && e.Value != nil:
-			c.Records = append(c.Records, e.tell(l.changes, l.log))
+			c.Records = append(c.Records, e.tell(l.changes, now, l.log))
 		case !c.Whole && e.change > from:
-			c.Records = append(c.Records, e.tell(from, l.log))
+			c.Records = append(c.Records, e.tell(from, now, l.log))
 		}
 	}
 	return c, l.changed, l.started
 }
 
+// sinceKnown is the time since a moment, or -1 where none is known.
+func sinceKnown(now, t time.Time) time.Duration {
+	if t.IsZero() {
+		return -1
+	}
+	return max(0, now.Sub(t))
+}
+
 // valueAt returns the value of a key if its newest record is the one at an offset.
 func (l *Log) valueAt(key string, offset uint64) []byte {
 	l.mu.Lock()
--- a/internal/records/log_test.go
+++ b/internal/records/log_test.go
@@ -37,6 +37,7 @@
 			clock := func() time.Time { return now }
 			source, follower := NewLog(topic(a), f, clock, quiet), NewLog(topic(b), f, clock, quiet)
 			offset, epoch, from := uint64(0), uint64(0), uint64(0)
+			var written []Record
 			source.Take(Batch{Whole: true, Confirmed: now})
 			for range rapid.IntRange(1, 60).Draw(t, "steps") {
 				key := rapid.SampledFrom([]string{"k", "l", "m"}).Draw(t, "key")
@@ -45,8 +46,9 @@
 					r.Value = []byte(rapid.SampledFrom([]string{"x", "y", ""}).Draw(t, "value"))
 				}
 				if rapid.IntRange(0, 5).Draw(t, "stale") == 0 && offset > 3 {
-					r.Offset = offset - 3
+					r = written[offset-3]
 				} else {
+					written = append(written, r)
 					offset++
 				}
 				source.Take(Batch{Records: []Record{r}, Next: offset, Confirmed: now})
@@ -99,11 +101,11 @@
 		}}, f, func() time.Time { return now }, quiet)
 		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a")}, {Key: "l", Value: []byte("a")}}, Next: 1, Confirmed: now})
 		l.Lost(errOwn)
-		l.Take(Batch{Records: []Record{{Key: "k", Offset: 1}}, Next: 2, Confirmed: now})
+		l.Take(Batch{Records: []Record{{Key: "k", Offset: 1}}, Next: 2, Confirmed: now, Own: true})
 		Expect(f.Instance("k")).To(BeNil())
 		now = now.Add(freshMost + time.Millisecond)
 		l.Lost(errOwn)
-		l.Take(Batch{Records: []Record{{Key: "l", Offset: 2}}, Next: 3, Confirmed: now})
+		l.Take(Batch{Records: []Record{{Key: "l", Offset: 2}}, Next: 3, Confirmed: now, Own: true})
 		Expect(f.Instance("l")).NotTo(BeNil(), "the store was away for all")
 	})
 
@@ -116,11 +118,46 @@
 			}
 			return nil
 		}}, f, func() time.Time { return now }, quiet)
-		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a")}}, Next: 1})
-		l.Take(Batch{Records: []Record{{Key: "k", Offset: 1}}, Next: 2, Grace: now.Add(time.Second)})
+		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a")}}, Next: 1, Confirmed: now})
+		now = now.Add(freshMost + time.Second)
+		l.Take(Batch{Records: []Record{{Key: "k", Offset: 1}}, Next: 2, Confirmed: now, Grace: now.Add(time.Second)})
 		Expect(f.Instance("k")).NotTo(BeNil())
 		now = now.Add(2 * time.Second)
-		l.Take(Batch{Next: 2})
+		l.Take(Batch{Next: 2, Confirmed: now})
+		Expect(f.Instance("k")).To(BeNil())
+	})
+
+	// An upstream whose record went was kept for two more seconds where the first reader of the domain, cut off alone, had
+	// its way to the store back: it took the store for away and gave its grace to processes that had had fresh records from
+	// another one all the time. With two readers cut off the last process knew after 4.5 s.
+	It("takes over no grace of a source that alone had lost the store", func() {
+		now := time.Now()
+		f := facts.New(time.Now)
+		l := NewLog(Topic{Name: "t", Upstreams: true, Apply: func(r Record) error {
+			if r.Value != nil {
+				f.SetInstance(&facts.Instance{ID: id.Instance(r.Key)})
+			}
+			return nil
+		}}, f, func() time.Time { return now }, quiet)
+		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a")}}, Next: 1, Confirmed: now})
+		now = now.Add(freshMost - time.Millisecond)
+		l.Take(Batch{Records: []Record{{Key: "k", Offset: 1}}, Next: 2, Confirmed: now, Grace: now.Add(2 * time.Second)})
+		Expect(f.Instance("k")).To(BeNil())
+	})
+
+	It("starts no grace of its own where another process hands on what it has read meanwhile", func() {
+		now := time.Now()
+		f := facts.New(time.Now)
+		l := NewLog(Topic{Name: "t", Upstreams: true, Apply: func(r Record) error {
+			if r.Value != nil {
+				f.SetInstance(&facts.Instance{ID: id.Instance(r.Key)})
+			}
+			return nil
+		}}, f, func() time.Time { return now }, quiet)
+		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a")}}, Next: 1, Confirmed: now})
+		now = now.Add(freshMost + time.Second)
+		l.Lost(errOwn)
+		l.Take(Batch{Records: []Record{{Key: "k", Offset: 1}}, Next: 2, Confirmed: now})
 		Expect(f.Instance("k")).To(BeNil())
 	})
 })
--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -31,12 +31,18 @@
 	// versions of a long record: read one after the other by all processes, they kept the store and narrow links busy
 	// beyond the time of an answer, for good.
 	whole bool
+	// prompt makes the next read one that does not wait: a process that takes the reading over is no source for others
+	// before it has read, and one that waited first let them know 0.7 s later.
+	prompt bool
 }
 
 // Run reads until the context ends.
 func (r *Reader) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if r.gate.pass(ctx); ctx.Err() != nil {
+		if r.gate.pass(ctx) {
+			r.prompt = true
+		}
+		if ctx.Err() != nil {
 			return
 		}
 		asked := r.behind()
@@ -45,7 +51,7 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, platform.ErrExpired):
-			r.log.Restart()
+			r.whole = true
 		case err != nil:
 			r.whole = true
 			r.log.Lost(err)
@@ -74,7 +80,9 @@
 	}
 	ctx, stop, wait := r.patience(ctx, next)
 	defer stop()
+	asked := r.now()
 	l, end, err := r.store.Read(ctx, r.log.topic.Name, next, wait)
+	r.prompt = false
 	if err != nil {
 		if context.Cause(ctx) == errHeard { //nolint:errorlint // the cause is the value itself
 			return nil
@@ -82,20 +90,21 @@
 		return err
 	}
 	r.own()
-	r.log.Take(Batch{Records: l, Next: end, Confirmed: r.now()})
+	r.log.Take(Batch{Records: l, Next: end, Confirmed: r.now(), Settled: asked, Own: true})
 	r.heard(end)
 	return nil
 }
 
 // restart takes the newest record of each key; keys that are not among them have gone.
 func (r *Reader) restart(ctx context.Context) error {
+	asked := r.now()
 	l, next, err := r.store.Newest(ctx, r.log.topic.Name)
 	if err != nil {
 		return err
 	}
 	r.whole = false
 	r.own()
-	r.log.Take(Batch{Records: l, Whole: true, Next: next, Confirmed: r.now()})
+	r.log.Take(Batch{Records: l, Whole: true, Next: next, Confirmed: r.now(), Settled: asked, Own: true})
 	r.heard(next)
 	return nil
 }
@@ -106,7 +115,7 @@
 // patience is how long a read may wait at the store. The store passes a waiting reader over now and then: once another
 // process is known to have read further, this one does not wait.
 func (r *Reader) patience(ctx context.Context, next uint64) (context.Context, func(), time.Duration) {
-	if r.wait == 0 {
+	if r.wait == 0 || r.prompt {
 		return ctx, func() {}, 0
 	}
 	heard, hearing := r.facts.Hearing()
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -13,6 +13,11 @@
 	Key    string
 	Value  []byte
 	Offset uint64
+	// After is a moment at which the store did not have the record yet, by the steady clock; zero where none is known.
+	After time.Time
+	// Missed is a moment at which the store had none of the records that this process has not read before this one; zero
+	// where none is known. It differs from After where a source tells this process only the newest of several.
+	Missed time.Time
 }
 
 // Store is how the platform's store is asked. Its errors are those of package platform.
--- a/internal/records/service.go
+++ b/internal/records/service.go
@@ -24,10 +24,15 @@
 	wait := min(max(0, time.Duration(q.GetWaitMs())*time.Millisecond), followWait, s.freshFor())
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	came := time.Now()
 	for over := false; ; {
 		a, changed, err := s.answer(q)
-		if err != nil || over || news(a) {
-			return a, err
+		if err != nil {
+			return nil, err
+		}
+		if over || news(a) {
+			a.HeldMs = time.Since(came).Milliseconds()
+			return a, nil
 		}
 		select {
 		case <-ctx.Done():
@@ -83,9 +88,15 @@
 func tell(topic string, c Changes) *pb.TopicChanges {
 	t := &pb.TopicChanges{
 		Topic: topic, Whole: c.Whole, From: c.Last, Next: c.Next, AgeMs: c.Age.Milliseconds(), GraceMs: c.Grace.Milliseconds(),
+		SettledMs: millisUp(c.Settled), Digest: &c.Digest,
+	}
+	if c.Gapped {
+		t.GapFrom = &c.GapFrom
 	}
 	for _, r := range c.Records {
-		m := &pb.RelayedRecord{Key: r.Key, Value: r.Value, Dropped: r.Value == nil, Offset: r.Offset}
+		m := &pb.RelayedRecord{
+			Key: r.Key, Value: r.Value, Dropped: r.Value == nil, Offset: r.Offset, AbsentMs: millisUp(r.absent),
+		}
 		if r.packed != nil {
 			m.Value, m.Packed, m.Patched, m.Base = r.packed, true, r.patched, r.base
 		}
@@ -93,3 +104,12 @@
 	}
 	return t
 }
+
+// millisUp rounds an age up to milliseconds, so that it is never told as less; nil is one that is not known.
+func millisUp(d time.Duration) *int64 {
+	if d < 0 {
+		return nil
+	}
+	n := d.Milliseconds() + 1
+	return &n
+}
--- a/internal/stager/plan_test.go
+++ b/internal/stager/plan_test.go
@@ -17,7 +17,7 @@
 		at := map[time.Duration]int{}
 		for i := range 9 {
 			f := facts.New(func() time.Time { return now })
-			f.SetWanted("m", 2)
+			f.SetWanted("m", named(2))
 			for k := range 9 {
 				f.SetInstance(&facts.Instance{ID: id.Instance(rune('a' + k)), Address: string(rune('a' + k)), Pool: "p", Domain: "d"})
 			}
@@ -43,10 +43,10 @@
 		e.held = make(chan struct{})
 		s, f := start(e, 4*time.Second)
 		Eventually(func() bool { _, up := s.current(); return up }).Should(BeTrue())
-		f.SetWanted("m", 2)
+		f.SetWanted("m", named(2))
 		Eventually(func() int { e.mu.Lock(); defer e.mu.Unlock(); return len(e.staged) }).WithTimeout(soon).
 			Should(BeNumerically(">=", chunks/2))
-		f.SetWanted("m", 3)
+		f.SetWanted("m", named(3))
 		time.Sleep(50 * time.Millisecond)
 		close(e.held)
 		Eventually(e.serves).WithTimeout(soon).Should(Equal(id.Revision(2)))
@@ -61,7 +61,7 @@
 		s, f := start(e, 4*time.Second)
 		Eventually(e.serves).WithTimeout(soon).Should(Equal(id.Revision(1)))
 		Expect(s.expectedOut()).To(Equal(loadTakes))
-		f.SetWanted("m", 2)
+		f.SetWanted("m", named(2))
 		Eventually(e.serves).WithTimeout(soon).Should(Equal(id.Revision(2)))
 		Eventually(s.expectedOut).WithTimeout(soon).Should(BeNumerically("<", loadTakes), "nothing ran here, so it was quick")
 	})
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -259,7 +259,7 @@
 		s, f := start(e, time.Second)
 		Eventually(func() bool { _, up := s.current(); return up }).Should(BeTrue())
 		for r := range id.Revision(4) {
-			f.SetWanted("m", r+2)
+			f.SetWanted("m", named(r+2))
 		}
 		Eventually(e.serves).WithTimeout(soon).Should(Equal(id.Revision(5)))
 		e.do(func() {
@@ -286,7 +286,7 @@
 		e.state.Running = 1
 		s, f := start(e, 4*time.Second)
 		Eventually(func() bool { _, up := s.current(); return up }).Should(BeTrue())
-		f.SetWanted("m", 2)
+		f.SetWanted("m", named(2))
 		closed := func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.closed }
 		Eventually(closed).WithTimeout(soon).Should(BeTrue())
 		e.do(func() { Expect(e.orders).To(BeEmpty()) })
@@ -301,7 +301,7 @@
 		e := newEngine(facts.Held{Model: "m", Revision: 1})
 		s, f := start(e, 4*time.Second)
 		Eventually(func() bool { _, up := s.current(); return up }).Should(BeTrue())
-		f.SetWanted("m", 2)
+		f.SetWanted("m", named(2))
 		closed := func() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.closed }
 		Eventually(closed).WithPolling(time.Millisecond).WithTimeout(soon).Should(BeTrue())
 		// The gateways' first report was lost, and the request came on a link that is shared with chunks.
@@ -316,7 +316,7 @@
 	It("is closed shortly before its version is there, and opened again where the rest is late", func() {
 		now := time.Now()
 		f := facts.New(time.Now)
-		f.SetWanted("m", 2)
+		f.SetWanted("m", named(2))
 		quiet := &log.Logger{Level: log.PanicLevel}
 		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 		Expect(err).NotTo(HaveOccurred())
@@ -353,3 +353,8 @@
 		Expect(closed()).To(BeFalse())
 	})
 })
+
+// named is what a process has read of weights that are named just now.
+func named(r id.Revision) facts.Naming {
+	return facts.Naming{Revision: r, Named: time.Now(), Missed: time.Now()}
+}
