--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -49,8 +49,8 @@
 		t.watchdog = time.AfterFunc(2*c.Predicted+firstStall, func() { t.stalled(stop) })
 		defer t.watchdog.Stop()
 	}
-	if until := f.beginBy(c); !until.IsZero() {
-		t.end = time.AfterFunc(until.Sub(g.now()), func() { t.ended(stop) })
+	if c.Revision > 0 && f.ask.Model != "" {
+		t.watchVersion(stop)
 		defer t.end.Stop()
 	}
 	e, err := g.pool.Send(ctx, c.Address, f.message(c))
@@ -88,7 +88,7 @@
 	mark     *placement.Flight
 	exchange *upconn.Exchange
 	watchdog *time.Timer
-	// end gives up what has not begun when the version's time is over; see beginBy.
+	// end looks whether the version's time is over; see watchVersion.
 	end *time.Timer
 	ctx context.Context
 	// whole is true once the answer has been read to its end, so that the connection can be used again.
@@ -106,9 +106,6 @@
 // begins it when it wakes, and costs nothing while none does: upstreams that lag behind need not be left out for it in the
 // second half of the time for a swap.
 func (f *flight) beginBy(c placement.Choice) time.Time {
-	if c.Revision == 0 || f.ask.Model == "" {
-		return time.Time{}
-	}
 	until := f.gateway.facts.Until(f.ask.Model, c.Revision, f.gateway.settings.SwapWithin)
 	if until.IsZero() {
 		return until
@@ -116,13 +113,30 @@
 	return until.Add(-beginGuard)
 }
 
-// ended gives the request up at an upstream whose version's time is over, if it has not begun.
-func (t *try) ended(stop context.CancelFunc) {
-	if t.answering.Load() {
+// watchVersion gives the request up at an upstream that has not begun it when its version's time is over, also where the
+// newer version is named only while the request waits.
+func (t *try) watchVersion(stop context.CancelFunc) {
+	t.end = time.AfterFunc(t.flight.gateway.settings.SwapWithin, func() { t.checkVersion(stop) })
+	t.checkVersion(stop)
+}
+
+// checkVersion gives the request up, or says when to look again.
+func (t *try) checkVersion(stop context.CancelFunc) {
+	if t.answering.Load() || t.ctx.Err() != nil {
 		return
 	}
-	t.flight.gateway.tally.add("version_ended_before_begin")
-	stop()
+	g := t.flight.gateway
+	until, now := t.flight.beginBy(t.choice), g.now()
+	switch {
+	case until.IsZero():
+		// A newer version that is named from now on leaves more time than this.
+		t.end.Reset(g.settings.SwapWithin / 2)
+	case now.Before(until):
+		t.end.Reset(until.Sub(now))
+	default:
+		g.tally.add("version_ended_before_begin")
+		stop()
+	}
 }
 
 // stalled gives a silent upstream up where another one may be asked. Without that, waiting on is all that can still
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -186,6 +186,30 @@
 		Expect((<-gone).Sub(since)).To(BeNumerically("~", b.gateway.settings.SwapWithin-beginGuard, 150*time.Millisecond))
 	})
 
+	It("is given up also where the newer version is named while it waits at the upstream", func() {
+		r := route(catalog.Streaming, "engines")
+		r.Timeout = 5 * time.Second
+		b := newBackstage(r)
+		b.gateway.budget = placement.NewBudget(placement.BudgetRule{Window: time.Second}, func() int { return 1 }, time.Now)
+		gone := make(chan time.Time, 1)
+		arrived := make(chan struct{})
+		b.upstream("frozen", "engines", func(_ *http.Request, _ string, c net.Conn) {
+			close(arrived)
+			_, _ = c.Read(make([]byte, 1))
+			gone <- time.Now()
+		})
+		b.gateway.settings.SwapWithin = swapMargin + 300*time.Millisecond
+		since := make(chan time.Time, 1)
+		go func() {
+			<-arrived
+			since <- time.Now()
+			b.facts.SetWanted("m", secondNamed())
+		}()
+		_, _, err := b.ask("POST", "/p/", "x", xModel, "m")
+		Expect(err).NotTo(HaveOccurred())
+		Expect((<-gone).Sub(<-since)).To(BeNumerically("~", b.gateway.settings.SwapWithin-beginGuard, 150*time.Millisecond))
+	})
+
 	It("is refused at once where every upstream is too busy to be in time", func() {
 		r := route(catalog.Streaming, "engines")
 		r.Aim = 50 * time.Millisecond
