--- a/internal/facts/absence.go
+++ b/internal/facts/absence.go
@@ -20,12 +20,19 @@
 	log   *log.Logger
 	// until is the end of the grace after the list's return.
 	until time.Time
-	due   map[id.Instance]time.Time
+	due   map[id.Instance]absence
+}
+
+// absence is an upstream that the list lacks: until when it may come back, and how far the list had been read that lacked
+// it. What is read during the grace may be newer than an entry that brings the upstream back.
+type absence struct {
+	until  time.Time
+	offset uint64
 }
 
 // NewAbsences makes an empty set of absences.
 func NewAbsences(f *Facts, now func() time.Time, l *log.Logger) *Absences {
-	return &Absences{facts: f, now: now, log: l, due: map[id.Instance]time.Time{}}
+	return &Absences{facts: f, now: now, log: l, due: map[id.Instance]absence{}}
 }
 
 // Returned notes that the list is to be had again after it was away.
@@ -52,7 +59,7 @@
 		return
 	}
 	if a.facts.Instance(n) != nil {
-		a.due[n] = a.until
+		a.due[n] = absence{until: a.until, offset: a.facts.Position()}
 	}
 }
 
@@ -64,7 +71,7 @@
 	}
 	for _, n := range a.facts.known() {
 		if !listed[n] {
-			a.due[n] = a.until
+			a.due[n] = absence{until: a.until, offset: a.facts.Position()}
 		}
 	}
 	a.Sweep()
@@ -74,11 +81,11 @@
 func (a *Absences) Sweep() {
 	now := a.now()
 	for n, due := range a.due {
-		if now.Before(due) {
+		if now.Before(due.until) {
 			continue
 		}
 		a.log.Info().Str("instance", string(n)).Msg("upstream gone from the list")
-		a.facts.DropInstance(n)
+		a.facts.DropInstance(n, due.offset)
 		delete(a.due, n)
 	}
 }
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -73,6 +73,11 @@
 	hearing chan struct{}
 	// gateways are those heard of lately in the own failure domain, by address, with the time until which they count.
 	gateways map[string]time.Time
+	// readTo is the highest offset of the list of upstreams that is known to have been read.
+	readTo uint64
+	// watch is for the words that this process tells others of its own upstream, and words are those of other stagers.
+	watch watch
+	words map[id.Instance]*standing
 }
 
 // New makes an empty set of facts.
@@ -80,6 +85,7 @@
 	f := &Facts{
 		now: now, wanted: map[id.Model][]Wanted{}, instances: map[id.Instance]*Instance{},
 		change: make(chan struct{}), hearing: make(chan struct{}), gateways: map[string]time.Time{},
+		watch: watch{changed: make(chan struct{})}, words: map[id.Instance]*standing{},
 	}
 	f.list.Store(&[]*Instance{})
 	return f
@@ -218,27 +224,32 @@
 	defer f.mu.Unlock()
 	old := f.instances[i.ID]
 	f.instances[i.ID] = i
+	f.readTo = max(f.readTo, i.Seen)
+	f.watchEntry(i)
 	f.publish()
 	if old == nil || old.Leaving != i.Leaving {
 		f.notify()
 	}
 }
 
-// DropInstance removes an upstream that has left the list.
-func (f *Facts) DropInstance(n id.Instance) {
+// DropInstance removes an upstream that has left the list, as the list had it at an offset.
+func (f *Facts) DropInstance(n id.Instance, offset uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if i := f.instances[n]; i != nil && f.watch.at(i.Address) {
+		f.watched(n, true, max(offset, i.Seen))
+	}
 	delete(f.instances, n)
 	f.publish()
 	f.notify()
 }
 
-// Instances returns the list of upstreams; do not change it.
+// Instances returns the list of upstreams, with those as leaving that have left by a stager's word; do not change it.
 func (f *Facts) Instances() []*Instance {
 	return *f.list.Load()
 }
 
-// Instance returns one upstream or nil.
+// Instance returns one upstream as the own list has it, or nil.
 func (f *Facts) Instance(n id.Instance) *Instance {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -267,7 +278,7 @@
 	}
 	l := make([]*Instance, 0, len(holder))
 	for _, i := range holder {
-		l = append(l, i)
+		l = append(l, f.effective(i))
 	}
 	f.list.Store(&l)
 }
--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -92,7 +92,7 @@
 		f.SetInstance(&Instance{ID: "old", Address: "a", Seen: 3})
 		Expect(f.Instances()).To(HaveLen(1))
 		Expect(f.Instances()[0].ID).To(Equal(id.Instance("new")))
-		f.DropInstance("new")
+		f.DropInstance("new", 9)
 		Expect(f.Instances()[0].ID).To(Equal(id.Instance("old")))
 	})
 
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -129,6 +129,7 @@
 	r.number++
 	p.ConfigOffset, _ = r.facts.Hearing()
 	p.Incarnation, p.Number, p.Subscribers = r.incarnation, r.number, uint32(len(r.subscribers))
+	p.Words = r.words(p.GetAddress(), now)
 	b, ok := r.encode(p)
 	if !ok {
 		return
@@ -162,6 +163,25 @@
 // one a second, as gateways tell theirs that often.
 const nameEvery = 5
 
+// wordFresh is how long each report tells a new word on an instance: three times the 3 s within which requests to it have to
+// end (the users' letter), rounded up. After that only one of nameEvery does, for gateways that were cut off meanwhile.
+const wordFresh = 10 * time.Second
+
+// words tells which instances have left the upstream's address by the own list; the caller holds the lock.
+func (r *Reporter) words(address string, now time.Time) []*pb.ListWord {
+	r.facts.Watch(address)
+	since := now.Add(-wordFresh)
+	if r.number%nameEvery == 0 {
+		since = time.Time{}
+	}
+	told, _ := r.facts.Told(since)
+	var l []*pb.ListWord
+	for _, w := range told {
+		l = append(l, &pb.ListWord{Instance: string(w.Instance), Left: w.Left, Offset: w.Offset})
+	}
+	return l
+}
+
 // mostNamed bounds the gateways that a report names, so that it stays below datagramBytes; the users' target has 44 in
 // a failure domain.
 const mostNamed = 64
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -180,8 +180,10 @@
 func FuzzReport(f *testing.F) {
 	b, _ := proto.Marshal(&pb.UpstreamReport{Address: "a", Incarnation: 1, Number: 1})
 	f.Add(b)
+	b, _ = proto.Marshal(&pb.UpstreamReport{Address: "a", Incarnation: 1, Number: 2, Words: []*pb.ListWord{{Instance: "i", Left: true}}})
+	f.Add(b)
 	s := &Subscriber{facts: facts.New(time.Now), newest: map[string]order{}, gateways: map[string]int{}, demand: map[string]placement.Demand{}, now: time.Now,
-		tracker: placement.NewTracker(time.Now), vars: new(expvar.Map)}
+		log: quiet, tracker: placement.NewTracker(time.Now), vars: new(expvar.Map)}
 	f.Fuzz(func(_ *testing.T, b []byte) { s.take(b) })
 }
 
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -29,8 +29,9 @@
 	// subscribeEvery is how often a gateway renews its subscriptions; a stager forgets one after subscriptionLife.
 	subscribeEvery   = time.Second
 	subscriptionLife = 3500 * time.Millisecond
-	// datagramBytes is above any report: a few models with names of some tens of bytes.
-	datagramBytes = 2048
+	// datagramBytes is above any report: names of some tens of bytes of eight models, mostDomains and four instances, and
+	// mostNamed addresses of 21 bytes made 3.2 KB.
+	datagramBytes = 4096
 	// defaultGateways is how many gateways are taken to share the budgets before a stager has said so.
 	defaultGateways = 8
 )
@@ -198,6 +199,9 @@
 		s.facts.SeeGateway(a)
 	}
 	s.date(r.GetNamed())
+	for _, w := range r.GetWords() {
+		s.hear(&r, w)
+	}
 	p := placement.LoadReport{
 		Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), Pace: r.GetPace(),
 		Closed: r.GetClosed(), Down: r.GetDown(), Narrow: r.GetNarrow(), Taken: s.now(),
@@ -224,6 +228,26 @@
 	}
 }
 
+// hear takes a word on an instance at the upstream's address. The own list may lack it, late or for good.
+func (s *Subscriber) hear(r *pb.UpstreamReport, w *pb.ListWord) {
+	n := id.Instance(w.GetInstance())
+	word := facts.Word{Instance: n, Address: r.GetAddress(), Left: w.GetLeft(), Offset: w.GetOffset()}
+	if !s.facts.Hear(word) {
+		return
+	}
+	text := "upstream has left by a report"
+	if !word.Left {
+		text = "upstream is back by a report"
+	}
+	s.vars.Add("words_before_list", 1)
+	e := s.log.Info().Str("instance", string(n)).Str("upstream", word.Address).Uint64("offset", word.Offset).
+		Uint64("list_offset", s.facts.Position()).Uint64("stager", r.GetIncarnation()).Uint64("report", r.GetNumber())
+	if i := s.facts.Instance(n); i != nil {
+		e = e.Uint64("entry_offset", i.Seen)
+	}
+	e.Msg(text)
+}
+
 // newer notes a report's place and says whether it follows all that came before.
 func (s *Subscriber) newer(r *pb.UpstreamReport) bool {
 	s.mu.Lock()
@@ -346,4 +370,5 @@
 	}
 	s.mu.Unlock()
 	s.tracker.Sweep(listed)
+	s.facts.SweepWords()
 }
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -137,6 +137,7 @@
 	t.Uploads, t.Downloads, t.Patience, t.DrawTimeout = uploads, downloads, patience, drawTimeout
 	t.QueueMost, t.HaveEvery = queueMost, newsEvery
 	st := &Stager{down: true, out: loadTakes, settings: s, ports: p, facts: f, log: g, now: time.Now, peers: l, orders: new(expvar.Map)}
+	f.Watch(p.Address)
 	st.env = transfer.Env{
 		Settings: t, Self: self, Shelf: transfer.NewShelf(int64(s.MemoryBytes)), Log: g, Events: e, Stats: &st.stats,
 	}
@@ -154,8 +155,12 @@
 func (s *Stager) Run(ctx context.Context) error {
 	go s.work(ctx)
 	last := s.now()
-	for ctx.Err() == nil {
+	for first := true; ctx.Err() == nil; first = false {
 		changed := s.look(ctx)
+		if first {
+			// A report before the first look would call the upstream down.
+			go s.tellWords(ctx)
+		}
 		if now := s.now(); changed || now.Sub(last) >= reportEvery-lookEvery/2 {
 			s.publish()
 			last = now
@@ -165,6 +170,21 @@
 	return nil
 }
 
+// tellWords reports at once when the list says that an instance has left the upstream's address, or is back: a gateway's own
+// list may lack it.
+func (s *Stager) tellWords(ctx context.Context) {
+	_, changed := s.facts.Told(time.Time{})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+			_, changed = s.facts.Told(time.Time{})
+			s.publish()
+		}
+	}
+}
+
 // look reads the upstream's report and says whether what it serves has changed.
 func (s *Stager) look(ctx context.Context) bool {
 	state, err := s.ports.Upstream.State(ctx)
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -178,6 +178,12 @@
 
 // start runs a stager alone in its swarm.
 func start(e *engine, within time.Duration) (*Stager, *facts.Facts) {
+	s, f, _ := startReporting(e, within)
+	return s, f
+}
+
+// startReporting also returns where gateways may subscribe to the stager's reports.
+func startReporting(e *engine, within time.Duration) (*Stager, *facts.Facts, *net.UDPAddr) {
 	f := facts.New(time.Now)
 	f.SetCatalog(catalog.New(1, nil, []*catalog.Service{{Name: "p", Engine: &catalog.Engine{
 		Models: []id.Model{"m"}, Chunks: chunks, ChunkBytes: chunkBytes,
@@ -191,12 +197,13 @@
 	}, swarm.Member{Domain: "d"}, events, quiet)
 	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(c.Close)
+	DeferCleanup(func() { _ = c.Close() })
 	s.reporter = reports.NewReporter(c, "d", f, time.Now, quiet)
 	ctx, stop := context.WithCancel(context.Background())
 	DeferCleanup(stop)
+	go func() { _ = s.reporter.Run(ctx) }()
 	go func() { _ = s.Run(ctx) }()
-	return s, f
+	return s, f, c.LocalAddr().(*net.UDPAddr)
 }
 
 const soon = 5 * time.Second
