--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -269,6 +269,7 @@
 		Confirmed: now.Add(-time.Duration(t.GetAgeMs()) * time.Millisecond),
 		Grace:     now.Add(time.Duration(t.GetGraceMs()) * time.Millisecond),
 		Settled:   before(answered, t.SettledMs),
+		Returned:  before(answered, t.ReturnedMs),
 		Gapped:    t.GapFrom != nil,
 		GapFrom:   t.GetGapFrom(),
 	}
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -86,6 +86,8 @@
 	// settled is a moment at which the store had nothing from next on; zero where none is known.
 	settled       time.Time
 	started, lost bool
+	// returned is when the store was to be had again after it had been away for this process and its sources.
+	returned time.Time
 	// digest is that of all keys that are held; see digest.go.
 	digest uint64
 	// confirmed is when the store last said that nothing is missing.
@@ -127,6 +129,8 @@
 	// Gapped says that the source has not read record by record from GapFrom on.
 	Gapped  bool
 	GapFrom uint64
+	// Returned is when the source had the store again after it had been away; zero where it has not been.
+	Returned time.Time
 	// Grace is the end of the time in which keys that are gone may come back.
 	Grace time.Time
 }
@@ -140,16 +144,11 @@
 	if b.Gapped && !b.Whole && l.next > b.GapFrom {
 		return false
 	}
-	l.note(nil, b.Own)
-	if l.absent != nil && (!l.started || b.Confirmed.Sub(l.confirmed) > freshMost) {
-		// Where this process has had fresh records all the time, its source alone had lost the store, and upstreams whose
-		// records went have gone: with the grace of a first reader that was cut off the last process knew after 4.5 s.
-		l.absent.GraceUntil(b.Grace)
-	}
+	l.outage(b)
 	before := l.changes
 	for _, r := range b.Records {
 		if r.Offset >= l.next {
-			r.Missed = l.settled
+			r.Missed = l.unread()
 		}
 		if r.Missed.After(r.After) {
 			r.After = r.Missed
@@ -177,6 +176,34 @@
 	return true
 }
 
+// outage notes what a batch says of the store's being away. The caller holds the lock.
+func (l *Log) outage(b Batch) {
+	if b.Own && l.lost {
+		l.returned = b.Settled
+	}
+	l.note(nil, b.Own)
+	if l.started && b.Confirmed.Sub(l.confirmed) <= freshMost {
+		// This process has had fresh records all the time: its source alone had lost the store, and upstreams whose records
+		// went have gone. With the grace of a first reader that was cut off the last process knew after 4.5 s.
+		return
+	}
+	if l.absent != nil {
+		l.absent.GraceUntil(b.Grace)
+	}
+	if b.Returned.After(l.returned) {
+		l.returned = b.Returned
+	}
+}
+
+// unread is the moment from which on records may have been written that were not read here. The time in which nobody could
+// read is left out: operators count from when a version can be known. The caller holds the lock.
+func (l *Log) unread() time.Time {
+	if l.returned.After(l.settled) {
+		return l.returned
+	}
+	return l.settled
+}
+
 // skip notes that a batch leaves a gap; followers that lack an earlier one too get the whole. The caller holds the lock.
 func (l *Log) skip() {
 	l.forgotten = max(l.forgotten, l.gap.change)
@@ -349,7 +376,9 @@
 	Grace time.Duration
 	// Settled is how long ago the store is known to have had nothing from Next on; below 0 where that is not known.
 	Settled time.Duration
-	Digest  uint64
+	// Returned is how long ago the store was to be had again; below 0 where it has not been away.
+	Returned time.Duration
+	Digest   uint64
 	// Own says that this process has read it from the store itself.
 	Own bool
 	// Gapped says that the changes leave out what came and went from GapFrom on.
@@ -364,6 +393,7 @@
 	defer l.mu.Unlock()
 	now := l.now()
 	c := Changes{Last: l.changes, Next: l.next, Age: now.Sub(l.confirmed), Settled: sinceKnown(now, l.settled), Digest: l.digest}
+	c.Returned = sinceKnown(now, l.returned)
 	if l.absent != nil {
 		c.Grace = l.absent.Grace()
 	}
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -452,6 +452,34 @@
 		Expect(l.entries["version"].After).To(BeTemporally("~", put, time.Second))
 	})
 
+	It("is dated by the store's return where nobody could read it before, and no earlier one is taken for missed", func() {
+		now := time.Now()
+		var got Record
+		topic := Topic{Name: "t", Apply: func(r Record) error {
+			got = r
+			return nil
+		}}
+		l := NewLog(topic, facts.New(time.Now), func() time.Time { return now }, quiet)
+		l.Take(Batch{Whole: true, Next: 4, Confirmed: now, Settled: now, Own: true})
+		now = now.Add(freshMost + time.Second)
+		l.Lost(platform.ErrUnavailable)
+		back := now.Add(-time.Millisecond)
+		r := Record{Key: "version", Value: []byte("2"), Offset: 4}
+		l.Take(Batch{Records: []Record{r}, Next: 5, Confirmed: now, Settled: back, Own: true})
+		Expect([]time.Time{got.After, got.Missed}).To(Equal([]time.Time{back, back}))
+
+		follower := NewLog(topic, facts.New(time.Now), func() time.Time { return now }, quiet)
+		follower.Take(Batch{Whole: true, Next: 4, Confirmed: now.Add(-freshMost - time.Second), Settled: now.Add(-freshMost - time.Second)})
+		follower.Take(Batch{Records: []Record{{Key: "version", Value: []byte("2"), Offset: 4, After: back}}, Next: 5, Confirmed: now, Returned: back})
+		Expect([]time.Time{got.After, got.Missed}).To(Equal([]time.Time{back, back}))
+
+		fresh := NewLog(topic, facts.New(time.Now), func() time.Time { return now }, quiet)
+		since := now.Add(-freshMost + time.Millisecond)
+		fresh.Take(Batch{Whole: true, Next: 4, Confirmed: since, Settled: since})
+		fresh.Take(Batch{Records: []Record{{Key: "version", Value: []byte("2"), Offset: 4}}, Next: 5, Confirmed: now, Returned: back})
+		Expect(got.After).To(Equal(since), "its source alone had lost the store")
+	})
+
 	It("that this process had read at its start, so that it knew none, is dated by it", func() {
 		now := time.Now()
 		var got []time.Time
--- a/internal/records/service.go
+++ b/internal/records/service.go
@@ -88,7 +88,7 @@
 func tell(topic string, c Changes) *pb.TopicChanges {
 	t := &pb.TopicChanges{
 		Topic: topic, Whole: c.Whole, From: c.Last, Next: c.Next, AgeMs: c.Age.Milliseconds(), GraceMs: c.Grace.Milliseconds(),
-		SettledMs: millisUp(c.Settled), Digest: &c.Digest,
+		SettledMs: millisUp(c.Settled), ReturnedMs: millisUp(c.Returned), Digest: &c.Digest,
 	}
 	if c.Gapped {
 		t.GapFrom = &c.GapFrom
