--- /dev/null
+++ b/internal/records/dated_test.go
@@ -0,0 +1,96 @@
+package records
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/platform"
+)
+
+var _ = Describe("a process that takes over the reading", func() {
+	It("does not wait at the store first, as the others wait for what it has read", func() {
+		waits := make(chan time.Duration, 8)
+		g := &gate{}
+		r := &Reader{
+			store: &Store{Read: func(ctx context.Context, _ string, from uint64, wait time.Duration) ([]Record, uint64, error) {
+				waits <- wait
+				kernel.Pause(ctx, 20*time.Millisecond)
+				return nil, from, nil
+			}},
+			log: NewLog(Topic{Name: "t"}, facts.New(time.Now), time.Now, quiet), facts: facts.New(time.Now), gate: g,
+			now: time.Now, own: func() {}, tryPause: func() time.Duration { return retryPause }, wait: time.Second,
+		}
+		r.log.Take(Batch{Whole: true, Next: 1, Confirmed: time.Now()})
+		g.set(false)
+		ctx, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		go r.Run(ctx)
+		time.Sleep(20 * time.Millisecond)
+		g.set(true)
+		Expect(<-waits).To(BeZero())
+		Expect(<-waits).To(Equal(time.Second))
+	})
+})
+
+var _ = Describe("a record that a process has from another one", func() {
+	It("comes with a moment at which the store did not have it yet", func() {
+		first, second, _ := pair(nil)
+		Eventually(func() string { return second.value("u") }).Should(Equal("here"))
+		put := time.Now()
+		first.store.put("op", "version", "2")
+		Eventually(func() string { return second.value("version") }).Should(Equal("2"))
+		l := second.service.logs[0]
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		Expect(l.entries["version"].After).To(BeTemporally("<=", put))
+		Expect(l.entries["version"].After).To(BeTemporally("~", put, time.Second))
+	})
+
+	It("is dated by the store's return where nobody could read it before, and no earlier one is taken for missed", func() {
+		now := time.Now()
+		var got Record
+		topic := Topic{Name: "t", Apply: func(r Record) error {
+			got = r
+			return nil
+		}}
+		l := NewLog(topic, facts.New(time.Now), func() time.Time { return now }, quiet)
+		l.Take(Batch{Whole: true, Next: 4, Confirmed: now, Settled: now, Own: true})
+		now = now.Add(freshMost + time.Second)
+		l.Lost(platform.ErrUnavailable)
+		back := now.Add(-time.Millisecond)
+		r := Record{Key: "version", Value: []byte("2"), Offset: 4}
+		l.Take(Batch{Records: []Record{r}, Next: 5, Confirmed: now, Settled: back, Own: true})
+		Expect([]time.Time{got.After, got.Missed}).To(Equal([]time.Time{back, back}))
+
+		follower := NewLog(topic, facts.New(time.Now), func() time.Time { return now }, quiet)
+		follower.Take(Batch{Whole: true, Next: 4, Confirmed: now.Add(-freshMost - time.Second), Settled: now.Add(-freshMost - time.Second)})
+		follower.Take(Batch{Records: []Record{{Key: "version", Value: []byte("2"), Offset: 4, After: back}}, Next: 5, Confirmed: now, Returned: back})
+		Expect([]time.Time{got.After, got.Missed}).To(Equal([]time.Time{back, back}))
+
+		fresh := NewLog(topic, facts.New(time.Now), func() time.Time { return now }, quiet)
+		since := now.Add(-freshMost + time.Millisecond)
+		fresh.Take(Batch{Whole: true, Next: 4, Confirmed: since, Settled: since})
+		fresh.Take(Batch{Records: []Record{{Key: "version", Value: []byte("2"), Offset: 4}}, Next: 5, Confirmed: now, Returned: back})
+		Expect(got.After).To(Equal(since), "its source alone had lost the store")
+	})
+
+	It("that this process had read at its start, so that it knew none, is dated by it", func() {
+		now := time.Now()
+		var got []time.Time
+		l := NewLog(Topic{Name: "t", Apply: func(r Record) error {
+			got = append(got, r.After)
+			return nil
+		}}, facts.New(time.Now), func() time.Time { return now }, quiet)
+		r := Record{Key: "version", Value: []byte("2"), Offset: 3}
+		l.Take(Batch{Whole: true, Records: []Record{r}, Next: 4, Confirmed: now})
+		r.After = now.Add(-3 * time.Second)
+		l.Take(Batch{Whole: true, Records: []Record{r}, Next: 4, Confirmed: now})
+		l.Take(Batch{Whole: true, Records: []Record{r}, Next: 4, Confirmed: now})
+		Expect(got).To(Equal([]time.Time{{}, r.After}))
+	})
+})
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -15,57 +15,6 @@
 // mostDropped bounds the dropped keys that are remembered for followers; each start of an upstream has a key of its own.
 const mostDropped = 512
 
-// entry is a key's newest record.
-type entry struct {
-	// Record's offset is that of the newest record read, which may have changed nothing.
-	Record
-	// change is the number of the change that brought the record.
-	change uint64
-	// before is the record that this one has replaced, and beforeChange the number of the change that brought it.
-	before       Record
-	beforeChange uint64
-	// packed is the value compressed, and patch the same on top of the value before, once a follower has asked for it.
-	packed, patch []byte
-}
-
-// told is a record as followers get it: with its value, that value compressed, or a patch of the value at an offset.
-type told struct {
-	Record
-	packed  []byte
-	patched bool
-	base    uint64
-	// absent is how long ago the store is known not to have had the record; below 0 where that is not known.
-	absent time.Duration
-}
-
-// tell says what a follower that has all changes up to one needs; long values are compressed once for all followers.
-func (e *entry) tell(from uint64, now time.Time, l *log.Logger) told {
-	t := told{Record: e.Record, absent: sinceKnown(now, e.After)}
-	switch {
-	case len(e.Value) < packFrom:
-	case e.before.Value != nil && from >= e.beforeChange && from < e.change:
-		e.patch = packOnce(e.patch, e.Value, e.before.Value, l)
-		t.packed, t.patched, t.base = e.patch, true, e.before.Offset
-	default:
-		e.packed = packOnce(e.packed, e.Value, nil, l)
-		t.packed = e.packed
-	}
-	return t
-}
-
-// packOnce returns what has been compressed before, or compresses it.
-func packOnce(done, value, base []byte, l *log.Logger) []byte {
-	if done != nil {
-		return done
-	}
-	packed, err := pack(value, base)
-	if err != nil {
-		l.Error().Err(err).Msg("a record can't be compressed")
-		return nil
-	}
-	return packed
-}
-
 // Log holds the newest record of each key of a topic and applies what changes. It is safe for concurrent use.
 type Log struct {
 	topic  Topic
@@ -365,60 +314,6 @@
 	return l.now().Sub(l.confirmed)
 }
 
-// Changes is what a follower is told.
-type Changes struct {
-	Records []told
-	Whole   bool
-	// Last is the number of the last change.
-	Last  uint64
-	Next  uint64
-	Age   time.Duration
-	Grace time.Duration
-	// Settled is how long ago the store is known to have had nothing from Next on; below 0 where that is not known.
-	Settled time.Duration
-	// Returned is how long ago the store was to be had again; below 0 where it has not been away.
-	Returned time.Duration
-	Digest   uint64
-	// Own says that this process has read it from the store itself.
-	Own bool
-	// Gapped says that the changes leave out what came and went from GapFrom on.
-	Gapped  bool
-	GapFrom uint64
-}
-
-// Since returns what has changed after a change of an epoch, and a channel that closes with the next one. It is false
-// before the first whole reading.
-func (l *Log) Since(epoch, from uint64) (Changes, <-chan struct{}, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.now()
-	c := Changes{Last: l.changes, Next: l.next, Age: now.Sub(l.confirmed), Settled: sinceKnown(now, l.settled), Digest: l.digest}
-	c.Returned = sinceKnown(now, l.returned)
-	if l.absent != nil {
-		c.Grace = l.absent.Grace()
-	}
-	// A position beyond the changes asks for the whole.
-	c.Whole = epoch != l.epoch || from < l.forgotten || from > l.changes
-	c.Gapped, c.GapFrom = from < l.gap.change, l.gap.from
-	for _, e := range l.entries {
-		switch {
-		case c.Whole && e.Value != nil:
-			c.Records = append(c.Records, e.tell(l.changes, now, l.log))
-		case !c.Whole && e.change > from:
-			c.Records = append(c.Records, e.tell(from, now, l.log))
-		}
-	}
-	return c, l.changed, l.started
-}
-
-// sinceKnown is the time since a moment, or -1 where none is known.
-func sinceKnown(now, t time.Time) time.Duration {
-	if t.IsZero() {
-		return -1
-	}
-	return max(0, now.Sub(t))
-}
-
 // valueAt returns the value of a key if its newest record is the one at an offset.
 func (l *Log) valueAt(key string, offset uint64) []byte {
 	l.mu.Lock()
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"fmt"
 	"maps"
 	"slices"
@@ -19,7 +18,6 @@
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
-	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/platform"
 	"github.com/springrail/springrail/internal/spec"
 )
@@ -364,134 +362,3 @@
 		Eventually(func() string { return first.value("config") }).WithTimeout(2 * time.Second).Should(Equal("2"))
 	})
 })
-
-var _ = Describe("processes whose source fails", func() {
-	It("take over one after the other, so that most follow the one that has", func() {
-		now := time.Now()
-		var all []string
-		for i := range 20 {
-			all = append(all, fmt.Sprintf("10.0.0.%d:7700", i))
-		}
-		followers := map[string]*Follower{}
-		for _, self := range append([]string{"stager"}, all...) {
-			followers[self] = &Follower{
-				gate: &gate{closed: make(chan struct{})}, self: self, domain: "d", gateways: func() []string { return all },
-				now: func() time.Time { return now }, log: quiet, vars: new(expvar.Map), blamed: map[string]time.Time{},
-			}
-		}
-		open := func() int {
-			n := 0
-			for _, f := range followers {
-				f.blame("x", errStale)
-				if f.gate.closed == nil {
-					n++
-				}
-			}
-			return n
-		}
-		Expect(open()).To(Equal(2), "the first, which follows nobody, and the one behind it")
-		now = now.Add(takeoverStep)
-		Expect(open()).To(Equal(3))
-		now = now.Add(takeoverMost * takeoverStep)
-		Expect(open()).To(Equal(len(followers)))
-		Expect(followers["stager"].tryPause()).To(BeNumerically(">", 10*retryPause))
-	})
-})
-
-var _ = Describe("an answer of a source", func() {
-	It("is refused where a topic is missing, another one or of an impossible age", func() {
-		f := facts.New(time.Now)
-		follower := &Follower{logs: []*Log{NewLog(Topic{Name: "a"}, f, time.Now, quiet), NewLog(Topic{Name: "b"}, f, time.Now, quiet)}, vars: new(expvar.Map)}
-		good := []*pb.TopicChanges{{Topic: "a"}, {Topic: "b"}}
-		Expect(follower.check(&pb.FollowResponse{Topics: good})).To(Succeed())
-		for _, l := range [][]*pb.TopicChanges{
-			nil, good[:1], {{Topic: "b"}, {Topic: "a"}}, {{Topic: "a"}, {Topic: "b", AgeMs: -1}},
-			{{Topic: "a"}, {Topic: "b", AgeMs: freshMost.Milliseconds() + 1}},
-		} {
-			Expect(follower.check(&pb.FollowResponse{Topics: l})).To(MatchError(errStale))
-		}
-	})
-})
-
-var _ = Describe("a process that takes over the reading", func() {
-	It("does not wait at the store first, as the others wait for what it has read", func() {
-		waits := make(chan time.Duration, 8)
-		g := &gate{}
-		r := &Reader{
-			store: &Store{Read: func(ctx context.Context, _ string, from uint64, wait time.Duration) ([]Record, uint64, error) {
-				waits <- wait
-				kernel.Pause(ctx, 20*time.Millisecond)
-				return nil, from, nil
-			}},
-			log: NewLog(Topic{Name: "t"}, facts.New(time.Now), time.Now, quiet), facts: facts.New(time.Now), gate: g,
-			now: time.Now, own: func() {}, tryPause: func() time.Duration { return retryPause }, wait: time.Second,
-		}
-		r.log.Take(Batch{Whole: true, Next: 1, Confirmed: time.Now()})
-		g.set(false)
-		ctx, stop := context.WithCancel(context.Background())
-		DeferCleanup(stop)
-		go r.Run(ctx)
-		time.Sleep(20 * time.Millisecond)
-		g.set(true)
-		Expect(<-waits).To(BeZero())
-		Expect(<-waits).To(Equal(time.Second))
-	})
-})
-
-var _ = Describe("a record that a process has from another one", func() {
-	It("comes with a moment at which the store did not have it yet", func() {
-		first, second, _ := pair(nil)
-		Eventually(func() string { return second.value("u") }).Should(Equal("here"))
-		put := time.Now()
-		first.store.put("op", "version", "2")
-		Eventually(func() string { return second.value("version") }).Should(Equal("2"))
-		l := second.service.logs[0]
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		Expect(l.entries["version"].After).To(BeTemporally("<=", put))
-		Expect(l.entries["version"].After).To(BeTemporally("~", put, time.Second))
-	})
-
-	It("is dated by the store's return where nobody could read it before, and no earlier one is taken for missed", func() {
-		now := time.Now()
-		var got Record
-		topic := Topic{Name: "t", Apply: func(r Record) error {
-			got = r
-			return nil
-		}}
-		l := NewLog(topic, facts.New(time.Now), func() time.Time { return now }, quiet)
-		l.Take(Batch{Whole: true, Next: 4, Confirmed: now, Settled: now, Own: true})
-		now = now.Add(freshMost + time.Second)
-		l.Lost(platform.ErrUnavailable)
-		back := now.Add(-time.Millisecond)
-		r := Record{Key: "version", Value: []byte("2"), Offset: 4}
-		l.Take(Batch{Records: []Record{r}, Next: 5, Confirmed: now, Settled: back, Own: true})
-		Expect([]time.Time{got.After, got.Missed}).To(Equal([]time.Time{back, back}))
-
-		follower := NewLog(topic, facts.New(time.Now), func() time.Time { return now }, quiet)
-		follower.Take(Batch{Whole: true, Next: 4, Confirmed: now.Add(-freshMost - time.Second), Settled: now.Add(-freshMost - time.Second)})
-		follower.Take(Batch{Records: []Record{{Key: "version", Value: []byte("2"), Offset: 4, After: back}}, Next: 5, Confirmed: now, Returned: back})
-		Expect([]time.Time{got.After, got.Missed}).To(Equal([]time.Time{back, back}))
-
-		fresh := NewLog(topic, facts.New(time.Now), func() time.Time { return now }, quiet)
-		since := now.Add(-freshMost + time.Millisecond)
-		fresh.Take(Batch{Whole: true, Next: 4, Confirmed: since, Settled: since})
-		fresh.Take(Batch{Records: []Record{{Key: "version", Value: []byte("2"), Offset: 4}}, Next: 5, Confirmed: now, Returned: back})
-		Expect(got.After).To(Equal(since), "its source alone had lost the store")
-	})
-
-	It("that this process had read at its start, so that it knew none, is dated by it", func() {
-		now := time.Now()
-		var got []time.Time
-		l := NewLog(Topic{Name: "t", Apply: func(r Record) error {
-			got = append(got, r.After)
-			return nil
-		}}, facts.New(time.Now), func() time.Time { return now }, quiet)
-		r := Record{Key: "version", Value: []byte("2"), Offset: 3}
-		l.Take(Batch{Whole: true, Records: []Record{r}, Next: 4, Confirmed: now})
-		r.After = now.Add(-3 * time.Second)
-		l.Take(Batch{Whole: true, Records: []Record{r}, Next: 4, Confirmed: now})
-		l.Take(Batch{Whole: true, Records: []Record{r}, Next: 4, Confirmed: now})
-		Expect(got).To(Equal([]time.Time{{}, r.After}))
-	})
-})
