--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -91,6 +91,30 @@
 		Expect(running()).To(Equal(3))
 	})
 
+	it("of the newest start are taken again after a very late one of two starts before", func() {
+		now := time.Now()
+		s := NewSubscriber(socket(), 9, "d", facts.New(time.Now), func() time.Time { return now }, quiet)
+		report := func(incarnation, number uint64) bool {
+			return s.newer(&pb.UpstreamReport{Address: "a", Incarnation: incarnation, Number: number})
+		}
+		Expect([]bool{report(1, 7), report(2, 1), report(3, 1), report(1, 8), report(3, 2)}).
+			To(Equal([]bool{true, true, true, true, false}))
+		now = now.Add(lateMost)
+		Expect(report(3, 3)).To(BeTrue())
+		Expect(report(1, 9)).To(BeFalse())
+	})
+
+	it("tell a demand that counts no longer once their stager is silent", func() {
+		now := time.Now()
+		f := facts.New(time.Now)
+		f.SetInstance(&facts.Instance{ID: "i", Pool: "p", Address: "a"})
+		s := NewSubscriber(socket(), 9, "d", f, func() time.Time { return now }, quiet)
+		s.newer(&pb.UpstreamReport{Address: "a", Incarnation: 1, Number: 1, Demand: []*pb.Demand{{Domain: "e", Offered: 300}}})
+		Expect(s.Demand("p")["e"].First).To(Equal(300.0))
+		now = now.Add(demandLife)
+		Expect(s.Demand("p")["e"].First).To(BeZero())
+	})
+
 	it("tell a process that others have read newer records of the operators", func() {
 		far := facts.New(time.Now)
 		r := NewReporter(socket(), "d", far, time.Now, quiet)
@@ -182,7 +206,7 @@
 	f.Add(b)
 	b, _ = proto.Marshal(&pb.UpstreamReport{Address: "a", Incarnation: 1, Number: 2, Words: []*pb.ListWord{{Instance: "i", Left: true}}})
 	f.Add(b)
-	s := &Subscriber{facts: facts.New(time.Now), newest: map[string]order{}, gateways: map[string]int{}, demand: map[string]placement.Demand{}, now: time.Now,
+	s := &Subscriber{facts: facts.New(time.Now), stagers: map[string]*heard{}, now: time.Now,
 		log: quiet, tracker: placement.NewTracker(time.Now), vars: new(expvar.Map)}
 	f.Fuzz(func(_ *testing.T, b []byte) { s.take(b) })
 }
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -91,25 +91,17 @@
 	log     *log.Logger
 	vars    *expvar.Map
 
-	mu     sync.Mutex
-	newest map[string]order
-	// gateways is the newest number of subscribers that each stager has told, and demand what callers bring to them.
-	gateways map[string]int
-	demand   map[string]placement.Demand
-}
-
-// order is the place of a report among those of its stager. Incarnations are random, as the time of day may jump; a
-// report of the one before the current is late.
-type order struct {
-	incarnation, before, number uint64
+	mu sync.Mutex
+	// stagers is what each has said, by its upstream's address.
+	stagers map[string]*heard
 }
 
 // NewSubscriber makes a subscriber of a failure domain over a socket; port is that of the stagers.
 func NewSubscriber(c *net.UDPConn, port int, d id.Domain, f *facts.Facts, now func() time.Time, l *log.Logger) *Subscriber {
 	return &Subscriber{
 		conn: c, port: port, domain: d, facts: f, tracker: placement.NewTracker(now), now: now, log: l, vars: new(expvar.Map),
-		newest: map[string]order{}, gateways: map[string]int{}, demand: map[string]placement.Demand{},
-		offers: placement.NewOffers(now),
+		stagers: map[string]*heard{},
+		offers:  placement.NewOffers(now),
 	}
 }
 
@@ -128,14 +120,17 @@
 func (s *Subscriber) Demand(p id.Pool) placement.Demand {
 	most := placement.Demand{}
 	most.Raise(s.domain, placement.Offered{First: s.offers.First.PerSecond(p), Late: s.offers.Late.PerSecond(p)})
+	now := s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, i := range s.facts.Instances() {
 		if i.Pool != p {
 			continue
 		}
-		for d, o := range s.demand[i.Address] {
-			most.Raise(d, o)
+		if h := s.stagers[i.Address]; h != nil && now.Before(h.demandUntil) {
+			for d, o := range h.demand {
+				most.Raise(d, o)
+			}
 		}
 	}
 	return most
@@ -146,8 +141,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	most := 0
-	for _, n := range s.gateways {
-		most = max(most, n)
+	for _, h := range s.stagers {
+		most = max(most, h.gateways)
 	}
 	if most == 0 {
 		return defaultGateways
@@ -252,20 +247,18 @@
 func (s *Subscriber) newer(r *pb.UpstreamReport) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o := s.newest[r.GetAddress()]
-	switch {
-	case r.GetIncarnation() == o.incarnation && r.GetNumber() <= o.number:
-		return false
-	case r.GetIncarnation() == o.before && o.before != 0:
+	h := s.stagers[r.GetAddress()]
+	if h == nil {
+		h = &heard{}
+		s.stagers[r.GetAddress()] = h
+	}
+	now := s.now()
+	if !h.next(r.GetIncarnation(), r.GetNumber(), now) {
 		return false
-	case r.GetIncarnation() != o.incarnation:
-		o.before, o.incarnation = o.incarnation, r.GetIncarnation()
 	}
-	o.number = r.GetNumber()
-	s.newest[r.GetAddress()] = o
-	s.gateways[r.GetAddress()] = int(r.GetSubscribers())
+	h.gateways = int(r.GetSubscribers())
 	if len(r.GetDemand()) > 0 {
-		s.demand[r.GetAddress()] = demand(r.GetDemand())
+		h.demand, h.demandUntil = demand(r.GetDemand()), now.Add(demandLife)
 	}
 	return true
 }
@@ -361,11 +354,9 @@
 // sweep forgets stagers whose upstreams are no longer listed.
 func (s *Subscriber) sweep(listed map[string]bool) {
 	s.mu.Lock()
-	for a := range s.newest {
+	for a := range s.stagers {
 		if !listed[a] {
-			delete(s.newest, a)
-			delete(s.gateways, a)
-			delete(s.demand, a)
+			delete(s.stagers, a)
 		}
 	}
 	s.mu.Unlock()
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -79,6 +79,8 @@
 	// adopted is true once what lay staged at the start of this process has been looked at.
 	adopted atomic.Bool
 
+	publishing sync.Mutex
+
 	mu    sync.Mutex
 	state State
 	// down is true while the upstream gives no answer, and closed while it is about to load weights, since closedAt.
@@ -225,7 +227,11 @@
 	}
 }
 
+// publish reports to the gateways. One report at a time is made and numbered: an older state with the higher number would
+// open a closed upstream for gateways until the next report.
 func (s *Stager) publish() {
+	s.publishing.Lock()
+	defer s.publishing.Unlock()
 	named := s.named()
 	s.mu.Lock()
 	r := &pb.UpstreamReport{
