--- a/internal/records/changes.go
+++ b/internal/records/changes.go
@@ -1,6 +1,9 @@
 package records
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Changes is what a follower is told.
 type Changes struct {
@@ -16,16 +19,25 @@
 	// Returned is how long ago the store was to be had again; below 0 where it has not been away.
 	Returned time.Duration
 	Digest   uint64
-	// Own says that this process has read it from the store itself.
-	Own bool
 	// Gapped says that the changes leave out what came and went from GapFrom on.
 	Gapped  bool
 	GapFrom uint64
 }
 
-// Since returns what has changed after a change of an epoch, and a channel that closes with the next one. It is false
-// before the first whole reading.
-func (l *Log) Since(epoch, from uint64) (Changes, <-chan struct{}, bool) {
+// Position is how far a follower has come.
+type Position struct {
+	// Epoch is the start of the source that From belongs to, and From the number of the last change that it has of that.
+	Epoch, From uint64
+	// Next is the offset up to which it has read all, from whomever; 0 where it has read nothing.
+	Next uint64
+}
+
+// askWhole is a change that no source has reached: the answer to it is the whole.
+const askWhole = math.MaxUint64
+
+// Since returns what has changed after a position, and a channel that closes with the next change. It is false before the
+// first whole reading.
+func (l *Log) Since(p Position) (Changes, <-chan struct{}, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
@@ -34,20 +46,31 @@
 	if l.absent != nil {
 		c.Grace = l.absent.Grace()
 	}
-	// A position beyond the changes asks for the whole.
-	c.Whole = epoch != l.epoch || from < l.forgotten || from > l.changes
-	c.Gapped, c.GapFrom = from < l.gap.change, l.gap.from
+	follows := p.Epoch == l.epoch && p.From >= l.forgotten && p.From <= l.changes
+	resumes := !follows && p.From != askWhole && l.resumable(p.Next)
+	c.Whole = !follows && !resumes
+	c.GapFrom = l.gap.from
+	c.Gapped = (follows && p.From < l.gap.change) || (resumes && p.Next < l.gap.to)
 	for _, e := range l.entries {
 		switch {
 		case c.Whole && e.Value != nil:
-			c.Records = append(c.Records, e.tell(l.changes, now, l.log))
-		case !c.Whole && e.change > from:
-			c.Records = append(c.Records, e.tell(from, now, l.log))
+			c.Records = append(c.Records, e.tell(false, now, l.log))
+		case follows && e.change > p.From:
+			c.Records = append(c.Records, e.tell(e.beforeChange <= p.From, now, l.log))
+		case resumes && e.Offset >= p.Next:
+			c.Records = append(c.Records, e.tell(e.before.Offset < p.Next, now, l.log))
 		}
 	}
 	return c, l.changed, l.started
 }
 
+// resumable says whether a follower that has read all up to an offset can be told the rest: a change of the source costs it
+// what is new then, not a configuration of 600 KB. The caller holds the lock.
+func (l *Log) resumable(next uint64) bool {
+	inGap := l.gap.from < next && next < l.gap.to
+	return next > 0 && next >= l.forgottenTo && !inGap
+}
+
 // sinceKnown is the time since a moment, or -1 where none is known.
 func sinceKnown(now, t time.Time) time.Duration {
 	if t.IsZero() {
--- a/internal/records/deletion_test.go
+++ b/internal/records/deletion_test.go
@@ -33,13 +33,18 @@
 	return r
 }
 
-// ask returns what a source tells this replica, as Follower takes it.
-func (r *replica) ask(source *replica, now time.Time) (Batch, bool) {
+// ask returns what a source tells this replica, as Follower takes it; one that does not resume does not say how far it has
+// read.
+func (r *replica) ask(source *replica, now time.Time, resumes bool) (Batch, bool) {
 	epoch := source.epoch
 	if r.source != source {
 		r.source, r.from, epoch = source, 0, 0
 	}
-	c, _, started := source.Since(epoch, r.from)
+	next, _ := r.Position()
+	if !resumes {
+		next = 0
+	}
+	c, _, started := source.Since(Position{Epoch: epoch, From: r.from, Next: next})
 	if !started {
 		r.source = nil
 		return Batch{}, false
@@ -53,10 +58,10 @@
 }
 
 // follow asks a source, and for the whole where its changes do not do, as Follower does.
-func (r *replica) follow(source *replica, now time.Time) {
-	if b, ok := r.ask(source, now); ok && !r.Take(b) {
+func (r *replica) follow(source *replica, now time.Time, resumes bool) {
+	if b, ok := r.ask(source, now, resumes); ok && !r.Take(b) {
 		r.from = askWhole
-		b, _ = r.ask(source, now)
+		b, _ = r.ask(source, now, resumes)
 		r.Take(b)
 	}
 }
@@ -79,38 +84,38 @@
 	It("is gone at the followers too once the reader has read all records anew", func() {
 		source, follower := newReplica(f, clock), newReplica(f, clock)
 		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), Offset: 3}}, Next: 4, Confirmed: now})
-		follower.follow(source, now)
+		follower.follow(source, now, true)
 		source.Take(Batch{Whole: true, Next: 9, Confirmed: now})
-		follower.follow(source, now)
+		follower.follow(source, now, true)
 		Expect(follower.got).To(BeEmpty())
 	})
 
 	It("is gone at a follower that has read a newer record of it itself", func() {
 		source, follower := newReplica(f, clock), newReplica(f, clock)
 		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), Offset: 3}}, Next: 4, Confirmed: now})
-		follower.follow(source, now)
+		follower.follow(source, now, true)
 		follower.Take(Batch{Records: []Record{{Key: "u", Value: []byte("busy"), Offset: 6}}, Next: 7, Confirmed: now})
 		source.Take(Batch{Whole: true, Next: 9, Confirmed: now})
-		follower.follow(source, now)
+		follower.follow(source, now, true)
 		Expect(follower.got).To(BeEmpty())
 	})
 
 	It("is gone at a follower where its record was the last one written before the reading", func() {
 		source, follower := newReplica(f, clock), newReplica(f, clock)
 		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), Offset: 3}}, Next: 4, Confirmed: now})
-		follower.follow(source, now)
+		follower.follow(source, now, true)
 		source.Take(Batch{Whole: true, Next: 4, Confirmed: now})
-		follower.follow(source, now)
+		follower.follow(source, now, true)
 		Expect(follower.got).To(BeEmpty())
 	})
 
 	It("is back where it was written again after the reading, and stays where that was before", func() {
 		source, follower := newReplica(f, clock), newReplica(f, clock)
 		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), Offset: 3}}, Next: 4, Confirmed: now})
-		follower.follow(source, now)
+		follower.follow(source, now, true)
 		source.Take(Batch{Whole: true, Next: 9, Confirmed: now})
 		source.Take(Batch{Records: []Record{{Key: "u", Value: []byte("back"), Offset: 9}}, Next: 10, Confirmed: now})
-		follower.follow(source, now)
+		follower.follow(source, now, true)
 		Expect(follower.got).To(Equal(map[string]string{"u": "back"}))
 		follower.Take(Batch{Whole: true, Next: 9, Confirmed: now})
 		Expect(follower.got).To(Equal(map[string]string{"u": "back"}), "an older reading does not end it")
@@ -122,13 +127,13 @@
 			for range 3 {
 				w.replicas = append(w.replicas, newReplica(f, clock))
 			}
-			for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			for range rapid.IntRange(10, 60).Draw(t, "steps") {
 				w.step(t)
 			}
 			want := w.state()
 			w.read(w.replicas[0])
 			for _, r := range w.replicas[1:] {
-				r.follow(w.replicas[0], now)
+				r.follow(w.replicas[0], now, true)
 			}
 			for i, r := range w.replicas {
 				if !maps.Equal(r.got, want) {
@@ -193,7 +198,9 @@
 func (w *world) step(t *rapid.T) {
 	n := rapid.IntRange(0, len(w.replicas)-1).Draw(t, "replica")
 	r := w.replicas[n]
-	step := rapid.SampledFrom([]string{"write", "write", "drop", "forget", "read", "whole", "follow", "follow", "ask", "answer"}).Draw(t, "step")
+	step := rapid.SampledFrom([]string{
+		"write", "write", "drop", "drop", "forget", "read", "read", "read", "whole", "follow", "follow", "follow", "ask", "answer", "tidy",
+	}).Draw(t, "step")
 	w.did = append(w.did, fmt.Sprint(n, " ", step))
 	switch step {
 	case "write":
@@ -210,7 +217,11 @@
 	case "follow":
 		o := w.other(t, n)
 		w.did = append(w.did, fmt.Sprint("of ", o))
-		r.follow(w.replicas[o], w.now)
+		r.follow(w.replicas[o], w.now, rapid.Bool().Draw(t, "resumes"))
+	case "tidy":
+		r.mu.Lock()
+		r.forget()
+		r.mu.Unlock()
 	case "ask":
 		b := w.whole()
 		w.late, w.lateTo = &b, r
--- a/internal/records/entry.go
+++ b/internal/records/entry.go
@@ -29,12 +29,13 @@
 	absent time.Duration
 }
 
-// tell says what a follower that has all changes up to one needs; long values are compressed once for all followers.
-func (e *entry) tell(from uint64, now time.Time, l *log.Logger) told {
+// tell says what a follower needs that may have the record before, or not; long values are compressed once for all
+// followers.
+func (e *entry) tell(hasBefore bool, now time.Time, l *log.Logger) told {
 	t := told{Record: e.Record, absent: sinceKnown(now, e.After)}
 	switch {
 	case len(e.Value) < packFrom:
-	case e.before.Value != nil && from >= e.beforeChange && from < e.change:
+	case hasBefore && e.before.Value != nil:
 		e.patch = packOnce(e.patch, e.Value, e.before.Value, l)
 		t.packed, t.patched, t.base = e.patch, true, e.before.Offset
 	default:
--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"expvar"
-	"math"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -20,6 +19,11 @@
 	// goes unnoticed, with followSlack for the way and for a source that is short of processor time.
 	followWait  = 500 * time.Millisecond
 	followSlack = 400 * time.Millisecond
+	// successorWait is followWait of the process that goes first once its source fails: the others of the domain wait for it.
+	successorWait = 200 * time.Millisecond
+	// newSlack is what the first question to a source gets beside followSlack: its answer may bring some seconds of news. It
+	// does not wait there, as a second source that is frozen too would add its whole time.
+	newSlack = 200 * time.Millisecond
 	// freshMost is the greatest age of a source's records: readers ask the store each 0.7 s, and what the store took has to
 	// be known everywhere two seconds later.
 	freshMost = 1100 * time.Millisecond
@@ -183,11 +187,13 @@
 	if address != f.source {
 		f.source, f.epoch, f.from = address, 0, make([]uint64, len(f.logs))
 	}
-	q := &pb.FollowRequest{Epoch: f.epoch, WaitMs: followWait.Milliseconds()}
+	wait, most := f.patience()
+	q := &pb.FollowRequest{Epoch: f.epoch, WaitMs: wait.Milliseconds()}
 	for i, l := range f.logs {
-		q.Positions = append(q.Positions, &pb.TopicPosition{Topic: l.topic.Name, From: f.from[i]})
+		next, _ := l.Position()
+		q.Positions = append(q.Positions, &pb.TopicPosition{Topic: l.topic.Name, From: f.from[i], Next: next})
 	}
-	ask, stop := context.WithTimeout(ctx, followWait+followSlack)
+	ask, stop := context.WithTimeout(ctx, most)
 	defer stop()
 	f.vars.Add("asked", 1)
 	asked := f.now()
@@ -204,10 +210,10 @@
 	for i, t := range a.GetTopics() {
 		taken, err := f.take(f.logs[i], t, answered)
 		if errors.Is(err, errNoBase) {
-			// No fault of the source: this process has read other records meanwhile. It asks for the whole.
+			// No fault of the source: this process has read other records meanwhile.
 			f.log.Info().Err(err).Str("source", address).Msg("records are asked for as a whole")
-			f.source = ""
-			return nil
+			f.from[i] = askWhole
+			continue
 		}
 		if err != nil {
 			f.source = ""
@@ -226,8 +232,23 @@
 	return nil
 }
 
-// askWhole is a position that no source has reached: its answer is the whole.
-const askWhole = math.MaxUint64
+// patience is how long a question may wait at the source, and how long its answer is waited for at the most.
+func (f *Follower) patience() (wait, most time.Duration) {
+	started := true
+	for _, l := range f.logs {
+		_, ok := l.Position()
+		started = started && ok
+	}
+	switch {
+	case f.epoch == 0 && started:
+		return 0, newSlack + followSlack
+	case f.epoch != 0 && f.rank() == 0:
+		wait = successorWait
+	default:
+		wait = followWait
+	}
+	return wait, wait + followSlack
+}
 
 // compare asks for a whole topic where the source holds other records although it has read just as far: a word that was
 // lost on the way would otherwise be missing for good.
--- a/internal/records/follow_test.go
+++ b/internal/records/follow_test.go
@@ -59,3 +59,53 @@
 		}
 	})
 })
+
+var _ = Describe("a question to a source", func() {
+	newFollower := func(self string, started bool) *Follower {
+		f := facts.New(time.Now)
+		l := NewLog(Topic{Name: "t"}, f, time.Now, quiet)
+		if started {
+			l.Take(Batch{Whole: true, Next: 4, Confirmed: time.Now()})
+		}
+		order, _ := Sources("d", []string{"a", "b", "c"}, "")
+		return &Follower{
+			logs: []*Log{l}, self: map[string]string{"second": order[1], "third": order[2]}[self], domain: "d",
+			gateways: func() []string { return order }, epoch: 7,
+		}
+	}
+
+	It("waits there for a change, but shorter where this process goes first once the source fails", func() {
+		wait, most := newFollower("second", true).patience()
+		Expect([]time.Duration{wait, most}).To(Equal([]time.Duration{successorWait, successorWait + followSlack}))
+		wait, most = newFollower("third", true).patience()
+		Expect([]time.Duration{wait, most}).To(Equal([]time.Duration{followWait, followWait + followSlack}))
+	})
+
+	It("does not wait at a source that was not followed before, unless it is to bring everything", func() {
+		f := newFollower("third", true)
+		f.epoch = 0
+		wait, most := f.patience()
+		Expect([]time.Duration{wait, most}).To(Equal([]time.Duration{0, newSlack + followSlack}))
+		f = newFollower("third", false)
+		f.epoch = 0
+		_, most = f.patience()
+		Expect(most).To(Equal(followWait + followSlack))
+	})
+
+	It("to a source that was not followed before brings what is new, not a long record again", func() {
+		f := facts.New(time.Now)
+		t := Topic{Name: "t", Apply: func(Record) error { return nil }}
+		first, second := NewLog(t, f, time.Now, quiet), NewLog(t, f, time.Now, quiet)
+		long := Record{Key: "config", Value: make([]byte, 100<<10), Offset: 1}
+		for _, l := range []*Log{first, second} {
+			l.Take(Batch{Whole: true, Records: []Record{long}, Next: 2, Confirmed: time.Now()})
+		}
+		second.Take(Batch{Records: []Record{{Key: "u", Value: []byte("new"), Offset: 2}, {Key: "v", Offset: 3}}, Next: 4, Confirmed: time.Now()})
+		next, _ := first.Position()
+		c, _, _ := second.Since(Position{Next: next})
+		Expect(c.Whole).To(BeFalse())
+		Expect(c.Records).To(HaveLen(2))
+		c, _, _ = second.Since(Position{Next: 1})
+		Expect(c.Whole).To(BeTrue(), "what went before it started is not known to it")
+	})
+})
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -28,6 +28,8 @@
 	dropped int
 	// changes counts the changes; forgotten is the last one that can't be told any more as a change.
 	changes, forgotten uint64
+	// forgottenTo is the offset from which on drops are remembered.
+	forgottenTo uint64
 	// gap is the newest part of the topic that was not read record by record.
 	gap gap
 	// next is the offset from which on nothing has been read; all that was written before it is held.
@@ -57,8 +59,8 @@
 
 // gap is a part of a topic of which only the newest records were read: what came and went in it is not known.
 type gap struct {
-	// from is the offset at which it begins, and change the number of the change that it counts as.
-	from, change uint64
+	// from is the offset at which it begins, to the one after its end, and change the number of the change that it counts as.
+	from, to, change uint64
 }
 
 // Batch is what a source says of a topic.
@@ -110,8 +112,11 @@
 	if l.absent != nil {
 		l.absent.Sweep()
 	}
-	if (b.Whole && l.started && b.Next > l.next) || b.Gapped {
-		l.skip()
+	switch {
+	case b.Whole && !l.started:
+		l.forgottenTo = b.Next
+	case (b.Whole && b.Next > l.next) || b.Gapped:
+		l.skip(b.Next)
 	}
 	l.advance(b)
 	l.started = l.started || b.Whole
@@ -153,11 +158,12 @@
 	return l.settled
 }
 
-// skip notes that a batch leaves a gap; followers that lack an earlier one too get the whole. The caller holds the lock.
-func (l *Log) skip() {
+// skip notes a gap up to an offset; followers that lack an earlier one too get the whole. The caller holds the lock.
+func (l *Log) skip(to uint64) {
 	l.forgotten = max(l.forgotten, l.gap.change)
+	l.forgottenTo = max(l.forgottenTo, l.gap.to)
 	l.changes++
-	l.gap = gap{from: l.next, change: l.changes}
+	l.gap = gap{from: l.next, to: to, change: l.changes}
 }
 
 // advance notes how far the store has been read; the caller holds the lock.
@@ -173,7 +179,7 @@
 	held := e != nil && e.Value != nil
 	current := b.Whole && b.Next >= l.next
 	switch {
-	case !held && !current && r.Offset < l.next, e == nil && r.Value == nil:
+	case !held && !current && r.Offset < l.next:
 		// A key that is not held was dropped before next: the record is older than that.
 		return
 	case e == nil:
@@ -224,7 +230,8 @@
 	if l.absent != nil {
 		l.absent.Note(id.Instance(r.Key), r.Value != nil)
 	}
-	if r.Value == nil && e.Value != nil {
+	if r.Value == nil && (e.change == 0 || e.Value != nil) {
+		// Also of a key that was not held here: a follower may hold it.
 		l.dropped++
 	}
 	if r.Value != nil && e.change > 0 && e.Value == nil {
@@ -248,6 +255,7 @@
 func (l *Log) forget() {
 	for k, e := range l.entries {
 		if e.Value == nil {
+			l.forgottenTo = max(l.forgottenTo, e.Offset+1)
 			delete(l.entries, k)
 		}
 	}
--- a/internal/records/log_test.go
+++ b/internal/records/log_test.go
@@ -58,7 +58,7 @@
 					source.mu.Unlock()
 				}
 				if rapid.Bool().Draw(t, "follows") {
-					c, _, _ := source.Since(epoch, from)
+					c, _, _ := source.Since(Position{Epoch: epoch, From: from})
 					var l []Record
 					for _, r := range c.Records {
 						l = append(l, r.Record)
@@ -79,14 +79,14 @@
 		o.Reduce = func(v []byte) []byte { return v[:1] }
 		l := NewLog(o, facts.New(time.Now), time.Now, quiet)
 		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a1")}}, Next: 1})
-		c, changed, _ := l.Since(l.epoch, 0)
+		c, changed, _ := l.Since(Position{Epoch: l.epoch})
 		l.Take(Batch{Records: []Record{{Key: "k", Value: []byte("a2"), Offset: 1}}, Next: 2})
 		Expect(changed).NotTo(BeClosed())
 		l.Take(Batch{Records: []Record{{Key: "k", Value: []byte("b3"), Offset: 2}}, Next: 3})
 		Expect(changed).To(BeClosed())
 		l.Take(Batch{Records: []Record{{Key: "k", Value: []byte("a2"), Offset: 1}}, Next: 2})
 		Expect(got).To(Equal(map[string]string{"k": "b"}), "an older record does not come back")
-		c, _, _ = l.Since(l.epoch, c.Last)
+		c, _, _ = l.Since(Position{Epoch: l.epoch, From: c.Last})
 		Expect(c.Records).To(HaveLen(1))
 	})
 
@@ -184,13 +184,13 @@
 
 	It("is handed on compressed, and as a patch to those that have the one before", func() {
 		source, follower := newPair()
-		c, _, _ := source.Since(0, 0)
+		c, _, _ := source.Since(Position{})
 		m := tell("t", c).GetRecords()[0]
 		Expect(len(m.GetValue())).To(BeNumerically("<", len(long(0))/2))
 		Expect(follower.valueOf(m)).To(Equal(long(0)))
 		follower.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: long(0)}}, Next: 1})
 		source.Take(Batch{Records: []Record{{Key: "k", Value: long(1), Offset: 1}}, Next: 2})
-		c, _, _ = source.Since(source.epoch, c.Last)
+		c, _, _ = source.Since(Position{Epoch: source.epoch, From: c.Last})
 		m = tell("t", c).GetRecords()[0]
 		Expect(len(m.GetValue())).To(BeNumerically("<", 2000))
 		Expect(follower.valueOf(m)).To(Equal(long(1)))
@@ -198,9 +198,9 @@
 		_, err := follower.valueOf(m)
 		Expect(errors.Is(err, errNoBase)).To(BeTrue())
 		source.Take(Batch{Records: []Record{{Key: "k", Value: long(2), Offset: 2}}, Next: 3})
-		c, _, _ = source.Since(source.epoch, 1)
+		c, _, _ = source.Since(Position{Epoch: source.epoch, From: 1})
 		Expect(tell("t", c).GetRecords()[0].GetPatched()).To(BeFalse(), "the follower lacks the one before")
-		c, _, _ = source.Since(0, 0)
+		c, _, _ = source.Since(Position{})
 		Expect(tell("t", c).GetRecords()[0].GetPatched()).To(BeFalse())
 	})
 
--- a/internal/records/service.go
+++ b/internal/records/service.go
@@ -69,13 +69,13 @@
 	var changed [topics]<-chan struct{}
 	a := &pb.FollowResponse{Epoch: s.logs[0].epoch, Origin: s.origin.get()}
 	for i, l := range s.logs {
-		from := uint64(0)
+		at := Position{Epoch: q.GetEpoch()}
 		for _, p := range q.GetPositions() {
 			if p.GetTopic() == l.topic.Name {
-				from = p.GetFrom()
+				at.From, at.Next = p.GetFrom(), p.GetNext()
 			}
 		}
-		c, next, started := l.Since(q.GetEpoch(), from)
+		c, next, started := l.Since(at)
 		if !started {
 			return nil, changed, connect.NewError(connect.CodeUnavailable, errNotRead)
 		}
