--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/phuslu/log"
 
+	"github.com/springrail/springrail/internal/dial"
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
@@ -107,9 +108,9 @@
 	}
 	d := h.Part(DialectPart).(*Dialect)
 	sub := h.Part(reports.SubscriberPart).(*reports.Subscriber)
-	dial := (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext
+	connect := dial.New(dialTimeout).DialContext
 	load := Load{Tracker: sub.Tracker(), Offers: sub.Offers(), Demand: sub.Demand, Gateways: sub.Gateways}
-	g := New(s, d, h.Part(facts.PartName).(*facts.Facts), load, dial, h.Identity.Domain, h.Log)
+	g := New(s, d, h.Part(facts.PartName).(*facts.Facts), load, connect, h.Identity.Domain, h.Log)
 	g.listener = l
 	h.Metric("requests", g.tally.vars)
 	h.Metric("in_flight", expvar.Func(func() any { return g.inFlight.Load() }))
@@ -128,14 +129,14 @@
 
 // New makes a gateway.
 func New(s *Settings, d *Dialect, f *facts.Facts, k Load,
-	dial func(ctx context.Context, network, address string) (net.Conn, error), own id.Domain, l *log.Logger,
+	connect func(ctx context.Context, network, address string) (net.Conn, error), own id.Domain, l *log.Logger,
 ) *Gateway {
 	rule := placement.BudgetRule{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow}
 	g := &Gateway{
 		settings: s, dialect: d, facts: f, load: k, domain: own, log: l, tally: newTally(), now: time.Now,
 		budget:   placement.NewBudget(rule, k.Gateways, time.Now),
 		patience: placement.NewPatience(time.Now),
-		pool:     upconn.New(dial, time.Now, d.Echoed),
+		pool:     upconn.New(connect, time.Now, d.Echoed),
 		random:   func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) },
 	}
 	g.pool.Dialled = func() { g.tally.add("dialled") }
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/springrail/springrail/internal/dial"
 	"github.com/springrail/springrail/internal/kernel"
 )
 
@@ -66,7 +67,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "internal.listen")
 	}
-	r := &Server{listener: l, clock: c, mux: http.NewServeMux(), dial: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	r := &Server{listener: l, clock: c, mux: http.NewServeMux(), dial: dial.New(dialTimeout).DialContext}
 	if !s.Plain {
 		if r.keys, err = newKeys(s.Cert, s.Key, s.CA); err != nil {
 			l.Close()
