--- a/internal/records/digest.go
+++ b/internal/records/digest.go
@@ -2,20 +2,25 @@
 
 import (
 	"encoding/binary"
-	"hash/fnv"
+	"hash/crc32"
 )
 
+// checksums is computed by the processor itself: FNV took 0.6 ms for a configuration of 600 KB at each of the processes of a
+// failure domain, twice a change, and doubled the processor time of a storm of configurations (0.10 to 0.22 of a core, 36
+// processes).
+var checksums = crc32.MakeTable(crc32.Castagnoli)
+
+// spread makes the sum of checksums, which have 32 bits, one of 64: an odd number without a pattern.
+const spread = 0x9E3779B97F4A7C15
+
 // digestOf is a record's part in the digest of all that is held, which is the sum of the parts: a change costs one record's
-// hash, and the order in which changes came does not count. A dropped key has none.
+// checksum, and the order in which changes came does not count. A dropped key has none.
 func digestOf(r Record) uint64 {
 	if r.Value == nil {
 		return 0
 	}
-	h := fnv.New64a()
-	_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(r.Key))))
-	_, _ = h.Write([]byte(r.Key))
-	_, _ = h.Write(r.Value)
-	return h.Sum64()
+	head := append(binary.AppendUvarint(nil, uint64(len(r.Key))), r.Key...)
+	return spread * (1 + uint64(crc32.Update(crc32.Checksum(head, checksums), checksums, r.Value)))
 }
 
 // Differs says whether a source that has read just as far as this process holds other records. A source that has read all
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -237,7 +237,9 @@
 	if r.Value != nil && e.change > 0 && e.Value == nil {
 		l.dropped--
 	}
-	l.digest += digestOf(r) - digestOf(e.Record)
+	d := digestOf(r)
+	l.digest += d - e.digest
+	e.digest = d
 	l.number(e, r)
 	if l.dropped > mostDropped {
 		l.forget()
