--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -203,7 +203,8 @@
 }
 
 // Until returns when a version of a model may take no new requests any more: a time after the first newer one was named,
-// or when this process read of that one where it does not know since when it is named. It is zero for a version that nothing newer is known to follow.
+// or when this process read of that one where it does not know since when it is named. It is zero for a version that
+// nothing newer is known to follow.
 func (f *Facts) Until(m id.Model, r id.Revision, within time.Duration) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
