--- /dev/null
+++ b/internal/measure/newsfault.go
@@ -0,0 +1,96 @@
+package measure
+
+import (
+	"context"
+	"sync"
+
+	"github.com/springrail/springrail/internal/kernel"
+)
+
+// playFaults plays the plan's faults, all from the same time on.
+func (r *newsRun) playFaults(ctx context.Context) {
+	kernel.Pause(ctx, r.plan.faultAt()-r.since())
+	var wg sync.WaitGroup
+	for _, name := range r.plan.faults {
+		wg.Go(func() { r.playFault(ctx, name) })
+	}
+	wg.Wait()
+}
+
+func (r *newsRun) playFault(ctx context.Context, name string) {
+	switch name {
+	case newsFaultStopped:
+		r.stopReaders(0)
+	case newsFaultTwo:
+		r.stopReaders(0)
+		kernel.Pause(ctx, newsSecondAfter)
+		r.stopReaders(1)
+	case newsFaultFrozen:
+		r.freezeReaders(ctx)
+	case newsFaultCut:
+		r.playDoors(ctx, r.net.first, func(f *newsDoorFaults) { f.silent = true })
+	case newsFaultDown:
+		for _, p := range r.processes {
+			p.tally.leave()
+		}
+		r.playDoors(ctx, r.processes, func(f *newsDoorFaults) { f.refuse = true })
+		for _, p := range r.processes {
+			p.tally.join()
+		}
+	case newsFaultSlow:
+		r.playDoors(ctx, r.processes, func(f *newsDoorFaults) { f.delay = newsSlow })
+	case newsFaultLoses:
+		r.playDoors(ctx, r.processes, func(f *newsDoorFaults) { f.lost = newsLost })
+	case newsFaultRefuses:
+		r.playDoors(ctx, r.half(), func(f *newsDoorFaults) { f.refuse = true })
+	case newsFaultForgets:
+		for ctx.Err() == nil && r.since() < r.plan.faultEnd() {
+			r.store.forget()
+			kernel.Pause(ctx, newsForgetEvery)
+		}
+	}
+}
+
+// stopReaders ends the gateway of each domain that has a place in the order of readers.
+func (r *newsRun) stopReaders(place int) {
+	for _, l := range r.order {
+		l[place].stop()
+		l[place].tally.leave()
+	}
+}
+
+// freezeReaders lets the first gateways stand still for a while.
+func (r *newsRun) freezeReaders(ctx context.Context) {
+	for _, p := range r.net.first {
+		p.freeze()
+		p.tally.leave()
+	}
+	kernel.Pause(ctx, newsFrozenLasts)
+	for _, p := range r.net.first {
+		p.tally.join()
+		p.wake()
+	}
+}
+
+// playDoors gives some processes' ways to the store a fault until the faults end.
+func (r *newsRun) playDoors(ctx context.Context, l []*newsProcess, change func(f *newsDoorFaults)) {
+	for _, p := range l {
+		p.door.set(change)
+	}
+	kernel.Pause(ctx, r.plan.faultEnd()-r.since())
+	for _, p := range l {
+		p.door.set(func(f *newsDoorFaults) { *f = newsDoorFaults{} })
+	}
+}
+
+// half draws half of the processes of each kind.
+func (r *newsRun) half() []*newsProcess {
+	random := r.plan.source(newsRandomRefused)
+	var l []*newsProcess
+	for _, p := range r.processes {
+		if random.IntN(2) == 0 {
+			l = append(l, p)
+		}
+	}
+	return l
+}
