--- a/internal/measure/newsdiffer.go
+++ b/internal/measure/newsdiffer.go
@@ -18,7 +18,7 @@
 			version = max(version, c.version)
 		}
 	}
-	var l []newsDifference
+	l := []newsDifference{}
 	for _, p := range r.processes {
 		if p.ctx.Err() == nil {
 			l = append(l, p.differences(want, version)...)
--- a/internal/measure/newsrow.go
+++ b/internal/measure/newsrow.go
@@ -108,7 +108,7 @@
 	w := &newsRow{
 		Gateways: p.gateways, Stagers: p.stagers, Domains: p.domains, Regions: p.regions, ChangesPerSecond: p.changesPerSecond,
 		ConfigBytes: p.configBytes, RegionMbps: p.regionMbps, Upstreams: p.upstreams, Seed: p.seed, Seconds: p.lasts.Seconds(),
-		Fault: strings.Join(p.faults, "+"), Different: r.differences(),
+		Fault: strings.Join(p.faults, "+"), Never: []newsNever{}, Different: r.differences(),
 	}
 	lasted := r.since().Seconds()
 	w.CPUShare = (cpuTime() - r.cpu).Seconds() / lasted
