--- a/internal/measure/news.go
+++ b/internal/measure/news.go
@@ -103,10 +103,10 @@
 // print writes the row as tables.
 func (w *newsRow) print(out io.Writer) {
 	t := tabwriter.NewWriter(out, 9, 0, 1, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "gateways\tstagers\tdomains\tregions\tfault\tseed\tchanges\tnever known\tlate\tp50 s\tp95 s\tp99 s\tp100 s\tdifferent\tended\tCPU\t")
+	fmt.Fprintln(t, "gateways\tstagers\tdomains\tregions\tfault\tseed\tchanges\tnever known\tlate\tp50 s\tp95 s\tp99 s\tp100 s\tdifferent\tended\tCPU\ttimers late s\t")
 	a := &w.All
-	fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%s\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%d\t%.2f\t\n", w.Gateways, w.Stagers, w.Domains,
-		w.Regions, w.Fault, w.Seed, a.Changes, a.Never, a.Late, a.P50, a.P95, a.P99, a.P100, len(w.Different), w.Ended, w.CPUShare)
+	fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%s\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%d\t%.2f\t%.3f\t\n", w.Gateways, w.Stagers, w.Domains,
+		w.Regions, w.Fault, w.Seed, a.Changes, a.Never, a.Late, a.P50, a.P95, a.P99, a.P100, len(w.Different), w.Ended, w.CPUShare, w.LateMost)
 	_ = t.Flush()
 	w.printTimes(out)
 	t = tabwriter.NewWriter(out, 9, 0, 1, ' ', tabwriter.AlignRight)
--- a/internal/measure/newsplan.go
+++ b/internal/measure/newsplan.go
@@ -236,9 +236,10 @@
 		p.changes = append(p.changes, newsChange{at: at, key: newsConfigKey, stage: newsConfig, version: version})
 	}
 	storm := p.has(newsFaultStorm)
-	next, every := p.configEvery/2, p.configEvery
-	for at := next; every > 0 && at < p.lasts; at += every {
-		if !storm || at < p.faultAt() {
+	// The times are drawn, as a reader's calls are periodic too and would meet all changes alike.
+	for from := time.Duration(0); p.configEvery > 0 && from < p.lasts; from += p.configEvery {
+		at := from + time.Duration(s.random.Int64N(int64(p.configEvery)))
+		if at < p.lasts && (!storm || at < p.faultAt()) {
 			add(at)
 		}
 	}
--- a/internal/measure/newsrow.go
+++ b/internal/measure/newsrow.go
@@ -92,6 +92,8 @@
 	Fault            string           `json:"fault"`
 	Ended            int              `json:"processes_ended"`
 	CPUShare         float64          `json:"cpu_share"`
+	LateMost         float64          `json:"timers_late_most_seconds"`
+	LateP99          float64          `json:"timers_late_p99_seconds"`
 	All              newsTimes        `json:"all"`
 	Kinds            []newsTimes      `json:"kinds"`
 	Histogram        []newsBin        `json:"histogram"`
@@ -112,6 +114,7 @@
 	}
 	lasted := r.since().Seconds()
 	w.CPUShare = (cpuTime() - r.cpu).Seconds() / lasted
+	w.LateP99, w.LateMost = r.late()
 	w.Roles = r.roles(lasted)
 	for _, q := range r.processes {
 		if q.ctx.Err() != nil {
--- a/internal/measure/newsrun.go
+++ b/internal/measure/newsrun.go
@@ -43,6 +43,8 @@
 	pad    string
 	mu     sync.Mutex
 	listed map[string]newsStage
+	// timers are how late timers of this process came, in seconds.
+	timers []float64
 	wait   sync.WaitGroup
 }
 
@@ -159,6 +161,7 @@
 	r.cpu = cpuTime()
 	r.begin()
 	r.wait.Go(func() { r.beat(ctx) })
+	r.wait.Go(func() { r.watchTimers(ctx) })
 	r.wait.Go(func() { r.playFaults(ctx) })
 	for i := range r.plan.changes {
 		c := &r.plan.changes[i]
@@ -284,6 +287,26 @@
 	}
 }
 
+// watchTimers notes how late timers come: where this machine has too little processor time, the times are its own.
+func (r *newsRun) watchTimers(ctx context.Context) {
+	const every = 10 * time.Millisecond
+	for ctx.Err() == nil {
+		from := time.Now()
+		kernel.Pause(ctx, every)
+		r.mu.Lock()
+		r.timers = append(r.timers, max(0, time.Since(from)-every).Seconds())
+		r.mu.Unlock()
+	}
+}
+
+// late is how late all but one in a hundred timers came at most, and the latest.
+func (r *newsRun) late() (p99, most float64) {
+	r.mu.Lock()
+	l := slices.Sorted(slices.Values(r.timers))
+	r.mu.Unlock()
+	return newsPart(l, 0.99), newsPart(l, 1)
+}
+
 // settle waits until all processes have the store's state, or the time for it is over.
 func (r *newsRun) settle(ctx context.Context) {
 	for over := time.Now().Add(newsSettles); ctx.Err() == nil && time.Now().Before(over); {
