--- a/internal/measure/news.go
+++ b/internal/measure/news.go
@@ -103,10 +103,10 @@
 // print writes the row as tables.
 func (w *newsRow) print(out io.Writer) {
 	t := tabwriter.NewWriter(out, 9, 0, 1, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "gateways\tstagers\tdomains\tregions\tfault\tseed\tchanges\tnever known\tlate\tp50 s\tp95 s\tp99 s\tp100 s\tdifferent\tended\tCPU\ttimers late s\t")
+	fmt.Fprintln(t, "gateways\tstagers\tdomains\tregions\tfault\tseed\tchanges\tnever known\tpassed over\tlate\tp50 s\tp95 s\tp99 s\tp100 s\tdifferent\tended\tCPU\ttimers late s\t")
 	a := &w.All
-	fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%s\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%d\t%.2f\t%.3f\t\n", w.Gateways, w.Stagers, w.Domains,
-		w.Regions, w.Fault, w.Seed, a.Changes, a.Never, a.Late, a.P50, a.P95, a.P99, a.P100, len(w.Different), w.Ended, w.CPUShare, w.LateMost)
+	fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%s\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%d\t%.2f\t%.3f\t\n", w.Gateways, w.Stagers, w.Domains,
+		w.Regions, w.Fault, w.Seed, a.Changes, a.Never, a.Passed, a.Late, a.P50, a.P95, a.P99, a.P100, len(w.Different), w.Ended, w.CPUShare, w.LateMost)
 	_ = t.Flush()
 	w.printTimes(out)
 	t = tabwriter.NewWriter(out, 9, 0, 1, ' ', tabwriter.AlignRight)
@@ -122,9 +122,9 @@
 // printTimes writes the times by kind, by way and as a histogram.
 func (w *newsRow) printTimes(out io.Writer) {
 	t := tabwriter.NewWriter(out, 9, 0, 1, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "change\tnumber\tnever known\tlate\tp50 s\tp95 s\tp99 s\tp100 s\t")
+	fmt.Fprintln(t, "change\tnumber\tnever known\tpassed over\tlate\tp50 s\tp95 s\tp99 s\tp100 s\t")
 	for _, k := range w.Kinds {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t\n", k.Name, k.Changes, k.Never, k.Late, k.P50, k.P95, k.P99, k.P100)
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t\n", k.Name, k.Changes, k.Never, k.Passed, k.Late, k.P50, k.P95, k.P99, k.P100)
 	}
 	_ = t.Flush()
 	t = tabwriter.NewWriter(out, 9, 0, 1, ' ', tabwriter.AlignRight)
@@ -147,8 +147,8 @@
 			fmt.Fprintf(out, "... %d more\n", len(w.Never)-i)
 			break
 		}
-		fmt.Fprintf(out, "never known: %s %s, taken at %.2f s, by %d processes: %s\n", n.Key, n.Change, n.AtSeconds, len(n.Processes),
-			newsSome(n.Processes))
+		fmt.Fprintf(out, "never known: %s %s, taken at %.2f s, by %d processes, of which %d know later ones: %s\n", n.Key, n.Change, n.AtSeconds,
+			len(n.Processes), len(n.Passed), newsSome(n.Processes))
 	}
 	for i, d := range w.Different {
 		if i == newsListed {
--- a/internal/measure/news_test.go
+++ b/internal/measure/news_test.go
@@ -153,6 +153,16 @@
 		}
 	})
 
+	It("tells a word that is lost from one that is late: later ones are known", func() {
+		p.changes = append(p.changes, newsChange{key: "v", stage: newsHere, acked: 5 * time.Second})
+		p.index()
+		c = newNewsColumn(p, func() time.Duration { return now })
+		c.learn(record("u", newsHere))
+		Expect(c.passed(2)).To(BeFalse())
+		c.learn(record("v", newsHere))
+		Expect(c.passed(2)).To(BeTrue())
+	})
+
 	It("takes what it missed of a key that it never had as overtaken by the drop", func() {
 		d, way, never := wait(0)
 		Expect(never).To(BeFalse())
--- a/internal/measure/newsrow.go
+++ b/internal/measure/newsrow.go
@@ -16,6 +16,7 @@
 	Name    string  `json:"name"`
 	Changes int     `json:"changes"`
 	Never   int     `json:"never"`
+	Passed  int     `json:"passed_over"`
 	Late    int     `json:"late"`
 	P50     float64 `json:"p50_seconds"`
 	P95     float64 `json:"p95_seconds"`
@@ -29,6 +30,8 @@
 	Change    string   `json:"change"`
 	AtSeconds float64  `json:"at_seconds"`
 	Processes []string `json:"processes"`
+	// Passed are those of the processes that know of later changes of the same topic: the word is lost, and not late.
+	Passed []string `json:"passed_over"`
 }
 
 // newsDifference is a key that a process holds otherwise than the store at the end.
@@ -140,6 +143,9 @@
 		w.Points = append(w.Points, worst)
 		if len(n.Processes) > 0 {
 			k.Never++
+			if len(n.Passed) > 0 {
+				k.Passed++
+			}
 			w.Never = append(w.Never, n)
 			continue
 		}
@@ -149,7 +155,7 @@
 		k := &w.Kinds[s]
 		k.Name = newsStage(s).String()
 		k.set(times[s])
-		w.All.Changes, w.All.Never = w.All.Changes+k.Changes, w.All.Never+k.Never
+		w.All.Changes, w.All.Never, w.All.Passed = w.All.Changes+k.Changes, w.All.Never+k.Never, w.All.Passed+k.Passed
 	}
 	all := slices.Concat(times[:]...)
 	w.All.set(all)
@@ -175,6 +181,9 @@
 		d, by, never := p.tally.wait(i)
 		if never {
 			n.Processes = append(n.Processes, p.name)
+			if p.tally.passed(i) {
+				n.Passed = append(n.Passed, p.name)
+			}
 			continue
 		}
 		ways[by] = append(ways[by], d.Seconds())
--- a/internal/measure/newstally.go
+++ b/internal/measure/newstally.go
@@ -232,6 +232,20 @@
 	return c.inTouch(g.acked, last.acked), newsOvertaken, false
 }
 
+// passed says whether the process knows of a later change of the same topic.
+func (c *newsColumn) passed(i int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g := &c.plan.changes[i]
+	for j := range c.plan.changes {
+		l := &c.plan.changes[j]
+		if (l.stage == newsConfig) == (g.stage == newsConfig) && l.key != g.key && l.acked > g.acked && c.known[j].way != newsUnknown {
+			return true
+		}
+	}
+	return false
+}
+
 // complete says whether the process holds the first state.
 func (c *newsColumn) complete() bool {
 	c.mu.Lock()
