--- a/internal/measure/newsprocess.go
+++ b/internal/measure/newsprocess.go
@@ -141,12 +141,12 @@
 				p.tally.brought(p.storeWay(), l)
 				return l, next, err
 			},
-			Read: func(ctx context.Context, topic string, from uint64, wait time.Duration) ([]records.Record, uint64, error) {
+			Read: func(ctx context.Context, topic string, from uint64, wait time.Duration) (records.Reading, error) {
 				p.hold()
 				l, next, err := p.door.read(ctx, topic, from, wait)
 				p.hold()
 				p.tally.brought(p.storeWay(), l)
-				return l, next, err
+				return records.Reading{Records: l, Next: next, End: next}, err
 			},
 		},
 		Operators: records.Topic{Name: newsOperators, Apply: p.applyConfig},
