--- a/internal/records/dated_test.go
+++ b/internal/records/dated_test.go
@@ -101,3 +101,34 @@
 		Expect(got).To(Equal([]time.Time{{}, r.After}))
 	})
 })
+
+var _ = Describe("a reading", func() {
+	It("that leaves records for the next, or lacks what others have read, says nothing of what comes after it", func() {
+		f := facts.New(time.Now)
+		l := NewLog(Topic{Name: "t", Apply: func(Record) error { return nil }}, f, time.Now, quiet)
+		l.Take(Batch{Whole: true, Next: 1, Confirmed: time.Now()})
+		end := uint64(3)
+		r := &Reader{
+			store: &Store{Read: func(_ context.Context, _ string, from uint64, _ time.Duration) (Reading, error) {
+				return Reading{Records: []Record{{Key: "k", Value: []byte("v"), Offset: from}}, Next: from + 1, End: end}, nil
+			}},
+			log: l, facts: f, gate: &gate{}, now: time.Now, own: func() {}, wait: time.Second, prompt: true,
+		}
+		ctx := context.Background()
+		more, err := r.step(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(more).To(BeTrue())
+		Expect(l.settled).To(BeZero())
+		more, err = r.step(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(more).To(BeFalse())
+		settled := l.settled
+		Expect(settled).NotTo(BeZero())
+		f.Heard(9)
+		end = 4
+		_, err = r.step(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.settled).To(Equal(settled), "others have read up to 9")
+		Expect(l.Age()).To(BeNumerically("<", time.Second), "the store has answered all the same")
+	})
+})
--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -112,9 +112,12 @@
 	b := r.batch(asked, wait)
 	b.Records, b.Next = a.Records, a.Next
 	more = a.End > a.Next
+	if more {
+		b.Confirmed = time.Time{}
+	}
 	if heard, _ := r.facts.Hearing(); more || (r.wait > 0 && heard > a.Next) {
 		// The store has more, or does not show yet what others have read: nothing is known of what comes after Next.
-		b.Confirmed, b.Settled = time.Time{}, time.Time{}
+		b.Settled = time.Time{}
 	}
 	r.own()
 	r.log.Take(b)
