--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,9 @@
-# The front door: `make demo`, `make test`, `make lint`.
+# The front door: `make demo`, `make test`, `make lint`, `make soak`.
 BIN := bin
 COMMANDS := springrail springrail-entry springrail-agent springrail-standin springrail-measure
+SOAK_COMMANDS := springrail-gateway springrail-stager springrail-soak
+# One short seeded run; others, such as SOAK="--cases" or SOAK="--seed 7 --seeds 20 --seconds 120", by hand.
+SOAK ?= --seed 1 --seconds 45
 TOOLS := go tool -modfile=tools/proto/go.mod
 GOLANGCI := .bin/golangci-lint
 GOLANGCI_VERSION := v2.15.0
@@ -8,7 +11,7 @@
 RACED := ./internal/fleet/... ./internal/kernel/... ./internal/records/... ./internal/transfer/... ./internal/upstream/...
 PREFIX ?= /usr/local
 
-.PHONY: build demo examples test race lint generate stale install clean
+.PHONY: build demo examples test race soak lint generate stale install clean
 
 build:
 	CGO_ENABLED=1 go build -o $(BIN)/ $(addprefix ./cmd/,$(COMMANDS))
@@ -25,6 +28,10 @@
 race:
 	go test -race -count=1 $(RACED)
 
+soak:
+	CGO_ENABLED=1 go build -o $(BIN)/ $(addprefix ./cmd/,$(SOAK_COMMANDS))
+	$(BIN)/springrail-soak --bin $(BIN) $(SOAK)
+
 generate:
 	$(TOOLS) buf generate
 
--- /dev/null
+++ b/internal/soak/checks.go
@@ -0,0 +1,257 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/springrail/springrail/internal/standin"
+)
+
+const (
+	// leaveWithin is how soon after the store has taken the word nothing reaches an upstream that leaves; it is the
+	// users' bound, and so is configWithin for a configuration.
+	leaveWithin  = 3 * time.Second
+	configWithin = 3 * time.Second
+	// goneWithin is how long after its caller has closed a request may still reach an upstream.
+	goneWithin = 500 * time.Millisecond
+	// settle is how long after a fault a process is not held to what it may have missed in it.
+	settle = 4 * time.Second
+	// raceTime is how long before its connection ended a request may have been sent without being in flight for sure.
+	raceTime = 200 * time.Millisecond
+)
+
+// sound says whether a request's gateway, the store and this machine have been without fault for the time to settle; the
+// caller holds the lock.
+func (b *Book) sound(r *request) bool {
+	now := b.now()
+	return b.clean(now.Add(-settle), now, r.gateway.name, theStore, theMachine)
+}
+
+// unless keeps a violation, or counts it where a fault excuses it; the caller holds the lock.
+func (b *Book) unless(excused bool, check, process, request, subject, format string, args ...any) {
+	if excused {
+		b.counts["excused by a fault: "+check]++
+		return
+	}
+	b.violate(check, process, request, subject, format, args...)
+}
+
+// Sent notes a caller's request before it goes out.
+func (b *Book) Sent(id string, r *request) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r.sent = b.now()
+	b.requests[id] = r
+	b.counts["sent"]++
+	if b.atEnd() {
+		b.counts[endSent]++
+	}
+}
+
+// Answered notes an answer that came whole.
+func (b *Book) Answered(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counts["answered"]++
+	if r := b.requests[id]; r != nil && b.atEnd() {
+		b.counts[endAnswered]++
+	}
+}
+
+// What is counted in the last seconds of a run, which are without faults.
+const (
+	endSent, endAnswered = "sent at the end", "answered at the end"
+	// endTime is how long before the run's end all must be well again, and endShare the least share that is answered then:
+	// some callers leave early, and some requests are under way when the run ends.
+	endTime  = 4 * time.Second
+	endShare = 0.75
+)
+
+func (b *Book) atEnd() bool {
+	return !b.end.IsZero() && b.now().After(b.end.Add(-endTime))
+}
+
+// Ended checks that all was well again at the end.
+func (b *Book) Ended() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.now().Before(b.end) {
+		// The run was broken off.
+		return
+	}
+	sent, answered := b.counts[endSent], b.counts[endAnswered]
+	if sent == 0 || float64(answered) < endShare*float64(sent) {
+		b.unless(!b.clean(b.end.Add(-endTime), b.end, theMachine), "well-again", "callers", "", "",
+			"%d of %d requests were answered in the last %v", answered, sent, endTime)
+	}
+}
+
+// Closed notes that a request's caller has closed its connection.
+func (b *Book) Closed(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.requests[id].closed = b.now()
+}
+
+// Arrived checks a request that reaches an upstream.
+func (b *Book) Arrived(id, instance, address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.requests[id]
+	if r == nil {
+		b.violate("unknown-request", address, id, "", "an upstream got a request that nobody sent")
+		return
+	}
+	now := b.now()
+	r.at = append(r.at, address)
+	sound := b.sound(r) && b.clean(now.Add(-settle), now, address)
+	if d, ok := b.departed[instance]; ok {
+		late := now.Sub(d.at)
+		b.counts["reached an upstream after it left"]++
+		if late > leaveWithin {
+			b.unless(!sound, "leaving", r.gateway.name, id, instance, "reached %s %.2f s after the store had its word (%s)", instance, late.Seconds(), d.how)
+		}
+	}
+	if !r.closed.IsZero() {
+		b.counts["reached an upstream after its caller closed"]++
+		if late := now.Sub(r.closed); late > goneWithin {
+			b.unless(!sound, "gone-client", r.gateway.name, id, "", "reached %s %.2f s after its caller had closed", instance, late.Seconds())
+		}
+	}
+}
+
+// Ran checks a run of a request at an upstream.
+func (b *Book) Ran(x standin.Ran) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.requests[x.Request]
+	if r == nil {
+		return
+	}
+	r.runs++
+	b.counts["runs"]++
+	if r.unsafe && r.runs > 1 {
+		b.violate("once-at-most", r.gateway.name, x.Request, "", "an unsafe request ran %d times, now at %s", r.runs, x.Instance)
+	}
+	if r.refused > 0 {
+		b.violate("refused-ran", r.gateway.name, x.Request, "", "ran at %s after its caller was told %d", x.Instance, r.refused)
+	}
+	if x.Version == 0 {
+		return
+	}
+	for _, n := range b.versions {
+		if n.number <= x.Version {
+			continue
+		}
+		late := x.At.Sub(n.at) - swapWithin
+		b.counts["ran on an older version"]++
+		// Whoever could not read the naming has learnt of it late, and counts from then.
+		heard := b.clean(n.at.Add(-raceTime), n.at.Add(settle), r.gateway.name, theStore, theMachine)
+		if late > 0 {
+			b.unless(!heard || !b.sound(r), "version", r.gateway.name, x.Request, fmt.Sprint("version ", n.number), "began on version %d at %s %.2f s after the time for version %d",
+				x.Version, x.Instance, late.Seconds(), n.number)
+		}
+		return
+	}
+}
+
+// Departed notes that the store has taken the word that an upstream leaves.
+func (b *Book) Departed(instance, how string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, ok := b.departed[instance]; ok {
+		return
+	}
+	b.departed[instance] = departure{at: b.now(), how: how}
+	b.counts["left: "+how]++
+	b.note("%s left: %s", instance, how)
+}
+
+// Named notes that the store has taken a version.
+func (b *Book) Named(version int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.versions = append(b.versions, named{number: version, at: b.now()})
+	b.counts["versions named"]++
+	b.note("version %d named", version)
+}
+
+// Configured notes that the store has taken a configuration.
+func (b *Book) Configured(version, size int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.configs = append(b.configs, named{number: version, at: b.now()})
+	b.counts["configurations"]++
+	b.note("configuration %d of %d bytes", version, size)
+}
+
+// configDue is the newest configuration that must be in force; 0 is none.
+func (b *Book) configDue() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	due := 0
+	for _, c := range b.configs {
+		if b.now().Sub(c.at) > configWithin {
+			due = c.number
+		}
+	}
+	return due
+}
+
+// Refused checks a promise that a request was not run.
+func (b *Book) Refused(id string, status int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.requests[id]
+	r.refused = status
+	b.counts["refused"]++
+	if r.runs > 0 {
+		b.violate("refused-ran", r.gateway.name, id, "", "its caller was told %d and it ran %d times", status, r.runs)
+	}
+}
+
+// Denied checks a status that denies a request which is allowed.
+func (b *Book) Denied(id string, status, config int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.requests[id]
+	b.counts["denied"]++
+	switch {
+	case config == 0:
+		b.violate("denied", r.gateway.name, id, "", "an allowed request got %d", status)
+	case !b.superseded(config):
+		b.unless(!b.sound(r), "configuration", r.gateway.name, id, fmt.Sprint("configuration ", config), "the route of configuration %d got %d, %v after the store had it",
+			config, status, configWithin)
+	}
+}
+
+// superseded says whether a configuration without this one's route may be in force; the caller holds the lock.
+func (b *Book) superseded(config int) bool {
+	return len(b.configs) > 0 && b.configs[len(b.configs)-1].number > config+keptRoutes
+}
+
+// Cut checks an answer that did not come whole; head says that some of it came.
+func (b *Book) Cut(id string, head bool, why error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.requests[id]
+	b.counts["cut"]++
+	now := b.now()
+	ns := r.gateway.termAt.Load()
+	if ns == 0 {
+		return
+	}
+	term := time.Unix(0, ns)
+	if now.Sub(term) >= grace || now.Before(term) {
+		return
+	}
+	sure := head || r.runs > 0 || now.Sub(r.sent) > raceTime
+	if !sure {
+		b.counts["closed under a request that had not begun"]++
+		return
+	}
+	before := term.Add(-settle)
+	hurt := !b.clean(before, now, append(r.at, theMachine)...) || !b.clean(before, term.Add(-time.Millisecond), r.gateway.name)
+	b.unless(hurt, "lost", r.gateway.name, id, "", "cut %.2f s after SIGTERM, %.2f s after it was sent, with head %t: %v",
+		now.Sub(term).Seconds(), now.Sub(r.sent).Seconds(), head, why)
+}
--- /dev/null
+++ b/internal/soak/do.go
@@ -0,0 +1,226 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/records"
+	"github.com/springrail/springrail/internal/standin"
+)
+
+const (
+	// leastPlain and leastEngines are the upstreams of a pool that stay when others leave.
+	leastPlain, leastEngines = 6, 3
+	// slowStore is the most that a slow store adds to a call.
+	slowStore = 1200 * time.Millisecond
+	// slowLink is the most that a slow link adds to what comes in.
+	slowLink = 400 * time.Millisecond
+	// lossyMost is the most answers of ten that are lost.
+	lossyMost = 7
+	// readerShare is the share of faults of one gateway that go to the one that reads the store for its domain.
+	readerShare = 0.6
+)
+
+// do carries out a step.
+func (w *World) do(ctx context.Context, s Step) {
+	switch s.Do {
+	case doPause, doKill, doTerm:
+		w.hurtProcess(ctx, s)
+	case doDelay, doReset, doOneWay, doSilence:
+		w.hurtLink(ctx, s)
+	case doDown, doMute, doSlow, doLossy:
+		w.hurtStore(ctx, s, "", w.all())
+	case doForget:
+		defer w.book.Begin(theStore, "forgot its history")()
+		w.store.Forget(operatorTopic)
+		w.store.Forget(serverTopic)
+	case doRefuse, doCutOne, doStoreRst:
+		w.hurtDoors(ctx, s)
+	case doLeave, doGone, doCrash, doRestart:
+		w.depart(ctx, s)
+	case doVersion:
+		w.name()
+	case doConfig:
+		w.configure(s.Size)
+	}
+}
+
+// hurtProcess pauses, kills or terminates a gateway or a stager that nothing else happens to.
+func (w *World) hurtProcess(ctx context.Context, s Step) {
+	p := w.stagers[int(s.Pick>>8)%len(w.stagers)]
+	if s.Pick%tenth > 1 {
+		p = w.gateway(s)
+	}
+	if !p.busy.TryLock() {
+		return
+	}
+	defer p.busy.Unlock()
+	switch s.Do {
+	case doPause:
+		p.Pause(ctx, s.For)
+	case doKill:
+		p.Kill(ctx, s.For)
+	default:
+		p.Terminate(ctx, s.For)
+	}
+}
+
+// gateway picks a gateway, often the one that reads for its domain.
+func (w *World) gateway(s Step) *Process {
+	if s.Size > readerShare {
+		return w.gateways[int(s.Pick>>8)%len(w.gateways)]
+	}
+	d := w.domain(int(s.Pick >> 8 % 1024))
+	var l []string
+	by := map[string]*Process{}
+	for i, g := range w.gateways {
+		if w.domain(i) == d {
+			a := g.internal
+			l, by[a] = append(l, a), g
+		}
+	}
+	order, _ := records.Sources(id.Domain(d), l, "")
+	return by[order[0]]
+}
+
+// hurtLink hurts the way to an upstream.
+func (w *World) hurtLink(ctx context.Context, s Step) {
+	u := w.upstream(s)
+	u.mu.Lock()
+	l := u.link
+	u.mu.Unlock()
+	defer w.book.Begin(u.address, s.Do)()
+	switch s.Do {
+	case doDelay:
+		l.Delay(time.Duration(s.Size * float64(slowLink)))
+		kernel.Pause(ctx, s.For)
+		l.Delay(0)
+	case doReset:
+		l.Reset()
+	case doOneWay:
+		l.Hold(true)
+		kernel.Pause(ctx, s.For)
+		l.Hold(false)
+	case doSilence:
+		l.Silence(false)
+	}
+}
+
+func (w *World) upstream(s Step) *Slot {
+	l := w.plain
+	if s.Pick%2 == 0 {
+		l = slices.Concat(w.engines, []*Slot{w.weights})
+	}
+	return l[int(s.Pick>>8)%len(l)]
+}
+
+// hurtStore hurts the store for some of its callers; target is the one to hold to account, or empty for the store itself.
+func (w *World) hurtStore(ctx context.Context, s Step, target string, l []*Process) {
+	if target == "" {
+		target = theStore
+	}
+	defer w.book.Begin(target, s.Do)()
+	set := func(f standin.KeyedFaults, lossy int32) {
+		for _, p := range l {
+			p.door.SetFaults(f)
+			p.door.lossy.Store(lossy)
+		}
+	}
+	switch s.Do {
+	case doDown, doRefuse:
+		set(standin.KeyedFaults{Status: http.StatusServiceUnavailable}, 0)
+	case doMute:
+		set(standin.KeyedFaults{Silent: true}, 0)
+	case doSlow:
+		set(standin.KeyedFaults{DelayMs: int(s.Size * float64(slowStore.Milliseconds()))}, 0)
+	case doLossy:
+		set(standin.KeyedFaults{}, 1+int32(s.Size*lossyMost))
+	}
+	kernel.Pause(ctx, s.For)
+	set(standin.KeyedFaults{}, 0)
+}
+
+// hurtDoors hurts the store for some processes while it serves the others.
+func (w *World) hurtDoors(ctx context.Context, s Step) {
+	if s.Do != doRefuse {
+		w.hurtDoor(ctx, s, w.gateway(s))
+		return
+	}
+	// About a third of all is refused.
+	var all sync.WaitGroup
+	for i, p := range w.all() {
+		if s.Pick>>(2*i%60)%3 == 0 {
+			all.Go(func() { w.hurtStore(ctx, s, p.name, []*Process{p}) })
+		}
+	}
+	all.Wait()
+}
+
+// hurtDoor cuts one gateway off from the store: its connections fall silent and new ones too, or they are reset.
+func (w *World) hurtDoor(ctx context.Context, s Step, p *Process) {
+	defer w.book.Begin(p.name, s.Do)()
+	if s.Do == doStoreRst {
+		p.door.link.Reset()
+		return
+	}
+	if s.Pick%2 == 0 {
+		p.door.SetFaults(standin.KeyedFaults{Status: http.StatusServiceUnavailable})
+		kernel.Pause(ctx, s.For)
+		p.door.SetFaults(standin.KeyedFaults{})
+		return
+	}
+	p.door.link.Silence(true)
+	kernel.Pause(ctx, s.For)
+	p.door.link.Silence(false)
+}
+
+// depart lets an upstream leave, if enough others stay.
+func (w *World) depart(ctx context.Context, s Step) {
+	l, least := w.plain, leastPlain
+	if s.Size < w.settings.Engines {
+		l, least = w.engines, leastEngines
+	}
+	u := stays(l, least, int(s.Pick>>16), s.Pick%2 == 0)
+	if u == nil {
+		return
+	}
+	defer u.busy.Unlock()
+	away := time.Duration(s.Pick % uint64(awayMost))
+	switch s.Do {
+	case doLeave, doGone:
+		u.Leave(ctx, s.Do == doLeave, away)
+	case doCrash:
+		u.Crash(ctx, away)
+	case doRestart:
+		u.Crash(ctx, 0)
+	}
+}
+
+// stays finds an upstream that may leave and takes hold of it, the one that came last or any; nil is none.
+func stays(l []*Slot, least, from int, newest bool) *Slot {
+	var here []*Slot
+	came := map[*Slot]time.Time{}
+	for i := range l {
+		u := l[(from+i)%len(l)]
+		u.mu.Lock()
+		if u.listed && u.state == stateReady {
+			here = append(here, u)
+			came[u] = u.came
+		}
+		u.mu.Unlock()
+	}
+	if newest {
+		slices.SortStableFunc(here, func(a, b *Slot) int { return came[b].Compare(came[a]) })
+	}
+	for _, u := range here {
+		if len(here) > least && u.busy.TryLock() {
+			return u
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/door.go
@@ -0,0 +1,44 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+
+	"github.com/springrail/springrail/internal/standin"
+)
+
+// Door is one process's way to the store.
+type Door struct {
+	*standin.KeyedDoor
+	link *Link
+	// lossy is how many of ten answers are lost after the call took effect.
+	lossy atomic.Int32
+	calls atomic.Int32
+}
+
+// openDoor serves a door on an address until the context ends.
+func openDoor(ctx context.Context, s *standin.KeyedStore, address string) (*Door, error) {
+	l, err := listenLink(address)
+	if err != nil {
+		return nil, err
+	}
+	d := &Door{KeyedDoor: s.Door(), link: l}
+	go func() { _ = standin.ServeOn(ctx, l, d) }()
+	return d, nil
+}
+
+// tenth is what lossy counts in.
+const tenth = 10
+
+// ServeHTTP implements http.Handler.
+func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n := d.calls.Add(1)
+	if n%tenth >= d.lossy.Load() {
+		d.KeyedDoor.ServeHTTP(w, r)
+		return
+	}
+	d.KeyedDoor.ServeHTTP(httptest.NewRecorder(), r)
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/internal/soak/main.go
@@ -0,0 +1,217 @@
+// Package soak runs gateways and stagers as processes over loopback under faults that are drawn by seed, and checks what
+// callers and upstreams see. It plays the platform's store, the upstreams, the origin of weights and the callers itself.
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
+)
+
+// The exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Result is what came of a seed.
+type Result struct {
+	Seed       uint64         `json:"seed"`
+	Cause      string         `json:"cause,omitempty"`
+	Violations []*Violation   `json:"violations"`
+	Counts     map[string]int `json:"counts"`
+	Problem    string         `json:"problem,omitempty"`
+}
+
+// flags are the command line.
+type flags struct {
+	Settings
+	seeds int
+	json  bool
+	keep  string
+	cases bool
+	list  string
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, out, problems io.Writer) int {
+	a := kingpin.New("springrail-soak", "Runs gateways and stagers over loopback under faults drawn by seed.")
+	a.HelpFlag.Short('h')
+	a.UsageWriter(out)
+	a.ErrorWriter(problems)
+	f := &flags{}
+	a.Flag("seed", "First seed of all choices.").Default("1").Uint64Var(&f.Seed)
+	a.Flag("seeds", "Number of seeds, one after the other.").Default("1").IntVar(&f.seeds)
+	a.Flag("seconds", "Length of each run, without its start.").Default("45").IntVar(&f.Seconds)
+	a.Flag("gateways", "Number of gateways.").Default("4").IntVar(&f.Gateways)
+	a.Flag("stagers", "Number of stagers, each with a model engine.").Default("6").IntVar(&f.Stagers)
+	a.Flag("domains", "Number of failure domains.").Default("2").IntVar(&f.Domains)
+	a.Flag("engines", "Share of departures that are of engines.").Default("0.15").Float64Var(&f.Engines)
+	a.Flag("faults", "What may be drawn, split by commas; all without: "+strings.Join(known(), ", ")+".").StringVar(&f.list)
+	a.Flag("bin", "Folder with springrail-gateway and springrail-stager.").Default("bin").StringVar(&f.Bin)
+	a.Flag("keep-logs", "Folder that keeps the processes' logs, one folder for each seed.").StringVar(&f.keep)
+	a.Flag("cases", "Run the kept cases instead of --seed and --seeds.").BoolVar(&f.cases)
+	a.Flag("json", "Print JSON.").BoolVar(&f.json)
+	stopped := false
+	a.Terminate(func(int) { stopped = true })
+	_, err := a.Parse(args)
+	if stopped {
+		return exitDone
+	}
+	if err == nil {
+		err = f.check()
+	}
+	if err != nil {
+		fmt.Fprintf(problems, "springrail-soak: %v; see springrail-soak --help\n", err)
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return f.runAll(ctx, out, problems)
+}
+
+// known lists all that can be drawn.
+func known() []string {
+	l := append(slices.Clone(faultNames), actNames...)
+	slices.Sort(l)
+	return slices.Compact(l)
+}
+
+func (f *flags) check() error {
+	if f.list != "" {
+		f.Faults = strings.Split(f.list, ",")
+	}
+	for _, n := range f.Faults {
+		if !slices.Contains(known(), n) {
+			return trace.BadParameter("unknown fault %q", n)
+		}
+	}
+	least := time.Duration(f.Seconds) * time.Second
+	if f.Gateways < 1 || f.Stagers < 1 || f.Domains < 1 || f.Gateways < f.Domains || least < 2*tail || f.seeds < 1 {
+		return trace.BadParameter("want a gateway for each domain, a stager, a seed and %v at least", 2*tail)
+	}
+	return nil
+}
+
+// runAll runs all seeds and returns the exit code.
+func (f *flags) runAll(ctx context.Context, out, problems io.Writer) int {
+	code := exitDone
+	var all []*Result
+	for _, c := range f.toRun() {
+		if ctx.Err() != nil {
+			break
+		}
+		r := f.runOne(ctx, &c.Settings)
+		r.Cause = c.Cause
+		all = append(all, r)
+		if len(r.Violations) > 0 || r.Problem != "" {
+			code = exitFailed
+		}
+		if !f.json {
+			r.print(out)
+		}
+	}
+	if f.json {
+		e := json.NewEncoder(out)
+		if err := e.Encode(map[string]any{"runs": all}); err != nil {
+			fmt.Fprintf(problems, "springrail-soak: %v\n", err)
+			return exitFailed
+		}
+	}
+	return code
+}
+
+// toRun lists the seeds.
+func (f *flags) toRun() []Case {
+	if f.cases {
+		l := slices.Clone(cases)
+		for i := range l {
+			l[i].Bin = f.Bin
+		}
+		return l
+	}
+	l := make([]Case, f.seeds)
+	for n := range l {
+		l[n].Settings = f.Settings
+		l[n].Seed += uint64(n)
+	}
+	return l
+}
+
+// runOne runs a seed in a folder of its own.
+func (f *flags) runOne(ctx context.Context, s *Settings) *Result {
+	r := &Result{Seed: s.Seed}
+	dir, err := os.MkdirTemp("", "springrail-soak")
+	if err == nil && f.keep != "" {
+		_ = os.Remove(dir)
+		dir = filepath.Join(f.keep, fmt.Sprint("seed-", s.Seed))
+		err = os.MkdirAll(dir, 0o750)
+	}
+	if err != nil {
+		r.Problem = err.Error()
+		return r
+	}
+	if f.keep == "" {
+		defer os.RemoveAll(dir)
+	}
+	s.Logs = dir
+	b, err := Run(ctx, s)
+	if err != nil {
+		r.Problem = err.Error()
+	}
+	r.Counts, r.Violations = b.Counts(), b.Violations()
+	for _, v := range r.Violations {
+		v.Around = append(v.Around, logLines(dir, v, b.start)...)
+	}
+	return r
+}
+
+// Run runs one seed and returns what was seen.
+func Run(ctx context.Context, s *Settings) (*Book, error) {
+	b := NewBook(s.Seed, time.Now)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	w, err := newWorld(ctx, s, b)
+	if w != nil {
+		defer w.close()
+	}
+	if err != nil {
+		return b, err
+	}
+	return b, w.run(ctx)
+}
+
+// print writes a result for people.
+func (r *Result) print(out io.Writer) {
+	fmt.Fprintf(out, "seed %d: %d violations", r.Seed, len(r.Violations))
+	if r.Cause != "" {
+		fmt.Fprintf(out, " (a kept case: %s)", r.Cause)
+	}
+	if r.Problem != "" {
+		fmt.Fprintf(out, "; not run to its end: %s", r.Problem)
+	}
+	fmt.Fprintln(out)
+	for _, k := range slices.Sorted(maps.Keys(r.Counts)) {
+		fmt.Fprintf(out, "  %6d %s\n", r.Counts[k], k)
+	}
+	for _, v := range r.Violations {
+		fmt.Fprintf(out, "VIOLATION seed %d, %.3f s, %s (%d times): %s %s: %s\n", v.Seed, float64(v.AtMs)/1000, v.Check, v.Times,
+			v.Process, v.Request, v.Text)
+		for _, l := range v.Around {
+			fmt.Fprintf(out, "    %s\n", l)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,307 @@
+package soak
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/springrail/springrail/internal/spec"
+	"github.com/springrail/springrail/internal/standin"
+)
+
+func TestSoak(t *testing.T) {
+	spec.Run(t, "The soak")
+}
+
+// history is a book with a clock that the spec moves, and one request "1".
+type history struct {
+	*Book
+	at      time.Time
+	gateway *Process
+}
+
+func newHistory() *history {
+	h := &history{at: time.Unix(1000, 0), gateway: &Process{name: "g"}}
+	h.Book = NewBook(1, func() time.Time { return h.at })
+	h.pass(time.Minute)
+	return h
+}
+
+func (h *history) pass(d time.Duration) { h.at = h.at.Add(d) }
+func (h *history) send()                { h.Sent("1", &request{gateway: h.gateway}) }
+func (h *history) sendUnsafe()          { h.Sent("1", &request{gateway: h.gateway, unsafe: true}) }
+func (h *history) arrive()              { h.Arrived("1", "u", "a") }
+func (h *history) term()                { h.gateway.termAt.Store(h.at.UnixNano()) }
+func (h *history) cut(head bool)        { h.Cut("1", head, io.ErrUnexpectedEOF) }
+
+func (h *history) runs(version int) {
+	h.Ran(standin.Ran{Request: "1", Instance: "u", Version: version, At: h.at})
+}
+
+// leaves lets the upstream leave and a time pass.
+func (h *history) leaves(d time.Duration) {
+	h.Departed("u", stateDraining)
+	h.pass(d)
+}
+
+// broken lists the checks that a history breaks.
+func (h *history) broken() []string {
+	l := []string{}
+	for _, v := range h.Violations() {
+		l = append(l, v.Check)
+	}
+	return l
+}
+
+var _ = Describe("a check", func() {
+	DescribeTable("finds what breaks a promise, and nothing else", func(play func(h *history), want ...string) {
+		h := newHistory()
+		play(h)
+		Expect(h.broken()).To(Equal(append([]string{}, want...)))
+	},
+		Entry("an upstream that has left gets requests for a while",
+			func(h *history) { h.leaves(leaveWithin); h.send(); h.arrive() }),
+		Entry("and later none", func(h *history) { h.leaves(leaveWithin + 1); h.send(); h.arrive() }, "leaving"),
+		Entry("unless the gateway was hurt lately", func(h *history) {
+			end := h.Begin("g", "paused")
+			h.leaves(time.Minute)
+			end()
+			h.pass(settle - 1)
+			h.send()
+			h.arrive()
+		}),
+		Entry("and not long ago", func(h *history) {
+			h.Begin("g", "paused")()
+			h.leaves(settle)
+			h.send()
+			h.arrive()
+		}, "leaving"),
+		Entry("a fault of another gateway excuses nothing", func(h *history) {
+			defer h.Begin("other", "paused")()
+			h.leaves(settle)
+			h.send()
+			h.arrive()
+		}, "leaving"),
+		Entry("an older version has its time", func(h *history) {
+			h.Named(2)
+			h.pass(swapWithin)
+			h.send()
+			h.runs(1)
+			h.pass(1)
+			h.runs(2)
+		}),
+		Entry("and no more", func(h *history) { h.Named(2); h.pass(swapWithin + 1); h.send(); h.runs(1) }, "version"),
+		Entry("which whoever could not read the naming counts from later", func(h *history) {
+			end := h.Begin(theStore, "down")
+			h.Named(2)
+			end()
+			h.pass(2 * swapWithin)
+			h.send()
+			h.runs(1)
+		}),
+		Entry("a safe request may run again", func(h *history) { h.send(); h.runs(0); h.runs(0) }),
+		Entry("an unsafe one may not", func(h *history) { h.sendUnsafe(); h.runs(0); h.runs(0) }, "once-at-most"),
+		Entry("a refused request has not run", func(h *history) { h.send(); h.runs(0); h.Refused("1", 503) }, "refused-ran"),
+		Entry("and never does", func(h *history) { h.send(); h.Refused("1", 503); h.runs(0) }, "refused-ran"),
+		Entry("a request arrives just after its caller has gone",
+			func(h *history) { h.send(); h.Closed("1"); h.pass(goneWithin); h.arrive() }),
+		Entry("and not half a second later",
+			func(h *history) { h.send(); h.Closed("1"); h.pass(goneWithin + 1); h.arrive() }, "gone-client"),
+		Entry("nobody has sent what arrives", func(h *history) { h.arrive() }, "unknown-request"),
+		Entry("an allowed request is not denied", func(h *history) { h.send(); h.Denied("1", 403, 0) }, "denied"),
+		Entry("a configuration is in force", func(h *history) {
+			h.Configured(7, 1)
+			h.pass(configWithin + 1)
+			h.send()
+			h.Denied("1", 404, h.configDue())
+		}, "configuration"),
+		Entry("after its time only", func(h *history) {
+			h.Configured(7, 1)
+			h.pass(configWithin)
+			Expect(h.configDue()).To(BeZero())
+		}),
+		Entry("until one without the route follows", func(h *history) {
+			h.Configured(8+keptRoutes, 1)
+			h.send()
+			h.Denied("1", 404, 7)
+		}),
+		Entry("a planned stop cuts nothing", func(h *history) { h.send(); h.term(); h.pass(time.Second); h.cut(true) }, "lost"),
+		Entry("and may close what has not begun", func(h *history) { h.term(); h.send(); h.pass(raceTime); h.cut(false) }),
+		Entry("but nothing that has run", func(h *history) { h.term(); h.send(); h.runs(0); h.cut(false) }, "lost"),
+		Entry("what an upstream cuts is not the stop's", func(h *history) {
+			h.send()
+			h.arrive()
+			h.term()
+			h.Begin("a", "crashed")()
+			h.cut(true)
+		}),
+		Entry("all is well at the end", func(h *history) { h.end = h.at.Add(endTime - 1); h.send(); h.Answered("1"); h.pass(endTime); h.Ended() }),
+		Entry("or it is not", func(h *history) { h.end = h.at.Add(endTime - 1); h.send(); h.pass(endTime); h.Ended() }, "well-again"),
+		Entry("nor what comes after the grace", func(h *history) { h.send(); h.term(); h.pass(grace); h.cut(true) }),
+	)
+
+	DescribeTable("takes only an answer of the request's own, whole", func(body, seal string, want ...string) {
+		h := newHistory()
+		c := &Caller{book: h.Book, gateway: h.gateway}
+		head := http.Header{"Request-Id": {"r1"}, "Response-Seal": {seal}, "Versions": {"3"}}
+		c.check(&ask{id: "r1", stream: true}, &http.Response{StatusCode: http.StatusOK, Header: head}, body)
+		Expect(h.broken()).To(Equal(append([]string{}, want...)))
+	},
+		Entry("whole", standin.StreamOf("r1", 3), "u.r1"),
+		Entry("of another request", standin.StreamOf("r2", 3), "u.r1", "wrong-answer"),
+		Entry("sealed for another request", standin.StreamOf("r1", 3), "u.r2", "wrong-answer"),
+		Entry("of another version", standin.StreamOf("r1", 2), "u.r1", "wrong-answer"),
+		Entry("cut without a word", strings.TrimSuffix(standin.StreamOf("r1", 3), "\n\n"), "u.r1", "wrong-answer"),
+	)
+
+	It("names what happened around a violation, and counts its like", func() {
+		h := newHistory()
+		h.Note("long ago")
+		h.pass(aroundBefore)
+		h.leaves(leaveWithin + 1)
+		h.send()
+		h.arrive()
+		h.arrive()
+		l := h.Violations()
+		Expect(l).To(HaveLen(1))
+		Expect(l[0].Times).To(Equal(2))
+		Expect(strings.Join(l[0].Around, " ")).To(And(ContainSubstring("u left: draining"), Not(ContainSubstring("long ago"))))
+	})
+})
+
+var _ = Describe("a plan", func() {
+	It("is drawn by its seed alone, in order, ends before the tail, and keeps to what is allowed", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			seed := rapid.Uint64().Draw(t, "seed")
+			allowed := rapid.SliceOfDistinct(rapid.SampledFrom(known()), rapid.ID[string]).Draw(t, "allowed")
+			length := 40 * time.Second
+			l := Plan(seed, length, allowed)
+			again := Plan(seed, length, allowed)
+			if len(l) != len(again) {
+				t.Fatalf("%d and %d steps", len(l), len(again))
+			}
+			for i, s := range l {
+				if s != again[i] {
+					t.Fatalf("%v and %v", s, again[i])
+				}
+				if s.At < 0 || s.At+s.For > length-tail || (i > 0 && s.At < l[i-1].At) {
+					t.Fatalf("%v after %v", s, l[max(0, i-1)])
+				}
+				if len(allowed) > 0 && !strings.Contains(strings.Join(allowed, " "), s.Do) {
+					t.Fatalf("%s is not allowed", s.Do)
+				}
+			}
+		})
+	})
+})
+
+var _ = Describe("a link", func() {
+	// say sends a line over a connection and returns whether an echo comes soon, and the error where none does.
+	say := func(c net.Conn) error {
+		_ = c.SetDeadline(time.Now().Add(200 * time.Millisecond))
+		if _, err := c.Write([]byte("x")); err != nil {
+			return err
+		}
+		_, err := io.ReadFull(c, make([]byte, 1))
+		return err
+	}
+	var l *Link
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		Expect(say(c)).To(Or(Succeed(), MatchError(ContainSubstring("timeout"))))
+		return c
+	}
+	BeforeEach(func() {
+		var err error
+		l, err = listenLink("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() { _, _ = io.Copy(c, c) }()
+			}
+		}()
+	})
+
+	It("silences a connection for good without a reset while new ones work", func() {
+		old := dial()
+		l.Silence(false)
+		Expect(say(old)).To(MatchError(ContainSubstring("timeout")))
+		Expect(say(dial())).To(Succeed())
+		l.Silence(false)
+		Expect(say(old)).To(MatchError(ContainSubstring("timeout")))
+	})
+
+	It("silences new ones too until it speaks again", func() {
+		l.Silence(true)
+		Expect(say(dial())).To(HaveOccurred())
+		l.Silence(false)
+		Expect(say(dial())).To(Succeed())
+	})
+
+	It("keeps answers back, and lets them out when it heals", func() {
+		c := dial()
+		l.Hold(true)
+		Expect(say(c)).To(MatchError(ContainSubstring("timeout")))
+		l.Hold(false)
+		Expect(say(c)).To(Succeed())
+	})
+
+	It("resets its connections, delays them, and ends", func() {
+		c := dial()
+		l.Reset()
+		Expect(say(c)).To(HaveOccurred())
+		l.Delay(100 * time.Millisecond)
+		c = dial()
+		start := time.Now()
+		Expect(say(c)).To(Succeed())
+		Expect(time.Since(start)).To(BeNumerically(">=", 100*time.Millisecond))
+		l.Close()
+		Expect(say(c)).To(HaveOccurred())
+		_, err := net.Dial("tcp", l.Addr().String())
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+var _ = Describe("a door to the store", func() {
+	It("loses answers after the call took effect", func() {
+		d := &Door{KeyedDoor: standin.NewKeyedStore().Door()}
+		s := httptest.NewServer(d)
+		DeferCleanup(s.Close)
+		lost := 0
+		d.lossy.Store(3)
+		for range 2 * tenth {
+			a, err := http.Get(s.URL + "/v1/log-newest?topic=x")
+			if err != nil {
+				lost++
+				Expect(errors.Is(err, io.EOF)).To(BeTrue())
+				continue
+			}
+			a.Body.Close()
+		}
+		Expect(lost).To(BeNumerically(">=", 4))
+		Expect(d.Calls()).To(BeNumerically(">=", 2*tenth))
+	})
+})
+
+var _ = Describe("the command line", func() {
+	DescribeTable("refuses what it can't run", func(args ...string) {
+		Expect(Main(args, io.Discard, io.Discard)).To(Equal(exitUsage))
+	}, Entry("an unknown fault", "--faults", "earthquake"), Entry("too short", "--seconds", "5"),
+		Entry("a domain without a gateway", "--gateways", "1", "--domains", "2"))
+})
--- a/internal/standin/modelserver.go
+++ b/internal/standin/modelserver.go
@@ -71,6 +71,8 @@
 	Instance string
 	Slots    int
 	Weights  Versions
+	// Event is the time between two events of a stream; 0 takes the usual one.
+	Event time.Duration
 	// Note is told of each run, and Broken of each promise that the system has broken towards it.
 	Note   func(r Ran)
 	Broken func(what string)
@@ -216,8 +218,12 @@
 	}
 	w.Header().Set("Versions", strconv.Itoa(version))
 	w.Header().Set("Content-Type", "text/event-stream")
+	pause := modelEvent
+	if s.Event > 0 {
+		pause = s.Event
+	}
 	for n := after + 1; n <= modelEvents && r.Context().Err() == nil; n++ {
-		time.Sleep(modelEvent)
+		time.Sleep(pause)
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d %d\n\n", n, r.Header.Get("Request-Id"), version, n)
 		_ = http.NewResponseController(w).Flush()
 	}
