--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -27,13 +27,14 @@
 	// freshMost is the greatest age of a source's records: readers ask the store each 0.7 s, and what the store took has to
 	// be known everywhere two seconds later.
 	freshMost = 1100 * time.Millisecond
-	// slowMost is the greatest age of one topic of a source while another is fresh: the source has its way to the store, and a
-	// record of 600 KB is on it. With freshMost for each, followers left a healthy reader whenever such a record came over a
-	// link of 24 Mbit/s that three failure domains share, and choked that link by reading it themselves.
+	// slowMost is the same for the operators' records, beside a list that is fresh and shows that the source has its way to the
+	// store: a record of 600 KB may be on that way. With freshMost followers left a healthy reader whenever such a record came
+	// over a link of 24 Mbit/s that three failure domains share, and choked that link by reading it themselves.
 	slowMost = 3 * time.Second
 	// blameFor is how long a source that failed is left alone; it is how long a disruption at least lasts.
 	blameFor = 3 * time.Second
-	// staleFor is the same for a source that has lost the store itself: it may have it back at any moment.
+	// staleFor is the same for a source that has lost the store itself, or follows this process: it may have it back, or take
+	// the reading over, at any moment. Left alone for 3 s, they let a gateway that was cut off from the store lag by 4 s.
 	staleFor = 300 * time.Millisecond
 	// lookPause is the wait before sources are looked for again.
 	lookPause = 100 * time.Millisecond
@@ -145,7 +146,7 @@
 		}
 	}
 	until := blameFor
-	if errors.Is(err, errStale) {
+	if errors.Is(err, errStale) || errors.Is(err, errOwn) {
 		until = staleFor
 	}
 	f.blamed[address] = now.Add(until)
@@ -277,16 +278,11 @@
 	if len(a.GetTopics()) != len(f.logs) {
 		return trace.Wrap(errStale, "%d of %d topics", len(a.GetTopics()), len(f.logs))
 	}
-	youngest := slowMost
 	for i, t := range a.GetTopics() {
 		age := time.Duration(t.GetAgeMs()) * time.Millisecond
-		if t.GetTopic() != f.logs[i].topic.Name || age < 0 || age >= slowMost {
+		if t.GetTopic() != f.logs[i].topic.Name || age < 0 || age >= f.logs[i].ageMost() {
 			return trace.Wrap(errStale, "topic %s, age %v", t.GetTopic(), age)
 		}
-		youngest = min(youngest, age)
-	}
-	if youngest >= freshMost {
-		return trace.Wrap(errStale, "all topics, age %v", youngest)
 	}
 	return nil
 }
--- a/internal/records/follow_test.go
+++ b/internal/records/follow_test.go
@@ -1,6 +1,7 @@
 package records
 
 import (
+	"context"
 	"expvar"
 	"fmt"
 	"time"
@@ -48,21 +49,39 @@
 var _ = Describe("an answer of a source", func() {
 	It("is refused where a topic is missing, another one or of an impossible age", func() {
 		f := facts.New(time.Now)
-		follower := &Follower{logs: []*Log{NewLog(Topic{Name: "a"}, f, time.Now, quiet), NewLog(Topic{Name: "b"}, f, time.Now, quiet)}, vars: new(expvar.Map)}
+		follower := &Follower{logs: []*Log{NewLog(Topic{Name: "a"}, f, time.Now, quiet), NewLog(Topic{Name: "b", Upstreams: true}, f, time.Now, quiet)}, vars: new(expvar.Map)}
 		good := []*pb.TopicChanges{{Topic: "a"}, {Topic: "b"}}
 		Expect(follower.check(&pb.FollowResponse{Topics: good})).To(Succeed())
-		slow := []*pb.TopicChanges{{Topic: "a"}, {Topic: "b", AgeMs: freshMost.Milliseconds() + 1}}
+		slow := []*pb.TopicChanges{{Topic: "a", AgeMs: freshMost.Milliseconds() + 1}, {Topic: "b"}}
 		Expect(follower.check(&pb.FollowResponse{Topics: slow})).To(Succeed(), "a long record is on its way to a source that has the store")
 		for _, l := range [][]*pb.TopicChanges{
 			nil, good[:1], {{Topic: "b"}, {Topic: "a"}}, {{Topic: "a"}, {Topic: "b", AgeMs: -1}},
-			{{Topic: "a", AgeMs: freshMost.Milliseconds() + 1}, {Topic: "b", AgeMs: freshMost.Milliseconds() + 1}},
-			{{Topic: "a"}, {Topic: "b", AgeMs: slowMost.Milliseconds() + 1}},
+			{{Topic: "a"}, {Topic: "b", AgeMs: freshMost.Milliseconds() + 1}},
+			{{Topic: "a", AgeMs: slowMost.Milliseconds() + 1}, {Topic: "b"}},
 		} {
 			Expect(follower.check(&pb.FollowResponse{Topics: l})).To(MatchError(errStale))
 		}
 	})
 })
 
+var _ = Describe("a source that is left alone", func() {
+	It("is asked again soon where it has lost the store or follows this process, and later where it gave no answer", func() {
+		now := time.Now()
+		f := &Follower{
+			gate: &gate{}, domain: "d", gateways: func() []string { return nil }, now: func() time.Time { return now },
+			log: quiet, vars: new(expvar.Map), blamed: map[string]time.Time{},
+		}
+		for address, err := range map[string]error{"stale": errStale, "own": errOwn, "silent": context.DeadlineExceeded} {
+			f.blame(address, err)
+		}
+		now = now.Add(staleFor + time.Millisecond)
+		Expect(f.sound([]string{"silent", "own"})).To(Equal("own"))
+		Expect(f.sound([]string{"silent", "stale"})).To(Equal("stale"))
+		now = now.Add(blameFor)
+		Expect(f.sound([]string{"silent"})).To(Equal("silent"))
+	})
+})
+
 var _ = Describe("a question to a source", func() {
 	newFollower := func(self string, started bool) *Follower {
 		f := facts.New(time.Now)
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -302,6 +302,14 @@
 	}
 }
 
+// ageMost is the greatest age at which a source's records of the topic are taken.
+func (l *Log) ageMost() time.Duration {
+	if l.topic.Upstreams {
+		return freshMost
+	}
+	return slowMost
+}
+
 // Lost notes that the store can't be reached. While another process still hands fresh records on, nothing is lost: upstreams
 // whose records go are gone, and get no grace.
 func (l *Log) Lost(err error) {
--- a/internal/records/service.go
+++ b/internal/records/service.go
@@ -49,12 +49,11 @@
 
 // freshFor is how long the logs count as fresh without a word of the store: a follower hears at once that they do not.
 func (s *Service) freshFor() time.Duration {
-	fresh, slow := time.Duration(0), slowMost
+	left := slowMost
 	for _, l := range s.logs {
-		age := l.Age()
-		fresh, slow = max(fresh, freshMost-age), min(slow, slowMost-age)
+		left = min(left, l.ageMost()-l.Age())
 	}
-	return max(0, min(fresh, slow))
+	return max(0, left)
 }
 
 // news says whether an answer brings more than ages.
