--- a/internal/records/log_test.go
+++ b/internal/records/log_test.go
@@ -17,6 +17,16 @@
 	"github.com/springrail/springrail/internal/id"
 )
 
+// newList makes a log of upstreams that puts them into facts.
+func newList(f *facts.Facts, now func() time.Time) *Log {
+	return NewLog(Topic{Name: "t", Upstreams: true, Apply: func(r Record) error {
+		if r.Value != nil {
+			f.SetInstance(&facts.Instance{ID: id.Instance(r.Key)})
+		}
+		return nil
+	}}, f, now, quiet)
+}
+
 var _ = Describe("a log", func() {
 	topic := func(got map[string]string) Topic {
 		return Topic{Name: "t", Apply: func(r Record) error {
@@ -93,12 +103,7 @@
 	It("gives no grace where only this process can't reach the store and another one hands fresh records on", func() {
 		now := time.Now()
 		f := facts.New(time.Now)
-		l := NewLog(Topic{Name: "t", Upstreams: true, Apply: func(r Record) error {
-			if r.Value != nil {
-				f.SetInstance(&facts.Instance{ID: id.Instance(r.Key)})
-			}
-			return nil
-		}}, f, func() time.Time { return now }, quiet)
+		l := newList(f, func() time.Time { return now })
 		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a")}, {Key: "l", Value: []byte("a")}}, Next: 1, Confirmed: now})
 		l.Lost(errOwn)
 		l.Take(Batch{Records: []Record{{Key: "k", Offset: 1}}, Next: 2, Confirmed: now, Own: true})
@@ -112,12 +117,7 @@
 	It("keeps upstreams whose records went while its source had lost the store for the source's grace", func() {
 		now := time.Now()
 		f := facts.New(time.Now)
-		l := NewLog(Topic{Name: "t", Upstreams: true, Apply: func(r Record) error {
-			if r.Value != nil {
-				f.SetInstance(&facts.Instance{ID: id.Instance(r.Key)})
-			}
-			return nil
-		}}, f, func() time.Time { return now }, quiet)
+		l := newList(f, func() time.Time { return now })
 		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a")}}, Next: 1, Confirmed: now})
 		now = now.Add(freshMost + time.Second)
 		l.Take(Batch{Records: []Record{{Key: "k", Offset: 1}}, Next: 2, Confirmed: now, Grace: now.Add(time.Second)})
@@ -133,12 +133,7 @@
 	It("takes over no grace of a source that alone had lost the store", func() {
 		now := time.Now()
 		f := facts.New(time.Now)
-		l := NewLog(Topic{Name: "t", Upstreams: true, Apply: func(r Record) error {
-			if r.Value != nil {
-				f.SetInstance(&facts.Instance{ID: id.Instance(r.Key)})
-			}
-			return nil
-		}}, f, func() time.Time { return now }, quiet)
+		l := newList(f, func() time.Time { return now })
 		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a")}}, Next: 1, Confirmed: now})
 		now = now.Add(freshMost - time.Millisecond)
 		l.Take(Batch{Records: []Record{{Key: "k", Offset: 1}}, Next: 2, Confirmed: now, Grace: now.Add(2 * time.Second)})
@@ -148,12 +143,7 @@
 	It("starts no grace of its own where another process hands on what it has read meanwhile", func() {
 		now := time.Now()
 		f := facts.New(time.Now)
-		l := NewLog(Topic{Name: "t", Upstreams: true, Apply: func(r Record) error {
-			if r.Value != nil {
-				f.SetInstance(&facts.Instance{ID: id.Instance(r.Key)})
-			}
-			return nil
-		}}, f, func() time.Time { return now }, quiet)
+		l := newList(f, func() time.Time { return now })
 		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a")}}, Next: 1, Confirmed: now})
 		now = now.Add(freshMost + time.Second)
 		l.Lost(errOwn)
@@ -223,12 +213,7 @@
 	BeforeEach(func() {
 		now = time.Now()
 		f = facts.New(func() time.Time { return now })
-		l = NewLog(Topic{Name: "t", Upstreams: true, Apply: func(r Record) error {
-			if r.Value != nil {
-				f.SetInstance(&facts.Instance{ID: id.Instance(r.Key)})
-			}
-			return nil
-		}}, f, func() time.Time { return now }, quiet)
+		l = newList(f, func() time.Time { return now })
 		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a")}}, Next: 1, Confirmed: now})
 		now = now.Add(freshMost + time.Second)
 	})
