--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -35,7 +35,7 @@
 // Caller sends requests over one connection until that ends.
 type Caller struct {
 	name     string
-	book     *Book
+	history  *History
 	random   *rand.Rand
 	gateways []*Process
 
@@ -74,13 +74,13 @@
 		}
 	}
 	if len(l) == 0 {
-		c.book.Count("no gateway is ready")
+		c.history.Count("no gateway is ready")
 		return false
 	}
 	g := l[c.random.IntN(len(l))]
 	n, err := net.DialTimeout("tcp", g.front, time.Second)
 	if err != nil {
-		c.book.Count("no connection to a gateway")
+		c.history.Count("no connection to a gateway")
 		return false
 	}
 	c.gateway, c.conn, c.reader = g, n, bufio.NewReader(n)
@@ -105,7 +105,7 @@
 	case n < 60:
 		a.path, a.unsafe = "/desk/", true
 	case n < 75:
-		if a.config = c.book.configDue(); a.config > 0 {
+		if a.config = c.history.configDue(); a.config > 0 {
 			a.path = configPath(a.config)
 		}
 	}
@@ -132,14 +132,14 @@
 func (c *Caller) one(ctx context.Context, a ask) {
 	q, err := a.write()
 	if err != nil {
-		c.book.Note("%s: %v", a.id, err)
+		c.history.Note("%s: %v", a.id, err)
 		return
 	}
-	c.book.Sent(a.id, &request{gateway: c.gateway, unsafe: a.unsafe})
+	c.history.Sent(a.id, &request{gateway: c.gateway, unsafe: a.unsafe})
 	most := callerMost
 	if gone := c.random.Float64() < goneShare; gone {
 		most = time.Duration(c.random.Int64N(int64(goneMost)))
-		c.book.Count("callers that leave early")
+		c.history.Count("callers that leave early")
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(most))
 	conn := c.conn
@@ -156,9 +156,9 @@
 	}
 	if err != nil {
 		c.hangUp()
-		c.book.Closed(a.id)
+		c.history.Closed(a.id)
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.book.Cut(a.id, r != nil, err)
+			c.history.Cut(a.id, r != nil, err)
 		}
 		return
 	}
@@ -172,14 +172,14 @@
 func (c *Caller) check(a *ask, r *http.Response, body string) {
 	switch r.StatusCode {
 	case http.StatusOK:
-		c.book.Answered(a.id)
+		c.history.Answered(a.id)
 		c.whole(a, r, body)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusRequestTimeout:
-		c.book.Refused(a.id, r.StatusCode)
+		c.history.Refused(a.id, r.StatusCode)
 	case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
-		c.book.Denied(a.id, r.StatusCode, a.config)
+		c.history.Denied(a.id, r.StatusCode, a.config)
 	default:
-		c.book.Count("status " + strconv.Itoa(r.StatusCode))
+		c.history.Count("status " + strconv.Itoa(r.StatusCode))
 	}
 }
 
@@ -192,7 +192,7 @@
 	}
 	sealed := strings.HasSuffix(r.Header.Get("Response-Seal"), "."+a.id)
 	if body != want || r.Header.Get("Request-Id") != a.id || !sealed {
-		c.book.Violate("wrong-answer", c.gateway.name, a.id, "of %d bytes, want %d; head %v; begins %.80q", len(body), len(want),
+		c.history.Violate("wrong-answer", c.gateway.name, a.id, "of %d bytes, want %d; head %v; begins %.80q", len(body), len(want),
 			r.Header, body)
 	}
 }
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -22,13 +22,13 @@
 
 // sound says whether a request's gateway, the store and this machine have been without fault for the time to settle; the
 // caller holds the lock.
-func (b *Book) sound(r *request) bool {
+func (b *History) sound(r *request) bool {
 	now := b.now()
 	return b.clean(now.Add(-settle), now, r.gateway.name, theStore, theMachine)
 }
 
 // unless keeps a violation, or counts it where a fault excuses it; the caller holds the lock.
-func (b *Book) unless(excused bool, check, process, request, subject, format string, args ...any) {
+func (b *History) unless(excused bool, check, process, request, subject, format string, args ...any) {
 	if excused {
 		b.counts["excused by a fault: "+check]++
 		return
@@ -37,7 +37,7 @@
 }
 
 // Sent notes a caller's request before it goes out.
-func (b *Book) Sent(id string, r *request) {
+func (b *History) Sent(id string, r *request) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r.sent = b.now()
@@ -49,7 +49,7 @@
 }
 
 // Answered notes an answer that came whole.
-func (b *Book) Answered(id string) {
+func (b *History) Answered(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counts["answered"]++
@@ -67,12 +67,12 @@
 	endShare = 0.75
 )
 
-func (b *Book) atEnd() bool {
+func (b *History) atEnd() bool {
 	return !b.end.IsZero() && b.now().After(b.end.Add(-endTime))
 }
 
 // Ended checks that all was well again at the end.
-func (b *Book) Ended() {
+func (b *History) Ended() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.now().Before(b.end) {
@@ -87,14 +87,14 @@
 }
 
 // Closed notes that a request's caller has closed its connection.
-func (b *Book) Closed(id string) {
+func (b *History) Closed(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.requests[id].closed = b.now()
 }
 
 // Arrived checks a request that reaches an upstream.
-func (b *Book) Arrived(id, instance, address string) {
+func (b *History) Arrived(id, instance, address string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.requests[id]
@@ -121,7 +121,7 @@
 }
 
 // Ran checks a run of a request at an upstream.
-func (b *Book) Ran(x standin.Ran) {
+func (b *History) Ran(x standin.Ran) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.requests[x.Request]
@@ -156,7 +156,7 @@
 }
 
 // Departed notes that the store has taken the word that an upstream leaves.
-func (b *Book) Departed(instance, how string) {
+func (b *History) Departed(instance, how string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if _, ok := b.departed[instance]; ok {
@@ -168,7 +168,7 @@
 }
 
 // Named notes that the store has taken a version.
-func (b *Book) Named(version int) {
+func (b *History) Named(version int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.versions = append(b.versions, named{number: version, at: b.now()})
@@ -177,7 +177,7 @@
 }
 
 // Configured notes that the store has taken a configuration.
-func (b *Book) Configured(version, size int) {
+func (b *History) Configured(version, size int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.configs = append(b.configs, named{number: version, at: b.now()})
@@ -186,7 +186,7 @@
 }
 
 // configDue is the newest configuration that must be in force; 0 is none.
-func (b *Book) configDue() int {
+func (b *History) configDue() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	due := 0
@@ -199,7 +199,7 @@
 }
 
 // Refused checks a promise that a request was not run.
-func (b *Book) Refused(id string, status int) {
+func (b *History) Refused(id string, status int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.requests[id]
@@ -211,7 +211,7 @@
 }
 
 // Denied checks a status that denies a request which is allowed.
-func (b *Book) Denied(id string, status, config int) {
+func (b *History) Denied(id string, status, config int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.requests[id]
@@ -226,12 +226,12 @@
 }
 
 // superseded says whether a configuration without this one's route may be in force; the caller holds the lock.
-func (b *Book) superseded(config int) bool {
+func (b *History) superseded(config int) bool {
 	return len(b.configs) > 0 && b.configs[len(b.configs)-1].number > config+keptRoutes
 }
 
 // Cut checks an answer that did not come whole; head says that some of it came.
-func (b *Book) Cut(id string, head bool, why error) {
+func (b *History) Cut(id string, head bool, why error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.requests[id]
--- a/internal/soak/world.go
+++ b/internal/soak/fleet.go
@@ -17,10 +17,10 @@
 	"github.com/springrail/springrail/internal/standin"
 )
 
-// World is a small platform with gateways and stagers on it.
-type World struct {
+// Fleet is a small platform with gateways and stagers on it.
+type Fleet struct {
 	settings *Settings
-	book     *Book
+	history  *History
 	store    *standin.KeyedStore
 	net      string
 	lock     net.Listener
@@ -58,12 +58,12 @@
 }
 
 // newWorld makes and starts everything.
-func newWorld(ctx context.Context, s *Settings, b *Book) (*World, error) {
+func newFleet(ctx context.Context, s *Settings, b *History) (*Fleet, error) {
 	n, lock, err := takeNet(s.Seed)
 	if err != nil {
 		return nil, err
 	}
-	w := &World{settings: s, book: b, store: standin.NewKeyedStore(), net: n, lock: lock, origin: n + ".3.1:8001"}
+	w := &Fleet{settings: s, history: b, store: standin.NewKeyedStore(), net: n, lock: lock, origin: n + ".3.1:8001"}
 	l, err := listenLink(w.origin)
 	if err != nil {
 		return w, err
@@ -87,8 +87,8 @@
 	return w, w.startAll(ctx)
 }
 
-func (w *World) slot(ctx context.Context, to *[]*Slot, pool, address string, i int) error {
-	s := &Slot{address: address, pool: pool, domain: w.domain(i), book: w.book, store: w.store}
+func (w *Fleet) slot(ctx context.Context, to *[]*Slot, pool, address string, i int) error {
+	s := &Slot{address: address, pool: pool, domain: w.domain(i), history: w.history, store: w.store}
 	if pool == "engines" {
 		// Streams of 0.2 to 1 s.
 		s.event = time.Duration(20+15*(i%5)) * time.Millisecond
@@ -101,11 +101,11 @@
 	return nil
 }
 
-func (w *World) domain(i int) string {
+func (w *Fleet) domain(i int) string {
 	return fmt.Sprint("d", i%w.settings.Domains)
 }
 
-func (w *World) startAll(ctx context.Context) error {
+func (w *Fleet) startAll(ctx context.Context) error {
 	for i := range w.settings.Stagers {
 		p, err := w.process(ctx, i, "stager", stagerText, fmt.Sprintf("%s.2.%d", w.net, i+1))
 		if err != nil {
@@ -127,7 +127,7 @@
 }
 
 // process writes the settings of a program, opens its door to the store and starts it.
-func (w *World) process(ctx context.Context, i int, kind, text, ip string) (*Process, error) {
+func (w *Fleet) process(ctx context.Context, i int, kind, text, ip string) (*Process, error) {
 	name := fmt.Sprintf("%s-%d", kind, i+1)
 	group := map[string]int{"gateway": 1, "stager": 2}[kind]
 	door := fmt.Sprintf("%s.4.%d:80%02d", w.net, i+1, group)
@@ -142,18 +142,18 @@
 	}
 	p := &Process{
 		name: name, program: filepath.Join(w.settings.Bin, "springrail-"+kind), settings: file,
-		log: filepath.Join(w.settings.Logs, name+".log"), door: d, book: w.book,
+		log: filepath.Join(w.settings.Logs, name+".log"), door: d, history: w.history,
 	}
 	return p, p.Start()
 }
 
 // all lists all processes.
-func (w *World) all() []*Process {
+func (w *Fleet) all() []*Process {
 	return slices.Concat(w.gateways, w.stagers)
 }
 
 // close ends all processes.
-func (w *World) close() {
+func (w *Fleet) close() {
 	for _, p := range w.all() {
 		p.Stop()
 	}
@@ -161,7 +161,7 @@
 }
 
 // filled waits until all engines serve and all gateways are ready.
-func (w *World) filled(ctx context.Context) error {
+func (w *Fleet) filled(ctx context.Context) error {
 	until := time.Now().Add(fillWithin)
 	for ctx.Err() == nil {
 		ready := true
@@ -183,55 +183,55 @@
 }
 
 // watchMachine notes the times at which this process itself stood still.
-func (w *World) watchMachine(ctx context.Context) {
+func (w *Fleet) watchMachine(ctx context.Context) {
 	for last := time.Now(); ctx.Err() == nil; {
 		kernel.Pause(ctx, lagLook)
 		now := time.Now()
 		if late := now.Sub(last) - lagLook; late > lagMost {
-			w.book.Begin(theMachine, fmt.Sprintf("stood still for %v", late.Round(time.Millisecond)))()
+			w.history.Begin(theMachine, fmt.Sprintf("stood still for %v", late.Round(time.Millisecond)))()
 		}
 		last = now
 	}
 }
 
 // configure puts a new configuration; size is the share of configurations that are large.
-func (w *World) configure(size float64) {
+func (w *Fleet) configure(size float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.config++
 	b := configOf(w.config, size > bigShare, w.origin)
 	w.store.Put(operatorTopic, configKey, b)
-	w.book.Configured(w.config, len(b))
+	w.history.Configured(w.config, len(b))
 }
 
 // bigShare is the share of configurations that are small.
 const bigShare = 0.5
 
 // name puts a newer version.
-func (w *World) name() {
+func (w *Fleet) name() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
 	w.store.Put(operatorTopic, versionKey, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, w.version))
-	w.book.Named(w.version)
+	w.history.Named(w.version)
 }
 
 // run lets callers ask and carries the plan out.
-func (w *World) run(ctx context.Context) error {
+func (w *Fleet) run(ctx context.Context) error {
 	go w.watchMachine(ctx)
 	if err := w.filled(ctx); err != nil {
 		return err
 	}
 	start := time.Now()
-	w.book.Note("all engines serve, all gateways are ready")
+	w.history.Note("all engines serve, all gateways are ready")
 	length := time.Duration(w.settings.Seconds) * time.Second
-	w.book.end = start.Add(length)
-	ctx, stop := context.WithDeadline(ctx, w.book.end)
+	w.history.end = start.Add(length)
+	ctx, stop := context.WithDeadline(ctx, w.history.end)
 	defer stop()
 	var asking sync.WaitGroup
 	for i := range callers {
 		c := &Caller{
-			name: fmt.Sprintf("s%d-%d", w.settings.Seed, i), book: w.book, gateways: w.gateways,
+			name: fmt.Sprintf("s%d-%d", w.settings.Seed, i), history: w.history, gateways: w.gateways,
 			random: rand.New(rand.NewPCG(w.settings.Seed, uint64(i))),
 		}
 		asking.Go(func() { c.Run(ctx) })
@@ -241,11 +241,11 @@
 		if ctx.Err() != nil {
 			break
 		}
-		w.steps.Go(func() { w.do(ctx, s) })
+		w.steps.Go(func() { w.inject(ctx, s) })
 	}
 	<-ctx.Done()
 	asking.Wait()
 	w.steps.Wait()
-	w.book.Ended()
+	w.history.Ended()
 	return nil
 }
--- a/internal/soak/book.go
+++ b/internal/soak/history.go
@@ -74,8 +74,8 @@
 	runs int
 }
 
-// Book is what was done and seen, and what of it breaks a promise. It is safe for concurrent use.
-type Book struct {
+// History is what was done and seen, and what of it breaks a promise. It is safe for concurrent use.
+type History struct {
 	seed  uint64
 	start time.Time
 	now   func() time.Time
@@ -94,41 +94,41 @@
 	counts     map[string]int
 }
 
-// NewBook makes an empty book.
-func NewBook(seed uint64, now func() time.Time) *Book {
-	return &Book{
+// NewHistory makes an empty history.
+func NewHistory(seed uint64, now func() time.Time) *History {
+	return &History{
 		seed: seed, start: now(), now: now, spans: map[string][]*span{}, departed: map[string]departure{},
 		requests: map[string]*request{}, counts: map[string]int{},
 	}
 }
 
 // Note keeps an event.
-func (b *Book) Note(format string, args ...any) {
+func (b *History) Note(format string, args ...any) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.note(format, args...)
 }
 
-func (b *Book) note(format string, args ...any) {
+func (b *History) note(format string, args ...any) {
 	b.events = append(b.events, Event{At: b.now(), Text: fmt.Sprintf(format, args...)})
 }
 
 // Count counts something that shows what a run has tried.
-func (b *Book) Count(what string) {
+func (b *History) Count(what string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.counts[what]++
 }
 
 // Counts returns what was counted.
-func (b *Book) Counts() map[string]int {
+func (b *History) Counts() map[string]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return maps.Clone(b.counts)
 }
 
 // Begin opens the time of a fault and returns what closes it.
-func (b *Book) Begin(target, what string) func() {
+func (b *History) Begin(target, what string) func() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := &span{what: what, from: b.now()}
@@ -144,7 +144,7 @@
 }
 
 // clean says whether none of the targets had a fault between two times; the caller holds the lock.
-func (b *Book) clean(from, to time.Time, targets ...string) bool {
+func (b *History) clean(from, to time.Time, targets ...string) bool {
 	for _, t := range targets {
 		for _, s := range b.spans[t] {
 			if !s.from.After(to) && (s.until.IsZero() || s.until.After(from)) {
@@ -156,14 +156,14 @@
 }
 
 // Violate keeps a violation.
-func (b *Book) Violate(check, process, request, format string, args ...any) {
+func (b *History) Violate(check, process, request, format string, args ...any) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.violate(check, process, request, "", format, args...)
 }
 
 // violate keeps a violation, once for each check, process and subject; the caller holds the lock.
-func (b *Book) violate(check, process, request, subject, format string, args ...any) {
+func (b *History) violate(check, process, request, subject, format string, args ...any) {
 	for _, v := range b.violations {
 		if subject != "" && v.Check == check && v.Process == process && v.Subject == subject {
 			v.Times++
@@ -180,7 +180,7 @@
 }
 
 // Violations returns the violations, each with the events around it.
-func (b *Book) Violations() []*Violation {
+func (b *History) Violations() []*Violation {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, v := range b.violations {
--- a/internal/soak/do.go
+++ b/internal/soak/inject.go
@@ -26,8 +26,8 @@
 	readerShare = 0.6
 )
 
-// do carries out a step.
-func (w *World) do(ctx context.Context, s Step) {
+// inject carries out a step.
+func (w *Fleet) inject(ctx context.Context, s Step) {
 	switch s.Do {
 	case doPause, doKill, doTerm:
 		w.hurtProcess(ctx, s)
@@ -36,7 +36,7 @@
 	case doDown, doMute, doSlow, doLossy:
 		w.hurtStore(ctx, s, "", w.all())
 	case doForget:
-		defer w.book.Begin(theStore, "forgot its history")()
+		defer w.history.Begin(theStore, "forgot its history")()
 		w.store.Forget(operatorTopic)
 		w.store.Forget(serverTopic)
 	case doRefuse, doCutOne, doStoreRst:
@@ -51,7 +51,7 @@
 }
 
 // hurtProcess pauses, kills or terminates a gateway or a stager that nothing else happens to.
-func (w *World) hurtProcess(ctx context.Context, s Step) {
+func (w *Fleet) hurtProcess(ctx context.Context, s Step) {
 	p := w.stagers[int(s.Pick>>8)%len(w.stagers)]
 	if s.Pick%tenth > 1 {
 		p = w.gateway(s)
@@ -71,7 +71,7 @@
 }
 
 // gateway picks a gateway, often the one that reads for its domain.
-func (w *World) gateway(s Step) *Process {
+func (w *Fleet) gateway(s Step) *Process {
 	if s.Size > readerShare {
 		return w.gateways[int(s.Pick>>8)%len(w.gateways)]
 	}
@@ -89,12 +89,12 @@
 }
 
 // hurtLink hurts the way to an upstream.
-func (w *World) hurtLink(ctx context.Context, s Step) {
+func (w *Fleet) hurtLink(ctx context.Context, s Step) {
 	u := w.upstream(s)
 	u.mu.Lock()
 	l := u.link
 	u.mu.Unlock()
-	defer w.book.Begin(u.address, s.Do)()
+	defer w.history.Begin(u.address, s.Do)()
 	switch s.Do {
 	case doDelay:
 		l.Delay(time.Duration(s.Size * float64(slowLink)))
@@ -111,7 +111,7 @@
 	}
 }
 
-func (w *World) upstream(s Step) *Slot {
+func (w *Fleet) upstream(s Step) *Slot {
 	l := w.plain
 	if s.Pick%2 == 0 {
 		l = slices.Concat(w.engines, []*Slot{w.weights})
@@ -120,11 +120,11 @@
 }
 
 // hurtStore hurts the store for some of its callers; target is the one to hold to account, or empty for the store itself.
-func (w *World) hurtStore(ctx context.Context, s Step, target string, l []*Process) {
+func (w *Fleet) hurtStore(ctx context.Context, s Step, target string, l []*Process) {
 	if target == "" {
 		target = theStore
 	}
-	defer w.book.Begin(target, s.Do)()
+	defer w.history.Begin(target, s.Do)()
 	set := func(f standin.KeyedFaults, lossy int32) {
 		for _, p := range l {
 			p.door.SetFaults(f)
@@ -146,7 +146,7 @@
 }
 
 // hurtDoors hurts the store for some processes while it serves the others.
-func (w *World) hurtDoors(ctx context.Context, s Step) {
+func (w *Fleet) hurtDoors(ctx context.Context, s Step) {
 	if s.Do != doRefuse {
 		w.hurtDoor(ctx, s, w.gateway(s))
 		return
@@ -162,8 +162,8 @@
 }
 
 // hurtDoor cuts one gateway off from the store: its connections fall silent and new ones too, or they are reset.
-func (w *World) hurtDoor(ctx context.Context, s Step, p *Process) {
-	defer w.book.Begin(p.name, s.Do)()
+func (w *Fleet) hurtDoor(ctx context.Context, s Step, p *Process) {
+	defer w.history.Begin(p.name, s.Do)()
 	if s.Do == doStoreRst {
 		p.door.link.Reset()
 		return
@@ -180,7 +180,7 @@
 }
 
 // depart lets an upstream leave, if enough others stay.
-func (w *World) depart(ctx context.Context, s Step) {
+func (w *Fleet) depart(ctx context.Context, s Step) {
 	l, least := w.plain, leastPlain
 	if s.Size < w.settings.Engines {
 		l, least = w.engines, leastEngines
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -180,11 +180,11 @@
 }
 
 // Run runs one seed and returns what was seen.
-func Run(ctx context.Context, s *Settings) (*Book, error) {
-	b := NewBook(s.Seed, time.Now)
+func Run(ctx context.Context, s *Settings) (*History, error) {
+	b := NewHistory(s.Seed, time.Now)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	w, err := newWorld(ctx, s, b)
+	w, err := newFleet(ctx, s, b)
 	if w != nil {
 		defer w.close()
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -36,7 +36,7 @@
 	// internal is where other processes follow a gateway.
 	internal string
 	door     *Door
-	book     *Book
+	history  *History
 
 	mu sync.Mutex
 	// busy is held by the fault that works on the process, so that two do not at one time.
@@ -73,7 +73,7 @@
 		err := c.Wait()
 		p.ok.Store(false)
 		if !p.ordered.Load() {
-			p.book.Violate("ended-by-itself", p.name, "", "the process ended by itself: %v", err)
+			p.history.Violate("ended-by-itself", p.name, "", "the process ended by itself: %v", err)
 		}
 		close(ended)
 	}()
@@ -103,7 +103,7 @@
 
 // Pause stops the process for a time.
 func (p *Process) Pause(ctx context.Context, d time.Duration) {
-	end := p.book.Begin(p.name, "paused")
+	end := p.history.Begin(p.name, "paused")
 	defer end()
 	p.signal(syscall.SIGSTOP)
 	kernel.Pause(ctx, d)
@@ -112,7 +112,7 @@
 
 // Kill ends the process at once and starts it again after a time.
 func (p *Process) Kill(ctx context.Context, d time.Duration) {
-	end := p.book.Begin(p.name, "killed")
+	end := p.history.Begin(p.name, "killed")
 	defer end()
 	p.ordered.Store(true)
 	<-p.signal(syscall.SIGKILL)
@@ -121,7 +121,7 @@
 
 // Terminate asks the process to end, and starts it again a time after it has.
 func (p *Process) Terminate(ctx context.Context, d time.Duration) {
-	end := p.book.Begin(p.name, "terminated")
+	end := p.history.Begin(p.name, "terminated")
 	defer end()
 	p.ordered.Store(true)
 	p.termAt.Store(time.Now().UnixNano())
@@ -131,7 +131,7 @@
 	case <-ctx.Done():
 		return
 	case <-time.After(grace + exitSlack):
-		p.book.Violate("grace", p.name, "", "the process is there %v after SIGTERM", grace+exitSlack)
+		p.history.Violate("grace", p.name, "", "the process is there %v after SIGTERM", grace+exitSlack)
 		<-p.signal(syscall.SIGKILL)
 	}
 	p.again(ctx, d)
@@ -143,7 +143,7 @@
 		return
 	}
 	if err := p.Start(); err != nil {
-		p.book.Violate("start", p.name, "", "%v", err)
+		p.history.Violate("start", p.name, "", "%v", err)
 		return
 	}
 	p.waitReady(ctx)
@@ -158,7 +158,7 @@
 	until := time.Now().Add(readyWithin)
 	for ctx.Err() == nil && !p.ok.Load() {
 		if time.Now().After(until) {
-			p.book.Note("%s is not ready after %v", p.name, readyWithin)
+			p.history.Note("%s is not ready after %v", p.name, readyWithin)
 			return
 		}
 		kernel.Pause(ctx, readyLook)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,16 +22,16 @@
 	spec.Run(t, "The soak")
 }
 
-// history is a book with a clock that the spec moves, and one request "1".
+// history is one with a clock that the spec moves, and one request "1".
 type history struct {
-	*Book
+	*History
 	at      time.Time
 	gateway *Process
 }
 
 func newHistory() *history {
 	h := &history{at: time.Unix(1000, 0), gateway: &Process{name: "g"}}
-	h.Book = NewBook(1, func() time.Time { return h.at })
+	h.History = NewHistory(1, func() time.Time { return h.at })
 	h.pass(time.Minute)
 	return h
 }
@@ -151,7 +151,7 @@
 
 	DescribeTable("takes only an answer of the request's own, whole", func(body, seal string, want ...string) {
 		h := newHistory()
-		c := &Caller{book: h.Book, gateway: h.gateway}
+		c := &Caller{history: h.History, gateway: h.gateway}
 		head := http.Header{"Request-Id": {"r1"}, "Response-Seal": {seal}, "Versions": {"3"}}
 		c.check(&ask{id: "r1", stream: true}, &http.Response{StatusCode: http.StatusOK, Header: head}, body)
 		Expect(h.broken()).To(Equal(append([]string{}, want...)))
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -35,7 +35,7 @@
 // Slot is an address at which one upstream after the other serves.
 type Slot struct {
 	address, pool, domain string
-	book                  *Book
+	history               *History
 	store                 *standin.KeyedStore
 	event                 time.Duration
 
@@ -63,27 +63,27 @@
 	s.starts++
 	s.id = fmt.Sprintf("%s-%d", s.address, s.starts)
 	server := &standin.ModelServer{
-		Instance: s.id, Slots: slots, Event: s.event, Note: s.book.Ran,
+		Instance: s.id, Slots: slots, Event: s.event, Note: s.history.Ran,
 		Weights: standin.Versions{Model: model, Chunks: chunks, ChunkBytes: chunkBytes},
-		Broken:  func(what string) { s.book.Violate("weights", s.address, "", "%s", what) },
+		Broken:  func(what string) { s.history.Violate("weights", s.address, "", "%s", what) },
 	}
 	s.server, s.link, s.state, s.listed, s.came = server, l, stateReady, true, time.Now()
-	go func() { _ = standin.ServeOn(ctx, l, &recorder{slot: s.address, server: server, book: s.book}) }()
+	go func() { _ = standin.ServeOn(ctx, l, &recorder{slot: s.address, server: server, history: s.history}) }()
 	s.write()
 	return nil
 }
 
 // recorder notes each request that reaches an upstream.
 type recorder struct {
-	slot   string
-	server *standin.ModelServer
-	book   *Book
+	slot    string
+	server  *standin.ModelServer
+	history *History
 }
 
 // ServeHTTP implements http.Handler.
 func (h *recorder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !strings.HasPrefix(r.URL.Path, "/v1/") {
-		h.book.Arrived(r.Header.Get("Request-Id"), r.Header.Get("Target-Instance"), h.slot)
+		h.history.Arrived(r.Header.Get("Request-Id"), r.Header.Get("Target-Instance"), h.slot)
 	}
 	h.server.ServeHTTP(w, r)
 }
@@ -119,7 +119,7 @@
 	}
 	s.listed = false
 	s.store.Put(serverTopic, s.id, nil)
-	s.book.Departed(s.id, "record went")
+	s.history.Departed(s.id, "record went")
 }
 
 // Leave lets the upstream say that it leaves, or its record just go; it serves on for a while, and a new one comes.
@@ -128,7 +128,7 @@
 		s.mu.Lock()
 		s.state = stateDraining
 		s.write()
-		s.book.Departed(s.id, stateDraining)
+		s.history.Departed(s.id, stateDraining)
 		s.mu.Unlock()
 	} else {
 		s.drop()
@@ -140,7 +140,7 @@
 
 // Crash ends the upstream at once; its record lapses.
 func (s *Slot) Crash(ctx context.Context, away time.Duration) {
-	defer s.book.Begin(s.address, "crashed")()
+	defer s.history.Begin(s.address, "crashed")()
 	s.link.Close()
 	s.mu.Lock()
 	s.listed = false
@@ -149,7 +149,7 @@
 	time.AfterFunc(lapse, func() {
 		if ctx.Err() == nil {
 			s.store.Put(serverTopic, id, nil)
-			s.book.Departed(id, "record lapsed")
+			s.history.Departed(id, "record lapsed")
 		}
 	})
 	s.renew(ctx, away)
@@ -157,14 +157,14 @@
 
 // renew ends what serves at the address and starts a new upstream after a time.
 func (s *Slot) renew(ctx context.Context, away time.Duration) {
-	defer s.book.Begin(s.address, "renewed")()
+	defer s.history.Begin(s.address, "renewed")()
 	s.link.Close()
 	kernel.Pause(ctx, away)
 	if ctx.Err() != nil {
 		return
 	}
 	if err := s.Come(ctx); err != nil {
-		s.book.Note("no upstream comes to %s: %v", s.address, err)
+		s.history.Note("no upstream comes to %s: %v", s.address, err)
 	}
 }
 
