An order to load rests on what was verified in the engine's present life

Cause: the order's guard was the engine's count of orders, read after the look at its chunks; it is 0 for any engine that has taken none, so one that crashed and came back in between got an order for chunks that it lacked. Ruled out: reading the count before the look (a first order of either life goes by it), and the instance's id from the list (late, and not there while the store is away). Change: reports and orders go over one kept connection, which ends with the engine's process; verify and order count only within the life of one connection.

--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -114,6 +114,33 @@
 	return s.now().Sub(g.wanted.Learnt).Milliseconds()
 }
 
+// verified compares what lies staged with the verified chunks until one life of the upstream has been looked at from the first
+// chunk to the last, and returns that life.
+func (s *Stager) verified(ctx context.Context, g *goal) (uint64, error) {
+	for range verifyMost {
+		before, err := s.ports.Upstream.State(ctx)
+		if err != nil {
+			return 0, trace.Wrap(err)
+		}
+		if err := s.verify(ctx, g); err != nil {
+			return 0, err
+		}
+		after, err := s.ports.Upstream.State(ctx)
+		if err != nil {
+			return 0, trace.Wrap(err)
+		}
+		if after.Life == before.Life {
+			return after.Life, nil
+		}
+		s.log.Info().Str("version", g.name()).Uint64("life", after.Life).Msg("the upstream may have started anew; verified again")
+	}
+	return 0, trace.Wrap(ErrRefused, "the upstream starts anew again and again")
+}
+
+// verifyMost bounds how often chunks are verified for one order: an upstream that has not started anew closes a connection now and then,
+// and hardly twice while a hundred chunks are read.
+const verifyMost = 3
+
 // verify compares what lies staged with the verified chunks and mends what has turned bad.
 func (s *Stager) verify(ctx context.Context, g *goal) error {
 	mended := 0
@@ -173,7 +200,8 @@
 	if ctx.Err() != nil {
 		return trace.Wrap(ctx.Err())
 	}
-	if err := s.verify(ctx, g); err != nil {
+	life, err := s.verified(ctx, g)
+	if err != nil {
 		return err
 	}
 	g.loading.Store(true)
@@ -194,9 +222,17 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	o := Order{Model: g.model, Revision: g.wanted.Revision, After: state.Orders, Cut: cut}
-	err = s.ports.Upstream.Load(ctx, o)
-	if err != nil {
+	if state.Life != life {
+		// What was verified before the drain may be gone.
+		if life, err = s.verified(ctx, g); err != nil {
+			return err
+		}
+		if state, err = s.ports.Upstream.State(ctx); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	o := Order{Model: g.model, Revision: g.wanted.Revision, After: state.Orders, Life: life, Cut: cut}
+	if err := s.ports.Upstream.Load(ctx, o); err != nil {
 		s.orders.Add("failed", 1)
 		if !s.taken(ctx, state.Orders) {
 			return trace.Wrap(err)
--- a/internal/stager/ports.go
+++ b/internal/stager/ports.go
@@ -28,7 +28,10 @@
 	Busy bool
 	// Orders counts the orders that the upstream has taken since its start.
 	Orders uint64
-	Held   []facts.Held
+	// Life is the number of the upstream's life: as long as it stays the same, the upstream has not started anew. It may change
+	// without a start.
+	Life uint64
+	Held []facts.Held
 }
 
 // Order tells the upstream to load what is staged.
@@ -37,6 +40,9 @@
 	Revision id.Revision
 	// After is the number of orders that the upstream must have taken, so that one that was overtaken is refused.
 	After uint64
+	// Life is the life in which the chunks were verified. An upstream that has started anew since then gets no order: what
+	// lay staged may be gone, and a first order of either life would go by the same count.
+	Life uint64
 	// Cut ends the requests that run; otherwise the upstream finishes them first.
 	Cut bool
 }
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -150,14 +150,14 @@
 
 // startAnew plays an engine that crashes and is back at once, without what lay staged; the caller holds the lock.
 func (e *engine) startAnew() {
-	e.state = State{}
+	e.state = State{Life: e.state.Life + 1}
 	e.staged = map[id.Chunk][]byte{}
 }
 
 func (e *engine) load(_ context.Context, o Order) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.refuse > 0 || o.After != e.state.Orders {
+	if e.refuse > 0 || o.After != e.state.Orders || o.Life != e.state.Life {
 		e.refuse--
 		return ErrRefused
 	}
