Counters of traffic by kind and distance, of calls by reason; springrail traffic

Cause: nobody could say from metrics which bytes cross regions, nor who calls the store, and both are among the largest prices at size. Change: a counter at the sockets (datagrams where they are sent, connections where they are opened, both ways) by kind and by distance, which follows from the regions in the settings; calls to the store, the origin and the engine by reason. Served with the metrics and, every traffic.log_every, logged; the verb traffic adds processes up from logs, saved metrics or metrics addresses.

--- /dev/null
+++ b/internal/cmd/cmd_traffic.go
@@ -0,0 +1,87 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/springrail/springrail/internal/traffic"
+)
+
+// metricsTimeout bounds the reading of one process's metrics.
+const metricsTimeout = 5 * time.Second
+
+var cmdTraffic = command{
+	name: "traffic",
+	help: "Add up what processes send and whom they call: by kind, by how far it goes, and by reason.",
+	setup: func(c *kingpin.CmdClause) action {
+		from := c.Arg("from", "Log files, saved metrics, or metrics addresses such as http://10.0.0.1:9464/debug/vars; none reads "+
+			"standard input.").Strings()
+		return func(ctx context.Context, e *env) error {
+			var a traffic.Account
+			if err := readTraffic(ctx, &a, *from); err != nil {
+				return err
+			}
+			a.Sum()
+			if !e.json {
+				return a.Text(e.out)
+			}
+			j := json.NewEncoder(e.out)
+			j.SetIndent("", "  ")
+			return j.Encode(&a)
+		}
+	},
+}
+
+// readTraffic reads all that is named, or standard input where nothing is.
+func readTraffic(ctx context.Context, a *traffic.Account, from []string) error {
+	if len(from) == 0 {
+		return readOne(a, "standard input", os.Stdin)
+	}
+	for _, name := range from {
+		r, err := openTraffic(ctx, name)
+		if err != nil {
+			return err
+		}
+		err = readOne(a, name, r)
+		r.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readOne(a *traffic.Account, name string, r io.Reader) error {
+	if err := a.Read(r); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	return nil
+}
+
+// openTraffic opens a file, or asks a metrics address.
+func openTraffic(ctx context.Context, name string) (io.ReadCloser, error) {
+	if !strings.HasPrefix(name, "http://") && !strings.HasPrefix(name, "https://") {
+		return os.Open(name)
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, name, nil)
+	if err != nil {
+		return nil, err
+	}
+	a, err := (&http.Client{Timeout: metricsTimeout}).Do(r)
+	if err != nil {
+		return nil, err
+	}
+	if a.StatusCode != http.StatusOK {
+		a.Body.Close()
+		return nil, fmt.Errorf("%s: status %d; is it a process's metrics address?", name, a.StatusCode)
+	}
+	return a.Body, nil
+}
--- a/internal/cmd/operator.go
+++ b/internal/cmd/operator.go
@@ -49,7 +49,7 @@
 var commands = []command{
 	cmdOrganisationPut, cmdOrganisationGet, cmdOrganisationList,
 	cmdRolloutCreate, cmdRolloutStatus, cmdRolloutList, cmdRolloutCancel, cmdRolloutRollback,
-	cmdVMList, cmdChangeGet, cmdTimeline, cmdLosses, cmdManifest, cmdToken,
+	cmdVMList, cmdChangeGet, cmdTimeline, cmdLosses, cmdTraffic, cmdManifest, cmdToken,
 }
 
 // groupHelp describes the nouns.
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -18,6 +18,7 @@
 	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/placement"
 	"github.com/springrail/springrail/internal/reports"
+	"github.com/springrail/springrail/internal/traffic"
 	"github.com/springrail/springrail/internal/upconn"
 )
 
@@ -54,7 +55,7 @@
 	kernel.Register(kernel.Part{
 		Name:     PartName,
 		Section:  PartName,
-		Needs:    []string{facts.PartName, DialectPart, reports.SubscriberPart},
+		Needs:    []string{facts.PartName, DialectPart, reports.SubscriberPart, traffic.PartName},
 		Settings: func() kernel.Section { return NewSettings() },
 		New:      newPart,
 	})
@@ -108,7 +109,7 @@
 	}
 	d := h.Part(DialectPart).(*Dialect)
 	sub := h.Part(reports.SubscriberPart).(*reports.Subscriber)
-	connect := dial.New(dialTimeout).DialContext
+	connect := h.Part(traffic.PartName).(*traffic.Part).Dial(traffic.Requests, dial.New(dialTimeout).DialContext)
 	load := Load{Tracker: sub.Tracker(), Offers: sub.Offers(), Demand: sub.Demand, Gateways: sub.Gateways}
 	g := New(s, d, h.Part(facts.PartName).(*facts.Facts), load, connect, h.Identity.Domain, h.Log)
 	g.listener = l
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -19,12 +19,13 @@
 
 // sample is a section with a field of each type.
 type sample struct {
-	Name  string        `toml:"name"`
-	Count int           `toml:"count"`
-	Share float64       `toml:"share"`
-	On    bool          `toml:"on"`
-	Wait  time.Duration `toml:"wait"`
-	List  []string      `toml:"list"`
+	Name  string            `toml:"name"`
+	Count int               `toml:"count"`
+	Share float64           `toml:"share"`
+	On    bool              `toml:"on"`
+	Wait  time.Duration     `toml:"wait"`
+	List  []string          `toml:"list"`
+	Table map[string]string `toml:"table"`
 }
 
 func (s *sample) Check(c *Checker) {
@@ -49,14 +50,17 @@
 		Entry("missing key", "[sample]\ncount = 1\n", "1: sample.name: is missing, want a name"),
 		Entry("missing section", "", "1: sample.name: is missing, want a name", "1: sample.count: is missing, want a whole number above 0"),
 		Entry("value that is not allowed", "[sample]\nname = \"a\"\ncount = -3\n", "3: sample.count: got -3, want a whole number above 0"),
-		Entry("several wrong types at once", "[sample]\nname = 1\ncount = \"x\"\nshare = true\non = 1\nwait = \"soon\"\nlist = [1]\n",
+		Entry("several wrong types at once", "[sample]\nname = 1\ncount = \"x\"\nshare = true\non = 1\nwait = \"soon\"\nlist = [1]\ntable = { a = 1 }\n",
 			`2: sample.name: got 1, want a text in quotes`,
 			`3: sample.count: got x, want a whole number`,
 			`4: sample.share: got true, want a number`,
 			`5: sample.on: got 1, want true or false`,
 			`6: sample.wait: got soon, want a time such as "500ms" or "10s"`,
-			`7: sample.list: got [1], want a list of texts such as ["a", "b"]`),
-		Entry("unknown key", "[sample]\nname = \"a\"\ncount = 1\nnme = \"b\"\n", "4: sample.nme: unknown key, want one of name, count, share, on, wait, list"),
+			`7: sample.list: got [1], want a list of texts such as ["a", "b"]`,
+			`8: sample.table: got map[a:1], want a table of texts such as { a = "x", b = "y" }`),
+		Entry("no table", "[sample]\nname = \"a\"\ncount = 1\ntable = 1\n",
+			`4: sample.table: got 1, want a table of texts such as { a = "x", b = "y" }`),
+		Entry("unknown key", "[sample]\nname = \"a\"\ncount = 1\nnme = \"b\"\n", "4: sample.nme: unknown key, want one of name, count, share, on, wait, list, table"),
 		Entry("unknown section", "[sample]\nname = \"a\"\ncount = 1\n[smaple]\n", "4: smaple: unknown section, want one of sample"),
 		Entry("syntax", "[sample]\nname = \n", "2: syntax: toml: unexpected character U+000A at start of value"),
 	)
@@ -64,10 +68,12 @@
 	It("take what is right", func() {
 		s := &sample{}
 		file := filepath.Join(GinkgoT().TempDir(), "s.toml")
-		text := "[sample]\nname = \"a\"\ncount = 2\nshare = 1\non = true\nwait = \"2s\"\nlist = [\"x\"]\n"
+		text := "[sample]\nname = \"a\"\ncount = 2\nshare = 1\non = true\nwait = \"2s\"\nlist = [\"x\"]\n[sample.table]\nk-1 = \"v\"\n"
 		Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
 		Expect(LoadSettings(file, map[string]Section{"sample": s})).To(BeEmpty())
-		Expect(*s).To(Equal(sample{Name: "a", Count: 2, Share: 1, On: true, Wait: 2 * time.Second, List: []string{"x"}}))
+		Expect(*s).To(Equal(sample{
+			Name: "a", Count: 2, Share: 1, On: true, Wait: 2 * time.Second, List: []string{"x"}, Table: map[string]string{"k-1": "v"},
+		}))
 	})
 
 	It("say that a file can't be read", func() {
--- a/internal/kernel/settings.go
+++ b/internal/kernel/settings.go
@@ -209,6 +209,8 @@
 		return set(field, value, reflect.TypeFor[float64](), "a number")
 	case reflect.Slice:
 		return setList(field, value)
+	case reflect.Map:
+		return setTable(field, value)
 	default:
 		return "a value that this version can read; the field's type is not supported"
 	}
@@ -223,6 +225,24 @@
 	return ""
 }
 
+func setTable(field reflect.Value, value any) string {
+	const want = `a table of texts such as { a = "x", b = "y" }`
+	t, ok := value.(map[string]any)
+	if !ok {
+		return want
+	}
+	out := reflect.MakeMapWithSize(field.Type(), len(t))
+	for k, e := range t {
+		v := reflect.New(field.Type().Elem()).Elem()
+		if text := set(v, e, reflect.TypeFor[string](), want); text != "" {
+			return text
+		}
+		out.SetMapIndex(reflect.ValueOf(k), v)
+	}
+	field.Set(out)
+	return ""
+}
+
 func setList(field reflect.Value, value any) string {
 	const want = `a list of texts such as ["a", "b"]`
 	l, ok := value.([]any)
--- a/internal/records/part.go
+++ b/internal/records/part.go
@@ -15,6 +15,7 @@
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/rpc"
+	"github.com/springrail/springrail/internal/traffic"
 )
 
 // PartName is what other parts name in their needs.
@@ -49,7 +50,7 @@
 	kernel.Register(kernel.Part{
 		Name:    PartName,
 		Section: PartName,
-		Needs:   []string{facts.PartName, rpc.PartName, PlatformPart},
+		Needs:   []string{facts.PartName, rpc.PartName, PlatformPart, traffic.PartName},
 		Settings: func() kernel.Section {
 			return &Settings{ConfigWait: 700 * time.Millisecond, ListEvery: 700 * time.Millisecond}
 		},
@@ -61,6 +62,11 @@
 				return r.Records(address).Follow(ctx, q)
 			}
 			r.Handle(springrailv1connect.NewRecordServiceHandler(s.service, connect.WithReadMaxBytes(mostQuestion)))
+			t := h.Part(traffic.PartName).(*traffic.Part).Counter
+			r.Count(t)
+			for _, one := range s.readers {
+				one.asked = func(reason string) { t.Call("reading of "+one.log.topic.Name, reason) }
+			}
 			h.Metric("records", s.follower.vars)
 			return s, nil
 		},
--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -23,6 +23,8 @@
 	now   func() time.Time
 	// own notes that the records come from the store itself.
 	own func()
+	// asked is told of each question to the store why it was asked, or what came of it; nil is told nothing.
+	asked func(reason string)
 	// tryPause is the wait after a failure.
 	tryPause func() time.Duration
 	// wait is how long a read waits at the store for a record, and pause how long the reader waits between two reads.
@@ -95,9 +97,15 @@
 // step makes one call and takes what it brings; it says whether the store has more.
 func (r *Reader) step(ctx context.Context) (more bool, err error) {
 	next, started := r.log.Position()
-	if !started || r.whole {
+	switch {
+	case !started:
+		r.count("start")
+		return false, r.restart(ctx)
+	case r.whole:
+		r.count("all again after a failure")
 		return false, r.restart(ctx)
 	}
+	prompt := r.prompt
 	ctx, stop, wait := r.patience(ctx, next)
 	defer stop()
 	asked := r.now()
@@ -105,10 +113,20 @@
 	if err != nil {
 		r.prompt = false
 		if context.Cause(ctx) == errHeard { //nolint:errorlint // the cause is the value itself
+			r.count("ended, as others have newer ones")
 			return false, nil
 		}
+		r.count("no answer")
 		return false, err
 	}
+	switch {
+	case prompt:
+		r.count("taken over")
+	case len(a.Records) == 0:
+		r.count("nothing new")
+	default:
+		r.count("new records")
+	}
 	b := r.batch(asked, wait)
 	b.Records, b.Next = a.Records, a.Next
 	if wokenAt := r.now(); len(a.Records) == 1 && wokenAt.Sub(asked) < wait {
@@ -128,6 +146,13 @@
 	return more, nil
 }
 
+// count tells of a question to the store.
+func (r *Reader) count(reason string) {
+	if r.asked != nil {
+		r.asked(reason)
+	}
+}
+
 // wokenMost bounds the way of an answer that came before its wait was over: the one record in it woke the reader, so it was
 // written just then. The moment of the question alone is 0.35 s too early on the mean: where two versions are named 4 s apart,
 // a quiet day had 0.740 of worth with it and has 0.825 so (0.840 with a time that runs from the reading), and one with an
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -17,6 +17,7 @@
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/traffic"
 )
 
 // ReporterPart is what other parts name in their needs.
@@ -29,14 +30,16 @@
 	kernel.Register(kernel.Part{
 		Name:     ReporterPart,
 		Section:  ReporterPart,
-		Needs:    []string{facts.PartName},
+		Needs:    []string{facts.PartName, traffic.PartName},
 		Settings: func() kernel.Section { return &Settings{} },
 		New: func(h *kernel.Host) (any, error) {
-			c, err := listen(h.Section(ReporterPart).(*Settings).Listen)
+			conn, err := listen(h.Section(ReporterPart).(*Settings).Listen)
 			if err != nil {
 				return nil, trace.Wrap(err, "reporter.listen")
 			}
-			r := NewReporter(c, h.Identity.Domain, h.Part(facts.PartName).(*facts.Facts), time.Now, h.Log)
+			r := NewReporter(conn, h.Identity.Domain, h.Part(facts.PartName).(*facts.Facts), time.Now, h.Log)
+			c := h.Part(traffic.PartName).(*traffic.Part).Counter
+			r.sent = func(to id.Domain, bytes int) { c.Datagram(traffic.Reports, to, bytes) }
 			h.Metric("reports", r.vars)
 			return r, nil
 		},
@@ -52,6 +55,8 @@
 	log         *log.Logger
 	vars        *expvar.Map
 	incarnation uint64
+	// sent is told of each report.
+	sent func(to id.Domain, bytes int)
 
 	mu          sync.Mutex
 	number      uint64
@@ -75,7 +80,7 @@
 func NewReporter(c *net.UDPConn, d id.Domain, f *facts.Facts, now func() time.Time, l *log.Logger) *Reporter {
 	return &Reporter{
 		conn: c, domain: d, facts: f, now: now, log: l, vars: new(expvar.Map), incarnation: rand.Uint64() | 1,
-		subscribers: map[string]subscriber{},
+		subscribers: map[string]subscriber{}, sent: func(id.Domain, int) {},
 	}
 }
 
@@ -155,7 +160,9 @@
 		}
 		if _, err := r.conn.WriteToUDP(text, s.to); err != nil {
 			r.vars.Add("send_failed", 1)
+			continue
 		}
+		r.sent(s.domain, len(text))
 	}
 }
 
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -20,6 +20,7 @@
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/placement"
+	"github.com/springrail/springrail/internal/traffic"
 )
 
 // SubscriberPart is what other parts name in their needs.
@@ -55,7 +56,7 @@
 	kernel.Register(kernel.Part{
 		Name:     SubscriberPart,
 		Section:  SubscriberPart,
-		Needs:    []string{facts.PartName},
+		Needs:    []string{facts.PartName, traffic.PartName},
 		Settings: func() kernel.Section { return &Settings{} },
 		New: func(h *kernel.Host) (any, error) {
 			s := h.Section(SubscriberPart).(*Settings)
@@ -64,6 +65,8 @@
 				return nil, trace.Wrap(err, "subscriber.listen")
 			}
 			r := NewSubscriber(c, s.Port, h.Identity.Domain, h.Part(facts.PartName).(*facts.Facts), time.Now, h.Log)
+			t := h.Part(traffic.PartName).(*traffic.Part).Counter
+			r.sent = func(to id.Domain, bytes int) { t.Datagram(traffic.Subscriptions, to, bytes) }
 			h.Metric("reports", r.vars)
 			return r, nil
 		},
@@ -90,6 +93,8 @@
 	now     func() time.Time
 	log     *log.Logger
 	vars    *expvar.Map
+	// sent is told of each subscription.
+	sent func(to id.Domain, bytes int)
 
 	mu sync.Mutex
 	// stagers is what each has said, by its upstream's address.
@@ -102,6 +107,7 @@
 		conn: c, port: port, domain: d, facts: f, tracker: placement.NewTracker(now), now: now, log: l, vars: new(expvar.Map),
 		stagers: map[string]*heard{},
 		offers:  placement.NewOffers(now),
+		sent:    func(id.Domain, int) {},
 	}
 }
 
@@ -346,7 +352,9 @@
 		to := &net.UDPAddr{IP: net.ParseIP(host), Port: s.port}
 		if _, err := s.conn.WriteToUDP(texts[i.Pool], to); err != nil {
 			s.vars.Add("send_failed", 1)
+			continue
 		}
+		s.sent(i.Domain, len(texts[i.Pool]))
 	}
 	s.sweep(listed)
 }
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -1,6 +1,7 @@
 package rpc
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"github.com/springrail/springrail/gen/springrail/v1/springrailv1connect"
 	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/traffic"
 )
 
 const (
@@ -23,10 +25,28 @@
 	bulkIdle = 4
 )
 
-// newClient makes the client side: HTTP/2 for messages, HTTP/1.1 for chunks so that each has a connection of its own.
-func (s *Server) newClient(http2 bool) *http.Client {
+// makeClients makes the client side: HTTP/2 for messages, HTTP/1.1 for chunks so that each has a connection of its own. Records have
+// connections of their own, so that they are counted apart.
+func (s *Server) makeClients() {
+	s.client = s.newClient(traffic.Messages, true)
+	s.records = s.newClient(traffic.Records, true)
+	s.bulk = s.newClient(traffic.Chunks, false)
+}
+
+// dialCounted opens a connection for a kind of traffic.
+func (s *Server) dialCounted(k traffic.Kind) traffic.Dialer {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		n, err := s.dial(ctx, network, address)
+		if c := s.counter.Load(); c != nil && err == nil {
+			n = c.Conn(k, address, n)
+		}
+		return n, err
+	}
+}
+
+func (s *Server) newClient(k traffic.Kind, http2 bool) *http.Client {
 	t := &http.Transport{
-		DialContext:         s.dial,
+		DialContext:         s.dialCounted(k),
 		Protocols:           &http.Protocols{},
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: bulkIdle,
@@ -107,7 +127,7 @@
 		upstream: springrailv1connect.NewUpstreamServiceClient(s.client, url, plain),
 		swarm:    springrailv1connect.NewSwarmServiceClient(s.client, url, plain),
 		process:  springrailv1connect.NewProcessServiceClient(s.client, url, plain),
-		records:  springrailv1connect.NewRecordServiceClient(s.client, url, plain),
+		records:  springrailv1connect.NewRecordServiceClient(s.records, url, plain),
 	}
 	s.peers[address] = p
 	return p
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -6,12 +6,14 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/springrail/springrail/internal/dial"
 	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/traffic"
 )
 
 // PartName is what other parts name in their needs.
@@ -54,11 +56,14 @@
 	keys     *keys
 	clock    *kernel.Clock
 	mux      *http.ServeMux
-	dial     func(ctx context.Context, network, address string) (net.Conn, error)
-	client   *http.Client
-	bulk     *http.Client
-	mu       sync.Mutex
-	peers    map[string]*peer
+	dial     traffic.Dialer
+	// counter counts what goes over the connections that this process opens; nil counts nothing.
+	counter atomic.Pointer[traffic.Counter]
+	// client is for messages, records for the platform's records, and bulk for chunks.
+	client, records, bulk *http.Client
+
+	mu    sync.Mutex
+	peers map[string]*peer
 }
 
 // New opens the listener. Connections are taken once Run runs.
@@ -74,7 +79,7 @@
 			return nil, err
 		}
 	}
-	r.client, r.bulk = r.newClient(true), r.newClient(false)
+	r.makeClients()
 	return r, nil
 }
 
@@ -83,10 +88,15 @@
 	c *kernel.Clock,
 ) *Server {
 	r := &Server{listener: l, clock: c, mux: http.NewServeMux(), dial: dial}
-	r.client, r.bulk = r.newClient(true), r.newClient(false)
+	r.makeClients()
 	return r
 }
 
+// Count has what is sent to other processes counted from now on.
+func (s *Server) Count(c *traffic.Counter) {
+	s.counter.Store(c)
+}
+
 // Handle adds a handler; all messages to it carry the sender's time.
 func (s *Server) Handle(path string, h http.Handler) {
 	s.mux.Handle(path, s.stamp(h))
--- /dev/null
+++ b/internal/traffic/traffic_test.go
@@ -0,0 +1,213 @@
+package traffic
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
+	"pgregory.net/rapid"
+
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/spec"
+)
+
+func TestTraffic(t *testing.T) {
+	spec.Run(t, "Traffic")
+}
+
+var regions = map[id.Domain]string{"a": "r", "b": "r", "c": "s"}
+
+// counter is that of a process in domain a that knows the domain of 127.0.0.1.
+func counter() *Counter {
+	return New("a", regions, func(host string) (id.Domain, bool) { return "c", host == "127.0.0.1" }, time.Now)
+}
+
+// echo starts a server that answers each byte twice, and returns its address.
+func echo() string {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				b, _ := io.ReadAll(c)
+				_, _ = c.Write(append(b, b...))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+var _ = Describe("the distance of a failure domain", func() {
+	DescribeTable("follows from the regions", func(d id.Domain, want Distance) {
+		Expect(counter().To(d)).To(Equal(want))
+	},
+		Entry("the own", id.Domain("a"), Near), Entry("of the same region", id.Domain("b"), OtherDomain),
+		Entry("of another region", id.Domain("c"), OtherRegion), Entry("of a region that is not known", id.Domain("x"), OtherDomain),
+	)
+})
+
+var _ = Describe("the counter", func() {
+	It("counts datagrams by kind and distance", func() {
+		c := counter()
+		c.Datagram(Reports, "a", 10)
+		c.Datagram(Reports, "c", 20)
+		c.Datagram(Reports, "c", 30)
+		c.Datagram(Subscriptions, "b", 5)
+		Expect(c.Read().Kinds).To(Equal(map[string]map[string]Count{
+			"reports":       {"near": {Number: 1, Sent: 10}, "other region": {Number: 2, Sent: 50}},
+			"subscriptions": {"other domain": {Number: 1, Sent: 5}},
+		}))
+	})
+
+	It("counts the bytes of connections both ways, whichever way they are moved", func() {
+		c := counter()
+		dial := c.Dial(Requests, (&net.Dialer{}).DialContext)
+		n, err := dial(context.Background(), "tcp", echo())
+		Expect(err).NotTo(HaveOccurred())
+		_, isSocket := n.(syscall.Conn)
+		Expect(isSocket).To(BeTrue())
+		_, err = n.Write([]byte("abc"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(n, strings.NewReader("defgh"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n.(interface{ CloseWrite() error }).CloseWrite()).To(Succeed())
+		one := make([]byte, 1)
+		_, err = io.ReadFull(n, one)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, n)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.Read().Kinds).To(Equal(map[string]map[string]Count{
+			"requests": {"other region": {Number: 1, Sent: 8, Got: 16}},
+		}))
+	})
+
+	It("says where it does not know how far a connection goes, and counts none that fails", func() {
+		c := New("a", regions, func(string) (id.Domain, bool) { return "", false }, time.Now)
+		_, err := c.Dial(Store, func(context.Context, string, string) (net.Conn, error) { return nil, io.EOF })(
+			context.Background(), "tcp", "127.0.0.1:1")
+		Expect(err).To(MatchError(io.EOF))
+		Expect(c.Read().Kinds).To(BeEmpty())
+		n, err := c.Dial(Store, (&net.Dialer{}).DialContext)(context.Background(), "tcp", echo())
+		Expect(err).NotTo(HaveOccurred())
+		n.Close()
+		Expect(c.Read().Kinds["store"]).To(HaveKey("unknown"))
+	})
+
+	It("counts calls by whom and why", func() {
+		c := counter()
+		c.Call("store", "start")
+		c.Call("store", "start")
+		c.Call("origin", "chunk")
+		Expect(c.Read().Calls).To(Equal(map[string]int64{"store start": 2, "origin chunk": 1}))
+	})
+
+	It("logs what it has counted, again and again", func() {
+		var b bytes.Buffer
+		p := &Part{Counter: counter(), every: leastLog, log: &log.Logger{Writer: &log.IOWriter{Writer: &b}}}
+		p.Datagram(Reports, "c", 7)
+		ctx, stop := context.WithTimeout(context.Background(), leastLog*5/2)
+		defer stop()
+		Expect(p.Run(ctx)).To(Succeed())
+		Expect(strings.Count(b.String(), "\n")).To(BeNumerically(">=", 2))
+		var a Account
+		Expect(a.Read(&b)).To(Succeed())
+		a.Sum()
+		Expect(a.Processes).To(Equal(1))
+		Expect(a.Rows).To(Equal([]Row{{Kind: "reports", By: map[string]Count{"other region": {Number: 1, Sent: 7}}}}))
+	})
+})
+
+// logged is the log line of a snapshot.
+func logged(s Snapshot) string {
+	b, err := json.Marshal(s)
+	Expect(err).NotTo(HaveOccurred())
+	return fmt.Sprintf(`12.5 side-1 {"time":"2026-01-01T00:00:00Z","vm":"v","traffic":%s,"message":"traffic"}`+"\n", b)
+}
+
+var _ = Describe("the account of several processes", func() {
+	sent := func(life string, uptime, bytes int64) Snapshot {
+		return Snapshot{
+			Life: life, UptimeMs: uptime, Kinds: map[string]map[string]Count{"chunks": {"near": {Number: 1, Sent: bytes, Got: 1}}},
+			Calls: map[string]int64{"origin chunk": bytes},
+		}
+	}
+
+	It("takes the newest counts of each start, in any order, and passes over all else", func() {
+		var a Account
+		Expect(a.Read(strings.NewReader("no line\n" + logged(sent("x", 20, 50)) + logged(sent("x", 10, 20)) +
+			`{"message":"request","why":"traffic"}` + "\n" + logged(sent("y", 5, 7))))).To(Succeed())
+		a.Sum()
+		Expect(a.Processes).To(Equal(2))
+		Expect(a.Rows).To(Equal([]Row{{Kind: "chunks", By: map[string]Count{"near": {Number: 2, Sent: 57, Got: 2}}}}))
+		Expect(a.Rows[0].Bytes("near")).To(Equal(int64(59)))
+		Expect(a.Calls).To(Equal(map[string]int64{"origin chunk": 57}))
+	})
+
+	It("reads metrics as they are served", func() {
+		c := counter()
+		c.Datagram(Reports, "c", 7)
+		var a Account
+		Expect(a.Read(strings.NewReader("{\n\"springrail\": {\"traffic\": " + c.String() + "},\n\"cmdline\": []\n}\n"))).To(Succeed())
+		a.Sum()
+		Expect(a.Rows[0].By["other region"].Sent).To(Equal(int64(7)))
+		Expect(a.Read(strings.NewReader("{\n\"springrail\": {}\n}\n"))).NotTo(Succeed())
+		Expect(a.Read(strings.NewReader("{\nbroken"))).NotTo(Succeed())
+	})
+
+	It("is two tables, or a hint where nothing was counted", func() {
+		var a Account
+		a.Sum()
+		var b bytes.Buffer
+		Expect(a.Text(&b)).To(Succeed())
+		Expect(b.String()).To(ContainSubstring("traffic.log_every"))
+		Expect(a.Read(strings.NewReader(logged(sent("x", 20, 5_000_000))))).To(Succeed())
+		a.Sum()
+		b.Reset()
+		Expect(a.Text(&b)).To(Succeed())
+		Expect(b.String()).To(MatchRegexp(`chunks +5\.00 \(1\)`))
+		Expect(b.String()).To(MatchRegexp(`origin chunk +5000000`))
+	})
+
+	It("is the sum of what all processes counted, however they were read", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var text strings.Builder
+			var want int64
+			for n := range rapid.IntRange(0, 5).Draw(t, "processes") {
+				total := int64(0)
+				for k, b := range rapid.SliceOfN(rapid.Int64Range(0, 1000), 1, 4).Draw(t, "bytes") {
+					total += b
+					text.WriteString(logged(sent(fmt.Sprint(n), int64(k), total)))
+				}
+				want += total
+			}
+			var a Account
+			if err := a.Read(strings.NewReader(text.String())); err != nil {
+				t.Fatal(err)
+			}
+			a.Sum()
+			got := int64(0)
+			for i := range a.Rows {
+				got += a.Rows[i].By["near"].Sent
+			}
+			if got != want {
+				t.Fatalf("%d bytes of %d", got, want)
+			}
+		})
+	})
+})
