A process that starts reads the list first, and takes the operators' records from a peer of its domain

Cause: a stager that starts beside a new upstream knows no gateway until the list has shown that upstream to one, and reads both topics from the store meanwhile. Where upstreams are replaced in numbers while a long configuration changes, eight of them a domain fill the link between regions, the list queues behind their configurations, gateways learn of new upstreams late, and so the stagers read on: it feeds itself. Class: at a mass start everybody asks the store for everything at once, over the link that the news need. Ruled out: a change of the reader, an outage, the reader's own processor time (lines on slow readings name the starting stagers; with them away one reader a domain keeps up with the same configurations). Change: the list, some tens of KB, goes first; it shows the stagers beside upstreams that serve weights, which have followed for a while; one of these, in an order of the process's own, gives the rest, until a gateway is known. The store is read where none answers.

--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -12,6 +12,7 @@
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/rendezvous"
 )
 
 const (
@@ -57,17 +58,20 @@
 
 // Follower keeps the logs up to date from other processes and opens the gate to the store where none will do.
 type Follower struct {
-	logs   []*Log
-	gate   *gate
-	origin *origin
-	self   string
-	domain id.Domain
+	logs []*Log
+	// gate lets this process read the list of upstreams from the store, and long the operators' records, which may have hundreds of KB.
+	gate, long *gate
+	origin     *origin
+	self       string
+	domain     id.Domain
 	// gateways lists those of the own failure domain, this process included once others know it.
 	gateways func() []string
-	ask      func(ctx context.Context, address string, q *pb.FollowRequest) (*pb.FollowResponse, error)
-	now      func() time.Time
-	log      *log.Logger
-	vars     *expvar.Map
+	// peers lists stagers of the own failure domain that the list of upstreams shows.
+	peers func() []string
+	ask   func(ctx context.Context, address string, q *pb.FollowRequest) (*pb.FollowResponse, error)
+	now   func() time.Time
+	log   *log.Logger
+	vars  *expvar.Map
 
 	// lostAt is when the last source failed; zero while one is followed.
 	lostAt time.Time
@@ -75,8 +79,10 @@
 	startUntil time.Time
 	blamed     map[string]time.Time
 	source     string
-	epoch      uint64
-	from       []uint64
+	// viaPeer is true while the source is a peer.
+	viaPeer bool
+	epoch   uint64
+	from    []uint64
 	// wholeAgain is when each topic may be asked for as a whole again because the source holds other records.
 	wholeAgain map[string]time.Time
 }
@@ -108,16 +114,51 @@
 // choose picks the source to follow: a preferred one, or any other while this process does not get through to the store;
 // empty is none.
 func (f *Follower) choose() (address string, preferred bool) {
-	first, others := Sources(f.domain, f.gateways(), f.self)
+	f.viaPeer = false
+	known := f.gateways()
+	first, others := Sources(f.domain, known, f.self)
 	if a := f.sound(first); a != "" {
 		return a, true
 	}
+	// A gateway that is known itself is to read the store where none goes before it.
+	if !f.started() || len(known) == 0 {
+		if a := f.sound(f.peerOrder()); a != "" {
+			f.viaPeer = true
+			return a, true
+		}
+	}
 	if f.now().Sub(f.origin.ownAt()) > freshMost {
 		return f.sound(others), false
 	}
 	return "", false
 }
 
+// peerOrder lists the peers in an order of this process's own, so that processes that start together ask different ones.
+func (f *Follower) peerOrder() []string {
+	var vms []id.VM
+	for _, a := range f.peers() {
+		vms = append(vms, id.VM(a))
+	}
+	var l []string
+	for _, v := range rendezvous.Order(peerKey+f.self, vms) {
+		l = append(l, string(v))
+	}
+	return l
+}
+
+// peerKey sets the order of peers apart from other orders of the same processes.
+const peerKey = "records/peers/"
+
+// started says whether all topics have been read.
+func (f *Follower) started() bool {
+	for _, l := range f.logs {
+		if _, ok := l.Position(); !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // sound returns the first address that is not blamed.
 func (f *Follower) sound(l []string) string {
 	now := f.now()
@@ -181,12 +222,31 @@
 	return retryPause * time.Duration(1+f.rank())
 }
 
+// openGate lets this process read the store, or not. At its start the list comes first: it has some tens of KB and shows peers that
+// hold the operators' records. Eight stagers that started beside new upstreams within seconds each read a configuration of 300 KB, again
+// with each change, over one link of 24 Mbit/s between regions: the list took up to 1.5 s on that link, gateways did not see the new
+// upstreams, these heard of no gateway and went on reading, and requests reached upstreams that had left 3.4 s before.
 func (f *Follower) openGate(open bool) {
+	f.long.set(open && (f.listed() || f.now().Sub(f.lostAt) > listMost))
 	if f.gate.set(open) {
 		f.log.Info().Bool("from_store", open).Str("source", f.source).Int64("age_ms", f.age().Milliseconds()).Msg("source of records")
 	}
 }
 
+// listed says whether the list of upstreams has been read.
+func (f *Follower) listed() bool {
+	for _, l := range f.logs {
+		if l.topic.Upstreams {
+			_, ok := l.Position()
+			return ok
+		}
+	}
+	return true
+}
+
+// listMost is how long the list of upstreams goes before the operators' records: a store that can't give the one may give the other.
+const listMost = time.Second
+
 // follow asks a source once and takes its answer.
 func (f *Follower) follow(ctx context.Context, address string) error {
 	if address != f.source {
@@ -239,13 +299,8 @@
 
 // patience is how long a question may wait at the source, and how long its answer is waited for at the most.
 func (f *Follower) patience() (wait, most time.Duration) {
-	started := true
-	for _, l := range f.logs {
-		_, ok := l.Position()
-		started = started && ok
-	}
 	switch {
-	case f.epoch == 0 && started:
+	case f.epoch == 0 && f.started():
 		return 0, newSlack + followSlack
 	case f.epoch != 0 && f.rank() == 0:
 		wait = successorWait
@@ -280,13 +335,22 @@
 	}
 	for i, t := range a.GetTopics() {
 		age := time.Duration(t.GetAgeMs()) * time.Millisecond
-		if t.GetTopic() != f.logs[i].topic.Name || age < 0 || age >= f.logs[i].ageMost() {
+		if t.GetTopic() != f.logs[i].topic.Name || age < 0 || age >= f.ageMost(f.logs[i]) {
 			return trace.Wrap(errStale, "topic %s, age %v", t.GetTopic(), age)
 		}
 	}
 	return nil
 }
 
+// ageMost is the greatest age of records that will do. A peer follows a gateway in its turn, and serves until that is known here: with the
+// age for gateways one in ten answers of a healthy peer would be refused.
+func (f *Follower) ageMost(l *Log) time.Duration {
+	if f.viaPeer {
+		return slowMost
+	}
+	return l.ageMost()
+}
+
 // take merges what a source tells of a topic; it answered at the moment given or later.
 func (f *Follower) take(l *Log, t *pb.TopicChanges, answered time.Time) (bool, error) {
 	now := f.now()
--- a/internal/records/follow_test.go
+++ b/internal/records/follow_test.go
@@ -23,7 +23,7 @@
 		followers := map[string]*Follower{}
 		for _, self := range append([]string{"stager"}, all...) {
 			followers[self] = &Follower{
-				gate: &gate{closed: make(chan struct{})}, self: self, domain: "d", gateways: func() []string { return all },
+				gate: &gate{closed: make(chan struct{})}, long: &gate{}, self: self, domain: "d", gateways: func() []string { return all },
 				now: func() time.Time { return now }, log: quiet, vars: new(expvar.Map), blamed: map[string]time.Time{},
 			}
 		}
@@ -68,7 +68,7 @@
 	It("is asked again soon where it has lost the store or follows this process, and later where it gave no answer", func() {
 		now := time.Now()
 		f := &Follower{
-			gate: &gate{}, domain: "d", gateways: func() []string { return nil }, now: func() time.Time { return now },
+			gate: &gate{}, long: &gate{}, domain: "d", gateways: func() []string { return nil }, now: func() time.Time { return now },
 			log: quiet, vars: new(expvar.Map), blamed: map[string]time.Time{},
 		}
 		for address, err := range map[string]error{"stale": errStale, "own": errOwn, "silent": context.DeadlineExceeded} {
--- a/internal/records/part.go
+++ b/internal/records/part.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"net"
 	"sync"
 	"time"
 
@@ -85,20 +86,21 @@
 	operators, upstreams := NewLog(p.Operators, f, now, l), NewLog(p.Upstreams, f, now, l)
 	upstreams.epoch = operators.epoch
 	logs := []*Log{operators, upstreams}
-	g := &gate{}
+	g, long := &gate{}, &gate{}
 	g.set(s.StartWait == 0)
+	long.set(false)
 	vars := new(expvar.Map)
 	vars.Set("age_ms", expvar.Func(func() any {
 		return map[string]int64{"operators": operators.Age().Milliseconds(), "upstreams": upstreams.Age().Milliseconds()}
 	}))
 	o := newOrigin(self, now)
 	w := &Follower{
-		logs: logs, gate: g, origin: o, self: self, domain: d, gateways: f.Gateways, now: now, log: l, vars: vars,
+		logs: logs, gate: g, long: long, origin: o, peers: peers(f, d, self), self: self, domain: d, gateways: f.Gateways, now: now, log: l, vars: vars,
 		blamed: map[string]time.Time{}, wholeAgain: map[string]time.Time{}, startUntil: now().Add(s.StartWait),
 	}
 	return &Records{
 		readers: []*Reader{
-			{store: &p.Store, log: operators, facts: f, gate: g, now: now, own: o.setOwn, tryPause: w.tryPause, wait: s.ConfigWait},
+			{store: &p.Store, log: operators, facts: f, gate: long, now: now, own: o.setOwn, tryPause: w.tryPause, wait: s.ConfigWait},
 			{store: &p.Store, log: upstreams, facts: f, gate: g, now: now, own: o.setOwn, tryPause: w.tryPause, pause: s.ListEvery},
 		},
 		follower: w,
@@ -106,6 +108,25 @@
 	}
 }
 
+// peers lists the stagers beside upstreams of a failure domain that serve weights, with the port of this process. These have followed the
+// records for a while, and a process knows them from the list of upstreams alone.
+func peers(f *facts.Facts, d id.Domain, self string) func() []string {
+	own, port, err := net.SplitHostPort(self)
+	if err != nil {
+		return func() []string { return nil }
+	}
+	return func() []string {
+		var l []string
+		for _, i := range f.Instances() {
+			host, _, err := net.SplitHostPort(i.Address)
+			if err == nil && i.Domain == d && host != own && len(i.Held) > 0 && !i.Leaving {
+				l = append(l, net.JoinHostPort(host, port))
+			}
+		}
+		return l
+	}
+}
+
 // Run keeps the records up to date until the context ends.
 func (r *Records) Run(ctx context.Context) error {
 	var wg sync.WaitGroup
--- a/internal/records/start_test.go
+++ b/internal/records/start_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/facts"
 )
 
 // Operators replaced a third of the upstreams within eight seconds while a configuration of 300 KB changed four times a second. The stagers
@@ -69,4 +70,68 @@
 			Eventually(func() string { return p.value("config") }).WithTimeout(2 * time.Second).Should(Equal("1"))
 		}
 	})
+
+	It("read the operators' records from the store also where it does not give the list", func() {
+		p, _ := newProcess("10.0.1.1:7700", &fakeStore{logs: s.logs, refuses: "up"}, nobody)
+		Eventually(func() string { return p.value("config") }).WithTimeout(listMost + time.Second).Should(Equal("1"))
+	})
+})
+
+var _ = Describe("the choice of a source", func() {
+	var f *Follower
+	gateways := []string{}
+
+	BeforeEach(func() {
+		f = &Follower{
+			logs: []*Log{NewLog(Topic{Name: "op"}, facts.New(time.Now), time.Now, quiet)}, self: "self", domain: "d",
+			gateways: func() []string { return gateways }, peers: func() []string { return []string{"peer"} },
+			now: time.Now, blamed: map[string]time.Time{}, origin: newOrigin("self", time.Now),
+		}
+	})
+
+	DescribeTable("takes a peer only where no gateway will do", func(known []string, started bool, want string) {
+		gateways = known
+		if started {
+			f.logs[0].Take(Batch{Whole: true, Next: 1, Confirmed: time.Now()})
+		}
+		a, _ := f.choose()
+		Expect(a).To(Equal(want))
+		Expect(f.viaPeer).To(Equal(want == "peer"))
+	},
+		Entry("nobody is known", nil, true, "peer"),
+		Entry("a gateway is known, at the start", []string{"g"}, false, "g"),
+		Entry("a gateway is known", []string{"g"}, true, "g"),
+		Entry("this gateway is the only one, at its start", []string{"self"}, false, "peer"),
+		Entry("this gateway is the only one: it reads the store", []string{"self"}, true, ""),
+	)
+
+	It("believes a peer longer than a gateway, as it follows one in its turn", func() {
+		old := &pb.FollowResponse{Topics: []*pb.TopicChanges{{Topic: "op", AgeMs: slowMost.Milliseconds() - 1}}}
+		f.logs[0].topic.Upstreams = true
+		Expect(f.check(old)).To(MatchError(errStale))
+		f.viaPeer = true
+		Expect(f.check(old)).To(Succeed())
+	})
+})
+
+var _ = Describe("the gate to long records", func() {
+	It("stays closed until the list has been read, or could not be for a while", func() {
+		now := time.Now()
+		f := &Follower{
+			logs: []*Log{NewLog(Topic{Name: "op"}, facts.New(time.Now), time.Now, quiet), NewLog(Topic{Name: "up", Upstreams: true}, facts.New(time.Now), time.Now, quiet)},
+			gate: &gate{}, long: &gate{}, now: func() time.Time { return now }, lostAt: now, log: quiet,
+		}
+		open := func() bool { return f.long.closed == nil }
+		f.openGate(true)
+		Expect(open()).To(BeFalse())
+		now = now.Add(listMost + time.Millisecond)
+		f.openGate(true)
+		Expect(open()).To(BeTrue())
+		f.openGate(false)
+		Expect(open()).To(BeFalse())
+		f.lostAt = now
+		f.logs[1].Take(Batch{Whole: true, Next: 1, Confirmed: now})
+		f.openGate(true)
+		Expect(open()).To(BeTrue())
+	})
 })
--- a/internal/records/wire_test.go
+++ b/internal/records/wire_test.go
@@ -54,7 +54,7 @@
 		logs := []*Log{p.log, p.other}
 		p.service = &Service{logs: logs, origin: newOrigin(p.name, clock)}
 		p.follows = &Follower{
-			logs: logs, gate: &gate{}, origin: p.service.origin, self: p.name, domain: "d", now: clock, log: quiet,
+			logs: logs, gate: &gate{}, long: &gate{}, origin: p.service.origin, self: p.name, domain: "d", now: clock, log: quiet,
 			vars: new(expvar.Map), blamed: map[string]time.Time{}, wholeAgain: map[string]time.Time{},
 			gateways: func() []string { return nil },
 			ask: func(ctx context.Context, a string, q *pb.FollowRequest) (*pb.FollowResponse, error) {
