--- a/internal/cmd/cmd_losses.go
+++ b/internal/cmd/cmd_losses.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"os"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -29,7 +27,7 @@
 				return fmt.Errorf("--span must be at least 1ms and --most at least 1")
 			}
 			var l losses.Log
-			if err := readLogs(&l, *files); err != nil {
+			if err := readInputs(*files, openFile, l.Read); err != nil {
 				return err
 			}
 			a, err := l.Account(*span)
@@ -50,29 +48,3 @@
 		}
 	},
 }
-
-// readLogs reads files in turn, or standard input where none is named.
-func readLogs(l *losses.Log, files []string) error {
-	if len(files) == 0 {
-		return readLog(l, "standard input", os.Stdin)
-	}
-	for _, name := range files {
-		f, err := os.Open(name)
-		if err != nil {
-			return fmt.Errorf("a log can't be read: %w", err)
-		}
-		err = readLog(l, name, f)
-		f.Close()
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func readLog(l *losses.Log, name string, r io.Reader) error {
-	if err := l.Read(r); err != nil {
-		return fmt.Errorf("%s can't be read to its end: %w", name, err)
-	}
-	return nil
-}
--- a/internal/cmd/cmd_traffic.go
+++ b/internal/cmd/cmd_traffic.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -26,7 +25,8 @@
 			"standard input.").Strings()
 		return func(ctx context.Context, e *env) error {
 			var a traffic.Account
-			if err := readTraffic(ctx, &a, *from); err != nil {
+			open := func(name string) (io.ReadCloser, error) { return openTraffic(ctx, name) }
+			if err := readInputs(*from, open, a.Read); err != nil {
 				return err
 			}
 			a.Sum()
@@ -40,36 +40,10 @@
 	},
 }
 
-// readTraffic reads all that is named, or standard input where nothing is.
-func readTraffic(ctx context.Context, a *traffic.Account, from []string) error {
-	if len(from) == 0 {
-		return readOne(a, "standard input", os.Stdin)
-	}
-	for _, name := range from {
-		r, err := openTraffic(ctx, name)
-		if err != nil {
-			return err
-		}
-		err = readOne(a, name, r)
-		r.Close()
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func readOne(a *traffic.Account, name string, r io.Reader) error {
-	if err := a.Read(r); err != nil {
-		return fmt.Errorf("%s: %w", name, err)
-	}
-	return nil
-}
-
 // openTraffic opens a file, or asks a metrics address.
 func openTraffic(ctx context.Context, name string) (io.ReadCloser, error) {
 	if !strings.HasPrefix(name, "http://") && !strings.HasPrefix(name, "https://") {
-		return os.Open(name)
+		return openFile(name)
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, name, nil)
 	if err != nil {
