--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -119,14 +119,7 @@
 		r.count("no answer")
 		return false, err
 	}
-	switch {
-	case prompt:
-		r.count("taken over")
-	case len(a.Records) == 0:
-		r.count("nothing new")
-	default:
-		r.count("new records")
-	}
+	r.countAnswer(prompt, len(a.Records))
 	r.noteSlow(r.now().Sub(asked), wait, a.Records, a.End-a.Next)
 	b := r.batch(asked, wait)
 	b.Records, b.Next = a.Records, a.Next
@@ -164,6 +157,18 @@
 		Int("records", len(l)).Int("bytes", bytes).Uint64("left", left).Msg("slow reading of the store")
 }
 
+// countAnswer tells of a question that was answered with a number of records.
+func (r *Reader) countAnswer(prompt bool, n int) {
+	switch {
+	case prompt:
+		r.count("taken over")
+	case n == 0:
+		r.count("nothing new")
+	default:
+		r.count("new records")
+	}
+}
+
 // count tells of a question to the store.
 func (r *Reader) count(reason string) {
 	if r.asked != nil {
