--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -300,7 +300,9 @@
 // patience is how long a question may wait at the source, and how long its answer is waited for at the most.
 func (f *Follower) patience() (wait, most time.Duration) {
 	switch {
-	case f.epoch == 0 && f.started():
+	case f.epoch == 0 && (f.started() || f.viaPeer):
+		// A peer that holds the records answers at once; one on a VM without power holds a start up for this long at the most, as
+		// the store is asked after the first that fails.
 		return 0, newSlack + followSlack
 	case f.epoch != 0 && f.rank() == 0:
 		wait = successorWait
--- a/internal/records/start_test.go
+++ b/internal/records/start_test.go
@@ -71,6 +71,15 @@
 		}
 	})
 
+	It("are held up by a peer without power for less than a second, and then read the store", func() {
+		l, _ := start(1, func(ctx context.Context, _ string, _ *pb.FollowRequest) (*pb.FollowResponse, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		Consistently(func() string { return l[0].value("config") }).WithTimeout(100 * time.Millisecond).Should(BeEmpty())
+		Eventually(func() string { return l[0].value("config") }).WithTimeout(time.Second).Should(Equal("1"))
+	})
+
 	It("read the operators' records from the store also where it does not give the list", func() {
 		p, _ := newProcess("10.0.1.1:7700", &fakeStore{logs: s.logs, refuses: "up"}, nobody)
 		Eventually(func() string { return p.value("config") }).WithTimeout(listMost + time.Second).Should(Equal("1"))
