--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -344,8 +344,8 @@
 	return nil
 }
 
-// ageMost is the greatest age of records that will do. A peer follows a gateway in its turn, and serves until that is known here: with the
-// age for gateways one in ten answers of a healthy peer would be refused.
+// ageMost is the greatest age of records that will do. A peer follows a gateway in its turn, so that its records are older than that one's by up
+// to the wait of a question, and it serves only until a gateway is known here.
 func (f *Follower) ageMost(l *Log) time.Duration {
 	if f.viaPeer {
 		return slowMost
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -328,7 +328,7 @@
 }
 
 // eachShare is the share of its requests that a gateway sends beyond its failure domain from which on it wants each report of the
-// upstreams there.
+// upstreams there. Below it a view that is a second old costs few requests; other shares have not been tried.
 const eachShare = 0.1
 
 // wantsEach says whether so much goes beyond the own failure domain that the choice there needs views as fresh as at home.
