--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -12,7 +12,6 @@
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
-	"github.com/springrail/springrail/internal/rendezvous"
 )
 
 const (
@@ -111,65 +110,6 @@
 	}
 }
 
-// choose picks the source to follow: a preferred one, or any other while this process does not get through to the store;
-// empty is none.
-func (f *Follower) choose() (address string, preferred bool) {
-	f.viaPeer = false
-	known := f.gateways()
-	first, others := Sources(f.domain, known, f.self)
-	if a := f.sound(first); a != "" {
-		return a, true
-	}
-	// A gateway that is known itself is to read the store where none goes before it.
-	if !f.started() || len(known) == 0 {
-		if a := f.sound(f.peerOrder()); a != "" {
-			f.viaPeer = true
-			return a, true
-		}
-	}
-	if f.now().Sub(f.origin.ownAt()) > freshMost {
-		return f.sound(others), false
-	}
-	return "", false
-}
-
-// peerOrder lists the peers in an order of this process's own, so that processes that start together ask different ones.
-func (f *Follower) peerOrder() []string {
-	var vms []id.VM
-	for _, a := range f.peers() {
-		vms = append(vms, id.VM(a))
-	}
-	var l []string
-	for _, v := range rendezvous.Order(peerKey+f.self, vms) {
-		l = append(l, string(v))
-	}
-	return l
-}
-
-// peerKey sets the order of peers apart from other orders of the same processes.
-const peerKey = "records/peers/"
-
-// started says whether all topics have been read.
-func (f *Follower) started() bool {
-	for _, l := range f.logs {
-		if _, ok := l.Position(); !ok {
-			return false
-		}
-	}
-	return true
-}
-
-// sound returns the first address that is not blamed.
-func (f *Follower) sound(l []string) string {
-	now := f.now()
-	for _, a := range l {
-		if now.After(f.blamed[a]) {
-			return a
-		}
-	}
-	return ""
-}
-
 // age is that of the oldest log.
 func (f *Follower) age() time.Duration {
 	most := time.Duration(0)
