What is known of an upstream is known of one start of it

Cause: an upstream may start again under the ID and address that it had. What was known under them lived on until a report or an offset corrected it: figures, requests in flight, failures, held versions, kept connections, words of stagers.

Change: a start is told by when it was (born), in the list, in the engine's report, in stagers' reports and words. State that hung on an ID or an address and now hangs on a start: the tracker (report, requests in flight, failures and how long it is left alone; its old requests keep what they began with), the list (an entry of an earlier start never replaces a later one, nor comes back after it has gone), words heard and told, reports (a late one of the start before is dropped), held versions in the choice (none where the list has an earlier start than reports), kept connections (none to an earlier start), the stager's reports (told at once). Without born all is as it was. Not changed: a request in flight at a start that is over is not ended by the news of the next one, as it may have been sent to that.

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -20,7 +20,9 @@
 
 // Instance is one start of an upstream as the list of upstreams has it.
 type Instance struct {
-	ID      id.Instance
+	ID id.Instance
+	// Born tells the starts of one ID apart; nothing that is known of one holds for the next.
+	Born    id.Birth
 	Pool    id.Pool
 	Address string
 	Domain  id.Domain
@@ -66,6 +68,8 @@
 	// wanted lists the versions named for a model, oldest first.
 	wanted    map[id.Model][]Wanted
 	instances map[id.Instance]*Instance
+	// ended is the newest start of instances that are gone.
+	ended map[id.Instance]ended
 	// list is what readers share, and nil once the entries have changed since it was made.
 	list   atomic.Pointer[[]*Instance]
 	change chan struct{}
@@ -84,7 +88,7 @@
 // New makes an empty set of facts.
 func New(now func() time.Time) *Facts {
 	f := &Facts{
-		now: now, wanted: map[id.Model][]Wanted{}, instances: map[id.Instance]*Instance{},
+		now: now, wanted: map[id.Model][]Wanted{}, instances: map[id.Instance]*Instance{}, ended: map[id.Instance]ended{},
 		change: make(chan struct{}), hearing: make(chan struct{}), gateways: map[string]time.Time{},
 		watch: watch{changed: make(chan struct{})}, words: map[id.Instance]*standing{},
 	}
@@ -104,6 +108,7 @@
 		return false
 	}
 	f.catalog.Store(c)
+	f.list.Store(nil)
 	f.notify()
 	return true
 }
@@ -220,28 +225,37 @@
 	return time.Time{}
 }
 
-// SetInstance takes an upstream's entry in the list.
-func (f *Facts) SetInstance(i *Instance) {
+// SetInstance takes an upstream's entry in the list, and says whether it did: one of an earlier start of that ID comes late.
+func (f *Facts) SetInstance(i *Instance) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	old := f.instances[i.ID]
+	if f.outlived(i, old) {
+		return false
+	}
 	f.instances[i.ID] = i
 	f.readTo = max(f.readTo, i.Seen)
 	f.watchEntry(i)
 	f.list.Store(nil)
-	if old == nil || old.Leaving != i.Leaving {
+	if old == nil || old.Leaving != i.Leaving || old.Born != i.Born {
 		f.notify()
 	}
+	return true
 }
 
 // DropInstance removes an upstream that has left the list, as the list had it at an offset.
 func (f *Facts) DropInstance(n id.Instance, offset uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if i := f.instances[n]; i != nil && f.watch.at(i.Address) {
-		f.watched(n, true, max(offset, i.Seen))
+	i := f.instances[n]
+	if i == nil {
+		return
+	}
+	if f.watch.at(i.Address) {
+		f.watched(Word{Instance: n, Born: i.Born, Left: true, Offset: max(offset, i.Seen)})
 	}
 	delete(f.instances, n)
+	f.end(i)
 	f.list.Store(nil)
 	f.notify()
 }
@@ -283,6 +297,9 @@
 func (f *Facts) shared() []*Instance {
 	holder := make(map[string]*Instance, len(f.instances))
 	for _, i := range f.instances {
+		if !f.served(i) {
+			continue
+		}
 		if h := holder[i.Address]; h == nil || h.Seen < i.Seen {
 			holder[i.Address] = i
 		}
@@ -294,6 +311,13 @@
 	return l
 }
 
+// served says whether an entry is of a pool that the configuration names. Any other one names no upstream to use, and does
+// not take the address of one either. The caller holds the lock.
+func (f *Facts) served(i *Instance) bool {
+	c := f.catalog.Load()
+	return c == nil || len(c.Services) == 0 || c.Services[i.Pool] != nil
+}
+
 // Changed returns a channel that closes with the next change of the configuration, the wanted weights or who is listed.
 func (f *Facts) Changed() <-chan struct{} {
 	f.mu.Lock()
--- a/internal/facts/word.go
+++ b/internal/facts/word.go
@@ -11,16 +11,19 @@
 // a word that comes late, twice or out of order therefore changes nothing.
 type Word struct {
 	Instance id.Instance
-	Address  string
+	// Born is the start of the instance that the word is on; 0 where that is not known.
+	Born    id.Birth
+	Address string
 	// Left is true of an instance that says that it leaves, or is gone from the list.
 	Left bool
 	// Offset is how far the list had been read when it said so, or the place of the new entry of one that is back.
 	Offset uint64
 }
 
-// standing is all that words have said of an instance.
+// standing is all that words have said of an instance's newest start.
 type standing struct {
 	address string
+	born    id.Birth
 	// left says that some word named it as left; leftAt and backAt are the highest offsets of words of each kind.
 	left           bool
 	leftAt, backAt uint64
@@ -28,18 +31,27 @@
 	since time.Time
 }
 
-func (s *standing) take(left bool, offset uint64) {
-	if left {
-		s.left, s.leftAt = true, max(s.leftAt, offset)
+// take notes a word. One on an earlier start changes nothing, and one on a later start replaces all before it.
+func (s *standing) take(w Word) {
+	if w.Born.Before(s.born) {
 		return
 	}
-	s.backAt = max(s.backAt, offset)
+	if s.born.Before(w.Born) {
+		s.left, s.leftAt, s.backAt = false, 0, 0
+	}
+	s.born = max(s.born, w.Born)
+	if w.Left {
+		s.left, s.leftAt = true, max(s.leftAt, w.Offset)
+		return
+	}
+	s.backAt = max(s.backAt, w.Offset)
 }
 
-// gone says whether an instance has left whose entry in the own list is at an offset. Only an entry that was written after
-// the word brings it back: it shows that the instance lives, while an older entry is what a list says that lags behind.
-func (s *standing) gone(seen uint64) bool {
-	return s.left && s.leftAt >= max(seen, s.backAt)
+// gone says whether an instance has left whose entry in the own list is at an offset and of a start. Only an entry that was
+// written after the word brings it back, or one of a later start: it shows that the instance lives, while an older entry is
+// what a list says that lags behind.
+func (s *standing) gone(seen uint64, born id.Birth) bool {
+	return s.left && !s.born.Before(born) && s.leftAt >= max(seen, s.backAt)
 }
 
 const (
@@ -88,7 +100,7 @@
 		if s.since.Before(since) {
 			continue
 		}
-		w := Word{Instance: n, Address: s.address, Left: s.gone(0), Offset: s.leftAt}
+		w := Word{Instance: n, Address: s.address, Born: s.born, Left: s.gone(0, 0), Offset: s.leftAt}
 		if !w.Left {
 			w.Offset = s.backAt
 		}
@@ -101,20 +113,21 @@
 // was told to have left.
 func (f *Facts) watchEntry(i *Instance) {
 	if f.watch.at(i.Address) && (i.Leaving || f.watch.of[i.ID] != nil) {
-		f.watched(i.ID, i.Leaving, i.Seen)
+		f.watched(Word{Instance: i.ID, Born: i.Born, Left: i.Leaving, Offset: i.Seen})
 	}
 }
 
 // watched notes what the list says of an instance at the watched address; the caller holds the lock.
-func (f *Facts) watched(n id.Instance, left bool, offset uint64) {
+func (f *Facts) watched(w Word) {
+	n := w.Instance
 	s := f.watch.of[n]
 	if s == nil {
 		s = &standing{address: f.watch.address}
 		f.watch.of[n] = s
 	}
-	was := s.gone(0)
-	s.take(left, offset)
-	if s.gone(0) == was {
+	was, start := s.gone(0, 0), s.born
+	s.take(w)
+	if s.gone(0, 0) == was && s.born == start {
 		return
 	}
 	s.since = f.now()
@@ -153,10 +166,10 @@
 		s = &standing{address: w.Address}
 		f.words[w.Instance] = s
 	}
-	was := i != nil && s.gone(i.Seen)
-	s.take(w.Left, w.Offset)
+	was := i != nil && s.gone(i.Seen, i.Born)
+	s.take(w)
 	s.since = f.now()
-	if i == nil || i.Leaving || s.gone(i.Seen) == was {
+	if i == nil || i.Leaving || s.gone(i.Seen, i.Born) == was {
 		return false
 	}
 	f.list.Store(nil)
@@ -168,7 +181,7 @@
 // caller holds the lock.
 func (f *Facts) effective(i *Instance) *Instance {
 	s := f.words[i.ID]
-	if i.Leaving || s == nil || s.address != i.Address || !s.gone(i.Seen) {
+	if i.Leaving || s == nil || s.address != i.Address || !s.gone(i.Seen, i.Born) {
 		return i
 	}
 	l := *i
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,7 +60,7 @@
 	switch {
 	case errors.Is(err, upconn.ErrNotSent):
 		f.attempts--
-		g.load.Tracker.Failed(c.Address)
+		flight.Failed()
 		return notRun("no connection to the upstream", refusedRetry)
 	case err != nil:
 		return t.broke("the upstream broke off before its answer")
@@ -81,6 +81,7 @@
 	f.gateway.dialect.Prepare(h, s)
 	return &upconn.Request{
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: h, Body: f.body, Rest: f.rest, Length: r.ContentLength,
+		Born: c.Born,
 	}
 }
 
@@ -161,12 +162,12 @@
 	switch {
 	case f.request.Context().Err() != nil || !f.gateway.now().Before(f.deadline):
 	case t.ctx.Err() != nil:
-		f.gateway.load.Tracker.Stalled(t.choice.Address)
+		t.mark.Stalled()
 		return &problem{text: "the upstream stalled"}
 	case f.gateway.closed(t.choice.Address):
 		// It ends its requests to load weights; there is nothing wrong with it.
 	default:
-		f.gateway.load.Tracker.Failed(t.choice.Address)
+		t.mark.Failed()
 		f.gateway.pool.Forget(t.choice.Address)
 	}
 	return &problem{text: text}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -163,16 +163,19 @@
 		return 0, true
 	}
 	held := u.Held
-	if r, ok := f.gateway.load.Tracker.Fresh(u.Address); ok {
-		switch {
-		case r.Closed:
-			f.reckoning.out.closed++
-			return 0, false
-		case r.Down:
-			f.reckoning.out.down++
-			return 0, false
-		}
-		held = r.Held
+	l, ok := f.gateway.load.Tracker.Report(u)
+	switch {
+	case ok && l.Closed:
+		f.reckoning.out.closed++
+		return 0, false
+	case ok && l.Down:
+		f.reckoning.out.down++
+		return 0, false
+	case ok:
+		held = l.Held
+	case u.Born.Before(l.Born):
+		// The list has the upstream as it was before it started again.
+		held = nil
 	}
 	if f.ask.Model == "" {
 		return 0, true
--- a/internal/id/id.go
+++ b/internal/id/id.go
@@ -37,9 +37,18 @@
 // Chunk is the index of a chunk in its version, from 0.
 type Chunk uint32
 
-// Instance names one start of an upstream process; a restart gets a new one.
+// Instance names an upstream process. One that starts again may get a new name or keep the one it had: a Birth tells its
+// starts apart.
 type Instance string
 
+// Birth is when an upstream process started, by its own clock in Unix milliseconds; 0 where it does not say.
+type Birth uint64
+
+// Before says whether a start is known to be earlier than another one.
+func (b Birth) Before(o Birth) bool {
+	return b > 0 && b < o
+}
+
 // Route names a rule that leads requests to a pool.
 type Route string
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -181,16 +181,17 @@
 	})
 
 	It("leaves a failed upstream alone for longer each time, a stalled one for longer still, and forgives a success", func() {
-		t.Failed("a")
+		f := t.Begin("a", 1)
+		f.Failed()
 		Expect(t.Candidate(one, 0).Suspect).To(BeTrue())
 		now = now.Add(suspectBase + time.Millisecond)
 		Expect(t.Candidate(one, 0).Suspect).To(BeFalse())
-		t.Failed("a")
+		f.Failed()
 		now = now.Add(suspectBase + time.Millisecond)
 		Expect(t.Candidate(one, 0).Suspect).To(BeTrue())
 		now = now.Add(suspectMost)
 		t.Begin("a", 1).Started()
-		t.Stalled("a")
+		f.Stalled()
 		now = now.Add(stallBase - time.Millisecond)
 		Expect(t.Candidate(one, 0).Suspect).To(BeTrue())
 	})
@@ -206,6 +207,50 @@
 		Expect(t.Candidate(one, 0).Pace).To(Equal(1.5))
 	})
 
+	It("knows nothing of an upstream that has started again under its ID: no figures, requests or failures", func() {
+		one := &facts.Instance{ID: "i", Born: 10, Address: "a", Slots: 16}
+		t.SetReport("a", LoadReport{Born: 10, Running: 9, Held: []facts.Held{{Model: "m", Revision: 3}}, Taken: now})
+		old := t.Begin("a", 500)
+		old.Stalled()
+		Expect(t.Candidate(one, 900).Suspect).To(BeTrue())
+		again := &facts.Instance{ID: "i", Born: 20, Address: "a", Slots: 16}
+		_, fresh := t.Report(again)
+		Expect(fresh).To(BeFalse())
+		c := t.Candidate(again, 900)
+		Expect(c.Suspect || c.Known || c.InFlight > 0).To(BeFalse())
+		old.Failed()
+		old.Started()
+		old.End()
+		t.SetReport("a", LoadReport{Born: 10, Running: 9, Taken: now})
+		c = t.Candidate(again, 900)
+		Expect(c.Suspect || c.Known || c.InFlight > 0).To(BeFalse(), "a late report and an old request's end are of the start before")
+	})
+
+	It("learns of a new start by a report too, and takes an entry that lags behind for what was", func() {
+		one := &facts.Instance{ID: "i", Born: 10, Address: "a", Slots: 16}
+		t.Report(one)
+		t.Begin("a", 500)
+		t.SetReport("a", LoadReport{Born: 20, Taken: now})
+		l, fresh := t.Report(one)
+		Expect(fresh).To(BeTrue())
+		Expect(l.Born).To(Equal(id.Birth(20)))
+		Expect(t.Candidate(one, 900).Born).To(Equal(id.Birth(20)))
+		Expect(t.Candidate(one, 900).InFlight).To(BeZero())
+		now = now.Add(2 * reportLife)
+		l, fresh = t.Report(one)
+		Expect(fresh).To(BeFalse())
+		Expect(l.Born).To(Equal(id.Birth(20)), "that it has started again does not age")
+	})
+
+	It("keeps what it knows where neither list nor reports say when an upstream started", func() {
+		t.SetReport("a", LoadReport{Running: 9, Taken: now})
+		f := t.Begin("a", 500)
+		Expect(t.Candidate(one, 900).Running).To(Equal(9))
+		born := &facts.Instance{ID: "i", Born: 10, Address: "a", Slots: 16}
+		Expect(t.Candidate(born, 900).InFlight).To(Equal(1), "the first start that is heard of is the one that was known")
+		f.End()
+	})
+
 	It("takes an upstream behind a narrow link as suspect", func() {
 		t.SetReport("a", LoadReport{Narrow: true, Taken: now})
 		Expect(t.Candidate(one, 0).Suspect).To(BeTrue())
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -13,7 +13,9 @@
 // Candidate is what is known of an upstream that may take a request.
 type Candidate struct {
 	Instance id.Instance
-	Address  string
+	// Born is the newest start that is known of the upstream.
+	Born    id.Birth
+	Address string
 	// Revision is the version of the model that it serves; 0 for plain services.
 	Revision id.Revision
 	Domain   id.Domain
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -24,6 +24,8 @@
 
 // LoadReport is what an upstream's stager says of it.
 type LoadReport struct {
+	// Born is the start of the upstream that the figures are of; 0 where that is not known.
+	Born             id.Birth
 	Running, Waiting int
 	Pace             float64
 	Held             []facts.Held
@@ -43,8 +45,9 @@
 	started bool
 }
 
-// upstream is what the tracker keeps of one address.
+// upstream is what the tracker keeps of one start of the upstream at an address.
 type upstream struct {
+	born     id.Birth
 	report   LoadReport
 	sent     map[*sent]struct{}
 	failures int
@@ -72,11 +75,29 @@
 	return u
 }
 
-// SetReport takes an upstream's figures.
+// start returns what is kept of an address once a start of the upstream there has been heard of. A later start begins with
+// nothing: requests, failures and figures were of the one before, whose requests still hold what was kept of it. It is nil for
+// a start that is known to be over. The caller holds the lock.
+func (t *Tracker) start(address string, born id.Birth) *upstream {
+	u := t.at(address)
+	switch {
+	case born.Before(u.born):
+		return nil
+	case u.born.Before(born):
+		u = &upstream{sent: map[*sent]struct{}{}}
+		t.known[address] = u
+	}
+	u.born = max(u.born, born)
+	return u
+}
+
+// SetReport takes an upstream's figures, unless they are of an earlier start of it than is known.
 func (t *Tracker) SetReport(address string, r LoadReport) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.at(address).report = r
+	if u := t.start(address, r.Born); u != nil {
+		u.report = r
+	}
 }
 
 // Fresh returns an upstream's report if it is new enough to be believed.
@@ -90,6 +111,21 @@
 	return u.report, true
 }
 
+// Report returns the report of an upstream that the list has, and whether it is new enough to be believed. Without one the
+// report tells only the newest start that is known there: the list's entry may be of the one before.
+func (t *Tracker) Report(i *facts.Instance) (LoadReport, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.start(i.Address, i.Born)
+	u := t.at(i.Address)
+	if !u.report.believed(t.now()) {
+		return LoadReport{Born: u.born}, false
+	}
+	r := u.report
+	r.Born = u.born
+	return r, true
+}
+
 // believed says whether a report is new enough.
 func (r *LoadReport) believed(now time.Time) bool {
 	if r.Until.IsZero() {
@@ -135,20 +171,20 @@
 	delete(f.upstream.sent, f.sent)
 }
 
-// Failed notes that an upstream failed a request, and leaves it alone for a while.
-func (t *Tracker) Failed(address string) {
-	t.suspect(address, suspectBase)
+// Failed notes that the upstream failed the request, and leaves it alone for a while.
+func (f *Flight) Failed() {
+	f.suspect(suspectBase)
 }
 
-// Stalled notes that an upstream let a request wait, and leaves it alone for longer.
-func (t *Tracker) Stalled(address string) {
-	t.suspect(address, stallBase)
+// Stalled notes that the upstream let the request wait, and leaves it alone for longer.
+func (f *Flight) Stalled() {
+	f.suspect(stallBase)
 }
 
-func (t *Tracker) suspect(address string, base time.Duration) {
+func (f *Flight) suspect(base time.Duration) {
+	t, u := f.tracker, f.upstream
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	u := t.at(address)
 	d := base << min(u.failures, 4)
 	u.failures++
 	u.until = t.now().Add(min(d, suspectMost))
@@ -159,11 +195,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	c := Candidate{Instance: i.ID, Address: i.Address, Domain: i.Domain, Slots: i.Slots, Pace: 1}
-	u := t.known[i.Address]
-	if u == nil {
-		return c
-	}
+	c := Candidate{Instance: i.ID, Address: i.Address, Domain: i.Domain, Slots: i.Slots, Pace: 1, Born: i.Born}
+	t.start(i.Address, i.Born)
+	u := t.at(i.Address)
+	c.Born = max(c.Born, u.born)
 	c.InFlight = len(u.sent)
 	c.Suspect = now.Before(u.until)
 	c.Known = u.report.believed(now)
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -209,13 +209,13 @@
 
 // noteChange makes the next reports urgent where this one says anything new beside the load; the caller holds the lock.
 func (r *Reporter) noteChange(p *pb.UpstreamReport, now time.Time) {
-	told := fmt.Sprint(p.GetClosed(), p.GetDown(), p.GetNarrow(), p.GetNamed().GetRevision())
+	told := fmt.Sprint(p.GetClosed(), p.GetDown(), p.GetNarrow(), p.GetNamed().GetRevision(), p.GetBorn())
 	for _, h := range p.GetHeld() {
 		told += fmt.Sprint(" ", h.GetModel(), h.GetRevision())
 	}
 	words, _ := r.facts.Told(now.Add(-wordFresh))
 	for _, w := range words {
-		told += fmt.Sprint(" ", w.Instance, w.Left, w.Offset)
+		told += fmt.Sprint(" ", w.Instance, w.Born, w.Left, w.Offset)
 	}
 	if told != r.told {
 		r.told, r.urgent = told, urgentReports
@@ -240,7 +240,7 @@
 	told, _ := r.facts.Told(since)
 	var l []*pb.ListWord
 	for _, w := range told {
-		l = append(l, &pb.ListWord{Instance: string(w.Instance), Left: w.Left, Offset: w.Offset})
+		l = append(l, &pb.ListWord{Instance: string(w.Instance), Born: uint64(w.Born), Left: w.Left, Offset: w.Offset})
 	}
 	return l
 }
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -204,6 +204,7 @@
 		s.hear(&r, w)
 	}
 	p := placement.LoadReport{
+		Born:    id.Birth(r.GetBorn()),
 		Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), Pace: r.GetPace(),
 		Closed: r.GetClosed(), Down: r.GetDown(), Narrow: r.GetNarrow(), Taken: s.now(),
 	}
@@ -242,7 +243,9 @@
 // hear takes a word on an instance at the upstream's address. The own list may lack it, late or for good.
 func (s *Subscriber) hear(r *pb.UpstreamReport, w *pb.ListWord) {
 	n := id.Instance(w.GetInstance())
-	word := facts.Word{Instance: n, Address: r.GetAddress(), Left: w.GetLeft(), Offset: w.GetOffset()}
+	word := facts.Word{
+		Instance: n, Born: id.Birth(w.GetBorn()), Address: r.GetAddress(), Left: w.GetLeft(), Offset: w.GetOffset(),
+	}
 	if !s.facts.Hear(word) {
 		return
 	}
--- a/internal/reports/word_test.go
+++ b/internal/reports/word_test.go
@@ -105,14 +105,31 @@
 		Expect(leaving()).To(BeFalse(), "the place of the stager's reports is forgotten, and the word is still an old one")
 	})
 
+	it("is on one start of the instance: the next one under its ID is not touched by it, however late it comes", func() {
+		first := entry(4, true)
+		first.Born = 10
+		far.SetInstance(first)
+		gone := publish()
+		again := entry(5, false)
+		again.Born = 20
+		near.SetInstance(again)
+		s.take(gone)
+		Expect(leaving()).To(BeFalse())
+		again = entry(6, true)
+		again.Born = 20
+		far.SetInstance(again)
+		s.take(publish())
+		Expect(leaving()).To(BeTrue())
+	})
+
 	it("fits into a report with all else that one tells at most", func() {
 		long := strings.Repeat("x", 40)
 		now = now.Add(time.Second)
 		for k := range 4 {
-			far.SetInstance(&facts.Instance{ID: id.Instance(long + itoa(k+1)), Address: "a", Seen: math.MaxUint64, Leaving: true})
+			far.SetInstance(&facts.Instance{ID: id.Instance(long + itoa(k+1)), Address: "a", Born: math.MaxInt64, Seen: math.MaxUint64, Leaving: true})
 		}
 		p := &pb.UpstreamReport{
-			Address: "255.255.255.255:65535", Incarnation: math.MaxUint64, Number: math.MaxUint64, Pace: 1, KvUsed: math.MaxUint64,
+			Address: "255.255.255.255:65535", Born: math.MaxInt64, Incarnation: math.MaxUint64, Number: math.MaxUint64, Pace: 1, KvUsed: math.MaxUint64,
 			KvTotal: math.MaxUint64, ConfigOffset: math.MaxUint64,
 		}
 		for range 8 {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -63,7 +63,7 @@
 	s.starts++
 	s.id = fmt.Sprintf("%s-%d", s.address, s.starts)
 	server := &standin.ModelServer{
-		Instance: s.id, Slots: slots, Event: s.event, Note: s.history.Ran,
+		Instance: s.id, Born: time.Now().UnixMilli(), Slots: slots, Event: s.event, Note: s.history.Ran,
 		Weights: standin.Versions{Model: model, Chunks: chunks, ChunkBytes: chunkBytes},
 		Broken:  func(what string) { s.history.Violate("weights", s.address, "", "%s", what) },
 	}
@@ -92,6 +92,7 @@
 func (s *Slot) write() {
 	b, err := json.Marshal(map[string]any{
 		"service": s.pool, "address": s.address, "zone": s.domain, "slots": slots, "state": s.state, "models": s.server.Models(),
+		"born": s.server.Born,
 	})
 	if err == nil {
 		s.store.Put(serverTopic, s.id, b)
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -193,10 +193,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	down := err != nil
-	changed := down != s.down || state.Busy != s.state.Busy || !sameHeld(state.Held, s.state.Held)
+	changed := down != s.down || state.Born != s.state.Born || state.Busy != s.state.Busy || !sameHeld(state.Held, s.state.Held)
 	if down != s.down {
 		s.log.Info().Bool("down", down).Err(err).Msg("the upstream beside this process")
 	}
+	if !down && s.state.Born.Before(state.Born) {
+		s.log.Info().Uint64("born", uint64(state.Born)).Uint64("life", state.Life).Msg("the upstream beside this process has started again")
+	}
 	s.down, s.state = down, state
 	return changed
 }
@@ -235,7 +238,7 @@
 	named := s.named()
 	s.mu.Lock()
 	r := &pb.UpstreamReport{
-		Named:   named,
+		Named: named, Born: uint64(s.state.Born),
 		Address: s.ports.Address, Running: uint32(s.state.Running), Waiting: uint32(s.state.Waiting),
 		KvUsed: s.state.KVUsed, KvTotal: s.state.KVTotal, Pace: s.state.Pace, Closed: s.closed, Down: s.down,
 		Narrow: s.fetching != nil && s.fetching.Narrow(),
--- a/internal/stager/word_test.go
+++ b/internal/stager/word_test.go
@@ -14,28 +14,33 @@
 	"github.com/springrail/springrail/internal/id"
 )
 
+// subscribed returns what reads the next report of a stager to a gateway that has subscribed.
+func subscribed(to *net.UDPAddr) func() *pb.UpstreamReport {
+	gateway, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(gateway.Close)
+	subscription, err := proto.Marshal(&pb.ReportSubscription{Sender: gateway.LocalAddr().String()})
+	Expect(err).NotTo(HaveOccurred())
+	_, err = gateway.WriteToUDP(subscription, to)
+	Expect(err).NotTo(HaveOccurred())
+	return func() *pb.UpstreamReport {
+		b := make([]byte, 4096)
+		Expect(gateway.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
+		n, err := gateway.Read(b)
+		Expect(err).NotTo(HaveOccurred())
+		var r pb.UpstreamReport
+		Expect(proto.Unmarshal(b[:n], &r)).To(Succeed())
+		return &r
+	}
+}
+
 var _ = Describe("a stager whose list says that its upstream leaves", func() {
 	// The list's word had come to the stager and was lost on its way to a gateway that gets the stager's reports.
 	It("reports it at once, not only with the next report that is due", func() {
 		e := newEngine(facts.Held{Model: "m", Revision: 1})
 		s, f, to := startReporting(e, time.Second)
 		Eventually(func() bool { _, up := s.current(); return up }).Should(BeTrue())
-		gateway, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(gateway.Close)
-		subscription, err := proto.Marshal(&pb.ReportSubscription{Sender: gateway.LocalAddr().String()})
-		Expect(err).NotTo(HaveOccurred())
-		_, err = gateway.WriteToUDP(subscription, to)
-		Expect(err).NotTo(HaveOccurred())
-		read := func() *pb.UpstreamReport {
-			b := make([]byte, 4096)
-			Expect(gateway.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
-			n, err := gateway.Read(b)
-			Expect(err).NotTo(HaveOccurred())
-			var r pb.UpstreamReport
-			Expect(proto.Unmarshal(b[:n], &r)).To(Succeed())
-			return &r
-		}
+		read := subscribed(to)
 		atOnce := 0
 		for k := range uint64(6) {
 			n := id.Instance(rune('i' + k))
--- a/internal/standin/modelserver.go
+++ b/internal/standin/modelserver.go
@@ -69,8 +69,10 @@
 // ModelServer plays a model server of the users' platform. Its fields may change only while nothing is served.
 type ModelServer struct {
 	Instance string
-	Slots    int
-	Weights  Versions
+	// Born is the Unix millisecond of its start; 0 leaves it out of what it says.
+	Born    int64
+	Slots   int
+	Weights Versions
 	// Event is the time between two events of a stream; 0 takes the usual one.
 	Event time.Duration
 	// Note is told of each run, and Broken of each promise that the system has broken towards it.
@@ -127,10 +129,14 @@
 	models := s.Models()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	writeJSON(w, map[string]any{
+	said := map[string]any{
 		"stage": "both", "models": models, "busy": s.busy, "sequence": s.orders, "waiting": 0, "running": s.running,
 		"kvUsed": 0, "kvTotal": 1, "pace": 1,
-	})
+	}
+	if s.Born > 0 {
+		said["born"] = s.Born
+	}
+	writeJSON(w, said)
 }
 
 // stage keeps chunks.
--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/springrail/springrail/internal/id"
 )
 
 const (
@@ -28,8 +30,10 @@
 type conn struct {
 	net.Conn
 	address string
-	r       *bufio.Reader
-	w       *bufio.Writer
+	// born is the start of the upstream that was known when the connection was opened.
+	born id.Birth
+	r    *bufio.Reader
+	w    *bufio.Writer
 	// idleUntil is when it may no longer be used again.
 	idleUntil time.Time
 }
@@ -64,14 +68,15 @@
 	conns map[string][]*conn
 }
 
-// take returns the connection to an address that was used last and may be used again, or nil.
-func (i *idle) take(address string, now time.Time) *conn {
+// take returns the connection to an address that was used last and may be used again, or nil. One to an earlier start of
+// the upstream is not: behind a cut it stays silent, and a request sent over it ends with an unknown outcome.
+func (i *idle) take(address string, born id.Birth, now time.Time) *conn {
 	for {
 		c := i.pop(address)
 		if c == nil {
 			return nil
 		}
-		if now.Before(c.idleUntil) && c.usable() {
+		if now.Before(c.idleUntil) && !c.born.Before(born) && c.usable() {
 			return c
 		}
 		c.Close()
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/springrail/springrail/internal/id"
 )
 
 // Pool sends requests over kept connections.
@@ -49,9 +51,9 @@
 // Send sends a request to an address and returns the head of the answer. The context's end breaks the connection, and
 // with it the upstream's work. Errors are ErrNotSent or ErrBroken.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
-	c := p.idle.take(address, p.now())
+	c := p.idle.take(address, r.Born, p.now())
 	if c == nil {
-		fresh, err := p.connect(ctx, address)
+		fresh, err := p.connect(ctx, address, r.Born)
 		if err != nil {
 			return nil, trace.Wrap(errors.Join(ErrNotSent, err))
 		}
@@ -67,13 +69,13 @@
 	return e, nil
 }
 
-func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) connect(ctx context.Context, address string, born id.Birth) (*conn, error) {
 	p.Dialled()
 	n, err := p.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: n, address: address, r: bufio.NewReaderSize(n, readBuffer), w: bufio.NewWriterSize(n, readBuffer)}, nil
+	return &conn{Conn: n, address: address, born: born, r: bufio.NewReaderSize(n, readBuffer), w: bufio.NewWriterSize(n, readBuffer)}, nil
 }
 
 // exchange sends the request and reads the head of its answer.
--- a/internal/upconn/request.go
+++ b/internal/upconn/request.go
@@ -10,6 +10,8 @@
 	"io"
 	"net/http"
 	"strconv"
+
+	"github.com/springrail/springrail/internal/id"
 )
 
 var (
@@ -31,6 +33,9 @@
 	// Rest is what follows Body where it was too long to hold; it is sent in chunks, or with Length bytes in all.
 	Rest   io.Reader
 	Length int64
+	// Born is the start of the upstream that the request is for, where that is known: it goes over no kept connection to an
+	// earlier one.
+	Born id.Birth
 }
 
 // hasBody says whether the request carries a body; a POST without one says so with a length of 0.
--- a/internal/upconn/upconn_test.go
+++ b/internal/upconn/upconn_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/spec"
 )
 
@@ -76,6 +77,32 @@
 	})
 }
 
+var _ = Describe("a kept connection", func() {
+	// Behind a cut the connection of the start before stays silent, and what is sent over it has an unknown outcome.
+	It("is not used for a later start of its upstream than it was opened to", func() {
+		u := serve(func(u *upstream, _ int32, c net.Conn, r *bufio.Reader) {
+			for {
+				name, ok := u.next(r)
+				if !ok {
+					return
+				}
+				_, _ = io.WriteString(c, answer(name, "x"))
+			}
+		})
+		p := newPool()
+		for n, born := range []id.Birth{10, 10, 20, 20, 0, 20} {
+			q := request(fmt.Sprint(n))
+			q.Born = born
+			e, err := p.Send(context.Background(), u.address, q)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.ReadAll(e.Body)
+			Expect(err).NotTo(HaveOccurred())
+			e.End(true)
+		}
+		Expect(u.accepted.Load()).To(Equal(int32(2)))
+	})
+})
+
 func request(id string) *Request {
 	return &Request{Method: http.MethodPost, Target: "/a?b=c", Host: "h", Header: http.Header{idHeader: {id}}, Body: []byte("hello")}
 }
