An entry of another writer names no server, also in place of one that was good

Cause: a record in the list of servers that could not be read was skipped, and the older entry of that key stayed in use; an unknown state counted as leaving, so that it held its address against a good server; missing fields were zeros.

Each is counted (records.skipped on the metrics address) and has one line for its key and offset, 2 a second at the most.

--- a/internal/records/entry.go
+++ b/internal/records/entry.go
@@ -15,6 +15,8 @@
 	// before is the record that this one has replaced, and beforeChange the number of the change that brought it.
 	before       Record
 	beforeChange uint64
+	// skipped is true of a record that the product could not read.
+	skipped bool
 	// digest is its part in the log's.
 	digest uint64
 	// packed is the value compressed, and patch the same on top of the value before, once a follower has asked for it.
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"errors"
+	"expvar"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
 
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
@@ -18,8 +20,12 @@
 
 // Log holds the newest record of each key of a topic and applies what changes. It is safe for concurrent use.
 type Log struct {
-	topic  Topic
-	log    *log.Logger
+	topic Topic
+	log   *log.Logger
+	// skipped counts the records that could not be read, and skippedLines bounds the lines on them.
+	skipped      expvar.Int
+	skippedLines *rate.Limiter
+
 	now    func() time.Time
 	epoch  uint64
 	absent *facts.Absences
@@ -53,6 +59,7 @@
 func NewLog(t Topic, f *facts.Facts, now func() time.Time, l *log.Logger) *Log {
 	g := &Log{
 		topic: t, log: l, now: now, epoch: rand.Uint64() | 1, entries: map[string]*entry{}, changed: make(chan struct{}),
+		skippedLines: rate.NewLimiter(skippedPerSecond, skippedAtOnce),
 	}
 	if t.Upstreams {
 		g.absent = facts.NewAbsences(f, now, l)
@@ -233,23 +240,37 @@
 // date takes over when the store did not have a held record yet, where that has not been known here. The caller holds the
 // lock.
 func (l *Log) date(e *entry, r Record) {
-	if e.Value == nil || !e.After.IsZero() || r.After.IsZero() {
+	if e.Value == nil || e.skipped || !e.After.IsZero() || r.After.IsZero() {
 		return
 	}
 	e.After = r.After
-	l.apply(e.Record)
+	l.apply(e, e.Record)
 }
 
-// apply hands a record to the product.
-func (l *Log) apply(r Record) {
-	if err := l.topic.Apply(r); err != nil {
-		l.log.Warn().Err(err).Str("topic", l.topic.Name).Str("key", r.Key).Uint64("offset", r.Offset).Msg("record skipped")
+const (
+	// skippedPerSecond and skippedAtOnce bound the lines on records that can't be read: whoever else writes to a topic may do so as
+	// often as the store takes it, and each is counted.
+	skippedPerSecond = 2
+	skippedAtOnce    = 20
+)
+
+// apply hands the record of an entry to the product; the caller holds the lock.
+func (l *Log) apply(e *entry, r Record) {
+	err := l.topic.Apply(r)
+	e.skipped = err != nil
+	if err == nil {
+		return
+	}
+	l.skipped.Add(1)
+	if l.skippedLines.AllowN(l.now(), 1) {
+		l.log.Warn().Err(err).Str("topic", l.topic.Name).Str("key", r.Key).Uint64("offset", r.Offset).
+			Int64("skipped", l.skipped.Value()).Msg("record skipped")
 	}
 }
 
 // change numbers a new record of a key and applies it; the caller holds the lock.
 func (l *Log) change(e *entry, r Record) {
-	l.apply(r)
+	l.apply(e, r)
 	if l.absent != nil {
 		l.absent.Note(id.Instance(r.Key), r.Value != nil)
 	}
--- a/internal/records/part.go
+++ b/internal/records/part.go
@@ -93,6 +93,9 @@
 	vars.Set("age_ms", expvar.Func(func() any {
 		return map[string]int64{"operators": operators.Age().Milliseconds(), "upstreams": upstreams.Age().Milliseconds()}
 	}))
+	vars.Set("skipped", expvar.Func(func() any {
+		return map[string]int64{"operators": operators.skipped.Value(), "upstreams": upstreams.skipped.Value()}
+	}))
 	o := newOrigin(self, now)
 	w := &Follower{
 		logs: logs, gate: g, long: long, origin: o, peers: peers(f, d, self), self: self, domain: d, gateways: f.Gateways, now: now, log: l, vars: vars,
