A failure domain reads a topic whole once: who is about to read claims it and asks the others first

Cause: after an outage of the store, and at a start of all, each process of a domain read all operators' records over one link. Waits by rank count from when the source was lost; after eight seconds all are over. Four gateways read 358 KB at the same time, 2.6 to 3.4 s each where one takes 0.12 s; a change was in force 3.4 to 4.5 s after its acknowledgement.

While the store is away a process asks it one short question a try and others at most each 0.4 s. Whoever reads goes on. A source that has one topic and not the other hands on what it has.

Spec first: on the code before, the outage spec had 9 readings instead of at most 3, and 36 questions a second a process.

--- a/internal/measure/newsprocess.go
+++ b/internal/measure/newsprocess.go
@@ -134,9 +134,15 @@
 func (p *newsProcess) platform() *records.Platform {
 	return &records.Platform{
 		Store: records.Store{
-			Newest: func(ctx context.Context, topic string) ([]records.Record, uint64, error) {
+			Answers: func(ctx context.Context, _ string, _ uint64) error {
 				p.hold()
-				l, next, err := p.door.newest(ctx, topic)
+				err := p.door.answers(ctx)
+				p.hold()
+				return err
+			},
+			Newest: func(ctx context.Context, topic string, progress records.Progress) ([]records.Record, uint64, error) {
+				p.hold()
+				l, next, err := p.door.newest(ctx, topic, progress)
 				p.hold()
 				p.tally.brought(p.storeWay(), l)
 				return l, next, err
--- a/internal/measure/newsstore.go
+++ b/internal/measure/newsstore.go
@@ -175,7 +175,7 @@
 }
 
 // call makes one call; get returns the answer's records.
-func (d *newsDoor) call(ctx context.Context, wait time.Duration, get func(ctx context.Context) ([]records.Record, error)) ([]records.Record, error) {
+func (d *newsDoor) call(ctx context.Context, wait time.Duration, progress records.Progress, get func(ctx context.Context) ([]records.Record, error)) ([]records.Record, error) {
 	head, stop := context.WithTimeout(ctx, newsAnswerTimeout+wait)
 	defer stop()
 	f, lost := d.begin()
@@ -206,16 +206,26 @@
 	d.mu.Lock()
 	d.bytes += int64(n)
 	d.mu.Unlock()
-	if d.send(body, n) != nil {
-		return nil, trace.Wrap(platform.ErrUnavailable, "broken")
+	for left := n; left > 0; left -= newsPiece {
+		piece := min(left, newsPiece)
+		if d.send(body, piece) != nil {
+			return nil, trace.Wrap(platform.ErrUnavailable, "broken")
+		}
+		progress(piece)
 	}
 	return l, nil
 }
 
+// answers is the shortest call.
+func (d *newsDoor) answers(ctx context.Context) error {
+	_, err := d.call(ctx, 0, func(int) {}, func(context.Context) ([]records.Record, error) { return nil, nil })
+	return err
+}
+
 // newest is a whole reading.
-func (d *newsDoor) newest(ctx context.Context, topic string) ([]records.Record, uint64, error) {
+func (d *newsDoor) newest(ctx context.Context, topic string, progress records.Progress) ([]records.Record, uint64, error) {
 	next := uint64(0)
-	l, err := d.call(ctx, 0, func(context.Context) ([]records.Record, error) {
+	l, err := d.call(ctx, 0, progress, func(context.Context) ([]records.Record, error) {
 		var l []records.Record
 		l, next = d.store.whole(topic)
 		return l, nil
@@ -224,7 +234,7 @@
 }
 
 func (d *newsDoor) read(ctx context.Context, topic string, from uint64, wait time.Duration) ([]records.Record, uint64, error) {
-	l, err := d.call(ctx, wait, func(ctx context.Context) ([]records.Record, error) {
+	l, err := d.call(ctx, wait, func(int) {}, func(ctx context.Context) ([]records.Record, error) {
 		return d.store.read(ctx, topic, from, wait)
 	})
 	return l, from + uint64(len(l)), err
--- a/internal/records/choose.go
+++ b/internal/records/choose.go
@@ -35,6 +35,9 @@
 	f.viaPeer = false
 	known := f.gateways()
 	first, others := Sources(f.domain, known, f.self)
+	if a := f.hinted(); a != "" {
+		return a, len(first) == 0 || slices.Contains(first, a)
+	}
 	if a := f.sound(first); a != "" {
 		return a, true
 	}
@@ -46,11 +49,27 @@
 		}
 	}
 	if f.now().Sub(f.origin.ownAt()) > freshMost {
+		if slices.Contains(others, f.source) && f.sound([]string{f.source}) != "" {
+			// The others may follow this process by now.
+			return f.source, false
+		}
 		return f.sound(others), false
 	}
 	return "", false
 }
 
+// hinted is a process that is known to read the store while this one has no fresh records; empty is none.
+func (f *Follower) hinted() string {
+	a, news := f.hint.get()
+	if a == f.self || f.age() < freshMost {
+		return ""
+	}
+	if news {
+		delete(f.blamed, a)
+	}
+	return f.sound([]string{a})
+}
+
 // peerOrder lists the peers in an order of this process's own, so that processes that start together ask different ones.
 func (f *Follower) peerOrder() []string {
 	var vms []id.VM
@@ -80,8 +99,9 @@
 // sound returns the first address that is not blamed.
 func (f *Follower) sound(l []string) string {
 	now := f.now()
+	fresh := f.age() < freshMost
 	for _, a := range l {
-		if now.After(f.blamed[a]) {
+		if a != "" && now.After(f.blamed[a]) && !(fresh && now.Before(f.behind[a])) {
 			return a
 		}
 	}
--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -11,7 +11,6 @@
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/id"
-	"github.com/springrail/springrail/internal/kernel"
 )
 
 const (
@@ -33,9 +32,10 @@
 	slowMost = 3 * time.Second
 	// blameFor is how long a source that failed is left alone; it is how long a disruption at least lasts.
 	blameFor = 3 * time.Second
-	// staleFor is the same for a source that has lost the store itself, or follows this process: it may have it back, or take
-	// the reading over, at any moment. Left alone for 3 s, they let a gateway that was cut off from the store lag by 4 s.
-	staleFor = 300 * time.Millisecond
+	// staleFor is the same for a source that has lost the store itself, or follows this process while that has no fresh records: it
+	// may have it back, or take the reading over, at any moment. Left alone for 3 s, they let a gateway that was cut off from the store
+	// lag by 4 s.
+	staleFor = 400 * time.Millisecond
 	// lookPause is the wait before sources are looked for again.
 	lookPause = 100 * time.Millisecond
 	// differPause is the least time between two questions for a whole topic because the source holds other records. Where one
@@ -67,17 +67,24 @@
 	gateways func() []string
 	// peers lists stagers of the own failure domain that the list of upstreams shows.
 	peers func() []string
+	// seeds are processes that the settings name.
+	seeds []string
 	ask   func(ctx context.Context, address string, q *pb.FollowRequest) (*pb.FollowResponse, error)
 	now   func() time.Time
 	log   *log.Logger
 	vars  *expvar.Map
+	hint  *hint
+	// stale counts the answers in a row of sources that have lost the store.
+	stale int
 
 	// lostAt is when the last source failed; zero while one is followed.
 	lostAt time.Time
 	// startUntil is the end of the time in which a gateway may make itself known before this process asks the store.
 	startUntil time.Time
 	blamed     map[string]time.Time
-	source     string
+	// behind are processes that follow this one: until then they are no sources while this one has fresh records.
+	behind map[string]time.Time
+	source string
 	// viaPeer is true while the source is a peer.
 	viaPeer bool
 	epoch   uint64
@@ -90,11 +97,11 @@
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		address, preferred := f.choose()
-		if address == "" || !preferred {
+		if address == "" || (!preferred && f.age() >= freshMost) {
 			f.takeOver()
 		}
 		if address == "" {
-			kernel.Pause(ctx, lookPause)
+			f.hint.wait(ctx, lookPause)
 			continue
 		}
 		err := f.follow(ctx, address)
@@ -103,13 +110,43 @@
 			return
 		case err != nil:
 			f.blame(address, err)
-		case preferred:
-			f.lostAt = time.Time{}
-			f.openGate(false)
+			f.rest(ctx, err)
+		default:
+			f.found(address, preferred)
 		}
 	}
 }
 
+// found notes that a source has fresh records, or reads them.
+func (f *Follower) found(address string, preferred bool) {
+	if f.stale > 0 {
+		f.log.Info().Str("source", address).Int("asked_in_vain", f.stale).Msg("a source has the store again")
+	}
+	f.stale = 0
+	if preferred || f.age() < freshMost {
+		// Whoever reads goes on, wherever it stands in the order: taking the reading back, four processes of a domain read the same new
+		// configuration at once after an outage.
+		f.lostAt = time.Time{}
+		f.openGate(false)
+	}
+}
+
+// staleAtOnce is how many sources that have lost the store are asked without a pause: where a single one has lost it, the next
+// one or the one after it has taken over.
+const staleAtOnce = 2
+
+// rest waits after an answer of a source that has lost the store. Once some have, nobody has it: all twelve processes of a
+// domain asked each other 36 times a second each. Who gets it again says so.
+func (f *Follower) rest(ctx context.Context, err error) {
+	if !errors.Is(err, errStale) && !errors.Is(err, errOwn) {
+		return
+	}
+	f.stale++
+	if f.stale > staleAtOnce {
+		f.hint.wait(ctx, staleFor)
+	}
+}
+
 // age is that of the oldest log.
 func (f *Follower) age() time.Duration {
 	most := time.Duration(0)
@@ -127,12 +164,21 @@
 		}
 	}
 	until := blameFor
-	if errors.Is(err, errStale) || errors.Is(err, errOwn) {
-		until = staleFor
+	lost := errors.Is(err, errStale) || errors.Is(err, errOwn)
+	if lost {
+		// Each other source is asked before this one is again.
+		until = min(blameFor, staleFor*time.Duration(max(1, len(f.gateways())-1)))
 	}
 	f.blamed[address] = now.Add(until)
 	f.vars.Add("failed", 1)
-	f.log.Warn().Err(err).Str("source", address).Int64("age_ms", f.age().Milliseconds()).Msg("another source of records is needed")
+	if errors.Is(err, errOwn) && f.age() < freshMost {
+		// All is well: this process reads for one that goes before it.
+		f.behind[address] = now.Add(blameFor)
+		return
+	}
+	if !lost || f.stale == 0 {
+		f.log.Warn().Err(err).Str("source", address).Int64("age_ms", f.age().Milliseconds()).Msg("another source of records is needed")
+	}
 	f.takeOver()
 }
 
@@ -207,29 +253,20 @@
 		f.source = ""
 		return trace.Wrap(err)
 	}
-	if err := f.check(a); err != nil {
+	if err := f.known(a); err != nil {
 		f.source = ""
 		return err
 	}
 	answered := asked.Add(time.Duration(max(0, a.GetHeldMs())) * time.Millisecond)
 	for i, t := range a.GetTopics() {
-		taken, err := f.take(f.logs[i], t, answered)
-		if errors.Is(err, errNoBase) {
-			// No fault of the source: this process has read other records meanwhile.
-			f.log.Info().Err(err).Str("source", address).Msg("records are asked for as a whole")
-			f.from[i] = askWhole
-			continue
-		}
-		if err != nil {
+		if err := f.takeTopic(i, t, address, answered); err != nil {
 			f.source = ""
 			return err
 		}
-		f.from[i] = t.GetFrom()
-		if !taken {
-			f.log.Info().Str("source", address).Str("topic", t.GetTopic()).Uint64("gap_from", t.GetGapFrom()).
-				Msg("records are asked for as a whole: this process has read further than the source had")
-			f.from[i] = askWhole
-		}
+	}
+	if err := f.check(a); err != nil {
+		f.source = ""
+		return err
 	}
 	f.epoch = a.GetEpoch()
 	f.origin.set(a.GetOrigin())
@@ -237,6 +274,36 @@
 	return nil
 }
 
+// takeTopic takes what an answer brings of one topic, if that is fresh enough: a source may have one topic and lack another, which
+// is to be had elsewhere.
+func (f *Follower) takeTopic(i int, t *pb.TopicChanges, address string, answered time.Time) error {
+	if t.GetReading().GetFirst() {
+		// The source has numbered no change yet: those from the first one on will be no whole.
+		f.from[i] = askWhole
+		return nil
+	}
+	if f.usable(f.logs[i], t) != nil {
+		return nil
+	}
+	taken, err := f.take(f.logs[i], t, answered)
+	if errors.Is(err, errNoBase) {
+		// No fault of the source: this process has read other records meanwhile.
+		f.log.Info().Err(err).Str("source", address).Msg("records are asked for as a whole")
+		f.from[i] = askWhole
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.from[i] = t.GetFrom()
+	if !taken {
+		f.log.Info().Str("source", address).Str("topic", t.GetTopic()).Uint64("gap_from", t.GetGapFrom()).
+			Msg("records are asked for as a whole: this process has read further than the source had")
+		f.from[i] = askWhole
+	}
+	return nil
+}
+
 // patience is how long a question may wait at the source, and how long its answer is waited for at the most.
 func (f *Follower) patience() (wait, most time.Duration) {
 	switch {
@@ -267,8 +334,8 @@
 	}
 }
 
-// check says whether an answer has all topics, none of them too old.
-func (f *Follower) check(a *pb.FollowResponse) error {
+// known says whether an answer is of a source that does not follow this process, and has the topics that were asked for.
+func (f *Follower) known(a *pb.FollowResponse) error {
 	if o := a.GetOrigin(); o != "" && o == f.self {
 		return trace.Wrap(errOwn)
 	}
@@ -276,14 +343,41 @@
 		return trace.Wrap(errStale, "%d of %d topics", len(a.GetTopics()), len(f.logs))
 	}
 	for i, t := range a.GetTopics() {
-		age := time.Duration(t.GetAgeMs()) * time.Millisecond
-		if t.GetTopic() != f.logs[i].topic.Name || age < 0 || age >= f.ageMost(f.logs[i]) {
-			return trace.Wrap(errStale, "topic %s, age %v", t.GetTopic(), age)
+		if t.GetTopic() != f.logs[i].topic.Name {
+			return trace.Wrap(errStale, "topic %s", t.GetTopic())
+		}
+	}
+	return nil
+}
+
+// check says whether an answer has all topics, each fresh enough or being read.
+func (f *Follower) check(a *pb.FollowResponse) error {
+	if err := f.known(a); err != nil {
+		return err
+	}
+	for i, t := range a.GetTopics() {
+		if err := f.usable(f.logs[i], t); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+// usable says whether what an answer has of a topic is fresh enough, or is being read.
+func (f *Follower) usable(l *Log, t *pb.TopicChanges) error {
+	if r := t.GetReading(); r != nil {
+		if r.GetQuietMs() >= quietMost.Milliseconds() {
+			return trace.Wrap(errStale, "the reading of topic %s stands still at %d bytes", t.GetTopic(), r.GetBytes())
+		}
+		return nil
+	}
+	age := time.Duration(t.GetAgeMs()) * time.Millisecond
+	if age < 0 || age >= f.ageMost(l) {
+		return trace.Wrap(errStale, "topic %s, age %v", t.GetTopic(), age)
+	}
+	return nil
+}
+
 // ageMost is the greatest age of records that will do. A peer follows a gateway in its turn, so that its records are older than that one's by up
 // to the wait of a question, and it serves only until a gateway is known here.
 func (f *Follower) ageMost(l *Log) time.Duration {
--- a/internal/records/follow_test.go
+++ b/internal/records/follow_test.go
@@ -24,7 +24,7 @@
 		for _, self := range append([]string{"stager"}, all...) {
 			followers[self] = &Follower{
 				gate: &gate{closed: make(chan struct{})}, long: &gate{}, self: self, domain: "d", gateways: func() []string { return all },
-				now: func() time.Time { return now }, log: quiet, vars: new(expvar.Map), blamed: map[string]time.Time{},
+				now: func() time.Time { return now }, log: quiet, vars: new(expvar.Map), hint: newHint(time.Now), blamed: map[string]time.Time{}, behind: map[string]time.Time{},
 			}
 		}
 		open := func() int {
@@ -67,9 +67,11 @@
 var _ = Describe("a source that is left alone", func() {
 	It("is asked again soon where it has lost the store or follows this process, and later where it gave no answer", func() {
 		now := time.Now()
+		l := NewLog(Topic{Name: "t"}, facts.New(time.Now), func() time.Time { return now }, quiet)
 		f := &Follower{
+			logs: []*Log{l},
 			gate: &gate{}, long: &gate{}, domain: "d", gateways: func() []string { return nil }, now: func() time.Time { return now },
-			log: quiet, vars: new(expvar.Map), blamed: map[string]time.Time{},
+			log: quiet, vars: new(expvar.Map), hint: newHint(time.Now), blamed: map[string]time.Time{}, behind: map[string]time.Time{},
 		}
 		for address, err := range map[string]error{"stale": errStale, "own": errOwn, "silent": context.DeadlineExceeded} {
 			f.blame(address, err)
@@ -79,6 +81,12 @@
 		Expect(f.sound([]string{"silent", "stale"})).To(Equal("stale"))
 		now = now.Add(blameFor)
 		Expect(f.sound([]string{"silent"})).To(Equal("silent"))
+		l.Take(Batch{Whole: true, Own: true, Next: 1, Confirmed: now})
+		f.blame("own", errOwn)
+		now = now.Add(staleFor + time.Millisecond)
+		Expect(f.sound([]string{"own"})).To(BeEmpty(), "this process has fresh records, and hands them to that one")
+		now = now.Add(freshMost)
+		Expect(f.sound([]string{"own"})).To(Equal("own"), "it has lost them, and that one may have taken over")
 	})
 })
 
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -29,6 +29,8 @@
 	now    func() time.Time
 	epoch  uint64
 	absent *facts.Absences
+	// turn is this process's part in reading the topic whole.
+	turn *turn
 
 	mu      sync.Mutex
 	entries map[string]*entry
@@ -52,14 +54,16 @@
 	digest uint64
 	// confirmed is when the store last said that nothing is missing.
 	confirmed time.Time
-	changed   chan struct{}
+	// own is when this process last read the store itself, and failed when it last failed to.
+	own, failed time.Time
+	changed     chan struct{}
 }
 
 // NewLog makes an empty log of a topic.
 func NewLog(t Topic, f *facts.Facts, now func() time.Time, l *log.Logger) *Log {
 	g := &Log{
 		topic: t, log: l, now: now, epoch: rand.Uint64() | 1, entries: map[string]*entry{}, changed: make(chan struct{}),
-		skippedLines: rate.NewLimiter(skippedPerSecond, skippedAtOnce),
+		skippedLines: rate.NewLimiter(skippedPerSecond, skippedAtOnce), turn: newTurn("", "", now),
 	}
 	if t.Upstreams {
 		g.absent = facts.NewAbsences(f, now, l)
@@ -137,6 +141,9 @@
 	}
 	l.advance(b)
 	l.started = l.started || b.Whole
+	if b.Own {
+		l.own = l.now()
+	}
 	if b.Confirmed.After(l.confirmed) {
 		l.confirmed = b.Confirmed
 	}
@@ -340,11 +347,19 @@
 func (l *Log) Lost(err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.failed = l.now()
 	if l.now().Sub(l.confirmed) > freshMost {
 		l.note(err, true)
 	}
 }
 
+// missed notes that this process can't read on where it has read to.
+func (l *Log) missed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failed = l.now()
+}
+
 // note logs when the records are lost and when they are to be had again. Where another process hands on what it has read
 // meanwhile, the store was not away for all, and its word on a grace counts. The caller holds the lock.
 func (l *Log) note(err error, own bool) {
@@ -362,6 +377,33 @@
 	l.lost = err != nil
 }
 
+// endTurn is the end of this process's reading of the whole topic; who follows it hears at once how that went.
+func (l *Log) endTurn() {
+	l.turn.end()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// fresh says whether the store has confirmed lately, and since this process failed to read it, that nothing is missing.
+func (l *Log) fresh() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isFresh()
+}
+
+func (l *Log) isFresh() bool {
+	return l.confirmed.After(l.failed) && l.now().Sub(l.confirmed) < freshMost
+}
+
+// ownFresh says whether the records are fresh and the newest of them read by this process itself.
+func (l *Log) ownFresh() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isFresh() && l.own.After(l.failed) && l.now().Sub(l.own) < freshMost
+}
+
 // Position returns the offset to read on from; started is false before the first whole reading.
 func (l *Log) Position() (next uint64, started bool) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/records/outage_test.go
@@ -0,0 +1,289 @@
+package records
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/platform"
+)
+
+// link carries answers of the store to the processes of one failure domain, which share it.
+type link struct {
+	mu sync.Mutex
+	// perSecond is its rate in bytes.
+	perSecond int
+	// under counts the long answers that are on their way, and most the highest such number.
+	under, most int
+	long        int
+}
+
+// longFrom is the size of a long answer, in bytes.
+const longFrom = 100 << 10
+
+// linkPiece is what is sent at a time; those who share the link take turns.
+const linkPiece = 32 << 10
+
+// carry brings an answer over the link, and tells of its progress.
+func (l *link) carry(ctx context.Context, bytes int, progress Progress) error {
+	if bytes >= longFrom {
+		l.mu.Lock()
+		l.under++
+		l.long++
+		l.most = max(l.most, l.under)
+		l.mu.Unlock()
+		defer func() {
+			l.mu.Lock()
+			l.under--
+			l.mu.Unlock()
+		}()
+	}
+	for bytes > 0 && ctx.Err() == nil {
+		n := min(bytes, linkPiece)
+		l.mu.Lock()
+		time.Sleep(time.Duration(n) * time.Second / time.Duration(l.perSecond))
+		l.mu.Unlock()
+		bytes -= n
+		progress(n)
+	}
+	return ctx.Err()
+}
+
+func (l *link) counted() (long, most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.long, l.most
+}
+
+// domain is a failure domain's processes behind one link to the store.
+type domain struct {
+	store *fakeStore
+	link  *link
+	// way is the store over the link.
+	way       Store
+	processes []*process
+	byName    map[string]*process
+	gateways  []string
+	mu        sync.Mutex
+	// hung are processes that answer nobody and get no answer of the store.
+	hung map[string]chan struct{}
+	// questions counts those that processes ask each other.
+	questions int
+}
+
+// newDomain makes a domain of processes; size is that of a configuration in bytes, which the link carries in a time.
+func newDomain(gateways, stagers, size int, carried time.Duration) *domain {
+	d := &domain{
+		store: &fakeStore{logs: map[string][]Record{}}, byName: map[string]*process{}, hung: map[string]chan struct{}{},
+		link: &link{perSecond: int(float64(size) / carried.Seconds())},
+	}
+	inner := d.store.store()
+	d.way = Store{
+		Newest: func(ctx context.Context, topic string, progress Progress) ([]Record, uint64, error) {
+			l, next, err := inner.Newest(ctx, topic, progress)
+			if err == nil {
+				err = d.link.carry(ctx, bytesOf(l), progress)
+			}
+			return l, next, d.lost(err)
+		},
+		Read: func(ctx context.Context, topic string, from uint64, wait time.Duration) (Reading, error) {
+			a, err := inner.Read(ctx, topic, from, wait)
+			if err == nil {
+				err = d.link.carry(ctx, bytesOf(a.Records), func(int) {})
+			}
+			return a, d.lost(err)
+		},
+		Answers: inner.Answers,
+	}
+	d.configure(size)
+	d.store.put("up", "10.0.0.1:8000", serving)
+	for i := range gateways {
+		d.gateways = append(d.gateways, fmt.Sprintf("10.0.0.%d:7700", 100+i))
+	}
+	for _, name := range d.gateways {
+		d.add(name, 0)
+	}
+	for i := range stagers {
+		d.add(fmt.Sprintf("10.0.1.%d:7700", i), 200*time.Millisecond)
+	}
+	return d
+}
+
+func bytesOf(l []Record) (n int) {
+	for _, r := range l {
+		n += len(r.Value)
+	}
+	return n
+}
+
+// lost is the error of an answer that the store did not bring to its end.
+func (d *domain) lost(err error) error {
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	if err != nil || d.store.down {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+// configure writes a configuration of a size; it is named by the size of the log.
+func (d *domain) configure(size int) string {
+	d.store.mu.Lock()
+	name := fmt.Sprintf("config %d ", len(d.store.logs["op"]))
+	d.store.mu.Unlock()
+	d.store.put("op", "config", name+strings.Repeat("x", size))
+	return name
+}
+
+// add makes a process that knows the gateways of its domain.
+func (d *domain) add(name string, wait time.Duration) {
+	way := d.way
+	way.Newest = func(ctx context.Context, topic string, progress Progress) ([]Record, uint64, error) {
+		if err := d.pass(ctx, name); err != nil {
+			return nil, 0, err
+		}
+		return d.way.Newest(ctx, topic, func(n int) {
+			if d.pass(ctx, name) == nil {
+				progress(n)
+			}
+		})
+	}
+	p := newProcessWith(name, wait, way, func(ctx context.Context, address string, q *pb.FollowRequest) (*pb.FollowResponse, error) {
+		d.mu.Lock()
+		d.questions++
+		to := d.byName[address]
+		d.mu.Unlock()
+		if to == nil {
+			return nil, platform.ErrUnavailable
+		}
+		if err := d.pass(ctx, address); err != nil {
+			return nil, err
+		}
+		a, err := to.service.Follow(ctx, q)
+		if passed := d.pass(ctx, address); passed != nil {
+			return nil, passed
+		}
+		return a, err
+	}, func(ctx context.Context, p *process) {
+		for ctx.Err() == nil {
+			for _, g := range d.gateways {
+				p.facts.SeeGateway(g)
+			}
+			kernel.Pause(ctx, time.Second)
+		}
+	})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.byName[name] = p
+	d.processes = append(d.processes, p)
+}
+
+// pass waits while a process is frozen.
+func (d *domain) pass(ctx context.Context, name string) error {
+	d.mu.Lock()
+	c := d.hung[name]
+	d.mu.Unlock()
+	if c == nil {
+		return nil
+	}
+	select {
+	case <-c:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// freeze stops a process until the end of the spec.
+func (d *domain) freeze(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := make(chan struct{})
+	d.hung[name] = c
+	DeferCleanup(func() { close(c) })
+}
+
+// have says how many processes that are not frozen lack a configuration.
+func (d *domain) lack(config string) (n int) {
+	for _, p := range d.processes {
+		d.mu.Lock()
+		frozen := d.hung[p.name] != nil
+		d.mu.Unlock()
+		if !frozen && !strings.HasPrefix(p.value("config"), config) {
+			n++
+		}
+	}
+	return n
+}
+
+// asked is the number of questions since the last call.
+func (d *domain) asked() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.questions
+	d.questions = 0
+	return n
+}
+
+const (
+	// longRecord is a configuration of the users' in bytes, and longTakes what it takes on a link of 24 Mbit/s.
+	longRecord = 358694
+	longTakes  = 120 * time.Millisecond
+)
+
+// The store was away from a failure domain for eight seconds, came back, and was lost again for a second. Four gateways and more
+// then read the operators' records at the same time over the link that they share, 2.6 to 3.4 s each where one reading takes 0.12 s, and
+// refused requests by the older configuration. Each had waited its turn, and all turns had long been over when the store came back.
+var _ = Describe("a failure domain after an outage of the store", func() {
+	It("reads a long record once, and has it everywhere within two seconds, also where the store is lost again at once", func() {
+		d := newDomain(12, 15, longRecord, longTakes)
+		Eventually(func() int { return d.lack("config 0 ") }).WithTimeout(20 * time.Second).Should(BeZero())
+		time.Sleep(2 * time.Second)
+		d.store.setDown(true)
+		time.Sleep(4 * time.Second)
+		d.asked()
+		time.Sleep(4 * time.Second)
+		Expect(d.asked()).To(BeNumerically("<", 3*4*len(d.processes)), "questions while no one has the store")
+		config := d.configure(longRecord)
+		before, _ := d.link.counted()
+		d.store.setDown(false)
+		time.Sleep(200 * time.Millisecond)
+		d.store.setDown(true)
+		time.Sleep(time.Second)
+		d.store.setDown(false)
+		Eventually(func() int { return d.lack(config) }).WithTimeout(2 * time.Second).WithPolling(20 * time.Millisecond).Should(BeZero())
+		long, _ := d.link.counted()
+		Expect(long-before).To(BeNumerically("<=", 3), "one is lost with the store, and one is taken over at the most")
+	})
+
+	It("has another one read where the reader freezes in its reading", func() {
+		d := newDomain(12, 15, longRecord, longTakes)
+		Eventually(func() int { return d.lack("config 0 ") }).WithTimeout(20 * time.Second).Should(BeZero())
+		time.Sleep(2 * time.Second)
+		d.store.setDown(true)
+		time.Sleep(4 * time.Second)
+		config := d.configure(longRecord)
+		before, _ := d.link.counted()
+		d.store.setDown(false)
+		var reader string
+		Eventually(func() string {
+			for _, p := range d.processes {
+				if p.reads() {
+					reader = p.name
+				}
+			}
+			return reader
+		}).WithTimeout(2 * time.Second).WithPolling(2 * time.Millisecond).ShouldNot(BeEmpty())
+		d.freeze(reader)
+		Eventually(func() int { return d.lack(config) }).WithTimeout(3 * time.Second).WithPolling(20 * time.Millisecond).Should(BeZero())
+		long, _ := d.link.counted()
+		Expect(long - before).To(BeNumerically("<=", 3))
+	})
+})
--- a/internal/records/part.go
+++ b/internal/records/part.go
@@ -38,12 +38,19 @@
 	// StartWait is how long a new process waits for a gateway of its failure domain to make itself known before it asks the
 	// store.
 	StartWait time.Duration `toml:"start_wait"`
+	// Seeds are addresses of some processes of any failure domain, of which the hosts count; the port is that of this process. Those that
+	// start together learn of each other from them, and go on without where none answers.
+	Seeds []string `toml:"seeds"`
 }
 
 // Check implements kernel.Section.
 func (s *Settings) Check(c *kernel.Checker) {
 	c.Require(s.ConfigWait > 0 && s.ConfigWait <= 30*time.Second, "config_wait", "a time above 0 and up to 30s")
 	c.Require(s.ListEvery >= 50*time.Millisecond, "list_every", "a time of at least 50ms")
+	for _, a := range s.Seeds {
+		_, _, err := net.SplitHostPort(a)
+		c.Require(err == nil, "seeds", `a list of IP numbers and ports such as ["10.0.0.1:7700"]`)
+	}
 	c.Require(s.StartWait >= 0 && s.StartWait <= 10*time.Second, "start_wait", "a time from 0 to 10s")
 }
 
@@ -86,6 +93,10 @@
 	operators, upstreams := NewLog(p.Operators, f, now, l), NewLog(p.Upstreams, f, now, l)
 	upstreams.epoch = operators.epoch
 	logs := []*Log{operators, upstreams}
+	for _, one := range logs {
+		one.turn = newTurn(self, d, now)
+	}
+	t := newHint(now)
 	g, long := &gate{}, &gate{}
 	g.set(s.StartWait == 0)
 	long.set(false)
@@ -99,16 +110,32 @@
 	o := newOrigin(self, now)
 	w := &Follower{
 		logs: logs, gate: g, long: long, origin: o, peers: peers(f, d, self), self: self, domain: d, gateways: f.Gateways, now: now, log: l, vars: vars,
-		blamed: map[string]time.Time{}, wholeAgain: map[string]time.Time{}, startUntil: now().Add(s.StartWait),
+		blamed: map[string]time.Time{}, behind: map[string]time.Time{}, wholeAgain: map[string]time.Time{}, startUntil: now().Add(s.StartWait), hint: t, seeds: withPortOf(self, s.Seeds),
 	}
 	return &Records{
 		readers: []*Reader{
-			{store: &p.Store, log: operators, facts: f, gate: long, now: now, own: o.setOwn, tryPause: w.tryPause, wait: s.ConfigWait},
-			{store: &p.Store, log: upstreams, facts: f, gate: g, now: now, own: o.setOwn, tryPause: w.tryPause, pause: s.ListEvery},
+			{store: &p.Store, log: operators, facts: f, gate: long, now: now, own: o.setOwn, tryPause: w.tryPause, claim: w.claim, look: upstreams, wait: s.ConfigWait},
+			{store: &p.Store, log: upstreams, facts: f, gate: g, now: now, own: o.setOwn, tryPause: w.tryPause, claim: w.claim, look: upstreams, pause: s.ListEvery},
 		},
 		follower: w,
-		service:  &Service{logs: logs, origin: o},
+		service: &Service{
+			logs: logs, origin: o, hint: t, domain: d, elsewhere: &elsewhere{now: now, of: map[elsewhereTopic]rivals{}},
+		},
+	}
+}
+
+// withPortOf puts the port of an address on the hosts of others.
+func withPortOf(self string, others []string) (l []string) {
+	_, port, err := net.SplitHostPort(self)
+	if err != nil {
+		return nil
+	}
+	for _, a := range others {
+		if host, _, err := net.SplitHostPort(a); err == nil {
+			l = append(l, net.JoinHostPort(host, port))
+		}
 	}
+	return l
 }
 
 // peers lists the stagers beside upstreams of a failure domain that serve weights, with the port of this process. These have followed the
--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/platform"
@@ -27,6 +29,12 @@
 	asked func(reason string)
 	// tryPause is the wait after a failure.
 	tryPause func() time.Duration
+	// claim asks the other processes of the failure domain whether this one may read the topic whole.
+	claim func(ctx context.Context, l *Log) bool
+	// look is the topic by which a process sees whether the store is back: that of upstreams, whose records are short.
+	look *Log
+	// failed counts the tries in a row that brought nothing.
+	failed int
 	// wait is how long a read waits at the store for a record, and pause how long the reader waits between two reads.
 	wait, pause time.Duration
 	// whole makes the next reading one of the newest records only. After a failure what was written meanwhile may be many
@@ -58,8 +66,12 @@
 			return
 		case errors.Is(err, platform.ErrExpired) && !r.whole:
 			r.whole = true
+			r.log.missed()
+		case errors.Is(err, errRefused):
+			r.rest(ctx, refusedPause)
 		case err != nil:
 			r.whole = true
+			r.failed++
 			r.log.Lost(err)
 			r.rest(ctx, r.tryPause())
 		case more:
@@ -97,14 +109,11 @@
 // step makes one call and takes what it brings; it says whether the store has more.
 func (r *Reader) step(ctx context.Context) (more bool, err error) {
 	next, started := r.log.Position()
-	switch {
-	case !started:
-		r.count("start")
-		return false, r.restart(ctx)
-	case r.whole:
-		r.count("all again after a failure")
-		return false, r.restart(ctx)
+	if !started || (r.whole && !r.log.fresh()) {
+		return false, r.readWhole(ctx, started)
 	}
+	// Another process may have handed on meanwhile what this one could not read.
+	r.whole, r.failed = false, 0
 	prompt := r.prompt
 	ctx, stop, wait := r.patience(ctx, next)
 	defer stop()
@@ -198,15 +207,48 @@
 	return b
 }
 
+// errRefused says that another process has the records, or reads them.
+var errRefused = errors.New("another process reads the records")
+
+// lookEvery is the number of tries of which one looks at the reader's own topic, as a store may give one topic and not another:
+// there a short question may bring a long record.
+const lookEvery = 5
+
+// readWhole reads the whole topic, if that is this process's turn. While the store is away one short question a try shows that,
+// and nobody else is asked.
+func (r *Reader) readWhole(ctx context.Context, started bool) error {
+	if started {
+		l := r.look
+		if r.failed%lookEvery == lookEvery-1 {
+			l = r.log
+		}
+		r.count("look after a failure")
+		next, _ := l.Position()
+		if err := r.store.Answers(ctx, l.topic.Name, next); err != nil {
+			return err
+		}
+	}
+	if !r.claim(ctx, r.log) {
+		return trace.Wrap(errRefused)
+	}
+	defer r.log.endTurn()
+	if started {
+		r.count("all again after a failure")
+	} else {
+		r.count("start")
+	}
+	return r.restart(ctx)
+}
+
 // restart takes the newest record of each key; keys that are not among them have gone.
 func (r *Reader) restart(ctx context.Context) error {
 	asked := r.now()
-	l, next, err := r.store.Newest(ctx, r.log.topic.Name)
+	l, next, err := r.store.Newest(ctx, r.log.topic.Name, r.log.turn.progress)
 	if err != nil {
 		return err
 	}
 	r.noteSlow(r.now().Sub(asked), 0, l, 0)
-	r.whole = false
+	r.whole, r.failed = false, 0
 	b := r.batch(asked, 0)
 	b.Records, b.Whole, b.Next = l, true, next
 	r.own()
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -20,10 +20,15 @@
 	Missed time.Time
 }
 
+// Progress is told of the bytes of an answer as they come.
+type Progress func(bytes int)
+
 // Store is how the platform's store is asked. Its errors are those of package platform.
 type Store struct {
+	// Answers returns nil where the store answers a short question on a topic that has been read up to an offset.
+	Answers func(ctx context.Context, topic string, from uint64) error
 	// Newest returns the newest record of each key, and the offset from which on reading misses nothing.
-	Newest func(ctx context.Context, topic string) ([]Record, uint64, error)
+	Newest func(ctx context.Context, topic string, progress Progress) ([]Record, uint64, error)
 	// Read returns the records from an offset on; it waits for the first up to wait.
 	Read func(ctx context.Context, topic string, from uint64, wait time.Duration) (Reading, error)
 }
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -82,7 +82,16 @@
 
 func (s *fakeStore) store() Store {
 	return Store{
-		Newest: func(_ context.Context, topic string) ([]Record, uint64, error) {
+		Answers: func(_ context.Context, topic string, _ uint64) error {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.calls++
+			if s.down || topic == s.refuses {
+				return platform.ErrUnavailable
+			}
+			return nil
+		},
+		Newest: func(_ context.Context, topic string, _ Progress) ([]Record, uint64, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.count(topic)
@@ -127,6 +136,7 @@
 // process is one that follows the store, with what it makes of the records.
 type process struct {
 	*Records
+	name  string
 	facts *facts.Facts
 	store *fakeStore
 	mu    sync.Mutex
@@ -142,9 +152,29 @@
 // serving is the list's record of an upstream that serves weights.
 const serving = "serving"
 
+// asker is how a process asks another one.
+type asker func(ctx context.Context, address string, q *pb.FollowRequest) (*pb.FollowResponse, error)
+
 // newProcess makes a process that asks others by the function; it runs until the spec ends or stop is called.
-func newProcess(name string, s *fakeStore, ask func(ctx context.Context, address string, q *pb.FollowRequest) (*pb.FollowResponse, error)) (*process, context.CancelFunc) {
-	p := &process{facts: facts.New(time.Now), store: s, got: map[string]string{}}
+func newProcess(name string, s *fakeStore, ask asker) (*process, context.CancelFunc) {
+	wait := time.Duration(0)
+	if name == "patient" {
+		wait = 300 * time.Millisecond
+	}
+	p, stop := startProcess(name, wait, s.store(), ask, func(context.Context, *process) {})
+	p.store = s
+	return p, stop
+}
+
+// newProcessWith makes a process of a store's way that waits for gateways at its start; beside it something runs that tells it of
+// others.
+func newProcessWith(name string, wait time.Duration, way Store, ask asker, beside func(ctx context.Context, p *process)) *process {
+	p, _ := startProcess(name, wait, way, ask, beside)
+	return p
+}
+
+func startProcess(name string, wait time.Duration, way Store, ask asker, beside func(ctx context.Context, p *process)) (*process, context.CancelFunc) {
+	p := &process{name: name, facts: facts.New(time.Now), got: map[string]string{}}
 	apply := func(r Record) error {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -161,20 +191,23 @@
 		}
 		return apply(r)
 	}
-	with := &Settings{ConfigWait: 50 * time.Millisecond, ListEvery: 20 * time.Millisecond}
-	if name == "patient" {
-		with.StartWait = 300 * time.Millisecond
-	}
+	with := &Settings{ConfigWait: 50 * time.Millisecond, ListEvery: 20 * time.Millisecond, StartWait: wait}
 	p.Records = New(with, &Platform{
-		Store: s.store(), Operators: Topic{Name: "op", Apply: apply}, Upstreams: Topic{Name: "up", Apply: upstream, Upstreams: true},
+		Store: way, Operators: Topic{Name: "op", Apply: apply}, Upstreams: Topic{Name: "up", Apply: upstream, Upstreams: true},
 	}, p.facts, "d", name, time.Now, quiet)
 	p.follower.ask = ask
 	ctx, stop := context.WithCancel(context.Background())
 	DeferCleanup(stop)
 	go func() { _ = p.Run(ctx) }()
+	go beside(ctx, p)
 	return p, stop
 }
 
+// reads says whether the process is in the middle of a whole reading of the operators' records.
+func (p *process) reads() bool {
+	return p.service.logs[0].turn.reading()
+}
+
 func nobody(context.Context, string, *pb.FollowRequest) (*pb.FollowResponse, error) {
 	return nil, errors.New("nobody")
 }
--- a/internal/records/service.go
+++ b/internal/records/service.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/id"
 )
 
 // errNotRead says that this process has not yet read the records itself.
@@ -17,11 +18,23 @@
 type Service struct {
 	logs   []*Log
 	origin *origin
+	hint   *hint
+	domain id.Domain
+	// elsewhere are the claims of other failure domains.
+	elsewhere *elsewhere
 }
 
-// Follow implements the record service: it returns what has changed in the topics asked for, or waits for a change.
+// Follow implements the record service: it returns what has changed in the topics asked for, or waits for a change. While this
+// process reads a topic whole it waits for the end of that.
 func (s *Service) Follow(ctx context.Context, q *pb.FollowRequest) (*pb.FollowResponse, error) {
-	wait := min(max(0, time.Duration(q.GetWaitMs())*time.Millisecond), followWait, s.freshFor())
+	if c := q.GetClaim(); c != nil {
+		return s.answerClaim(c), nil
+	}
+	reads := s.reads()
+	wait := min(max(0, time.Duration(q.GetWaitMs())*time.Millisecond), followWait)
+	if !reads {
+		wait = min(wait, s.freshFor())
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	came := time.Now()
@@ -32,7 +45,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if over || news(a) {
+		if over || news(a) || (reads && !s.reads()) {
 			a.HeldMs = held.Milliseconds()
 			return a, nil
 		}
@@ -47,6 +60,16 @@
 	}
 }
 
+// reads says whether this process reads a topic whole.
+func (s *Service) reads() bool {
+	for _, l := range s.logs {
+		if l.turn.reading() {
+			return true
+		}
+	}
+	return false
+}
+
 // freshFor is how long the logs count as fresh without a word of the store: a follower hears at once that they do not.
 func (s *Service) freshFor() time.Duration {
 	left := slowMost
@@ -70,6 +93,10 @@
 func (s *Service) answer(q *pb.FollowRequest) (*pb.FollowResponse, [topics]<-chan struct{}, error) {
 	var changed [topics]<-chan struct{}
 	a := &pb.FollowResponse{Epoch: s.logs[0].epoch, Origin: s.origin.get()}
+	if s.reads() {
+		a.Origin = s.origin.self
+	}
+	has := false
 	for i, l := range s.logs {
 		at := Position{Epoch: q.GetEpoch()}
 		for _, p := range q.GetPositions() {
@@ -78,11 +105,17 @@
 			}
 		}
 		c, next, started := l.Since(at)
-		if !started {
-			return nil, changed, connect.NewError(connect.CodeUnavailable, errNotRead)
-		}
 		changed[i] = next
-		a.Topics = append(a.Topics, tell(l.topic.Name, c))
+		t := &pb.TopicChanges{Topic: l.topic.Name, AgeMs: c.Age.Milliseconds()}
+		if started {
+			t = tell(l.topic.Name, c)
+		}
+		t.Reading = l.turn.tell(!started)
+		has = has || started || t.GetReading() != nil
+		a.Topics = append(a.Topics, t)
+	}
+	if !has {
+		return nil, changed, connect.NewError(connect.CodeUnavailable, errNotRead)
 	}
 	return a, changed, nil
 }
--- a/internal/records/start_test.go
+++ b/internal/records/start_test.go
@@ -94,7 +94,7 @@
 		f = &Follower{
 			logs: []*Log{NewLog(Topic{Name: "op"}, facts.New(time.Now), time.Now, quiet)}, self: "self", domain: "d",
 			gateways: func() []string { return gateways }, peers: func() []string { return []string{"peer"} },
-			now: time.Now, blamed: map[string]time.Time{}, origin: newOrigin("self", time.Now),
+			now: time.Now, hint: newHint(time.Now), blamed: map[string]time.Time{}, behind: map[string]time.Time{}, origin: newOrigin("self", time.Now),
 		}
 	})
 
--- a/internal/records/wire_test.go
+++ b/internal/records/wire_test.go
@@ -52,10 +52,10 @@
 		p.other = NewLog(Topic{Name: "u", Apply: func(Record) error { return nil }}, facts.New(clock), clock, quiet)
 		p.other.epoch = p.log.epoch
 		logs := []*Log{p.log, p.other}
-		p.service = &Service{logs: logs, origin: newOrigin(p.name, clock)}
+		p.service = &Service{logs: logs, origin: newOrigin(p.name, clock), hint: newHint(clock), domain: "d"}
 		p.follows = &Follower{
 			logs: logs, gate: &gate{}, long: &gate{}, origin: p.service.origin, self: p.name, domain: "d", now: clock, log: quiet,
-			vars: new(expvar.Map), blamed: map[string]time.Time{}, wholeAgain: map[string]time.Time{},
+			vars: new(expvar.Map), blamed: map[string]time.Time{}, behind: map[string]time.Time{}, wholeAgain: map[string]time.Time{}, hint: p.service.hint,
 			gateways: func() []string { return nil },
 			ask: func(ctx context.Context, a string, q *pb.FollowRequest) (*pb.FollowResponse, error) {
 				q.WaitMs = 0
