--- /dev/null
+++ b/internal/gateway/bench_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/placement"
+)
+
+// BenchmarkChoice chooses an upstream among those of the users' target, 870 in 8 failure domains, with reports of all and 60
+// requests expected until the next ones.
+func BenchmarkChoice(b *testing.B) {
+	const upstreams, domains = 870, 8
+	now := time.Now()
+	clock := func() time.Time { return now }
+	f := facts.New(clock)
+	e := &catalog.Engine{
+		Slots: 12, Step: 9 * time.Millisecond, ReadPerSecond: 19100, ReadChunk: 2048, Stride: 5, UsualPrompt: 900, UsualAnswer: 100,
+		Models: []id.Model{"m"},
+	}
+	r := route(catalog.Streaming, "engines")
+	f.SetCatalog(catalog.New(1, []*catalog.Route{r}, []*catalog.Service{{Name: "engines", Engine: e}}, nil, catalog.Limits{}))
+	f.SetWanted("m", facts.Naming{Revision: 2, Named: now, Missed: now})
+	t := placement.NewTracker(clock)
+	held := []facts.Held{{Model: "m", Revision: 1}}
+	for n := range upstreams {
+		address := fmt.Sprintf("10.%d.0.%d:8000", n%domains, n)
+		f.SetInstance(&facts.Instance{
+			ID: id.Instance(fmt.Sprint("i-", n)), Born: 5, Pool: "engines", Address: address, Domain: id.Domain(fmt.Sprint(n % domains)),
+			Slots: 12, Held: held, Seen: uint64(n),
+		})
+		t.SetReport(address, placement.LoadReport{Born: 5, Running: n % 12, Waiting: n % 3, Pace: 1, Held: held, Taken: now.Add(-time.Duration(n%200) * time.Millisecond)})
+	}
+	demand := placement.Demand{}
+	for d := range domains {
+		demand.Raise(id.Domain(fmt.Sprint(d)), placement.Offered{First: 40})
+	}
+	load := Load{
+		Tracker: t, Offers: placement.NewOffers(clock), Gateways: func() int { return 350 },
+		Demand: func(id.Pool) placement.Demand { return demand },
+	}
+	g := New(NewSettings(), testDialect(), f, load, (&net.Dialer{}).DialContext, "0", &log.Logger{Level: log.PanicLevel})
+	q, err := http.NewRequest(http.MethodPost, "/p/x", http.NoBody)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		w := &flight{
+			gateway: g, request: q, arrived: now, catalog: f.Catalog(), route: r, pool: "engines", tried: map[id.Instance]bool{},
+			ask: Ask{Model: "m", Prompt: 900}, deadline: now.Add(6 * time.Second), callerGives: now.Add(6 * time.Second),
+		}
+		if c, _ := w.choose(); c.Address == "" {
+			b.Fatal("nothing chosen")
+		}
+	}
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync"
 	"time"
 
 	"github.com/springrail/springrail/internal/catalog"
@@ -16,7 +17,10 @@
 		return placement.Choice{}, f.noRoom("no such pool", placement.NoUpstreamRetry)
 	}
 	f.reckoning = reckoning{}
-	l := f.candidates(s)
+	scratch := candidateLists.Get().(*[]placement.Candidate)
+	defer candidateLists.Put(scratch)
+	*scratch = f.candidates(s, (*scratch)[:0])
+	l := *scratch
 	if s.Engine != nil {
 		return f.chooseEngine(s.Engine, l)
 	}
@@ -95,8 +99,11 @@
 	swapResume = 3 * time.Second
 )
 
-// candidates lists the upstreams that may take the request now.
-func (f *flight) candidates(s *catalog.Service) []placement.Candidate {
+// candidateLists are used again: a list of 870 upstreams takes 150 KB.
+var candidateLists = sync.Pool{New: func() any { return &[]placement.Candidate{} }}
+
+// candidates adds the upstreams that may take the request now to a list.
+func (f *flight) candidates(s *catalog.Service, l []placement.Candidate) []placement.Candidate {
 	g := f.gateway
 	usual := 0.0
 	var m placement.Model
@@ -104,7 +111,7 @@
 		usual = s.Engine.UsualPrompt
 		m = placement.NewModel(s.Engine)
 	}
-	var l []placement.Candidate
+	f.newest = g.facts.Wanted(f.ask.Model).Revision
 	for _, i := range g.facts.Instances() {
 		if i.Pool != f.pool {
 			continue
@@ -150,7 +157,7 @@
 	if f.headSent {
 		margin = max(margin, swapResume)
 	}
-	if c.Revision < f.gateway.facts.Required(f.ask.Model, f.gateway.settings.SwapWithin-margin) {
+	if c.Revision < f.newest && c.Revision < f.gateway.facts.Required(f.ask.Model, f.gateway.settings.SwapWithin-margin) {
 		f.reckoning.out.over++
 		return false
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -52,7 +52,9 @@
 	first     time.Duration
 	upstream  string
 	reckoning reckoning
-	retry     time.Duration
+	// newest is the newest version of the model that is known to have been named.
+	newest id.Revision
+	retry  time.Duration
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -30,8 +30,10 @@
 // Choose returns an upstream for a request among those not tried; suspects only where nothing else is left. See Outlook
 // for how the upstreams' figures are carried on to the present.
 func Choose(l []Candidate, tried map[id.Instance]bool, w *Outlook, r *rand.Rand) (Choice, bool) {
+	y := layouts.Get().(*layout)
+	defer layouts.Put(y)
 	for _, suspects := range []bool{false, true} {
-		if y := newLayout(l, tried, w, r, suspects); len(y.options) > 0 {
+		if y.fill(l, tried, w, r, suspects); len(y.options) > 0 {
 			return y.draw(r), true
 		}
 	}
--- a/internal/placement/outlook.go
+++ b/internal/placement/outlook.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/springrail/springrail/internal/id"
@@ -90,35 +92,90 @@
 // layout is the upstreams that may be chosen, with the requests that are laid on them.
 type layout struct {
 	outlook *Outlook
-	options []*option
+	options []option
+	// near holds the upstreams of each failure domain as a heap, the one where one more request costs least first: laying 64 steps
+	// over 870 upstreams by looking at each of them was half of a choice's 0.9 ms (BenchmarkChoice of the gateway).
+	near []near
 }
 
-// newLayout takes the upstreams as they will be when the next reports come.
-func newLayout(l []Candidate, tried map[id.Instance]bool, w *Outlook, r *rand.Rand, suspects bool) *layout {
-	y := &layout{outlook: w}
+// near is the upstreams of one failure domain, as a heap by cost.
+type near struct {
+	domain id.Domain
+	heap   []*option
+}
+
+// layouts are used again: making one for 870 upstreams anew took 200 KB a choice.
+var layouts = sync.Pool{New: func() any { return &layout{} }}
+
+// fill takes the upstreams as they will be when the next reports come.
+func (y *layout) fill(l []Candidate, tried map[id.Instance]bool, w *Outlook, r *rand.Rand, suspects bool) {
+	y.outlook, y.near = w, y.near[:0]
+	y.options = slices.Grow(y.options[:0], len(l))
 	for i := range l {
 		if tried[l[i].Instance] || l[i].Suspect != suspects {
 			continue
 		}
-		o := &option{Candidate: l[i], view: &l[i], luck: 1 - jitter*r.Float64()}
+		y.options = append(y.options, option{Candidate: l[i], view: &l[i], luck: 1 - jitter*r.Float64()})
+		o := &y.options[len(y.options)-1]
 		w.later(&o.Candidate, w.Horizon, 0)
 		o.price(w)
-		y.options = append(y.options, o)
+		y.add(o)
+	}
+	for i := range y.near {
+		h := y.near[i].heap
+		for at := len(h)/2 - 1; at >= 0; at-- {
+			sink(h, at)
+		}
+	}
+}
+
+// add puts an upstream to the others of its failure domain.
+func (y *layout) add(o *option) {
+	for i := range y.near {
+		if y.near[i].domain == o.Domain {
+			y.near[i].heap = append(y.near[i].heap, o)
+			return
+		}
+	}
+	if len(y.near) < cap(y.near) {
+		// The heap of an earlier layout is there.
+		y.near = y.near[:len(y.near)+1]
+	} else {
+		y.near = append(y.near, near{})
+	}
+	n := &y.near[len(y.near)-1]
+	n.domain, n.heap = o.Domain, append(n.heap[:0], o)
+}
+
+// sink moves an upstream down a heap until none below it costs less.
+func sink(h []*option, at int) {
+	for {
+		least := at
+		for _, below := range []int{2*at + 1, 2*at + 2} {
+			if below < len(h) && h[below].cost < h[least].cost {
+				least = below
+			}
+		}
+		if least == at {
+			return
+		}
+		h[at], h[least] = h[least], h[at]
+		at = least
 	}
-	return y
 }
 
-// cheapest is the upstream where one more request of a failure domain costs least.
-func (y *layout) cheapest(d id.Domain) *option {
-	var best *option
+// cheapest is the failure domain whose first upstream is that where one more request of a failure domain costs least.
+func (y *layout) cheapest(d id.Domain) *near {
+	var best *near
 	least := 0.0
-	for _, o := range y.options {
-		cost := o.cost
-		if o.Domain != d {
+	for i := range y.near {
+		n := &y.near[i]
+		cost := n.heap[0].cost
+		if n.domain != d {
 			cost += float64(farCost)
 		}
 		if best == nil || cost < least {
-			best, least = o, cost
+			best, least = n, cost
 		}
 	}
 	return best
@@ -181,11 +238,13 @@
 // put lays a number of requests of a failure domain on the upstream where one more costs least.
 func (y *layout) put(d id.Domain, n int, late bool) place {
 	w := y.outlook
-	o := y.cheapest(d)
+	h := y.cheapest(d).heap
+	o := h[0]
 	p := place{option: o, count: n, fits: w.fits(&o.Candidate, late)}
 	o.given += n
 	w.later(&o.Candidate, 0, n)
 	o.price(w)
+	sink(h, 0)
 	return p
 }
 
--- a/internal/placement/outlook_test.go
+++ b/internal/placement/outlook_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -171,3 +172,51 @@
 		Expect(p.routes).NotTo(HaveKey(id.Route("r")))
 	})
 })
+
+var _ = Describe("a layout over many upstreams", func() {
+	// cheapest looks at each upstream, as a heap is to do without.
+	cheapest := func(y *layout, d id.Domain) float64 {
+		least := math.Inf(1)
+		for i := range y.options {
+			o := &y.options[i]
+			cost := o.cost
+			if o.Domain != d {
+				cost += float64(farCost)
+			}
+			least = min(least, cost)
+		}
+		return least
+	}
+
+	It("lays each request where one more costs least, whatever has been laid before", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var l []Candidate
+			for n := range rapid.IntRange(1, 40).Draw(t, "upstreams") {
+				l = append(l, Candidate{
+					Instance: id.Instance(fmt.Sprint(n)), Domain: id.Domain(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "domain"))),
+					Slots: 4, Waiting: rapid.IntRange(0, 6).Draw(t, "waiting"), Known: rapid.Bool().Draw(t, "known"),
+				})
+			}
+			w := &Outlook{
+				First:  func(c *Candidate) time.Duration { return time.Duration(1+c.load()) * 10 * time.Millisecond },
+				Prompt: 100, Domain: "0",
+			}
+			y := layouts.Get().(*layout)
+			defer layouts.Put(y)
+			y.fill(l, nil, w, rand.New(rand.NewPCG(1, 2)), false)
+			for range 60 {
+				d := id.Domain(fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "of")))
+				want := cheapest(y, d)
+				h := y.cheapest(d)
+				got := h.heap[0].cost
+				if h.domain != d {
+					got += float64(farCost)
+				}
+				if got != want {
+					t.Fatalf("cost %v, the least is %v", got, want)
+				}
+				y.put(d, rapid.IntRange(1, 3).Draw(t, "requests"), false)
+			}
+		})
+	})
+})
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -91,6 +91,15 @@
 	return u
 }
 
+// listed returns what is kept of an upstream that the list has, which may have an earlier start of it. The caller holds the lock.
+func (t *Tracker) listed(i *facts.Instance) *upstream {
+	if u := t.known[i.Address]; u != nil && i.Born <= u.born {
+		return u
+	}
+	t.start(i.Address, i.Born)
+	return t.at(i.Address)
+}
+
 // SetReport takes an upstream's figures, unless they are of an earlier start of it than is known.
 func (t *Tracker) SetReport(address string, r LoadReport) {
 	t.mu.Lock()
@@ -116,8 +125,7 @@
 func (t *Tracker) Report(i *facts.Instance) (LoadReport, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.start(i.Address, i.Born)
-	u := t.at(i.Address)
+	u := t.listed(i)
 	if !u.report.believed(t.now()) {
 		return LoadReport{Born: u.born}, false
 	}
@@ -196,8 +204,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	c := Candidate{Instance: i.ID, Address: i.Address, Domain: i.Domain, Slots: i.Slots, Pace: 1, Born: i.Born}
-	t.start(i.Address, i.Born)
-	u := t.at(i.Address)
+	u := t.listed(i)
 	c.Born = max(c.Born, u.born)
 	c.InFlight = len(u.sent)
 	c.Suspect = now.Before(u.until)
