--- a/internal/measure/newsfault.go
+++ b/internal/measure/newsfault.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/springrail/springrail/internal/kernel"
 )
@@ -30,13 +31,11 @@
 	case newsFaultCut:
 		r.playDoors(ctx, r.net.first, func(f *newsDoorFaults) { f.silent = true })
 	case newsFaultDown:
-		for _, p := range r.processes {
-			p.tally.leave()
-		}
-		r.playDoors(ctx, r.processes, func(f *newsDoorFaults) { f.refuse = true })
-		for _, p := range r.processes {
-			p.tally.join()
-		}
+		r.playDown(ctx, r.plan.faultEnd())
+	case newsFaultTwice:
+		r.playDown(ctx, r.plan.faultEnd()-newsBackFor-newsAwayAgain)
+		kernel.Pause(ctx, newsBackFor)
+		r.playDown(ctx, r.plan.faultEnd())
 	case newsFaultSlow:
 		r.playDoors(ctx, r.processes, func(f *newsDoorFaults) { f.delay = newsSlow })
 	case newsFaultLoses:
@@ -51,6 +50,17 @@
 	}
 }
 
+// playDown lets the store refuse all until a moment of the run.
+func (r *newsRun) playDown(ctx context.Context, until time.Duration) {
+	for _, p := range r.processes {
+		p.tally.leave()
+	}
+	r.playDoorsUntil(ctx, r.processes, until, func(f *newsDoorFaults) { f.refuse = true })
+	for _, p := range r.processes {
+		p.tally.join()
+	}
+}
+
 // stopReaders ends the gateway of each domain that has a place in the order of readers.
 func (r *newsRun) stopReaders(place int) {
 	for _, l := range r.order {
@@ -74,10 +84,14 @@
 
 // playDoors gives some processes' ways to the store a fault until the faults end.
 func (r *newsRun) playDoors(ctx context.Context, l []*newsProcess, change func(f *newsDoorFaults)) {
+	r.playDoorsUntil(ctx, l, r.plan.faultEnd(), change)
+}
+
+func (r *newsRun) playDoorsUntil(ctx context.Context, l []*newsProcess, until time.Duration, change func(f *newsDoorFaults)) {
 	for _, p := range l {
 		p.door.set(change)
 	}
-	kernel.Pause(ctx, r.plan.faultEnd()-r.since())
+	kernel.Pause(ctx, until-r.since())
 	for _, p := range l {
 		p.door.set(func(f *newsDoorFaults) { *f = newsDoorFaults{} })
 	}
--- a/internal/measure/newsplan.go
+++ b/internal/measure/newsplan.go
@@ -17,6 +17,9 @@
 	// newsFaultLasts is how long a fault lasts, and newsFrozenLasts how long a process stands still.
 	newsFaultLasts  = 8 * time.Second
 	newsFrozenLasts = 5 * time.Second
+	// newsBackFor is how long a store that goes down twice is there in between, and newsAwayAgain how long it is away then.
+	newsBackFor   = 300 * time.Millisecond
+	newsAwayAgain = time.Second
 	// newsSecondAfter is when the next reader is stopped: a second after the first one, once it has taken over.
 	newsSecondAfter = 1200 * time.Millisecond
 	// newsStormEvery is how often the configuration changes in a storm.
@@ -44,6 +47,7 @@
 	newsFaultTwo     = "two-readers-in-a-row"
 	newsFaultCut     = "reader-cut-from-store"
 	newsFaultDown    = "store-down"
+	newsFaultTwice   = "store-down-twice"
 	newsFaultSlow    = "store-slow"
 	newsFaultLoses   = "store-loses-answers"
 	newsFaultRefuses = "store-refuses-some"
@@ -52,7 +56,8 @@
 )
 
 var newsFaultNames = []string{
-	newsFaultNone, newsFaultStopped, newsFaultFrozen, newsFaultTwo, newsFaultCut, newsFaultDown, newsFaultSlow,
+	newsFaultNone, newsFaultStopped, newsFaultFrozen, newsFaultTwo, newsFaultCut, newsFaultDown, newsFaultTwice,
+	newsFaultSlow,
 	newsFaultLoses, newsFaultRefuses, newsFaultForgets, newsFaultStorm,
 }
 
@@ -144,7 +149,7 @@
 	for _, at := range s.extra {
 		s.dropSpare(at)
 	}
-	if p.has(newsFaultDown) {
+	if p.has(newsFaultDown) || p.has(newsFaultTwice) {
 		p.holdBack()
 	}
 	slices.SortStableFunc(p.changes, func(a, b newsChange) int { return int(a.at - b.at) })
