records: a process that has missed something claims before it reads on, and asks fast while one reader alone has failed

Cause: with claims of whole readings alone, processes whose wait was over read the same new configuration beside each other, record by record: the reader's freeze in a reading took others 1.6 to 2 s. A process named by a claim that had nothing yet was left alone for 3 s; and the first in the order took whoever claims for one that goes before it, and stopped trying.

Change: claims also where records have grown old; pauses only once records are 3 s old; a process named by a claim is asked again soon.

--- a/internal/records/choose.go
+++ b/internal/records/choose.go
@@ -36,7 +36,7 @@
 	known := f.gateways()
 	first, others := Sources(f.domain, known, f.self)
 	if a := f.hinted(); a != "" {
-		return a, len(first) == 0 || slices.Contains(first, a)
+		return a, len(known) == 0 || slices.Contains(first, a)
 	}
 	if a := f.sound(first); a != "" {
 		return a, true
--- a/internal/records/claim.go
+++ b/internal/records/claim.go
@@ -128,7 +128,8 @@
 // hintFor is how long a process that reads, or has the records, goes before the usual sources.
 const hintFor = 2 * time.Second
 
-// hint is a process that is known to read the store or to have its records, for a process that has neither.
+// hint is a process that is known to read the store, to have its records or to be about to, for a process that has neither. It is
+// asked again soon where it does not have them yet.
 type hint struct {
 	now func() time.Time
 
@@ -164,6 +165,13 @@
 	return h.address, news
 }
 
+// names says whether a process is the one named.
+func (h *hint) names(address string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.address == address && h.now().Before(h.until)
+}
+
 // wait waits for a time, the next hint or the context's end.
 func (h *hint) wait(ctx context.Context, d time.Duration) {
 	h.mu.Lock()
--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -35,7 +35,9 @@
 	// staleFor is the same for a source that has lost the store itself, or follows this process while that has no fresh records: it
 	// may have it back, or take the reading over, at any moment. Left alone for 3 s, they let a gateway that was cut off from the store
 	// lag by 4 s.
-	staleFor = 400 * time.Millisecond
+	staleFor = 300 * time.Millisecond
+	// awayPause is the wait between two questions to others while the store is away for all.
+	awayPause = 400 * time.Millisecond
 	// lookPause is the wait before sources are looked for again.
 	lookPause = 100 * time.Millisecond
 	// differPause is the least time between two questions for a whole topic because the source holds other records. Where one
@@ -131,19 +133,19 @@
 	}
 }
 
-// staleAtOnce is how many sources that have lost the store are asked without a pause: where a single one has lost it, the next
-// one or the one after it has taken over.
-const staleAtOnce = 2
+// awayFor is the age of a process's own records from which on the store is taken to be away for all of its failure domain: had
+// only its reader lost it, the next one would have taken over. Sooner, sources are asked as fast as they answer.
+const awayFor = slowMost
 
-// rest waits after an answer of a source that has lost the store. Once some have, nobody has it: all twelve processes of a
-// domain asked each other 36 times a second each. Who gets it again says so.
+// rest waits after an answer of a source that has lost the store, once nobody has it: all twelve gateways of a domain asked each other
+// 36 times a second each. Who gets it again says so.
 func (f *Follower) rest(ctx context.Context, err error) {
 	if !errors.Is(err, errStale) && !errors.Is(err, errOwn) {
 		return
 	}
 	f.stale++
-	if f.stale > staleAtOnce {
-		f.hint.wait(ctx, staleFor)
+	if f.age() > awayFor {
+		f.hint.wait(ctx, awayPause)
 	}
 }
 
@@ -165,9 +167,12 @@
 	}
 	until := blameFor
 	lost := errors.Is(err, errStale) || errors.Is(err, errOwn)
-	if lost {
+	switch {
+	case lost && f.age() > awayFor && !f.hint.names(address):
 		// Each other source is asked before this one is again.
-		until = min(blameFor, staleFor*time.Duration(max(1, len(f.gateways())-1)))
+		until = min(blameFor, awayPause*time.Duration(max(1, len(f.gateways())-1)))
+	case lost:
+		until = staleFor
 	}
 	f.blamed[address] = now.Add(until)
 	f.vars.Add("failed", 1)
--- a/internal/records/follow_test.go
+++ b/internal/records/follow_test.go
@@ -68,6 +68,7 @@
 	It("is asked again soon where it has lost the store or follows this process, and later where it gave no answer", func() {
 		now := time.Now()
 		l := NewLog(Topic{Name: "t"}, facts.New(time.Now), func() time.Time { return now }, quiet)
+		l.confirmed = now.Add(-freshMost)
 		f := &Follower{
 			logs: []*Log{l},
 			gate: &gate{}, long: &gate{}, domain: "d", gateways: func() []string { return nil }, now: func() time.Time { return now },
--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -68,7 +68,7 @@
 			r.whole = true
 			r.log.missed()
 		case errors.Is(err, errRefused):
-			r.rest(ctx, refusedPause)
+			r.rest(ctx, r.tryPause())
 		case err != nil:
 			r.whole = true
 			r.failed++
@@ -115,6 +115,13 @@
 	// Another process may have handed on meanwhile what this one could not read.
 	r.whole, r.failed = false, 0
 	prompt := r.prompt
+	if prompt && !r.log.fresh() {
+		// What it has missed may be a long record, which others that take over at the same time have missed too.
+		if err := r.mayRead(ctx, true); err != nil {
+			return false, err
+		}
+		defer r.log.endTurn()
+	}
 	ctx, stop, wait := r.patience(ctx, next)
 	defer stop()
 	asked := r.now()
@@ -214,10 +221,11 @@
 // there a short question may bring a long record.
 const lookEvery = 5
 
-// readWhole reads the whole topic, if that is this process's turn. While the store is away one short question a try shows that,
-// and nobody else is asked.
-func (r *Reader) readWhole(ctx context.Context, started bool) error {
-	if started {
+// mayRead says whether it is this process's turn to read what it has missed. While the store is away one short question a try shows
+// that, and nobody else is asked. Sooner, a failure may be a lost answer alone: another call would only cost the time of one that is
+// lost too.
+func (r *Reader) mayRead(ctx context.Context, started bool) error {
+	if started && r.log.Age() > awayFor {
 		l := r.look
 		if r.failed%lookEvery == lookEvery-1 {
 			l = r.log
@@ -231,6 +239,14 @@
 	if !r.claim(ctx, r.log) {
 		return trace.Wrap(errRefused)
 	}
+	return nil
+}
+
+// readWhole reads the whole topic, if that is this process's turn.
+func (r *Reader) readWhole(ctx context.Context, started bool) error {
+	if err := r.mayRead(ctx, started); err != nil {
+		return err
+	}
 	defer r.log.endTurn()
 	if started {
 		r.count("all again after a failure")
--- a/internal/records/turn.go
+++ b/internal/records/turn.go
@@ -29,8 +29,6 @@
 	// quietMost is how long a reading may stand still before others take it over. The store's answers take 0.3 s on a slow day,
 	// and a link shared with weights holds one up for as long again.
 	quietMost = 800 * time.Millisecond
-	// refusedPause is the wait after a claim that was refused, before it is made again if nothing has come meanwhile.
-	refusedPause = 200 * time.Millisecond
 )
 
 // turn is a process's part in reading a topic whole, which one process of a failure domain does at a time: all at once, they
--- a/internal/records/turn_test.go
+++ b/internal/records/turn_test.go
@@ -114,12 +114,16 @@
 	case "crash":
 		c.gone = true
 	case "time":
-		m.now = m.now.Add(50 * time.Millisecond)
-		for _, o := range m.all {
-			// A reading goes on unless its process has gone.
-			if !o.gone {
-				o.progress(1)
-			}
+		m.pass(50 * time.Millisecond)
+	}
+}
+
+// pass lets time pass, in which a reading goes on unless its process has gone.
+func (m *claimants) pass(d time.Duration) {
+	m.now = m.now.Add(d)
+	for _, c := range m.all {
+		if !c.gone {
+			c.progress(1)
 		}
 	}
 }
@@ -172,7 +176,7 @@
 						c.turn.begin()
 					}
 				}
-				m.now = m.now.Add(refusedPause)
+				m.pass(retryPause)
 			}
 			alive := 0
 			for _, c := range m.all {
