--- a/internal/records/outage_test.go
+++ b/internal/records/outage_test.go
@@ -284,10 +284,11 @@
 // A version named while the store was away was counted from before that, as the process had only looked whether the store was back: older
 // versions were over seconds early, and a domain refused 300 requests in half a second.
 var _ = Describe("a record that was written while the store was away", func() {
-	It("is dated by the store's return, also by a process that has only looked for that meanwhile", func() {
+	It("is dated by the store's return, by a process that has only looked for that since its source lost the store", func() {
 		s := &fakeStore{logs: map[string][]Record{}}
 		s.put("op", "config", "1")
 		s.put("up", "u", "here")
+		lead, end := newProcess("a", s, nobody)
 		var mu sync.Mutex
 		var after time.Time
 		f := facts.New(time.Now)
@@ -303,15 +304,32 @@
 			}},
 			Upstreams: Topic{Name: "up", Apply: func(Record) error { return nil }, Upstreams: true},
 		}, f, "d", "self", time.Now, quiet)
-		p.follower.ask = nobody
+		p.follower.ask = func(ctx context.Context, address string, q *pb.FollowRequest) (*pb.FollowResponse, error) {
+			if address != "a" {
+				return nil, platform.ErrUnavailable
+			}
+			return lead.service.Follow(ctx, q)
+		}
 		ctx, stop := context.WithCancel(context.Background())
 		DeferCleanup(stop)
+		go func() {
+			for ctx.Err() == nil {
+				f.SeeGateway("a")
+				for n := range 40 {
+					// So many take over before it that it begins to look only once its records are old.
+					f.SeeGateway(fmt.Sprint("gone-", n))
+				}
+				kernel.Pause(ctx, time.Second)
+			}
+		}()
 		go func() { _ = p.Run(ctx) }()
-		Eventually(func() bool { return p.follower.started() }).Should(BeTrue())
+		Eventually(func() bool { return p.follower.started() && p.follower.origin.get() == "a" }).WithTimeout(5 * time.Second).Should(BeTrue())
+		Expect(p.follower.rank()).To(Equal(takeoverMost))
 		time.Sleep(200 * time.Millisecond)
 		s.setDown(true)
-		time.Sleep(awayFor + time.Second)
+		time.Sleep(freshMost + takeoverMost*takeoverStep + time.Second)
 		s.put("op", "version", "2")
+		end()
 		back := time.Now()
 		s.setDown(false)
 		dated := func() time.Time {
@@ -319,7 +337,7 @@
 			defer mu.Unlock()
 			return after
 		}
-		Eventually(dated).WithTimeout(3 * time.Second).ShouldNot(BeZero())
+		Eventually(dated).WithTimeout(2 * takeoverMost * retryPause).ShouldNot(BeZero())
 		Expect(dated()).To(BeTemporally(">=", back.Add(-time.Second)))
 	})
 })
