--- /dev/null
+++ b/internal/records/away.go
@@ -0,0 +1,104 @@
+package records
+
+import (
+	"errors"
+	"time"
+)
+
+// outage notes what a batch says of the store's being away. The caller holds the lock.
+func (l *Log) outage(b Batch) {
+	fresh := l.started && b.Confirmed.Sub(l.confirmed) <= freshMost
+	if b.Own && b.Steady && l.started && !fresh {
+		// The store has been away, or as slow: this process has asked all the time.
+		l.returned = b.Settled
+		l.note(errAway, true)
+	}
+	l.note(nil, b.Own)
+	if fresh {
+		// This process has had fresh records all the time: its source alone had lost the store, and upstreams whose records
+		// went have gone. With the grace of a first reader that was cut off the last process knew after 4.5 s.
+		return
+	}
+	if l.absent != nil {
+		l.absent.GraceUntil(b.Grace)
+	}
+	if b.Returned.After(l.returned) {
+		l.returned = b.Returned
+	}
+	if l.started && l.absent != nil && b.Began.After(l.confirmed) {
+		// The source started after this process had lost the store, and can't tell whether it was away.
+		l.absent.Returned()
+	}
+}
+
+// errAway says that the store gave no answer for longer than records are fresh.
+var errAway = errors.New("the store gave no answer for too long")
+
+// unread is the moment from which on records may have been written that were not read here. The time in which nobody could
+// read is left out: operators count from when a version can be known. The caller holds the lock.
+func (l *Log) unread() time.Time {
+	if l.returned.After(l.settled) {
+		return l.returned
+	}
+	return l.settled
+}
+
+// Lost notes that the store can't be reached. While another process still hands fresh records on, nothing is lost: upstreams
+// whose records go are gone, and get no grace.
+func (l *Log) Lost(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failed = l.now()
+	if l.now().Sub(l.confirmed) > freshMost {
+		l.note(err, true)
+	}
+}
+
+// missed notes that this process can't read on where it has read to.
+func (l *Log) missed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failed = l.now()
+}
+
+// note logs when the records are lost and when they are to be had again. Where another process hands on what it has read
+// meanwhile, the store was not away for all, and its word on a grace counts. The caller holds the lock.
+func (l *Log) note(err error, own bool) {
+	switch {
+	case err != nil && !l.lost:
+		l.log.Warn().Err(err).Str("topic", l.topic.Name).Uint64("next", l.next).Msg("the store is lost")
+	case err == nil && l.lost && !own:
+		l.log.Info().Str("topic", l.topic.Name).Uint64("next", l.next).Msg("another process hands the records on")
+	case err == nil && l.lost:
+		l.log.Info().Str("topic", l.topic.Name).Uint64("next", l.next).Msg("the store is back")
+		if l.absent != nil {
+			l.absent.Returned()
+		}
+	}
+	l.lost = err != nil
+}
+
+// fresh says whether the store has confirmed lately, and since this process failed to read it, that nothing is missing.
+func (l *Log) fresh() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isFresh()
+}
+
+func (l *Log) isFresh() bool {
+	return l.confirmed.After(l.failed) && l.now().Sub(l.confirmed) < freshMost
+}
+
+// ownFresh says whether the records are fresh and the newest of them read by this process itself.
+func (l *Log) ownFresh() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isFresh() && l.own.After(l.failed) && l.now().Sub(l.own) < freshMost
+}
+
+// Age is how long ago the store confirmed that nothing is missing.
+func (l *Log) Age() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now().Sub(l.confirmed)
+}
