records: a source that only reads does not end the wait for one's own turn

The store turned a third of the machines away from 2.5 s on.

Change: only fresh records end the wait. A claimant whose last try at the store has failed goes behind those whose has not, and looks from its second failure on.

The model of the turn draws failed claimants too.

--- a/internal/records/claim.go
+++ b/internal/records/claim.go
@@ -10,10 +10,10 @@
 
 // claim asks the other processes of the failure domain whether this one may read a topic whole from the store. Where another
 // one reads it, or has it, that one is followed.
-func (f *Follower) claim(ctx context.Context, l *Log) bool {
-	round := append(f.claimees(), l.turn.claim()...)
+func (f *Follower) claim(ctx context.Context, l *Log, failed bool) bool {
+	round := append(f.claimees(), l.turn.claim(failed)...)
 	asked := map[string]bool{f.self: true}
-	c := &pb.Claim{Topic: l.topic.Name, Claimant: f.self, Domain: string(f.domain)}
+	c := &pb.Claim{Topic: l.topic.Name, Claimant: f.self, Domain: string(f.domain), Failed: failed}
 	for len(round) > 0 {
 		var rivals []string
 		for _, a := range f.askAll(ctx, round, asked, c) {
@@ -81,7 +81,7 @@
 		if l.ownFresh() {
 			return &pb.FollowResponse{Claim: &pb.ClaimAnswer{Refused: true, Follow: l.turn.self}}
 		}
-		a := l.turn.answer(c.GetClaimant())
+		a := l.turn.answer(c.GetClaimant(), c.GetFailed())
 		if !a.GetRefused() {
 			s.hint.set(c.GetClaimant())
 		}
--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -114,23 +114,26 @@
 			f.blame(address, err)
 			f.rest(ctx, err)
 		default:
-			f.found(address, preferred)
+			f.found(address)
 		}
 	}
 }
 
-// found notes that a source has fresh records, or reads them.
-func (f *Follower) found(address string, preferred bool) {
+// found notes that a source has fresh records. Whoever reads goes on, wherever it stands in the order: taking the reading back, four
+// processes of a domain read the same new configuration at once after an outage.
+//
+// One that only reads may be turned away in the next moment: three such, one after the other, kept a fourth from beginning to read for
+// 3.1 s.
+func (f *Follower) found(address string) {
+	if f.age() >= freshMost {
+		return
+	}
 	if f.stale > 0 {
 		f.log.Info().Str("source", address).Int("asked_in_vain", f.stale).Msg("a source has the store again")
 	}
 	f.stale = 0
-	if preferred || f.age() < freshMost {
-		// Whoever reads goes on, wherever it stands in the order: taking the reading back, four processes of a domain read the same new
-		// configuration at once after an outage.
-		f.lostAt = time.Time{}
-		f.openGate(false)
-	}
+	f.lostAt = time.Time{}
+	f.openGate(false)
 }
 
 // awayFor is the age of a process's own records from which on the store is taken to be away for all of its failure domain: had
--- a/internal/records/outage_test.go
+++ b/internal/records/outage_test.go
@@ -65,8 +65,9 @@
 	byName    map[string]*process
 	gateways  []string
 	mu        sync.Mutex
-	// hung are processes that answer nobody and get no answer of the store.
+	// hung are processes that answer nobody and get no answer of the store, and away those that the store turns away.
 	hung map[string]chan struct{}
+	away map[string]bool
 	// questions counts those that processes ask each other.
 	questions int
 }
@@ -74,7 +75,7 @@
 // newDomain makes a domain of processes; size is that of a configuration in bytes, which the link carries in a time.
 func newDomain(gateways, stagers, size int, carried time.Duration) *domain {
 	d := &domain{
-		store: &fakeStore{logs: map[string][]Record{}}, byName: map[string]*process{}, hung: map[string]chan struct{}{},
+		store: &fakeStore{logs: map[string][]Record{}}, byName: map[string]*process{}, hung: map[string]chan struct{}{}, away: map[string]bool{},
 		link: &link{perSecond: int(float64(size) / carried.Seconds())},
 	}
 	inner := d.store.store()
@@ -138,7 +139,22 @@
 // add makes a process that knows the gateways of its domain.
 func (d *domain) add(name string, wait time.Duration) {
 	way := d.way
+	way.Answers = func(ctx context.Context, topic string, from uint64) error {
+		if d.turnsAway(ctx, name) {
+			return platform.ErrBusy
+		}
+		return d.way.Answers(ctx, topic, from)
+	}
+	way.Read = func(ctx context.Context, topic string, from uint64, wait time.Duration) (Reading, error) {
+		if d.turnsAway(ctx, name) {
+			return Reading{}, platform.ErrBusy
+		}
+		return d.way.Read(ctx, topic, from, wait)
+	}
 	way.Newest = func(ctx context.Context, topic string, progress Progress) ([]Record, uint64, error) {
+		if d.turnsAway(ctx, name) {
+			return nil, 0, platform.ErrBusy
+		}
 		if err := d.pass(ctx, name); err != nil {
 			return nil, 0, err
 		}
@@ -194,6 +210,26 @@
 	}
 }
 
+// turnAway lets the store turn processes away.
+func (d *domain) turnAway(names []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, n := range names {
+		d.away[n] = true
+	}
+}
+
+// turnsAway says whether the store turns a process away, after the time that its answer takes.
+func (d *domain) turnsAway(ctx context.Context, name string) bool {
+	kernel.Pause(ctx, storeTakes)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.away[name]
+}
+
+// storeTakes is the time of a short answer of the store.
+const storeTakes = 5 * time.Millisecond
+
 // freeze stops a process until the end of the spec.
 func (d *domain) freeze(name string) {
 	d.mu.Lock()
@@ -256,6 +292,20 @@
 		Expect(long-before).To(BeNumerically("<=", 3), "one is lost with the store, and one is taken over at the most")
 	})
 
+	// A key was taken away 0.7 s after the store had begun to turn a third of the machines away. Those that go first claimed the turn again and
+	// again and were turned away; each time the others took that for a source that reads, and began to wait for their own turn anew. A gateway still
+	// let the key in 3.1 s after the change was acknowledged.
+	It("has another one read where the store turns those away that go first", func() {
+		d := newDomain(12, 15, longRecord, longTakes)
+		Eventually(func() int { return d.lack("config 0 ") }).WithTimeout(20 * time.Second).Should(BeZero())
+		time.Sleep(2 * time.Second)
+		order, _ := Sources("d", d.gateways, "")
+		d.turnAway(order[:5])
+		time.Sleep(700 * time.Millisecond)
+		config := d.configure(longRecord)
+		Eventually(func() int { return d.lack(config) }).WithTimeout(2 * time.Second).WithPolling(20 * time.Millisecond).Should(BeZero())
+	})
+
 	It("has another one read where the reader freezes in its reading", func() {
 		d := newDomain(12, 15, longRecord, longTakes)
 		Eventually(func() int { return d.lack("config 0 ") }).WithTimeout(20 * time.Second).Should(BeZero())
--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -30,7 +30,7 @@
 	// tryPause is the wait after a failure.
 	tryPause func() time.Duration
 	// claim asks the other processes of the failure domain whether this one may read the topic whole.
-	claim func(ctx context.Context, l *Log) bool
+	claim func(ctx context.Context, l *Log, failed bool) bool
 	// look is the topic by which a process sees whether the store is back: that of upstreams, whose records are short.
 	look *Log
 	// failed counts the tries in a row that brought nothing.
@@ -70,7 +70,7 @@
 			r.whole = true
 			r.log.missed()
 		case errors.Is(err, errRefused):
-			r.rest(ctx, r.tryPause())
+			r.rest(ctx, retryPause)
 		case err != nil:
 			r.whole, r.prompt = true, false
 			r.failed++
@@ -224,10 +224,10 @@
 const lookEvery = 5
 
 // mayRead says whether it is this process's turn to read what it has missed. While the store is away one short question a try shows
-// that, and nobody else is asked. Sooner, a failure may be a lost answer alone: another call would only cost the time of one that is
+// that, and nobody else is asked. A first failure may be a lost answer alone: another call would only cost the time of one that is
 // lost too.
 func (r *Reader) mayRead(ctx context.Context, started bool) error {
-	if started && r.log.Age() > awayFor {
+	if started && (r.failed > 1 || r.log.Age() > awayFor) {
 		l := r.look
 		if r.failed%lookEvery == lookEvery-1 {
 			l = r.log
@@ -238,7 +238,7 @@
 			return err
 		}
 	}
-	if !r.claim(ctx, r.log) {
+	if !r.claim(ctx, r.log, r.failed > 0) {
 		return trace.Wrap(errRefused)
 	}
 	return nil
--- a/internal/records/turn.go
+++ b/internal/records/turn.go
@@ -34,7 +34,8 @@
 // turn is a process's part in reading a topic whole, which one process of a failure domain does at a time: all at once, they
 // took 3 s over a link that carries one reading in 0.12 s. Whoever is about to read claims the turn first, and then asks the
 // others. Of two that claim at the same time at least one learns of the other, as each asks after it has claimed, and the one
-// that goes first in the order of sources reads. It is safe for concurrent use.
+// that goes first in the order of sources reads, or the one whose last try at the store has not failed: a store that turned the first
+// three of a domain away had them refuse the fourth's claims for 3 s. It is safe for concurrent use.
 type turn struct {
 	self string
 	// before says whether a process goes before another one.
@@ -43,7 +44,9 @@
 
 	mu    sync.Mutex
 	state turnState
-	bytes int64
+	// failed is true where this process's last try at the store has failed.
+	failed bool
+	bytes  int64
 	// moved is when the last bytes came.
 	moved  time.Time
 	rivals rivals
@@ -57,10 +60,10 @@
 }
 
 // claim begins a claim, and names others that have claimed lately.
-func (t *turn) claim() []string {
+func (t *turn) claim(failed bool) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state = turnClaimed
+	t.state, t.failed = turnClaimed, failed
 	return t.rivals.but(t.self, t.now())
 }
 
@@ -110,14 +113,14 @@
 }
 
 // answer is what this process says to another one's claim.
-func (t *turn) answer(claimant string) *pb.ClaimAnswer {
+func (t *turn) answer(claimant string, failed bool) *pb.ClaimAnswer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	switch {
 	case t.state == turnReading && now.Sub(t.moved) < quietMost:
 		return &pb.ClaimAnswer{Refused: true, Follow: t.self}
-	case t.state == turnClaimed && t.before(t.self, claimant):
+	case t.state == turnClaimed && t.goesBefore(claimant, failed):
 		return &pb.ClaimAnswer{Refused: true, Follow: t.self}
 	}
 	if t.state == turnClaimed {
@@ -129,6 +132,14 @@
 	return &pb.ClaimAnswer{Rivals: l}
 }
 
+// goesBefore says whether this process's claim goes before another one's; the caller holds the lock.
+func (t *turn) goesBefore(claimant string, failed bool) bool {
+	if t.failed != failed {
+		return failed
+	}
+	return t.before(t.self, claimant)
+}
+
 // rivals are processes that have claimed lately, with the moment until which they count.
 type rivals map[string]time.Time
 
--- a/internal/records/turn_test.go
+++ b/internal/records/turn_test.go
@@ -21,6 +21,8 @@
 	// ask are the processes to ask, in the order of the claim, and asked those that have been.
 	ask   []string
 	asked map[string]bool
+	// fails says that its last try at the store has failed.
+	fails bool
 	// gone is true of a process that has crashed or stands still: it answers nothing and does nothing.
 	gone bool
 }
@@ -46,7 +48,7 @@
 	for name := range m.all {
 		c.ask = append(c.ask, name)
 	}
-	c.ask = append(c.ask, c.claim()...)
+	c.ask = append(c.ask, c.claim(c.fails)...)
 }
 
 // question asks the next process of a claim; a lost one counts as agreed, as does a process that is gone.
@@ -61,7 +63,7 @@
 	if to.gone || lost {
 		return
 	}
-	a := to.answer(c.self)
+	a := to.answer(c.self, c.fails)
 	if a.GetRefused() {
 		c.end()
 		c.ask = nil
@@ -100,6 +102,7 @@
 	m.did = append(m.did, name+" "+s)
 	switch s {
 	case "claim":
+		c.fails = rapid.Bool().Draw(t, "fails")
 		m.begin(c)
 	case "ask":
 		if len(c.ask) == 0 {
@@ -193,16 +196,16 @@
 	It("is taken over from a reader whose bytes have stopped, and kept by one whose bytes come", func() {
 		now := time.Unix(1000, 0)
 		t := newTurn("a", "d", func() time.Time { return now })
-		t.claim()
+		t.claim(false)
 		Expect(t.begin()).To(BeTrue())
 		now = now.Add(quietMost - time.Millisecond)
-		Expect(t.answer("b").GetRefused()).To(BeTrue())
+		Expect(t.answer("b", false).GetRefused()).To(BeTrue())
 		t.progress(100)
 		now = now.Add(quietMost - time.Millisecond)
-		Expect(t.answer("b").GetRefused()).To(BeTrue())
+		Expect(t.answer("b", false).GetRefused()).To(BeTrue())
 		Expect(t.tell(true).GetBytes()).To(Equal(int64(100)))
 		now = now.Add(time.Millisecond)
-		Expect(t.answer("b").GetRefused()).To(BeFalse())
+		Expect(t.answer("b", false).GetRefused()).To(BeFalse())
 	})
 })
 
@@ -245,7 +248,7 @@
 
 	It("waits for it while its bytes come, takes the other topic meanwhile, and gets the whole at its end", func() {
 		Expect(follow()).NotTo(Succeed(), "it has nothing and reads nothing")
-		source.logs[0].turn.claim()
+		source.logs[0].turn.claim(false)
 		source.logs[0].turn.begin()
 		whole(source.logs[1], 1)
 		Expect(follow()).To(Succeed())
@@ -265,7 +268,7 @@
 	})
 
 	It("leaves it once its bytes have stopped", func() {
-		source.logs[0].turn.claim()
+		source.logs[0].turn.claim(false)
 		source.logs[0].turn.begin()
 		whole(source.logs[1], 1)
 		now = now.Add(quietMost)
