records: a process that has just started does not pause between sources

Cause: the pause between questions while the store is away for all goes by the age of a process's records, which is endless before it has read any: each answer of a source that lacked a topic cost a start 0.4 s, and kept that source apart for up to 3 s.

Change: only a process that has read all topics takes the store to be away.

--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -147,11 +147,16 @@
 		return
 	}
 	f.stale++
-	if f.age() > awayFor {
+	if f.away() {
 		f.hint.wait(ctx, awayPause)
 	}
 }
 
+// away says whether the store is taken to be away for all. A process that has just started knows nothing of that.
+func (f *Follower) away() bool {
+	return f.started() && f.age() > awayFor
+}
+
 // age is that of the oldest log.
 func (f *Follower) age() time.Duration {
 	most := time.Duration(0)
@@ -171,7 +176,7 @@
 	until := blameFor
 	lost := errors.Is(err, errStale) || errors.Is(err, errOwn)
 	switch {
-	case lost && f.age() > awayFor && !f.hint.names(address):
+	case lost && f.away() && !f.hint.names(address):
 		// Each other source is asked before this one is again.
 		until = min(blameFor, awayPause*time.Duration(max(1, len(f.gateways())-1)))
 	case lost:
--- a/internal/records/turn_test.go
+++ b/internal/records/turn_test.go
@@ -297,6 +297,21 @@
 		Expect(a).To(Equal("other"))
 	})
 
+	It("asks again at once while it has just started, and after a pause once its records show that the store is away", func() {
+		took := func() time.Duration {
+			began := time.Now()
+			f.rest(context.Background(), errStale)
+			return time.Since(began)
+		}
+		Expect(took()).To(BeNumerically("<", awayPause/2))
+		whole(f.logs[0], 1)
+		whole(f.logs[1], 1)
+		now = now.Add(awayFor)
+		Expect(took()).To(BeNumerically("<", awayPause/2))
+		now = now.Add(time.Millisecond)
+		Expect(took()).To(BeNumerically(">=", awayPause))
+	})
+
 	It("refuses a claim where it has read the topic itself and not lost the store since", func() {
 		claim := func() *pb.ClaimAnswer {
 			return source.answerClaim(&pb.Claim{Topic: "op", Claimant: "self", Domain: "d"}).GetClaim()
