Revert: a request waits 0.2 s for the first configuration of a process that has just started

After a loss of power engines have no weights yet, so most of those who wait are refused all the same, and later.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -81,7 +81,7 @@
 // admit finds the request's route and its caller, or answers why not.
 func (f *flight) admit() bool {
 	g := f.gateway
-	f.catalog = f.configuration()
+	f.catalog = g.facts.Catalog()
 	if f.catalog == nil {
 		f.refuse("no configuration yet", noConfigRetry)
 		return false
@@ -114,37 +114,8 @@
 	return true
 }
 
-const (
-	// noConfigRetry is when a caller may come back to a process that has just started.
-	noConfigRetry = time.Second
-	// noConfigWait is how long a request waits for the first configuration: half of the shortest aim of a stream at the users', 0.4 s,
-	// so that one that is served after it may still be in time. It answers the moment after a loss of power, when all gateways start
-	// at once and callers come back to them: a domain has its configuration 0.3 to 0.8 s after its first process starts.
-	noConfigWait = 200 * time.Millisecond
-)
-
-// configuration is what is in force. A process that has just started waits a moment for its first one.
-func (f *flight) configuration() *catalog.Catalog {
-	g := f.gateway
-	if c := g.facts.Catalog(); c != nil {
-		return c
-	}
-	late := time.NewTimer(noConfigWait)
-	defer late.Stop()
-	for {
-		changed := g.facts.Changed()
-		if c := g.facts.Catalog(); c != nil {
-			return c
-		}
-		select {
-		case <-changed:
-		case <-late.C:
-			return nil
-		case <-f.request.Context().Done():
-			return nil
-		}
-	}
-}
+// noConfigRetry is when a caller may come back to a process that has just started.
+const noConfigRetry = time.Second
 
 func (f *flight) setDeadline() {
 	const never = time.Hour
