records: the gate to long records opens by the list that the look for a source had

Traced: the list came 0.4 ms after its reading had begun, between the look for a peer (nobody, for want of the list) and the opening of the gate (the list is there), and the next look is 0.1 s later.

Change: whether the list was there is noted before the look. The stand-ins of the spec share a lock.

Spec first (the list comes with the look): fails before, passes after. The spec of the gate sets what the look had where it called openGate alone; it checks what it did.

--- a/internal/records/choose.go
+++ b/internal/records/choose.go
@@ -32,7 +32,7 @@
 // choose picks the source to follow: a preferred one, or any other while this process does not get through to the store;
 // empty is none.
 func (f *Follower) choose() (address string, preferred bool) {
-	f.viaPeer = false
+	f.viaPeer, f.lookedWithList = false, f.listed()
 	known := f.gateways()
 	first, others := Sources(f.domain, known, f.self)
 	if a := f.hinted(); a != "" {
--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -87,6 +87,8 @@
 	// behind are processes that follow this one: until then they are no sources while this one has fresh records.
 	behind map[string]time.Time
 	source string
+	// lookedWithList is true once the list had been read when a source was last looked for: it names peers that have the rest.
+	lookedWithList bool
 	// viaPeer is true while the source is a peer.
 	viaPeer bool
 	epoch   uint64
@@ -226,7 +228,7 @@
 // with each change, over one link of 24 Mbit/s between regions: the list took up to 1.5 s on that link, gateways did not see the new
 // upstreams, these heard of no gateway and went on reading, and requests reached upstreams that had left 3.4 s before.
 func (f *Follower) openGate(open bool) {
-	f.long.set(open && (f.listed() || f.now().Sub(f.lostAt) > listMost))
+	f.long.set(open && (f.lookedWithList || f.now().Sub(f.lostAt) > listMost))
 	if f.gate.set(open) {
 		f.log.Info().Bool("from_store", open).Str("source", f.source).Int64("age_ms", f.age().Milliseconds()).Msg("source of records")
 	}
--- a/internal/records/harness_test.go
+++ b/internal/records/harness_test.go
@@ -22,9 +22,11 @@
 
 // fakeStore plays the platform's store.
 type fakeStore struct {
-	mu    sync.Mutex
-	logs  map[string][]Record
-	calls int
+	mu sync.Mutex
+	// shared is the store whose records these are; its lock guards them.
+	shared *fakeStore
+	logs   map[string][]Record
+	calls  int
 	// asked counts the calls for each topic.
 	asked map[string]int
 	// longest is the most records that one reading has returned.
@@ -34,9 +36,17 @@
 	refuses string
 }
 
+// lock is what guards the records, and all else of the store.
+func (s *fakeStore) lock() *sync.Mutex {
+	if s.shared != nil {
+		return &s.shared.mu
+	}
+	return &s.mu
+}
+
 func (s *fakeStore) put(topic, key, value string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock().Lock()
+	defer s.lock().Unlock()
 	r := Record{Key: key, Offset: uint64(len(s.logs[topic]))}
 	if value != "" {
 		r.Value = []byte(value)
@@ -45,8 +55,8 @@
 }
 
 func (s *fakeStore) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock().Lock()
+	defer s.lock().Unlock()
 	s.down = down
 }
 
@@ -61,22 +71,22 @@
 
 // askedFor is the number of calls for a topic.
 func (s *fakeStore) askedFor(topic string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock().Lock()
+	defer s.lock().Unlock()
 	return s.asked[topic]
 }
 
 func (s *fakeStore) called() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.lock().Lock()
+	defer s.lock().Unlock()
 	return s.calls
 }
 
 func (s *fakeStore) store() Store {
 	return Store{
 		Answers: func(_ context.Context, topic string, _ uint64) error {
-			s.mu.Lock()
-			defer s.mu.Unlock()
+			s.lock().Lock()
+			defer s.lock().Unlock()
 			s.calls++
 			if s.down || topic == s.refuses {
 				return platform.ErrUnavailable
@@ -84,8 +94,8 @@
 			return nil
 		},
 		Newest: func(_ context.Context, topic string, _ Progress) ([]Record, uint64, error) {
-			s.mu.Lock()
-			defer s.mu.Unlock()
+			s.lock().Lock()
+			defer s.lock().Unlock()
 			s.count(topic)
 			if s.down || topic == s.refuses {
 				return nil, 0, platform.ErrUnavailable
@@ -100,9 +110,9 @@
 		Read: func(ctx context.Context, topic string, from uint64, wait time.Duration) (Reading, error) {
 			until := time.Now().Add(wait)
 			for {
-				s.mu.Lock()
+				s.lock().Lock()
 				if s.down {
-					s.mu.Unlock()
+					s.lock().Unlock()
 					return Reading{}, platform.ErrUnavailable
 				}
 				l := slices.Clone(s.logs[topic][from:])
@@ -111,7 +121,7 @@
 					s.count(topic)
 					s.longest = max(s.longest, len(l))
 				}
-				s.mu.Unlock()
+				s.lock().Unlock()
 				if over {
 					return Reading{Records: l, Next: from + uint64(len(l)), End: from + uint64(len(l))}, nil
 				}
--- a/internal/records/start_test.go
+++ b/internal/records/start_test.go
@@ -31,7 +31,7 @@
 
 	// start begins a number of processes that read a store of their own with the same records.
 	start := func(n int, ask func(ctx context.Context, address string, q *pb.FollowRequest) (*pb.FollowResponse, error)) (l []*process, own *fakeStore) {
-		own = &fakeStore{logs: s.logs}
+		own = &fakeStore{logs: s.logs, shared: s}
 		for i := range n {
 			p, _ := newProcess(fmt.Sprintf("10.0.1.%d:7700", i), own, ask)
 			l = append(l, p)
@@ -81,7 +81,7 @@
 	})
 
 	It("read the operators' records from the store also where it does not give the list", func() {
-		p, _ := newProcess("10.0.1.1:7700", &fakeStore{logs: s.logs, refuses: "up"}, nobody)
+		p, _ := newProcess("10.0.1.1:7700", &fakeStore{logs: s.logs, shared: s, refuses: "up"}, nobody)
 		Eventually(func() string { return p.value("config") }).WithTimeout(listMost + time.Second).Should(Equal("1"))
 	})
 })
@@ -124,6 +124,29 @@
 })
 
 var _ = Describe("the gate to long records", func() {
+	// The list came between the look for a peer and the opening of the gate, 0.4 ms after its reading had begun: the process knew nobody and
+	// had the list, and read the operators' records from the store three times until it looked again.
+	It("stays closed where the list has come only after this process looked for somebody to follow", func() {
+		list := NewLog(Topic{Name: "up", Upstreams: true}, facts.New(time.Now), time.Now, quiet)
+		f := &Follower{
+			logs: []*Log{NewLog(Topic{Name: "op"}, facts.New(time.Now), time.Now, quiet), list}, self: "self", domain: "d",
+			gate: &gate{}, long: &gate{}, origin: newOrigin("self", time.Now), hint: newHint(time.Now), now: time.Now, log: quiet,
+			blamed: map[string]time.Time{}, behind: map[string]time.Time{}, gateways: func() []string { return nil },
+		}
+		f.peers = func() []string {
+			list.Take(Batch{Whole: true, Next: 1, Confirmed: time.Now()})
+			return nil
+		}
+		f.long.set(false)
+		a, _ := f.choose()
+		Expect(a).To(BeEmpty())
+		f.takeOver()
+		Expect(f.long.closed).NotTo(BeNil())
+		f.choose()
+		f.takeOver()
+		Expect(f.long.closed).To(BeNil(), "it has looked with the list, and there is nobody")
+	})
+
 	It("stays closed until the list has been read, or could not be for a while", func() {
 		now := time.Now()
 		f := &Follower{
@@ -131,6 +154,7 @@
 			gate: &gate{}, long: &gate{}, now: func() time.Time { return now }, lostAt: now, log: quiet,
 		}
 		open := func() bool { return f.long.closed == nil }
+		f.lookedWithList = f.listed()
 		f.openGate(true)
 		Expect(open()).To(BeFalse())
 		now = now.Add(listMost + time.Millisecond)
@@ -140,6 +164,7 @@
 		Expect(open()).To(BeFalse())
 		f.lostAt = now
 		f.logs[1].Take(Batch{Whole: true, Next: 1, Confirmed: now})
+		f.lookedWithList = f.listed()
 		f.openGate(true)
 		Expect(open()).To(BeTrue())
 	})
