--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -51,6 +51,9 @@
 	Date dating.Bracket
 	// Learnt is when this process read of it.
 	Learnt time.Time
+	// unread says that it stands for all versions up to it that this process has not read of, dated by the first of them: the date of
+	// the last one alone is too late.
+	unread bool
 }
 
 // over says whether the time within which the weights have to be in use has passed. Where it is not known when they were
@@ -141,7 +144,7 @@
 	now := f.now()
 	if last.Revision+1 < n.Revision {
 		// Others may have been named in between, the first of them ever since the last reading.
-		l = remember(l, Wanted{Revision: n.Revision - 1, Date: dating.Bracket{After: n.Missed}, Learnt: now})
+		l = remember(l, Wanted{Revision: n.Revision - 1, Date: dating.Bracket{After: n.Missed}, Learnt: now, unread: true})
 	}
 	d, o := dating.Bracket{Had: now}.Merge(n.Date)
 	f.wanted[m] = remember(l, Wanted{Revision: n.Revision, Date: d, Learnt: now})
@@ -159,7 +162,7 @@
 
 // date is Date; the caller holds the lock.
 func (f *Facts) date(m id.Model, r id.Revision, d dating.Bracket) dating.Outcome {
-	i := slices.IndexFunc(f.wanted[m], func(w Wanted) bool { return w.Revision == r })
+	i := slices.IndexFunc(f.wanted[m], func(w Wanted) bool { return w.Revision == r && !w.unread })
 	if i < 0 {
 		return dating.Kept
 	}
--- a/internal/records/away.go
+++ b/internal/records/away.go
@@ -14,8 +14,8 @@
 		// The store has been away, or as slow: this process has asked all the time.
 		l.note(errAway, true)
 	}
-	if b.Own && b.Steady && l.started && b.Confirmed.Sub(l.confirmed) > awayFor {
-		l.returned = outageEnd{at: b.Settled, next: l.next}
+	if b.Own && b.Steady && l.started && b.Away.Sub(l.confirmed) > awayFor {
+		l.returned = outageEnd{at: b.Away, next: l.next}
 	}
 	l.note(nil, b.Own)
 	if fresh {
@@ -41,6 +41,7 @@
 // outageEnd is the end of a time in which the store was away for a process and its sources, for longer than awayFor: a shorter one may have
 // been that process's own, as answers get lost or are slow at its start, while others read what was written.
 type outageEnd struct {
+	// at is when the process asked in vain for the last time: the store may have been back from then on.
 	at time.Time
 	// next is the offset up to which the process had read. Of what was written before, the outage says nothing: a process that starts
 	// after it reads all of that at once.
--- a/internal/records/dated_test.go
+++ b/internal/records/dated_test.go
@@ -63,23 +63,23 @@
 		l.Take(Batch{Whole: true, Next: 4, Confirmed: now, Settled: now, Own: true})
 		now = now.Add(awayFor + time.Second)
 		l.Lost(platform.ErrUnavailable)
-		back := now.Add(-time.Millisecond)
+		back := now.Add(-200 * time.Millisecond)
 		r := Record{Key: "version", Value: []byte("2"), Offset: 4}
-		l.Take(Batch{Records: []Record{r}, Next: 5, Confirmed: now, Settled: back, Own: true, Steady: true})
+		l.Take(Batch{Records: []Record{r}, Next: 5, Confirmed: now, Settled: now, Away: back, Own: true, Steady: true})
 		Expect([]time.Time{got.After, got.Missed}).To(Equal([]time.Time{back, back}))
 
 		short := NewLog(topic, facts.New(time.Now), func() time.Time { return now }, quiet)
 		last := now.Add(-awayFor)
 		short.Take(Batch{Whole: true, Next: 4, Confirmed: last, Settled: last, Own: true})
 		short.Lost(platform.ErrUnavailable)
-		short.Take(Batch{Records: []Record{r}, Next: 5, Confirmed: now, Settled: back, Own: true, Steady: true})
+		short.Take(Batch{Records: []Record{r}, Next: 5, Confirmed: now, Settled: now, Away: back, Own: true, Steady: true})
 		Expect([]time.Time{got.After, got.Missed}).To(Equal([]time.Time{last, last}), "others may have read what was written meanwhile")
 
 		stood := NewLog(topic, facts.New(time.Now), func() time.Time { return now }, quiet)
 		asked := now.Add(-awayFor - time.Second)
 		stood.Take(Batch{Whole: true, Next: 4, Confirmed: asked, Settled: asked, Own: true})
 		stood.Lost(platform.ErrUnavailable)
-		stood.Take(Batch{Records: []Record{r}, Next: 5, Confirmed: now, Settled: back, Own: true})
+		stood.Take(Batch{Records: []Record{r}, Next: 5, Confirmed: now, Settled: now, Away: back, Own: true})
 		Expect(got.After).To(Equal(asked), "it stood still itself")
 
 		follower := NewLog(topic, facts.New(time.Now), func() time.Time { return now }, quiet)
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -92,6 +92,8 @@
 	// Own says that this process has read it from the store itself, and Steady that it had asked without standing still ever
 	// since its last good reading.
 	Own, Steady bool
+	// Away is when this process had last asked the store in vain since it had read it; zero where it has not.
+	Away time.Time
 	// Began is when the source had read the topic for the first time; zero where it does not say.
 	Began time.Time
 	// Gapped says that the source has not read record by record from GapFrom on.
--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -34,8 +34,9 @@
 	claim func(ctx context.Context, l *Log, failed bool) bool
 	// look is the topic by which a process sees whether the store is back: that of upstreams, whose records are short.
 	look *Log
-	// failed counts the tries in a row that brought nothing.
+	// failed counts the tries in a row that brought nothing, and tried is when the last one of them began.
 	failed int
+	tried  time.Time
 	// wait is how long a read waits at the store for a record, and pause how long the reader waits between two reads.
 	wait, pause time.Duration
 	// whole makes the next reading one of the newest records only. After a failure what was written meanwhile may be many
@@ -75,6 +76,7 @@
 		case err != nil:
 			r.whole, r.prompt = true, false
 			r.failed++
+			r.tried = began
 			r.log.Lost(err)
 			r.rest(ctx, r.tryPause())
 		case more:
@@ -213,7 +215,7 @@
 // batch is what an answer says that was asked for at a moment.
 func (r *Reader) batch(asked time.Time, wait time.Duration) Batch {
 	now := r.now()
-	b := Batch{Confirmed: now, Settled: asked, Own: true, Steady: !r.stood && !r.prompt && now.Sub(asked) <= wait+callMost}
+	b := Batch{Confirmed: now, Settled: asked, Away: r.tried, Own: true, Steady: !r.stood && !r.prompt && now.Sub(asked) <= wait+callMost}
 	r.prompt, r.absent = false, false
 	return b
 }
--- a/internal/records/starter_test.go
+++ b/internal/records/starter_test.go
@@ -38,7 +38,7 @@
 		source.Take(Batch{Whole: true, Records: []Record{version}, Next: 4, Confirmed: now, Settled: now, Own: true})
 		now = now.Add(4 * time.Second)
 		source.Lost(platform.ErrUnavailable)
-		source.Take(Batch{Next: 4, Confirmed: now, Settled: now, Own: true, Steady: true})
+		source.Take(Batch{Next: 4, Confirmed: now, Settled: now, Away: now, Own: true, Steady: true})
 		Expect(source.returned).To(Equal(outageEnd{at: now, next: 4}))
 
 		now = now.Add(time.Second)
