--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -255,3 +255,18 @@
 		Expect(f.Until("m", 1, 8*time.Second)).To(BeTemporally("<=", named.Add(8*time.Second)))
 	})
 })
+
+var _ = describe("a version that an upstream serves", func() {
+	it("has been named, whatever the newest record of its naming says", func() {
+		now := time.Now()
+		f := facts.New(func() time.Time { return now })
+		f.SetWanted("m", facts.Naming{Revision: 2})
+		s := NewSubscriber(socket(), 9, "d", f, func() time.Time { return now }, quiet)
+		b, err := proto.Marshal(&pb.UpstreamReport{
+			Address: "a", Incarnation: 1, Number: 1, Held: []*pb.HeldWeights{{Model: "m", Revision: 3}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		s.take(b)
+		Expect(f.Required("m", 8*time.Second)).To(BeNumerically("==", 3))
+	})
+})
