A version that is known to have been named stays known, whatever the newest record of its naming says

Cause: operators' writes may be done late, behind those that followed, so the newest record under a key need not have the highest number. Processes that ran passed such a record over, and processes that started had nothing else: they brought all upstreams back to a superseded version.

Change: (1) records of the operators' topic are compared by the number in them: an older one never replaces, and a newer one does whatever its offset, so that a process that knows hands it on. (2) A version that an upstream serves has been named: stagers take it from their own upstream, gateways from reports, stagers beside empty upstreams from subscriptions. (3) Where nobody knows the date of the version to fetch, the origin is asked for its newest one, with the manifest that is asked for anyway. A line tells each, and a record that was passed over.

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -54,6 +54,8 @@
 	// unread says that it stands for all versions up to it that this process has not read of, dated by the first of them: the date of
 	// the last one alone is too late.
 	unread bool
+	// proved says that no record names it here: an upstream serves it, or the origin has it.
+	proved bool
 }
 
 // over says whether the time within which the weights have to be in use has passed. Where it is not known when they were
@@ -152,6 +154,35 @@
 	return Change{News: true, Date: o}
 }
 
+// Prove takes a version that must have been named, as an upstream serves it or the origin calls it the newest, and says whether it was not
+// known. The newest record of a naming may be an older version's, written late, and is all that a process can read at its start.
+func (f *Facts) Prove(m id.Model, r id.Revision) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.wanted[m]
+	last := newest(l)
+	if last.Revision >= r {
+		return false
+	}
+	now := f.now()
+	if last.Revision+1 < r {
+		l = remember(l, Wanted{Revision: r - 1, Learnt: now, unread: true})
+	}
+	f.wanted[m] = remember(l, Wanted{Revision: r, Date: dating.Bracket{Had: now}, Learnt: now, proved: true})
+	f.notify()
+	return true
+}
+
+// Proved returns the newest version of a model where it is known without its record, or 0.
+func (f *Facts) Proved(m id.Model) id.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := newest(f.wanted[m]); w.proved {
+		return w.Revision
+	}
+	return 0
+}
+
 // Date takes what another process tells of the naming of weights: one that starts while a version is brought out reads it in the store
 // without its age.
 func (f *Facts) Date(m id.Model, r id.Revision, d dating.Bracket) dating.Outcome {
--- a/internal/records/entry.go
+++ b/internal/records/entry.go
@@ -15,6 +15,8 @@
 	// before is the record that this one has replaced, and beforeChange the number of the change that brought it.
 	before       Record
 	beforeChange uint64
+	// version is the number that the last value named which the product could read; 0 where it named none.
+	version uint64
 	// skipped is true of a record that the product could not read.
 	skipped bool
 	// digest is its part in the log's.
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -175,7 +175,16 @@
 	e := l.entries[r.Key]
 	held := e != nil && e.Value != nil
 	current := b.Whole && b.Next >= l.next
+	version := l.version(r)
 	switch {
+	case held && version < e.version && version > 0:
+		l.late(e, r)
+		return
+	case held && version > e.version && e.version > 0 && r.Offset != e.Offset:
+		// Whatever its offset: the newest record of a key need not have the highest number.
+		r.Bracket, _ = dating.Bracket{Had: l.now()}.Merge(r.Bracket)
+		l.change(e, r)
+		return
 	case !held && !current && r.Offset < l.next:
 		// A key that is not held was dropped before next: the record is older than that.
 		return
@@ -206,6 +215,23 @@
 	e.Record = r
 }
 
+// version is the number that a record's value names.
+func (l *Log) version(r Record) uint64 {
+	if l.topic.Version == nil || r.Value == nil {
+		return 0
+	}
+	return l.topic.Version(r)
+}
+
+// late tells of a record that was written behind one with a higher number; the caller holds the lock.
+func (l *Log) late(e *entry, r Record) {
+	if r.Offset <= e.Offset || r.Offset < l.next || !l.skippedLines.AllowN(l.now(), 1) {
+		return
+	}
+	l.log.Warn().Str("topic", l.topic.Name).Str("key", r.Key).Uint64("offset", r.Offset).Uint64("held_offset", e.Offset).
+		Uint64("version", l.version(r)).Uint64("held_version", e.version).Msg("a record names an older version than one before it; passed over")
+}
+
 // date takes what a source tells of when a held record was written. The caller holds the lock.
 func (l *Log) date(e *entry, r Record) {
 	if e.Value == nil || e.skipped {
@@ -247,6 +273,9 @@
 // change numbers a new record of a key and applies it; the caller holds the lock.
 func (l *Log) change(e *entry, r Record) {
 	l.apply(e, r)
+	if v := l.version(r); !e.skipped && v > 0 {
+		e.version = v
+	}
 	if l.absent != nil {
 		l.absent.Note(id.Instance(r.Key), r.Value != nil)
 	}
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -111,6 +111,12 @@
 		return
 	}
 	r.facts.Heard(s.GetConfigOffset())
+	for _, h := range s.GetProved() {
+		if r.facts.Prove(id.Model(h.GetModel()), id.Revision(h.GetRevision())) {
+			r.log.Warn().Str("model", h.GetModel()).Uint64("revision", h.GetRevision()).Str("gateway", s.GetSender()).
+				Msg("a gateway knows of a newer version than any record names")
+		}
+	}
 	near := id.Domain(s.GetDomain()) == r.domain
 	if near {
 		r.facts.SeeGateway(s.GetSender())
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -220,6 +220,7 @@
 		p.Until = p.Taken.Add(min(time.Duration(farLives*float64(every)), farMost))
 	}
 	for _, h := range r.GetHeld() {
+		s.prove(r.GetAddress(), h)
 		p.Held = append(p.Held, facts.Held{Model: id.Model(h.GetModel()), Revision: id.Revision(h.GetRevision())})
 	}
 	s.tracker.SetReport(r.GetAddress(), p)
@@ -232,6 +233,14 @@
 	farMost = 3 * time.Second
 )
 
+// prove takes a version that an upstream serves as named.
+func (s *Subscriber) prove(upstream string, h *pb.HeldWeights) {
+	if s.facts.Prove(id.Model(h.GetModel()), id.Revision(h.GetRevision())) {
+		s.log.Warn().Str("model", h.GetModel()).Uint64("revision", h.GetRevision()).Str("upstream", upstream).
+			Msg("an upstream serves a newer version than any record names")
+	}
+}
+
 // refusedPerSecond bounds the lines on dates that can't be right: each report of each stager may bring one.
 const refusedPerSecond = 0.2
 
@@ -363,6 +372,7 @@
 func (s *Subscriber) subscription(p id.Pool) []byte {
 	heard, _ := s.facts.Hearing()
 	b, err := proto.Marshal(&pb.ReportSubscription{
+		Proved: s.proved(p),
 		Sender: s.conn.LocalAddr().String(), ConfigOffset: heard, Domain: string(s.domain),
 		Offered: s.offers.First.PerSecond(p), OfferedLate: s.offers.Late.PerSecond(p), Each: s.wantsEach(),
 		Stamp: s.stamps.at(s.now()),
@@ -373,6 +383,20 @@
 	return b
 }
 
+// proved lists the versions of a pool's models that no record names: stagers beside empty upstreams don't know them.
+func (s *Subscriber) proved(p id.Pool) (l []*pb.HeldWeights) {
+	c := s.facts.Catalog()
+	if c == nil || c.Services[p] == nil || c.Services[p].Engine == nil {
+		return nil
+	}
+	for _, m := range c.Services[p].Engine.Models {
+		if r := s.facts.Proved(m); r > 0 {
+			l = append(l, &pb.HeldWeights{Model: string(m), Revision: uint64(r)})
+		}
+	}
+	return l
+}
+
 func (s *Subscriber) renew() {
 	c := s.facts.Catalog()
 	if c == nil {
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -190,6 +190,10 @@
 // look reads the upstream's report and says whether what it serves has changed.
 func (s *Stager) look(ctx context.Context) bool {
 	state, err := s.ports.Upstream.State(ctx)
+	for _, h := range state.Held {
+		// Before the state is taken: an upstream that serves a newer version than any record names would be brought back.
+		s.prove(h.Model, h.Revision, "upstream")
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	down := err != nil
@@ -204,6 +208,14 @@
 	return changed
 }
 
+// prove takes a version that exists as named.
+func (s *Stager) prove(m id.Model, r id.Revision, at string) {
+	if s.facts.Prove(m, r) {
+		s.log.Warn().Str("model", string(m)).Uint64("revision", uint64(r)).Str("at", at).
+			Msg("there is a newer version than any record names")
+	}
+}
+
 func sameHeld(a, b []facts.Held) bool {
 	if len(a) != len(b) {
 		return false
--- a/internal/stager/ports.go
+++ b/internal/stager/ports.go
@@ -60,7 +60,8 @@
 
 // Origin is the way to the place that weights come from.
 type Origin struct {
-	Manifest func(ctx context.Context, address string, m id.Model, r id.Revision) (*pb.Manifest, error)
+	// Manifest returns a version's manifest; of revision 0 that of the newest version, with its number.
+	Manifest func(ctx context.Context, address string, m id.Model, r id.Revision) (*pb.Manifest, id.Revision, error)
 	Chunk    func(ctx context.Context, address string, m id.Model, r id.Revision, c id.Chunk) ([]byte, error)
 }
 
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -65,6 +65,8 @@
 	// away are versions that the origin does not give; held, where set, holds back the second half of what it gives.
 	away map[id.Revision]bool
 	held chan struct{}
+	// newest is the version that the origin calls the newest; 0 where it does not say.
+	newest id.Revision
 	// gotLast runs once, when the last chunk has been read back.
 	gotLast func()
 }
@@ -122,8 +124,12 @@
 		},
 		Load: e.load,
 	}, Origin: Origin{
-		Manifest: func(_ context.Context, _ string, _ id.Model, r id.Revision) (*pb.Manifest, error) {
-			return manifest.New(bytes.NewReader(content(r)), chunkBytes)
+		Manifest: func(_ context.Context, _ string, _ id.Model, r id.Revision) (*pb.Manifest, id.Revision, error) {
+			if r == 0 {
+				r = e.newest
+			}
+			m, err := manifest.New(bytes.NewReader(content(r)), chunkBytes)
+			return m, r, err
 		},
 		Chunk: func(ctx context.Context, _ string, _ id.Model, r id.Revision, c id.Chunk) ([]byte, error) {
 			if e.held != nil && c >= chunks/2 {
@@ -291,6 +297,18 @@
 		Consistently(e.serves, "500ms").Should(Equal(id.Revision(3)))
 	})
 
+	It("fetches the version that the origin calls the newest where no record or upstream shows it", func() {
+		e := newEngine()
+		e.newest = 3
+		_, f := start(e, time.Second)
+		f.SetWanted("m", facts.Naming{Revision: 2})
+		Eventually(e.serves).WithTimeout(soon).Should(Equal(id.Revision(3)))
+		Expect(f.Proved("m")).To(Equal(id.Revision(3)))
+		for _, o := range e.orders {
+			Expect(o.Revision).To(Equal(id.Revision(3)))
+		}
+	})
+
 	It("goes to the newest of several versions named in quick succession", func() {
 		e := newEngine(facts.Held{Model: "m", Revision: 1})
 		s, f := start(e, time.Second)
--- a/internal/stager/work.go
+++ b/internal/stager/work.go
@@ -226,10 +226,30 @@
 	return l
 }
 
+// manifest asks the origin for a version's manifest. Where nobody knows since when the version is named it asks for the newest: the
+// record of a newer one may lie hidden behind an older one's that was written late, and after a loss of power no upstream serves it.
+func (s *Stager) manifest(ctx context.Context, g *goal) (*pb.Manifest, error) {
+	r := g.wanted.Revision
+	if g.wanted.Date.After.IsZero() && !s.superseded(g) {
+		r = 0
+	}
+	m, is, err := s.ports.Origin.Manifest(ctx, g.origin, g.model, r)
+	switch {
+	case err != nil:
+		return nil, err
+	case r == 0 && is > g.wanted.Revision:
+		s.prove(g.model, is, "origin")
+		return nil, trace.Wrap(errSuperseded)
+	case r == 0 && is != g.wanted.Revision:
+		m, _, err = s.ports.Origin.Manifest(ctx, g.origin, g.model, g.wanted.Revision)
+	}
+	return m, err
+}
+
 // draw takes a chunk from the origin, or the manifest for a negative length.
 func (s *Stager) draw(ctx context.Context, g *goal, from, length int64) (transfer.Drawn, error) {
 	if length < 0 {
-		m, err := s.ports.Origin.Manifest(ctx, g.origin, g.model, g.wanted.Revision)
+		m, err := s.manifest(ctx, g)
 		if err != nil {
 			return transfer.Drawn{}, err
 		}
