gateway: a request that waits at an upstream is given up within 0.2 s of the withdrawal of its version's date

Cause: the end of a version's time was looked at once, at the end that was known then (or after half of the time for a swap where none was known): a date that is withdrawn, or a newer version that is read of late, ended nothing that already waited at an upstream, for up to 8 s.

Change: it is looked at each 0.2 s while a request has not begun.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -105,6 +105,10 @@
 // beginGuard is taken off a version's time: the upstream needs to see that the request is given up.
 const beginGuard = 200 * time.Millisecond
 
+// lookAgain is how often the end of a version's time is looked at while a request waits: a date that was too late may be withdrawn, and a newer
+// version that is read of late may leave no time. A look takes 1 us where 256 versions are remembered.
+const lookAgain = beginGuard
+
 // beginBy is when a request that has not begun by then must be given up at an upstream, because the version there may begin
 // none any more; zero where nothing ends. It guards against an upstream that freezes with the request in its queue and
 // begins it when it wakes, and costs nothing while none does: upstreams that lag behind need not be left out for it in the
@@ -133,10 +137,9 @@
 	until, now := t.flight.beginBy(t.choice), g.now()
 	switch {
 	case until.IsZero():
-		// A newer version that is named from now on leaves more time than this.
-		t.end.Reset(g.settings.SwapWithin / 2)
+		t.end.Reset(lookAgain)
 	case now.Before(until):
-		t.end.Reset(until.Sub(now))
+		t.end.Reset(min(until.Sub(now), lookAgain))
 	default:
 		g.tally.add("version_ended_before_begin")
 		stop()
