records: what contradicts itself hides no right date, and a source that does not say how far it had read gives none

A source without returned_next (an older program) was taken to have read nothing before its outage, so all that it tells a process that lags behind was dated by the return.

Change: the return counts only where nobody had the record before; a told date that can't be right is dropped before the own one is weighed; a return without the offset is not taken.

--- a/internal/dating/dating_test.go
+++ b/internal/dating/dating_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/spec"
 )
 
@@ -65,6 +66,14 @@
 		})
 	})
 
+	It("is told with its origin, and takes a kind of evidence that it does not know for none", func() {
+		o := Origin{By: "a", Evidence: Return}
+		Expect(Told(o.Tell())).To(Equal(o))
+		Expect(Origin{}.Tell()).To(BeNil())
+		Expect(Told(&pb.DateOrigin{By: "a", Evidence: 200})).To(Equal(Origin{By: "a"}))
+		Expect(Told(&pb.DateOrigin{By: "a", Evidence: -1})).To(Equal(Origin{By: "a"}))
+	})
+
 	It("names its evidence and outcomes", func() {
 		Expect([]string{Return.String(), Evidence(200).String(), Withdrawn.String()}).To(Equal([]string{"return of the store", "none", "withdrawn"}))
 	})
--- a/internal/records/away.go
+++ b/internal/records/away.go
@@ -49,10 +49,11 @@
 }
 
 // unread is the moment from which on records may have been written that were not read here; zero where none is known. The time in which
-// nobody could read is left out: operators count from when a version can be known. The caller holds the lock.
-func (l *Log) unread() (time.Time, dating.Evidence) {
+// nobody could read is left out: operators count from when a version can be known; where somebody had the record before the return, the store was
+// away for this process alone. The caller holds the lock.
+func (l *Log) unread(had time.Time) (time.Time, dating.Evidence) {
 	switch {
-	case l.returned.at.After(l.settled):
+	case l.returned.at.After(l.settled) && (had.IsZero() || !l.returned.at.After(had)):
 		return l.returned.at, dating.Return
 	case l.settled.IsZero():
 		return l.settled, dating.None
@@ -63,7 +64,9 @@
 
 // bound dates a record that has not been read here before; the caller holds the lock.
 func (l *Log) bound(r *Record) {
-	at, e := l.unread()
+	// A date that contradicts what its teller knows must not hide the own one.
+	r.Bracket, _ = dating.Bracket{}.Merge(r.Bracket)
+	at, e := l.unread(r.Had)
 	r.Missed = at
 	if at.After(r.After) {
 		r.After, r.Origin = at, dating.Origin{By: l.turn.self, Evidence: e}
--- a/internal/records/take.go
+++ b/internal/records/take.go
@@ -116,11 +116,14 @@
 		Confirmed: now.Add(-time.Duration(t.GetAgeMs()) * time.Millisecond),
 		Grace:     now.Add(time.Duration(t.GetGraceMs()) * time.Millisecond),
 		Settled:   before(answered, t.SettledMs),
-		Returned:  outageEnd{at: before(answered, t.ReturnedMs), next: t.GetReturnedNext()},
 		Began:     before(answered, t.BeganMs),
 		Gapped:    t.GapFrom != nil,
 		GapFrom:   t.GetGapFrom(),
 	}
+	if n := t.GetReturnedNext(); n > 0 {
+		// A source that does not say how far it had read before may have read all of this then.
+		b.Returned = outageEnd{at: before(answered, t.ReturnedMs), next: n}
+	}
 	for _, r := range t.GetRecords() {
 		v, err := l.valueOf(r)
 		if err != nil {
