reports: a stamp comes back only with what was read after it came

Cause: a report's ages are read first and the receiver's newest stamp is added when it is sent; a stager that stands still in between (a freeze, no processor time) and then hears a newer subscription sent old ages with a new stamp: the date was too late by the standstill.

Change: Publish is told from when on the report was read, and adds only stamps that came before that. Callers in specs pass the moment; nothing of them is eased.

--- a/internal/gateway/left_test.go
+++ b/internal/gateway/left_test.go
@@ -74,7 +74,7 @@
 }
 
 func (n *neighbour) publish() {
-	n.reporter.Publish(&pb.UpstreamReport{Address: n.address, Pace: 1, Held: []*pb.HeldWeights{{Model: "m", Revision: 1}}})
+	n.reporter.Publish(&pb.UpstreamReport{Address: n.address, Pace: 1, Held: []*pb.HeldWeights{{Model: "m", Revision: 1}}}, time.Now())
 }
 
 var _ = Describe("an upstream whose stager knows that it leaves", func() {
--- a/internal/reports/far_test.go
+++ b/internal/reports/far_test.go
@@ -31,7 +31,7 @@
 	got := func(p *pb.UpstreamReport) *pb.UpstreamReport {
 		ginkgo.GinkgoHelper()
 		p.Address = "a"
-		r.Publish(p)
+		r.Publish(p, time.Now())
 		b := make([]byte, datagramBytes)
 		Expect(own.SetReadDeadline(time.Now().Add(20 * time.Millisecond))).To(Succeed())
 		n, err := own.Read(b)
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -80,8 +80,9 @@
 	each bool
 	// offered and offeredLate are the requests a second that it says callers bring.
 	offered, offeredLate float64
-	// stamp is its newest one.
-	stamp uint64
+	// stamp is its newest one, and stamped when that came.
+	stamp   uint64
+	stamped time.Time
 }
 
 // NewReporter makes a reporter of a failure domain over a socket.
@@ -125,7 +126,7 @@
 	r.retell = r.retell || math.Abs(old.offered-s.GetOffered()) > offerLeast+offerChange*old.offered
 	r.subscribers[s.GetSender()] = subscriber{
 		to: to, until: r.now().Add(subscriptionLife), near: near, domain: id.Domain(s.GetDomain()), each: s.GetEach(),
-		offered: max(0, s.GetOffered()), offeredLate: max(0, s.GetOfferedLate()), stamp: s.GetStamp(),
+		offered: max(0, s.GetOffered()), offeredLate: max(0, s.GetOfferedLate()), stamp: s.GetStamp(), stamped: r.now(),
 	}
 }
 
@@ -142,8 +143,8 @@
 )
 
 // Publish sends a report to its subscribers: to those of the own failure domain and those that want each, and now and then, or when
-// anything but the load has changed, to all.
-func (r *Reporter) Publish(p *pb.UpstreamReport) {
+// anything but the load has changed, to all. What it tells was read from a moment on, made.
+func (r *Reporter) Publish(p *pb.UpstreamReport, made time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
@@ -170,11 +171,11 @@
 	for _, s := range r.subscribers {
 		switch {
 		case s.near:
-			r.send(&s, t.near)
+			r.send(&s, t.near, made)
 		case s.each:
-			r.send(&s, t.each)
+			r.send(&s, t.each, made)
 		case toAll:
-			r.send(&s, t.far)
+			r.send(&s, t.far, made)
 		}
 	}
 }
@@ -201,8 +202,11 @@
 	return t, ok
 }
 
-func (r *Reporter) send(s *subscriber, text []byte) {
-	text = withEcho(text, s.stamp)
+func (r *Reporter) send(s *subscriber, text []byte, made time.Time) {
+	if s.stamped.Before(made) {
+		// A stamp that came while this process stood still within a report would make its ages count from after them.
+		text = withEcho(text, s.stamp)
+	}
 	if _, err := r.conn.WriteToUDP(text, s.to); err != nil {
 		r.vars.Add("send_failed", 1)
 		return
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -54,7 +54,7 @@
 		s := NewSubscriber(socket(), port(r.conn), "d", f, time.Now, quiet)
 		go func() { _ = s.Run(ctx) }()
 		Eventually(func() bool {
-			r.Publish(&pb.UpstreamReport{Address: "127.0.0.1:9", Running: 3, Held: []*pb.HeldWeights{{Model: "m", Revision: 2}}})
+			r.Publish(&pb.UpstreamReport{Address: "127.0.0.1:9", Running: 3, Held: []*pb.HeldWeights{{Model: "m", Revision: 2}}}, time.Now())
 			l, ok := s.Tracker().Fresh("127.0.0.1:9")
 			return ok && l.Running == 3 && l.Held[0] == facts.Held{Model: "m", Revision: 2}
 		}).Should(BeTrue())
@@ -62,7 +62,7 @@
 		r.mu.Lock()
 		now = now.Add(subscriptionLife + time.Second)
 		r.mu.Unlock()
-		r.Publish(&pb.UpstreamReport{})
+		r.Publish(&pb.UpstreamReport{}, time.Now())
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		Expect(r.subscribers).To(BeEmpty())
@@ -157,7 +157,7 @@
 		f.SetInstance(&facts.Instance{ID: "i", Pool: "p", Address: "a"})
 		s := NewSubscriber(socket(), 1, "d", f, time.Now, quiet)
 		publish := func() {
-			r.Publish(&pb.UpstreamReport{Address: "a"})
+			r.Publish(&pb.UpstreamReport{Address: "a"}, time.Now())
 			b := make([]byte, datagramBytes)
 			Expect(own.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
 			n, err := own.Read(b)
--- a/internal/reports/word_test.go
+++ b/internal/reports/word_test.go
@@ -34,7 +34,7 @@
 		r.take(b)
 	}
 	publish := func() []byte {
-		r.Publish(&pb.UpstreamReport{Address: "a"})
+		r.Publish(&pb.UpstreamReport{Address: "a"}, time.Now())
 		b := make([]byte, datagramBytes)
 		Expect(own.SetReadDeadline(time.Now().Add(time.Second))).To(Succeed())
 		n, err := own.Read(b)
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -235,7 +235,7 @@
 func (s *Stager) publish() {
 	s.publishing.Lock()
 	defer s.publishing.Unlock()
-	named := s.named()
+	made, named := s.now(), s.named()
 	s.mu.Lock()
 	r := &pb.UpstreamReport{
 		Named: named, Born: uint64(s.state.Born),
@@ -247,7 +247,7 @@
 		r.Held = append(r.Held, &pb.HeldWeights{Model: string(h.Model), Revision: uint64(h.Revision)})
 	}
 	s.mu.Unlock()
-	s.reporter.Publish(r)
+	s.reporter.Publish(r, made)
 }
 
 // tellNaming is how long reports tell since when a version is named: well beyond the 8 to 14 s that the users give a swap.
