Specs of dates that no spec failed without, and that nobody is taken to have known of a naming before it

Cause: mutations that all specs passed: no wake when a date goes, a date after this process's own knowledge, a date told for a version that is not the newest, the same value written again with a new date, a version read of late without a date while a request waits; and nothing looked at whether the moment at which somebody knew may itself be too early, which would take right dates away.

Change: specs for each; the property over all ways checks that moment at each process too, and a question takes up to 0.3 s to its source, so that what is counted from the question instead of the answer shows.

--- a/internal/facts/facts_test.go
+++ b/internal/facts/facts_test.go
@@ -82,6 +82,36 @@
 		Expect(f.Until("m", 1, 8*time.Second)).To(Equal(now), "and so was version 2")
 	})
 
+	It("withdraw the date of a version also where the later one is read only then, and wake who waits", func() {
+		start := now
+		now = now.Add(20 * time.Second)
+		f.SetWanted("m", Naming{Revision: 2, Date: dating.Bracket{After: now}})
+		f.SetWanted("m", Naming{Revision: 3, Date: dating.Bracket{Had: start.Add(21 * time.Second)}})
+		Expect(f.Until("m", 1, 8*time.Second)).To(Equal(now.Add(8 * time.Second)))
+		changed := f.Changed()
+		f.Date("m", 3, dating.Bracket{Had: start.Add(20 * time.Second)})
+		Expect(changed).NotTo(BeClosed(), "nothing that counts has changed")
+		f.Date("m", 3, dating.Bracket{Had: start.Add(5 * time.Second)})
+		Expect(changed).To(BeClosed(), "the date of version 2 has gone")
+		Expect(f.Until("m", 1, 8*time.Second)).To(Equal(now))
+
+		f.SetWanted("n", Naming{Revision: 2, Date: dating.Bracket{After: now}})
+		f.SetWanted("n", Naming{Revision: 3, Date: dating.Bracket{Had: start}})
+		Expect(f.Until("n", 1, 8*time.Second)).To(Equal(now))
+	})
+
+	It("refuse a date after they learnt of the naming, and wake who waits when one goes", func() {
+		Expect(f.SetWanted("m", Naming{Revision: 2, Date: dating.Bracket{After: now.Add(time.Second)}}).Date).To(Equal(dating.Refused))
+		Expect(f.Until("m", 1, 8*time.Second)).To(Equal(now))
+		f.SetWanted("m", named(3))
+		since := now.Add(-2 * time.Second)
+		Expect(f.SetWanted("m", Naming{Revision: 2, Date: dating.Bracket{After: since}}).Date).To(Equal(dating.Taken), "a version that is not the newest any more")
+		Expect(f.Until("m", 1, 8*time.Second)).To(Equal(since.Add(8 * time.Second)))
+		changed := f.Changed()
+		Expect(f.Date("m", 3, dating.Bracket{Had: now.Add(-time.Second)})).To(Equal(dating.Withdrawn))
+		Expect(changed).To(BeClosed())
+	})
+
 	It("hold each version to the time since its own naming, whatever is named after it", func() {
 		f.SetWanted("m", named(2))
 		now = now.Add(4 * time.Second)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -236,6 +236,30 @@
 		Expect((<-gone).Sub(<-since)).To(BeNumerically("<", 2*beginGuard))
 	})
 
+	It("is given up at once where a newer version of which nobody knows the date is read of while it waits", func() {
+		r := route(catalog.Streaming, "engines")
+		r.Timeout = 5 * time.Second
+		b := newBackstage(r)
+		b.gateway.budget = placement.NewBudget(placement.BudgetRule{Window: time.Second}, func() int { return 1 }, time.Now)
+		gone := make(chan time.Time, 1)
+		arrived := make(chan struct{})
+		b.upstream("frozen", "engines", func(_ *http.Request, _ string, c net.Conn) {
+			close(arrived)
+			_, _ = c.Read(make([]byte, 1))
+			gone <- time.Now()
+		})
+		b.gateway.settings.SwapWithin = swapMargin + 2*time.Second
+		since := make(chan time.Time, 1)
+		go func() {
+			<-arrived
+			since <- time.Now()
+			b.facts.SetWanted("m", facts.Naming{Revision: 2})
+		}()
+		_, _, err := b.ask("POST", "/p/", "x", xModel, "m")
+		Expect(err).NotTo(HaveOccurred())
+		Expect((<-gone).Sub(<-since)).To(BeNumerically("<", 2*beginGuard))
+	})
+
 	It("is refused at once where every upstream is too busy to be in time", func() {
 		r := route(catalog.Streaming, "engines")
 		r.Aim = 50 * time.Millisecond
--- a/internal/records/dates_test.go
+++ b/internal/records/dates_test.go
@@ -160,8 +160,9 @@
 		return
 	}
 	next, _ := p.log.Position()
-	c, _, _ := o.log.Since(Position{Epoch: o.log.epoch, From: p.follows[o.log], Next: next})
 	answered := p.world.now
+	p.world.pass(300, "way of a question")
+	c, _, _ := o.log.Since(Position{Epoch: o.log.epoch, From: p.follows[o.log], Next: next})
 	told := tell("t", c)
 	p.world.pass(900, "way of an answer")
 	f := &Follower{now: p.world.clock}
@@ -240,6 +241,9 @@
 	const within = time.Minute
 	for i, p := range w.processes {
 		newest := p.facts.Wanted("m").Revision
+		if had := p.facts.Wanted("m").Date.Had; newest > 1 && had.Before(w.named[newest-2]) {
+			w.t.Fatalf("process %d: version %d, named at %v, is taken to be known at %v", i, newest, w.named[newest-2].Sub(start), had.Sub(start))
+		}
 		for v := id.Revision(1); v < newest; v++ {
 			until := p.facts.Until("m", v, within)
 			if named := w.named[v-1]; until.After(w.allowed(named).Add(within)) {
--- a/internal/records/told_test.go
+++ b/internal/records/told_test.go
@@ -46,6 +46,16 @@
 		Expect(got.After).To(Equal(last))
 	})
 
+	It("keeps its first date where the same value is written again", func() {
+		l.Take(Batch{Records: record(dating.Bracket{}), Next: 5, Confirmed: now, Settled: now})
+		now = now.Add(time.Second)
+		again := record(dating.Bracket{})
+		again[0].Offset = 5
+		l.Take(Batch{Records: again, Next: 6, Confirmed: now, Settled: now})
+		Expect(l.entries["version"].Offset).To(Equal(uint64(5)))
+		Expect(l.entries["version"].After).To(Equal(last))
+	})
+
 	It("has no date by the return of a source that does not tell how far it had read before", func() {
 		f := &Follower{now: clock}
 		returned := int64(500)
