A request goes to an upstream on an older version only over a way that stamps have proven

Cause: the margin of a send was twice the predicted wait and a fixed 0.4 s of the way. What the way took was known to the stager alone, from four chunks that had come over it. On a link of 0.2 to 0.6 Mbit/s chunks and configurations queue for seconds; the bytes of a request that the gateway has given up are behind them and are begun late.

Change: placement.Way, pure: stamps of the gateway go over the requests' own link five times a second while an upstream lags behind a newer version (in other domains where requests were sent in the last 2 s), reports bring them back with how long they were held. A way is clear while trips take up to 0.15 s and no answer stays out for more than a report and a half; then the margin grows by 2 s for each second since the last proof. Behind a queue nothing is sent on an older version for as long as its time. A connection that came late holds the request back before a byte of it has left. Refusals name "queued" and come at once, with a Retry-After of the version's end; the fixed 2 s for narrow links are gone.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -58,6 +58,10 @@
 	}
 	e, err := g.pool.Send(ctx, c.Address, f.message(c))
 	switch {
+	case errors.Is(err, upconn.ErrHeld):
+		f.attempts--
+		g.tally.add("held_for_version")
+		return notRun("the connection came too late for the version there", f.swapRetry())
 	case errors.Is(err, upconn.ErrNotSent):
 		f.attempts--
 		flight.Failed()
@@ -81,10 +85,24 @@
 	f.gateway.dialect.Prepare(h, s)
 	return &upconn.Request{
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: h, Body: f.body, Rest: f.rest, Length: r.ContentLength,
-		Born: c.Born,
+		Born: c.Born, May: func(dialled time.Duration) bool { return f.may(c, dialled) },
+	}
+}
+
+// may says whether a request that was let in may still be sent now that its connection, which took a time to come, is there: as much must be
+// left of its version's time as when it was let in, and as a way asks for that takes as long as the connection took.
+func (f *flight) may(c placement.Choice, dialled time.Duration) bool {
+	if c.Revision == 0 || f.ask.Model == "" {
+		return true
 	}
+	g := f.gateway
+	until := g.facts.Until(f.ask.Model, c.Revision, g.settings.SwapWithin)
+	return until.IsZero() || !g.now().Add(max(c.Margin, c.Wait+wayDialled*dialled)).After(until)
 }
 
+// wayDialled is how many times the time that a connection took to come a request on it may be on its way: the queue may have grown since.
+const wayDialled = 2
+
 // try is one attempt's exchange with an upstream.
 type try struct {
 	flight   *flight
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -44,7 +44,7 @@
 	aim := f.catalog.Aim(f.pool)
 	c, ok := placement.Choose(l, f.tried, f.outlook(m, e, l, passed, aim), g.random())
 	if !ok {
-		return c, f.noRoom("no upstream", placement.NoUpstreamRetry)
+		return c, f.noRoom("no upstream", f.swapRetry())
 	}
 	usual := m.Admission(&c.Candidate)
 	k := &f.reckoning
@@ -57,6 +57,12 @@
 	return c, f.noRoom("too busy", usual-aim)
 }
 
+// swapRetry is when a caller may come back where no upstream is left: upstreams that were left out for their older version are closed, and
+// load, when its time is over at the latest. It guards against callers that come back into the same seconds of a swap.
+func (f *flight) swapRetry() time.Duration {
+	return max(placement.NoUpstreamRetry, f.reckoning.until.Sub(f.gateway.now()))
+}
+
 // noRoom refuses the request before it was sent anywhere; there is expected to be room after a time.
 func (f *flight) noRoom(text string, room time.Duration) *problem {
 	return &problem{text: text, notRun: true, final: true, retry: f.retryAfter(room)}
@@ -89,11 +95,8 @@
 const (
 	// swapCaution is how many times the predicted wait a request is taken to wait; one in ten still takes longer.
 	swapCaution = 2
-	// swapArrival is the time for the way to the upstream, on a link that is shared with chunks.
+	// swapArrival is the least time for the way to the upstream, on a link that is shared with chunks; see placement.Way for what is added.
 	swapArrival = 400 * time.Millisecond
-	// swapNarrow is added for an upstream behind a link that has become narrow: on one of an eighth of the users' a
-	// request was on its way for 1.4 s.
-	swapNarrow = 2 * time.Second
 	// swapResume is the margin for a stream that goes on elsewhere on an older version: few upstreams still serve it then,
 	// and one that took such streams of others let one wait for 2.4 s.
 	swapResume = 3 * time.Second
@@ -150,18 +153,26 @@
 		return false
 	}
 	wait := time.Duration(swapCaution * float64(m.FirstEvent(c, f.ask.Prompt)))
-	margin := max(swapMargin, wait+swapArrival)
+	within := f.gateway.settings.SwapWithin
+	way, passage := c.Way.Bears(f.gateway.now(), within)
 	if c.Narrow {
-		margin += swapNarrow
+		way, passage = within, placement.Queued
 	}
+	margin := max(swapMargin, wait+max(swapArrival, way))
 	if f.headSent {
 		margin = max(margin, swapResume)
 	}
-	if c.Revision < f.newest && c.Revision < f.gateway.facts.Required(f.ask.Model, f.gateway.settings.SwapWithin-margin) {
+	c.Wait, c.Margin = wait, margin
+	if c.Revision >= f.newest || c.Revision >= f.gateway.facts.Required(f.ask.Model, within-margin) {
+		return true
+	}
+	f.reckoning.note(f.gateway.facts.Until(f.ask.Model, c.Revision, within))
+	if passage == placement.Queued {
+		f.reckoning.out.queued++
+	} else {
 		f.reckoning.out.over++
-		return false
 	}
-	return true
+	return false
 }
 
 // serves says whether an upstream holds the model whole, and in which version; a fresh report goes before the list.
--- a/internal/gateway/reckoning.go
+++ b/internal/gateway/reckoning.go
@@ -12,6 +12,8 @@
 // served, so that the line says why.
 type reckoning struct {
 	out leftOut
+	// until is the latest end of the time of the versions that upstreams were left out for.
+	until time.Time
 	// nearest is the upstream that came nearest to taking the request, and wait its predicted first event for a usual
 	// request; aim is what wait and passed, the time that had gone by, were held against.
 	nearest           string
@@ -21,13 +23,20 @@
 	known bool
 }
 
+// note keeps the end of the time of a version that an upstream was left out for.
+func (k *reckoning) note(until time.Time) {
+	if until.After(k.until) {
+		k.until = until
+	}
+}
+
 // leftOut counts the upstreams of the pool that could not be chosen, each under the first reason that held.
 type leftOut struct {
 	// leaving ones are about to end, closed ones about to load weights, down ones silent towards their stager.
 	leaving, closed, down int
-	// empty ones serve no version of the model; over ones serve one whose time ends before the request would begin;
-	// other ones not the version that the stream began with.
-	empty, over, other int
+	// empty ones serve no version of the model; over ones serve one whose time ends before the request would begin, queued ones such a
+	// version behind a link on which a request may wait for longer than is known; other ones not the version that the stream began with.
+	empty, over, queued, other int
 	// suspect ones have failed lately, narrow ones are behind a link on which requests queue: both are last resorts.
 	suspect, narrow int
 	// tried ones have had this request.
@@ -57,6 +66,7 @@
 		{"down", o.down},
 		{"empty", o.empty},
 		{"over", o.over},
+		{"queued", o.queued},
 		{"other", o.other},
 		{"suspect", o.suspect},
 		{"narrow", o.narrow},
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -38,6 +38,10 @@
 	Pace float64
 	// Narrow is true while requests queue on their way there.
 	Narrow bool
+	// Wait is how long a request is taken to wait there before it begins, and Margin what must be left of its version's time when it is sent.
+	Wait, Margin time.Duration
+	// Way is what has been seen of the way there.
+	Way Way
 	// Suspect is true after failures that have not yet been outlived.
 	Suspect bool
 }
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -35,6 +35,8 @@
 	Narrow bool
 	// Taken is when the report came, and MadeAfter a moment after which it was made; zero where none is known.
 	Taken, MadeAfter time.Time
+	// StampHeld is how long the stager had had the stamp of MadeAfter by then, and Every how far apart its reports are.
+	StampHeld, Every time.Duration
 	// Until is when it is no longer believed; zero is reportLife after it was taken.
 	Until time.Time
 }
@@ -53,6 +55,9 @@
 	sent     map[*sent]struct{}
 	failures int
 	until    time.Time
+	way      Way
+	// used is when a request was last sent.
+	used time.Time
 }
 
 // Tracker follows this process's own requests at each upstream, and what upstreams say. It is safe for concurrent use.
@@ -85,7 +90,7 @@
 	case born.Before(u.born):
 		return nil
 	case u.born.Before(born):
-		u = &upstream{sent: map[*sent]struct{}{}}
+		u = &upstream{sent: map[*sent]struct{}{}, way: u.way}
 		t.known[address] = u
 	}
 	u.born = max(u.born, born)
@@ -107,9 +112,17 @@
 	defer t.mu.Unlock()
 	if u := t.start(address, r.Born); u != nil {
 		u.report = r
+		u.way.Answer(r.MadeAfter, r.StampHeld, r.Every, t.now())
 	}
 }
 
+// Asked notes that a stamp was sent to the stager beside an upstream.
+func (t *Tracker) Asked(address string, stamp time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.at(address).way.Ask(stamp)
+}
+
 // Fresh returns an upstream's report if it is new enough to be believed.
 func (t *Tracker) Fresh(address string) (LoadReport, bool) {
 	t.mu.Lock()
@@ -143,6 +156,17 @@
 	return !now.After(r.Until)
 }
 
+// usedFor is how long after a request an upstream counts as used: callers come back within about that.
+const usedFor = 2 * time.Second
+
+// Used says whether requests of this process are at an upstream, or were sent there lately.
+func (t *Tracker) Used(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.known[address]
+	return u != nil && (len(u.sent) > 0 || t.now().Sub(u.used) < usedFor)
+}
+
 // Flight is a request at an upstream.
 type Flight struct {
 	tracker  *Tracker
@@ -156,7 +180,7 @@
 	defer t.mu.Unlock()
 	u := t.at(address)
 	s := &sent{at: t.now(), tokens: tokens}
-	u.sent[s] = struct{}{}
+	u.sent[s], u.used = struct{}{}, s.at
 	return &Flight{tracker: t, upstream: u, sent: s}
 }
 
@@ -207,7 +231,7 @@
 	c := Candidate{Instance: i.ID, Address: i.Address, Domain: i.Domain, Slots: i.Slots, Pace: 1, Born: i.Born}
 	u := t.listed(i)
 	c.Born = max(c.Born, u.born)
-	c.InFlight = len(u.sent)
+	c.InFlight, c.Way = len(u.sent), u.way
 	c.Suspect = now.Before(u.until)
 	c.Known = u.report.believed(now)
 	if !c.Known {
--- /dev/null
+++ b/internal/placement/way_test.go
@@ -0,0 +1,137 @@
+package placement
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+const (
+	wayStep   = 10 * time.Millisecond
+	wayAsks   = 200 * time.Millisecond
+	wayWithin = 8 * time.Second
+)
+
+// queued is a link that delivers in turn: behind is how long what is sent now is on its way, and stamps are on their way to arrive at a time.
+type queued struct {
+	now, reported time.Time
+	behind        time.Duration
+	stamps        []passing
+	// here is the newest stamp that has arrived, and when it did.
+	here passing
+	way  Way
+}
+
+type passing struct {
+	sent, arrives time.Time
+}
+
+// step lets a time go by in which a queue of more has come, in time of the link; what comes back is as fast as can be.
+func (q *queued) step(n int, more time.Duration) {
+	q.now = q.now.Add(wayStep)
+	q.behind = max(0, q.behind-wayStep) + more
+	if n%int(wayAsks/wayStep) == 0 {
+		q.way.Ask(q.now)
+		q.stamps = append(q.stamps, passing{sent: q.now, arrives: q.now.Add(q.behind)})
+	}
+	for len(q.stamps) > 0 && !q.stamps[0].arrives.After(q.now) {
+		q.here, q.stamps = q.stamps[0], q.stamps[1:]
+	}
+	if q.now.Sub(q.reported) >= wayAsks {
+		q.reported = q.now
+		q.way.Answer(q.here.sent, q.now.Sub(q.here.arrives), wayAsks, q.now)
+	}
+}
+
+var _ = Describe("the way to an upstream", func() {
+	start := time.Unix(1000, 0)
+
+	It("bears every queue that grows by up to two seconds a second, and no more of a version's time is used where it is not clear", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			q := &queued{now: start, reported: start.Add(time.Duration(rapid.IntRange(0, 190).Draw(t, "report")) * time.Millisecond)}
+			for phase := range rapid.IntRange(1, 8).Draw(t, "phases") {
+				grows := time.Duration(rapid.IntRange(0, int(3*wayStep)).Draw(t, "grows"))
+				for n := range rapid.IntRange(1, 150).Draw(t, "steps") {
+					q.step(phase*1000+n, grows)
+					bears, p := q.way.Bears(q.now, wayWithin)
+					switch {
+					case p == Clear && q.behind > bears:
+						t.Fatalf("sent to wait %v and to bear %v", q.behind, bears)
+					case p == Queued && bears != wayWithin:
+						t.Fatalf("something queues, and %v of %v are left", bears, wayWithin)
+					}
+				}
+			}
+		})
+	})
+
+	It("is bounded by the version's time, and is borne no shorter while nothing comes", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var w Way
+			now, last := start, time.Duration(0)
+			w.Answer(now, 0, wayAsks, now.Add(10*time.Millisecond))
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+				if rapid.Bool().Draw(t, "ask") {
+					w.Ask(now)
+				}
+				bears, _ := w.Bears(now, wayWithin)
+				if bears < last || bears > wayWithin {
+					t.Fatalf("%v after %v", bears, last)
+				}
+				last = bears
+			}
+		})
+	})
+
+	It("that is clear leaves all but a little of a version's time, and counts as queued for a version's time after a slow trip", func() {
+		q := &queued{now: start, reported: start.Add(70 * time.Millisecond)}
+		for n := range 400 {
+			q.step(n, 0)
+			if bears, p := q.way.Bears(q.now, wayWithin); n > 40 {
+				Expect(p).To(Equal(Clear))
+				Expect(bears).To(BeNumerically("<=", time.Second+200*time.Millisecond))
+			}
+		}
+		q.step(400, 600*time.Millisecond)
+		last := time.Time{}
+		for n := range 1000 {
+			q.step(401+n, 0)
+			if _, p := q.way.Bears(q.now, wayWithin); p == Queued {
+				last = q.now
+			}
+		}
+		Expect(last.Sub(start)).To(BeNumerically("~", 4*time.Second+600*time.Millisecond+wayWithin, 400*time.Millisecond))
+	})
+
+	It("is not clear while an answer stays out for more than a report and a half", func() {
+		var w Way
+		w.Answer(start, 0, wayAsks, start.Add(20*time.Millisecond))
+		w.Ask(start.Add(200 * time.Millisecond))
+		due := start.Add(200*time.Millisecond + 300*time.Millisecond + wayClear)
+		_, p := w.Bears(due.Add(-10*time.Millisecond), wayWithin)
+		Expect(p).To(Equal(Clear))
+		_, p = w.Bears(due.Add(10*time.Millisecond), wayWithin)
+		Expect(p).To(Equal(Queued))
+	})
+
+	It("of which nothing was seen is taken for half of a version's time: a process that starts, or a stager that brings no stamps back", func() {
+		var w Way
+		w.Ask(start)
+		bears, p := w.Bears(start.Add(time.Hour), wayWithin)
+		Expect(p).To(Equal(Unproven))
+		Expect(bears).To(Equal(wayWithin / 2))
+	})
+
+	It("is that of the VM: a start of the upstream there changes nothing of it", func() {
+		now := start
+		t := NewTracker(func() time.Time { return now })
+		now = now.Add(time.Second)
+		t.SetReport("a", LoadReport{Born: 1, MadeAfter: start, Every: wayAsks, Taken: now})
+		t.SetReport("a", LoadReport{Born: 2, Taken: now})
+		_, p := t.known["a"].way.Bears(now, wayWithin)
+		Expect(p).To(Equal(Queued))
+	})
+})
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -80,8 +80,9 @@
 	each bool
 	// offered and offeredLate are the requests a second that it says callers bring.
 	offered, offeredLate float64
-	// stamp is its newest one.
-	stamp uint64
+	// stamp is its newest one, and stamped when that came.
+	stamp   uint64
+	stamped time.Time
 }
 
 // NewReporter makes a reporter of a failure domain over a socket.
@@ -125,7 +126,7 @@
 	r.retell = r.retell || math.Abs(old.offered-s.GetOffered()) > offerLeast+offerChange*old.offered
 	r.subscribers[s.GetSender()] = subscriber{
 		to: to, until: r.now().Add(subscriptionLife), near: near, domain: id.Domain(s.GetDomain()), each: s.GetEach(),
-		offered: max(0, s.GetOffered()), offeredLate: max(0, s.GetOfferedLate()), stamp: s.GetStamp(),
+		offered: max(0, s.GetOffered()), offeredLate: max(0, s.GetOfferedLate()), stamp: s.GetStamp(), stamped: r.now(),
 	}
 }
 
@@ -202,7 +203,7 @@
 }
 
 func (r *Reporter) send(s *subscriber, text []byte) {
-	text = withEcho(text, s.stamp)
+	text = withEcho(text, s.stamp, r.now().Sub(s.stamped))
 	if _, err := r.conn.WriteToUDP(text, s.to); err != nil {
 		r.vars.Add("send_failed", 1)
 		return
--- a/internal/reports/stamp.go
+++ b/internal/reports/stamp.go
@@ -37,14 +37,16 @@
 	return s.start.Add(since)
 }
 
-// echoField is the number of UpstreamReport.echo.
-const echoField = 21
+// echoField and heldField are the numbers of UpstreamReport.echo and echo_held_ms.
+const echoField, heldField = 21, 22
 
-// withEcho adds the receiver's stamp to a report that is encoded once for all receivers.
-func withEcho(text []byte, stamp uint64) []byte {
+// withEcho adds the receiver's stamp, and how long it has been here, to a report that is encoded once for all receivers.
+func withEcho(text []byte, stamp uint64, held time.Duration) []byte {
 	if stamp == 0 {
 		return text
 	}
 	b := protowire.AppendTag(text[:len(text):len(text)], echoField, protowire.VarintType)
-	return protowire.AppendVarint(b, stamp)
+	b = protowire.AppendVarint(b, stamp)
+	b = protowire.AppendTag(b, heldField, protowire.VarintType)
+	return protowire.AppendVarint(b, uint64(max(0, held.Milliseconds())))
 }
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"expvar"
-	"math"
 	"net"
 	"sync"
 	"time"
@@ -215,8 +214,10 @@
 		Born:    id.Birth(r.GetBorn()),
 		Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), Pace: r.GetPace(),
 		Closed: r.GetClosed(), Down: r.GetDown(), Narrow: r.GetNarrow(), Taken: s.now(), MadeAfter: made,
+		StampHeld: time.Duration(r.GetEchoHeldMs()) * time.Millisecond, Every: nearEvery,
 	}
 	if every := time.Duration(r.GetEveryMs()) * time.Millisecond; every > 0 {
+		p.Every = every
 		p.Until = p.Taken.Add(min(time.Duration(farLives*float64(every)), farMost))
 	}
 	for _, h := range r.GetHeld() {
@@ -226,6 +227,8 @@
 }
 
 const (
+	// nearEvery is the time between two reports in the own failure domain.
+	nearEvery = 200 * time.Millisecond
 	// farLives is how many times the time to the next report one is believed where that is longer than usual: one may be lost.
 	farLives = 2.5
 	// farMost bounds it.
@@ -310,107 +313,3 @@
 	}
 	return of
 }
-
-// subscribe renews the subscriptions at the stagers of all engines in the list.
-func (s *Subscriber) subscribe(ctx context.Context) {
-	for ctx.Err() == nil {
-		s.renew()
-		s.pause(ctx)
-	}
-}
-
-const (
-	// offerEvery is how often a gateway looks whether what callers bring has changed so much that stagers should know
-	// before the next subscription: by offerChange of what they were told and offerLeast requests a second.
-	offerEvery  = 200 * time.Millisecond
-	offerChange = 0.25
-	offerLeast  = 5
-)
-
-// pause waits until the subscriptions are due: in time, when the list of upstreams changes, or when the load jumps. After a
-// restart of all gateways nobody would else know for two seconds what the others let in.
-func (s *Subscriber) pause(ctx context.Context) {
-	changed := s.facts.Changed()
-	told, each := s.offers.Total(), s.wantsEach()
-	until := s.now().Add(subscribeEvery)
-	for s.now().Before(until) {
-		t := time.NewTimer(offerEvery)
-		select {
-		case <-ctx.Done():
-			t.Stop()
-			return
-		case <-changed:
-			t.Stop()
-			return
-		case <-t.C:
-		}
-		if math.Abs(s.offers.Total()-told) > offerLeast+offerChange*told || s.wantsEach() != each {
-			return
-		}
-	}
-}
-
-// eachShare is the share of its requests that a gateway sends beyond its failure domain from which on it wants each report of the
-// upstreams there. Below it a view that is a second old costs few requests; other shares have not been tried.
-const eachShare = 0.1
-
-// wantsEach says whether so much goes beyond the own failure domain that the choice there needs views as fresh as at home.
-func (s *Subscriber) wantsEach() bool {
-	return s.offers.Far.Total() > eachShare*s.offers.Total()
-}
-
-// subscription encodes what the stagers of a pool are told.
-func (s *Subscriber) subscription(p id.Pool) []byte {
-	heard, _ := s.facts.Hearing()
-	b, err := proto.Marshal(&pb.ReportSubscription{
-		Sender: s.conn.LocalAddr().String(), ConfigOffset: heard, Domain: string(s.domain),
-		Offered: s.offers.First.PerSecond(p), OfferedLate: s.offers.Late.PerSecond(p), Each: s.wantsEach(),
-		Stamp: s.stamps.at(s.now()),
-	})
-	if err != nil {
-		s.log.Error().Err(err).Msg("a subscription can't be encoded")
-	}
-	return b
-}
-
-func (s *Subscriber) renew() {
-	c := s.facts.Catalog()
-	if c == nil {
-		return
-	}
-	listed := map[string]bool{}
-	texts := map[id.Pool][]byte{}
-	for _, i := range s.facts.Instances() {
-		listed[i.Address] = true
-		if p := c.Services[i.Pool]; p == nil || p.Engine == nil {
-			continue
-		}
-		host, _, err := net.SplitHostPort(i.Address)
-		if err != nil {
-			continue
-		}
-		if texts[i.Pool] == nil {
-			texts[i.Pool] = s.subscription(i.Pool)
-		}
-		to := &net.UDPAddr{IP: net.ParseIP(host), Port: s.port}
-		if _, err := s.conn.WriteToUDP(texts[i.Pool], to); err != nil {
-			s.vars.Add("send_failed", 1)
-			continue
-		}
-		s.sent(i.Domain, len(texts[i.Pool]))
-	}
-	s.sweep(listed)
-}
-
-// sweep forgets stagers whose upstreams are no longer listed.
-func (s *Subscriber) sweep(listed map[string]bool) {
-	s.mu.Lock()
-	for a := range s.stagers {
-		if !listed[a] {
-			delete(s.stagers, a)
-		}
-	}
-	s.mu.Unlock()
-	s.tracker.Sweep(listed)
-	s.facts.SweepWords()
-}
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -49,9 +49,10 @@
 const maxStray = 4
 
 // Send sends a request to an address and returns the head of the answer. The context's end breaks the connection, and
-// with it the upstream's work. Errors are ErrNotSent or ErrBroken.
+// with it the upstream's work. Errors are ErrNotSent, ErrHeld or ErrBroken.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
-	c := p.idle.take(address, r.Born, p.now())
+	asked := p.now()
+	c := p.idle.take(address, r.Born, asked)
 	if c == nil {
 		fresh, err := p.connect(ctx, address, r.Born)
 		if err != nil {
@@ -59,6 +60,10 @@
 		}
 		c = fresh
 	}
+	if r.May != nil && !r.May(p.now().Sub(asked)) {
+		p.idle.put(c, p.now())
+		return nil, trace.Wrap(ErrHeld)
+	}
 	e := &Exchange{pool: p, conn: c}
 	e.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if err := e.exchange(r); err != nil {
@@ -75,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: n, address: address, born: born, r: bufio.NewReaderSize(n, readBuffer), w: bufio.NewWriterSize(n, readBuffer)}, nil
+	return &conn{Conn: n, address: address, born: born, idleUntil: p.now().Add(defaultKeep), r: bufio.NewReaderSize(n, readBuffer), w: bufio.NewWriterSize(n, readBuffer)}, nil
 }
 
 // exchange sends the request and reads the head of its answer.
--- a/internal/upconn/request.go
+++ b/internal/upconn/request.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/springrail/springrail/internal/id"
 )
@@ -17,6 +18,8 @@
 var (
 	// ErrNotSent says that no byte of the request left for the upstream.
 	ErrNotSent = errors.New("the request was not sent")
+	// ErrHeld says that the request was not sent, as it might not be any more once there was a connection.
+	ErrHeld = errors.New("the request may not be sent any more")
 	// ErrBroken says that the request was sent, at least in part, and that no whole answer came.
 	ErrBroken = errors.New("the upstream may have run the request and gave no whole answer")
 )
@@ -36,6 +39,9 @@
 	// Born is the start of the upstream that the request is for, where that is known: it goes over no kept connection to an
 	// earlier one.
 	Born id.Birth
+	// May is asked once there is a connection, with the time that it took to come, and false leaves the request unsent; nil stands for
+	// always. It guards against what must not be sent late: a connection over a link with a queue comes seconds after it was asked for.
+	May func(dialled time.Duration) bool
 }
 
 // hasBody says whether the request carries a body; a POST without one says so with a length of 0.
