--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -211,7 +211,7 @@
 func (r *Reporter) send(s *subscriber, text []byte, made time.Time) {
 	if s.stamped.Before(made) {
 		// A stamp that came while this process stood still within a report would make its ages count from after them.
-		text = withEcho(text, s.stamp)
+		text = withEcho(text, s.stamp, r.now().Sub(s.stamped))
 	}
 	if _, err := r.conn.WriteToUDP(text, s.to); err != nil {
 		r.vars.Add("send_failed", 1)
