gateway: the decision on a request is a Desk that knows no network

What decides where a request goes, who is refused and when a request must be given up for its version hung on a flight with its net/http request. A Desk and a Query hold what it needs, with time and randomness as seams, so that a play in virtual time can decide by the same code. Nothing is decided otherwise: the package's and the fleet's specs are unchanged and pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/placement"
 	"github.com/springrail/springrail/internal/upconn"
 )
@@ -27,6 +28,11 @@
 	refusedRetry = 250 * time.Millisecond
 )
 
+// FirstStall is how long a first event that was predicted after a time may take before another upstream is asked.
+func FirstStall(predicted time.Duration) time.Duration {
+	return 2*predicted + firstStall
+}
+
 // attempt sends the request to one upstream. It returns nil once the caller has its answer.
 func (f *flight) attempt(ctx context.Context) *problem {
 	g := f.gateway
@@ -49,7 +55,7 @@
 	t := &try{flight: f, choice: c, mark: flight, ctx: ctx}
 	f.attempts++
 	if f.route.Kind == catalog.Streaming && f.route.Resumable && f.attemptsLeft() {
-		t.watchdog = time.AfterFunc(2*c.Predicted+firstStall, func() { t.stalled(stop) })
+		t.watchdog = time.AfterFunc(FirstStall(c.Predicted), func() { t.stalled(stop) })
 		defer t.watchdog.Stop()
 	}
 	if c.Revision > 0 && f.ask.Model != "" {
@@ -110,7 +116,12 @@
 // begins it when it wakes, and costs nothing while none does: upstreams that lag behind need not be left out for it in the
 // second half of the time for a swap.
 func (f *flight) beginBy(c placement.Choice) time.Time {
-	until := f.gateway.facts.Until(f.ask.Model, c.Revision, f.gateway.settings.SwapWithin)
+	return f.gateway.desk().BeginBy(f.ask.Model, c.Revision)
+}
+
+// BeginBy is when a request that has not begun on a version by then must be given up; zero where nothing ends.
+func (d *Desk) BeginBy(m id.Model, r id.Revision) time.Time {
+	until := d.Facts.Until(m, r, d.SwapWithin)
 	if until.IsZero() {
 		return until
 	}
--- /dev/null
+++ b/internal/gateway/desk.go
@@ -0,0 +1,241 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/placement"
+)
+
+// Desk decides which upstream a request goes to and who is refused. It knows no network, and time and randomness are seams, so
+// that a play in virtual time decides by the same code as a gateway.
+type Desk struct {
+	Facts      *facts.Facts
+	Load       Load
+	Domain     id.Domain
+	SwapWithin time.Duration
+	Now        func() time.Time
+	Random     func() *rand.Rand
+	// Bend changes what a choice rests on, and Retry stands in for placement.RetryAfter; both are nil but in comparisons of
+	// one way to decide with another.
+	Bend  func(w *placement.Outlook, l []placement.Candidate)
+	Retry func(room, left time.Duration) time.Duration
+}
+
+// Query is a request as a Desk sees it.
+type Query struct {
+	Catalog *catalog.Catalog
+	Pool    id.Pool
+	Model   id.Model
+	Prompt  float64
+	Arrived time.Time
+	// Lost is the time that the caller has lost before this try, and CallerGives when it gives up.
+	Lost        time.Duration
+	CallerGives time.Time
+	// Tried are the upstreams that have had the request, and Attempts how many of them took it.
+	Tried    map[id.Instance]bool
+	Attempts int
+	// HeadSent says that the caller has the head of an answer of a Revision.
+	HeadSent bool
+	Revision id.Revision
+
+	reckoning reckoning
+	// newest is the newest version of the model that is known to have been named.
+	newest id.Revision
+}
+
+// Refusal is why no upstream is to have a request.
+type Refusal struct {
+	Why string
+	// Retry is when the caller may come back, and Predicted the first event that was too late, where there was one.
+	Retry, Predicted time.Duration
+}
+
+// Choose picks the upstream for the next attempt, or says why there is none.
+func (d *Desk) Choose(q *Query) (placement.Choice, *Refusal) {
+	s := q.Catalog.Services[q.Pool]
+	if s == nil {
+		return placement.Choice{}, d.noRoom(q, "no such pool", placement.NoUpstreamRetry)
+	}
+	q.reckoning = reckoning{}
+	scratch := candidateLists.Get().(*[]placement.Candidate)
+	defer candidateLists.Put(scratch)
+	*scratch = d.candidates(q, s, (*scratch)[:0])
+	l := *scratch
+	if s.Engine != nil {
+		return d.chooseEngine(q, s.Engine, l)
+	}
+	w := &placement.Outlook{First: placement.PlainWait, Domain: d.Domain}
+	c, ok := placement.Choose(l, q.Tried, w, d.Random())
+	if !ok {
+		return c, d.noRoom(q, "no upstream", placement.NoUpstreamRetry)
+	}
+	return c, nil
+}
+
+// chooseEngine picks a model engine, if a place is left there in which the request would begin in time.
+func (d *Desk) chooseEngine(q *Query, e *catalog.Engine, l []placement.Candidate) (placement.Choice, *Refusal) {
+	m := placement.NewModel(e)
+	passed := q.Lost + d.Now().Sub(q.Arrived)
+	if len(q.Tried) > 0 {
+		// The request has been offered to an upstream already: late is better than not at all.
+		passed = 0
+	}
+	aim := q.Catalog.Aim(q.Pool)
+	w := d.outlook(q, m, e, l, passed, aim)
+	if d.Bend != nil {
+		d.Bend(w, l)
+	}
+	c, ok := placement.Choose(l, q.Tried, w, d.Random())
+	if !ok {
+		return c, d.noRoom(q, "no upstream", placement.NoUpstreamRetry)
+	}
+	usual := m.Admission(&c.Candidate)
+	k := &q.reckoning
+	k.nearest, k.wait, k.passed, k.aim, k.age, k.known = c.Address, usual, passed, aim, c.Age, c.Known
+	// A stream that has begun is not refused any more.
+	if q.HeadSent || c.Room {
+		return c, nil
+	}
+	no := d.noRoom(q, "too busy", usual-aim)
+	no.Predicted = c.Predicted
+	return c, no
+}
+
+// noRoom refuses the request before it was sent anywhere; there is expected to be room after a time.
+func (d *Desk) noRoom(q *Query, why string, room time.Duration) *Refusal {
+	left := q.CallerGives.Sub(d.Now())
+	if d.Retry != nil {
+		return &Refusal{Why: why, Retry: d.Retry(room, left)}
+	}
+	return &Refusal{Why: why, Retry: placement.RetryAfter(room, left, d.Random())}
+}
+
+// outlook is what is expected until the next reports come, which are twice as far apart as they are old on the mean.
+func (d *Desk) outlook(q *Query, m placement.Model, e *catalog.Engine, l []placement.Candidate, passed, aim time.Duration) *placement.Outlook {
+	late := !placement.InTime(0, passed, aim)
+	if q.Attempts == 0 {
+		d.Load.Offers.Came(q.Pool, late)
+	}
+	return &placement.Outlook{
+		First:   func(c *placement.Candidate) time.Duration { return m.FirstEvent(c, q.Prompt) },
+		Fits:    func(c *placement.Candidate) bool { return placement.InTime(m.Admission(c), 0, aim) },
+		Later:   m.Later,
+		Horizon: 2 * placement.MeanAge(l, d.Domain), Prompt: e.UsualPrompt, Demand: d.Load.Demand(q.Pool), Domain: d.Domain, Late: late,
+	}
+}
+
+// swapMargin is taken off the time within which a version must be the only one in use: a request may wait at the
+// upstream before it begins, and this process may have read of the version later than others.
+const swapMargin = time.Second
+
+const (
+	// swapCaution is how many times the predicted wait a request is taken to wait; one in ten still takes longer.
+	swapCaution = 2
+	// swapArrival is the time for the way to the upstream, on a link that is shared with chunks.
+	swapArrival = 400 * time.Millisecond
+	// swapNarrow is added for an upstream behind a link that has become narrow: on one of an eighth of the users' a
+	// request was on its way for 1.4 s.
+	swapNarrow = 2 * time.Second
+	// swapResume is the margin for a stream that goes on elsewhere on an older version: few upstreams still serve it then,
+	// and one that took such streams of others let one wait for 2.4 s.
+	swapResume = 3 * time.Second
+)
+
+// candidateLists are used again: a list of 870 upstreams takes 150 KB.
+var candidateLists = sync.Pool{New: func() any { return &[]placement.Candidate{} }}
+
+// candidates adds the upstreams that may take the request now to a list.
+func (d *Desk) candidates(q *Query, s *catalog.Service, l []placement.Candidate) []placement.Candidate {
+	usual := 0.0
+	var m placement.Model
+	if s.Engine != nil {
+		usual = s.Engine.UsualPrompt
+		m = placement.NewModel(s.Engine)
+	}
+	q.newest = d.Facts.Wanted(q.Model).Revision
+	for _, i := range d.Facts.Instances() {
+		if i.Pool != q.Pool {
+			continue
+		}
+		if i.Leaving {
+			q.reckoning.out.leaving++
+			continue
+		}
+		held, ok := d.serves(q, s, i)
+		if !ok {
+			continue
+		}
+		c := d.Load.Tracker.Candidate(i, usual)
+		c.Revision = held
+		if s.Engine != nil && c.Slots == 0 {
+			c.Slots = s.Engine.Slots
+		}
+		if s.Engine == nil || d.fits(q, m, &c) {
+			l = append(l, c)
+		}
+	}
+	for i := range l {
+		q.reckoning.out.note(&l[i], q.Tried[l[i].Instance])
+	}
+	return l
+}
+
+// fits says whether an upstream's version may still take the request: it must begin there before the time of that
+// version is over, and a stream that goes on elsewhere must find the version that it began with.
+func (d *Desk) fits(q *Query, m placement.Model, c *placement.Candidate) bool {
+	if q.Model == "" {
+		return true
+	}
+	if q.HeadSent && q.Revision > 0 && c.Revision != q.Revision {
+		q.reckoning.out.other++
+		return false
+	}
+	wait := time.Duration(swapCaution * float64(m.FirstEvent(c, q.Prompt)))
+	margin := max(swapMargin, wait+swapArrival)
+	if c.Narrow {
+		margin += swapNarrow
+	}
+	if q.HeadSent {
+		margin = max(margin, swapResume)
+	}
+	if c.Revision < q.newest && c.Revision < d.Facts.Required(q.Model, d.SwapWithin-margin) {
+		q.reckoning.out.over++
+		return false
+	}
+	return true
+}
+
+// serves says whether an upstream holds the model whole, and in which version; a fresh report goes before the list.
+func (d *Desk) serves(q *Query, s *catalog.Service, u *facts.Instance) (id.Revision, bool) {
+	if s.Engine == nil {
+		return 0, true
+	}
+	held := u.Held
+	l, ok := d.Load.Tracker.Report(u)
+	switch {
+	case ok && l.Closed:
+		q.reckoning.out.closed++
+		return 0, false
+	case ok && l.Down:
+		q.reckoning.out.down++
+		return 0, false
+	case ok:
+		held = l.Held
+	case u.Born.Before(l.Born):
+		// The list has the upstream as it was before it started again.
+		held = nil
+	}
+	if q.Model == "" {
+		return 0, true
+	}
+	r := facts.Revision(held, q.Model)
+	if r == 0 {
+		q.reckoning.out.empty++
+	}
+	return r, r > 0
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -52,9 +52,7 @@
 	first     time.Duration
 	upstream  string
 	reckoning reckoning
-	// newest is the newest version of the model that is known to have been named.
-	newest id.Revision
-	retry  time.Duration
+	retry     time.Duration
 }
 
 // ServeHTTP implements http.Handler.
@@ -181,17 +179,23 @@
 
 // again says whether the request may be offered to another upstream after a failure.
 func (f *flight) again(ctx context.Context, p *problem) bool {
-	switch {
-	case ctx.Err() != nil || p.final || !f.attemptsLeft():
+	if ctx.Err() != nil || p.final || !f.attemptsLeft() || !Repeatable(f.route, len(f.tried), p.notRun, f.headSent) {
 		return false
-	case len(f.tried) > mostTries:
+	}
+	return f.attempts == 0 || f.gateway.budget.Take(f.pool)
+}
+
+// Repeatable says whether what failed at an upstream may be offered to another one, as far as the route and the tries tell.
+func Repeatable(r *catalog.Route, tried int, notRun, headSent bool) bool {
+	switch {
+	case tried > mostTries:
 		return false
-	case !p.notRun && !f.route.Idempotent():
+	case !notRun && !r.Idempotent():
 		return false
-	case f.headSent && !f.route.Resumable:
+	case headSent && !r.Resumable:
 		return false
 	}
-	return f.attempts == 0 || f.gateway.budget.Take(f.pool)
+	return true
 }
 
 // mostTries bounds the upstreams that one request is offered to, those that took no connection included.
