swapplan: the times of a change-over are beside its plan

They were the stager's own, so that a play of change-overs would have had to copy them. Values as before; lastSends stands as 250 ms instead of a report's 200 ms and 50 ms.

--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -10,6 +10,7 @@
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/swapplan"
 	"github.com/springrail/springrail/internal/transfer"
 )
 
@@ -97,7 +98,7 @@
 		return
 	}
 	left := s.now().Sub(g.wanted.Learnt) / time.Duration(held) * time.Duration(all-held)
-	if left <= lastSends {
+	if left <= swapplan.LastSends {
 		g.closedAhead = true
 		s.setClosed(true)
 	}
@@ -163,13 +164,6 @@
 }
 
 const (
-	// drainMost is how long an upstream that gets no new requests is given to finish those that run. Most do in a
-	// second; waiting for the longest would leave it almost idle for up to four.
-	drainMost = 900 * time.Millisecond
-	// lastSends is how long requests may still arrive that were sent before the gateways knew: one more report in case
-	// the first was lost, and the way on a link that is shared with chunks. An upstream that freezes in the moment of an
-	// order begins what waits there when it wakes, on the older version.
-	lastSends = reportEvery + 50*time.Millisecond
 	// loadTimeout is how long an order may take: requests run for up to 6 s, and loading takes less than one.
 	loadTimeout = 9 * time.Second
 )
@@ -179,8 +173,8 @@
 	s.mu.Lock()
 	closedAt := s.closedAt
 	s.mu.Unlock()
-	until := closedAt.Add(drainMost)
-	kernel.Pause(ctx, closedAt.Add(lastSends).Sub(s.now()))
+	until := closedAt.Add(swapplan.DrainMost)
+	kernel.Pause(ctx, closedAt.Add(swapplan.LastSends).Sub(s.now()))
 	for ctx.Err() == nil && s.now().Before(until) {
 		state, err := s.ports.Upstream.State(ctx)
 		if err != nil || done(state) {
--- a/internal/stager/plan.go
+++ b/internal/stager/plan.go
@@ -11,18 +11,6 @@
 	"github.com/springrail/springrail/internal/swapplan"
 )
 
-const (
-	// cutBefore is the time before a version's end from which on its requests are not cut any more: others that serve it
-	// could not let them in before its time is over.
-	cutBefore = 3 * time.Second
-	// closeBefore is the time before a version's end at which its last upstream stops taking requests; gateways stop
-	// sending to it then.
-	closeBefore = time.Second
-	// loadTakes is how long a change-over takes from the last request to the first before one has been observed: the
-	// drain, the order and the load of the users' engines.
-	loadTakes = 1300 * time.Millisecond
-)
-
 // view is what the plan for this upstream rests on, and whether there is anything to plan: an upstream that gets no
 // requests as it is may load at once.
 func (s *Stager) view(g *goal, staged time.Time) (swapplan.View, bool) {
@@ -32,7 +20,7 @@
 	if held == 0 || until.IsZero() || g.wanted.Learnt.IsZero() {
 		return swapplan.View{}, false
 	}
-	v := swapplan.View{Staged: staged, HeldUntil: until.Add(-closeBefore), Out: s.expectedOut()}
+	v := swapplan.View{Staged: staged, HeldUntil: until.Add(-swapplan.CloseBefore), Out: s.expectedOut()}
 	vms := []id.VM{s.env.Self.VM}
 	for _, i := range s.facts.Instances() {
 		if i.Pool != g.pool || i.Domain != s.env.Self.Domain || i.Address == s.ports.Address {
@@ -43,7 +31,7 @@
 		if other == 0 || other >= held {
 			continue
 		}
-		if end := s.facts.Until(g.model, other, s.settings.SwapWithin).Add(-closeBefore); end.After(v.OlderUntil) {
+		if end := s.facts.Until(g.model, other, s.settings.SwapWithin).Add(-swapplan.CloseBefore); end.After(v.OlderUntil) {
 			v.OlderUntil = end
 		}
 	}
@@ -84,28 +72,22 @@
 		wait := swapplan.LoadAt(v).Sub(s.now())
 		needless := s.use(g, &v) == swapplan.Needless
 		if wait <= 0 && !needless {
-			return v.HeldUntil.Add(closeBefore).Sub(s.now()) > cutBefore
+			return v.HeldUntil.Add(swapplan.CloseBefore).Sub(s.now()) > swapplan.CutBefore
 		}
 		if needless {
-			wait = turnLook
+			wait = swapplan.TurnLook
 		}
-		kernel.Pause(ctx, min(wait, turnLook))
+		kernel.Pause(ctx, min(wait, swapplan.TurnLook))
 	}
 	return false
 }
 
-// turnLook is how often a waiting upstream looks at its plan again: others load, and the load changes.
-const turnLook = 200 * time.Millisecond
-
-// outWeight is the weight of the newest change-over in the time that one is expected to take.
-const outWeight = 0.5
-
 // noteOut learns how long a change-over has kept this upstream from taking requests.
 func (s *Stager) noteOut() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	took := s.now().Sub(s.closedAt)
-	s.out += time.Duration(outWeight * float64(took-s.out))
+	s.out += time.Duration(swapplan.OutWeight * float64(took-s.out))
 }
 
 // expectedOut is how long a change-over is expected to take.
--- a/internal/stager/plan_test.go
+++ b/internal/stager/plan_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/swapplan"
 	"github.com/springrail/springrail/internal/swarm"
 )
 
@@ -24,7 +25,7 @@
 			address := string(rune('a' + i))
 			s := &Stager{
 				facts: f, ports: &Ports{Address: address}, now: func() time.Time { return now },
-				settings: &Settings{SwapWithin: 8 * time.Second}, out: loadTakes, state: State{Held: []facts.Held{{Model: "m", Revision: 1}}},
+				settings: &Settings{SwapWithin: 8 * time.Second}, out: swapplan.LoadTakes, state: State{Held: []facts.Held{{Model: "m", Revision: 1}}},
 			}
 			s.env.Self = swarm.Member{VM: id.VM(address), Domain: "d"}
 			g := &goal{model: "m", pool: "p", wanted: f.Wanted("m")}
@@ -33,7 +34,7 @@
 		Expect(at).To(HaveLen(9))
 		for d, n := range at {
 			Expect(n).To(Equal(1))
-			Expect(d).To(And(BeNumerically(">=", 3*time.Second), BeNumerically("<=", 8*time.Second-closeBefore)))
+			Expect(d).To(And(BeNumerically(">=", 3*time.Second), BeNumerically("<=", 8*time.Second-swapplan.CloseBefore)))
 		}
 	})
 
@@ -60,9 +61,9 @@
 		e := newEngine()
 		s, f := start(e, 4*time.Second)
 		Eventually(e.serves).WithTimeout(soon).Should(Equal(id.Revision(1)))
-		Expect(s.expectedOut()).To(Equal(loadTakes))
+		Expect(s.expectedOut()).To(Equal(swapplan.LoadTakes))
 		f.SetWanted("m", named(2))
 		Eventually(e.serves).WithTimeout(soon).Should(Equal(id.Revision(2)))
-		Eventually(s.expectedOut).WithTimeout(soon).Should(BeNumerically("<", loadTakes), "nothing ran here, so it was quick")
+		Eventually(s.expectedOut).WithTimeout(soon).Should(BeNumerically("<", swapplan.LoadTakes), "nothing ran here, so it was quick")
 	})
 })
--- /dev/null
+++ b/internal/swapplan/times.go
@@ -0,0 +1,26 @@
+package swapplan
+
+import "time"
+
+const (
+	// CutBefore is the time before a version's end from which on its requests are not cut any more: others that serve it
+	// could not let them in before its time is over.
+	CutBefore = 3 * time.Second
+	// CloseBefore is the time before a version's end at which its last upstream stops taking requests; gateways stop
+	// sending to it then.
+	CloseBefore = time.Second
+	// LoadTakes is how long a change-over takes from the last request to the first before one has been observed: the
+	// drain, the order and the load of the users' engines.
+	LoadTakes = 1300 * time.Millisecond
+	// TurnLook is how often a waiting upstream looks at its plan again: others load, and the load changes.
+	TurnLook = 200 * time.Millisecond
+	// OutWeight is the weight of the newest change-over in the time that one is expected to take.
+	OutWeight = 0.5
+	// DrainMost is how long an upstream that gets no new requests is given to finish those that run. Most do in a
+	// second; waiting for the longest would leave it almost idle for up to four.
+	DrainMost = 900 * time.Millisecond
+	// LastSends is how long requests may still arrive that were sent before the gateways knew: one more report, which comes
+	// after 200 ms, in case the first was lost, and the way on a link that is shared with chunks. An upstream that freezes in
+	// the moment of an order begins what waits there when it wakes, on the older version.
+	LastSends = 250 * time.Millisecond
+)
