facts, placement: what is decided hangs on the random source alone

The list of upstreams and the crowds of a layout came in the order of a map, so the same view and the same seed chose otherwise each time. The list is sorted by address when it is made after a change, the crowds by name.

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -356,6 +357,8 @@
 	for _, i := range holder {
 		l = append(l, f.effective(i))
 	}
+	// The order of a map is random beyond any seed, and a play in virtual time must repeat; a gateway's choice draws its own luck.
+	slices.SortFunc(l, func(a, b *Instance) int { return strings.Compare(a.Address, b.Address) })
 	return l
 }
 
--- a/internal/placement/outlook.go
+++ b/internal/placement/outlook.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -274,6 +275,8 @@
 		}
 		l = append(l, crowd{domain: d, total: n})
 	}
+	// The order of a map is random beyond the random source, and of equal crowds the first is laid out first.
+	slices.SortFunc(l[1:], func(a, b crowd) int { return strings.Compare(string(a.domain), string(b.domain)) })
 	if late == w.Late {
 		l[0].total++
 	}
