--- /dev/null
+++ b/internal/decide/version.go
@@ -0,0 +1,238 @@
+package decide
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/springrail/springrail/internal/dating"
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/rendezvous"
+	"github.com/springrail/springrail/internal/swapplan"
+)
+
+// coming is the transfer of a version to an engine.
+type coming struct {
+	revision       id.Revision
+	named          time.Time
+	begins, staged time.Duration
+}
+
+// swap is an engine's stager as far as it changes versions over.
+type swap struct {
+	coming   []coming
+	stagedAt time.Time
+	// out is how long a change-over takes, as learnt; closedAt is when the last one began.
+	out      time.Duration
+	closedAt time.Duration
+	waiting  *alarm
+	step     *alarm
+	// order is what the engine was told to load, and waits says that it finishes what runs before.
+	order id.Revision
+}
+
+// servedLook is how often a stager looks whether its upstream has finished.
+const servedLook = 50 * time.Millisecond
+
+// bringOut names a version, and has it come to the engines one after the other.
+func (p *play) bringOut(r id.Revision, v *Version, random *rand.Rand) {
+	at := seconds(v.Named)
+	named := p.start.Add(at)
+	p.on(at+ms(p.scenario.Reports.NewsMs), func() {
+		n := facts.Naming{Revision: r, Date: dating.Bracket{After: named}, Missed: named}
+		p.news.SetWanted(model, n)
+		for _, d := range p.doors {
+			d.facts.SetWanted(model, n)
+		}
+	})
+	order := random.Perm(len(p.engines))
+	for i, n := range order {
+		e := p.engines[n]
+		share := float64(i+1) / float64(len(order))
+		c := coming{revision: r, named: named, begins: at, staged: at + seconds(v.First+share*(v.Last-v.First))}
+		e.coming = append(e.coming, c)
+		p.on(c.staged, func() { e.stage(c) })
+	}
+}
+
+// stage is a version that lies whole beside the engine.
+func (e *engine) stage(c coming) {
+	if c.revision <= e.staged {
+		return
+	}
+	e.staged, e.stagedAt = c.revision, e.play.now()
+	e.turn()
+}
+
+// turn waits until the engine may leave its version for what is staged.
+func (e *engine) turn() {
+	p := e.play
+	e.waiting.stop()
+	if !e.up || e.closed || e.held == 0 || e.staged <= e.held {
+		return
+	}
+	v, ok := e.view()
+	if !ok || p.way.atOnce {
+		e.close(p.news.Until(model, e.held, seconds(p.scenario.SwapWithin)))
+		return
+	}
+	wait := swapplan.LoadAt(v).Sub(p.now())
+	needless := e.use(&v) == swapplan.Needless
+	if wait <= 0 && !needless {
+		e.close(v.HeldUntil.Add(swapplan.CloseBefore))
+		return
+	}
+	if needless {
+		wait = swapplan.TurnLook
+	}
+	e.waiting = p.after(min(wait, swapplan.TurnLook), e.turn)
+}
+
+// view is what the plan of the change-over rests on.
+func (e *engine) view() (swapplan.View, bool) {
+	p := e.play
+	within := seconds(p.scenario.SwapWithin)
+	until := p.news.Until(model, e.held, within)
+	if until.IsZero() {
+		return swapplan.View{}, false
+	}
+	v := swapplan.View{Staged: e.stagedAt, HeldUntil: until.Add(-swapplan.CloseBefore), Out: e.usualOut()}
+	vms := []id.VM{id.VM(e.address)}
+	for _, o := range p.engines {
+		if o == e || o.domain != e.domain {
+			continue
+		}
+		vms = append(vms, id.VM(o.address))
+		if o.held == 0 || o.held >= e.held {
+			continue
+		}
+		if end := p.news.Until(model, o.held, within).Add(-swapplan.CloseBefore); end.After(v.OlderUntil) {
+			v.OlderUntil = end
+		}
+	}
+	v.Rank, v.Size = rendezvous.Rank(fmt.Sprintf("%s@%d", model, e.staged), vms, id.VM(e.address)), len(vms)
+	v.Bridge = e.use(&v) == swapplan.Bridges
+	return v, true
+}
+
+// use is what the staged version is still good for.
+func (e *engine) use(v *swapplan.View) swapplan.Use {
+	p := e.play
+	for _, c := range e.coming {
+		if c.revision <= e.staged || p.at < c.begins+ms(p.scenario.Reports.NewsMs) {
+			continue
+		}
+		const all = 1000
+		share := float64(p.at-c.begins) / float64(max(1, c.staged-c.begins))
+		n := swapplan.Next{Begun: p.start.Add(c.begins), Held: int(min(1, share) * all), All: all, Usual: e.usualTransfer()}
+		return swapplan.UseOf(v.HeldUntil, v.Out, n, p.now())
+	}
+	return swapplan.Needed
+}
+
+// usualTransfer is how long the staged version took to come.
+func (e *engine) usualTransfer() time.Duration {
+	for _, c := range e.coming {
+		if c.revision == e.staged {
+			return c.staged - c.begins
+		}
+	}
+	return 0
+}
+
+func (e *engine) usualOut() time.Duration {
+	if e.out == 0 {
+		return swapplan.LoadTakes
+	}
+	return e.out
+}
+
+// close lets nothing more in, and has the version loaded once what was let in is done, or after a while.
+func (e *engine) close(until time.Time) {
+	p := e.play
+	cut := until.Sub(p.now()) > swapplan.CutBefore
+	e.closed, e.closedAt, e.order = true, p.at, e.staged
+	e.urgent()
+	e.step = p.after(swapplan.LastSends, func() { e.drain(cut) })
+}
+
+// drain waits for what runs, or for what waits where nothing is cut.
+func (e *engine) drain(cut bool) {
+	p := e.play
+	writers := 0
+	for _, j := range e.places {
+		if j.writing && !j.gone {
+			writers++
+		}
+	}
+	waiting := len(e.queue) + len(e.places) - writers
+	done := waiting == 0 && (!cut || writers == 0)
+	if !done && p.at < e.closedAt+swapplan.DrainMost {
+		e.step = p.after(servedLook, func() { e.drain(cut) })
+		return
+	}
+	e.loading = true
+	queue := e.queue
+	e.queue = nil
+	for _, j := range queue {
+		j.send.refused()
+	}
+	if cut {
+		for _, j := range e.places {
+			j.gone = true
+			if j.writing {
+				j.send.cut()
+				continue
+			}
+			j.send.refused()
+		}
+	}
+	if !e.busy {
+		e.clear()
+	}
+	e.idle()
+}
+
+// idle loads the ordered version once nothing runs any more.
+func (e *engine) idle() {
+	if !e.loading || e.busy || len(e.places) > 0 || e.order == 0 {
+		return
+	}
+	r := e.order
+	e.order = 0
+	e.step = e.play.after(ms(e.play.scenario.Engine.WarmMs), func() { e.loaded(r) })
+}
+
+// loaded serves the version.
+func (e *engine) loaded(r id.Revision) {
+	p := e.play
+	e.held, e.closed, e.loading = r, false, false
+	took := p.at - e.closedAt
+	e.out = e.usualOut() + time.Duration(swapplan.OutWeight*float64(took-e.usualOut()))
+	e.urgent()
+	e.kick()
+	e.turn()
+}
+
+// stopSwap forgets a change-over that a crash has ended.
+func (e *engine) stopSwap() {
+	e.waiting.stop()
+	e.step.stop()
+	e.order = 0
+}
+
+// overdue says whether the engine's version may take no new requests any more.
+func (e *engine) overdue() bool {
+	until := e.play.news.Until(model, e.held, seconds(e.play.scenario.SwapWithin))
+	return !until.IsZero() && e.play.now().After(until)
+}
+
+// crash ends a share of the engines for a time.
+func (p *play) crash(c Crash, random *rand.Rand) {
+	for _, n := range random.Perm(len(p.engines))[:int(c.Share*float64(len(p.engines))+0.5)] {
+		e := p.engines[n]
+		p.on(seconds(c.At), e.crashed)
+		p.on(seconds(c.At+c.For), e.back)
+	}
+}
--- /dev/null
+++ b/internal/measure/decide.go
@@ -0,0 +1,164 @@
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"sort"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/gravitational/trace"
+
+	"github.com/springrail/springrail/internal/decide"
+)
+
+// decideFlags are the arguments of the command decide.
+type decideFlags struct {
+	scenarios []string
+	ways      []string
+	against   string
+	seed      uint64
+	seeds     int
+	jobs      int
+	plot      string
+	json      bool
+}
+
+// decideRun is the JSON of one scenario.
+type decideRun struct {
+	Scenario    string              `json:"scenario"`
+	Differences []decide.Difference `json:"differences"`
+	Results     [][]*decide.Result  `json:"results"`
+}
+
+type decideRuns struct {
+	Runs []*decideRun `json:"runs"`
+}
+
+func decideCommand(c *kingpin.CmdClause) func(ctx context.Context, w io.Writer) error {
+	f := &decideFlags{}
+	var names []string
+	for _, w := range decide.Ways() {
+		names = append(names, w.Name)
+	}
+	c.Flag("scenario", "File of a scenario; may be given again.").Required().StringsVar(&f.scenarios)
+	c.Flag("way", "A way to decide: "+strings.Join(names, ", ")+"; may be given again. None takes all.").EnumsVar(&f.ways, names...)
+	c.Flag("against", "The way that the others are held against.").Default(names[0]).EnumVar(&f.against, names...)
+	c.Flag("seed", "First seed; each way plays the same ones.").Default("1").Uint64Var(&f.seed)
+	c.Flag("seeds", "Number of seeds.").Default("20").IntVar(&f.seeds)
+	c.Flag("jobs", "Plays at one time.").Default("2").IntVar(&f.jobs)
+	c.Flag("plot", "File for a plot of the last scenario by second, ending in .svg.").StringVar(&f.plot)
+	c.Flag("json", "Print JSON.").BoolVar(&f.json)
+	return f.run
+}
+
+// list is the ways to play, the one that the others are held against first.
+func (f *decideFlags) list() []*decide.Way {
+	names := f.ways
+	if len(names) == 0 {
+		for _, w := range decide.Ways() {
+			names = append(names, w.Name)
+		}
+	}
+	l := []*decide.Way{decide.WayOf(f.against)}
+	for _, n := range names {
+		if n != f.against {
+			l = append(l, decide.WayOf(n))
+		}
+	}
+	return l
+}
+
+func (f *decideFlags) run(ctx context.Context, w io.Writer) error {
+	var all decideRuns
+	for _, file := range f.scenarios {
+		s, err := decide.Load(file)
+		if err != nil {
+			return err
+		}
+		rows, err := decide.Run(ctx, s, f.list(), f.seed, max(1, f.seeds), f.jobs)
+		if err != nil {
+			return err
+		}
+		r := &decideRun{Scenario: s.Name, Results: rows}
+		for _, l := range rows {
+			r.Differences = append(r.Differences, decide.Pair(rows[0], l))
+		}
+		all.Runs = append(all.Runs, r)
+		if !f.json {
+			r.print(w)
+		}
+	}
+	if f.plot != "" {
+		if err := all.Runs[len(all.Runs)-1].plot(f.plot); err != nil {
+			return err
+		}
+	}
+	if f.json {
+		return trace.Wrap(json.NewEncoder(w).Encode(all))
+	}
+	return nil
+}
+
+// print writes a scenario's table: each way's worth, its difference from the first by the same seeds, and means of what makes it up.
+func (r *decideRun) print(out io.Writer) {
+	fmt.Fprintf(out, "%s, %d seeds\n", r.Scenario, r.Differences[0].Seeds)
+	t := tabwriter.NewWriter(out, 9, 0, 1, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "way\tworth\tdifference\t95% within\twhole\twindows\tkind\tdomain\tin time\tlate\trefused\tp50 ms\tp95 ms\tpredicted\tbusiest\ton over\t")
+	for i, d := range r.Differences {
+		m := decideMean(r.Results[i])
+		fmt.Fprintf(t, "%s\t%.3f\t%+.4f\t%.4f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.2f\t%.2f\t%d\t\n", d.Way, d.Worth, d.Mean, d.Half,
+			m.Whole, m.Window, m.Kind, m.Domain, m.InTime, m.Late, m.Refused, m.FirstMs["p50"], m.FirstMs["p95"], m.Prediction, m.Busiest, m.OnOver)
+	}
+	_ = t.Flush()
+	fmt.Fprintln(out)
+}
+
+// decideMean is the mean of a way's results; what counts events is their sum.
+func decideMean(l []*decide.Result) *decide.Result {
+	m := &decide.Result{FirstMs: map[string]float64{}}
+	n := float64(len(l))
+	for _, r := range l {
+		for _, x := range []struct {
+			sum *float64
+			add float64
+		}{
+			{&m.Whole, r.Whole}, {&m.Window, r.Window}, {&m.Kind, r.Kind}, {&m.Domain, r.Domain}, {&m.InTime, r.InTime}, {&m.Late, r.Late},
+			{&m.Refused, r.Refused}, {&m.Prediction, r.Prediction}, {&m.Busiest, r.Busiest},
+		} {
+			*x.sum += x.add / n
+		}
+		for k, v := range r.FirstMs {
+			m.FirstMs[k] += v / n
+		}
+		m.OnOver += r.OnOver
+		m.Seconds = decideAdd(m.Seconds, r.Seconds, n)
+	}
+	return m
+}
+
+// decideAdd adds an n-th of each second.
+func decideAdd(sum, l []float64, n float64) []float64 {
+	for len(sum) < len(l) {
+		sum = append(sum, 0)
+	}
+	for i, x := range l {
+		sum[i] += x / n
+	}
+	return sum
+}
+
+// decideWorst are the ways that a plot shows beside the first: those that differ most.
+func (r *decideRun) decideWorst() []int {
+	const most = 5
+	l := make([]int, 0, len(r.Differences))
+	for i := 1; i < len(r.Differences); i++ {
+		l = append(l, i)
+	}
+	sort.SliceStable(l, func(a, b int) bool { return math.Abs(r.Differences[l[a]].Mean) > math.Abs(r.Differences[l[b]].Mean) })
+	return append([]int{0}, l[:min(most, len(l))]...)
+}
--- a/internal/measure/main.go
+++ b/internal/measure/main.go
@@ -33,6 +33,7 @@
 		"config": configCommand(a.Command("config", "Time until a change is in force, its cost, and recovery.")),
 		"burst":  burstCommand(a.Command("burst", "Time until a version is on N VMs, and the origin's bytes.")),
 		"news":   newsCommand(a.Command("news", "Time until all processes know a change of the list or the configuration.")),
+		"decide": decideCommand(a.Command("decide", "Ways to decide where requests go, held against each other on a model in virtual time.")),
 	}
 	stopped := false
 	a.Terminate(func(int) { stopped = true })
