--- a/internal/decide/version.go
+++ b/internal/decide/version.go
@@ -151,7 +151,7 @@
 // close lets nothing more in, and has the version loaded once what was let in is done, or after a while.
 func (e *engine) close(until time.Time) {
 	p := e.play
-	cut := until.Sub(p.now()) > swapplan.CutBefore
+	cut := until.Sub(p.now()) > swapplan.CutBefore && !p.way.uncut
 	e.closed, e.closedAt, e.order = true, p.at, e.staged
 	e.urgent()
 	e.step = p.after(swapplan.LastSends, func() { e.drain(cut) })
@@ -168,7 +168,7 @@
 	}
 	waiting := len(e.queue) + len(e.places) - writers
 	done := waiting == 0 && (!cut || writers == 0)
-	if !done && p.at < e.closedAt+swapplan.DrainMost {
+	if !done && p.at < e.closedAt+p.way.drainMost() {
 		e.step = p.after(servedLook, func() { e.drain(cut) })
 		return
 	}
@@ -194,6 +194,14 @@
 	e.idle()
 }
 
+// drainMost is how long an engine is given to finish what runs.
+func (w *Way) drainMost() time.Duration {
+	if w.drain > 0 {
+		return time.Duration(w.drain * float64(swapplan.DrainMost))
+	}
+	return swapplan.DrainMost
+}
+
 // idle loads the ordered version once nothing runs any more.
 func (e *engine) idle() {
 	if !e.loading || e.busy || len(e.places) > 0 || e.order == 0 {
--- a/internal/decide/way.go
+++ b/internal/decide/way.go
@@ -19,6 +19,9 @@
 	reportEvery float64
 	// forgetLost takes second tries for first ones, and atOnce loads a version as soon as it is there.
 	forgetLost, atOnce bool
+	// drain multiplies the time that an upstream is given to finish what runs, where above 0, and uncut lets it finish all.
+	drain float64
+	uncut bool
 }
 
 // Ways are all that can be compared; the first is the code as it stands.
@@ -39,6 +42,9 @@
 		{Name: "reports-twice", Text: "reports twice as often", reportEvery: 0.5},
 		{Name: "no-crossing-cost", Text: "a send beyond the failure domain costs nothing", bend: noCrossingCost},
 		{Name: "slowness", Text: "predictions times the running mean of observed over predicted times", bend: slowness},
+		{Name: "drain-half", Text: "half the time to finish what runs before a load", drain: 0.5},
+		{Name: "drain-tenth", Text: "a tenth of the time to finish what runs before a load", drain: 0.1},
+		{Name: "never-cut", Text: "upstreams finish all that runs before a load", uncut: true},
 		{Name: "no-suspects", Text: "upstreams that failed are first choices", bend: noSuspects},
 	}
 }
