--- a/internal/gateway/reckoning.go
+++ b/internal/gateway/reckoning.go
@@ -30,6 +30,12 @@
 	}
 }
 
+// swapRetry is when a caller may come back where no upstream is left: upstreams that were left out for their older version are closed, and
+// load, when its time is over at the latest. It guards against callers that come back into the same seconds of a swap.
+func (k *reckoning) swapRetry(now time.Time) time.Duration {
+	return max(placement.NoUpstreamRetry, k.until.Sub(now))
+}
+
 // leftOut counts the upstreams of the pool that could not be chosen, each under the first reason that held.
 type leftOut struct {
 	// leaving ones are about to end, closed ones about to load weights, down ones silent towards their stager.
