reports: beyond the own failure domain two gateways subscribe and pass on to the others

Change: for each upstream beyond it, a failure domain's gateways are ordered by rendezvous. The first two subscribe: the first passes each report on, the second what is urgent at once and the rest where the first has not within 0.2 s. Who hears nothing for 1.6 s subscribes itself and gets the next report, 0.2 s later. Domains with fewer than four gateways, pools without a stager in the own domain, gateways that want each report and those beside older processes subscribe directly as before. A subscription tells what the whole domain brings and how many gateways it has; the stager counts the larger figure. A relay passes on only what its own stamp proves to be newer than 2.5 s, and nothing for 0.7 s after it was frozen; a copy has no echo and no age of the weights named.

--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -18,6 +18,7 @@
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/placement"
 	"github.com/springrail/springrail/internal/traffic"
 )
 
@@ -57,7 +58,8 @@
 	vars        *expvar.Map
 	incarnation uint64
 	// sent is told of each report.
-	sent func(to id.Domain, bytes int)
+	sent  func(to id.Domain, bytes int)
+	write func(b []byte, to *net.UDPAddr) error
 
 	mu          sync.Mutex
 	number      uint64
@@ -78,18 +80,23 @@
 	domain id.Domain
 	// each is true of a gateway that wants every report although it is in another failure domain.
 	each bool
-	// offered and offeredLate are the requests a second that it says callers bring.
-	offered, offeredLate float64
 	// stamp is its newest one, and stamped when that came.
 	stamp   uint64
 	stamped time.Time
+	// fresh is true until the first report has gone to it: one that others no longer pass reports on to asks for itself, and waits for
+	// the next report and not for up to farTime.
+	fresh bool
+	// offered is what it says that callers bring to it; whole and gateways are what it says of its failure domain.
+	offered  placement.Offered
+	whole    placement.Offered
+	gateways int
 }
 
 // NewReporter makes a reporter of a failure domain over a socket.
 func NewReporter(c *net.UDPConn, d id.Domain, f *facts.Facts, now func() time.Time, l *log.Logger) *Reporter {
 	return &Reporter{
 		conn: c, domain: d, facts: f, now: now, log: l, vars: new(expvar.Map), incarnation: rand.Uint64() | 1,
-		subscribers: map[string]subscriber{}, sent: func(id.Domain, int) {},
+		subscribers: map[string]subscriber{}, sent: func(id.Domain, int) {}, write: writer(c),
 	}
 }
 
@@ -124,18 +131,25 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, known := r.subscribers[s.GetSender()]; !known && len(r.subscribers) >= maxSubscribers {
+	old, known := r.subscribers[s.GetSender()]
+	if !known && len(r.subscribers) >= maxSubscribers {
 		r.vars.Add("refused", 1)
 		return
 	}
-	old := r.subscribers[s.GetSender()]
-	r.retell = r.retell || math.Abs(old.offered-s.GetOffered()) > offerLeast+offerChange*old.offered
+	r.retell = r.retell || jumps(old.offered.First, s.GetOffered()) || jumps(old.whole.First, s.GetDomainOffered())
 	r.subscribers[s.GetSender()] = subscriber{
 		to: to, until: r.now().Add(subscriptionLife), near: near, domain: id.Domain(s.GetDomain()), each: s.GetEach(),
-		offered: max(0, s.GetOffered()), offeredLate: max(0, s.GetOfferedLate()), stamp: s.GetStamp(), stamped: r.now(),
+		fresh: !known || old.fresh, gateways: min(int(s.GetDomainGateways()), maxSubscribers), stamp: s.GetStamp(), stamped: r.now(),
+		offered: placement.Offered{First: max(0, s.GetOffered()), Late: max(0, s.GetOfferedLate())},
+		whole:   placement.Offered{First: max(0, s.GetDomainOffered()), Late: max(0, s.GetDomainOfferedLate())},
 	}
 }
 
+// jumps says whether what callers bring has changed so much that it is told at once.
+func jumps(before, after float64) bool {
+	return math.Abs(before-after) > offerLeast+offerChange*before
+}
+
 const (
 	// farEvery is the number of reports of which one goes to the gateways of other failure domains: one a second, as that is how often a
 	// report tells the demand. A gateway rarely chooses beyond its own domain; one that does asks for each. Bytes between regions on a quiet day
@@ -161,28 +175,34 @@
 	}
 	r.number++
 	p.ConfigOffset, _ = r.facts.Hearing()
-	p.Incarnation, p.Number, p.Subscribers = r.incarnation, r.number, uint32(len(r.subscribers))
+	sums := r.sums()
+	p.Incarnation, p.Number, p.Subscribers, p.Sums = r.incarnation, r.number, gateways(sums), true
 	p.Words = r.words(p.GetAddress(), now)
 	r.noteChange(p, now)
 	toAll := r.urgent > 0 || r.number%farEvery == 0
+	p.Urgent = r.urgent > 0
 	r.urgent = max(0, r.urgent-1)
 	if r.number%nameEvery == 0 || r.retell {
 		r.retell = false
-		p.Demand = r.demand()
+		p.Demand = tell(sums)
 	}
 	t, ok := r.texts(p)
 	if !ok {
 		return
 	}
-	for _, s := range r.subscribers {
+	for name, s := range r.subscribers {
 		switch {
 		case s.near:
 			r.send(&s, t.near, made)
 		case s.each:
 			r.send(&s, t.each, made)
-		case toAll:
+		case toAll || s.fresh:
 			r.send(&s, t.far, made)
 		}
+		if s.fresh {
+			s.fresh = false
+			r.subscribers[name] = s
+		}
 	}
 }
 
@@ -213,7 +233,7 @@
 		// A stamp that came while this process stood still within a report would make its ages count from after them.
 		text = withEcho(text, s.stamp)
 	}
-	if _, err := r.conn.WriteToUDP(text, s.to); err != nil {
+	if err := r.write(text, s.to); err != nil {
 		r.vars.Add("send_failed", 1)
 		return
 	}
@@ -262,9 +282,6 @@
 // a failure domain.
 const mostNamed = 64
 
-// mostDomains bounds the failure domains whose demand a report tells; the users' target has 8.
-const mostDomains = 16
-
 // naming adds the gateways of the own failure domain to a report; the caller holds the lock.
 func (r *Reporter) naming(p *pb.UpstreamReport) {
 	for name, s := range r.subscribers {
@@ -274,26 +291,6 @@
 	}
 }
 
-// demand adds up by failure domain what the subscribers say that callers bring; the caller holds the lock.
-func (r *Reporter) demand() []*pb.Demand {
-	by := map[id.Domain]*pb.Demand{}
-	var l []*pb.Demand
-	for _, s := range r.subscribers {
-		d := by[s.domain]
-		if d == nil {
-			if len(l) >= mostDomains {
-				continue
-			}
-			d = &pb.Demand{Domain: string(s.domain)}
-			by[s.domain] = d
-			l = append(l, d)
-		}
-		d.Offered += s.offered
-		d.OfferedLate += s.offeredLate
-	}
-	return l
-}
-
 func (r *Reporter) encode(p *pb.UpstreamReport) ([]byte, bool) {
 	b, err := proto.Marshal(p)
 	if err != nil {
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -207,7 +207,7 @@
 	b, _ = proto.Marshal(&pb.UpstreamReport{Address: "a", Incarnation: 1, Number: 2, Words: []*pb.ListWord{{Instance: "i", Left: true}}})
 	f.Add(b)
 	s := &Subscriber{facts: facts.New(time.Now), stagers: map[string]*heard{}, now: time.Now,
-		log: quiet, tracker: placement.NewTracker(time.Now), vars: new(expvar.Map)}
+		log: quiet, tracker: placement.NewTracker(time.Now), vars: new(expvar.Map), relay: newRelay("g", time.Now)}
 	f.Fuzz(func(_ *testing.T, b []byte) { s.take(b) })
 }
 
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"expvar"
-	"math"
 	"net"
 	"sync"
 	"time"
@@ -69,6 +68,7 @@
 			r := NewSubscriber(c, s.Port, h.Identity.Domain, h.Part(facts.PartName).(*facts.Facts), time.Now, h.Log)
 			t := h.Part(traffic.PartName).(*traffic.Part).Counter
 			r.sent = func(to id.Domain, bytes int) { t.Datagram(traffic.Subscriptions, to, bytes) }
+			r.passed = func(bytes int) { t.Datagram(traffic.Relayed, h.Identity.Domain, bytes) }
 			h.Metric("reports", r.vars)
 			return r, nil
 		},
@@ -84,9 +84,19 @@
 	return c, trace.Wrap(err)
 }
 
+// writer sends datagrams over a socket.
+func writer(c *net.UDPConn) func(b []byte, to *net.UDPAddr) error {
+	return func(b []byte, to *net.UDPAddr) error {
+		_, err := c.WriteToUDP(b, to)
+		return trace.Wrap(err)
+	}
+}
+
 // Subscriber is a gateway's end.
 type Subscriber struct {
-	conn    *net.UDPConn
+	conn *net.UDPConn
+	// name is the address that reports come to, by which others know this process.
+	name    string
 	port    int
 	domain  id.Domain
 	facts   *facts.Facts
@@ -96,8 +106,12 @@
 	log     *log.Logger
 	vars    *expvar.Map
 	stamps  stamps
-	// sent is told of each subscription.
-	sent func(to id.Domain, bytes int)
+	// relay is who passes on the reports from beyond the failure domain.
+	relay *relay
+	// sent is told of each subscription, and passed of each report that is passed on.
+	sent   func(to id.Domain, bytes int)
+	passed func(bytes int)
+	write  func(b []byte, to *net.UDPAddr) error
 
 	// refusedLines bounds the lines on dates that can't be right.
 	refusedLines *rate.Limiter
@@ -109,12 +123,16 @@
 
 // NewSubscriber makes a subscriber of a failure domain over a socket; port is that of the stagers.
 func NewSubscriber(c *net.UDPConn, port int, d id.Domain, f *facts.Facts, now func() time.Time, l *log.Logger) *Subscriber {
+	name := c.LocalAddr().String()
 	return &Subscriber{
-		conn: c, port: port, domain: d, facts: f, tracker: placement.NewTracker(now), now: now, log: l, vars: new(expvar.Map),
+		name: name, conn: c, port: port, domain: d, facts: f, tracker: placement.NewTracker(now), now: now, log: l, vars: new(expvar.Map),
 		stagers: map[string]*heard{}, stamps: newStamps(now()),
 		refusedLines: rate.NewLimiter(refusedPerSecond, 1),
 		offers:       placement.NewOffers(now),
+		relay:        newRelay(name, now),
 		sent:         func(id.Domain, int) {},
+		passed:       func(int) {},
+		write:        writer(c),
 	}
 }
 
@@ -197,6 +215,10 @@
 		s.vars.Add("malformed", 1)
 		return
 	}
+	made := s.stamps.moment(r.GetEcho(), s.now())
+	if c := s.relay.take(&r, made); c != nil {
+		s.pass(c)
+	}
 	if !s.newer(&r) {
 		s.vars.Add("late", 1)
 		return
@@ -206,7 +228,6 @@
 	for _, a := range r.GetGateways() {
 		s.facts.SeeGateway(a)
 	}
-	made := s.stamps.moment(r.GetEcho(), s.now())
 	s.date(r.GetAddress(), r.GetNamed(), made)
 	for _, w := range r.GetWords() {
 		s.hear(&r, w)
@@ -341,6 +362,7 @@
 func (s *Subscriber) pause(ctx context.Context) {
 	changed := s.facts.Changed()
 	told, each := s.offers.Total(), s.wantsEach()
+	home := s.homeTotal()
 	until := s.now().Add(subscribeEvery)
 	for s.now().Before(until) {
 		t := time.NewTimer(offerEvery)
@@ -353,9 +375,10 @@
 			return
 		case <-t.C:
 		}
-		if math.Abs(s.offers.Total()-told) > offerLeast+offerChange*told || s.wantsEach() != each {
+		if jumps(told, s.offers.Total()) || jumps(home, s.homeTotal()) || s.wantsEach() != each {
 			return
 		}
+		s.relayLook()
 	}
 }
 
@@ -368,64 +391,6 @@
 	return s.offers.Far.Total() > eachShare*s.offers.Total()
 }
 
-// subscription encodes what the stagers of a pool are told.
-func (s *Subscriber) subscription(p id.Pool) []byte {
-	heard, _ := s.facts.Hearing()
-	b, err := proto.Marshal(&pb.ReportSubscription{
-		Proved: s.proved(p),
-		Sender: s.conn.LocalAddr().String(), ConfigOffset: heard, Domain: string(s.domain),
-		Offered: s.offers.First.PerSecond(p), OfferedLate: s.offers.Late.PerSecond(p), Each: s.wantsEach(),
-		Stamp: s.stamps.at(s.now()),
-	})
-	if err != nil {
-		s.log.Error().Err(err).Msg("a subscription can't be encoded")
-	}
-	return b
-}
-
-// proved lists the versions of a pool's models that no record names: stagers beside empty upstreams don't know them.
-func (s *Subscriber) proved(p id.Pool) (l []*pb.HeldWeights) {
-	c := s.facts.Catalog()
-	if c == nil || c.Services[p] == nil || c.Services[p].Engine == nil {
-		return nil
-	}
-	for _, m := range c.Services[p].Engine.Models {
-		if r := s.facts.Proved(m); r > 0 {
-			l = append(l, &pb.HeldWeights{Model: string(m), Revision: uint64(r)})
-		}
-	}
-	return l
-}
-
-func (s *Subscriber) renew() {
-	c := s.facts.Catalog()
-	if c == nil {
-		return
-	}
-	listed := map[string]bool{}
-	texts := map[id.Pool][]byte{}
-	for _, i := range s.facts.Instances() {
-		listed[i.Address] = true
-		if p := c.Services[i.Pool]; p == nil || p.Engine == nil {
-			continue
-		}
-		host, _, err := net.SplitHostPort(i.Address)
-		if err != nil {
-			continue
-		}
-		if texts[i.Pool] == nil {
-			texts[i.Pool] = s.subscription(i.Pool)
-		}
-		to := &net.UDPAddr{IP: net.ParseIP(host), Port: s.port}
-		if _, err := s.conn.WriteToUDP(texts[i.Pool], to); err != nil {
-			s.vars.Add("send_failed", 1)
-			continue
-		}
-		s.sent(i.Domain, len(texts[i.Pool]))
-	}
-	s.sweep(listed)
-}
-
 // sweep forgets stagers whose upstreams are no longer listed.
 func (s *Subscriber) sweep(listed map[string]bool) {
 	s.mu.Lock()
--- a/internal/reports/word_test.go
+++ b/internal/reports/word_test.go
@@ -15,6 +15,7 @@
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/placement"
 )
 
 // An upstream said in the list that it leaves. The word came to its own failure domain and was lost on its way to another
@@ -137,11 +138,12 @@
 		}
 		for k := range maxSubscribers {
 			r.subscribers[net.JoinHostPort("255.255.255.255", itoa(10000+k))] = subscriber{
-				near: true, domain: id.Domain(long + itoa(k)), offered: 1, offeredLate: 1,
+				near: true, domain: id.Domain(long + itoa(k)), offered: placement.Offered{First: 1, Late: 1},
 			}
 		}
 		r.naming(p)
-		p.Demand, p.Words = r.demand(), r.words("a", now)
+		p.Urgent, p.Relayed, p.Sums, p.EveryMs = true, true, true, math.MaxUint32
+		p.Demand, p.Words = tell(r.sums()), r.words("a", now)
 		Expect(p.GetGateways()).To(HaveLen(mostNamed))
 		Expect(p.GetDemand()).To(HaveLen(mostDomains))
 		Expect(p.GetWords()).To(HaveLen(4))
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -24,6 +24,8 @@
 	Reports Kind = iota
 	// Subscriptions are gateways' subscriptions to reports, by datagrams.
 	Subscriptions
+	// Relayed are reports that a gateway passes on to others of its failure domain, by datagrams.
+	Relayed
 	// Records are the platform's records, handed on from process to process.
 	Records
 	// Messages are all others between processes, mostly news of chunks.
@@ -42,7 +44,7 @@
 )
 
 var kindNames = [kinds]string{
-	"reports", "subscriptions", "records", "messages", "chunks", "requests", "store", "origin", "engine",
+	"reports", "subscriptions", "relayed", "records", "messages", "chunks", "requests", "store", "origin", "engine",
 }
 
 // String names a kind.
