reports: who needs no reports from beyond its domain any more leaves; a relay passes on all that comes as one of five

In the start and in swaps gateways want each report for a moment; those that subscribe no longer were sent each for the 3.5 s that a subscription lasts, 17 reports instead of 5. By a spec, a relay would also leave out reports that come sooner than 0.9 s after each other.

Change: a subscription says that it ends (an older stager takes it as renewed, without each). The first relay passes on all that comes as one of five, the second keeps none that the first has passed on already.

--- a/internal/reports/relay.go
+++ b/internal/reports/relay.go
@@ -19,8 +19,8 @@
 	// leastRelayed is how many gateways a failure domain has at least where reports are passed on: with fewer, two that subscribe
 	// spare the links between domains little.
 	leastRelayed = 4
-	// passEvery is the time between two reports that are passed on while only the load changes: just below farTime, so that a relay
-	// that gets each report passes on one of farEvery.
+	// passEvery is the time between two reports that a relay passes on which gets each, while only the load changes: just below farTime.
+	// What comes as one of farEvery is passed on always: it comes sooner where the upstream's state changes.
 	passEvery = 900 * time.Millisecond
 	// passWait is how long the second relay waits for the first to pass a report on. The two get it within a few ms of each other.
 	passWait = 200 * time.Millisecond
@@ -57,8 +57,9 @@
 	order heard
 	// passed is when the report came that was last passed on.
 	passed time.Time
-	// copied is when another gateway last passed a report on, and direct whether this one subscribes itself.
+	// copied is when another gateway last passed a report on, copy the order of these, and direct whether this one subscribes itself.
 	copied time.Time
+	copy   heard
 	direct bool
 	// kept waits for another relay to pass it on.
 	kept   *pb.UpstreamReport
@@ -110,16 +111,17 @@
 	return n
 }
 
-// subscribes says whether this gateway has to ask the stager of an upstream itself, and notes that it does.
-func (y *relay) subscribes(upstream string, each bool) bool {
+// subscribes says whether this gateway has to ask the stager of an upstream itself, or has to leave where it has asked so far.
+func (y *relay) subscribes(upstream string, each bool) (ask, leave bool) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	p := y.upstreams[upstream]
 	if p == nil {
-		return true
+		return true, false
 	}
+	before := p.direct
 	p.direct = each || p.place < relays || y.silent(p)
-	return p.direct
+	return p.direct, before && !p.direct
 }
 
 // silent says whether nobody passes the reports of an upstream on; the caller holds the lock.
@@ -137,6 +139,7 @@
 	}
 	if r.GetRelayed() {
 		p.copied = now
+		p.copy.next(r.GetIncarnation(), r.GetNumber(), now)
 		if k := p.kept; k != nil && k.GetIncarnation() == r.GetIncarnation() && k.GetNumber() <= r.GetNumber() {
 			p.kept = nil
 		}
@@ -148,10 +151,10 @@
 	}
 	switch {
 	case r.GetUrgent():
-	case now.Sub(p.passed) < passEvery:
+	case r.GetEveryMs() == 0 && now.Sub(p.passed) < passEvery:
 		return nil
 	case p.place > 0:
-		if p.kept == nil {
+		if p.kept == nil && (p.copy.incarnation != r.GetIncarnation() || p.copy.number < r.GetNumber()) {
 			p.kept, p.keptAt = r, now
 		}
 		return nil
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -131,6 +131,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if s.GetLeave() {
+		delete(r.subscribers, s.GetSender())
+		return
+	}
 	old, known := r.subscribers[s.GetSender()]
 	if !known && len(r.subscribers) >= maxSubscribers {
 		r.vars.Add("refused", 1)
--- a/internal/reports/subscribe.go
+++ b/internal/reports/subscribe.go
@@ -15,8 +15,12 @@
 // round is what one renewal of all subscriptions shares.
 type round struct {
 	each bool
-	// near is by pool what stagers of the own failure domain are told, far what others are.
-	near, far map[id.Pool][]byte
+	// near is by pool what stagers of the own failure domain are told, far what others are, leave what those that are left.
+	near, far, leave map[id.Pool][]byte
+}
+
+func newRound(each bool) *round {
+	return &round{each: each, near: map[id.Pool][]byte{}, far: map[id.Pool][]byte{}, leave: map[id.Pool][]byte{}}
 }
 
 // subscription encodes what the stagers of a pool are told.
@@ -59,6 +63,13 @@
 	return s.encode(b)
 }
 
+// leaving ends a subscription: without it a gateway that wanted each report got 17 more of each upstream, until it ended by itself.
+func (s *Subscriber) leaving(p id.Pool) []byte {
+	b := s.base(p)
+	b.Leave = true
+	return s.encode(b)
+}
+
 func (s *Subscriber) encode(m *pb.ReportSubscription) []byte {
 	b, err := proto.Marshal(m)
 	if err != nil {
@@ -120,10 +131,17 @@
 		}
 	}
 	s.relay.set(s.facts.Gateways(), far)
-	o := &round{each: s.wantsEach(), near: map[id.Pool][]byte{}, far: map[id.Pool][]byte{}}
+	o := newRound(s.wantsEach())
 	for _, i := range engines {
-		if i.Domain == s.domain || s.relay.subscribes(i.Address, o.each) {
-			s.ask(o, i)
+		if i.Domain == s.domain {
+			s.ask(o.near, i, s.subscription)
+			continue
+		}
+		switch ask, leave := s.relay.subscribes(i.Address, o.each); {
+		case ask:
+			s.ask(o.far, i, s.farSubscription)
+		case leave:
+			s.ask(o.leave, i, s.leaving)
 		}
 	}
 	s.sweep(listed)
@@ -143,16 +161,12 @@
 	return l, listed
 }
 
-// ask sends one subscription.
-func (s *Subscriber) ask(o *round, i *facts.Instance) {
+// ask sends one subscription; the texts of a round are made once a pool.
+func (s *Subscriber) ask(of map[id.Pool][]byte, i *facts.Instance, text func(p id.Pool) []byte) {
 	host, _, err := net.SplitHostPort(i.Address)
 	if err != nil {
 		return
 	}
-	of, text := o.far, s.farSubscription
-	if i.Domain == s.domain {
-		of, text = o.near, s.subscription
-	}
 	if of[i.Pool] == nil {
 		of[i.Pool] = text(i.Pool)
 	}
@@ -198,11 +212,11 @@
 	for _, a := range silent {
 		is[a] = true
 	}
-	o := &round{near: map[id.Pool][]byte{}, far: map[id.Pool][]byte{}}
+	far := map[id.Pool][]byte{}
 	engines, _ := s.engines()
 	for _, i := range engines {
 		if is[i.Address] {
-			s.ask(o, i)
+			s.ask(far, i, s.farSubscription)
 		}
 	}
 }
