--- a/internal/reports/relay.go
+++ b/internal/reports/relay.go
@@ -28,7 +28,7 @@
 	// passWait and a look of offerEvery later from the second relay. The next report, 0.2 s later, comes before the last one's life
 	// (farLives) ends.
 	silentFor = farTime + passWait + 2*offerEvery
-	// provenMost is the age up to which a report's echo proves that it is new: a stamp goes out each subscribeEvery and one may be lost.
+	// provenMost is the age up to which an echo proves that a report is new: a stamp goes out each subscribeEvery and one may be lost.
 	provenMost = 2*subscribeEvery + 500*time.Millisecond
 	// dozeMost is the gap between two looks, offerEvery apart, from which on a process has been frozen: what its socket held
 	// meanwhile is old, so it passes nothing on for as long again.
@@ -55,6 +55,8 @@
 	place int
 	// order is that of the reports that came from the stager itself.
 	order heard
+	// proven is a moment after which the newest of them was made.
+	proven time.Time
 	// passed is when the report came that was last passed on.
 	passed time.Time
 	// copied is when another gateway last passed a report on, copy the order of these, and direct whether this one subscribes itself.
@@ -146,7 +148,7 @@
 		return nil
 	}
 	y.doze(now)
-	if !r.GetSums() || p.place >= relays || now.Before(y.awake) || now.Sub(made) > provenMost || !p.order.next(r.GetIncarnation(), r.GetNumber(), now) {
+	if !p.follows(r, made, now) || !r.GetSums() || p.place >= relays || now.Before(y.awake) || now.Sub(p.proven) > provenMost {
 		return nil
 	}
 	switch {
@@ -162,6 +164,21 @@
 	return p.pass(r, now)
 }
 
+// follows notes a report that came from the stager itself, unless a later one has come. One without an echo was made after those before it.
+func (p *passing) follows(r *pb.UpstreamReport, made, now time.Time) bool {
+	before := p.order.incarnation
+	if !p.order.next(r.GetIncarnation(), r.GetNumber(), now) {
+		return false
+	}
+	if before != p.order.incarnation {
+		p.proven = time.Time{}
+	}
+	if made.After(p.proven) {
+		p.proven = made
+	}
+	return true
+}
+
 // pass makes the copy that goes to others. How long it was on its way is not known to them: it proves nothing of when weights were
 // named, only that they were by now.
 func (p *passing) pass(r *pb.UpstreamReport, came time.Time) *pb.UpstreamReport {
--- a/internal/reports/relay_test.go
+++ b/internal/reports/relay_test.go
@@ -213,6 +213,20 @@
 			Expect(y.take(r, f.now)).To(BeNil())
 			Expect(y.take(report(4), f.now.Add(-provenMost))).NotTo(BeNil())
 		})
+
+		it("is said of a report without an echo that follows one with it, and not of another start of the stager", func() {
+			Expect(y.take(report(1), f.now)).NotTo(BeNil())
+			y.looked = f.now.Add(provenMost)
+			f.now = f.now.Add(provenMost)
+			Expect(y.take(report(2), time.Time{})).NotTo(BeNil(), "it was made after the one before it")
+			f.now = f.now.Add(time.Millisecond)
+			late := report(3)
+			late.Urgent = true
+			Expect(y.take(late, time.Time{})).To(BeNil())
+			again := report(1)
+			again.Incarnation = 2
+			Expect(y.take(again, time.Time{})).To(BeNil())
+		})
 	})
 
 	it("come to all where the first relay, or both, are of the version before, and where the stager is", func() {
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -382,15 +382,6 @@
 	}
 }
 
-// eachShare is the share of its requests that a gateway sends beyond its failure domain from which on it wants each report of the
-// upstreams there. Below it a view that is a second old costs few requests; other shares have not been tried.
-const eachShare = 0.1
-
-// wantsEach says whether so much goes beyond the own failure domain that the choice there needs views as fresh as at home.
-func (s *Subscriber) wantsEach() bool {
-	return s.offers.Far.Total() > eachShare*s.offers.Total()
-}
-
 // sweep forgets stagers whose upstreams are no longer listed.
 func (s *Subscriber) sweep(listed map[string]bool) {
 	s.mu.Lock()
