The spec of a date by the store's return asks for the looks themselves, not for a second

Cause: make test from a fresh clone failed once, by 1.5 ms. The date of a return is the last look in vain (the store may have been back ever since); in this spec a process looks for the first time just a second before the store is back, and the spec asked for a date of at most one second before: passed or failed by the phase of that look.

Change: the date has to lie between the process's first look, which has to come 1 s before the return (0.5 s to either side), and the return; the upper end is new.

--- a/internal/records/outage_test.go
+++ b/internal/records/outage_test.go
@@ -342,9 +342,20 @@
 		lead, end := newProcess("a", s, nobody)
 		var mu sync.Mutex
 		var after time.Time
+		var looked time.Time
+		store := s.store()
+		answers := store.Answers
+		store.Answers = func(ctx context.Context, topic string, from uint64) error {
+			mu.Lock()
+			defer mu.Unlock()
+			if looked.IsZero() {
+				looked = time.Now()
+			}
+			return answers(ctx, topic, from)
+		}
 		f := facts.New(time.Now)
 		p := New(&Settings{ConfigWait: 50 * time.Millisecond, ListEvery: 20 * time.Millisecond}, &Platform{
-			Store: s.store(),
+			Store: store,
 			Operators: Topic{Name: "op", Apply: func(r Record) error {
 				mu.Lock()
 				defer mu.Unlock()
@@ -389,7 +400,12 @@
 			return after
 		}
 		Eventually(dated).WithTimeout(2 * takeoverMost * retryPause).ShouldNot(BeZero())
-		Expect(dated()).To(BeTemporally(">=", back.Add(-time.Second)))
+		// The store may have been back ever since the last look in vain; the first one came about a second before.
+		mu.Lock()
+		first := looked
+		mu.Unlock()
+		Expect(first).To(BeTemporally("~", back.Add(-time.Second), 500*time.Millisecond))
+		Expect(dated()).To(And(BeTemporally(">=", first.Add(-50*time.Millisecond)), BeTemporally("<=", back)))
 	})
 })
 
