Gateway: the line of a request tells it from others across its repeats, and where an upstream broke off

Lines of requests that were not served now have a fingerprint of method, path, query, organisation and body, and broken and broken_instance. No decision has changed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -191,6 +191,7 @@
 func (t *try) broke(text string) *problem {
 	f := t.flight
 	f.neverRan = false
+	f.broken, f.start = t.progress(), t.choice.Instance
 	switch {
 	case f.request.Context().Err() != nil || !f.gateway.now().Before(f.deadline):
 	case t.ctx.Err() != nil:
@@ -205,6 +206,25 @@
 	return &problem{text: text}
 }
 
+// How far the answer of an upstream had come.
+const (
+	noHead   = "no head"
+	headOnly = "head"
+	inBody   = "in body"
+)
+
+// progress says how far the answer has come.
+func (t *try) progress() string {
+	switch {
+	case t.exchange == nil:
+		return noHead
+	case !t.answering.Load():
+		return headOnly
+	default:
+		return inBody
+	}
+}
+
 // closed says whether an upstream is about to load weights.
 func (g *Gateway) closed(address string) bool {
 	r, ok := g.load.Tracker.Fresh(address)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/springrail/springrail/internal/catalog"
 	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/quarantine"
 )
 
 const (
@@ -53,6 +54,11 @@
 	upstream  string
 	reckoning reckoning
 	retry     time.Duration
+	// fingerprint tells the request from others across its repeats, once its body has been read.
+	fingerprint quarantine.Fingerprint
+	// broken is how far the answer had come on the start of an upstream that broke off last; empty where none did.
+	broken string
+	start  id.Instance
 }
 
 // ServeHTTP implements http.Handler.
@@ -73,6 +79,7 @@
 	if !f.readBody() {
 		return
 	}
+	f.fingerprint = quarantine.Of(r.Method, r.RequestURI, f.org, f.body)
 	f.run()
 }
 
@@ -262,6 +269,12 @@
 	}
 	if outcome != outcomeAnswered {
 		f.reckoning.log(e)
+		if f.fingerprint != (quarantine.Fingerprint{}) {
+			e = e.Stringer("fingerprint", f.fingerprint)
+		}
+	}
+	if f.broken != "" {
+		e = e.Str("broken", f.broken).Str("broken_instance", string(f.start))
 	}
 	if f.retry > 0 {
 		e = e.Int64("retry_ms", f.retry.Milliseconds())
