--- a/internal/standin/modelserver.go
+++ b/internal/standin/modelserver.go
@@ -78,6 +78,10 @@
 	// Note is told of each run, and Broken of each promise that the system has broken towards it.
 	Note   func(r Ran)
 	Broken func(what string)
+	// Crashes says whether the server's process ends under a request's body, and after how many events: BeforeHead ends it before the
+	// head of its answer. Crash then ends it. Both are nil for a server that bears every request.
+	Crashes func(body string) (events int, ends bool)
+	Crash   func()
 
 	mu      sync.Mutex
 	version int
@@ -87,6 +91,9 @@
 	running int
 }
 
+// BeforeHead is the number of events after which a process ends that sends nothing of its answer at all.
+const BeforeHead = -1
+
 // Serving returns the version that is served; 0 is none.
 func (s *ModelServer) Serving() int {
 	s.mu.Lock()
@@ -216,6 +223,10 @@
 	defer s.leave()
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	s.Note(Ran{Request: r.Header.Get("Request-Id"), Instance: s.Instance, Version: version, After: after, At: time.Now()})
+	events, ends := s.crashes(string(body))
+	if ends && events == BeforeHead {
+		s.crash()
+	}
 	w.Header().Set("Response-Seal", s.Instance+"."+r.Header.Get("Request-Id"))
 	if r.Header.Get("Model") == "" {
 		time.Sleep(modelEvent)
@@ -228,13 +239,31 @@
 	if s.Event > 0 {
 		pause = s.Event
 	}
+	_ = http.NewResponseController(w).Flush()
 	for n := after + 1; n <= modelEvents && r.Context().Err() == nil; n++ {
 		time.Sleep(pause)
+		if ends && n > after+events {
+			s.crash()
+		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d %d\n\n", n, r.Header.Get("Request-Id"), version, n)
 		_ = http.NewResponseController(w).Flush()
 	}
 }
 
+// crashes says whether the process ends under a body, and after how many events.
+func (s *ModelServer) crashes(body string) (events int, ends bool) {
+	if s.Crashes == nil {
+		return 0, false
+	}
+	return s.Crashes(body)
+}
+
+// crash ends the process, and with it the answer that it was at.
+func (s *ModelServer) crash() {
+	s.Crash()
+	cut()
+}
+
 // StreamOf is the body of a whole stream of a version.
 func StreamOf(request string, version int) string {
 	var b strings.Builder
