Requests under which three upstreams have crashed are held by all gateways

Callers saw broken streams and refusals for minutes while one caller's request ended 40 upstreams one after the other, and another 45: it came again several times a second, at any gateway, under a new id each time. Cause: what a gateway learned of a request ended with the try. A broken connection was put down to the upstream alone, and nobody told others under which requests it was. Why this holds: a gateway whose requests break off asks the upstream's VM for a connection; refused, the process has ended, and its requests there (by fingerprint of method, path, query, organisation and body) go to all gateways by way of three stagers. All count the same ends: after two a repeat is tried alone, after three, and 250 ms for what others saw, the request that explains most ends is held, those beside it are not. What is answered whole is no suspect. Held requests lie in the platform's store, so that all gateways in touch with it have them within a question that waits there, also after all processes have started again.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -194,7 +194,12 @@
 	f.broken, f.start = t.progress(), t.choice.Instance
 	switch {
 	case f.request.Context().Err() != nil || !f.gateway.now().Before(f.deadline):
+		t.left()
+	case errors.Is(context.Cause(t.ctx), errHeld):
+		t.left()
+		return &problem{text: "held: upstreams have crashed under this request", final: true}
 	case t.ctx.Err() != nil:
+		t.left()
 		t.mark.Stalled()
 		return &problem{text: "the upstream stalled"}
 	case f.gateway.closed(t.choice.Address):
@@ -202,6 +207,7 @@
 	default:
 		t.mark.Failed()
 		f.gateway.pool.Forget(t.choice.Address)
+		f.gateway.witness.Broke(t.at(), f.presence())
 	}
 	return &problem{text: text}
 }
@@ -283,6 +289,9 @@
 		}
 	}
 	t.whole = true
+	if e.StatusCode < http.StatusMultipleChoices {
+		f.gateway.list.Served(f.fingerprint)
+	}
 	f.done(strconv.Itoa(e.StatusCode))
 	return nil
 }
@@ -305,6 +314,7 @@
 	t.begun = true
 	t.answering.Store(true)
 	f := t.flight
+	f.begun.Store(true)
 	took := t.mark.Started()
 	if !f.headSent {
 		f.first = f.gateway.now().Sub(f.arrived)
@@ -337,6 +347,7 @@
 }
 
 func (t *try) callerGone() *problem {
+	t.left()
 	return &problem{text: "the caller takes no more", final: true}
 }
 
@@ -368,6 +379,7 @@
 		case errors.Is(err, io.EOF):
 			t.head(false, 0)
 			t.whole = true
+			f.gateway.list.Served(f.fingerprint)
 			f.done("stream")
 			return nil
 		case err != nil:
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -48,7 +48,7 @@
 		Tracker: t, Offers: placement.NewOffers(clock), Gateways: func() int { return 350 },
 		Demand: func(id.Pool) placement.Demand { return demand },
 	}
-	g := New(NewSettings(), testDialect(), f, load, (&net.Dialer{}).DialContext, "0", &log.Logger{Level: log.PanicLevel})
+	g := New(NewSettings(), testDialect(), f, load, unsuspecting(), (&net.Dialer{}).DialContext, "0", &log.Logger{Level: log.PanicLevel})
 	q, err := http.NewRequest(http.MethodPost, "/p/x", http.NoBody)
 	if err != nil {
 		b.Fatal(err)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -22,6 +22,7 @@
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/placement"
+	"github.com/springrail/springrail/internal/quarantine"
 	"github.com/springrail/springrail/internal/spec"
 	"github.com/springrail/springrail/internal/upconn"
 )
@@ -77,6 +78,7 @@
 	gateway *Gateway
 	facts   *facts.Facts
 	tracker *placement.Tracker
+	list    *quarantine.List
 	server  *httptest.Server
 	mu      sync.Mutex
 	arrived map[string][]string
@@ -96,12 +98,21 @@
 		Tracker: b.tracker, Offers: placement.NewOffers(time.Now), Gateways: func() int { return 1 },
 		Demand: func(id.Pool) placement.Demand { return placement.Demand{} },
 	}
-	b.gateway = New(NewSettings(), testDialect(), f, load, dial, "d", quiet)
+	q := unsuspecting()
+	b.list = q.List
+	b.gateway = New(NewSettings(), testDialect(), f, load, q, dial, "d", quiet)
 	b.server = httptest.NewServer(b.gateway)
 	DeferCleanup(b.server.Close)
 	return b
 }
 
+// unsuspecting is a quarantine that hears of nothing from other gateways.
+func unsuspecting() *quarantine.Quarantine {
+	return &quarantine.Quarantine{
+		List: quarantine.NewList("vm", time.Now, &log.Logger{Level: log.PanicLevel}), Tell: func(quarantine.News) {},
+	}
+}
+
 // route makes a public route to a pool.
 func route(kind catalog.Kind, pool id.Pool) *catalog.Route {
 	return &catalog.Route{
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -17,6 +17,7 @@
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/placement"
+	"github.com/springrail/springrail/internal/quarantine"
 	"github.com/springrail/springrail/internal/reports"
 	"github.com/springrail/springrail/internal/traffic"
 	"github.com/springrail/springrail/internal/upconn"
@@ -55,7 +56,7 @@
 	kernel.Register(kernel.Part{
 		Name:     PartName,
 		Section:  PartName,
-		Needs:    []string{facts.PartName, DialectPart, reports.SubscriberPart, traffic.PartName},
+		Needs:    []string{facts.PartName, DialectPart, reports.SubscriberPart, traffic.PartName, quarantine.PartName},
 		Settings: func() kernel.Section { return NewSettings() },
 		New:      newPart,
 	})
@@ -88,6 +89,9 @@
 	budget   *placement.Budget
 	patience *placement.Patience
 	pool     *upconn.Pool
+	list     *quarantine.List
+	witness  *quarantine.Witness
+	flights  *flights
 	domain   id.Domain
 	log      *log.Logger
 	tally    *tally
@@ -111,7 +115,8 @@
 	sub := h.Part(reports.SubscriberPart).(*reports.Subscriber)
 	connect := h.Part(traffic.PartName).(*traffic.Part).Dial(traffic.Requests, dial.New(dialTimeout).DialContext)
 	load := Load{Tracker: sub.Tracker(), Offers: sub.Offers(), Demand: sub.Demand, Gateways: sub.Gateways}
-	g := New(s, d, h.Part(facts.PartName).(*facts.Facts), load, connect, h.Identity.Domain, h.Log)
+	q := h.Part(quarantine.PartName).(*quarantine.Quarantine)
+	g := New(s, d, h.Part(facts.PartName).(*facts.Facts), load, q, connect, h.Identity.Domain, h.Log)
 	g.listener = l
 	h.Metric("requests", g.tally.vars)
 	h.Metric("in_flight", expvar.Func(func() any { return g.inFlight.Load() }))
@@ -129,7 +134,7 @@
 }
 
 // New makes a gateway.
-func New(s *Settings, d *Dialect, f *facts.Facts, k Load,
+func New(s *Settings, d *Dialect, f *facts.Facts, k Load, q *quarantine.Quarantine,
 	connect func(ctx context.Context, network, address string) (net.Conn, error), own id.Domain, l *log.Logger,
 ) *Gateway {
 	rule := placement.BudgetRule{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow}
@@ -138,8 +143,12 @@
 		budget:   placement.NewBudget(rule, k.Gateways, time.Now),
 		patience: placement.NewPatience(time.Now),
 		pool:     upconn.New(connect, time.Now, d.Echoed),
+		list:     q.List,
+		flights:  newFlights(),
 		random:   func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) },
 	}
+	g.witness = quarantine.NewWitness(g.ended, q.Saw, time.Now)
+	q.List.OnHeld = append(q.List.OnHeld, func(h quarantine.Hold) { g.flights.stop(h.Fingerprint) })
 	g.pool.Dialled = func() { g.tally.add("dialled") }
 	g.server = &http.Server{
 		Handler: g, ReadHeaderTimeout: headTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: mostHead,
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/springrail/springrail/internal/catalog"
@@ -59,6 +60,10 @@
 	// broken is how far the answer had come on the start of an upstream that broke off last; empty where none did.
 	broken string
 	start  id.Instance
+	// begun is true once an upstream has begun to answer, and stop ends the request while none has.
+	begun atomic.Bool
+	stop  context.CancelCauseFunc
+	ctx   context.Context
 }
 
 // ServeHTTP implements http.Handler.
@@ -80,6 +85,10 @@
 		return
 	}
 	f.fingerprint = quarantine.Of(r.Method, r.RequestURI, f.org, f.body)
+	if !f.enter() {
+		return
+	}
+	defer g.flights.leave(f)
 	f.run()
 }
 
@@ -168,7 +177,7 @@
 
 // run offers the request to upstreams until there is an answer.
 func (f *flight) run() {
-	ctx, stop := context.WithDeadline(f.request.Context(), f.deadline)
+	ctx, stop := context.WithDeadline(f.ctx, f.deadline)
 	defer stop()
 	_ = http.NewResponseController(f.w).SetWriteDeadline(f.deadline.Add(callerSlack))
 	f.gateway.budget.Request(f.pool)
@@ -186,7 +195,7 @@
 
 // again says whether the request may be offered to another upstream after a failure.
 func (f *flight) again(ctx context.Context, p *problem) bool {
-	if ctx.Err() != nil || p.final || !f.attemptsLeft() || !Repeatable(f.route, len(f.tried), p.notRun, f.headSent) {
+	if ctx.Err() != nil || p.final || f.gateway.list.Check(f.fingerprint) != quarantine.Pass || !f.attemptsLeft() || !Repeatable(f.route, len(f.tried), p.notRun, f.headSent) {
 		return false
 	}
 	return f.attempts == 0 || f.gateway.budget.Take(f.pool)
@@ -221,7 +230,7 @@
 		panic(http.ErrAbortHandler)
 	case p.notRun && f.neverRan:
 		f.refuse(p.text, p.retry)
-	case ctx.Err() != nil:
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errHeld):
 		f.fail(http.StatusGatewayTimeout, p.text)
 	default:
 		f.fail(http.StatusBadGateway, p.text)
--- /dev/null
+++ b/internal/quarantine/keeper.go
@@ -0,0 +1,295 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/phuslu/log"
+	"google.golang.org/protobuf/proto"
+
+	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/platform"
+	"github.com/springrail/springrail/internal/records"
+)
+
+const (
+	// followWait is how long one question for new records waits at the store, which bounds it to 30 s. A gateway so makes two to three calls a minute
+	// while there are none.
+	followWait = 25 * time.Second
+	// retryAfter is the wait after a failure, and up to as much again is added by chance, so that gateways do not come back together.
+	retryAfter = time.Second
+	// writeWithin is the time over which gateways that hold a request at the same moment spread their writing of it: all but the first find it written.
+	writeWithin = 500 * time.Millisecond
+)
+
+// Keeper keeps held requests in the platform's store, where they outlast all processes, and brings those of others into the list.
+type Keeper struct {
+	store records.Store
+	topic string
+	list  *List
+	now   func() time.Time
+	log   *log.Logger
+
+	mu sync.Mutex
+	// due are the records that this process has still to write, with the moment at which it does; a nil value drops a key.
+	due map[Fingerprint]write
+	// stored are the requests whose records have been read.
+	stored map[Fingerprint]bool
+	wake   chan struct{}
+}
+
+// write is a record that is to be written.
+type write struct {
+	value []byte
+	at    time.Time
+}
+
+// NewKeeper makes a keeper for a list over a topic of the store.
+func NewKeeper(s records.Store, topic string, l *List, now func() time.Time, g *log.Logger) *Keeper {
+	return &Keeper{
+		store: s, topic: topic, list: l, now: now, log: g, due: map[Fingerprint]write{}, stored: map[Fingerprint]bool{}, wake: make(chan struct{}, 1),
+	}
+}
+
+// Run follows and writes until the context ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	wg.Go(func() { k.write(ctx) })
+	k.follow(ctx)
+	wg.Wait()
+	return nil
+}
+
+// Keep has a held request written, unless another process does it first.
+func (k *Keeper) Keep(h Hold) {
+	m := &pb.HeldRequest{Organisation: string(h.Organisation), By: string(h.By), SinceUnixMs: h.SinceUnixMs}
+	for _, s := range h.Starts {
+		m.Starts = append(m.Starts, s.tell())
+	}
+	b, err := proto.Marshal(m)
+	if err != nil {
+		k.log.Error().Err(err).Stringer("fingerprint", h.Fingerprint).Msg("a held request can't be encoded")
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.stored[h.Fingerprint] {
+		k.plan(h.Fingerprint, write{value: b, at: k.now().Add(rand.N(writeWithin))})
+	}
+}
+
+// Drop has the record of a request that is no longer held removed.
+func (k *Keeper) Drop(f Fingerprint) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, due := k.due[f]
+	if due || k.stored[f] {
+		k.plan(f, write{at: k.now()})
+	}
+}
+
+// plan notes a record to write; the caller holds the lock.
+func (k *Keeper) plan(f Fingerprint, w write) {
+	k.due[f] = w
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// write writes what is due until the context ends.
+func (k *Keeper) write(ctx context.Context) {
+	for ctx.Err() == nil {
+		f, w, wait := k.next()
+		switch {
+		case wait > 0:
+			k.pause(ctx, wait)
+		case k.store.Add(ctx, k.topic, records.Record{Key: f.String(), Value: w.value}) == nil:
+			k.written(f, w)
+		default:
+			k.later(f, w)
+		}
+	}
+}
+
+// idleLook is how often a keeper with nothing to write looks whether there is something, beside being woken.
+const idleLook = time.Minute
+
+// next is the record that is due first, and how long until then.
+func (k *Keeper) next() (first Fingerprint, w write, wait time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	wait = idleLook
+	for f, o := range k.due {
+		if left := o.at.Sub(k.now()); left < wait {
+			first, w, wait = f, o, left
+		}
+	}
+	return first, w, wait
+}
+
+// pause waits for a time or until something new is due.
+func (k *Keeper) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-k.wake:
+	}
+}
+
+// written notes that a record stands in the store.
+func (k *Keeper) written(f Fingerprint, w write) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if w.value != nil {
+		k.stored[f] = true
+	} else {
+		delete(k.stored, f)
+	}
+	if o, ok := k.due[f]; ok && o.at.Equal(w.at) {
+		delete(k.due, f)
+	}
+}
+
+// later puts off a record that could not be written.
+func (k *Keeper) later(f Fingerprint, w write) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if o, ok := k.due[f]; ok && o.at.Equal(w.at) {
+		w.at = k.now().Add(retryPause())
+		k.due[f] = w
+	}
+}
+
+func retryPause() time.Duration {
+	return retryAfter + rand.N(retryAfter)
+}
+
+// follow brings all records into the list, and then each new one.
+func (k *Keeper) follow(ctx context.Context) {
+	next, started := uint64(0), false
+	for ctx.Err() == nil {
+		var err error
+		if started {
+			next, err = k.read(ctx, next)
+		} else {
+			next, err = k.readAll(ctx)
+		}
+		switch {
+		case ctx.Err() != nil:
+			return
+		case err == nil:
+			started = true
+			continue
+		case errors.Is(err, platform.ErrExpired):
+			started = false
+		}
+		kernel.Pause(ctx, retryPause())
+	}
+}
+
+// readAll takes the newest record of each key, and lets requests through whose record has gone.
+func (k *Keeper) readAll(ctx context.Context) (next uint64, err error) {
+	l, next, err := k.store.Newest(ctx, k.topic, func(int) {})
+	if err != nil {
+		return 0, err
+	}
+	there := map[Fingerprint]bool{}
+	for _, r := range l {
+		if f, ok := k.take(r); ok {
+			there[f] = true
+		}
+	}
+	for _, f := range k.gone(there) {
+		k.list.Lift(f)
+	}
+	return next, nil
+}
+
+// gone forgets and lists the requests whose records stood in the store and do not any more.
+func (k *Keeper) gone(there map[Fingerprint]bool) (l []Fingerprint) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for f := range k.stored {
+		if !there[f] {
+			delete(k.stored, f)
+			l = append(l, f)
+		}
+	}
+	return l
+}
+
+// read takes the records from an offset on.
+func (k *Keeper) read(ctx context.Context, from uint64) (next uint64, err error) {
+	a, err := k.store.Read(ctx, k.topic, from, followWait)
+	if err != nil {
+		return from, err
+	}
+	for _, r := range a.Records {
+		k.take(r)
+	}
+	return a.Next, nil
+}
+
+// take brings one record into the list, and says whether it is of a held request.
+func (k *Keeper) take(r records.Record) (f Fingerprint, ok bool) {
+	f, err := Parse(r.Key)
+	if err != nil {
+		k.skip(r, err)
+		return f, false
+	}
+	if r.Value == nil {
+		k.note(f, false)
+		k.list.Lift(f)
+		return f, false
+	}
+	h, err := decodeHold(f, r.Value)
+	if err != nil {
+		k.skip(r, err)
+		return f, false
+	}
+	k.note(f, true)
+	k.list.Take(h)
+	return f, true
+}
+
+// note keeps what the store has of a request; one that another process has written need not be written here.
+func (k *Keeper) note(f Fingerprint, stored bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	w, due := k.due[f]
+	if due && (w.value != nil) == stored {
+		delete(k.due, f)
+	}
+	if stored {
+		k.stored[f] = true
+		return
+	}
+	delete(k.stored, f)
+}
+
+// skip tells of a record that can't be read: others may write to the topic.
+func (k *Keeper) skip(r records.Record, err error) {
+	k.list.vars.Add("records_skipped", 1)
+	k.log.Warn().Err(err).Str("key", r.Key).Uint64("offset", r.Offset).Msg("record of a held request skipped")
+}
+
+func decodeHold(f Fingerprint, value []byte) (Hold, error) {
+	var m pb.HeldRequest
+	if err := proto.Unmarshal(value, &m); err != nil {
+		return Hold{}, trace.Wrap(err)
+	}
+	h := Hold{Fingerprint: f, Organisation: id.Organisation(m.GetOrganisation()), By: id.VM(m.GetBy()), SinceUnixMs: m.GetSinceUnixMs()}
+	for _, s := range m.GetStarts() {
+		h.Starts = append(h.Starts, startOf(s))
+	}
+	return h, nil
+}
--- /dev/null
+++ b/internal/quarantine/keeper_test.go
@@ -0,0 +1,202 @@
+package quarantine
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/springrail/springrail/internal/platform"
+	"github.com/springrail/springrail/internal/records"
+)
+
+// shelf plays a topic of the platform's store.
+type shelf struct {
+	mu      sync.Mutex
+	records []records.Record
+	away    bool
+	// gone makes the history before its end unreadable.
+	gone   bool
+	writes int
+	change chan struct{}
+}
+
+func newShelf() *shelf {
+	return &shelf{change: make(chan struct{})}
+}
+
+func (s *shelf) store() records.Store {
+	return records.Store{Newest: s.newest, Read: s.read, Add: s.add}
+}
+
+func (s *shelf) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+	close(s.change)
+	s.change = make(chan struct{})
+}
+
+func (s *shelf) add(_ context.Context, _ string, r records.Record) error {
+	s.mu.Lock()
+	if s.away {
+		s.mu.Unlock()
+		return platform.ErrUnavailable
+	}
+	s.mu.Unlock()
+	s.set(func() {
+		s.writes++
+		r.Offset = uint64(len(s.records))
+		s.records = append(s.records, r)
+	})
+	return nil
+}
+
+func (s *shelf) newest(context.Context, string, records.Progress) (l []records.Record, end uint64, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return nil, 0, platform.ErrUnavailable
+	}
+	s.gone = false
+	last := map[string]records.Record{}
+	for _, r := range s.records {
+		last[r.Key] = r
+	}
+	for _, r := range last {
+		if r.Value != nil {
+			l = append(l, r)
+		}
+	}
+	return l, uint64(len(s.records)), nil
+}
+
+func (s *shelf) read(ctx context.Context, _ string, from uint64, _ time.Duration) (records.Reading, error) {
+	for {
+		s.mu.Lock()
+		change := s.change
+		switch {
+		case s.away:
+			s.mu.Unlock()
+			return records.Reading{}, platform.ErrUnavailable
+		case s.gone:
+			s.mu.Unlock()
+			return records.Reading{}, platform.ErrExpired
+		case int(from) < len(s.records):
+			l := s.records[from:]
+			s.mu.Unlock()
+			return records.Reading{Records: l, Next: from + uint64(len(l))}, nil
+		}
+		s.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return records.Reading{}, errors.Join(platform.ErrUnavailable, ctx.Err())
+		case <-change:
+		}
+	}
+}
+
+var _ = Describe("held requests in the platform's store", func() {
+	bad := request("bad")
+	// keep runs a gateway's list and keeper.
+	keep := func(s *shelf) (*List, *Keeper, func()) {
+		l := NewList("vm", time.Now, quiet)
+		k := NewKeeper(s.store(), "t", l, time.Now, quiet)
+		l.OnHeld = append(l.OnHeld, k.Keep)
+		l.OnServed = k.Drop
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_ = k.Run(ctx)
+		}()
+		end := func() {
+			stop()
+			<-ended
+		}
+		DeferCleanup(end)
+		return l, k, end
+	}
+	crash := func(l *List) {
+		for n := range 3 {
+			l.Hear(endOf(n, "bad"))
+		}
+	}
+	held := func(l *List) func() bool { return func() bool { return l.Check(bad) == Held } }
+
+	It("outlast all gateways, and reach those that have seen none of the ends", func() {
+		s := newShelf()
+		l, _, end := keep(s)
+		far, _, _ := keep(s)
+		crash(l)
+		Eventually(held(far)).WithTimeout(3 * time.Second).Should(BeTrue())
+		Expect(far.Holds()[0].Starts).To(HaveLen(3))
+		Expect(far.Holds()[0].By).To(BeEquivalentTo("vm"))
+		end()
+		later, _, _ := keep(s)
+		Eventually(held(later)).Should(BeTrue())
+	})
+
+	It("are written once or twice, not by each gateway that holds them", func() {
+		s := newShelf()
+		for range 12 {
+			l, _, _ := keep(s)
+			crash(l)
+		}
+		time.Sleep(settleTime + writeWithin + 300*time.Millisecond)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		Expect(s.writes).To(BeNumerically(">=", 1))
+		Expect(s.writes).To(BeNumerically("<=", 2))
+	})
+
+	It("are written once the store is back, and read again where its history has gone", func() {
+		s := newShelf()
+		s.set(func() { s.away = true })
+		l, _, _ := keep(s)
+		crash(l)
+		Eventually(held(l)).Should(BeTrue())
+		time.Sleep(writeWithin)
+		s.set(func() { s.away, s.gone = false, true })
+		far, _, _ := keep(s)
+		Eventually(held(far)).WithTimeout(3 * (retryAfter + retryAfter)).Should(BeTrue())
+	})
+
+	It("are let through everywhere once their record has gone, also while a gateway was away from the store", func() {
+		s := newShelf()
+		l, k, _ := keep(s)
+		far, _, _ := keep(s)
+		crash(l)
+		Eventually(held(far)).WithTimeout(3 * time.Second).Should(BeTrue())
+		s.set(func() { s.gone = true })
+		l.Lift(bad)
+		k.Drop(bad)
+		Eventually(held(far)).WithTimeout(3 * (retryAfter + retryAfter)).Should(BeFalse())
+	})
+
+	It("that have been served after all are dropped from it", func() {
+		s := newShelf()
+		l, _, _ := keep(s)
+		far, _, _ := keep(s)
+		crash(l)
+		Eventually(held(far)).WithTimeout(3 * time.Second).Should(BeTrue())
+		far.Served(bad)
+		Eventually(held(l)).WithTimeout(time.Second).Should(BeFalse())
+	})
+
+	It("are known by their records alone: what can't be read is passed over and counted", func() {
+		s := newShelf()
+		for _, r := range []records.Record{
+			{Key: "no fingerprint", Value: []byte("x")}, {Key: bad.String(), Value: []byte{0xff}}, {Key: request("good").String(), Value: []byte{}},
+		} {
+			Expect(s.add(context.Background(), "t", r)).To(Succeed())
+		}
+		l, _, _ := keep(s)
+		Eventually(func() bool { return l.Check(request("good")) == Held }).Should(BeTrue())
+		Expect(l.Check(bad)).To(Equal(Pass))
+		Expect(l.vars.Get("records_skipped").String()).To(Equal("2"))
+	})
+})
--- /dev/null
+++ b/internal/quarantine/news.go
@@ -0,0 +1,67 @@
+package quarantine
+
+import (
+	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/id"
+)
+
+// mostTold bounds the requests of one message, which take about 32 bytes each, so that it fits into one packet.
+const mostTold = 32
+
+// Tell encodes news, as several messages where one would be too long for a packet.
+func (n News) Tell() (l []*pb.CrashNews) {
+	for _, e := range n.Ends {
+		for rest := e.Requests; len(rest) > 0; {
+			part := rest[:min(mostTold, len(rest))]
+			rest = rest[len(part):]
+			l = append(l, &pb.CrashNews{Ends: []*pb.UpstreamEnd{{Start: e.Start.tell(), Requests: tellPresent(part)}}})
+		}
+	}
+	if len(n.Served) > 0 {
+		m := &pb.CrashNews{}
+		for _, f := range n.Served[:min(mostTold, len(n.Served))] {
+			m.Served = append(m.Served, f[:])
+		}
+		l = append(l, m)
+	}
+	return l
+}
+
+func tellPresent(of []Presence) (l []*pb.PresentRequest) {
+	for _, p := range of {
+		l = append(l, &pb.PresentRequest{Fingerprint: p.Fingerprint[:], Organisation: string(p.Organisation)})
+	}
+	return l
+}
+
+func (s Start) tell() *pb.UpstreamStart {
+	return &pb.UpstreamStart{Address: s.Address, Instance: string(s.Instance), Born: uint64(s.Born)}
+}
+
+func startOf(m *pb.UpstreamStart) Start {
+	return Start{Address: m.GetAddress(), Instance: id.Instance(m.GetInstance()), Born: id.Birth(m.GetBorn())}
+}
+
+// HearNews takes what another gateway tells. What is no fingerprint is counted and left out.
+func (l *List) HearNews(m *pb.CrashNews) {
+	for _, told := range m.GetEnds() {
+		e := End{Start: startOf(told.GetStart())}
+		for _, p := range told.GetRequests() {
+			f, err := FromBytes(p.GetFingerprint())
+			if err != nil {
+				l.vars.Add("malformed", 1)
+				continue
+			}
+			e.Requests = append(e.Requests, Presence{Fingerprint: f, Organisation: id.Organisation(p.GetOrganisation())})
+		}
+		l.Hear(e)
+	}
+	for _, b := range m.GetServed() {
+		f, err := FromBytes(b)
+		if err != nil {
+			l.vars.Add("malformed", 1)
+			continue
+		}
+		l.Acquit(f)
+	}
+}
--- /dev/null
+++ b/internal/quarantine/part.go
@@ -0,0 +1,56 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/records"
+	"github.com/springrail/springrail/internal/reports"
+)
+
+// PartName is what other parts name in their needs.
+const PartName = "quarantine"
+
+func init() {
+	kernel.Register(kernel.Part{
+		Name:  PartName,
+		Needs: []string{reports.SubscriberPart, records.PlatformPart},
+		New: func(h *kernel.Host) (any, error) {
+			p := h.Part(records.PlatformPart).(*records.Platform)
+			q := New(NewList(h.Identity.VM, time.Now, h.Log), h.Part(reports.SubscriberPart).(*reports.Subscriber), p)
+			h.Metric("quarantine", q.List.vars)
+			return q, nil
+		},
+	})
+}
+
+// Quarantine is a gateway's list, with the ways on which it hears of others' and is kept.
+type Quarantine struct {
+	*Keeper
+	List *List
+	// Tell tells all gateways.
+	Tell func(n News)
+}
+
+// New connects a list with other gateways, by way of stagers, and with the platform's store.
+func New(l *List, s *reports.Subscriber, p *records.Platform) *Quarantine {
+	q := &Quarantine{List: l, Keeper: NewKeeper(p.Store, p.Held, l, l.now, l.log)}
+	q.Tell = func(n News) {
+		for _, m := range n.Tell() {
+			s.Tell(m)
+		}
+	}
+	s.OnNews = l.HearNews
+	l.OnHeld = append(l.OnHeld, q.Keep)
+	l.OnServed = func(f Fingerprint) {
+		q.Drop(f)
+		q.Tell(News{Served: []Fingerprint{f}})
+	}
+	return q
+}
+
+// Saw takes an end that this gateway has seen, and tells the others.
+func (q *Quarantine) Saw(e End) {
+	q.List.Hear(e)
+	q.Tell(News{Ends: []End{e}})
+}
--- /dev/null
+++ b/internal/quarantine/witness.go
@@ -0,0 +1,90 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// gatherFor is how long after the first broken answer of a start others are gathered: those of a process that ends break within a few ms.
+	gatherFor = 20 * time.Millisecond
+	// probeMost bounds the question whether a process has ended.
+	probeMost = 500 * time.Millisecond
+	// leftLife is how long a request that was given up at an upstream counts as being there: an upstream may begin it before it sees
+	// that its caller has gone, and half a second later it should have (the users' rules).
+	leftLife = time.Second
+	// mostLeft bounds the requests that are remembered as given up.
+	mostLeft = 256
+)
+
+// Witness gathers the requests that break off together at an upstream, and finds out whether its process has ended: a connection may also be
+// reset while the upstream lives, and then nothing speaks against its requests.
+type Witness struct {
+	// ended says whether a start's process has ended.
+	ended func(ctx context.Context, s Start) bool
+	// tell is told of each end.
+	tell  func(e End)
+	now   func() time.Time
+	after func(d time.Duration, f func())
+
+	mu     sync.Mutex
+	broken map[Start][]Presence
+	left   []leaving
+}
+
+// leaving is a request that was given up at an upstream.
+type leaving struct {
+	start Start
+	of    Presence
+	until time.Time
+}
+
+// NewWitness makes a Witness that tells of ends.
+func NewWitness(ended func(ctx context.Context, s Start) bool, tell func(e End), now func() time.Time) *Witness {
+	return &Witness{
+		ended: ended, tell: tell, now: now, broken: map[Start][]Presence{},
+		after: func(d time.Duration, f func()) { time.AfterFunc(d, f) },
+	}
+}
+
+// Broke notes that an upstream broke a request off.
+func (w *Witness) Broke(s Start, p Presence) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.broken[s] == nil {
+		w.after(gatherFor, func() { w.conclude(s) })
+	}
+	w.broken[s] = append(w.broken[s], p)
+}
+
+// Left notes that a request was given up at an upstream.
+func (w *Witness) Left(s Start, p Presence) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.left) >= mostLeft {
+		w.left = w.left[1:]
+	}
+	w.left = append(w.left, leaving{start: s, of: p, until: w.now().Add(leftLife)})
+}
+
+// conclude tells of the end of a start, if its process has ended.
+func (w *Witness) conclude(s Start) {
+	w.mu.Lock()
+	e := End{Start: s, Requests: w.broken[s]}
+	delete(w.broken, s)
+	now := w.now()
+	w.left = slices.DeleteFunc(w.left, func(l leaving) bool { return !now.Before(l.until) })
+	for _, l := range w.left {
+		if l.start == s {
+			e.Requests = append(e.Requests, l.of)
+		}
+	}
+	w.mu.Unlock()
+	ctx, stop := context.WithTimeout(context.Background(), probeMost)
+	defer stop()
+	if w.ended(ctx, s) {
+		w.tell(e)
+	}
+}
--- /dev/null
+++ b/internal/quarantine/witness_test.go
@@ -0,0 +1,57 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a gateway at which requests break off", func() {
+	var (
+		at     time.Time
+		paused []func()
+		told   []End
+		ended  bool
+		w      *Witness
+	)
+	start := Start{Instance: "i"}
+	present := func(name string) Presence { return Presence{Fingerprint: request(name)} }
+	BeforeEach(func() {
+		at, paused, told, ended = time.Unix(1000, 0), nil, nil, true
+		w = NewWitness(func(context.Context, Start) bool { return ended }, func(e End) { told = append(told, e) }, func() time.Time { return at })
+		w.after = func(_ time.Duration, f func()) { paused = append(paused, f) }
+	})
+
+	It("tells of them together once the upstream's process is known to have ended", func() {
+		w.Broke(start, present("a"))
+		w.Broke(start, present("b"))
+		Expect(paused).To(HaveLen(1))
+		paused[0]()
+		Expect(told).To(Equal([]End{{Start: start, Requests: []Presence{present("a"), present("b")}}}))
+	})
+
+	It("tells nothing where the process lives: its connections were reset", func() {
+		ended = false
+		w.Broke(start, present("a"))
+		paused[0]()
+		Expect(told).To(BeEmpty())
+	})
+
+	It("tells of those too that were given up there just before, as the upstream may have begun them", func() {
+		w.Left(start, present("left"))
+		w.Left(Start{Instance: "other"}, present("elsewhere"))
+		w.Broke(start, present("a"))
+		paused[0]()
+		Expect(told[0].Requests).To(Equal([]Presence{present("a"), present("left")}))
+		at = at.Add(leftLife)
+		w.Broke(start, present("a"))
+		paused[1]()
+		Expect(told[1].Requests).To(Equal([]Presence{present("a")}))
+		for range mostLeft + 5 {
+			w.Left(start, present("many"))
+		}
+		Expect(w.left).To(HaveLen(mostLeft))
+	})
+})
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -33,6 +33,8 @@
 	Newest func(ctx context.Context, topic string, progress Progress) ([]Record, uint64, error)
 	// Read returns the records from an offset on; it waits for the first up to wait.
 	Read func(ctx context.Context, topic string, from uint64, wait time.Duration) (Reading, error)
+	// Add writes a record of the product's own topics. After an error it may be written all the same, also seconds later.
+	Add func(ctx context.Context, topic string, r Record) error
 }
 
 // Reading is what one reading record by record has brought. An answer of the store is bounded and may leave some for the next.
@@ -56,11 +58,13 @@
 	Upstreams bool
 }
 
-// Platform is what an adapter gives: the store, the operators' topic and that of upstreams.
+// Platform is what an adapter gives: the store, the operators' topic, that of upstreams, and the name of the product's own for requests that
+// are held.
 type Platform struct {
 	Store     Store
 	Operators Topic
 	Upstreams Topic
+	Held      string
 }
 
 // PlatformPart is the name of the part that gives the Platform.
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -12,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
@@ -67,6 +68,8 @@
 	// told is what the last report said beside the load, and urgent how many of the next reports go to all.
 	told   string
 	urgent int
+	// newsLimit bounds the news that this process passes on.
+	newsLimit *rate.Limiter
 }
 
 // subscriber is a gateway with the moment at which its subscription ends.
@@ -89,7 +92,7 @@
 func NewReporter(c *net.UDPConn, d id.Domain, f *facts.Facts, now func() time.Time, l *log.Logger) *Reporter {
 	return &Reporter{
 		conn: c, domain: d, facts: f, now: now, log: l, vars: new(expvar.Map), incarnation: rand.Uint64() | 1,
-		subscribers: map[string]subscriber{}, sent: func(id.Domain, int) {},
+		subscribers: map[string]subscriber{}, sent: func(id.Domain, int) {}, newsLimit: rate.NewLimiter(passedPerSecond, passedAtOnce),
 	}
 }
 
@@ -106,6 +109,10 @@
 		r.vars.Add("malformed", 1)
 		return
 	}
+	if s.GetNews() != nil {
+		r.passOn(s.GetNews())
+		return
+	}
 	to, err := net.ResolveUDPAddr("udp4", s.GetSender())
 	if err != nil || to.IP == nil {
 		r.vars.Add("malformed", 1)
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -98,8 +98,13 @@
 	// sent is told of each subscription.
 	sent func(to id.Domain, bytes int)
 
+	// OnNews is told of what other gateways say of upstreams that have crashed; it is set before Run.
+	OnNews func(n *pb.CrashNews)
+
 	// refusedLines bounds the lines on dates that can't be right.
 	refusedLines *rate.Limiter
+	// newsLimit bounds the news of this process.
+	newsLimit *rate.Limiter
 
 	mu sync.Mutex
 	// stagers is what each has said, by its upstream's address.
@@ -111,9 +116,10 @@
 	return &Subscriber{
 		conn: c, port: port, domain: d, facts: f, tracker: placement.NewTracker(now), now: now, log: l, vars: new(expvar.Map),
 		stagers: map[string]*heard{}, stamps: newStamps(now()),
-		refusedLines: rate.NewLimiter(refusedPerSecond, 1),
-		offers:       placement.NewOffers(now),
-		sent:         func(id.Domain, int) {},
+		refusedLines: rate.NewLimiter(refusedPerSecond, 1), newsLimit: rate.NewLimiter(newsPerSecond, newsAtOnce),
+		OnNews: func(*pb.CrashNews) {},
+		offers: placement.NewOffers(now),
+		sent:   func(id.Domain, int) {},
 	}
 }
 
@@ -192,7 +198,13 @@
 // take reads one report; what is not one is counted and dropped.
 func (s *Subscriber) take(b []byte) {
 	var r pb.UpstreamReport
-	if err := proto.Unmarshal(b, &r); err != nil || r.GetAddress() == "" {
+	err := proto.Unmarshal(b, &r)
+	if err == nil && r.GetNews() != nil {
+		s.vars.Add("news", 1)
+		s.OnNews(r.GetNews())
+		return
+	}
+	if err != nil || r.GetAddress() == "" {
 		s.vars.Add("malformed", 1)
 		return
 	}
--- a/internal/standin/keyed.go
+++ b/internal/standin/keyed.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/base64"
 	"encoding/binary"
+	"io"
 	"maps"
 	"net/http"
 	"slices"
@@ -34,8 +35,8 @@
 	first   int
 }
 
-// KeyedStore plays the metadata store of the users' platform as far as springrail reads it: keyed topics of one partition,
-// read by offset or by key.
+// KeyedStore plays the metadata store of the users' platform as far as springrail uses it: keyed topics of one partition,
+// read by offset or by key, and appended to.
 type KeyedStore struct {
 	mu     sync.Mutex
 	topics map[string]*keyedTopic
@@ -119,6 +120,8 @@
 		d.store.newest(w, r)
 	case r.URL.Path == "/v1/log-read":
 		d.store.read(w, r)
+	case r.URL.Path == "/v1/log-append" && r.Method == http.MethodPost:
+		d.store.append(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -197,6 +200,39 @@
 	}
 }
 
+// append takes keyed records in the form that encode writes, without the offsets.
+func (s *KeyedStore) append(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	var l []keyedRecord
+	for len(raw) > 0 {
+		if len(raw) < 4 || len(raw)-4 < int(binary.BigEndian.Uint32(raw)) || binary.BigEndian.Uint32(raw) == 0 {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		n := 4 + int(binary.BigEndian.Uint32(raw))
+		one := raw[5:n]
+		if int(raw[4]) > len(one) {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		k := keyedRecord{key: string(one[:raw[4]])}
+		if len(one) > len(k.key) {
+			k.value = one[len(k.key):]
+		}
+		l, raw = append(l, k), raw[n:]
+	}
+	for _, k := range l {
+		s.Put(r.URL.Query().Get("topic"), k.key, k.value)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	end := len(s.topic(r.URL.Query().Get("topic")).records)
+	writeJSON(w, map[string]int{"offset": end - len(l), "end": end})
+}
+
 // encode writes the end and the first offset, then each record from an offset on: a length, the key's length, the key
 // and the value.
 func (t *keyedTopic) encode(from int) []byte {
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -157,6 +158,17 @@
 	}
 }
 
+// Refused says whether nothing listens at an address any more: the process there has ended, and its VM lives. A connection that comes up all the
+// same is kept for the next request.
+func (p *Pool) Refused(ctx context.Context, address string, born id.Birth) bool {
+	c, err := p.connect(ctx, address, born)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.idle.put(c, p.now())
+	return false
+}
+
 // Forget closes the idle connections to an address.
 func (p *Pool) Forget(address string) {
 	p.idle.drop(address)
--- a/internal/upconn/upconn_test.go
+++ b/internal/upconn/upconn_test.go
@@ -265,3 +265,30 @@
 		Eventually(gone).WithTimeout(500 * time.Millisecond).Should(Receive())
 	})
 })
+
+var _ = Describe("the question whether a process has ended", func() {
+	ctx := context.Background()
+	pool := func(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Pool {
+		return New(dial, time.Now, func(http.Header, http.Header) bool { return true })
+	}
+
+	It("is answered by its VM, which refuses a connection", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		p := pool((&net.Dialer{}).DialContext)
+		Expect(p.Refused(ctx, l.Addr().String(), 0)).To(BeFalse())
+		Expect(p.idle.conns[l.Addr().String()]).To(HaveLen(1), "the connection is there for the next request")
+		Expect(l.Close()).To(Succeed())
+		Expect(p.Refused(ctx, l.Addr().String(), 0)).To(BeTrue())
+	})
+
+	It("is not answered by silence", func() {
+		p := pool(func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		short, stop := context.WithTimeout(ctx, 20*time.Millisecond)
+		defer stop()
+		Expect(p.Refused(short, "127.0.0.1:1", 0)).To(BeFalse())
+	})
+})
