--- a/internal/standin/modelserver.go
+++ b/internal/standin/modelserver.go
@@ -81,7 +81,7 @@
 	// Crashes says whether the server's process ends under a request's body, and after how many events: BeforeHead ends it before the
 	// head of its answer. Crash then ends it. Both are nil for a server that bears every request.
 	Crashes func(body string) (events int, ends bool)
-	Crash   func()
+	Crash   func(body string)
 
 	mu      sync.Mutex
 	version int
@@ -225,7 +225,7 @@
 	s.Note(Ran{Request: r.Header.Get("Request-Id"), Instance: s.Instance, Version: version, After: after, At: time.Now()})
 	events, ends := s.crashes(string(body))
 	if ends && events == BeforeHead {
-		s.crash()
+		s.crash(string(body))
 	}
 	w.Header().Set("Response-Seal", s.Instance+"."+r.Header.Get("Request-Id"))
 	if r.Header.Get("Model") == "" {
@@ -243,7 +243,7 @@
 	for n := after + 1; n <= modelEvents && r.Context().Err() == nil; n++ {
 		time.Sleep(pause)
 		if ends && n > after+events {
-			s.crash()
+			s.crash(string(body))
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d %d\n\n", n, r.Header.Get("Request-Id"), version, n)
 		_ = http.NewResponseController(w).Flush()
@@ -259,8 +259,8 @@
 }
 
 // crash ends the process, and with it the answer that it was at.
-func (s *ModelServer) crash() {
-	s.Crash()
+func (s *ModelServer) crash(body string) {
+	s.Crash(body)
 	cut()
 }
 
