Time goes on while a VM is suspended: one clock for what other VMs' time decides

What callers would have seen: a gateway whose VM was suspended for 5 s in the midst of a request of 6 s answered it 5 s late, and sent requests on an older version for up to 5 s after its end.

--- a/internal/facts/part.go
+++ b/internal/facts/part.go
@@ -1,8 +1,7 @@
 package facts
 
 import (
-	"time"
-
+	"github.com/springrail/springrail/internal/clock"
 	"github.com/springrail/springrail/internal/kernel"
 )
 
@@ -12,6 +11,6 @@
 func init() {
 	kernel.Register(kernel.Part{
 		Name: PartName,
-		New:  func(*kernel.Host) (any, error) { return New(time.Now), nil },
+		New:  func(*kernel.Host) (any, error) { return New(clock.Now), nil },
 	})
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -95,9 +95,13 @@
 	}
 }
 
-// may says whether a request that was let in may still be sent now that its connection, which took a time to come, is there: as much must be
-// left of its version's time as when it was let in, and as a way asks for that takes as long as the connection took.
+// may says whether a request that was let in may still be sent now that its connection, which took a time to come, is there: its own time must not
+// be over, as after a suspension, and as much must be left of its version's time as when it was let in, and as a way asks for that takes as long
+// as the connection took.
 func (f *flight) may(c placement.Choice, dialled time.Duration) bool {
+	if f.left() <= 0 {
+		return false
+	}
 	if c.Revision == 0 || f.ask.Model == "" {
 		return true
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -94,6 +94,9 @@
 	f.stop(nil)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if f.over != nil {
+		f.over.Stop()
+	}
 	same := l.of[f.fingerprint]
 	delete(same, f)
 	if len(same) == 0 {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -85,13 +85,18 @@
 }
 
 func newBackstage(routes ...*catalog.Route) *backstage {
-	f := facts.New(time.Now)
+	return newBackstageBy(time.Now, routes...)
+}
+
+// newBackstageBy makes a gateway that goes by a clock.
+func newBackstageBy(now func() time.Time, routes ...*catalog.Route) *backstage {
+	f := facts.New(now)
 	services := []*catalog.Service{{Name: "plain"}, {Name: "engines", Engine: &catalog.Engine{
 		Slots: 4, Step: time.Millisecond, ReadPerSecond: 100000, ReadChunk: 2048, Stride: 5, UsualPrompt: 100, UsualAnswer: 20,
 	}}}
 	orgs := []*catalog.Organisation{{Name: "gym", Keys: []string{"secret"}}}
 	f.SetCatalog(catalog.New(7, routes, services, orgs, catalog.Limits{HeaderBytes: 2000, BodyBytes: 1000}))
-	b := &backstage{facts: f, tracker: placement.NewTracker(time.Now), arrived: map[string][]string{}}
+	b := &backstage{facts: f, tracker: placement.NewTracker(now), arrived: map[string][]string{}}
 	dial := (&net.Dialer{Timeout: time.Second}).DialContext
 	quiet := &log.Logger{Level: log.PanicLevel}
 	load := Load{
@@ -101,6 +106,7 @@
 	q := unsuspecting()
 	b.list = q.List
 	b.gateway = New(NewSettings(), testDialect(), f, load, q, dial, "d", quiet)
+	b.gateway.now = now
 	b.server = httptest.NewServer(b.gateway)
 	DeferCleanup(b.server.Close)
 	return b
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/phuslu/log"
 
+	"github.com/springrail/springrail/internal/clock"
 	"github.com/springrail/springrail/internal/dial"
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
@@ -97,6 +98,8 @@
 	tally    *tally
 	now      func() time.Time
 	random   func() *rand.Rand
+	// suspended is how long this VM has been suspended in all.
+	suspended func() time.Duration
 
 	listener net.Listener
 	server   *http.Server
@@ -139,15 +142,16 @@
 ) *Gateway {
 	rule := placement.BudgetRule{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow}
 	g := &Gateway{
-		settings: s, dialect: d, facts: f, load: k, domain: own, log: l, tally: newTally(), now: time.Now,
-		budget:   placement.NewBudget(rule, k.Gateways, time.Now),
-		patience: placement.NewPatience(time.Now),
-		pool:     upconn.New(connect, time.Now, d.Echoed),
-		list:     q.List,
-		flights:  newFlights(),
-		random:   func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) },
+		settings: s, dialect: d, facts: f, load: k, domain: own, log: l, tally: newTally(), now: clock.Now,
+		suspended: clock.Suspended,
+		budget:    placement.NewBudget(rule, k.Gateways, clock.Now),
+		patience:  placement.NewPatience(clock.Now),
+		pool:      upconn.New(connect, clock.Now, d.Echoed),
+		list:      q.List,
+		flights:   newFlights(),
+		random:    func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) },
 	}
-	g.witness = quarantine.NewWitness(g.ended, q.Saw, time.Now)
+	g.witness = quarantine.NewWitness(g.ended, q.Saw, clock.Now)
 	q.List.OnHeld = append(q.List.OnHeld, func(h quarantine.Hold) { g.flights.stop(h.Fingerprint) })
 	g.pool.Dialled = func() { g.tally.add("dialled") }
 	g.server = &http.Server{
@@ -161,6 +165,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { g.server.Close() })
 	defer stop()
+	go g.watchSuspensions(ctx)
 	err := g.server.Serve(g.listener)
 	if ctx.Err() != nil || g.closing.Load() {
 		return nil
@@ -185,7 +190,7 @@
 	g.leaving.Store(true)
 	until, ok := ctx.Deadline()
 	if ok {
-		left := time.Duration(leaveShare * float64(until.Sub(g.now())))
+		left := time.Duration(leaveShare * float64(clock.Left(until)))
 		var stop context.CancelFunc
 		ctx, stop = context.WithTimeout(ctx, left)
 		defer stop()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/clock"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/quarantine"
 )
@@ -66,6 +67,8 @@
 	begun atomic.Bool
 	stop  context.CancelCauseFunc
 	ctx   context.Context
+	// over ends the request in time after the VM was suspended; nil while it has not been.
+	over *time.Timer
 }
 
 // ServeHTTP implements http.Handler.
@@ -147,12 +150,17 @@
 	f.deadline = f.arrived.Add(min(held, patience))
 }
 
+// left is how much of the request's time is left. Contexts and connections are given that, as their clock stands still while the VM is suspended.
+func (f *flight) left() time.Duration {
+	return f.deadline.Sub(f.gateway.now())
+}
+
 // readBody holds a body that is short enough and keeps the rest of a longer one to pass on.
 func (f *flight) readBody() bool {
 	if f.request.ContentLength == 0 {
 		return true
 	}
-	_ = http.NewResponseController(f.w).SetReadDeadline(f.deadline)
+	_ = http.NewResponseController(f.w).SetReadDeadline(clock.In(f.left()))
 	limit := int64(f.catalog.Limits.BodyBytes)
 	if limit <= 0 {
 		limit = heldBody
@@ -179,9 +187,9 @@
 
 // run offers the request to upstreams until there is an answer.
 func (f *flight) run() {
-	ctx, stop := context.WithDeadline(f.ctx, f.deadline)
+	ctx, stop := context.WithTimeout(f.ctx, f.left())
 	defer stop()
-	_ = http.NewResponseController(f.w).SetWriteDeadline(f.deadline.Add(callerSlack))
+	_ = http.NewResponseController(f.w).SetWriteDeadline(clock.In(f.left() + callerSlack))
 	f.gateway.budget.Request(f.pool)
 	for {
 		next := f.attempt(ctx)
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -62,14 +62,14 @@
 type Verdict uint8
 
 const (
-	// Pass: nothing speaks against it.
+	// Pass says that nothing speaks against it.
 	Pass Verdict = iota
-	// Alone: two starts or more have ended under it. A gateway sends one repeat at a time on, to one upstream; whether that ends too is what tells
+	// Alone says that two starts or more have ended under it. A gateway sends one repeat at a time on, to one upstream; whether that ends too is what tells
 	// a request that crashes upstreams from one that was there.
 	Alone
-	// Waits: enough is known to hold it, and what other gateways have seen of the same ends is still on its way.
+	// Waits says that enough is known to hold it, and what other gateways have seen of the same ends is still on its way.
 	Waits
-	// Held: it is not sent on.
+	// Held says that it is not sent on.
 	Held
 )
 
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -1,8 +1,7 @@
 package quarantine
 
 import (
-	"time"
-
+	"github.com/springrail/springrail/internal/clock"
 	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/records"
 	"github.com/springrail/springrail/internal/reports"
@@ -17,7 +16,7 @@
 		Needs: []string{reports.SubscriberPart, records.PlatformPart},
 		New: func(h *kernel.Host) (any, error) {
 			p := h.Part(records.PlatformPart).(*records.Platform)
-			q := New(NewList(h.Identity.VM, time.Now, h.Log), h.Part(reports.SubscriberPart).(*reports.Subscriber), p)
+			q := New(NewList(h.Identity.VM, clock.Now, h.Log), h.Part(reports.SubscriberPart).(*reports.Subscriber), p)
 			h.Metric("quarantine", q.List.vars)
 			return q, nil
 		},
--- a/internal/records/part.go
+++ b/internal/records/part.go
@@ -12,6 +12,7 @@
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/gen/springrail/v1/springrailv1connect"
+	"github.com/springrail/springrail/internal/clock"
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
@@ -65,7 +66,7 @@
 		New: func(h *kernel.Host) (any, error) {
 			r := h.Part(rpc.PartName).(*rpc.Server)
 			s := New(h.Section(PartName).(*Settings), h.Part(PlatformPart).(*Platform), h.Part(facts.PartName).(*facts.Facts),
-				h.Identity.Domain, r.Address(), time.Now, h.Log)
+				h.Identity.Domain, r.Address(), clock.Now, h.Log)
 			s.follower.ask = func(ctx context.Context, address string, q *pb.FollowRequest) (*pb.FollowResponse, error) {
 				return r.Records(address).Follow(ctx, q)
 			}
--- a/internal/records/service.go
+++ b/internal/records/service.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/clock"
 	"github.com/springrail/springrail/internal/id"
 )
 
@@ -37,10 +38,10 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	came := time.Now()
+	came := clock.Now()
 	for over := false; ; {
 		// Taken before the ages in the answer are, so that what they leave out is never counted as its way back.
-		held := time.Since(came)
+		held := clock.Now().Sub(came)
 		a, changed, err := s.answer(q)
 		if err != nil {
 			return nil, err
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/clock"
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
@@ -39,7 +40,7 @@
 			if err != nil {
 				return nil, trace.Wrap(err, "reporter.listen")
 			}
-			r := NewReporter(conn, h.Identity.Domain, h.Part(facts.PartName).(*facts.Facts), time.Now, h.Log)
+			r := NewReporter(conn, h.Identity.Domain, h.Part(facts.PartName).(*facts.Facts), clock.Now, h.Log)
 			c := h.Part(traffic.PartName).(*traffic.Part).Counter
 			r.sent = func(to id.Domain, bytes int) { c.Datagram(traffic.Reports, to, bytes) }
 			h.Metric("reports", r.vars)
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/clock"
 	"github.com/springrail/springrail/internal/dating"
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
@@ -65,7 +66,7 @@
 			if err != nil {
 				return nil, trace.Wrap(err, "subscriber.listen")
 			}
-			r := NewSubscriber(c, s.Port, h.Identity.Domain, h.Part(facts.PartName).(*facts.Facts), time.Now, h.Log)
+			r := NewSubscriber(c, s.Port, h.Identity.Domain, h.Part(facts.PartName).(*facts.Facts), clock.Now, h.Log)
 			t := h.Part(traffic.PartName).(*traffic.Part).Counter
 			r.sent = func(to id.Domain, bytes int) { t.Datagram(traffic.Subscriptions, to, bytes) }
 			h.Metric("reports", r.vars)
