--- /dev/null
+++ b/internal/cmd/cmd_quarantine.go
@@ -0,0 +1,62 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	pb "github.com/springrail/springrail/gen/springrail/v1"
+)
+
+var cmdQuarantineList = command{
+	group: "quarantine",
+	name:  "list",
+	help:  "List the requests that a gateway holds, and those under which upstreams have ended; --server is the gateway's internal listener.",
+	setup: func(*kingpin.CmdClause) action {
+		return func(ctx context.Context, e *env) error {
+			a, err := e.quarantine.ListHeld(ctx, &pb.ListHeldRequest{})
+			if err != nil {
+				return err
+			}
+			return e.print(a, func(w io.Writer) {
+				for _, h := range a.GetEntries() {
+					printHeld(w, h)
+				}
+			})
+		}
+	},
+}
+
+var cmdQuarantineLift = command{
+	group: "quarantine",
+	name:  "lift",
+	help:  "Let a held request through again at all gateways; --server is any gateway's internal listener.",
+	setup: func(c *kingpin.CmdClause) action {
+		f := c.Arg("fingerprint", "32 hexadecimal digits, from the list or the line of a refused request.").Required().String()
+		return func(ctx context.Context, e *env) error {
+			a, err := e.quarantine.LiftHeld(ctx, &pb.LiftHeldRequest{Fingerprint: *f})
+			if err != nil {
+				return err
+			}
+			return e.print(a, func(w io.Writer) {
+				fmt.Fprintln(w, "lifted; it is held again once three more upstreams have ended under it")
+			})
+		}
+	},
+}
+
+func printHeld(w io.Writer, h *pb.HeldEntry) {
+	state := "suspected"
+	if h.GetHeld() {
+		state = "held"
+	}
+	r := h.GetRequest()
+	since := time.UnixMilli(r.GetSinceUnixMs()).UTC().Format(time.RFC3339)
+	fmt.Fprintf(w, "%s\t%s\t%s\tsince %s by %s\trefused %d\n", h.GetFingerprint(), state, r.GetOrganisation(), since, r.GetBy(), h.GetRefused())
+	for _, s := range r.GetStarts() {
+		fmt.Fprintf(w, "  ended %s at %s\n", s.GetInstance(), s.GetAddress())
+	}
+}
--- a/internal/cmd/operator.go
+++ b/internal/cmd/operator.go
@@ -26,6 +26,7 @@
 // env is what an operator's command works with.
 type env struct {
 	client       springrailv1connect.OperatorServiceClient
+	quarantine   springrailv1connect.QuarantineServiceClient
 	organisation string
 	json         bool
 	out          io.Writer
@@ -49,7 +50,7 @@
 var commands = []command{
 	cmdOrganisationPut, cmdOrganisationGet, cmdOrganisationList,
 	cmdRolloutCreate, cmdRolloutStatus, cmdRolloutList, cmdRolloutCancel, cmdRolloutRollback,
-	cmdVMList, cmdChangeGet, cmdTimeline, cmdLosses, cmdTraffic, cmdManifest, cmdToken,
+	cmdVMList, cmdChangeGet, cmdQuarantineList, cmdQuarantineLift, cmdTimeline, cmdLosses, cmdTraffic, cmdManifest, cmdToken,
 }
 
 // groupHelp describes the nouns.
@@ -58,6 +59,7 @@
 	"rollout":      "Rollouts of models, adapters and versions.",
 	"vm":           "VMs that hold or serve versions.",
 	"change":       "Changes of the configuration.",
+	"quarantine":   "Requests that crash upstreams, on a platform with its own store.",
 }
 
 // Operator runs the operators' command line and returns the exit code.
@@ -90,6 +92,7 @@
 		return ExitUsage
 	}
 	e.client = springrailv1connect.NewOperatorServiceClient(client, *server, connect.WithInterceptors(bearer(*token)))
+	e.quarantine = springrailv1connect.NewQuarantineServiceClient(client, *server)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	return e.exit(actions[name](ctx, e))
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -49,6 +49,8 @@
 	// for people to read and decides nothing.
 	By          id.VM
 	SinceUnixMs int64
+	// refused is how often this process has refused it.
+	refused uint64
 }
 
 // News is what gateways tell each other.
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -68,11 +68,7 @@
 
 // Keep has a held request written, unless another process does it first.
 func (k *Keeper) Keep(h Hold) {
-	m := &pb.HeldRequest{Organisation: string(h.Organisation), By: string(h.By), SinceUnixMs: h.SinceUnixMs}
-	for _, s := range h.Starts {
-		m.Starts = append(m.Starts, s.tell())
-	}
-	b, err := proto.Marshal(m)
+	b, err := proto.Marshal(h.tell())
 	if err != nil {
 		k.log.Error().Err(err).Stringer("fingerprint", h.Fingerprint).Msg("a held request can't be encoded")
 		return
@@ -282,6 +278,15 @@
 	k.log.Warn().Err(err).Str("key", r.Key).Uint64("offset", r.Offset).Msg("record of a held request skipped")
 }
 
+// tell encodes a held request as its record.
+func (h *Hold) tell() *pb.HeldRequest {
+	m := &pb.HeldRequest{Organisation: string(h.Organisation), By: string(h.By), SinceUnixMs: h.SinceUnixMs}
+	for _, s := range h.Starts {
+		m.Starts = append(m.Starts, s.tell())
+	}
+	return m
+}
+
 func decodeHold(f Fingerprint, value []byte) (Hold, error) {
 	var m pb.HeldRequest
 	if err := proto.Unmarshal(value, &m); err != nil {
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -104,7 +104,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.held.get(f) != nil {
+	if h := l.held.get(f); h != nil {
+		h.refused++
 		return Held
 	}
 	s := l.suspects[f]
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -1,10 +1,12 @@
 package quarantine
 
 import (
+	"github.com/springrail/springrail/gen/springrail/v1/springrailv1connect"
 	"github.com/springrail/springrail/internal/clock"
 	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/records"
 	"github.com/springrail/springrail/internal/reports"
+	"github.com/springrail/springrail/internal/rpc"
 )
 
 // PartName is what other parts name in their needs.
@@ -13,10 +15,11 @@
 func init() {
 	kernel.Register(kernel.Part{
 		Name:  PartName,
-		Needs: []string{reports.SubscriberPart, records.PlatformPart},
+		Needs: []string{reports.SubscriberPart, records.PlatformPart, rpc.PartName},
 		New: func(h *kernel.Host) (any, error) {
 			p := h.Part(records.PlatformPart).(*records.Platform)
 			q := New(NewList(h.Identity.VM, clock.Now, h.Log), h.Part(reports.SubscriberPart).(*reports.Subscriber), p)
+			h.Part(rpc.PartName).(*rpc.Server).Handle(springrailv1connect.NewQuarantineServiceHandler(q))
 			h.Metric("quarantine", q.List.vars)
 			return q, nil
 		},
