Gateways tell each other what they hold; an upstream that crashes as it is about to load is seen

A gateway that missed the news of one end held nothing until its question at the store was answered, which hangs for up to 26 s where the connection has gone silent. The one that comes to hold a request by itself now tells it on, by the same way. An upstream whose stager had said that it is about to load weights was passed over when its connections broke: its process is asked for as well. Specs: news of a held request is taken as it was told (quarantine).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -207,7 +207,8 @@
 		t.mark.Stalled()
 		return &problem{text: "the upstream stalled"}
 	case f.gateway.closed(t.choice.Address):
-		// It ends its requests to load weights; there is nothing wrong with it.
+		// It ends its requests to load weights, and there is nothing wrong with it, or else it has crashed under one of them.
+		f.gateway.witness.Broke(t.at(), f.presence())
 	default:
 		t.mark.Failed()
 		f.gateway.pool.Forget(t.choice.Address)
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -58,6 +58,8 @@
 	Ends []End
 	// Served are requests that have been answered whole although they were suspected.
 	Served []Fingerprint
+	// Held are requests that the teller holds from now on.
+	Held []Hold
 }
 
 // Verdict is what a gateway may do with a request.
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -292,9 +292,13 @@
 	if err := proto.Unmarshal(value, &m); err != nil {
 		return Hold{}, trace.Wrap(err)
 	}
+	return holdFrom(f, &m), nil
+}
+
+func holdFrom(f Fingerprint, m *pb.HeldRequest) Hold {
 	h := Hold{Fingerprint: f, Organisation: id.Organisation(m.GetOrganisation()), By: id.VM(m.GetBy()), SinceUnixMs: m.GetSinceUnixMs()}
 	for _, s := range m.GetStarts() {
 		h.Starts = append(h.Starts, startOf(s))
 	}
-	return h, nil
+	return h
 }
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -267,6 +267,9 @@
 		}
 		Expect(d.ends).To(HaveLen(1))
 		Expect(d.ends[0].of).To(HaveLen(2*mostTold + 3))
+		h := Hold{Fingerprint: request("bad"), Organisation: "gym", By: "far", SinceUnixMs: 5, Starts: []Start{{Address: "a", Instance: "i", Born: 3}}}
+		d.HearNews(News{Held: []Hold{h}}.Tell()[0])
+		Expect(d.Holds()).To(Equal([]Hold{h}))
 		d.HearNews(News{Served: []Fingerprint{request("0")}}.Tell()[0])
 		Expect(d.suspects).To(HaveLen(2*mostTold + 2))
 	})
--- a/internal/quarantine/news.go
+++ b/internal/quarantine/news.go
@@ -24,6 +24,9 @@
 		}
 		l = append(l, m)
 	}
+	for _, h := range n.Held {
+		l = append(l, &pb.CrashNews{Held: []*pb.HeldNews{{Fingerprint: h.Fingerprint[:], Request: h.tell()}}})
+	}
 	return l
 }
 
@@ -66,4 +69,12 @@
 		}
 		l.Acquit(f)
 	}
+	for _, h := range m.GetHeld() {
+		f, err := FromBytes(h.GetFingerprint())
+		if err != nil {
+			l.vars.Add("malformed", 1)
+			continue
+		}
+		l.Take(holdFrom(f, h.GetRequest()))
+	}
 }
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -43,7 +43,7 @@
 		}
 	}
 	s.OnNews = l.HearNews
-	l.OnHeld = append(l.OnHeld, q.Keep)
+	l.OnHeld = append(l.OnHeld, q.Keep, q.tellHeld)
 	l.OnServed = func(f Fingerprint) {
 		q.Drop(f)
 		q.Tell(News{Served: []Fingerprint{f}})
@@ -51,6 +51,13 @@
 	return q
 }
 
+// tellHeld tells the others of a request that this gateway has come to hold by itself: one that lacks news of an end has it so.
+func (q *Quarantine) tellHeld(h Hold) {
+	if h.By == q.List.vm {
+		q.Tell(News{Held: []Hold{h}})
+	}
+}
+
 // Saw takes an end that this gateway has seen, and tells the others.
 func (q *Quarantine) Saw(e End) {
 	q.List.Hear(e)
