A request that has been served is not suspected anew by news of the same ends

Each end is told by several gateways in three copies: after a request was served, a late copy counted the end once more, and each copy wrote a line. Ends now keep whom they do not speak against. A spec tells the same ends three times; without the mend the served request was tried alone again.

--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -34,8 +34,10 @@
 	start Start
 	at    time.Time
 	of    map[Fingerprint]id.Organisation
-	// explained is true once one of its requests is held: it says nothing of the others any more.
+	// explained is true once one of its requests is held: it says nothing of the others any more. Nor does it of those that were acquitted, whoever
+	// tells of it again.
 	explained bool
+	acquitted map[Fingerprint]struct{}
 }
 
 // suspect is a request with the unexplained ends that it was at.
@@ -92,11 +94,6 @@
 	return g
 }
 
-// Vars are the counters.
-func (l *List) Vars() *expvar.Map {
-	return l.vars
-}
-
 // Check says what may be done with a request. It takes no lock while nothing is suspected.
 func (l *List) Check(f Fingerprint) Verdict {
 	if !l.watching.Load() {
@@ -136,7 +133,10 @@
 			l.explain(n)
 			continue
 		}
-		if !n.explained && l.accuse(p, n) {
+		if _, acquitted := n.acquitted[p.Fingerprint]; acquitted || n.explained {
+			continue
+		}
+		if l.accuse(p, n) {
 			acquitted = append(acquitted, p.Fingerprint)
 		}
 	}
@@ -164,7 +164,7 @@
 	if len(l.ends) >= mostEnds {
 		l.forget(l.ends[0])
 	}
-	e := &end{start: s, at: l.now(), of: map[Fingerprint]id.Organisation{}}
+	e := &end{start: s, at: l.now(), of: map[Fingerprint]id.Organisation{}, acquitted: map[Fingerprint]struct{}{}}
 	l.ends = append(l.ends, e)
 	l.byStart[s.Instance] = append(l.byStart[s.Instance], e)
 	l.vars.Add("ends", 1)
@@ -209,25 +209,37 @@
 		s = &suspect{organisation: p.Organisation, ends: map[*end]struct{}{}, tries: map[Try]struct{}{}}
 		l.suspects[p.Fingerprint] = s
 	}
+	_, known := s.ends[e]
 	s.ends[e], s.tries[p.Try] = struct{}{}, struct{}{}
 	s.tried = s.tried || p.Alone
 	if len(s.ends) < enough-1 {
 		return false
 	}
 	if l.served.has(p.Fingerprint) {
-		delete(l.suspects, p.Fingerprint)
+		l.clear(p.Fingerprint, s)
 		return true
 	}
-	l.vars.Add("suspected", 1)
-	l.log.Info().Stringer("fingerprint", p.Fingerprint).Str("organisation", string(p.Organisation)).Int("ends", len(s.ends)).
-		Str("instance", string(e.start.Instance)).Msg("upstreams have ended under a request")
 	if s.proven() && !l.settling {
 		l.settling = true
 		l.after(settleTime, l.settle)
 	}
+	if known {
+		return false
+	}
+	l.vars.Add("suspected", 1)
+	l.log.Info().Stringer("fingerprint", p.Fingerprint).Str("organisation", string(p.Organisation)).Int("ends", len(s.ends)).
+		Str("instance", string(e.start.Instance)).Msg("upstreams have ended under a request")
 	return false
 }
 
+// clear acquits a suspect of all its ends; the caller holds the lock.
+func (l *List) clear(f Fingerprint, s *suspect) {
+	delete(l.suspects, f)
+	for e := range s.ends {
+		e.acquitted[f] = struct{}{}
+	}
+}
+
 // Served notes that a request has been answered whole: no upstream crashes under it.
 func (l *List) Served(f Fingerprint) {
 	l.mu.Lock()
@@ -252,7 +264,7 @@
 	ends := 0
 	if s := l.suspects[f]; s != nil {
 		ends = len(s.ends)
-		delete(l.suspects, f)
+		l.clear(f, s)
 	}
 	if h := l.held.drop(f); h != nil {
 		ends = len(h.Starts)
--- a/internal/quarantine/list_test.go
+++ b/internal/quarantine/list_test.go
@@ -179,6 +179,18 @@
 		Expect(d.served).To(HaveLen(1), "what was heard is not told again")
 	})
 
+	It("that has been served is not suspected anew by who tells of the same ends again", func() {
+		d := newDesk()
+		for range 3 {
+			d.Hear(endOf(1, "proper"))
+			d.Hear(endOf(2, "proper"))
+			d.Acquit(request("proper"))
+		}
+		d.Hear(endOf(3, "proper"))
+		Expect(d.Check(request("proper"))).To(Equal(Pass))
+		Expect(d.suspects[request("proper")].ends).To(HaveLen(1))
+	})
+
 	It("is no suspect while it has been served within a minute, however many upstreams end beside it", func() {
 		d := newDesk()
 		d.Served(request("hot"))
