Soak: requests that crash upstreams, in three of five runs

The soak's upstreams end under a marked body, before their answer, after its head or in mid-stream, and are back after 2 s; a caller repeats it at each gateway in turn each 0.15 to 1.15 s. More than three runs later than 4 s after the third end, by gateways without a fault, are a violation. Other steps of a seed stay what they were. A spec: a long body is known by its first 256 KiB.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -184,4 +185,19 @@
 		Eventually(answers).Should(Receive(HavePrefix("begun 200 id")))
 		Expect(b.list.Check(bad)).To(Equal(quarantine.Pass), "an upstream has borne it")
 	})
+
+	It("is known by the first of its body where that is longer than what is held", func() {
+		b := newBackstage(route(catalog.Unsafe, "plain"))
+		r := *b.facts.Catalog().Match("h.example", "/p/")
+		b.facts.SetCatalog(catalog.New(8, []*catalog.Route{&r}, []*catalog.Service{{Name: "plain"}}, nil, catalog.Limits{BodyBytes: 2 * heldBody}))
+		b.upstream("u", "plain", func(q *http.Request, _ string, c net.Conn) { reply(c, q, 200, "", "ran") })
+		long := strings.Repeat("x", heldBody)
+		b.list.Take(quarantine.Hold{Fingerprint: quarantine.Of("POST", "/p/", "", []byte(long))})
+		a, _, err := b.ask("POST", "/p/", long+"tail")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		a, _, err = b.ask("POST", "/p/", "y"+long, xRequest, "2")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(http.StatusOK))
+	})
 })
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -43,7 +43,7 @@
 	r.sent = b.now()
 	b.requests[id] = r
 	b.counts["sent"]++
-	if b.atEnd() {
+	if b.atEnd() && !r.crashes {
 		b.counts[endSent]++
 	}
 }
@@ -130,6 +130,9 @@
 	}
 	r.runs++
 	b.counts["runs"]++
+	if r.crashes {
+		b.crashRan(r, x.Request)
+	}
 	if r.unsafe && r.runs > 1 {
 		b.violate("once-at-most", r.gateway.name, x.Request, "", "an unsafe request ran %d times, now at %s", r.runs, x.Instance)
 	}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -66,6 +66,8 @@
 type request struct {
 	gateway *Process
 	unsafe  bool
+	// crashes is true of one under which upstreams end.
+	crashes bool
 	sent    time.Time
 	closed  time.Time
 	refused int
@@ -90,6 +92,7 @@
 	versions   []named
 	configs    []named
 	requests   map[string]*request
+	crashes    map[string]*crashing
 	violations []*Violation
 	counts     map[string]int
 }
@@ -98,7 +101,7 @@
 func NewHistory(seed uint64, now func() time.Time) *History {
 	return &History{
 		seed: seed, start: now(), now: now, spans: map[string][]*span{}, departed: map[string]departure{},
-		requests: map[string]*request{}, counts: map[string]int{},
+		requests: map[string]*request{}, crashes: map[string]*crashing{}, counts: map[string]int{},
 	}
 }
 
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -47,6 +47,8 @@
 		w.name()
 	case doConfig:
 		w.configure(s.Size)
+	case doCrasher:
+		w.crasher(ctx, s)
 	}
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -29,6 +29,7 @@
 	doRestart  = "restart"
 	doVersion  = "version"
 	doConfig   = "config"
+	doCrasher  = "crashing-request"
 )
 
 // faultNames lists what may be drawn in an episode, with how many of them are drawn: those that may hide most come most.
@@ -93,10 +94,26 @@
 	for at := time.Duration(0); at < p.end; at += p.between(0, 2*actEvery) {
 		p.act(at, p.acts)
 	}
+	p.crashers(allowed)
 	slices.SortStableFunc(p.steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p.steps
 }
 
+// crasherShare is the share of runs with a request that crashes upstreams, and crasherTwo that of these with two.
+const crasherShare, crasherTwo = 0.6, 0.3
+
+// crashers draws when requests begin that crash upstreams; they come again to the run's end. They are drawn last, so that a seed's other steps are
+// what they were before there were any.
+func (p *planner) crashers(allowed []string) {
+	if len(only([]string{doCrasher}, allowed)) == 0 || p.r.Float64() > crasherShare || p.end <= episodeLeast {
+		return
+	}
+	p.add(p.between(0, p.end), doCrasher, 0)
+	if p.r.Float64() < crasherTwo {
+		p.add(p.between(0, p.end), doCrasher, 0)
+	}
+}
+
 // planner draws steps.
 type planner struct {
 	r                    *rand.Rand
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -67,6 +67,7 @@
 		Weights: standin.Versions{Model: model, Chunks: chunks, ChunkBytes: chunkBytes},
 		Broken:  func(what string) { s.history.Violate("weights", s.address, "", "%s", what) },
 	}
+	s.crashes(ctx, server)
 	s.server, s.link, s.state, s.listed, s.came = server, l, stateReady, true, time.Now()
 	go func() { _ = standin.ServeOn(ctx, l, &recorder{slot: s.address, server: server, history: s.history}) }()
 	s.write()
