--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/springrail/springrail/internal/catalog"
-	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/placement"
 	"github.com/springrail/springrail/internal/upconn"
 )
@@ -130,55 +129,6 @@
 	answering atomic.Bool
 }
 
-// beginGuard is taken off a version's time: the upstream needs to see that the request is given up.
-const beginGuard = 200 * time.Millisecond
-
-// lookAgain is how often the end of a version's time is looked at while a request waits: a date that was too late may be withdrawn, and a newer
-// version that is read of late may leave no time. A look takes 1 us where 256 versions are remembered.
-const lookAgain = beginGuard
-
-// beginBy is when a request that has not begun by then must be given up at an upstream, because the version there may begin
-// none any more; zero where nothing ends. It guards against an upstream that freezes with the request in its queue and
-// begins it when it wakes, and costs nothing while none does: upstreams that lag behind need not be left out for it in the
-// second half of the time for a swap.
-func (f *flight) beginBy(c placement.Choice) time.Time {
-	return f.gateway.desk().BeginBy(f.ask.Model, c.Revision)
-}
-
-// BeginBy is when a request that has not begun on a version by then must be given up; zero where nothing ends.
-func (d *Desk) BeginBy(m id.Model, r id.Revision) time.Time {
-	until := d.Facts.Until(m, r, d.SwapWithin)
-	if until.IsZero() {
-		return until
-	}
-	return until.Add(-beginGuard)
-}
-
-// watchVersion gives the request up at an upstream that has not begun it when its version's time is over, also where the
-// newer version is named only while the request waits.
-func (t *try) watchVersion(stop context.CancelFunc) {
-	t.end = time.AfterFunc(t.flight.gateway.settings.SwapWithin, func() { t.checkVersion(stop) })
-	t.checkVersion(stop)
-}
-
-// checkVersion gives the request up, or says when to look again.
-func (t *try) checkVersion(stop context.CancelFunc) {
-	if t.answering.Load() || t.ctx.Err() != nil {
-		return
-	}
-	g := t.flight.gateway
-	until, now := t.flight.beginBy(t.choice), g.now()
-	switch {
-	case until.IsZero():
-		t.end.Reset(lookAgain)
-	case now.Before(until):
-		t.end.Reset(min(until.Sub(now), lookAgain))
-	default:
-		g.tally.add("version_ended_before_begin")
-		stop()
-	}
-}
-
 // stalled gives a silent upstream up where another one may be asked. Without that, waiting on is all that can still
 // bring the caller its answer.
 func (t *try) stalled(stop context.CancelFunc) {
@@ -191,51 +141,6 @@
 	t.watchdog.Reset(eventStall)
 }
 
-// broke is an exchange that ended early. An upstream is blamed unless the caller or the clock ended it.
-func (t *try) broke(text string) *problem {
-	f := t.flight
-	f.neverRan = false
-	f.broken, f.start = t.progress(), t.choice.Instance
-	switch {
-	case f.request.Context().Err() != nil || !f.gateway.now().Before(f.deadline):
-		t.left()
-	case errors.Is(context.Cause(t.ctx), errHeld):
-		t.left()
-		return &problem{text: "held: upstreams have crashed under this request", final: true}
-	case t.ctx.Err() != nil:
-		t.left()
-		t.mark.Stalled()
-		return &problem{text: "the upstream stalled"}
-	case f.gateway.closed(t.choice.Address):
-		// It ends its requests to load weights, and there is nothing wrong with it, or else it has crashed under one of them.
-		f.gateway.witness.Broke(t.at(), f.presence())
-	default:
-		t.mark.Failed()
-		f.gateway.pool.Forget(t.choice.Address)
-		f.gateway.witness.Broke(t.at(), f.presence())
-	}
-	return &problem{text: text}
-}
-
-// How far the answer of an upstream had come.
-const (
-	noHead   = "no head"
-	headOnly = "head"
-	inBody   = "in body"
-)
-
-// progress says how far the answer has come.
-func (t *try) progress() string {
-	switch {
-	case t.exchange == nil:
-		return noHead
-	case !t.answering.Load():
-		return headOnly
-	default:
-		return inBody
-	}
-}
-
 // closed says whether an upstream is about to load weights.
 func (g *Gateway) closed(address string) bool {
 	r, ok := g.load.Tracker.Fresh(address)
--- /dev/null
+++ b/internal/gateway/broken.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+)
+
+// broke is an exchange that ended early. An upstream is blamed unless the caller or the clock ended it.
+func (t *try) broke(text string) *problem {
+	f := t.flight
+	f.neverRan = false
+	f.broken, f.start = t.progress(), t.choice.Instance
+	switch {
+	case f.request.Context().Err() != nil || !f.gateway.now().Before(f.deadline):
+		t.left()
+	case errors.Is(context.Cause(t.ctx), errHeld):
+		t.left()
+		return &problem{text: "held: upstreams have crashed under this request", final: true}
+	case t.ctx.Err() != nil:
+		t.left()
+		t.mark.Stalled()
+		return &problem{text: "the upstream stalled"}
+	case f.gateway.closed(t.choice.Address):
+		// It ends its requests to load weights, and there is nothing wrong with it, or else it has crashed under one of them.
+		f.gateway.witness.Broke(t.at(), f.presence())
+	default:
+		t.mark.Failed()
+		f.gateway.pool.Forget(t.choice.Address)
+		f.gateway.witness.Broke(t.at(), f.presence())
+	}
+	return &problem{text: text}
+}
+
+// How far the answer of an upstream had come.
+const (
+	noHead   = "no head"
+	headOnly = "head"
+	inBody   = "in body"
+)
+
+// progress says how far the answer has come.
+func (t *try) progress() string {
+	switch {
+	case t.exchange == nil:
+		return noHead
+	case !t.answering.Load():
+		return headOnly
+	default:
+		return inBody
+	}
+}
