--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 GOLANGCI := .bin/golangci-lint
 GOLANGCI_VERSION := v2.15.0
 # The suites with goroutines of their own; the others are pure.
-RACED := ./internal/fleet/... ./internal/kernel/... ./internal/records/... ./internal/transfer/... ./internal/upstream/...
+RACED := ./internal/clock/... ./internal/fleet/... ./internal/kernel/... ./internal/records/... ./internal/transfer/... ./internal/upstream/... ./internal/quarantine/...
 PREFIX ?= /usr/local
 
 .PHONY: build demo examples test race soak lint generate stale install clean
