--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -141,7 +141,7 @@
 	// burstMargin is the margin of a version whose time is running out already while the chunks of a still newer one may just begin to queue on the way,
 	// burstFor after that is named: six that were asked for at once take 1.9 s of a link of 0.61 Mbit/s, and a queue that comes of a sudden shows 0.7 s
 	// after it began. Of three plays of such a day two broke the rule on versions without it, and none of three with it. With 2 s throughout none of three
-	// did either, and quiet days lost 0.02 to 0.06 of worth.
+	// did either, and quiet days lost 0.02 to 0.06 of worth. What is longer on its way than that begins late.
 	burstMargin = 2 * time.Second
 	burstFor    = 2 * time.Second
 	// swapResume is the margin for a stream that goes on elsewhere on an older version: few upstreams still serve it then,
