Whether a VM lacks a configuration is asked at the choice, not as its report comes

Cause: a configuration of 0.6 MB had come to the gateway at 21.56 s; the upstream's last report was from before and had the same configuration as the gateway then, so that its VM did not count as behind at 21.96 s. Why it holds: the report's configuration is kept, and held against the newest one at each choice; a VM counts as behind until a report shows otherwise.

--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -200,7 +200,7 @@
 	}
 	wait := time.Duration(swapCaution * float64(m.FirstEvent(c, q.Prompt)))
 	way, passage := c.Way.Bears(d.Now(), d.SwapWithin)
-	if c.Narrow || c.Behind {
+	if c.Narrow || d.behind(c) {
 		// What comes of a sudden can't be seen before: a configuration of 0.6 MB took 5 s of a link of 0.46 Mbit/s that had been clear.
 		way, passage = d.SwapWithin, placement.Queued
 	}
@@ -224,6 +224,13 @@
 	return false
 }
 
+// behind says whether a VM lacks, by its last report, a configuration that this process has: it comes onto the VM's link at any moment. It is asked at the
+// choice and not as the report comes: a report from before this process had the configuration says nothing of whether the VM has it.
+func (d *Desk) behind(c *placement.Candidate) bool {
+	newest := d.Facts.Catalog()
+	return newest != nil && c.Config > 0 && c.Config < newest.Revision
+}
+
 // serves says whether an upstream holds the model whole, and in which version; a fresh report goes before the list.
 func (d *Desk) serves(q *Query, s *catalog.Service, u *facts.Instance) (id.Revision, bool) {
 	if s.Engine == nil {
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -38,8 +38,8 @@
 	Pace float64
 	// Narrow is true while requests queue on their way there.
 	Narrow bool
-	// Behind is true of a VM that lacks a configuration which this process has, and which comes onto its link at any moment.
-	Behind bool
+	// Config is the version of the configuration that the VM had by its last report; 0 where that is not known.
+	Config uint64
 	// Wait is how long a request is taken to wait there before it begins, and Margin what must be left of its version's time when it is sent.
 	Wait, Margin time.Duration
 	// Way is what has been seen of the way there.
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -33,8 +33,8 @@
 	Down             bool
 	// Narrow is true while requests queue on their way to the upstream.
 	Narrow bool
-	// Behind is true of a VM that lacks a configuration which this process has.
-	Behind bool
+	// Config is the version of the configuration that the upstream's VM has; 0 where that is not known.
+	Config uint64
 	// Taken is when the report came, and MadeAfter a moment after which it was made; zero where none is known.
 	Taken, MadeAfter time.Time
 	// StampHeld is how long the stager had had the stamp of MadeAfter by then, and Every how far apart its reports are.
@@ -246,7 +246,7 @@
 		return c
 	}
 	c.Age = max(0, now.Sub(u.report.Taken))
-	c.Narrow, c.Behind = u.report.Narrow, u.report.Behind
+	c.Narrow, c.Config = u.report.Narrow, u.report.Config
 	c.Suspect = c.Suspect || c.Narrow
 	c.Running, c.Waiting = u.report.Running, u.report.Waiting
 	c.Pace = max(1, u.report.Pace)
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -227,7 +227,7 @@
 		Born:    id.Birth(r.GetBorn()),
 		Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), Pace: r.GetPace(),
 		Closed: r.GetClosed(), Down: r.GetDown(), Narrow: r.GetNarrow(), Taken: s.now(), MadeAfter: made,
-		StampHeld: time.Duration(r.GetEchoHeldMs()) * time.Millisecond, Every: nearEvery, Behind: s.behind(r.GetConfig()),
+		StampHeld: time.Duration(r.GetEchoHeldMs()) * time.Millisecond, Every: nearEvery, Config: r.GetConfig(),
 	}
 	if every := time.Duration(r.GetEveryMs()) * time.Millisecond; every > 0 {
 		p.Every = every
@@ -240,12 +240,6 @@
 	s.tracker.SetReport(r.GetAddress(), p)
 }
 
-// behind says whether a stager lacks a configuration that this process has; one that tells of none says nothing of it.
-func (s *Subscriber) behind(config uint64) bool {
-	c := s.facts.Catalog()
-	return c != nil && config > 0 && config < c.Revision
-}
-
 const (
 	// nearEvery is the time between two reports in the own failure domain.
 	nearEvery = 200 * time.Millisecond
