Sight: the line of a request says which limit its upstream named, a stager says what the report beside it names

The lines could not tell a limit that nobody notices from one that each gateway keeps for itself: no line said which answers named a limit, so neither which gateway knew of it when it sent. No decision changes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -152,6 +152,7 @@
 	f, e := t.flight, t.exchange
 	d := f.gateway.dialect
 	v := d.Verdict(e.StatusCode, e.Header)
+	f.named = v.Limit
 	if v.NotRun {
 		_, err := io.Copy(io.Discard, io.LimitReader(e.Body, heldAnswer))
 		t.whole = err == nil
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/throttle"
 )
 
 // Ask is what a caller says of its request beside method, path and body.
@@ -39,6 +40,8 @@
 	NotRun bool
 	// Revision is the version that the answer is made with; 0 where it does not say.
 	Revision id.Revision
+	// Limit is what the answer says of the upstream's limit.
+	Limit throttle.Word
 }
 
 // Dialect translates headers between the product and the platform.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,6 +14,7 @@
 	"github.com/springrail/springrail/internal/clock"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/quarantine"
+	"github.com/springrail/springrail/internal/throttle"
 )
 
 const (
@@ -56,6 +57,8 @@
 	upstream  string
 	reckoning reckoning
 	retry     time.Duration
+	// named is what the newest answer says of its upstream's limit.
+	named throttle.Word
 	// fingerprint tells the request from others across its repeats, once its body has been read.
 	fingerprint quarantine.Fingerprint
 	// broken is how far the answer had come on the start of an upstream that broke off last; empty where none did.
@@ -292,6 +295,9 @@
 			e = e.Stringer("fingerprint", f.fingerprint)
 		}
 	}
+	if f.named.Said == throttle.Limited {
+		e = e.Float64("limit_named", float64(f.named.Rate))
+	}
 	if f.broken != "" {
 		e = e.Str("broken", f.broken).Str("broken_instance", string(f.start))
 	}
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -206,6 +206,9 @@
 	if !down && s.state.Born.Before(state.Born) {
 		s.log.Info().Uint64("born", uint64(state.Born)).Uint64("life", state.Life).Msg("the upstream beside this process has started again")
 	}
+	if !down && state.Limit != s.state.Limit {
+		s.log.Info().Stringer("limit", state.Limit).Msg("the upstream beside this process names a limit, or none any more")
+	}
 	s.down, s.state = down, state
 	return changed
 }
--- a/internal/stager/ports.go
+++ b/internal/stager/ports.go
@@ -10,6 +10,7 @@
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/throttle"
 )
 
 var (
@@ -34,6 +35,8 @@
 	// without a start.
 	Life uint64
 	Held []facts.Held
+	// Limit is what the upstream says here of the requests that it takes.
+	Limit throttle.Word
 }
 
 // Order tells the upstream to load what is staged.
