--- a/internal/standin/modelserver.go
+++ b/internal/standin/modelserver.go
@@ -82,13 +82,18 @@
 	// head of its answer. Crash then ends it. Both are nil for a server that bears every request.
 	Crashes func(body string) (events int, ends bool)
 	Crash   func(body string)
+	// Arrived is told of each request that reaches the server, run or refused; nil for nobody.
+	Arrived func(request string)
 
-	mu      sync.Mutex
-	version int
-	staged  map[int][]byte
-	busy    bool
-	orders  int
-	running int
+	mu sync.Mutex
+	// limit is what the server names in its answers to requests, and in its reports too where reported; empty for no limit.
+	limit    string
+	reported bool
+	version  int
+	staged   map[int][]byte
+	busy     bool
+	orders   int
+	running  int
 }
 
 // BeforeHead is the number of events after which a process ends that sends nothing of its answer at all.
@@ -108,6 +113,22 @@
 	s.version = version
 }
 
+// SetLimit has the server name a limit in its answers to requests, and in its reports too where reported; an empty text ends it.
+func (s *ModelServer) SetLimit(text string, reported bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit, s.reported = text, reported
+}
+
+// name writes the limit into an answer.
+func (s *ModelServer) name(h http.Header, isReport bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit != "" && (s.reported || !isReport) {
+		h.Set("Server-Limit", s.limit)
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (s *ModelServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
@@ -134,6 +155,7 @@
 
 func (s *ModelServer) report(w http.ResponseWriter) {
 	models := s.Models()
+	s.name(w.Header(), true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	said := map[string]any{
@@ -210,6 +232,10 @@
 // request runs a caller's request: a stream where it names a model, a short answer elsewhere.
 func (s *ModelServer) request(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	if s.Arrived != nil {
+		s.Arrived(r.Header.Get("Request-Id"))
+	}
+	s.name(w.Header(), false)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
