A limited upstream is sent no request without a permit, which the process beside it gives

Upstreams in need said how many requests a second they take from all gateways together, and got several times that: 20 in 4 s at 2.1 a second, 18 allowed. Cause: nobody read the limit, and no gateway knows what the others send, so that reading it alone would not have mended it. Class: what the fleet owes somebody as a whole, each process decides for itself.

Now the stager beside the upstream, of which there is one, gives permits at the named rate, two of which lie ready at the most. A gateway asks for one before it sends, by a datagram; without one it chooses another upstream, three at the most. The limit stands in the choice (placement.Outlook), so that an upstream left alone draws no more than it has permits for, and who finds all limited is refused at once with a time spread from the next permit on. The stager hears the limit in the upstream's own reports or, where those name none, from gateways; its end by the reports, or by an answer without a limit to a permit that was given after the limit was last named, since answers pass each other. While the stager is silent gateways share half of the limit, each from a phase of its own; that and all permits together stay below one and a half times the limit. Where no stager is, they share it whole.

Nothing is sent while no upstream names a limit.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,7 +35,8 @@
 // attempt sends the request to one upstream. It returns nil once the caller has its answer.
 func (f *flight) attempt(ctx context.Context) *problem {
 	g := f.gateway
-	c, p := f.choose()
+	f.permit, f.permitEnds = 0, time.Time{}
+	c, p := f.choose(ctx)
 	if p != nil {
 		return p
 	}
@@ -51,7 +52,7 @@
 	defer flight.End()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	t := &try{flight: f, choice: c, mark: flight, ctx: ctx}
+	t := &try{flight: f, choice: c, mark: flight, permit: f.permit, ctx: ctx}
 	f.attempts++
 	if f.route.Kind == catalog.Streaming && f.route.Resumable && f.attemptsLeft() {
 		t.watchdog = time.AfterFunc(FirstStall(c.Predicted), func() { t.stalled(stop) })
@@ -94,11 +95,11 @@
 	}
 }
 
-// may says whether a request that was let in may still be sent now that its connection, which took a time to come, is there: its own time must not
-// be over, as after a suspension, and as much must be left of its version's time as when it was let in, and as a way asks for that takes as long
+// may says whether a request that was let in may still be sent now that its connection, which took a time to come, is there: its own time and that of
+// its permit must not be over, as after a suspension, and as much must be left of its version's time as when it was let in, and as a way asks for that takes as long
 // as the connection took.
 func (f *flight) may(c placement.Choice, dialled time.Duration) bool {
-	if f.left() <= 0 {
+	if f.left() <= 0 || (!f.permitEnds.IsZero() && f.gateway.now().After(f.permitEnds)) {
 		return false
 	}
 	if c.Revision == 0 || f.ask.Model == "" {
@@ -114,9 +115,11 @@
 
 // try is one attempt's exchange with an upstream.
 type try struct {
-	flight   *flight
-	choice   placement.Choice
-	mark     *placement.Flight
+	flight *flight
+	choice placement.Choice
+	mark   *placement.Flight
+	// permit is the number of the permit that it has; 0 for none.
+	permit   uint64
 	exchange *upconn.Exchange
 	watchdog *time.Timer
 	// end looks whether the version's time is over; see watchVersion.
@@ -152,7 +155,7 @@
 	f, e := t.flight, t.exchange
 	d := f.gateway.dialect
 	v := d.Verdict(e.StatusCode, e.Header)
-	f.named = v.Limit
+	t.hearLimit(v.Limit)
 	if v.NotRun {
 		_, err := io.Copy(io.Discard, io.LimitReader(e.Body, heldAnswer))
 		t.whole = err == nil
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -58,7 +59,7 @@
 			gateway: g, request: q, arrived: now, catalog: f.Catalog(), route: r, pool: "engines", tried: map[id.Instance]bool{},
 			ask: Ask{Model: "m", Prompt: 900}, deadline: now.Add(6 * time.Second), callerGives: now.Add(6 * time.Second),
 		}
-		if c, _ := w.choose(); c.Address == "" {
+		if c, _ := w.choose(context.Background()); c.Address == "" {
 			b.Fatal("nothing chosen")
 		}
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"context"
+
+	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/placement"
 )
 
@@ -9,19 +12,30 @@
 	return &Desk{Facts: g.facts, Load: g.load, Domain: g.domain, SwapWithin: g.settings.SwapWithin, Now: g.now, Random: g.random}
 }
 
-// choose picks the upstream for the next attempt, or says why there is none.
-func (f *flight) choose() (placement.Choice, *problem) {
+// mostAsks bounds the limited upstreams for which a request asks for a permit: each question takes a way there and back.
+const mostAsks = 3
+
+// choose picks the upstream for the next attempt, or says why there is none. A limited one is chosen only with a permit.
+func (f *flight) choose(ctx context.Context) (placement.Choice, *problem) {
 	q := &Query{
 		Catalog: f.catalog, Pool: f.pool, Model: f.ask.Model, Prompt: f.ask.Prompt, Arrived: f.arrived, Lost: f.lost, CallerGives: f.callerGives,
-		Tried: f.tried, Attempts: f.attempts, HeadSent: f.headSent, Revision: f.revision,
-	}
-	c, no := f.gateway.desk().Choose(q)
-	f.reckoning = q.reckoning
-	if no == nil {
-		return c, nil
+		Tried: f.tried, Attempts: f.attempts, NoPermit: map[id.Instance]bool{}, HeadSent: f.headSent, Revision: f.revision,
 	}
-	if no.Predicted > 0 {
-		f.predicted = no.Predicted
+	for {
+		c, no := f.gateway.desk().Choose(q)
+		f.reckoning = q.reckoning
+		if no != nil {
+			if no.Predicted > 0 {
+				f.predicted = no.Predicted
+			}
+			return c, &problem{text: no.Why, notRun: true, final: true, retry: no.Retry}
+		}
+		if !c.Limited || f.permitted(ctx, &c) {
+			return c, nil
+		}
+		q.NoPermit[c.Instance] = true
+		if len(q.NoPermit) == mostAsks {
+			q.OnlyUnlimited = true
+		}
 	}
-	return c, &problem{text: no.Why, notRun: true, final: true, retry: no.Retry}
 }
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -39,6 +39,10 @@
 	// Tried are the upstreams that have had the request, and Attempts how many of them took it.
 	Tried    map[id.Instance]bool
 	Attempts int
+	// NoPermit are limited upstreams for which there was no permit for the request.
+	NoPermit map[id.Instance]bool
+	// OnlyUnlimited leaves all limited upstreams out.
+	OnlyUnlimited bool
 	// HeadSent says that the caller has the head of an answer of a Revision.
 	HeadSent bool
 	Revision id.Revision
@@ -72,7 +76,7 @@
 	w := &placement.Outlook{First: placement.PlainWait, Domain: d.Domain}
 	c, ok := placement.Choose(l, q.Tried, w, d.Random())
 	if !ok {
-		return c, d.noRoom(q, "no upstream", placement.NoUpstreamRetry)
+		return c, d.noUpstream(q, placement.NoUpstreamRetry)
 	}
 	return c, nil
 }
@@ -92,7 +96,7 @@
 	}
 	c, ok := placement.Choose(l, q.Tried, w, d.Random())
 	if !ok {
-		return c, d.noRoom(q, "no upstream", q.reckoning.swapRetry(d.Now()))
+		return c, d.noUpstream(q, q.reckoning.swapRetry(d.Now()))
 	}
 	usual := m.Admission(&c.Candidate)
 	k := &q.reckoning
@@ -101,6 +105,10 @@
 	if q.HeadSent || c.Room {
 		return c, nil
 	}
+	if c.Limited {
+		k.noteLimited(c.Limit.Due)
+		return c, d.noUpstream(q, 0)
+	}
 	no := d.noRoom(q, "too busy", usual-aim)
 	no.Predicted = c.Predicted
 	return c, no
@@ -115,10 +123,21 @@
 	return &Refusal{Why: why, Retry: placement.RetryAfter(room, left, d.Random())}
 }
 
+// noUpstream refuses the request as no upstream may have it, after whose time the caller may come back. Where limits leave no permit, that is when
+// the next one comes at the soonest.
+func (d *Desk) noUpstream(q *Query, retry time.Duration) *Refusal {
+	k := &q.reckoning
+	if k.out.limited == 0 || d.Retry != nil {
+		return d.noRoom(q, "no upstream", retry)
+	}
+	left := q.CallerGives.Sub(d.Now())
+	return &Refusal{Why: "limited", Retry: placement.RetrySpread(k.permitDue, left, d.Random())}
+}
+
 // outlook is what is expected until the next reports come, which are twice as far apart as they are old on the mean.
 func (d *Desk) outlook(q *Query, m placement.Model, e *catalog.Engine, l []placement.Candidate, passed, aim time.Duration) *placement.Outlook {
 	late := !placement.InTime(0, passed, aim)
-	if q.Attempts == 0 {
+	if q.Attempts == 0 && len(q.NoPermit) == 0 {
 		d.Load.Offers.Came(q.Pool, late)
 	}
 	return &placement.Outlook{
@@ -178,6 +197,10 @@
 		if s.Engine != nil && c.Slots == 0 {
 			c.Slots = s.Engine.Slots
 		}
+		if c.Limited && (c.Limit.Permits == 0 || q.OnlyUnlimited || q.NoPermit[i.ID]) {
+			q.reckoning.noteLimited(c.Limit.Due)
+			continue
+		}
 		if s.Engine == nil || d.fits(q, m, &c) {
 			l = append(l, c)
 		}
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -118,6 +118,7 @@
 	sub := h.Part(reports.SubscriberPart).(*reports.Subscriber)
 	connect := h.Part(traffic.PartName).(*traffic.Part).Dial(traffic.Requests, dial.New(dialTimeout).DialContext)
 	load := Load{Tracker: sub.Tracker(), Offers: sub.Offers(), Demand: sub.Demand, Gateways: sub.Gateways}
+	load.Permits = Permits{Ask: sub.AskPermit, Named: sub.TellLimit, Ended: sub.TellLimitEnd}
 	q := h.Part(quarantine.PartName).(*quarantine.Quarantine)
 	g := New(s, d, h.Part(facts.PartName).(*facts.Facts), load, q, connect, h.Identity.Domain, h.Log)
 	g.listener = l
@@ -134,6 +135,7 @@
 	Demand func(p id.Pool) placement.Demand
 	// Gateways returns the number of processes that share the budget for repeats.
 	Gateways func() int
+	Permits  Permits
 }
 
 // New makes a gateway.
--- a/internal/gateway/reckoning.go
+++ b/internal/gateway/reckoning.go
@@ -21,6 +21,15 @@
 	// age is how old the nearest upstream's report was, and known whether there was one to go by.
 	age   time.Duration
 	known bool
+	// permitDue is how long it takes until the first of the limited upstreams that were left out has a permit.
+	permitDue time.Duration
+}
+
+// noteLimited counts an upstream that was left out because of its limit.
+func (k *reckoning) noteLimited(due time.Duration) {
+	if k.out.limited++; k.out.limited == 1 || due < k.permitDue {
+		k.permitDue = due
+	}
 }
 
 // note keeps the end of the time of a version that an upstream was left out for.
@@ -45,8 +54,8 @@
 	empty, over, queued, other int
 	// suspect ones have failed lately, narrow ones are behind a link on which requests queue: both are last resorts.
 	suspect, narrow int
-	// tried ones have had this request.
-	tried int
+	// tried ones have had this request, limited ones have no permit for it.
+	tried, limited int
 }
 
 // note counts what of the candidates is no first choice.
@@ -77,6 +86,7 @@
 		{"suspect", o.suspect},
 		{"narrow", o.narrow},
 		{"tried", o.tried},
+		{"limited", o.limited},
 	} {
 		if r.n > 0 {
 			e.Int(r.name, r.n)
@@ -89,6 +99,9 @@
 	if k.out != (leftOut{}) {
 		e.Object("left_out", &k.out)
 	}
+	if k.out.limited > 0 {
+		e.Int64("permit_due_ms", k.permitDue.Milliseconds())
+	}
 	if k.nearest == "" {
 		return
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -57,8 +57,12 @@
 	upstream  string
 	reckoning reckoning
 	retry     time.Duration
-	// named is what the newest answer says of its upstream's limit.
+	// named is what the newest answer says of its upstream's limit, and limit what was known of the last limited upstream that was chosen.
 	named throttle.Word
+	limit throttle.Limit
+	// permit is the number of the permit of the present attempt, if it has one, and permitEnds when it may no longer be used.
+	permit     uint64
+	permitEnds time.Time
 	// fingerprint tells the request from others across its repeats, once its body has been read.
 	fingerprint quarantine.Fingerprint
 	// broken is how far the answer had come on the start of an upstream that broke off last; empty where none did.
@@ -295,9 +299,7 @@
 			e = e.Stringer("fingerprint", f.fingerprint)
 		}
 	}
-	if f.named.Said == throttle.Limited {
-		e = e.Float64("limit_named", float64(f.named.Rate))
-	}
+	e = f.logLimit(e)
 	if f.broken != "" {
 		e = e.Str("broken", f.broken).Str("broken_instance", string(f.start))
 	}
--- a/internal/placement/outlook.go
+++ b/internal/placement/outlook.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -82,8 +83,17 @@
 	given int
 }
 
-// price sets what one more request costs.
+// full says that the upstream's limit leaves no permit for one more request.
+func (o *option) full() bool {
+	return o.Limited && o.given >= o.Limit.Permits
+}
+
+// price sets what one more request costs. An upstream whose permits are used up takes none, however idle it looks.
 func (o *option) price(w *Outlook) {
+	if o.full() {
+		o.cost = math.Inf(1)
+		return
+	}
 	o.cost = float64(w.First(&o.Candidate)) * o.luck
 	if !o.Known {
 		o.cost += float64(unknownCost)
@@ -241,7 +251,10 @@
 	w := y.outlook
 	h := y.cheapest(d).heap
 	o := h[0]
-	p := place{option: o, count: n, fits: w.fits(&o.Candidate, late)}
+	if o.Limited && !o.full() {
+		n = min(n, o.Limit.Permits-o.given)
+	}
+	p := place{option: o, count: n, fits: !o.full() && w.fits(&o.Candidate, late)}
 	o.given += n
 	w.later(&o.Candidate, 0, n)
 	o.price(w)
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -8,6 +8,7 @@
 
 	"github.com/springrail/springrail/internal/catalog"
 	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/throttle"
 )
 
 // Candidate is what is known of an upstream that may take a request.
@@ -46,6 +47,9 @@
 	Way Way
 	// Suspect is true after failures that have not yet been outlived.
 	Suspect bool
+	// Limited says that the upstream takes no more than a Limit.
+	Limited bool
+	Limit   throttle.Limit
 }
 
 // load is the number of requests at the upstream.
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -6,6 +6,7 @@
 
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/throttle"
 )
 
 const (
@@ -41,6 +42,8 @@
 	StampHeld, Every time.Duration
 	// Until is when it is no longer believed; zero is reportLife after it was taken.
 	Until time.Time
+	// Limit is what it tells of the upstream's limit.
+	Limit throttle.Told
 }
 
 // sent is one request of this process at an upstream.
@@ -58,12 +61,19 @@
 	failures int
 	until    time.Time
 	way      Way
+	limit    throttle.Known
+	// instance is the newest one that the list has had at the address, and seen the place of its entry.
+	instance id.Instance
+	seen     uint64
 	// used is when a request was last sent.
 	used time.Time
 }
 
 // Tracker follows this process's own requests at each upstream, and what upstreams say. It is safe for concurrent use.
 type Tracker struct {
+	// Gateways returns the number of processes that send to the same upstreams; it is set before use.
+	Gateways func() int
+
 	now   func() time.Time
 	mu    sync.Mutex
 	known map[string]*upstream
@@ -71,7 +81,7 @@
 
 // NewTracker makes an empty tracker.
 func NewTracker(now func() time.Time) *Tracker {
-	return &Tracker{now: now, known: map[string]*upstream{}}
+	return &Tracker{Gateways: func() int { return shareOfAll + 1 }, now: now, known: map[string]*upstream{}}
 }
 
 func (t *Tracker) at(address string) *upstream {
@@ -114,6 +124,7 @@
 	defer t.mu.Unlock()
 	if u := t.start(address, r.Born); u != nil {
 		u.report = r
+		u.limit.Hear(r.Limit, r.Taken)
 		u.way.Answer(r.MadeAfter, r.StampHeld, r.Every, t.now())
 	}
 }
@@ -236,6 +247,8 @@
 	c.InFlight, c.Way = len(u.sent), u.way
 	c.Suspect = now.Before(u.until)
 	c.Known = u.report.believed(now)
+	u.place(i)
+	t.limit(&c, u, now)
 	if !c.Known {
 		c.Waiting = shareOfAll * len(u.sent)
 		for s := range u.sent {
--- a/internal/reports/heard.go
+++ b/internal/reports/heard.go
@@ -24,6 +24,8 @@
 	gateways    int
 	demand      placement.Demand
 	demandUntil time.Time
+	// retell is when a limit that it does not tell may be told to it again.
+	retell time.Time
 }
 
 // next notes a report's place and says whether it follows all that came before.
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -20,6 +20,7 @@
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/throttle"
 	"github.com/springrail/springrail/internal/traffic"
 )
 
@@ -71,6 +72,11 @@
 	urgent int
 	// newsLimit bounds the news that this process passes on.
 	newsLimit *rate.Limiter
+	// address is the upstream's.
+	address string
+
+	// limiter gives the permits of an upstream that names a limit.
+	limiter *throttle.Limiter
 }
 
 // subscriber is a gateway with the moment at which its subscription ends.
@@ -94,9 +100,15 @@
 	return &Reporter{
 		conn: c, domain: d, facts: f, now: now, log: l, vars: new(expvar.Map), incarnation: rand.Uint64() | 1,
 		subscribers: map[string]subscriber{}, sent: func(id.Domain, int) {}, newsLimit: rate.NewLimiter(passedPerSecond, passedAtOnce),
+		limiter: throttle.NewLimiter(now),
 	}
 }
 
+// Limiter gives the permits of the upstream beside this process.
+func (r *Reporter) Limiter() *throttle.Limiter {
+	return r.limiter
+}
+
 // Run takes subscriptions until the context ends.
 func (r *Reporter) Run(ctx context.Context) error {
 	defer context.AfterFunc(ctx, func() { r.conn.Close() })()
@@ -114,6 +126,10 @@
 		r.passOn(s.GetNews())
 		return
 	}
+	if s.GetPermit() != nil {
+		r.takePermit(s.GetPermit())
+		return
+	}
 	to, err := net.ResolveUDPAddr("udp4", s.GetSender())
 	if err != nil || to.IP == nil {
 		r.vars.Add("malformed", 1)
@@ -174,6 +190,7 @@
 	}
 	p.Incarnation, p.Number, p.Subscribers = r.incarnation, r.number, uint32(len(r.subscribers))
 	p.Words = r.words(p.GetAddress(), now)
+	p.Limit, r.address = r.limit(), p.GetAddress()
 	r.noteChange(p, now)
 	toAll := r.urgent > 0 || r.number%farEvery == 0
 	r.urgent = max(0, r.urgent-1)
@@ -234,6 +251,9 @@
 // noteChange makes the next reports urgent where this one says anything new beside the load; the caller holds the lock.
 func (r *Reporter) noteChange(p *pb.UpstreamReport, now time.Time) {
 	told := fmt.Sprint(p.GetClosed(), p.GetDown(), p.GetNarrow(), p.GetNamed().GetRevision(), p.GetBorn())
+	if l := p.GetLimit(); l != nil {
+		told += fmt.Sprint(" ", l.GetRate(), l.GetOver())
+	}
 	for _, h := range p.GetHeld() {
 		told += fmt.Sprint(" ", h.GetModel(), h.GetRevision())
 	}
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -107,6 +107,8 @@
 	// newsLimit bounds the news of this process.
 	newsLimit *rate.Limiter
 
+	questions questions
+
 	mu sync.Mutex
 	// stagers is what each has said, by its upstream's address.
 	stagers map[string]*heard
@@ -114,14 +116,17 @@
 
 // NewSubscriber makes a subscriber of a failure domain over a socket; port is that of the stagers.
 func NewSubscriber(c *net.UDPConn, port int, d id.Domain, f *facts.Facts, now func() time.Time, l *log.Logger) *Subscriber {
-	return &Subscriber{
+	s := &Subscriber{
 		conn: c, port: port, domain: d, facts: f, tracker: placement.NewTracker(now), now: now, log: l, vars: new(expvar.Map),
 		stagers: map[string]*heard{}, stamps: newStamps(now()),
 		refusedLines: rate.NewLimiter(refusedPerSecond, 1), newsLimit: rate.NewLimiter(newsPerSecond, newsAtOnce),
-		OnNews: func(*pb.CrashNews) {},
-		offers: placement.NewOffers(now),
-		sent:   func(id.Domain, int) {},
+		OnNews:    func(*pb.CrashNews) {},
+		offers:    placement.NewOffers(now),
+		sent:      func(id.Domain, int) {},
+		questions: questions{waiting: map[uint64]chan uint64{}},
 	}
+	s.tracker.Gateways = s.Gateways
+	return s
 }
 
 // Tracker returns what is known of upstreams' load.
@@ -205,6 +210,10 @@
 		s.OnNews(r.GetNews())
 		return
 	}
+	if err == nil && r.GetPermit() != nil {
+		s.takePermit(&r)
+		return
+	}
 	if err != nil || r.GetAddress() == "" {
 		s.vars.Add("malformed", 1)
 		return
@@ -228,6 +237,7 @@
 		Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), Pace: r.GetPace(),
 		Closed: r.GetClosed(), Down: r.GetDown(), Narrow: r.GetNarrow(), Taken: s.now(), MadeAfter: made,
 		StampHeld: time.Duration(r.GetEchoHeldMs()) * time.Millisecond, Every: nearEvery, Config: r.GetConfig(),
+		Limit: told(&r),
 	}
 	if every := time.Duration(r.GetEveryMs()) * time.Millisecond; every > 0 {
 		p.Every = every
@@ -238,6 +248,7 @@
 		p.Held = append(p.Held, facts.Held{Model: id.Model(h.GetModel()), Revision: id.Revision(h.GetRevision())})
 	}
 	s.tracker.SetReport(r.GetAddress(), p)
+	s.retell(&r)
 }
 
 const (
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -22,6 +22,7 @@
 	"github.com/springrail/springrail/internal/rpc"
 	"github.com/springrail/springrail/internal/swapplan"
 	"github.com/springrail/springrail/internal/swarm"
+	"github.com/springrail/springrail/internal/throttle"
 	"github.com/springrail/springrail/internal/transfer"
 )
 
@@ -100,6 +101,7 @@
 	g := New(s, h.Part(PortsPart).(*Ports), h.Part(facts.PartName).(*facts.Facts), transfer.PeerLinks(r),
 		swarm.Member{Domain: h.Identity.Domain}, h.Events, h.Log)
 	g.reporter = h.Part(reports.ReporterPart).(*reports.Reporter)
+	g.reporter.Limiter().OnChange = g.logLimit
 	pace := rate.NewLimiter(rate.Inf, pacedBytes)
 	if s.UplinkBytesPerSecond > 0 {
 		pace = rate.NewLimiter(rate.Limit(s.UplinkBytesPerSecond), pacedBytes)
@@ -196,23 +198,29 @@
 		// Before the state is taken: an upstream that serves a newer version than any record names would be brought back.
 		s.prove(h.Model, h.Revision, "upstream")
 	}
+	if err == nil {
+		s.reporter.Limiter().Look(state.Limit, state.Born)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	down := err != nil
-	changed := down != s.down || state.Born != s.state.Born || state.Busy != s.state.Busy || !sameHeld(state.Held, s.state.Held)
+	changed := down != s.down || state.Born != s.state.Born || state.Busy != s.state.Busy || !sameHeld(state.Held, s.state.Held) ||
+		state.Limit != s.state.Limit
 	if down != s.down {
 		s.log.Info().Bool("down", down).Err(err).Msg("the upstream beside this process")
 	}
 	if !down && s.state.Born.Before(state.Born) {
 		s.log.Info().Uint64("born", uint64(state.Born)).Uint64("life", state.Life).Msg("the upstream beside this process has started again")
 	}
-	if !down && state.Limit != s.state.Limit {
-		s.log.Info().Stringer("limit", state.Limit).Msg("the upstream beside this process names a limit, or none any more")
-	}
 	s.down, s.state = down, state
 	return changed
 }
 
+// logLimit writes the line of a limit that begins, changes or ends.
+func (s *Stager) logLimit(w throttle.Word, by string) {
+	s.log.Info().Stringer("limit", w).Str("by", by).Msg("the limit of the upstream beside this process")
+}
+
 // prove takes a version that exists as named.
 func (s *Stager) prove(m id.Model, r id.Revision, at string) {
 	if s.facts.Prove(m, r) {
--- a/internal/throttle/word.go
+++ b/internal/throttle/word.go
@@ -34,12 +34,17 @@
 		return Word{Said: Unlimited}
 	}
 	n, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	if err != nil || n < 0 || math.IsNaN(n) || math.IsInf(n, 0) {
+	if err != nil || !Valid(n) {
 		return Word{Said: Unclear}
 	}
 	return Word{Said: Limited, Rate: Rate(n)}
 }
 
+// Valid says whether a number can be a rate.
+func Valid(n float64) bool {
+	return n >= 0 && !math.IsInf(n, 0)
+}
+
 // String implements fmt.Stringer.
 func (w Word) String() string {
 	switch w.Said {
