--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -30,7 +30,7 @@
 			}
 			return c, &problem{text: no.Why, notRun: true, final: true, retry: no.Retry}
 		}
-		if !c.Limited || f.permitted(ctx, &c) {
+		if c.Limit == nil || f.permitted(ctx, &c) {
 			return c, nil
 		}
 		q.NoPermit[c.Instance] = true
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -105,7 +105,7 @@
 	if q.HeadSent || c.Room {
 		return c, nil
 	}
-	if c.Limited {
+	if c.Limit != nil {
 		k.noteLimited(c.Limit.Due)
 		return c, d.noUpstream(q, 0)
 	}
@@ -197,7 +197,7 @@
 		if s.Engine != nil && c.Slots == 0 {
 			c.Slots = s.Engine.Slots
 		}
-		if c.Limited && (c.Limit.Permits == 0 || q.OnlyUnlimited || q.NoPermit[i.ID]) {
+		if c.Limit != nil && (c.Limit.Permits == 0 || q.OnlyUnlimited || q.NoPermit[i.ID]) {
 			q.reckoning.noteLimited(c.Limit.Due)
 			continue
 		}
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -32,7 +32,7 @@
 // process beside the upstream gives them, and while that is silent each gateway has its part of the limit.
 func (f *flight) permitted(ctx context.Context, c *placement.Choice) bool {
 	g := f.gateway
-	f.limit = c.Limit
+	f.limit = *c.Limit
 	if !c.Known {
 		if !g.load.Tracker.TakePart(c.Address) {
 			return false
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -11,27 +11,28 @@
 
 // limit fills in what is known of an upstream's limit. Where the process beside the upstream reports, it gives the permits; where it is silent, or
 // there is none, the gateways share them. The caller holds the lock.
-func (t *Tracker) limit(c *Candidate, u *upstream, now time.Time) {
-	if c.Limited = u.limit.Limited(); !c.Limited {
+func (t *Tracker) limit(c *Candidate, u *upstream, i *facts.Instance) {
+	if u.isOther(i) {
+		u.limit, u.limited = nil, nil
 		return
 	}
+	now := t.now()
+	var l throttle.Limit
 	if c.Known {
-		c.Limit = u.limit.Asked(now)
-		return
+		l = u.limit.Asked(now)
+	} else {
+		l = u.limit.Alone(now, u.limit.Part(t.Gateways(), !u.reports()))
 	}
-	c.Limit = u.limit.Alone(now, u.limit.Part(t.Gateways(), !u.reports()))
+	c.Limit = &l
 }
 
-// place notes which instance is at the address. Upstreams that don't tell their start are other ones under another ID, and what was known of the
-// limit there was of the one before.
-func (u *upstream) place(i *facts.Instance) {
-	if i.ID == u.instance || i.Seen < u.seen {
-		return
-	}
-	if u.instance != "" && u.born == 0 {
-		u.limit = throttle.Known{}
+// isOther says whether another instance has come to the address than the one that is limited, which is not limited then. Starts tell upstreams
+// apart; those that don't tell theirs are other ones under another ID.
+func (u *upstream) isOther(i *facts.Instance) bool {
+	if u.limited == nil {
+		u.limited = i
 	}
-	u.instance, u.seen = i.ID, i.Seen
+	return u.limited.ID != i.ID && u.born == 0 && i.Seen >= u.limited.Seen
 }
 
 // reports says whether a process beside the upstream has ever reported.
@@ -39,12 +40,36 @@
 	return !u.report.Taken.IsZero()
 }
 
+// hearLimit takes what the process beside the upstream tells.
+func (u *upstream) hearLimit(told throttle.Told, now time.Time) {
+	if u.unlimited(told.Word) {
+		return
+	}
+	u.limit.Hear(told, now)
+	u.settle()
+}
+
+// unlimited says whether the upstream has no limit and a word does not change that; otherwise its limit can be set.
+func (u *upstream) unlimited(w throttle.Word) bool {
+	if u.limit == nil && w.Said == throttle.Limited {
+		u.limit = &throttle.Known{}
+	}
+	return u.limit == nil
+}
+
+// settle forgets a limit that has ended.
+func (u *upstream) settle() {
+	if !u.limit.Limited() {
+		u.limit, u.limited = nil, nil
+	}
+}
+
 // HearLimit takes what the process beside an upstream has told besides its report.
 func (t *Tracker) HearLimit(address string, told throttle.Told) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if u := t.known[address]; u != nil {
-		u.limit.Hear(told, t.now())
+		u.hearLimit(told, t.now())
 	}
 }
 
@@ -53,7 +78,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.known[address]
-	if u == nil {
+	if u == nil || u.limit == nil {
 		return 0, 0, false
 	}
 	r, untold := u.limit.Untold(by)
@@ -65,7 +90,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	u := t.known[address]
-	return u != nil && u.limit.Take(t.now())
+	return u != nil && u.limit != nil && u.limit.Take(t.now())
 }
 
 // Answered takes what the upstream's answer to the request says of its limit, and returns whether the process beside the upstream is to be told.
@@ -73,10 +98,14 @@
 	t, u := f.tracker, f.upstream
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if u.unlimited(w) {
+		return false
+	}
 	now := t.now()
 	silent := !u.report.believed(now)
 	u.limit.Answer(w, f.sent.at, now, silent)
-	return u.limit.Limited() && !u.limit.Reported() && !silent
+	u.settle()
+	return u.limit != nil && !u.limit.Reported() && !silent
 }
 
 // RetrySpread is when a caller may come back where permits come more slowly than callers: any moment from the next permit on within what a caller
--- a/internal/placement/limit_test.go
+++ b/internal/placement/limit_test.go
@@ -30,7 +30,7 @@
 		l := fleetOf(10, 20)
 		l[3].Running, l[3].Waiting = 0, 0
 		Expect(chosen(l, 3, outlookOf(demand))).To(BeNumerically(">", 2*2.0/61))
-		l[3].Limited, l[3].Limit = true, throttle.Limit{Rate: 2, Permits: 2}
+		l[3].Limit = &throttle.Limit{Rate: 2, Permits: 2}
 		// 60 requests are expected until the next reports, and the one that is asked about.
 		Expect(chosen(l, 3, outlookOf(demand))).To(BeNumerically("~", 2.0/61, 0.015))
 	})
@@ -38,7 +38,7 @@
 	It("leaves the rest without room where all of a pool are limited", func() {
 		l := fleetOf(10, 0)
 		for n := range l {
-			l[n].Limited, l[n].Limit = true, throttle.Limit{Rate: 2, Permits: 1}
+			l[n].Limit = &throttle.Limit{Rate: 2, Permits: 1}
 		}
 		Expect(letIn(l, outlookOf(demand))).To(BeNumerically("~", 10.0/61, 0.03))
 	})
@@ -64,15 +64,15 @@
 		report(5, throttle.Told{Word: limited, By: 1, Permits: 2})
 		Expect(t.Candidate(i, 0).Limit.Permits).To(Equal(2))
 		report(6, throttle.Told{By: 1})
-		Expect(t.Candidate(i, 0).Limited).To(BeFalse())
+		Expect(t.Candidate(i, 0).Limit).To(BeNil())
 	})
 
 	It("is of one instance where upstreams don't tell their starts", func() {
 		i.Born = 0
 		f := t.Begin("a", 1)
 		Expect(f.Answered(limited)).To(BeFalse())
-		Expect(t.Candidate(i, 0).Limited).To(BeTrue())
-		Expect(t.Candidate(&facts.Instance{ID: "j", Address: "a", Seen: 2}, 0).Limited).To(BeFalse())
+		Expect(t.Candidate(i, 0).Limit).NotTo(BeNil())
+		Expect(t.Candidate(&facts.Instance{ID: "j", Address: "a", Seen: 2}, 0).Limit).To(BeNil())
 	})
 
 	It("is told to the process beside the upstream where that does not say it itself", func() {
--- a/internal/placement/outlook.go
+++ b/internal/placement/outlook.go
@@ -85,7 +85,7 @@
 
 // full says that the upstream's limit leaves no permit for one more request.
 func (o *option) full() bool {
-	return o.Limited && o.given >= o.Limit.Permits
+	return o.Limit != nil && o.given >= o.Limit.Permits
 }
 
 // price sets what one more request costs. An upstream whose permits are used up takes none, however idle it looks.
@@ -251,7 +251,7 @@
 	w := y.outlook
 	h := y.cheapest(d).heap
 	o := h[0]
-	if o.Limited && !o.full() {
+	if o.Limit != nil && !o.full() {
 		n = min(n, o.Limit.Permits-o.given)
 	}
 	p := place{option: o, count: n, fits: !o.full() && w.fits(&o.Candidate, late)}
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -47,9 +47,8 @@
 	Way Way
 	// Suspect is true after failures that have not yet been outlived.
 	Suspect bool
-	// Limited says that the upstream takes no more than a Limit.
-	Limited bool
-	Limit   throttle.Limit
+	// Limit is how much the upstream takes; nil where it names no limit.
+	Limit *throttle.Limit
 }
 
 // load is the number of requests at the upstream.
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -61,10 +61,10 @@
 	failures int
 	until    time.Time
 	way      Way
-	limit    throttle.Known
-	// instance is the newest one that the list has had at the address, and seen the place of its entry.
-	instance id.Instance
-	seen     uint64
+	// limit is nil while the upstream is not known to have one.
+	limit *throttle.Known
+	// limited is the instance that the limit is of; nil before one was looked at.
+	limited *facts.Instance
 	// used is when a request was last sent.
 	used time.Time
 }
@@ -124,7 +124,7 @@
 	defer t.mu.Unlock()
 	if u := t.start(address, r.Born); u != nil {
 		u.report = r
-		u.limit.Hear(r.Limit, r.Taken)
+		u.hearLimit(r.Limit, r.Taken)
 		u.way.Answer(r.MadeAfter, r.StampHeld, r.Every, t.now())
 	}
 }
@@ -247,8 +247,9 @@
 	c.InFlight, c.Way = len(u.sent), u.way
 	c.Suspect = now.Before(u.until)
 	c.Known = u.report.believed(now)
-	u.place(i)
-	t.limit(&c, u, now)
+	if u.limit != nil {
+		t.limit(&c, u, i)
+	}
 	if !c.Known {
 		c.Waiting = shareOfAll * len(u.sent)
 		for s := range u.sent {
