--- a/internal/cmd/operator.go
+++ b/internal/cmd/operator.go
@@ -27,6 +27,7 @@
 type env struct {
 	client       springrailv1connect.OperatorServiceClient
 	quarantine   springrailv1connect.QuarantineServiceClient
+	limits       springrailv1connect.LimitServiceClient
 	organisation string
 	json         bool
 	out          io.Writer
@@ -50,7 +51,7 @@
 var commands = []command{
 	cmdOrganisationPut, cmdOrganisationGet, cmdOrganisationList,
 	cmdRolloutCreate, cmdRolloutStatus, cmdRolloutList, cmdRolloutCancel, cmdRolloutRollback,
-	cmdVMList, cmdChangeGet, cmdQuarantineList, cmdQuarantineLift, cmdTimeline, cmdLosses, cmdTraffic, cmdManifest, cmdToken,
+	cmdVMList, cmdChangeGet, cmdQuarantineList, cmdQuarantineLift, cmdLimitsList, cmdTimeline, cmdLosses, cmdTraffic, cmdManifest, cmdToken,
 }
 
 // groupHelp describes the nouns.
@@ -60,6 +61,7 @@
 	"vm":           "VMs that hold or serve versions.",
 	"change":       "Changes of the configuration.",
 	"quarantine":   "Requests that crash upstreams, on a platform with its own store.",
+	"limits":       "Upstreams that take no more than a limit, on a platform with its own store.",
 }
 
 // Operator runs the operators' command line and returns the exit code.
@@ -93,6 +95,7 @@
 	}
 	e.client = springrailv1connect.NewOperatorServiceClient(client, *server, connect.WithInterceptors(bearer(*token)))
 	e.quarantine = springrailv1connect.NewQuarantineServiceClient(client, *server)
+	e.limits = springrailv1connect.NewLimitServiceClient(client, *server)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	return e.exit(actions[name](ctx, e))
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/phuslu/log"
 
+	"github.com/springrail/springrail/gen/springrail/v1/springrailv1connect"
 	"github.com/springrail/springrail/internal/clock"
 	"github.com/springrail/springrail/internal/dial"
 	"github.com/springrail/springrail/internal/facts"
@@ -20,6 +21,7 @@
 	"github.com/springrail/springrail/internal/placement"
 	"github.com/springrail/springrail/internal/quarantine"
 	"github.com/springrail/springrail/internal/reports"
+	"github.com/springrail/springrail/internal/rpc"
 	"github.com/springrail/springrail/internal/traffic"
 	"github.com/springrail/springrail/internal/upconn"
 )
@@ -57,7 +59,7 @@
 	kernel.Register(kernel.Part{
 		Name:     PartName,
 		Section:  PartName,
-		Needs:    []string{facts.PartName, DialectPart, reports.SubscriberPart, traffic.PartName, quarantine.PartName},
+		Needs:    []string{facts.PartName, DialectPart, reports.SubscriberPart, traffic.PartName, quarantine.PartName, rpc.PartName},
 		Settings: func() kernel.Section { return NewSettings() },
 		New:      newPart,
 	})
@@ -122,6 +124,7 @@
 	q := h.Part(quarantine.PartName).(*quarantine.Quarantine)
 	g := New(s, d, h.Part(facts.PartName).(*facts.Facts), load, q, connect, h.Identity.Domain, h.Log)
 	g.listener = l
+	h.Part(rpc.PartName).(*rpc.Server).Handle(springrailv1connect.NewLimitServiceHandler(g))
 	h.Metric("requests", g.tally.vars)
 	h.Metric("in_flight", expvar.Func(func() any { return g.inFlight.Load() }))
 	return g, nil
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/springrail/springrail/internal/facts"
@@ -16,14 +18,36 @@
 		u.limit, u.limited = nil, nil
 		return
 	}
+	l := t.limitOf(u)
+	c.Limit = &l
+}
+
+// limitOf is an upstream's limit at this moment; the caller holds the lock.
+func (t *Tracker) limitOf(u *upstream) throttle.Limit {
 	now := t.now()
-	var l throttle.Limit
-	if c.Known {
-		l = u.limit.Asked(now)
-	} else {
-		l = u.limit.Alone(now, u.limit.Part(t.Gateways(), !u.reports()))
+	if u.report.believed(now) {
+		return u.limit.Asked(now)
 	}
-	c.Limit = &l
+	return u.limit.Alone(now, u.limit.Part(t.Gateways(), !u.reports()))
+}
+
+// Limited is an upstream that names a limit.
+type Limited struct {
+	Address string
+	throttle.Limit
+}
+
+// Limits lists the upstreams that name a limit, by address.
+func (t *Tracker) Limits() (l []Limited) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for address, u := range t.known {
+		if u.limit != nil {
+			l = append(l, Limited{Address: address, Limit: t.limitOf(u)})
+		}
+	}
+	slices.SortFunc(l, func(a, b Limited) int { return strings.Compare(a.Address, b.Address) })
+	return l
 }
 
 // isOther says whether another instance has come to the address than the one that is limited, which is not limited then. Starts tell upstreams
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -194,6 +194,9 @@
 	u := t.at(address)
 	s := &sent{at: t.now(), tokens: tokens}
 	u.sent[s], u.used = struct{}{}, s.at
+	if u.limit != nil {
+		u.limit.Count()
+	}
 	return &Flight{tracker: t, upstream: u, sent: s}
 }
 
--- a/internal/throttle/known.go
+++ b/internal/throttle/known.go
@@ -24,6 +24,8 @@
 	// share is this gateway's part while that process is silent; sharing says that it is in use.
 	share   bucket
 	sharing bool
+	// sent counts the requests since the limit was first heard of.
+	sent uint64
 }
 
 // Limit is the state of a limit at a moment.
@@ -33,6 +35,9 @@
 	// Permits are thought to be there, and Due is how long it takes until one is.
 	Permits int
 	Due     time.Duration
+	// Sent is how many requests this gateway has sent since it first heard of the limit, and Alone says that it has a part of its own.
+	Sent  uint64
+	Alone bool
 }
 
 // Hear takes what the process beside the upstream tells.
@@ -71,6 +76,11 @@
 	}
 }
 
+// Count notes a request that is sent.
+func (k *Known) Count() {
+	k.sent++
+}
+
 // Limited says whether there is a limit.
 func (k *Known) Limited() bool {
 	return k.limited
@@ -89,7 +99,7 @@
 // Asked is the limit as one reads it who can ask the process beside the upstream for permits.
 func (k *Known) Asked(now time.Time) Limit {
 	k.sharing = false
-	return Limit{Rate: k.rate, Since: k.since, Permits: k.there.whole(now), Due: k.there.due(now)}
+	return Limit{Rate: k.rate, Since: k.since, Permits: k.there.whole(now), Due: k.there.due(now), Sent: k.sent}
 }
 
 // Alone is the limit as one reads it who can ask nobody: that one process of a number has an equal part of what they share.
@@ -99,7 +109,7 @@
 		k.sharing, k.share = true, bucket{left: rand.Float64(), at: now}
 	}
 	k.share.set(of, now)
-	return Limit{Rate: k.rate, Since: k.since, Permits: k.share.whole(now), Due: k.share.due(now)}
+	return Limit{Rate: k.rate, Since: k.since, Permits: k.share.whole(now), Due: k.share.due(now), Sent: k.sent, Alone: true}
 }
 
 // Part is the rate of one of a number of gateways while nobody gives permits; whole says that nobody ever does for this upstream.
--- a/internal/throttle/plays_test.go
+++ b/internal/throttle/plays_test.go
@@ -37,6 +37,8 @@
 	limit   Rate
 	// silent are gateways that hear nothing from the process beside the upstream.
 	silent func(n int) bool
+	// whole says that gateways share the whole limit while they hear nothing.
+	whole bool
 	// lost is the share of news and answers that is lost.
 	lost float64
 }
@@ -109,7 +111,7 @@
 	case !k.Limited():
 		s.sent = append(s.sent, s.now)
 	case s.silent(n):
-		k.Alone(s.now, k.Part(len(s.gateways), false))
+		k.Alone(s.now, k.Part(len(s.gateways), s.whole))
 		if k.Take(s.now) {
 			s.sent = append(s.sent, s.now)
 		}
