In a version's last 3 s the way to an upstream is proven before each send

Callers' requests were begun 0.1 and 0.2 s after their version's time, by an upstream whose link had narrowed: 51 KB of chunks had come onto it after the way was last proven, 1.28 s before the version's end. Cause: stamps prove a way each 0.2 s, so that a queue which comes of a sudden shows 0.7 s later. Now a gateway that is about to send on a version whose time has less than 3 s left asks the stager beside the upstream, by the datagram that asks for permits of limited upstreams, and sends only once the answer is there, within 0.15 s, and with as much left as twice that way took. Why it holds: what stands on the link stands before the question too. Left: what comes onto the link in the ms between the answer and the request.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,7 +35,7 @@
 // attempt sends the request to one upstream. It returns nil once the caller has its answer.
 func (f *flight) attempt(ctx context.Context) *problem {
 	g := f.gateway
-	f.permit, f.permitEnds = 0, time.Time{}
+	f.permit, f.leaveEnds = 0, time.Time{}
 	c, p := f.choose(ctx)
 	if p != nil {
 		return p
@@ -96,10 +96,10 @@
 }
 
 // may says whether a request that was let in may still be sent now that its connection, which took a time to come, is there: its own time and that of
-// its permit must not be over, as after a suspension, and as much must be left of its version's time as when it was let in, and as a way asks for that takes as long
-// as the connection took.
+// the leave to send it must not be over, as after a suspension, and as much must be left of its version's time as when it was let in, and as a way asks for that takes as long
+// as the connection or the leave took.
 func (f *flight) may(c placement.Choice, dialled time.Duration) bool {
-	if f.left() <= 0 || (!f.permitEnds.IsZero() && f.gateway.now().After(f.permitEnds)) {
+	if f.left() <= 0 || (!f.leaveEnds.IsZero() && f.gateway.now().After(f.leaveEnds)) {
 		return false
 	}
 	if c.Revision == 0 || f.ask.Model == "" {
@@ -107,10 +107,10 @@
 	}
 	g := f.gateway
 	until := g.facts.Until(f.ask.Model, c.Revision, g.settings.SwapWithin)
-	return until.IsZero() || !g.now().Add(max(c.Margin, c.Wait+wayDialled*dialled)).After(until)
+	return until.IsZero() || !g.now().Add(max(c.Margin, c.Wait+wayDialled*max(dialled, f.asked))).After(until)
 }
 
-// wayDialled is how many times the time that a connection took to come a request on it may be on its way: the queue may have grown since.
+// wayDialled is how many times the time that a connection or leave took to come a request on it may be on its way: the queue may have grown since.
 const wayDialled = 2
 
 // try is one attempt's exchange with an upstream.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -12,14 +12,14 @@
 	return &Desk{Facts: g.facts, Load: g.load, Domain: g.domain, SwapWithin: g.settings.SwapWithin, Now: g.now, Random: g.random}
 }
 
-// mostAsks bounds the limited upstreams for which a request asks for a permit: each question takes a way there and back.
+// mostAsks bounds the upstreams for which a request asks for leave: each question takes a way there and back.
 const mostAsks = 3
 
-// choose picks the upstream for the next attempt, or says why there is none. A limited one is chosen only with a permit.
+// choose picks the upstream for the next attempt, or says why there is none. Some are chosen only with leave from beside them.
 func (f *flight) choose(ctx context.Context) (placement.Choice, *problem) {
 	q := &Query{
 		Catalog: f.catalog, Pool: f.pool, Model: f.ask.Model, Prompt: f.ask.Prompt, Arrived: f.arrived, Lost: f.lost, CallerGives: f.callerGives,
-		Tried: f.tried, Attempts: f.attempts, NoPermit: map[id.Instance]bool{}, HeadSent: f.headSent, Revision: f.revision,
+		Tried: f.tried, Attempts: f.attempts, Declined: map[id.Instance]bool{}, HeadSent: f.headSent, Revision: f.revision,
 	}
 	for {
 		c, no := f.gateway.desk().Choose(q)
@@ -30,12 +30,10 @@
 			}
 			return c, &problem{text: no.Why, notRun: true, final: true, retry: no.Retry}
 		}
-		if c.Limit == nil || f.permitted(ctx, &c) {
+		if f.leave(ctx, &c) {
 			return c, nil
 		}
-		q.NoPermit[c.Instance] = true
-		if len(q.NoPermit) == mostAsks {
-			q.OnlyUnlimited = true
-		}
+		q.Declined[c.Instance] = true
+		q.AskNone = len(q.Declined) >= mostAsks
 	}
 }
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -39,10 +39,9 @@
 	// Tried are the upstreams that have had the request, and Attempts how many of them took it.
 	Tried    map[id.Instance]bool
 	Attempts int
-	// NoPermit are limited upstreams for which there was no permit for the request.
-	NoPermit map[id.Instance]bool
-	// OnlyUnlimited leaves all limited upstreams out.
-	OnlyUnlimited bool
+	// Declined are upstreams beside which nobody gave leave for the request, and AskNone leaves out all where somebody would have to.
+	Declined map[id.Instance]bool
+	AskNone  bool
 	// HeadSent says that the caller has the head of an answer of a Revision.
 	HeadSent bool
 	Revision id.Revision
@@ -137,7 +136,7 @@
 // outlook is what is expected until the next reports come, which are twice as far apart as they are old on the mean.
 func (d *Desk) outlook(q *Query, m placement.Model, e *catalog.Engine, l []placement.Candidate, passed, aim time.Duration) *placement.Outlook {
 	late := !placement.InTime(0, passed, aim)
-	if q.Attempts == 0 && len(q.NoPermit) == 0 {
+	if q.Attempts == 0 && len(q.Declined) == 0 {
 		d.Load.Offers.Came(q.Pool, late)
 	}
 	return &placement.Outlook{
@@ -163,6 +162,10 @@
 	// did either, and quiet days lost 0.02 to 0.06 of worth. What is longer on its way than that begins late.
 	burstMargin = 2 * time.Second
 	burstFor    = 2 * time.Second
+	// proveLast is the part of a version's time, from its end back, in which the way to an upstream is proven anew before each send; half of that time at
+	// the most, in which a way of which nothing was seen is not taken anyway. What comes onto a link
+	// of a sudden shows 0.7 s later by stamps, and may hold more than is left by then.
+	proveLast = 3 * time.Second
 	// swapResume is the margin for a stream that goes on elsewhere on an older version: few upstreams still serve it then,
 	// and one that took such streams of others let one wait for 2.4 s.
 	swapResume = 3 * time.Second
@@ -197,7 +200,7 @@
 		if s.Engine != nil && c.Slots == 0 {
 			c.Slots = s.Engine.Slots
 		}
-		if c.Limit != nil && (c.Limit.Permits == 0 || q.OnlyUnlimited || q.NoPermit[i.ID]) {
+		if c.Limit != nil && (c.Limit.Permits == 0 || q.declined(&c)) {
 			q.reckoning.noteLimited(c.Limit.Due)
 			continue
 		}
@@ -235,10 +238,15 @@
 		margin = max(margin, swapResume)
 	}
 	c.Wait, c.Margin = wait, margin
-	if c.Revision >= q.newest || c.Revision >= d.Facts.Required(q.Model, d.SwapWithin-margin) {
+	if c.Revision >= q.newest {
 		return true
 	}
-	q.reckoning.note(d.Facts.Until(q.Model, c.Revision, d.SwapWithin))
+	until := d.Facts.Until(q.Model, c.Revision, d.SwapWithin)
+	c.Prove = !until.IsZero() && until.Sub(d.Now()) < min(proveLast, d.SwapWithin/2)
+	if c.Revision >= d.Facts.Required(q.Model, d.SwapWithin-margin) && (!c.Prove || !q.declined(c)) {
+		return true
+	}
+	q.reckoning.note(until)
 	if passage == placement.Queued {
 		q.reckoning.out.queued++
 	} else {
@@ -247,6 +255,11 @@
 	return false
 }
 
+// declined says whether an upstream where leave is asked for is not to be asked.
+func (q *Query) declined(c *placement.Candidate) bool {
+	return q.AskNone || q.Declined[c.Instance]
+}
+
 // behind says whether a VM lacks, by its last report, a configuration that this process has: it comes onto the VM's link at any moment. It is asked at the
 // choice and not as the report comes: a report from before this process had the configuration says nothing of whether the VM has it.
 func (d *Desk) behind(c *placement.Candidate) bool {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -101,7 +101,8 @@
 	quiet := &log.Logger{Level: log.PanicLevel}
 	load := Load{
 		Tracker: b.tracker, Offers: placement.NewOffers(time.Now), Gateways: func() int { return 1 },
-		Demand: func(id.Pool) placement.Demand { return placement.Demand{} },
+		Permits: Permits{Ask: func(context.Context, string, id.Birth) (uint64, bool) { return 1, true }},
+		Demand:  func(id.Pool) placement.Demand { return placement.Demand{} },
 	}
 	q := unsuspecting()
 	b.list = q.List
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -13,48 +13,69 @@
 
 // Permits is the way to the processes beside upstreams that name a limit; function fields so that tests and plays can replace each.
 type Permits struct {
-	// Ask asks for a permit, and returns its number, or 0 where there is none or no answer comes before the context ends.
-	Ask func(ctx context.Context, address string, born id.Birth) uint64
+	// Ask asks for a permit, and returns its number, or 0 where there is none, and whether an answer came before the context ended.
+	Ask func(ctx context.Context, address string, born id.Birth) (permit uint64, answered bool)
 	// Named tells a limit that an answer named, and Ended the permit of a request whose answer named none.
 	Named func(address string, born id.Birth, r throttle.Rate)
 	Ended func(address string, born id.Birth, permit uint64)
 }
 
 const (
-	// askWithin is how long a permit may take to come: a way there and back is 12 ms on the longest of today's platforms, and what takes longer than
+	// askWithin is how long leave may take to come: a way there and back is 12 ms on the longest of today's platforms, and what takes longer than
 	// this is better sent elsewhere.
 	askWithin = 150 * time.Millisecond
-	// permitLife is how long after its question a permit may be used. A process that stood still meanwhile would send what others have had since.
-	permitLife = 500 * time.Millisecond
+	// leaveLife is how long after its question leave may be used. A process that stood still meanwhile would send what others have had since.
+	leaveLife = 500 * time.Millisecond
 )
 
-// permitted gets a permit for a limited upstream. All gateways together may send it no more than it takes, so that none sends without one: the
-// process beside the upstream gives them, and while that is silent each gateway has its part of the limit.
-func (f *flight) permitted(ctx context.Context, c *placement.Choice) bool {
-	g := f.gateway
-	f.limit = *c.Limit
-	if !c.Known {
-		if !g.load.Tracker.TakePart(c.Address) {
-			return false
-		}
-		g.tally.add("permits_of_own_part")
+// leave gets leave to send to an upstream, where that needs any: a permit for one that is limited, as all gateways together may send it no more than it
+// takes, and an answer from beside it where the way there is to be proven. The process beside the upstream gives both; while it is silent each
+// gateway has its part of a limit, and no way is proven.
+func (f *flight) leave(ctx context.Context, c *placement.Choice) bool {
+	f.asked = 0
+	if c.Limit == nil && !c.Prove {
 		return true
 	}
+	if c.Limit != nil {
+		f.limit = *c.Limit
+	}
+	if !c.Known {
+		return !c.Prove && f.takePart(c)
+	}
+	return f.askLeave(ctx, c)
+}
+
+// takePart takes a permit of this gateway's own part of a limit.
+func (f *flight) takePart(c *placement.Choice) bool {
+	g := f.gateway
+	if !g.load.Tracker.TakePart(c.Address) {
+		return false
+	}
+	g.tally.add("permits_of_own_part")
+	return true
+}
+
+// askLeave asks the process beside an upstream.
+func (f *flight) askLeave(ctx context.Context, c *placement.Choice) bool {
+	g := f.gateway
 	ctx, stop := context.WithTimeout(ctx, askWithin)
 	defer stop()
-	asked := g.now()
-	f.permit = g.load.Permits.Ask(ctx, c.Address, c.Born)
+	began := g.now()
+	permit, answered := g.load.Permits.Ask(ctx, c.Address, c.Born)
+	f.asked = g.now().Sub(began)
 	switch {
-	case f.permit > 0:
-		f.permitEnds = asked.Add(permitLife)
-		g.tally.add("permits")
-		return true
-	case ctx.Err() != nil:
-		g.tally.add("permits_unanswered")
-	default:
+	case !answered:
+		g.tally.add("leave_unanswered")
+		return false
+	case permit == 0:
 		g.tally.add("permits_refused")
+		return false
+	}
+	f.permit, f.leaveEnds = permit, began.Add(leaveLife)
+	if c.Limit != nil {
+		g.tally.add("permits")
 	}
-	return false
+	return true
 }
 
 // hearLimit takes what an answer says of its upstream's limit, and tells the process beside the upstream where that may not know.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -60,9 +60,11 @@
 	// named is what the newest answer says of its upstream's limit, and limit what was known of the last limited upstream that was chosen.
 	named throttle.Word
 	limit throttle.Limit
-	// permit is the number of the permit of the present attempt, if it has one, and permitEnds when it may no longer be used.
-	permit     uint64
-	permitEnds time.Time
+	// permit is the number of the permit of the present attempt, if it has one, asked how long leave took to come, and leaveEnds when it may no longer
+	// be used.
+	permit    uint64
+	asked     time.Duration
+	leaveEnds time.Time
 	// fingerprint tells the request from others across its repeats, once its body has been read.
 	fingerprint quarantine.Fingerprint
 	// broken is how far the answer had come on the start of an upstream that broke off last; empty where none did.
--- a/internal/gateway/way_test.go
+++ b/internal/gateway/way_test.go
@@ -27,6 +27,9 @@
 	wideLink, narrowLink, chunkSize = 9_000_000, 30_000, 24 << 10
 	// chunksQueued are on their way at any time: 8 ms of the wide link and 2.4 s of the narrow one.
 	chunksQueued = 3
+	// suddenBytes come at once onto a link that carries suddenLink a second: 1.28 s. They come so long before the end of a version's time.
+	suddenBytes, suddenLink = 51 << 10, 40_000
+	sudden                  = 1300 * time.Millisecond
 	// reportsEvery is how often a stager reports.
 	reportsEvery = 200 * time.Millisecond
 )
@@ -194,6 +197,7 @@
 	n.reporter = reports.NewReporter(c, "d", n.facts, time.Now, quiet)
 	s := reports.NewSubscriber(udp(), e.link.datagrams(c.LocalAddr().(*net.UDPAddr)), "d", e.facts, time.Now, quiet)
 	e.gateway.load.Tracker = s.Tracker()
+	e.gateway.load.Permits.Ask = s.AskPermit
 	go func() { _ = n.reporter.Run(ctx) }()
 	go func() { _ = s.Run(ctx) }()
 	go func() {
@@ -306,6 +310,24 @@
 		}
 	})
 
+	// Callers' requests were begun 0.1 and 0.2 s after their version's time, by an upstream whose link had narrowed. Order of events: the way there is
+	// proven; 51 KB of chunks come onto the link at once; 1.28 s before the version's end a request goes out behind them and takes as long.
+	// Cause: the proof was up to 0.7 s old when the request went out. Evidence: 6 requests begin late here with proofs by stamps alone, and none where
+	// each send in the last 3 s waits for a datagram there and back.
+	It("are never begun after the older version's time where the queue comes of a sudden in its last seconds", func() {
+		ctx, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		e := newFarEnd(ctx, within)
+		e.name()
+		e.askUntil(e.end().Add(-sudden))
+		e.link.setRate(suddenLink)
+		e.link.send(make([]byte, suddenBytes), func([]byte) {})
+		e.askUntil(e.end())
+		e.waiting.Wait()
+		time.Sleep(time.Second)
+		Expect(e.late(e.end())).To(BeZero(), "begun on the older version after its time")
+	})
+
 	It("are not sent on a connection that took so long to come that too little is left of the version's time", func() {
 		b := newBackstage(route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", func(*http.Request, string, net.Conn) {})
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -43,6 +43,9 @@
 	Config uint64
 	// Wait is how long a request is taken to wait there before it begins, and Margin what must be left of its version's time when it is sent.
 	Wait, Margin time.Duration
+	// Prove says that the way there is to be proven anew before a request is sent: of the version's time too little is left to bear what may have
+	// come onto it since.
+	Prove bool
 	// Way is what has been seen of the way there.
 	Way Way
 	// Suspect is true after failures that have not yet been outlived.
--- a/internal/reports/permits.go
+++ b/internal/reports/permits.go
@@ -47,17 +47,17 @@
 	delete(q.waiting, number)
 }
 
-// AskPermit asks the stager beside an upstream for a permit, and returns its number, or 0 where there is none or no answer comes before the context
-// ends.
-func (s *Subscriber) AskPermit(ctx context.Context, address string, born id.Birth) uint64 {
+// AskPermit asks the stager beside an upstream for a permit, and returns its number, or 0 where there is none, and whether an answer came before the
+// context ended.
+func (s *Subscriber) AskPermit(ctx context.Context, address string, born id.Birth) (permit uint64, answered bool) {
 	number, answer := s.questions.add()
 	defer s.questions.drop(number)
 	s.tellStager(address, &pb.PermitRequest{Number: number, Born: uint64(born)})
 	select {
 	case <-ctx.Done():
-		return 0
+		return 0, false
 	case p := <-answer:
-		return p
+		return p, true
 	}
 }
 
