Soak: upstreams name limits, in answers alone or in their reports too

A check counts what reaches a limited upstream in any 4 s from gateways that it has told, and lets pass what a fault of that gateway excuses; a fault of another process, such as the stager beside the upstream, excuses nothing. Limits are drawn after all else, so that a seed's other steps stay.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -105,6 +105,7 @@
 	now := b.now()
 	r.at = append(r.at, address)
 	sound := b.sound(r) && b.clean(now.Add(-settle), now, address)
+	b.limitArrived(r, id, instance, sound)
 	if d, ok := b.departed[instance]; ok {
 		late := now.Sub(d.at)
 		b.counts["reached an upstream after it left"]++
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -93,6 +93,7 @@
 	configs    []named
 	requests   map[string]*request
 	crashes    map[string]*crashing
+	limits     map[string]*limit
 	violations []*Violation
 	counts     map[string]int
 }
@@ -101,7 +102,7 @@
 func NewHistory(seed uint64, now func() time.Time) *History {
 	return &History{
 		seed: seed, start: now(), now: now, spans: map[string][]*span{}, departed: map[string]departure{},
-		requests: map[string]*request{}, crashes: map[string]*crashing{}, counts: map[string]int{},
+		requests: map[string]*request{}, crashes: map[string]*crashing{}, limits: map[string]*limit{}, counts: map[string]int{},
 	}
 }
 
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -49,6 +49,8 @@
 		w.configure(s.Size)
 	case doCrasher:
 		w.crasher(ctx, s)
+	case doLimit:
+		w.limitOne(ctx, s)
 	}
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -30,6 +30,7 @@
 	doVersion  = "version"
 	doConfig   = "config"
 	doCrasher  = "crashing-request"
+	doLimit    = "limit"
 )
 
 // faultNames lists what may be drawn in an episode, with how many of them are drawn: those that may hide most come most.
@@ -95,6 +96,7 @@
 		p.act(at, p.acts)
 	}
 	p.crashers(allowed)
+	p.limits(allowed)
 	slices.SortStableFunc(p.steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p.steps
 }
@@ -114,6 +116,22 @@
 	}
 }
 
+const (
+	// limitEvery is the mean time between two limits, and limitLeast and limitMost are the bounds of how long one lasts.
+	limitEvery            = 6 * time.Second
+	limitLeast, limitMost = 5 * time.Second, 20 * time.Second
+)
+
+// limits draws when upstreams name limits, and for how long. They are drawn after all others, for the same reason as those that crash.
+func (p *planner) limits(allowed []string) {
+	if len(only([]string{doLimit}, allowed)) == 0 {
+		return
+	}
+	for at := p.between(0, 2*limitEvery); at < p.end; at += p.between(0, 2*limitEvery) {
+		p.add(at, doLimit, min(p.between(limitLeast, limitMost), p.end-at))
+	}
+}
+
 // planner draws steps.
 type planner struct {
 	r                    *rand.Rand
