--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -134,8 +134,7 @@
 }
 
 // Instances returns the list of upstreams, with those as leaving that have left by a stager's word; do not change it. It is
-// made when it is first read after a change: made anew for each entry, a list of 3,000 upstreams took 509 ms of processor time to
-// read, and takes 3.6 ms so (BenchmarkList).
+// made when it is first read after a change: to make it anew for each entry grows with the square of the list (BenchmarkList).
 func (f *Facts) Instances() []*Instance {
 	if l := f.list.Load(); l != nil {
 		return *l
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -157,9 +157,7 @@
 	// swapArrival is the least time for the way to the upstream, on a link that is shared with chunks; see placement.Way for what is added.
 	swapArrival = 400 * time.Millisecond
 	// burstMargin is the margin of a version whose time is running out already while the chunks of a still newer one may just begin to queue on the way,
-	// burstFor after that is named: six that were asked for at once take 1.9 s of a link of 0.61 Mbit/s, and a queue that comes of a sudden shows 0.7 s
-	// after it began. Of three plays of such a day two broke the rule on versions without it, and none of three with it. With 2 s throughout none of three
-	// did either, and quiet days lost 0.02 to 0.06 of worth. What is longer on its way than that begins late.
+	// burstFor after that is named: six that are asked for at once take 1.9 s of a link of 0.61 Mbit/s. What is longer on its way than that begins late.
 	burstMargin = 2 * time.Second
 	burstFor    = 2 * time.Second
 	// proveLast is the part of a version's time, from its end back, in which the way to an upstream is proven anew before each send; half of that time at
--- /dev/null
+++ b/internal/gateway/permit_test.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/placement"
+	"github.com/springrail/springrail/internal/throttle"
+)
+
+var _ = Describe("a request for which only limited upstreams are there", func() {
+	var (
+		b     *backstage
+		s     *sleeper
+		asked atomic.Int32
+	)
+	limited := throttle.Word{Said: throttle.Limited, Rate: 2}
+	// limit has the stager beside an upstream tell a limit, of which two permits are there.
+	limit := func(name string) {
+		b.tracker.SetReport(b.facts.Instance(id.Instance(name)).Address, placement.LoadReport{
+			Taken: s.now(), Until: s.now().Add(time.Hour), Held: []facts.Held{{Model: "m", Revision: 1}},
+			Limit: throttle.Told{Word: limited, By: 1, Permits: 2},
+		})
+	}
+	// answers has questions answered in a way.
+	answers := func(permit uint64, answered bool, took time.Duration) {
+		b.gateway.load.Permits.Ask = func(ctx context.Context, _ string, _ id.Birth) (uint64, bool) {
+			asked.Add(1)
+			s.lost.Add(int64(took))
+			if !answered {
+				<-ctx.Done()
+			}
+			return permit, answered
+		}
+	}
+	ask := func() *http.Response {
+		a, _, err := b.ask("POST", "/p/", "x", xModel, "m", xWait, "6000")
+		Expect(err).NotTo(HaveOccurred())
+		return a
+	}
+	BeforeEach(func() {
+		s = &sleeper{}
+		asked.Store(0)
+		b = newBackstageBy(s.now, route(catalog.Unsafe, "engines"))
+		b.gateway.load.Permits.Named = func(string, id.Birth, throttle.Rate) {}
+		b.gateway.load.Permits.Ended = func(string, id.Birth, uint64) {}
+		for _, n := range []string{"u", "v", "w", "x"} {
+			b.upstream(n, "engines", func(q *http.Request, _ string, c net.Conn) { reply(c, q, 200, "", "ran") })
+			limit(n)
+		}
+	})
+
+	It("goes to one that gives a permit", func() {
+		answers(7, true, 0)
+		Expect(ask().StatusCode).To(Equal(200))
+		Expect(asked.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("is refused at once where none has one, after three questions, and told to come back when one is due", func() {
+		answers(0, true, 0)
+		a := ask()
+		Expect(a.StatusCode).To(Equal(503))
+		Expect(b.runs("1")).To(BeZero())
+		Expect(asked.Load()).To(BeEquivalentTo(mostAsks))
+		ms, err := strconv.Atoi(a.Header.Get(xRetry))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ms).To(BeNumerically(">=", 300))
+		Expect(ms).To(BeNumerically("<=", 2000))
+	})
+
+	It("is not sent on silence, nor on a permit that came while the VM was suspended", func() {
+		answers(0, false, 0)
+		Expect(ask().StatusCode).To(Equal(503))
+		answers(7, true, leaveLife)
+		Expect(ask().StatusCode).To(Equal(503))
+		Expect(b.runs("1")).To(BeZero())
+	})
+
+	It("goes elsewhere without a question where one is not limited", func() {
+		answers(0, true, 0)
+		b.tracker.SetReport(b.facts.Instance("w").Address, placement.LoadReport{
+			Taken: s.now(), Until: s.now().Add(time.Hour), Held: []facts.Held{{Model: "m", Revision: 1}}, Limit: throttle.Told{By: 1, Word: throttle.Word{Said: throttle.Unlimited}},
+		})
+		Expect(ask().StatusCode).To(Equal(200))
+		Expect(asked.Load()).To(BeNumerically("<=", mostAsks))
+	})
+})
+
+var _ = Describe("what answers say of a limit", func() {
+	It("is told to the stager beside the upstream: a limit each time, its end with the permit of the request", func() {
+		b := newBackstage(route(catalog.Unsafe, "engines"))
+		d := testDialect()
+		verdict := d.Verdict
+		d.Verdict = func(status int, h http.Header) Verdict {
+			v := verdict(status, h)
+			v.Limit = throttle.Parse(h.Get("X-Limit"))
+			return v
+		}
+		b.gateway.dialect = d
+		text := "2"
+		b.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) { reply(c, q, 200, "X-Limit: "+text+"\r\n", "ran") })
+		address := b.facts.Instances()[0].Address
+		told := func(w throttle.Told) {
+			b.tracker.SetReport(address, placement.LoadReport{Taken: time.Now(), Held: []facts.Held{{Model: "m", Revision: 1}}, Limit: w})
+		}
+		var named []throttle.Rate
+		var ended []uint64
+		b.gateway.load.Permits = Permits{
+			Ask:   func(context.Context, string, id.Birth) (uint64, bool) { return 9, true },
+			Named: func(_ string, _ id.Birth, r throttle.Rate) { named = append(named, r) },
+			Ended: func(_ string, _ id.Birth, permit uint64) { ended = append(ended, permit) },
+		}
+		told(throttle.Told{By: 1})
+		for range 2 {
+			_, _, err := b.ask("POST", "/p/", "x", xModel, "m")
+			Expect(err).NotTo(HaveOccurred())
+			told(throttle.Told{Word: throttle.Word{Said: throttle.Limited, Rate: 2}, By: 1, Permits: 2})
+		}
+		Expect(named).To(Equal([]throttle.Rate{2, 2}))
+		text = ""
+		_, _, err := b.ask("POST", "/p/", "x", xModel, "m")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ended).To(Equal([]uint64{9}))
+	})
+})
+
+var _ = Describe("a stream that breaks off at one upstream while the other is limited", func() {
+	It("goes on there only with a permit", func() {
+		b := newBackstage(route(catalog.Streaming, "engines"))
+		for _, n := range []string{"u", "v"} {
+			b.upstream(n, "engines", func(q *http.Request, _ string, c net.Conn) {
+				stream(c, q, xRevision+": 1\r\n", "id: 1\ndata: a\n\n")
+				if q.Header.Get(xAfter) != "" {
+					_, _ = io.WriteString(c, "0\r\n\r\n")
+				}
+			})
+		}
+		i := b.facts.Instance("v")
+		b.tracker.SetReport(i.Address, placement.LoadReport{
+			Taken: time.Now().Add(time.Minute), Until: time.Now().Add(time.Hour), Held: i.Held,
+			Limit: throttle.Told{Word: throttle.Word{Said: throttle.Limited, Rate: 0.1}, By: 1},
+		})
+		_, _, err := b.ask("POST", "/p/", "x", xModel, "m")
+		Expect(err).To(HaveOccurred(), "cut, as nothing else may have it")
+		Expect(b.runs("1")).To(Equal(1))
+	})
+})
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -12,7 +12,7 @@
 	// of the bytes, which at the users' prices is near a hundredth of a request's worth.
 	farCost = 25 * time.Millisecond
 	// jitter is the share of a cost that is drawn at random, so that several processes with the same view do not all
-	// choose the same one of equals; with 0.15 the queue wait of BenchmarkChoiceOnOldViews is up to twice as long.
+	// choose the same one of equals (BenchmarkChoiceOnOldViews); more of it sends requests where others would begin sooner.
 	jitter = 0.02
 	// unknownCost is added where an upstream's own figures are missing: they are a fifth of a second old at the most
 	// while its stager lives.
@@ -49,8 +49,7 @@
 }
 
 const (
-	// aimShare is the part of the aim that a prediction may fill: what is left covers the way back. On an overloaded day
-	// 0.95, 0.9, 0.8 and 0.65 gave 0.303, 0.294, 0.316 and 0.265 of worth, on a quiet one 0.755, -, 0.731 and 0.663.
+	// aimShare is the part of the aim that a prediction may fill: what is left covers the way back.
 	aimShare = 0.9
 )
 
--- a/internal/placement/outlook.go
+++ b/internal/placement/outlook.go
@@ -104,8 +104,8 @@
 type layout struct {
 	outlook *Outlook
 	options []option
-	// near holds the upstreams of each failure domain as a heap, the one where one more request costs least first: laying 64 steps
-	// over 870 upstreams by looking at each of them was half of a choice's 0.9 ms (BenchmarkChoice of the gateway).
+	// near holds the upstreams of each failure domain as a heap, the one where one more request costs least first: a step of the layout
+	// looks at one of each domain and not at all (BenchmarkChoice of the gateway).
 	near []near
 }
 
@@ -115,7 +115,7 @@
 	heap   []*option
 }
 
-// layouts are used again: making one for 870 upstreams anew took 200 KB a choice.
+// layouts are used again: one for 870 upstreams takes 200 KB.
 var layouts = sync.Pool{New: func() any { return &layout{} }}
 
 // fill takes the upstreams as they will be when the next reports come.
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -201,8 +201,8 @@
 }
 
 // Started notes the first event and returns the time that it took. How long requests took of late is no part of a prediction:
-// an upstream's own report tells its pace, and a gateway that took all for slow, from a queue that was long over, sent them
-// nothing and refused 157 of 167 requests in ten seconds.
+// an upstream's own report tells its pace, and a gateway that took all for slow, from a queue that is long over, would send
+// them nothing and never learn better.
 func (f *Flight) Started() time.Duration {
 	t := f.tracker
 	t.mu.Lock()
--- a/internal/placement/way.go
+++ b/internal/placement/way.go
@@ -4,8 +4,8 @@
 
 const (
 	// wayClear is the longest trip of a stamp and its echo over a way on which nothing queues for long. It is below the 0.2 s for which a stager
-	// lets chunks hold up requests, and above the trips of links that are as wide as planned. With 250 ms a link of 0.46 Mbit/s passed for
-	// clear, where stamps met single pieces of 16 KB, until a configuration stood on it for 5 s: 7 requests began late.
+	// lets chunks hold up requests, and above the trips of links that are as wide as planned. A longer one lets a link of 0.46 Mbit/s
+	// pass for clear where stamps meet single pieces of 16 KB.
 	wayClear = 150 * time.Millisecond
 	// wayGrowth is how much a queue may have grown in each second since the way was proven: 2 is a link that is given three times what
 	// it carries.
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -14,12 +14,11 @@
 
 const (
 	// enough is the number of upstreams whose processes must have ended under a request before it is held: one crash is most often not the
-	// request's, and the users allow three. Of plays in virtual time with a request that crashes upstreams, repeated 2.5 times a second, 5.9 end on
-	// the mean with 7 gateways (26.5 if each counts for itself) and 6.2 with 40 (100.8), and it is sent on no more 3 s after the third.
+	// request's, and the users allow three.
 	enough = 3
 	// settleTime is how long a request waits that enough starts have ended under, until what all gateways have seen of these ends is here. A
-	// message takes two hops of 3 ms; with 250 ms one that is sent again, or from a VM short of processor time, is still in time, and the
-	// users' bound for all gateways is 3 s.
+	// message takes two hops of 3 ms; one that is sent again, or from a VM short of processor time, is still in time, and the users' bound for all
+	// gateways is 3 s.
 	settleTime = 250 * time.Millisecond
 	// sameEnd is within which time two gateways that know different things of a start's birth tell of one end: an upstream is away for seconds.
 	sameEnd = 2 * time.Second
--- a/internal/records/digest.go
+++ b/internal/records/digest.go
@@ -5,9 +5,7 @@
 	"hash/crc32"
 )
 
-// checksums is computed by the processor itself: FNV took 0.6 ms for a configuration of 600 KB at each of the processes of a
-// failure domain, twice a change, and doubled the processor time of a storm of configurations (0.10 to 0.22 of a core, 36
-// processes).
+// checksums is computed by the processor itself: each process of a failure domain sums each configuration, of up to 600 KB, twice a change.
 var checksums = crc32.MakeTable(crc32.Castagnoli)
 
 // spread makes the sum of checksums, which have 32 bits, one of 64: an odd number without a pattern.
--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -196,9 +196,8 @@
 }
 
 // wokenMost bounds the way of an answer that came before its wait was over: the one record in it woke the reader, so it was
-// written just then. The moment of the question alone is 0.35 s too early on the mean: where two versions are named 4 s apart,
-// a quiet day had 0.740 of worth with it and has 0.825 so (0.840 with a time that runs from the reading), and one with an
-// outage of the origin 0.575, 0.612 and 0.621 (one play each, processor time not counted).
+// written just then. The moment of the question alone is 0.35 s too early on the mean, by which older versions would
+// end too soon.
 const wokenMost = 200 * time.Millisecond
 
 // dateWoken dates the one record that ended a wait at the store. One that comes sooner than an answer may be on its way need not have: the
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -162,8 +162,8 @@
 
 const (
 	// farEvery is the number of reports of which one goes to the gateways of other failure domains: one a second, as that is how often a
-	// report tells the demand. A gateway rarely chooses beyond its own domain; one that does asks for each. Bytes between regions on a quiet day
-	// of 39 gateways: 74 MB with all reports, 51 MB so, and no fewer requests served in time (0.961 and 0.959 of what is owed).
+	// report tells the demand. A gateway rarely chooses beyond its own domain; one that does asks for each.
+	// Reports are most of the bytes between regions on a quiet day.
 	farEvery = nameEvery
 	// farTime is the time between two of these.
 	farTime = time.Second
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -121,14 +121,13 @@
 	// uploads and downloads are chunk transfers at one time. A chunk of the users' is 24 KB, 27 ms of their links.
 	uploads, downloads = 3, 6
 	// patience is how long a lane of chunks may stand still before the next stager draws from the origin. News of a
-	// chunk travels by hops; with 600 ms, 3.4 copies were drawn for two versions, and each beyond the first costs
-	// the burst 2.6 s of the origin's link.
+	// chunk travels by hops, and each copy that is drawn beyond the first costs the burst 2.6 s of the origin's link.
 	patience = 700 * time.Millisecond
-	// queueMost is the longest time that chunks may hold up a live request on its way here: a link of the users' that
-	// is squeezed to an eighth made 1.6 s of what is 150 ms else.
+	// queueMost is the longest time that chunks may hold up a live request on its way here: what is 150 ms on
+	// one of the users' links is 1.6 s on one that is squeezed to an eighth.
 	queueMost = 200 * time.Millisecond
-	// newsEvery is how often a busy stager asks its neighbours what they hold. A chunk goes three to four hops: with 250 ms
-	// between two questions the median stager had a version 4.2 s after its naming, with 80 ms 4.16 s, with 40 ms 4.0 s.
+	// newsEvery is how often a busy stager asks its neighbours what they hold. A chunk goes three to four hops, each of
+	// which waits for a question.
 	newsEvery = 40 * time.Millisecond
 	// slowUpload is the time of a chunk on an eighth of a link, with one other beside it.
 	slowUpload = 400 * time.Millisecond
