Plays of limits are drawn by their seed alone; callers refused in vain

The part of a limit that a gateway has while nobody gives permits began at a place from the process's own random source, so that a play in virtual time did not repeat. It is a seam now.

--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -28,7 +28,7 @@
 	if u.report.believed(now) {
 		return u.limit.Asked(now)
 	}
-	return u.limit.Alone(now, u.limit.Part(t.Gateways(), !u.reports()))
+	return u.limit.Alone(now, u.limit.Part(t.Gateways(), !u.reports()), rand.Float64)
 }
 
 // Limited is an upstream that names a limit.
--- a/internal/throttle/known.go
+++ b/internal/throttle/known.go
@@ -1,9 +1,6 @@
 package throttle
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 // shareOfLimit is the part of an upstream's limit that gateways share among themselves while the process beside it is silent to them. That
 // process may go on giving permits to others for the whole limit: together they stay below one and a half times the limit.
@@ -102,13 +99,14 @@
 	return Limit{Rate: k.rate, Since: k.since, Permits: k.there.whole(now), Due: k.there.due(now), Sent: k.sent}
 }
 
-// Alone is the limit as one reads it who can ask nobody: that one process of a number has an equal part of what they share.
-func (k *Known) Alone(now time.Time, of Rate) Limit {
+// Alone is the limit as one reads it who can ask nobody: that one process of a number has an equal part of what they share. The part begins at a
+// random place between two permits.
+func (k *Known) Alone(now time.Time, part Rate, random func() float64) Limit {
 	if !k.sharing {
 		// A part that began with the same fill at all gateways would be used by all at once.
-		k.sharing, k.share = true, bucket{left: rand.Float64(), at: now}
+		k.sharing, k.share = true, bucket{left: random(), at: now}
 	}
-	k.share.set(of, now)
+	k.share.set(part, now)
 	return Limit{Rate: k.rate, Since: k.since, Permits: k.share.whole(now), Due: k.share.due(now), Sent: k.sent, Alone: true}
 }
 
--- a/internal/throttle/limiter_test.go
+++ b/internal/throttle/limiter_test.go
@@ -122,6 +122,7 @@
 		now time.Time
 		k   Known
 	)
+	half := func() float64 { return 0.5 }
 	limited := func(r Rate) Word { return Word{Said: Limited, Rate: r} }
 	BeforeEach(func() { now, k = time.Unix(1000, 0), Known{} })
 
@@ -168,11 +169,11 @@
 		part := k.Part(4, false)
 		Expect(part).To(BeNumerically("~", 0.25))
 		Expect(k.Part(4, true)).To(BeNumerically("~", 0.5))
-		Expect(k.Alone(now, part).Permits).To(BeZero())
+		Expect(k.Alone(now, part, half).Permits).To(BeZero())
 		taken := 0
 		for range 400 {
 			now = now.Add(100 * time.Millisecond)
-			k.Alone(now, part)
+			k.Alone(now, part, half)
 			if k.Take(now) {
 				taken++
 			}
--- a/internal/throttle/plays_test.go
+++ b/internal/throttle/plays_test.go
@@ -34,7 +34,10 @@
 	// weights say how uneven callers are.
 	weights []float64
 	sent    []time.Time
-	limit   Rate
+	// refused counts callers without a permit, and vain those of them for whom the limit had room by all that was sent.
+	refused, vain int
+	room          bucket
+	limit         Rate
 	// silent are gateways that hear nothing from the process beside the upstream.
 	silent func(n int) bool
 	// whole says that gateways share the whole limit while they hear nothing.
@@ -106,12 +109,27 @@
 
 // call is one caller's request, which is sent where there is a permit.
 func (s *scene) call(n int) {
-	k := &s.gateways[n]
+	sent := len(s.sent)
+	s.offer(&s.gateways[n], n)
+	s.room.set(s.limit, s.now)
+	switch {
+	case len(s.sent) > sent:
+		s.room.take(s.now)
+	case s.room.whole(s.now) > 0:
+		s.vain++
+		s.refused++
+	default:
+		s.refused++
+	}
+}
+
+// offer sends a request of a gateway if it has a permit.
+func (s *scene) offer(k *Known, n int) {
 	switch {
 	case !k.Limited():
 		s.sent = append(s.sent, s.now)
 	case s.silent(n):
-		k.Alone(s.now, k.Part(len(s.gateways), s.whole))
+		k.Alone(s.now, k.Part(len(s.gateways), s.whole), s.random.Float64)
 		if k.Take(s.now) {
 			s.sent = append(s.sent, s.now)
 		}
--- a/internal/throttle/ways_test.go
+++ b/internal/throttle/ways_test.go
@@ -7,7 +7,7 @@
 )
 
 // BenchmarkWays holds ways of keeping to a limit against each other: permits that one gives, an even part for each gateway, and none. It tells the most
-// requests in any 4 s as a share of what is allowed, and how much of the limit was used, at three times as many callers as the limit takes, which are
+// requests in any 4 s as a share of what is allowed, how much of the limit was used, and the share of the refused for whom there was room, at three times as many callers as the limit takes, which are
 // uneven over the gateways.
 func BenchmarkWays(b *testing.B) {
 	const seeds = 20
@@ -16,7 +16,7 @@
 			for _, limit := range []Rate{0.1, 0.5, 2.1, 10} {
 				b.Run(fmt.Sprintf("%s/%d/%g", way, gateways, float64(limit)), func(b *testing.B) {
 					for b.Loop() {
-						worst, used := 0.0, 0.0
+						worst, used, vain := 0.0, 0.0, 0.0
 						for seed := range uint64(seeds) {
 							s := newScene(gateways, limit, true, seed)
 							s.follow(way)
@@ -25,9 +25,11 @@
 							s.play(120*time.Second, 3*float64(limit))
 							worst = max(worst, float64(s.worst(from))/s.allowed())
 							used += s.used(from) / seeds
+							vain += float64(s.vain) / float64(max(1, s.refused)) / seeds
 						}
 						b.ReportMetric(worst, "worst/allowed")
 						b.ReportMetric(used, "used/limit")
+						b.ReportMetric(vain, "in-vain/refused")
 					}
 				})
 			}
