A gateway's own part of a limit is a turn that is lost after a second, not a permit that is kept

While nobody gives permits each gateway had a part of the limit that filled to two permits. After a time without callers all would have sent those at once: 600 requests at 300 gateways, 14 at 7, whatever the limit. Found by reading. Now each has turns, from a random place on, that are lost when nobody uses them within a second; gateways share 0.4 of the limit while the stager is silent (4 s of the stager's permits to others and the turns of 5 s are one and a half times the limit), and 0.7 where there is none.

--- a/internal/throttle/known.go
+++ b/internal/throttle/known.go
@@ -2,9 +2,13 @@
 
 import "time"
 
-// shareOfLimit is the part of an upstream's limit that gateways share among themselves while the process beside it is silent to them. That
-// process may go on giving permits to others for the whole limit: together they stay below one and a half times the limit.
-const shareOfLimit = 0.5
+const (
+	// silentShare is the part of an upstream's limit that gateways share among themselves while the process beside it is silent to them. That process
+	// may go on giving permits to others for the whole limit: in 4 s, 4 s of that and the turns of 5 s here are one and a half times the limit.
+	silentShare = 0.4
+	// loneShare is that part where nobody ever gives permits: turns of gateways that don't know of each other fall together by chance.
+	loneShare = 0.7
+)
 
 // Known is what a gateway knows of an upstream's limit; the zero value is of one without. It is not safe for concurrent use.
 type Known struct {
@@ -18,8 +22,8 @@
 	reported bool
 	// there is what that process had to give, as far as this gateway can tell.
 	there bucket
-	// share is this gateway's part while that process is silent; sharing says that it is in use.
-	share   bucket
+	// turns are this gateway's while that process is silent; sharing says that they are in use.
+	turns   turns
 	sharing bool
 	// sent counts the requests since the limit was first heard of.
 	sent uint64
@@ -99,27 +103,29 @@
 	return Limit{Rate: k.rate, Since: k.since, Permits: k.there.whole(now), Due: k.there.due(now), Sent: k.sent}
 }
 
-// Alone is the limit as one reads it who can ask nobody: that one process of a number has an equal part of what they share. The part begins at a
-// random place between two permits.
+// Alone is the limit as one reads it who can ask nobody and has a part of its own.
 func (k *Known) Alone(now time.Time, part Rate, random func() float64) Limit {
 	if !k.sharing {
-		// A part that began with the same fill at all gateways would be used by all at once.
-		k.sharing, k.share = true, bucket{left: random(), at: now}
+		k.sharing, k.turns = true, newTurns(part, now, random)
 	}
-	k.share.set(part, now)
-	return Limit{Rate: k.rate, Since: k.since, Permits: k.share.whole(now), Due: k.share.due(now), Sent: k.sent, Alone: true}
+	k.turns.set(part, now)
+	l := Limit{Rate: k.rate, Since: k.since, Due: k.turns.due(now), Sent: k.sent, Alone: true}
+	if l.Due == 0 {
+		l.Permits = 1
+	}
+	return l
 }
 
-// Part is the rate of one of a number of gateways while nobody gives permits; whole says that nobody ever does for this upstream.
-func (k *Known) Part(gateways int, whole bool) Rate {
-	r := max(k.rate, trialRate)
-	if !whole {
-		r *= shareOfLimit
+// Part is the rate of one of a number of gateways while nobody gives permits; lone says that nobody ever does for this upstream.
+func (k *Known) Part(gateways int, lone bool) Rate {
+	share := Rate(silentShare)
+	if lone {
+		share = loneShare
 	}
-	return r / Rate(max(1, gateways))
+	return share * max(k.rate, trialRate) / Rate(max(1, gateways))
 }
 
 // Take takes a permit of the gateway's own part.
 func (k *Known) Take(now time.Time) bool {
-	return k.sharing && k.share.take(now)
+	return k.sharing && k.turns.take(now)
 }
