--- a/internal/placement/way.go
+++ b/internal/placement/way.go
@@ -84,7 +84,8 @@
 // since a newer one was named. On a clear way that is what the way took, and what a queue may have grown to since that was seen. Behind a queue
 // no delay is known to be enough: the next configuration, of 0.6 MB, takes 10 s of 0.5 Mbit/s, and an idle narrow link looks clear, so that
 // nothing is sent for as long as a version's time after the last sign of it. Beyond it: a queue that comes of a sudden in the moments between
-// the last proof and its missing successor, 0.7 s of reports each 0.2 s, and holds more than what is left of the version's time.
+// the last proof and its missing successor, 0.7 s of reports each 0.2 s, and holds more than what is left of the version's time; in its last
+// seconds the way is therefore proven anew before each send (Candidate.Prove).
 func (w *Way) Bears(now time.Time, within time.Duration) (time.Duration, Passage) {
 	switch {
 	case w.proven.IsZero():
