Spec of a permit that is refused says what it shows: the unlimited upstream serves, after three questions at the most

Its title said that no question is asked, and it let three pass; it now also asks that the request ran once. No program changes.

--- a/internal/gateway/permit_test.go
+++ b/internal/gateway/permit_test.go
@@ -19,7 +19,7 @@
 	"github.com/springrail/springrail/internal/throttle"
 )
 
-var _ = Describe("a request for which only limited upstreams are there", func() {
+var _ = Describe("a request before limited upstreams", func() {
 	var (
 		b     *backstage
 		s     *sleeper
@@ -87,13 +87,14 @@
 		Expect(b.runs("1")).To(BeZero())
 	})
 
-	It("goes elsewhere without a question where one is not limited", func() {
+	It("is served by one that is not limited where the others give no permit", func() {
 		answers(0, true, 0)
 		b.tracker.SetReport(b.facts.Instance("w").Address, placement.LoadReport{
 			Taken: s.now(), Until: s.now().Add(time.Hour), Held: []facts.Held{{Model: "m", Revision: 1}}, Limit: throttle.Told{By: 1, Word: throttle.Word{Said: throttle.Unlimited}},
 		})
 		Expect(ask().StatusCode).To(Equal(200))
 		Expect(asked.Load()).To(BeNumerically("<=", mostAsks))
+		Expect(b.runs("1")).To(Equal(1))
 	})
 })
 
