The line of a request says who ended each attempt, and why

Now "ended" lists each attempt without a whole answer: reason, start of the upstream, how far the answer had come, events passed on, silence. What is decided does not change.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,9 +50,9 @@
 	}
 	flight := g.load.Tracker.Begin(c.Address, f.ask.Prompt)
 	defer flight.End()
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	t := &try{flight: f, choice: c, mark: flight, permit: f.permit, ctx: ctx}
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	t := &try{flight: f, choice: c, mark: flight, permit: f.permit, ctx: ctx, eventsBefore: f.events.passed, heard: g.now()}
 	f.attempts++
 	if f.route.Kind == catalog.Streaming && f.route.Resumable && f.attemptsLeft() {
 		t.watchdog = time.AfterFunc(FirstStall(c.Predicted), func() { t.stalled(stop) })
@@ -130,14 +130,18 @@
 	begun bool
 	// answering is true once the upstream has sent anything of its answer.
 	answering atomic.Bool
+	// eventsBefore is the number of events that the caller had before this attempt.
+	eventsBefore int
+	// heard is when the upstream last sent anything, or when the request was sent.
+	heard time.Time
 }
 
 // stalled gives a silent upstream up where another one may be asked. Without that, waiting on is all that can still
 // bring the caller its answer.
-func (t *try) stalled(stop context.CancelFunc) {
+func (t *try) stalled(stop context.CancelCauseFunc) {
 	g := t.flight.gateway
 	if g.budget.Left(t.flight.pool) {
-		stop()
+		stop(errStalled)
 		return
 	}
 	g.tally.add("stall_waited_for_budget")
@@ -276,6 +280,7 @@
 		n, err := e.Body.Read(buffer)
 		if n > 0 {
 			t.started()
+			t.heard = f.gateway.now()
 			if t.watchdog != nil {
 				t.watchdog.Reset(eventStall)
 			}
--- a/internal/gateway/broken.go
+++ b/internal/gateway/broken.go
@@ -1,29 +1,26 @@
 package gateway
 
-import (
-	"context"
-	"errors"
-)
-
 // broke is an exchange that ended early. An upstream is blamed unless the caller or the clock ended it.
 func (t *try) broke(text string) *problem {
 	f := t.flight
 	f.neverRan = false
 	f.broken, f.start = t.progress(), t.choice.Instance
-	switch {
-	case f.request.Context().Err() != nil || !f.gateway.now().Before(f.deadline):
+	r := t.endReason()
+	t.noteEnd(r)
+	switch r {
+	case endCallerLeft, endShutdown, endDeadline, endRouteTimeout:
 		t.left()
-	case errors.Is(context.Cause(t.ctx), errHeld):
+	case endHeld:
 		t.left()
 		return &problem{text: "held: upstreams have crashed under this request", final: true}
-	case t.ctx.Err() != nil:
+	case endStalled, endVersionOver:
 		t.left()
 		t.mark.Stalled()
 		return &problem{text: "the upstream stalled"}
-	case f.gateway.closed(t.choice.Address):
+	case endLoading:
 		// It ends its requests to load weights, and there is nothing wrong with it, or else it has crashed under one of them.
 		f.gateway.witness.Broke(t.at(), f.presence())
-	default:
+	case endBrokeOff:
 		t.mark.Failed()
 		f.gateway.pool.Forget(t.choice.Address)
 		f.gateway.witness.Broke(t.at(), f.presence())
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -8,7 +8,9 @@
 // events cuts a stream into whole events and knows the last one that was passed on.
 type events struct {
 	// last is the id of the last whole event passed on; empty before the first.
-	last    string
+	last string
+	// passed is the number of whole events passed on.
+	passed  int
 	pending []byte
 }
 
@@ -41,6 +43,7 @@
 		event := e.pending[:n]
 		if id := eventID(event); id == "" || e.isNew(id) {
 			out = append(out, event...)
+			e.passed++
 			if id != "" {
 				e.last = id
 			}
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -108,6 +108,8 @@
 	inFlight atomic.Int64
 	// leaving sends callers elsewhere for their next request; closing refuses what still comes.
 	leaving, closing atomic.Bool
+	// stopped is true once the connections of callers are closed.
+	stopped atomic.Bool
 }
 
 func newPart(h *kernel.Host) (any, error) {
@@ -168,7 +170,10 @@
 
 // Run serves until the context ends.
 func (g *Gateway) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { g.server.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		g.stopped.Store(true)
+		g.server.Close()
+	})
 	defer stop()
 	go g.watchSuspensions(ctx)
 	err := g.server.Serve(g.listener)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -70,6 +70,8 @@
 	// broken is how far the answer had come on the start of an upstream that broke off last; empty where none did.
 	broken string
 	start  id.Instance
+	// ends are the attempts that brought no whole answer.
+	ends []*attemptEnd
 	// alone is true of a request that is suspected to crash upstreams, and tried while no repeat of it is under way here.
 	alone bool
 	// begun is true once an upstream has begun to answer, and stop ends the request while none has.
@@ -303,7 +305,7 @@
 	}
 	e = f.logLimit(e)
 	if f.broken != "" {
-		e = e.Str("broken", f.broken).Str("broken_instance", string(f.start))
+		e = e.Str("broken", f.broken).Str("broken_instance", string(f.start)).Objects("ended", f.ends)
 	}
 	if f.retry > 0 {
 		e = e.Int64("retry_ms", f.retry.Milliseconds())
--- a/internal/gateway/versionend.go
+++ b/internal/gateway/versionend.go
@@ -34,13 +34,13 @@
 
 // watchVersion gives the request up at an upstream that has not begun it when its version's time is over, also where the
 // newer version is named only while the request waits.
-func (t *try) watchVersion(stop context.CancelFunc) {
+func (t *try) watchVersion(stop context.CancelCauseFunc) {
 	t.end = time.AfterFunc(t.flight.gateway.settings.SwapWithin, func() { t.checkVersion(stop) })
 	t.checkVersion(stop)
 }
 
 // checkVersion gives the request up, or says when to look again.
-func (t *try) checkVersion(stop context.CancelFunc) {
+func (t *try) checkVersion(stop context.CancelCauseFunc) {
 	if t.answering.Load() || t.ctx.Err() != nil {
 		return
 	}
@@ -53,6 +53,6 @@
 		t.end.Reset(min(until.Sub(now), lookAgain))
 	default:
 		g.tally.add("version_ended_before_begin")
-		stop()
+		stop(errVersionOver)
 	}
 }
