A process that has read no records yet warns of nothing and gives no age

Cause: a starting process asks several sources until one has the records; each that had none was a warning, with an age of 2562047h (a time that was never set). Now they are at level info, and an age that is not known is left out.

--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -192,11 +192,28 @@
 		return
 	}
 	if !lost || f.stale == 0 {
-		f.log.Warn().Err(err).Str("source", address).Int64("age_ms", f.age().Milliseconds()).Msg("another source of records is needed")
+		f.logBlame(address, err)
 	}
 	f.takeOver()
 }
 
+// logBlame says why a source was left. A process that has just started asks several until one has the records, which is no reason to warn.
+func (f *Follower) logBlame(address string, err error) {
+	e := f.log.Warn()
+	if !f.started() {
+		e = f.log.Info()
+	}
+	f.logAge(e.Err(err).Str("source", address)).Msg("another source of records is needed")
+}
+
+// logAge adds the age of the records to a line, if any have been read.
+func (f *Follower) logAge(e *log.Entry) *log.Entry {
+	if !f.started() {
+		return e
+	}
+	return e.Int64("age_ms", f.age().Milliseconds())
+}
+
 // takeOver lets this process read the store once those before it have had time to.
 func (f *Follower) takeOver() {
 	if f.now().Before(f.startUntil) {
@@ -230,7 +247,7 @@
 func (f *Follower) openGate(open bool) {
 	f.long.set(open && (f.lookedWithList || f.now().Sub(f.lostAt) > listMost))
 	if f.gate.set(open) {
-		f.log.Info().Bool("from_store", open).Str("source", f.source).Int64("age_ms", f.age().Milliseconds()).Msg("source of records")
+		f.logAge(f.log.Info().Bool("from_store", open).Str("source", f.source)).Msg("source of records")
 	}
 }
 
--- a/internal/records/take.go
+++ b/internal/records/take.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -84,6 +85,9 @@
 	return nil
 }
 
+// neverReadMs is the age in ms that a process gives for a topic that it has never read.
+const neverReadMs = math.MaxInt64 / int64(time.Millisecond)
+
 // usable says whether what an answer has of a topic is fresh enough, or is being read.
 func (f *Follower) usable(l *Log, t *pb.TopicChanges) error {
 	if r := t.GetReading(); r != nil {
@@ -92,6 +96,9 @@
 		}
 		return nil
 	}
+	if t.GetAgeMs() >= neverReadMs {
+		return trace.Wrap(errStale, "topic %s, not read yet", t.GetTopic())
+	}
 	age := time.Duration(t.GetAgeMs()) * time.Millisecond
 	if age < 0 || age >= f.ageMost(l) {
 		return trace.Wrap(errStale, "topic %s, age %v", t.GetTopic(), age)
