--- a/internal/standin/modelserver.go
+++ b/internal/standin/modelserver.go
@@ -94,6 +94,10 @@
 	busy     bool
 	orders   int
 	running  int
+	// loading is the version of the order that is being carried out; 0 is none.
+	loading int
+	// cutting is closed when an order ends the requests that run.
+	cutting chan struct{}
 }
 
 // BeforeHead is the number of events after which a process ends that sends nothing of its answer at all.
@@ -192,11 +196,12 @@
 	}
 }
 
-// order loads what is staged. Chunks of another version or spoilt ones are a broken promise.
+// order loads what is staged once nothing runs; one that cuts ends what runs. Chunks of another version or spoilt ones are a broken promise.
 func (s *ModelServer) order(w http.ResponseWriter, r *http.Request) {
 	var o struct {
 		Op               string `json:"op"`
 		Version          int    `json:"version"`
+		How              string `json:"how"`
 		ExpectedSequence int    `json:"expectedRevision"`
 	}
 	if json.NewDecoder(r.Body).Decode(&o) != nil || o.Op != "start" {
@@ -220,13 +225,30 @@
 		}
 	}
 	s.orders++
-	s.busy = true
+	s.busy, s.loading = true, o.Version
+	if o.How == orderCut && s.cutting != nil {
+		close(s.cutting)
+		s.cutting = nil
+	}
+	s.warm()
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// orderCut is the word of an order that ends the requests that run.
+const orderCut = "cut"
+
+// warm begins to load once nothing runs; the caller holds the lock.
+func (s *ModelServer) warm() {
+	if s.loading == 0 || s.running > 0 {
+		return
+	}
+	version := s.loading
+	s.loading = 0
 	time.AfterFunc(modelWarm, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.busy, s.version = false, o.Version
+		s.busy, s.version = false, version
 	})
-	w.WriteHeader(http.StatusAccepted)
 }
 
 // request runs a caller's request: a stream where it names a model, a short answer elsewhere.
@@ -240,7 +262,7 @@
 	if err != nil {
 		return
 	}
-	version, reason := s.enter(r)
+	version, cutting, reason := s.enter(r)
 	if reason != 0 {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(reason)
@@ -267,7 +289,11 @@
 	}
 	_ = http.NewResponseController(w).Flush()
 	for n := after + 1; n <= modelEvents && r.Context().Err() == nil; n++ {
-		time.Sleep(pause)
+		select {
+		case <-time.After(pause):
+		case <-cutting:
+			cut()
+		}
 		if ends && n > after+events {
 			s.crash(string(body))
 		}
@@ -300,24 +326,28 @@
 }
 
 // enter takes a slot, or says with which status the request is refused.
-func (s *ModelServer) enter(r *http.Request) (version, reason int) {
+func (s *ModelServer) enter(r *http.Request) (version int, cutting <-chan struct{}, reason int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	expected := r.Header.Get("Expect-Version")
 	switch {
 	case r.Header.Get("Target-Instance") != s.Instance:
-		return 0, http.StatusMisdirectedRequest
+		return 0, nil, http.StatusMisdirectedRequest
 	case r.Header.Get("Model") != "" && (s.version == 0 || expected != "" && expected != strconv.Itoa(s.version)):
-		return 0, http.StatusMisdirectedRequest
+		return 0, nil, http.StatusMisdirectedRequest
 	case s.running >= s.Slots || s.busy:
-		return 0, http.StatusServiceUnavailable
+		return 0, nil, http.StatusServiceUnavailable
 	}
 	s.running++
-	return s.version, 0
+	if s.cutting == nil {
+		s.cutting = make(chan struct{})
+	}
+	return s.version, s.cutting, 0
 }
 
 func (s *ModelServer) leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running--
+	s.warm()
 }
