An upstream finishes the requests that run before it loads a version

Cause: the stager ordered a load that ends what runs, 0.9 s after it had closed the upstream, as long as more than 3 s of the version's time were left, on the assumption that others would continue the streams. In a swap they cannot: a stream goes on on its own version only, and the upstreams that serve that are closed, out of time or behind links not proven clear. Class: an order of ours ends answers, and whether anybody can continue them is not asked.

Orders that cut are gone; the model keeps them as a way to compare with.

Specs changed: the stager's spec on reports asked for an order that cuts; it now asks that the running request is still there at the order. New: an order to load is waited for as long as requests run.

--- a/internal/decide/version.go
+++ b/internal/decide/version.go
@@ -148,10 +148,13 @@
 	return e.out
 }
 
+// cutBefore is the time before a version's end from which on nothing is cut: no other engine could let it in.
+const cutBefore = 3 * time.Second
+
 // close lets nothing more in, and has the version loaded once what was let in is done, or after a while.
 func (e *engine) close(until time.Time) {
 	p := e.play
-	cut := until.Sub(p.now()) > swapplan.CutBefore && !p.way.uncut
+	cut := p.way.cut && until.Sub(p.now()) > cutBefore
 	e.closed, e.closedAt, e.order = true, p.at, e.staged
 	e.urgent()
 	e.step = p.after(swapplan.LastSends, func() { e.drain(cut) })
--- a/internal/decide/way.go
+++ b/internal/decide/way.go
@@ -19,9 +19,9 @@
 	reportEvery float64
 	// forgetLost takes second tries for first ones, and atOnce loads a version as soon as it is there.
 	forgetLost, atOnce bool
-	// drain multiplies the time that an upstream is given to finish what runs, where above 0, and uncut lets it finish all.
+	// drain multiplies the time that an upstream is given to let in what waits, where above 0, and cut has a load end what still runs then.
 	drain float64
-	uncut bool
+	cut   bool
 }
 
 // Ways are all that can be compared; the first is the code as it stands.
@@ -42,9 +42,10 @@
 		{Name: "reports-twice", Text: "reports twice as often", reportEvery: 0.5},
 		{Name: "no-crossing-cost", Text: "a send beyond the failure domain costs nothing", bend: noCrossingCost},
 		{Name: "slowness", Text: "predictions times the running mean of observed over predicted times", bend: slowness},
-		{Name: "drain-half", Text: "half the time to finish what runs before a load", drain: 0.5},
-		{Name: "drain-tenth", Text: "a tenth of the time to finish what runs before a load", drain: 0.1},
-		{Name: "never-cut", Text: "upstreams finish all that runs before a load", uncut: true},
+		{Name: "drain-half", Text: "half the time to let in what waits before a load", drain: 0.5},
+		{Name: "drain-tenth", Text: "a tenth of the time to let in what waits before a load", drain: 0.1},
+		{Name: "cut", Text: "a load ends what still runs 0.9 s after its upstream has closed", cut: true},
+		{Name: "cut-drain-half", Text: "a load ends what still runs 0.45 s after its upstream has closed", cut: true, drain: 0.5},
 		{Name: "no-suspects", Text: "upstreams that failed are first choices", bend: noSuspects},
 	}
 }
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -163,13 +163,12 @@
 	return nil
 }
 
-const (
-	// loadTimeout is how long an order may take: requests run for up to 6 s, and loading takes less than one.
-	loadTimeout = 9 * time.Second
-)
+// loadTimeout is how long an order may take once no request runs any more.
+const loadTimeout = 9 * time.Second
 
-// drain waits until the upstream, which was closed a moment ago, has finished what is asked, and says whether it has.
-func (s *Stager) drain(ctx context.Context, done func(u State) bool) bool {
+// drain waits until no request waits at the upstream, which was closed a moment ago. Those that run are finished by the upstream itself:
+// in a swap hardly any other one may continue a stream on its version.
+func (s *Stager) drain(ctx context.Context) {
 	s.mu.Lock()
 	closedAt := s.closedAt
 	s.mu.Unlock()
@@ -177,12 +176,11 @@
 	kernel.Pause(ctx, closedAt.Add(swapplan.LastSends).Sub(s.now()))
 	for ctx.Err() == nil && s.now().Before(until) {
 		state, err := s.ports.Upstream.State(ctx)
-		if err != nil || done(state) {
-			return true
+		if err != nil || state.Waiting == 0 {
+			return
 		}
 		kernel.Pause(ctx, servedLook)
 	}
-	return false
 }
 
 // load orders the upstream to load what is staged and waits until it serves the version.
@@ -190,7 +188,7 @@
 	if s.served(g) {
 		return nil
 	}
-	cut := s.turn(ctx, g)
+	s.turn(ctx, g)
 	if ctx.Err() != nil {
 		return trace.Wrap(ctx.Err())
 	}
@@ -202,15 +200,8 @@
 	s.setClosed(true)
 	before, _ := s.current()
 	swaps := facts.Revision(before.Held, g.model) > 0
-	switch {
-	case !swaps:
-		// Nobody sends it anything.
-	case cut:
-		cut = !s.drain(ctx, func(u State) bool { return u.Running+u.Waiting == 0 })
-	default:
-		// Requests that wait are let in, those that run are finished by the upstream.
-		cut = false
-		s.drain(ctx, func(u State) bool { return u.Waiting == 0 })
+	if swaps {
+		s.drain(ctx)
 	}
 	state, err := s.ports.Upstream.State(ctx)
 	if err != nil {
@@ -225,7 +216,7 @@
 			return trace.Wrap(err)
 		}
 	}
-	o := Order{Model: g.model, Revision: g.wanted.Revision, After: state.Orders, Life: life, Cut: cut}
+	o := Order{Model: g.model, Revision: g.wanted.Revision, After: state.Orders, Life: life}
 	if err := s.ports.Upstream.Load(ctx, o); err != nil {
 		s.orders.Add("failed", 1)
 		if !s.taken(ctx, state.Orders) {
@@ -233,7 +224,7 @@
 		}
 	}
 	s.orders.Add("taken", 1)
-	s.log.Info().Str("version", g.name()).Uint64("after", state.Orders).Bool("cut", cut).Int("running", state.Running).
+	s.log.Info().Str("version", g.name()).Uint64("after", state.Orders).Int("running", state.Running).
 		Int64("since_named_ms", s.sinceNamed(g)).
 		Msg("load ordered")
 	if err := s.waitServed(ctx, g, state.Orders+1); err != nil {
@@ -261,6 +252,9 @@
 		switch {
 		case err != nil || state.Busy:
 			idleUntil = s.now().Add(idleMost)
+			if err == nil && state.Running > 0 {
+				until = s.now().Add(loadTimeout)
+			}
 		case facts.Revision(state.Held, g.model) == g.wanted.Revision:
 			s.log.Info().Str("version", g.name()).Int64("since_named_ms", s.sinceNamed(g)).Msg("version served")
 			s.look(ctx)
--- a/internal/stager/plan.go
+++ b/internal/stager/plan.go
@@ -60,26 +60,24 @@
 	return swapplan.LoadAt(v)
 }
 
-// turn waits until this upstream may load, and says whether requests that still run after a while may be cut: others can
-// take them up as long as some serve the same version.
-func (s *Stager) turn(ctx context.Context, g *goal) (cut bool) {
+// turn waits until this upstream may load.
+func (s *Stager) turn(ctx context.Context, g *goal) {
 	staged := s.now()
 	for ctx.Err() == nil {
 		v, ok := s.view(g, staged)
 		if !ok {
-			return false
+			return
 		}
 		wait := swapplan.LoadAt(v).Sub(s.now())
 		needless := s.use(g, &v) == swapplan.Needless
 		if wait <= 0 && !needless {
-			return v.HeldUntil.Add(swapplan.CloseBefore).Sub(s.now()) > swapplan.CutBefore
+			return
 		}
 		if needless {
 			wait = swapplan.TurnLook
 		}
 		kernel.Pause(ctx, min(wait, swapplan.TurnLook))
 	}
-	return false
 }
 
 // noteOut learns how long a change-over has kept this upstream from taking requests.
--- a/internal/stager/ports.go
+++ b/internal/stager/ports.go
@@ -48,8 +48,6 @@
 	// Life is the life in which the chunks were verified. An upstream that has started anew since then gets no order: what
 	// lay staged may be gone, and a first order of either life would go by the same count.
 	Life uint64
-	// Cut ends the requests that run; otherwise the upstream finishes them first.
-	Cut bool
 }
 
 // Upstream is the way to the upstream beside the stager; function fields so that tests can replace each.
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -324,7 +324,7 @@
 		Eventually(closed).WithTimeout(soon).Should(BeTrue())
 		e.do(func() { Expect(e.orders).To(BeEmpty()) })
 		Eventually(e.serves).WithTimeout(soon).Should(Equal(id.Revision(2)))
-		e.do(func() { Expect(e.orders[0].Cut).To(BeTrue(), "a request ran on beyond the time for a drain") })
+		e.do(func() { Expect(e.state.Running).To(Equal(1), "the request that ran is not ended for the load") })
 		Eventually(closed).WithTimeout(soon).Should(BeFalse())
 	})
 })
--- a/internal/swapplan/times.go
+++ b/internal/swapplan/times.go
@@ -3,9 +3,6 @@
 import "time"
 
 const (
-	// CutBefore is the time before a version's end from which on its requests are not cut any more: others that serve it
-	// could not let them in before its time is over.
-	CutBefore = 3 * time.Second
 	// CloseBefore is the time before a version's end at which its last upstream stops taking requests; gateways stop
 	// sending to it then.
 	CloseBefore = time.Second
@@ -16,8 +13,7 @@
 	TurnLook = 200 * time.Millisecond
 	// OutWeight is the weight of the newest change-over in the time that one is expected to take.
 	OutWeight = 0.5
-	// DrainMost is how long an upstream that gets no new requests is given to finish those that run. Most do in a
-	// second; waiting for the longest would leave it almost idle for up to four.
+	// DrainMost is how long an upstream that gets no new requests is given to let in those that wait.
 	DrainMost = 900 * time.Millisecond
 	// LastSends is how long requests may still arrive that were sent before the gateways knew: one more report, which comes
 	// after 200 ms, in case the first was lost, and the way on a link that is shared with chunks. An upstream that freezes in
