A silent upstream is kept until another one has gone on with its stream

Cause: the gateway ended the exchange with a silent upstream as soon as the retry budget allowed, and looked for another one afterwards; where there was none, or that one refused, broke off or was silent as well, the answer was lost.

Now the attempt at the other upstream is made beside the first one (a hedged request), within the same budget and number of attempts. Whichever goes on first is passed on; the other one is ended at its upstream. Where no other upstream may have the stream, the first one is waited for to the deadline.

--- a/internal/decide/send.go
+++ b/internal/decide/send.go
@@ -78,13 +78,15 @@
 	f.failed(false)
 }
 
-// stalled gives a silent engine up where the budget lets another one be asked.
+// stalled gives a silent engine up where another one may have the request.
 func (s *send) stalled() {
 	const look = 1200 * time.Millisecond
 	if s.over || s.begun {
 		return
 	}
-	if !s.flight.door.budget.Left(pool) {
+	d, q := s.flight.door, s.flight.query
+	q.Attempts = s.flight.sends
+	if _, no := d.desk.Choose(&q); !d.budget.Left(pool) || (no != nil && !d.play.way.leaveSilent) {
 		s.stall = s.engine.play.after(look, s.stalled)
 		return
 	}
--- a/internal/decide/way.go
+++ b/internal/decide/way.go
@@ -22,6 +22,8 @@
 	// drain multiplies the time that an upstream is given to let in what waits, where above 0, and cut has a load end what still runs then.
 	drain float64
 	cut   bool
+	// leaveSilent gives a silent upstream up before another one is chosen.
+	leaveSilent bool
 }
 
 // Ways are all that can be compared; the first is the code as it stands.
@@ -46,6 +48,7 @@
 		{Name: "drain-tenth", Text: "a tenth of the time to let in what waits before a load", drain: 0.1},
 		{Name: "cut", Text: "a load ends what still runs 0.9 s after its upstream has closed", cut: true},
 		{Name: "cut-drain-half", Text: "a load ends what still runs 0.45 s after its upstream has closed", cut: true, drain: 0.5},
+		{Name: "leave-silent", Text: "a silent upstream is given up before another one is chosen", leaveSilent: true},
 		{Name: "no-suspects", Text: "upstreams that failed are first choices", bend: noSuspects},
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,25 +3,18 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"net/http"
-	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/springrail/springrail/internal/catalog"
 	"github.com/springrail/springrail/internal/placement"
 	"github.com/springrail/springrail/internal/upconn"
 )
 
 const (
-	// heldAnswer is the longest answer that is held whole before its head goes out, in bytes, so that one that breaks
-	// off can be asked for again or reported as failed. The users' answers are below 5 KB.
-	heldAnswer = 64 << 10
 	// firstStall is how long beyond twice its predicted time a first event may take before another upstream is asked.
 	firstStall = 700 * time.Millisecond
-	// eventStall is how long a stream may pause before it is continued elsewhere: a pass takes 150 ms, and callers
-	// leave after 3.2 s.
+	// eventStall is how long a stream may pause before another upstream is asked to continue it.
 	eventStall = 1200 * time.Millisecond
 	// refusedRetry is when a caller may come back whose request an upstream itself refused.
 	refusedRetry = 250 * time.Millisecond
@@ -34,12 +27,23 @@
 
 // attempt sends the request to one upstream. It returns nil once the caller has its answer.
 func (f *flight) attempt(ctx context.Context) *problem {
-	g := f.gateway
-	f.permit, f.leaveEnds = 0, time.Time{}
 	c, p := f.choose(ctx)
 	if p != nil {
 		return p
 	}
+	t := f.begin(ctx, c)
+	defer t.end()
+	t.watch(FirstStall(c.Predicted))
+	p = t.send()
+	if p == nil {
+		p = t.take()
+	}
+	return t.settle(p)
+}
+
+// begin makes the attempt at an upstream that has been chosen.
+func (f *flight) begin(ctx context.Context, c placement.Choice) *try {
+	g := f.gateway
 	f.tried[c.Instance] = true
 	f.upstream = c.Address
 	if !f.headSent {
@@ -48,36 +52,48 @@
 	if f.ask.Model != "" && c.Domain != g.domain {
 		g.load.Offers.Far.Came(f.pool)
 	}
-	flight := g.load.Tracker.Begin(c.Address, f.ask.Prompt)
-	defer flight.End()
-	ctx, stop := context.WithCancelCause(ctx)
-	defer stop(nil)
-	t := &try{flight: f, choice: c, mark: flight, permit: f.permit, ctx: ctx, eventsBefore: f.events.passed, heard: g.now()}
 	f.attempts++
-	if f.route.Kind == catalog.Streaming && f.route.Resumable && f.attemptsLeft() {
-		t.watchdog = time.AfterFunc(FirstStall(c.Predicted), func() { t.stalled(stop) })
-		defer t.watchdog.Stop()
+	t := &try{
+		flight: f, choice: c, mark: g.load.Tracker.Begin(c.Address, f.ask.Prompt), permit: f.permit, parent: ctx,
+		attempts: f.attempts, eventsBefore: f.events.passed, heard: g.now(), position: f.position(),
 	}
+	t.ctx, t.stop = context.WithCancelCause(ctx)
 	if c.Revision > 0 && f.ask.Model != "" {
-		t.watchVersion(stop)
-		defer t.end.Stop()
+		t.watchVersion()
+	}
+	return t
+}
+
+// end gives back what the attempt holds.
+func (t *try) end() {
+	if t.exchange != nil {
+		t.exchange.End(t.whole)
+	}
+	if t.versionEnd != nil {
+		t.versionEnd.Stop()
 	}
-	e, err := g.pool.Send(ctx, c.Address, f.message(c))
+	t.stop(nil)
+	t.mark.End()
+}
+
+// send sends the request and waits for the head of its answer.
+func (t *try) send() *problem {
+	f := t.flight
+	e, err := f.gateway.pool.Send(t.ctx, t.choice.Address, f.message(t.choice))
 	switch {
 	case errors.Is(err, upconn.ErrHeld):
 		f.attempts--
-		g.tally.add("held_for_version")
-		return notRun("the connection came too late for the version there", f.reckoning.swapRetry(g.now()))
+		f.gateway.tally.add("held_for_version")
+		return notRun("the connection came too late for the version there", f.reckoning.swapRetry(f.gateway.now()))
 	case errors.Is(err, upconn.ErrNotSent):
 		f.attempts--
-		flight.Failed()
+		t.mark.Failed()
 		return notRun("no connection to the upstream", refusedRetry)
 	case err != nil:
 		return t.broke("the upstream broke off before its answer")
 	}
 	t.exchange = e
-	defer func() { e.End(t.whole) }()
-	return t.take()
+	return nil
 }
 
 // message makes what is sent to an upstream.
@@ -121,31 +137,34 @@
 	// permit is the number of the permit that it has; 0 for none.
 	permit   uint64
 	exchange *upconn.Exchange
-	watchdog *time.Timer
-	// end looks whether the version's time is over; see watchVersion.
-	end *time.Timer
-	ctx context.Context
+	// versionEnd looks whether the version's time is over; see watchVersion.
+	versionEnd *time.Timer
+	// parent outlives the attempt, and ctx ends with it.
+	parent, ctx context.Context
+	stop        context.CancelCauseFunc
 	// whole is true once the answer has been read to its end, so that the connection can be used again.
 	whole bool
 	begun bool
 	// answering is true once the upstream has sent anything of its answer.
 	answering atomic.Bool
-	// eventsBefore is the number of events that the caller had before this attempt.
-	eventsBefore int
+	// attempts is the number of attempts at the request with this one, and eventsBefore that of the events that the caller had before it.
+	attempts, eventsBefore int
 	// heard is when the upstream last sent anything, or when the request was sent.
 	heard time.Time
-}
 
-// stalled gives a silent upstream up where another one may be asked. Without that, waiting on is all that can still
-// bring the caller its answer.
-func (t *try) stalled(stop context.CancelCauseFunc) {
-	g := t.flight.gateway
-	if g.budget.Left(t.flight.pool) {
-		stop(errStalled)
-		return
-	}
-	g.tally.add("stall_waited_for_budget")
-	t.watchdog.Reset(eventStall)
+	mu sync.Mutex
+	// position is how far the caller's answer has come.
+	position position
+	// watchdog fires when the upstream has been silent for too long; nil where the stream can't be continued elsewhere.
+	watchdog *time.Timer
+	// hedge is the attempt at another upstream beside this one; nil for none.
+	hedge *hedge
+	// spent are hedges that brought nothing.
+	spent []*hedge
+	// passing is true while something of the answer is on its way to the caller, so that position is behind.
+	passing bool
+	// over is true once the exchange has ended.
+	over bool
 }
 
 // closed says whether an upstream is about to load weights.
@@ -154,66 +173,6 @@
 	return ok && r.Closed
 }
 
-// take passes an answer on, or says why it is none.
-func (t *try) take() *problem {
-	f, e := t.flight, t.exchange
-	d := f.gateway.dialect
-	v := d.Verdict(e.StatusCode, e.Header)
-	t.hearLimit(v.Limit)
-	if v.NotRun {
-		_, err := io.Copy(io.Discard, io.LimitReader(e.Body, heldAnswer))
-		t.whole = err == nil
-		return notRun("the upstream refused: "+strconv.Itoa(e.StatusCode), refusedRetry)
-	}
-	f.neverRan = false
-	ok := e.StatusCode >= http.StatusOK && e.StatusCode < http.StatusMultipleChoices
-	if f.headSent && !ok {
-		return &problem{text: "the upstream did not continue the stream"}
-	}
-	if v.Revision > 0 && f.revision == 0 {
-		f.revision = v.Revision
-	}
-	if ok && f.route.Kind == catalog.Streaming {
-		return t.stream()
-	}
-	return t.plain()
-}
-
-// plain passes an answer on that is no stream.
-func (t *try) plain() *problem {
-	f, e := t.flight, t.exchange
-	t.started()
-	body, err := io.ReadAll(io.LimitReader(e.Body, heldAnswer))
-	if err != nil {
-		return t.broke("the upstream broke off in its answer")
-	}
-	if f.gateway.dialect.Promise(e.StatusCode) {
-		// The upstream says "not run" in its status and does not prove it: passed on, it would be our promise.
-		t.whole = true
-		return &problem{text: "the upstream answered " + strconv.Itoa(e.StatusCode) + " without proof"}
-	}
-	if e.StatusCode >= http.StatusInternalServerError && f.route.Kind == catalog.Safe && f.canRepeat() {
-		t.whole = true
-		return &problem{text: "the upstream answered " + strconv.Itoa(e.StatusCode)}
-	}
-	long := len(body) == heldAnswer
-	t.head(!long, len(body))
-	if _, err := f.w.Write(body); err != nil {
-		return t.callerGone()
-	}
-	if long {
-		if _, err := io.Copy(f.w, e.Body); err != nil {
-			return t.broke("the upstream broke off in its answer")
-		}
-	}
-	t.whole = true
-	if e.StatusCode < http.StatusMultipleChoices {
-		f.gateway.list.Served(f.fingerprint)
-	}
-	f.done(strconv.Itoa(e.StatusCode))
-	return nil
-}
-
 // canRepeat says whether a safe request that an upstream failed may be offered to another one.
 func (f *flight) canRepeat() bool {
 	return f.attemptsLeft() && f.gateway.now().Before(f.deadline)
@@ -223,98 +182,3 @@
 func (f *flight) attemptsLeft() bool {
 	return f.attempts < f.route.MaxAttempts && f.rest == nil
 }
-
-// started notes that the upstream has begun to answer.
-func (t *try) started() {
-	if t.begun {
-		return
-	}
-	t.begun = true
-	t.answering.Store(true)
-	f := t.flight
-	f.begun.Store(true)
-	took := t.mark.Started()
-	if !f.headSent {
-		f.first = f.gateway.now().Sub(f.arrived)
-		f.gateway.tally.observe(histTime, f.first)
-		f.gateway.tally.observe(histDecision, took-t.choice.Predicted)
-	}
-}
-
-// head sends the answer's head, with its length where the whole body is there.
-func (t *try) head(sized bool, length int) {
-	f, e := t.flight, t.exchange
-	if f.headSent {
-		return
-	}
-	f.headSent = true
-	to := f.w.Header()
-	for name, values := range passOn(e.Header) {
-		to[name] = values
-	}
-	if len(to["Content-Type"]) == 0 {
-		to["Content-Type"] = nil
-	}
-	if sized {
-		to.Set("Content-Length", strconv.Itoa(length))
-	}
-	if f.gateway.leaving.Load() {
-		to.Set("Connection", "close")
-	}
-	f.w.WriteHeader(e.StatusCode)
-}
-
-func (t *try) callerGone() *problem {
-	t.left()
-	return &problem{text: "the caller takes no more", final: true}
-}
-
-// stream passes events on as they come. Of a resumable stream only whole events go out, so that another upstream can
-// take it up after any of them.
-func (t *try) stream() *problem {
-	f, e := t.flight, t.exchange
-	out := http.NewResponseController(f.w)
-	buffer := make([]byte, readSize)
-	f.events.restart()
-	for {
-		n, err := e.Body.Read(buffer)
-		if n > 0 {
-			t.started()
-			t.heard = f.gateway.now()
-			if t.watchdog != nil {
-				t.watchdog.Reset(eventStall)
-			}
-			ready := f.events.feed(buffer[:n], f.route.Resumable)
-			if len(ready) > 0 {
-				t.head(false, 0)
-				if _, werr := f.w.Write(ready); werr != nil || out.Flush() != nil {
-					return t.callerGone()
-				}
-			}
-		}
-		switch {
-		case errors.Is(err, io.EOF) && f.events.partial():
-			return t.broke("the upstream ended its stream within an event")
-		case errors.Is(err, io.EOF):
-			t.head(false, 0)
-			t.whole = true
-			f.gateway.list.Served(f.fingerprint)
-			f.done("stream")
-			return nil
-		case err != nil:
-			return t.broke("the upstream broke off its stream")
-		}
-	}
-}
-
-// readSize is the most that is read from a stream at once, in bytes; an event is about a hundred.
-const readSize = 4 << 10
-
-// done notes an answer that the caller has whole.
-func (f *flight) done(outcome string) {
-	f.gateway.tally.add("answered")
-	if f.attempts > 1 {
-		f.gateway.tally.add("answered_after_repeat")
-	}
-	f.logLine(outcomeAnswered, outcome)
-}
--- a/internal/gateway/attempt_end.go
+++ b/internal/gateway/attempt_end.go
@@ -13,6 +13,8 @@
 var (
 	// errStalled ends an attempt whose upstream has been silent for too long.
 	errStalled = errors.New("the upstream stalled")
+	// errOvertaken ends an attempt beside another one that has gone on first.
+	errOvertaken = errors.New("another upstream went on first")
 	// errVersionOver ends an attempt that has not begun before its upstream's version may begin no more requests.
 	errVersionOver = errors.New("the version's time is over")
 )
@@ -27,6 +29,7 @@
 	endShutdown     endReason = "gateway_shutdown"
 	endHeld         endReason = "held"
 	endStalled      endReason = "upstream_stalled"
+	endOvertaken    endReason = "overtaken"
 	endVersionOver  endReason = "version_over"
 	endLoading      endReason = "upstream_loading"
 	endBrokeOff     endReason = "upstream_broke_off"
@@ -65,6 +68,8 @@
 		return endRouteTimeout
 	case errors.Is(cause, errHeld):
 		return endHeld
+	case errors.Is(cause, errOvertaken):
+		return endOvertaken
 	case errors.Is(cause, errVersionOver):
 		return endVersionOver
 	case t.ctx.Err() != nil:
--- a/internal/gateway/broken.go
+++ b/internal/gateway/broken.go
@@ -8,12 +8,15 @@
 	r := t.endReason()
 	t.noteEnd(r)
 	switch r {
-	case endCallerLeft, endShutdown, endDeadline, endRouteTimeout:
+	case endCallerLeft, endShutdown, endDeadline, endRouteTimeout, endOvertaken:
 		t.left()
 	case endHeld:
 		t.left()
 		return &problem{text: "held: upstreams have crashed under this request", final: true}
-	case endStalled, endVersionOver:
+	case endStalled:
+		t.left()
+		return &problem{text: "the upstream stalled"}
+	case endVersionOver:
 		t.left()
 		t.mark.Stalled()
 		return &problem{text: "the upstream stalled"}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/placement"
@@ -17,6 +18,7 @@
 
 // choose picks the upstream for the next attempt, or says why there is none. Some are chosen only with leave from beside them.
 func (f *flight) choose(ctx context.Context) (placement.Choice, *problem) {
+	f.permit, f.leaveEnds = 0, time.Time{}
 	q := &Query{
 		Catalog: f.catalog, Pool: f.pool, Model: f.ask.Model, Prompt: f.ask.Prompt, Arrived: f.arrived, Lost: f.lost, CallerGives: f.callerGives,
 		Tried: f.tried, Attempts: f.attempts, Declined: map[id.Instance]bool{}, HeadSent: f.headSent, Revision: f.revision,
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -305,7 +305,10 @@
 	}
 	e = f.logLimit(e)
 	if f.broken != "" {
-		e = e.Str("broken", f.broken).Str("broken_instance", string(f.start)).Objects("ended", f.ends)
+		e = e.Str("broken", f.broken).Str("broken_instance", string(f.start))
+	}
+	if len(f.ends) > 0 {
+		e = e.Objects("ended", f.ends)
 	}
 	if f.retry > 0 {
 		e = e.Int64("retry_ms", f.retry.Milliseconds())
--- a/internal/gateway/versionend.go
+++ b/internal/gateway/versionend.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
 	"github.com/springrail/springrail/internal/id"
@@ -34,13 +33,13 @@
 
 // watchVersion gives the request up at an upstream that has not begun it when its version's time is over, also where the
 // newer version is named only while the request waits.
-func (t *try) watchVersion(stop context.CancelCauseFunc) {
-	t.end = time.AfterFunc(t.flight.gateway.settings.SwapWithin, func() { t.checkVersion(stop) })
-	t.checkVersion(stop)
+func (t *try) watchVersion() {
+	t.versionEnd = time.AfterFunc(t.flight.gateway.settings.SwapWithin, t.checkVersion)
+	t.checkVersion()
 }
 
 // checkVersion gives the request up, or says when to look again.
-func (t *try) checkVersion(stop context.CancelCauseFunc) {
+func (t *try) checkVersion() {
 	if t.answering.Load() || t.ctx.Err() != nil {
 		return
 	}
@@ -48,11 +47,11 @@
 	until, now := t.flight.beginBy(t.choice), g.now()
 	switch {
 	case until.IsZero():
-		t.end.Reset(lookAgain)
+		t.versionEnd.Reset(lookAgain)
 	case now.Before(until):
-		t.end.Reset(min(until.Sub(now), lookAgain))
+		t.versionEnd.Reset(min(until.Sub(now), lookAgain))
 	default:
 		g.tally.add("version_ended_before_begin")
-		stop(errVersionOver)
+		t.stop(errVersionOver)
 	}
 }
