Processes say that they have asked the store in vain, and nobody waits for these to take over

Cause of the known red spec (has another one read where the store turns those away that go first): a process waits 0.25 s for each one before it to take over the reading, also for those that have tried already. A source now says that it has asked the store in vain since its records were confirmed (store_failed in its answer), and is not waited for while that is known.

New spec: does not wait for those before it that have asked the store in vain.

--- a/internal/records/away.go
+++ b/internal/records/away.go
@@ -126,6 +126,13 @@
 	return l.isFresh() && l.own.After(l.failed) && l.now().Sub(l.own) < freshMost
 }
 
+// storeFailed says whether this process has asked the store itself since the records were last confirmed, in vain.
+func (l *Log) storeFailed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failed.After(l.confirmed)
+}
+
 // Age is how long ago the store confirmed that nothing is missing.
 func (l *Log) Age() time.Duration {
 	l.mu.Lock()
--- a/internal/records/blame_test.go
+++ b/internal/records/blame_test.go
@@ -27,7 +27,7 @@
 		f = &Follower{
 			logs: []*Log{l}, gate: &gate{closed: make(chan struct{})}, long: &gate{}, self: "self", domain: "d", gateways: func() []string { return nil },
 			now: func() time.Time { return now }, log: logger, vars: new(expvar.Map), hint: newHint(time.Now),
-			blamed: map[string]time.Time{}, behind: map[string]time.Time{},
+			blamed: map[string]time.Time{}, behind: map[string]time.Time{}, lacking: map[string]time.Time{},
 		}
 	})
 
--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -36,6 +36,8 @@
 	// may have it back, or take the reading over, at any moment. Left alone for 3 s, they let a gateway that was cut off from the store
 	// lag by 4 s.
 	staleFor = 300 * time.Millisecond
+	// lackFor is how long a source that has asked the store itself in vain is taken to lack it.
+	lackFor = time.Second
 	// awayPause is the wait between two questions to others while the store is away for all.
 	awayPause = 400 * time.Millisecond
 	// lookPause is the wait before sources are looked for again.
@@ -84,6 +86,8 @@
 	// startUntil is the end of the time in which a gateway may make itself known before this process asks the store.
 	startUntil time.Time
 	blamed     map[string]time.Time
+	// lacking holds sources that have asked the store itself in vain, and until when they are taken to lack it.
+	lacking map[string]time.Time
 	// behind are processes that follow this one: until then they are no sources while this one has fresh records.
 	behind map[string]time.Time
 	source string
@@ -222,7 +226,7 @@
 	if f.lostAt.IsZero() {
 		f.lostAt = f.now()
 	}
-	if f.now().Sub(f.lostAt) >= time.Duration(f.rank())*takeoverStep {
+	if f.now().Sub(f.lostAt) >= time.Duration(f.waitsFor())*takeoverStep {
 		f.openGate(true)
 	}
 }
@@ -234,6 +238,19 @@
 	return min(max(0, len(first)-1), takeoverMost)
 }
 
+// waitsFor is the number of processes that are given time to take over before this one: those before it that are not known to have asked the
+// store in vain.
+func (f *Follower) waitsFor() int {
+	first, _ := Sources(f.domain, f.gateways(), f.self)
+	lack := 0
+	for _, a := range first {
+		if f.now().Before(f.lacking[a]) {
+			lack++
+		}
+	}
+	return min(max(0, len(first)-max(1, lack)), takeoverMost)
+}
+
 // tryPause is the wait before this process tries the store again: those before it try more often, and the others follow
 // them once the store is back.
 func (f *Follower) tryPause() time.Duration {
@@ -298,8 +315,12 @@
 	}
 	if err := f.check(a); err != nil {
 		f.source = ""
+		if a.GetStoreFailed() {
+			f.lacking[address] = f.now().Add(lackFor)
+		}
 		return err
 	}
+	delete(f.lacking, address)
 	f.epoch = a.GetEpoch()
 	f.origin.set(a.GetOrigin())
 	f.compare(address, a)
--- a/internal/records/follow_test.go
+++ b/internal/records/follow_test.go
@@ -24,7 +24,7 @@
 		for _, self := range append([]string{"stager"}, all...) {
 			followers[self] = &Follower{
 				gate: &gate{closed: make(chan struct{})}, long: &gate{}, self: self, domain: "d", gateways: func() []string { return all },
-				now: func() time.Time { return now }, log: quiet, vars: new(expvar.Map), hint: newHint(time.Now), blamed: map[string]time.Time{}, behind: map[string]time.Time{},
+				now: func() time.Time { return now }, log: quiet, vars: new(expvar.Map), hint: newHint(time.Now), blamed: map[string]time.Time{}, behind: map[string]time.Time{}, lacking: map[string]time.Time{},
 			}
 		}
 		open := func() int {
@@ -46,6 +46,31 @@
 	})
 })
 
+var _ = Describe("a process whose source lacks the store", func() {
+	It("does not wait for those before it that have asked the store in vain, and waits for the others", func() {
+		now := time.Now()
+		all := []string{"a:1", "b:1", "c:1", "d:1", "e:1"}
+		order, _ := Sources("d", all, "")
+		f := &Follower{
+			gate: &gate{closed: make(chan struct{})}, long: &gate{}, self: order[4], domain: "d", gateways: func() []string { return all },
+			now: func() time.Time { return now }, log: quiet, vars: new(expvar.Map), hint: newHint(time.Now),
+			blamed: map[string]time.Time{}, behind: map[string]time.Time{}, lacking: map[string]time.Time{},
+		}
+		Expect(f.waitsFor()).To(Equal(3), "the first one is the source that has failed")
+		for _, a := range order[:3] {
+			f.lacking[a] = now.Add(lackFor)
+		}
+		Expect(f.waitsFor()).To(Equal(1))
+		f.takeOver()
+		Expect(f.gate.closed).NotTo(BeNil())
+		f.lacking[order[3]] = now.Add(lackFor)
+		f.takeOver()
+		Expect(f.gate.closed).To(BeNil())
+		now = now.Add(lackFor)
+		Expect(f.waitsFor()).To(Equal(3))
+	})
+})
+
 var _ = Describe("an answer of a source", func() {
 	It("is refused where a topic is missing, another one or of an impossible age", func() {
 		f := facts.New(time.Now)
@@ -72,7 +97,7 @@
 		f := &Follower{
 			logs: []*Log{l},
 			gate: &gate{}, long: &gate{}, domain: "d", gateways: func() []string { return nil }, now: func() time.Time { return now },
-			log: quiet, vars: new(expvar.Map), hint: newHint(time.Now), blamed: map[string]time.Time{}, behind: map[string]time.Time{},
+			log: quiet, vars: new(expvar.Map), hint: newHint(time.Now), blamed: map[string]time.Time{}, behind: map[string]time.Time{}, lacking: map[string]time.Time{},
 		}
 		for address, err := range map[string]error{"stale": errStale, "own": errOwn, "silent": context.DeadlineExceeded} {
 			f.blame(address, err)
--- a/internal/records/part.go
+++ b/internal/records/part.go
@@ -111,7 +111,7 @@
 	o := newOrigin(self, now)
 	w := &Follower{
 		logs: logs, gate: g, long: long, origin: o, peers: peers(f, d, self), self: self, domain: d, gateways: f.Gateways, now: now, log: l, vars: vars,
-		blamed: map[string]time.Time{}, behind: map[string]time.Time{}, wholeAgain: map[string]time.Time{}, startUntil: now().Add(s.StartWait), hint: t, seeds: withPortOf(self, s.Seeds),
+		blamed: map[string]time.Time{}, behind: map[string]time.Time{}, lacking: map[string]time.Time{}, wholeAgain: map[string]time.Time{}, startUntil: now().Add(s.StartWait), hint: t, seeds: withPortOf(self, s.Seeds),
 	}
 	return &Records{
 		readers: []*Reader{
--- a/internal/records/service.go
+++ b/internal/records/service.go
@@ -113,6 +113,7 @@
 		}
 		t.Reading = l.turn.tell(!started)
 		has = has || started || t.GetReading() != nil
+		a.StoreFailed = a.StoreFailed || l.storeFailed()
 		a.Topics = append(a.Topics, t)
 	}
 	if !has {
--- a/internal/records/start_test.go
+++ b/internal/records/start_test.go
@@ -94,7 +94,7 @@
 		f = &Follower{
 			logs: []*Log{NewLog(Topic{Name: "op"}, facts.New(time.Now), time.Now, quiet)}, self: "self", domain: "d",
 			gateways: func() []string { return gateways }, peers: func() []string { return []string{"peer"} },
-			now: time.Now, hint: newHint(time.Now), blamed: map[string]time.Time{}, behind: map[string]time.Time{}, origin: newOrigin("self", time.Now),
+			now: time.Now, hint: newHint(time.Now), blamed: map[string]time.Time{}, behind: map[string]time.Time{}, lacking: map[string]time.Time{}, origin: newOrigin("self", time.Now),
 		}
 	})
 
@@ -131,7 +131,7 @@
 		f := &Follower{
 			logs: []*Log{NewLog(Topic{Name: "op"}, facts.New(time.Now), time.Now, quiet), list}, self: "self", domain: "d",
 			gate: &gate{}, long: &gate{}, origin: newOrigin("self", time.Now), hint: newHint(time.Now), now: time.Now, log: quiet,
-			blamed: map[string]time.Time{}, behind: map[string]time.Time{}, gateways: func() []string { return nil },
+			blamed: map[string]time.Time{}, behind: map[string]time.Time{}, lacking: map[string]time.Time{}, gateways: func() []string { return nil },
 		}
 		f.peers = func() []string {
 			list.Take(Batch{Whole: true, Next: 1, Confirmed: time.Now()})
--- a/internal/records/turn_test.go
+++ b/internal/records/turn_test.go
@@ -269,7 +269,7 @@
 		source = &Service{logs: logs("source"), origin: newOrigin("source", clock), hint: newHint(clock), domain: "d"}
 		f = &Follower{
 			logs: logs("self"), gate: &gate{}, long: &gate{}, origin: newOrigin("self", clock), self: "self", domain: "d", now: clock, log: quiet,
-			vars: new(expvar.Map), hint: newHint(clock), blamed: map[string]time.Time{}, behind: map[string]time.Time{}, wholeAgain: map[string]time.Time{},
+			vars: new(expvar.Map), hint: newHint(clock), blamed: map[string]time.Time{}, behind: map[string]time.Time{}, lacking: map[string]time.Time{}, wholeAgain: map[string]time.Time{},
 			gateways: func() []string { return []string{"source"} }, peers: func() []string { return nil },
 			ask: func(ctx context.Context, a string, q *pb.FollowRequest) (*pb.FollowResponse, error) {
 				if a != "source" {
--- a/internal/records/wire_test.go
+++ b/internal/records/wire_test.go
@@ -55,7 +55,7 @@
 		p.service = &Service{logs: logs, origin: newOrigin(p.name, clock), hint: newHint(clock), domain: "d"}
 		p.follows = &Follower{
 			logs: logs, gate: &gate{}, long: &gate{}, origin: p.service.origin, self: p.name, domain: "d", now: clock, log: quiet,
-			vars: new(expvar.Map), blamed: map[string]time.Time{}, behind: map[string]time.Time{}, wholeAgain: map[string]time.Time{}, hint: p.service.hint,
+			vars: new(expvar.Map), blamed: map[string]time.Time{}, behind: map[string]time.Time{}, lacking: map[string]time.Time{}, wholeAgain: map[string]time.Time{}, hint: p.service.hint,
 			gateways: func() []string { return nil },
 			ask: func(ctx context.Context, a string, q *pb.FollowRequest) (*pb.FollowResponse, error) {
 				q.WaitMs = 0
