Soak: an answer that has begun is brought to its end, checked also where an upstream ends it on our order

New check ended-early: an answer cut, or failed with 502, although neither its gateway nor an upstream that it reached was hurt in the 4 s before it or since, and before its caller's deadline. The sixth engine's streams now take 2 s. New kind upstream-busy: an engine sends nothing for up to 2.5 s, which is no fault.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -178,6 +178,8 @@
 		c.history.Refused(a.id, r.StatusCode)
 	case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
 		c.history.Denied(a.id, r.StatusCode, a.config)
+	case http.StatusBadGateway:
+		c.history.Failed(a.id, r.StatusCode)
 	default:
 		c.history.Count("status " + strconv.Itoa(r.StatusCode))
 	}
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/springrail/springrail/internal/standin"
@@ -241,8 +242,13 @@
 	r := b.requests[id]
 	b.counts["cut"]++
 	now := b.now()
+	if now.Sub(r.sent) >= patience {
+		b.counts["cut at the caller's deadline"]++
+		return
+	}
 	ns := r.gateway.termAt.Load()
 	if ns == 0 {
+		b.endedEarly(r, id, head, fmt.Sprintf("cut: %v", why))
 		return
 	}
 	term := time.Unix(0, ns)
@@ -259,3 +265,24 @@
 	b.unless(hurt, "lost", r.gateway.name, id, "", "cut %.2f s after SIGTERM, %.2f s after it was sent, with head %t: %v",
 		now.Sub(term).Seconds(), now.Sub(r.sent).Seconds(), head, why)
 }
+
+// Failed checks a request that the gateway answers as failed: one that an upstream runs is brought to its end.
+func (b *History) Failed(id string, status int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.requests[id]
+	b.counts[fmt.Sprint("status ", status)]++
+	if r.gateway.termAt.Load() == 0 {
+		b.endedEarly(r, id, false, fmt.Sprint("answered ", status))
+	}
+}
+
+// endedEarly checks an answer that ended early: nothing that is planned may do that, nor an upstream's silence. The caller holds the lock.
+func (b *History) endedEarly(r *request, id string, head bool, how string) {
+	if r.crashes || (!head && r.runs == 0) {
+		return
+	}
+	now := b.now()
+	hurt := !b.clean(r.sent.Add(-settle), now, append([]string{r.gateway.name, theMachine}, r.at...)...)
+	b.unless(hurt, "ended-early", r.gateway.name, id, "", "%s, %.2f s after it was sent, with head %t, at %s", how, now.Sub(r.sent).Seconds(), head, strings.Join(r.at, ", "))
+}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -87,11 +87,15 @@
 	return w, w.startAll(ctx)
 }
 
+// eventTimes are the times between two events of the engines' streams, which take 0.2 to 2 s; the longest outlast a drain.
+var eventTimes = [...]time.Duration{
+	20 * time.Millisecond, 35 * time.Millisecond, 50 * time.Millisecond, 65 * time.Millisecond, 80 * time.Millisecond, 170 * time.Millisecond,
+}
+
 func (w *Fleet) slot(ctx context.Context, to *[]*Slot, pool, address string, i int) error {
 	s := &Slot{address: address, pool: pool, domain: w.domain(i), history: w.history, store: w.store}
 	if pool == "engines" {
-		// Streams of 0.2 to 1 s.
-		s.event = time.Duration(20+15*(i%5)) * time.Millisecond
+		s.event = eventTimes[i%len(eventTimes)]
 	}
 	*to = append(*to, s)
 	if err := s.Come(ctx); err != nil {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -51,9 +51,22 @@
 		w.crasher(ctx, s)
 	case doLimit:
 		w.limitOne(ctx, s)
+	case doBusy:
+		w.pauseEngine(ctx, s)
 	}
 }
 
+// pauseEngine has an engine send nothing for a while. That is no fault: its answers go on afterwards.
+func (w *Fleet) pauseEngine(ctx context.Context, s Step) {
+	u := w.engines[int(s.Pick>>8)%len(w.engines)]
+	u.mu.Lock()
+	l := u.link
+	u.mu.Unlock()
+	l.Hold(true)
+	kernel.Pause(ctx, s.For)
+	l.Hold(false)
+}
+
 // hurtProcess pauses, kills or terminates a gateway or a stager that nothing else happens to.
 func (w *Fleet) hurtProcess(ctx context.Context, s Step) {
 	p := w.stagers[int(s.Pick>>8)%len(w.stagers)]
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -31,6 +31,7 @@
 	doConfig   = "config"
 	doCrasher  = "crashing-request"
 	doLimit    = "limit"
+	doBusy     = "upstream-busy"
 )
 
 // faultNames lists what may be drawn in an episode, with how many of them are drawn: those that may hide most come most.
@@ -97,6 +98,7 @@
 	}
 	p.crashers(allowed)
 	p.limits(allowed)
+	p.pauses(allowed)
 	slices.SortStableFunc(p.steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p.steps
 }
@@ -132,6 +134,22 @@
 	}
 }
 
+const (
+	// busyEvery is the mean time between two pauses of an upstream that nothing else is wrong with, and busyMost how long one lasts at the most.
+	busyEvery = 2 * time.Second
+	busyMost  = 2500 * time.Millisecond
+)
+
+// pauses draws when an upstream sends nothing for a while although nothing has failed. They are drawn last, for the same reason.
+func (p *planner) pauses(allowed []string) {
+	if len(only([]string{doBusy}, allowed)) == 0 {
+		return
+	}
+	for at := p.between(0, 2*busyEvery); at < p.end; at += p.between(0, 2*busyEvery) {
+		p.add(at, doBusy, min(p.between(0, busyMost), p.end-at))
+	}
+}
+
 // planner draws steps.
 type planner struct {
 	r                    *rand.Rand
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -144,6 +144,19 @@
 			h.Begin("a", "crashed")()
 			h.cut(true)
 		}),
+		Entry("an answer that has begun is brought to its end", func(h *history) { h.send(); h.arrive(); h.cut(true) }, "ended-early"),
+		Entry("and one that runs", func(h *history) { h.send(); h.arrive(); h.runs(0); h.cut(false) }, "ended-early"),
+		Entry("which is not answered as failed either", func(h *history) { h.send(); h.arrive(); h.runs(0); h.Failed("1", 502) }, "ended-early"),
+		Entry("before its caller's deadline", func(h *history) { h.send(); h.arrive(); h.pass(patience - 1); h.cut(true) }, "ended-early"),
+		Entry("but not after it", func(h *history) { h.send(); h.arrive(); h.pass(patience); h.cut(true) }),
+		Entry("nor, in a planned stop, before it", func(h *history) { h.send(); h.term(); h.pass(patience - 1); h.cut(true) }, "lost"),
+		Entry("unless its upstream has crashed", func(h *history) {
+			h.send()
+			h.arrive()
+			h.Begin("a", "crashed")()
+			h.cut(true)
+		}),
+		Entry("or its gateway was killed", func(h *history) { h.send(); h.arrive(); h.Begin(h.gateway.name, "killed")(); h.cut(true) }),
 		Entry("all is well at the end", func(h *history) { h.end = h.at.Add(endTime - 1); h.send(); h.Answered("1"); h.pass(endTime); h.Ended() }),
 		Entry("or it is not", func(h *history) { h.end = h.at.Add(endTime - 1); h.send(); h.pass(endTime); h.Ended() }, "well-again"),
 		Entry("nor what comes after the grace", func(h *history) { h.send(); h.term(); h.pass(grace); h.cut(true) }),
