--- a/internal/soak/crasher.go
+++ b/internal/soak/crasher.go
@@ -80,9 +80,11 @@
 			return
 		}
 		s.history.Crashed(body)
+		end := s.history.Begin(s.address, "crashed under a request")
 		l.Close()
 		go func() {
 			defer s.busy.Unlock()
+			defer end()
 			s.Crash(ctx, crashAway)
 		}()
 	}
