--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -18,11 +18,11 @@
 )
 
 // take passes an answer on, or says why it is none.
-func (t *try) take() *problem {
+func (t *attempt) take() *attemptError {
 	f, e := t.flight, t.exchange
 	d := f.gateway.dialect
 	v := d.Verdict(e.StatusCode, e.Header)
-	t.hearLimit(v.Limit)
+	t.noteLimit(v.Limit)
 	if v.NotRun {
 		_, err := io.Copy(io.Discard, io.LimitReader(e.Body, heldAnswer))
 		t.whole = err == nil
@@ -31,7 +31,7 @@
 	f.neverRan = false
 	ok := isSuccess(e.StatusCode)
 	if f.headSent && !ok {
-		return &problem{text: "the upstream did not continue the stream"}
+		return &attemptError{text: "the upstream did not continue the stream"}
 	}
 	if v.Revision > 0 && !f.headSent {
 		f.revision = v.Revision
@@ -48,7 +48,7 @@
 }
 
 // plain passes an answer on that is no stream.
-func (t *try) plain() *problem {
+func (t *attempt) plain() *attemptError {
 	f, e := t.flight, t.exchange
 	t.started()
 	body, err := io.ReadAll(io.LimitReader(e.Body, heldAnswer))
@@ -58,11 +58,11 @@
 	if f.gateway.dialect.Promise(e.StatusCode) {
 		// The upstream says "not run" in its status and does not prove it: passed on, it would be our promise.
 		t.whole = true
-		return &problem{text: "the upstream answered " + strconv.Itoa(e.StatusCode) + " without proof"}
+		return &attemptError{text: "the upstream answered " + strconv.Itoa(e.StatusCode) + " without proof"}
 	}
 	if e.StatusCode >= http.StatusInternalServerError && f.route.Kind == catalog.Safe && f.canRepeat() {
 		t.whole = true
-		return &problem{text: "the upstream answered " + strconv.Itoa(e.StatusCode)}
+		return &attemptError{text: "the upstream answered " + strconv.Itoa(e.StatusCode)}
 	}
 	long := len(body) == heldAnswer
 	t.head(!long, len(body))
@@ -83,7 +83,7 @@
 }
 
 // started notes that the upstream has begun to answer.
-func (t *try) started() {
+func (t *attempt) started() {
 	if t.begun {
 		return
 	}
@@ -100,7 +100,7 @@
 }
 
 // head sends the answer's head, with its length where the whole body is there.
-func (t *try) head(sized bool, length int) {
+func (t *attempt) head(sized bool, length int) {
 	f, e := t.flight, t.exchange
 	if f.headSent {
 		return
@@ -122,20 +122,20 @@
 	f.w.WriteHeader(e.StatusCode)
 }
 
-func (t *try) callerGone() *problem {
+func (t *attempt) callerGone() *attemptError {
 	t.left()
-	return &problem{text: "the caller takes no more", final: true}
+	return &attemptError{text: "the caller takes no more", final: true}
 }
 
 // stream passes events on as they come. Of a resumable stream only whole events go out, so that another upstream can
 // take it up after any of them.
-func (t *try) stream() *problem {
+func (t *attempt) stream() *attemptError {
 	t.flight.events.restart()
 	return t.read()
 }
 
 // read passes on what follows of a stream.
-func (t *try) read() *problem {
+func (t *attempt) read() *attemptError {
 	f, e := t.flight, t.exchange
 	buffer := make([]byte, readSize)
 	for {
@@ -145,7 +145,7 @@
 		}
 		if n > 0 {
 			t.started()
-			t.heard = f.gateway.now()
+			t.lastByte = f.gateway.now()
 			if !t.pass(f.events.feed(buffer[:n], f.route.Resumable)) {
 				return t.callerGone()
 			}
@@ -157,7 +157,7 @@
 }
 
 // pass sends events on to the caller, and says whether it takes them.
-func (t *try) pass(events []byte) bool {
+func (t *attempt) pass(events []byte) bool {
 	f := t.flight
 	defer func() { t.moved(f.position()) }()
 	if len(events) == 0 {
@@ -169,7 +169,7 @@
 }
 
 // ended is the end of a stream: io.EOF, or what broke it off.
-func (t *try) ended(err error) *problem {
+func (t *attempt) ended(err error) *attemptError {
 	f := t.flight
 	switch {
 	case !errors.Is(err, io.EOF):
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -26,7 +26,7 @@
 }
 
 // attempt sends the request to one upstream. It returns nil once the caller has its answer.
-func (f *flight) attempt(ctx context.Context) *problem {
+func (f *flight) attempt(ctx context.Context) *attemptError {
 	c, p := f.choose(ctx)
 	if p != nil {
 		return p
@@ -42,7 +42,7 @@
 }
 
 // begin makes the attempt at an upstream that has been chosen.
-func (f *flight) begin(ctx context.Context, c placement.Choice) *try {
+func (f *flight) begin(ctx context.Context, c placement.Choice) *attempt {
 	g := f.gateway
 	f.tried[c.Instance] = true
 	f.upstream = c.Address
@@ -53,9 +53,9 @@
 		g.load.Offers.Far.Came(f.pool)
 	}
 	f.attempts++
-	t := &try{
+	t := &attempt{
 		flight: f, choice: c, mark: g.load.Tracker.Begin(c.Address, f.ask.Prompt), permit: f.permit, parent: ctx,
-		attempts: f.attempts, eventsBefore: f.events.passed, heard: g.now(), position: f.position(),
+		attempts: f.attempts, eventsBefore: f.events.passed, lastByte: g.now(), position: f.position(),
 	}
 	t.ctx, t.stop = context.WithCancelCause(ctx)
 	if c.Revision > 0 && f.ask.Model != "" {
@@ -65,7 +65,7 @@
 }
 
 // end gives back what the attempt holds.
-func (t *try) end() {
+func (t *attempt) end() {
 	if t.exchange != nil {
 		t.exchange.End(t.whole)
 	}
@@ -77,14 +77,14 @@
 }
 
 // send sends the request and waits for the head of its answer.
-func (t *try) send() *problem {
+func (t *attempt) send() *attemptError {
 	f := t.flight
 	e, err := f.gateway.pool.Send(t.ctx, t.choice.Address, f.message(t.choice))
 	switch {
 	case errors.Is(err, upconn.ErrHeld):
 		f.attempts--
 		f.gateway.tally.add("held_for_version")
-		return notRun("the connection came too late for the version there", f.reckoning.swapRetry(f.gateway.now()))
+		return notRun("the connection came too late for the version there", f.decision.swapRetry(f.gateway.now()))
 	case errors.Is(err, upconn.ErrNotSent):
 		f.attempts--
 		t.mark.Failed()
@@ -111,11 +111,11 @@
 	}
 }
 
-// may says whether a request that was let in may still be sent now that its connection, which took a time to come, is there: its own time and that of
-// the leave to send it must not be over, as after a suspension, and as much must be left of its version's time as when it was let in, and as a way asks for that takes as long
-// as the connection or the leave took.
+// may says whether an admitted request may still be sent once its connection, which took a time, is there. Its deadline and that of its permit
+// must not have passed, as after a suspension, and its version must have as much time left as at admission, and as the request needs on a
+// connection that is as slow as the dial or the permit was.
 func (f *flight) may(c placement.Choice, dialled time.Duration) bool {
-	if f.left() <= 0 || (!f.leaveEnds.IsZero() && f.gateway.now().After(f.leaveEnds)) {
+	if f.left() <= 0 || (!f.permitEnds.IsZero() && f.gateway.now().After(f.permitEnds)) {
 		return false
 	}
 	if c.Revision == 0 || f.ask.Model == "" {
@@ -126,11 +126,11 @@
 	return until.IsZero() || !g.now().Add(max(c.Margin, c.Wait+wayDialled*max(dialled, f.asked))).After(until)
 }
 
-// wayDialled is how many times the time that a connection or leave took to come a request on it may be on its way: the queue may have grown since.
+// wayDialled bounds how many times longer than the dial or the permit a request may take on the link: the queue may have grown since.
 const wayDialled = 2
 
-// try is one attempt's exchange with an upstream.
-type try struct {
+// attempt is one's exchange with an upstream.
+type attempt struct {
 	flight *flight
 	choice placement.Choice
 	mark   *placement.Flight
@@ -149,8 +149,8 @@
 	answering atomic.Bool
 	// attempts is the number of attempts at the request with this one, and eventsBefore that of the events that the caller had before it.
 	attempts, eventsBefore int
-	// heard is when the upstream last sent anything, or when the request was sent.
-	heard time.Time
+	// lastByte is when the upstream last sent anything, or when the request was sent.
+	lastByte time.Time
 
 	mu sync.Mutex
 	// position is how far the caller's answer has come.
--- a/internal/gateway/attempt_end.go
+++ b/internal/gateway/attempt_end.go
@@ -53,7 +53,7 @@
 }
 
 // endReason finds out who ended the attempt.
-func (t *try) endReason() endReason {
+func (t *attempt) endReason() endReason {
 	f := t.flight
 	g := f.gateway
 	cause := context.Cause(t.ctx)
@@ -82,11 +82,11 @@
 }
 
 // noteEnd keeps how the attempt ended for the line of the request, and counts it.
-func (t *try) noteEnd(r endReason) {
+func (t *attempt) noteEnd(r endReason) {
 	f := t.flight
 	f.ends = append(f.ends, &attemptEnd{
 		reason: r, instance: t.choice.Instance, progress: t.progress(),
-		events: f.events.passed - t.eventsBefore, silence: f.gateway.now().Sub(t.heard),
+		events: f.events.passed - t.eventsBefore, silence: f.gateway.now().Sub(t.lastByte),
 	})
 	f.gateway.tally.add("attempt_ended_" + string(r))
 }
--- a/internal/gateway/attempt_end_test.go
+++ b/internal/gateway/attempt_end_test.go
@@ -23,14 +23,14 @@
 		_, _ = c.Read(make([]byte, 1))
 	}
 	var (
-		b     *backstage
+		b     *testbed
 		r     *catalog.Route
 		lines *pages
 	)
 	BeforeEach(func() {
 		r = route(catalog.Streaming, "engines")
 		r.MaxAttempts = 1
-		b = newBackstage(r)
+		b = newTestbed(r)
 		lines = &pages{}
 		b.gateway.log = &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: lines}}
 	})
--- a/internal/gateway/begun_test.go
+++ b/internal/gateway/begun_test.go
@@ -25,7 +25,7 @@
 	const first, rest = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
 
 	// settings are a second configuration, with a key and limits that the first does not have.
-	settings := func(b *backstage, routes []*catalog.Route, keys ...string) {
+	settings := func(b *testbed, routes []*catalog.Route, keys ...string) {
 		services := []*catalog.Service{{Name: "plain"}, {Name: "engines", Engine: &catalog.Engine{Slots: 4, Step: time.Millisecond, ReadPerSecond: 100000}}}
 		orgs := []*catalog.Organisation{{Name: "gym", Keys: keys}}
 		b.facts.SetCatalog(catalog.New(8, routes, services, orgs, catalog.Limits{HeaderBytes: 1, BodyBytes: 1, IdleTimeout: time.Millisecond}))
@@ -37,10 +37,10 @@
 	}
 
 	DescribeTable("is brought to its end whatever is planned under it",
-		func(plan func(b *backstage)) {
+		func(plan func(b *testbed)) {
 			r := route(catalog.Streaming, "engines")
 			r.Public = false
-			b := newBackstage(r)
+			b := newTestbed(r)
 			b.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
 				stream(c, q, "", first)
 				plan(b)
@@ -51,28 +51,28 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(body).To(Equal(first + rest))
 		},
-		Entry("its route is dropped", func(b *backstage) { settings(b, nil, "secret") }),
-		Entry("its route goes to another service", func(b *backstage) {
+		Entry("its route is dropped", func(b *testbed) { settings(b, nil, "secret") }),
+		Entry("its route goes to another service", func(b *testbed) {
 			settings(b, []*catalog.Route{changed(func(r *catalog.Route) { r.Shares = []catalog.Share{{Pool: "plain", Weight: 1}} })}, "secret")
 		}),
-		Entry("its route's timeout is shortened", func(b *backstage) {
+		Entry("its route's timeout is shortened", func(b *testbed) {
 			settings(b, []*catalog.Route{changed(func(r *catalog.Route) { r.Timeout = 10 * time.Millisecond })}, "secret")
 		}),
-		Entry("its key is taken away, and its body and head are above new limits", func(b *backstage) { settings(b, nil, "other") }),
-		Entry("its upstream says that it leaves", func(b *backstage) {
+		Entry("its key is taken away, and its body and head are above new limits", func(b *testbed) { settings(b, nil, "other") }),
+		Entry("its upstream says that it leaves", func(b *testbed) {
 			u := *b.facts.Instance("u")
 			u.Leaving, u.Seen = true, 1
 			b.facts.SetInstance(&u)
 		}),
-		Entry("its upstream's entry goes", func(b *backstage) { b.facts.DropInstance("u", 1) }),
-		Entry("its upstream is about to load weights", func(b *backstage) {
+		Entry("its upstream's entry goes", func(b *testbed) { b.facts.DropInstance("u", 1) }),
+		Entry("its upstream is about to load weights", func(b *testbed) {
 			b.tracker.SetReport(b.facts.Instance("u").Address, placement.LoadReport{Closed: true, Taken: time.Now()})
 		}),
-		Entry("its model's version is over", func(b *backstage) {
+		Entry("its model's version is over", func(b *testbed) {
 			b.gateway.settings.SwapWithin = 100 * time.Millisecond
 			b.facts.SetWanted("m", secondNamed())
 		}),
-		Entry("its gateway is to stop", func(b *backstage) {
+		Entry("its gateway is to stop", func(b *testbed) {
 			ctx, stop := context.WithTimeout(context.Background(), 8*time.Second)
 			DeferCleanup(stop)
 			go b.gateway.Drain(ctx)
@@ -83,7 +83,7 @@
 		const streams, events, pauseMost = 60, 6, 2500
 		r := route(catalog.Streaming, "engines")
 		r.Timeout = 12 * time.Second
-		b := newBackstage(r)
+		b := newTestbed(r)
 		b.gateway.budget = placement.NewBudget(placement.BudgetRule{Slack: streams, Window: time.Minute}, func() int { return 1 }, time.Now)
 		pausing := func(q *http.Request, _ string, c net.Conn) {
 			after, _ := strconv.Atoi(q.Header.Get(xAfter))
--- a/internal/gateway/broken.go
+++ b/internal/gateway/broken.go
@@ -1,7 +1,7 @@
 package gateway
 
 // broke is an exchange that ended early. An upstream is blamed unless the caller or the clock ended it.
-func (t *try) broke(text string) *problem {
+func (t *attempt) broke(text string) *attemptError {
 	f := t.flight
 	f.neverRan = false
 	f.broken, f.start = t.progress(), t.choice.Instance
@@ -12,14 +12,14 @@
 		t.left()
 	case endHeld:
 		t.left()
-		return &problem{text: "held: upstreams have crashed under this request", final: true}
+		return &attemptError{text: "held: upstreams have crashed under this request", final: true}
 	case endStalled:
 		t.left()
-		return &problem{text: "the upstream stalled"}
+		return &attemptError{text: "the upstream stalled"}
 	case endVersionOver:
 		t.left()
 		t.mark.Stalled()
-		return &problem{text: "the upstream stalled"}
+		return &attemptError{text: "the upstream stalled"}
 	case endLoading:
 		// It ends its requests to load weights, and there is nothing wrong with it, or else it has crashed under one of them.
 		f.gateway.witness.Broke(t.at(), f.presence())
@@ -28,7 +28,7 @@
 		f.gateway.pool.Forget(t.choice.Address)
 		f.gateway.witness.Broke(t.at(), f.presence())
 	}
-	return &problem{text: text}
+	return &attemptError{text: text}
 }
 
 // How far the answer of an upstream had come.
@@ -39,7 +39,7 @@
 )
 
 // progress says how far the answer has come.
-func (t *try) progress() string {
+func (t *attempt) progress() string {
 	switch {
 	case t.exchange == nil:
 		return noHead
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -13,29 +13,29 @@
 	return &Desk{Facts: g.facts, Load: g.load, Domain: g.domain, SwapWithin: g.settings.SwapWithin, Now: g.now, Random: g.random}
 }
 
-// mostAsks bounds the upstreams for which a request asks for leave: each question takes a way there and back.
-const mostAsks = 3
+// mostPermitAsks bounds the upstreams at which a request asks for a permit: each costs a round trip.
+const mostPermitAsks = 3
 
-// choose picks the upstream for the next attempt, or says why there is none. Some are chosen only with leave from beside them.
-func (f *flight) choose(ctx context.Context) (placement.Choice, *problem) {
-	f.permit, f.leaveEnds = 0, time.Time{}
+// choose picks the upstream for the next attempt, or says why there is none. Some need a permit of the stager beside them.
+func (f *flight) choose(ctx context.Context) (placement.Choice, *attemptError) {
+	f.permit, f.permitEnds = 0, time.Time{}
 	q := &Query{
 		Catalog: f.catalog, Pool: f.pool, Model: f.ask.Model, Prompt: f.ask.Prompt, Arrived: f.arrived, Lost: f.lost, CallerGives: f.callerGives,
 		Tried: f.tried, Attempts: f.attempts, Declined: map[id.Instance]bool{}, HeadSent: f.headSent, Revision: f.revision,
 	}
 	for {
 		c, no := f.gateway.desk().Choose(q)
-		f.reckoning = q.reckoning
+		f.decision = q.decision
 		if no != nil {
 			if no.Predicted > 0 {
 				f.predicted = no.Predicted
 			}
-			return c, &problem{text: no.Why, notRun: true, final: true, retry: no.Retry}
+			return c, &attemptError{text: no.Why, notRun: true, final: true, retry: no.Retry}
 		}
-		if f.leave(ctx, &c) {
+		if f.acquire(ctx, &c) {
 			return c, nil
 		}
 		q.Declined[c.Instance] = true
-		q.AskNone = len(q.Declined) >= mostAsks
+		q.AskNone = len(q.Declined) >= mostPermitAsks
 	}
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -20,10 +20,10 @@
 // errHeld ends a request that waits at an upstream when it turns out that upstreams crash under it.
 var errHeld = errors.New("upstreams have crashed under this request")
 
-// enter lets the request in, unless upstreams have crashed under it. One that is suspected is let in while no repeat of it is under way here. It guards
+// checkQuarantine lets the request in, unless upstreams have crashed under it. One that is suspected is let in while no repeat of it is under way here. It guards
 // against a request that ends each upstream which begins it: sent on with each repeat, one ended 40 upstreams in 34 s, and with them all that others
 // had running there.
-func (f *flight) enter() bool {
+func (f *flight) checkQuarantine() bool {
 	g := f.gateway
 	v := g.list.Check(f.fingerprint)
 	f.alone = v == quarantine.Alone
@@ -33,7 +33,7 @@
 		f.refuse("held: upstreams have crashed under this request", heldRetry)
 	case v == quarantine.Waits:
 		f.refuse("upstreams have just crashed under this request", suspectRetry)
-	case !g.flights.enter(f):
+	case !g.flights.add(f):
 		f.refuse("a repeat of this request is tried alone", suspectRetry)
 	default:
 		return true
@@ -48,12 +48,12 @@
 }
 
 // at is the start of the upstream that the request was sent to.
-func (t *try) at() quarantine.Start {
+func (t *attempt) at() quarantine.Start {
 	return quarantine.Start{Address: t.choice.Address, Instance: t.choice.Instance, Born: t.choice.Born}
 }
 
 // left notes that the request was given up at its upstream, which may begin it all the same.
-func (t *try) left() {
+func (t *attempt) left() {
 	t.flight.gateway.witness.Left(t.at(), t.flight.presence())
 }
 
@@ -73,8 +73,8 @@
 	return &flights{of: map[quarantine.Fingerprint]map[*flight]struct{}{}}
 }
 
-// enter notes a request, unless it is to be alone and is not.
-func (l *flights) enter(f *flight) bool {
+// add notes a request, unless it is to be alone and is not.
+func (l *flights) add(f *flight) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	same := l.of[f.fingerprint]
@@ -89,8 +89,8 @@
 	return true
 }
 
-// leave notes that a request is over.
-func (l *flights) leave(f *flight) {
+// remove notes that a request is over.
+func (l *flights) remove(f *flight) {
 	f.stop(nil)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -21,7 +21,7 @@
 var _ = Describe("the line of a request under which an upstream broke off", func() {
 	DescribeTable("tells it from others across its repeats, on which start of which upstream, and how far the answer had come",
 		func(broken string, play func(q *http.Request, body string, c net.Conn)) {
-			b := newBackstage(route(catalog.Streaming, "engines"))
+			b := newTestbed(route(catalog.Streaming, "engines"))
 			b.upstream("u", "engines", play)
 			lines := &pages{}
 			b.gateway.log = &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: lines}}
@@ -37,7 +37,7 @@
 	)
 
 	It("has no fingerprint where the request was refused before its body was read", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		lines := &pages{}
 		b.gateway.log = &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: lines}}
 		_, _, _ = b.ask("POST", "/elsewhere/", "x")
@@ -47,7 +47,7 @@
 })
 
 // ending adds an upstream whose process ends under each request: all its connections break, and its port is closed.
-func (b *backstage) ending(name string) {
+func (b *testbed) ending(name string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { _ = l.Close() })
@@ -67,7 +67,7 @@
 }
 
 // suspect makes a gateway's list suspect a request as so many upstreams have ended under it.
-func (b *backstage) suspect(f quarantine.Fingerprint, ends int) {
+func (b *testbed) suspect(f quarantine.Fingerprint, ends int) {
 	for n := range ends {
 		b.list.Hear(quarantine.End{
 			Start:    quarantine.Start{Instance: id.Instance(strconv.Itoa(n)), Address: "a"},
@@ -82,12 +82,12 @@
 		stream(c, q, xRevision+": 1\r\n", "id: 1\ndata: a\n\n")
 		_, _ = io.WriteString(c, "0\r\n\r\n")
 	}
-	verdict := func(b *backstage) func() quarantine.Verdict {
+	verdict := func(b *testbed) func() quarantine.Verdict {
 		return func() quarantine.Verdict { return b.list.Check(bad) }
 	}
 
 	It("is not sent on and told when to come back, and others from the same caller are served", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", whole)
 		b.list.Take(quarantine.Hold{Fingerprint: bad})
 		a, body, err := b.ask("POST", "/p/", "bad", xModel, "m")
@@ -102,7 +102,7 @@
 	})
 
 	It("counts upstreams whose processes ended under it, goes to one at a time after two, and is held once that has proved it", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		for _, n := range []string{"u", "v", "w", "x"} {
 			b.ending(n)
 		}
@@ -118,7 +118,7 @@
 	})
 
 	It("is no suspect where connections break and the upstream lives", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		for _, n := range []string{"u", "v"} {
 			b.upstream(n, "engines", func(*http.Request, string, net.Conn) {})
 		}
@@ -129,7 +129,7 @@
 	})
 
 	It("is refused while a repeat of it is tried alone, and no suspect any more once that is served", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		release := make(chan struct{})
 		b.upstream("u", "engines", func(q *http.Request, body string, c net.Conn) {
 			<-release
@@ -155,7 +155,7 @@
 	})
 
 	It("ends at an upstream that has not begun it once it is held, and is let out where one has begun it", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		release, gone := make(chan struct{}), make(chan struct{}, 1)
 		b.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
 			if q.Header.Get(xRequest) == "waits" {
@@ -187,7 +187,7 @@
 	})
 
 	It("is known by the first of its body where that is longer than what is held", func() {
-		b := newBackstage(route(catalog.Unsafe, "plain"))
+		b := newTestbed(route(catalog.Unsafe, "plain"))
 		r := *b.facts.Catalog().Match("h.example", "/p/")
 		b.facts.SetCatalog(catalog.New(8, []*catalog.Route{&r}, []*catalog.Service{{Name: "plain"}}, nil, catalog.Limits{BodyBytes: 2 * heldBody}))
 		b.upstream("u", "plain", func(q *http.Request, _ string, c net.Conn) { reply(c, q, 200, "", "ran") })
--- a/internal/gateway/reckoning.go
+++ b/internal/gateway/decision.go
@@ -8,9 +8,9 @@
 	"github.com/springrail/springrail/internal/placement"
 )
 
-// reckoning is what the newest choice for a request rested on. It goes into the log line of a request that was not
+// decision is what the newest choice for a request rested on. It goes into the log line of a request that was not
 // served, so that the line says why.
-type reckoning struct {
+type decision struct {
 	out leftOut
 	// until is the latest end of the time of the versions that upstreams were left out for.
 	until time.Time
@@ -26,14 +26,14 @@
 }
 
 // noteLimited counts an upstream that was left out because of its limit.
-func (k *reckoning) noteLimited(due time.Duration) {
+func (k *decision) noteLimited(due time.Duration) {
 	if k.out.limited++; k.out.limited == 1 || due < k.permitDue {
 		k.permitDue = due
 	}
 }
 
 // note keeps the end of the time of a version that an upstream was left out for.
-func (k *reckoning) note(until time.Time) {
+func (k *decision) note(until time.Time) {
 	if until.After(k.until) {
 		k.until = until
 	}
@@ -41,7 +41,7 @@
 
 // swapRetry is when a caller may come back where no upstream is left: upstreams that were left out for their older version are closed, and
 // load, when its time is over at the latest. It guards against callers that come back into the same seconds of a swap.
-func (k *reckoning) swapRetry(now time.Time) time.Duration {
+func (k *decision) swapRetry(now time.Time) time.Duration {
 	return max(placement.NoUpstreamRetry, k.until.Sub(now))
 }
 
@@ -94,8 +94,8 @@
 	}
 }
 
-// log adds the reckoning to a request's line.
-func (k *reckoning) log(e *log.Entry) {
+// log adds the decision to a request's line.
+func (k *decision) log(e *log.Entry) {
 	if k.out != (leftOut{}) {
 		e.Object("left_out", &k.out)
 	}
--- a/internal/gateway/reckoning_test.go
+++ b/internal/gateway/decision_test.go
@@ -28,7 +28,7 @@
 }
 
 var _ = Describe("the log line of a refused request", func() {
-	var b *backstage
+	var b *testbed
 	var out bytes.Buffer
 	lines := func() refusalLine {
 		var l refusalLine
@@ -53,7 +53,7 @@
 
 	BeforeEach(func() {
 		out.Reset()
-		b = newBackstage(route(catalog.Streaming, "engines"))
+		b = newTestbed(route(catalog.Streaming, "engines"))
 		b.gateway.log = &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: &out}}
 	})
 
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -39,14 +39,14 @@
 	// Tried are the upstreams that have had the request, and Attempts how many of them took it.
 	Tried    map[id.Instance]bool
 	Attempts int
-	// Declined are upstreams beside which nobody gave leave for the request, and AskNone leaves out all where somebody would have to.
+	// Declined are upstreams that gave the request no permit, and AskNone leaves out all that need one.
 	Declined map[id.Instance]bool
 	AskNone  bool
 	// HeadSent says that the caller has the head of an answer of a Revision.
 	HeadSent bool
 	Revision id.Revision
 
-	reckoning reckoning
+	decision decision
 	// newest is the newest version of the model that is known to have been named.
 	newest id.Revision
 }
@@ -64,7 +64,7 @@
 	if s == nil {
 		return placement.Choice{}, d.noRoom(q, "no such pool", placement.NoUpstreamRetry)
 	}
-	q.reckoning = reckoning{}
+	q.decision = decision{}
 	scratch := candidateLists.Get().(*[]placement.Candidate)
 	defer candidateLists.Put(scratch)
 	*scratch = d.candidates(q, s, (*scratch)[:0])
@@ -95,10 +95,10 @@
 	}
 	c, ok := placement.Choose(l, q.Tried, w, d.Random())
 	if !ok {
-		return c, d.noUpstream(q, q.reckoning.swapRetry(d.Now()))
+		return c, d.noUpstream(q, q.decision.swapRetry(d.Now()))
 	}
 	usual := m.Admission(&c.Candidate)
-	k := &q.reckoning
+	k := &q.decision
 	k.nearest, k.wait, k.passed, k.aim, k.age, k.known = c.Address, usual, passed, aim, c.Age, c.Known
 	// A stream that has begun is not refused any more.
 	if q.HeadSent || c.Room {
@@ -122,10 +122,9 @@
 	return &Refusal{Why: why, Retry: placement.RetryAfter(room, left, d.Random())}
 }
 
-// noUpstream refuses the request as no upstream may have it, after whose time the caller may come back. Where limits leave no permit, that is when
-// the next one comes at the soonest.
+// noUpstream refuses the request as no upstream may have it. Where limits leave no permit, the caller may come back when the next one is due.
 func (d *Desk) noUpstream(q *Query, retry time.Duration) *Refusal {
-	k := &q.reckoning
+	k := &q.decision
 	if k.out.limited == 0 || d.Retry != nil {
 		return d.noRoom(q, "no upstream", retry)
 	}
@@ -186,7 +185,7 @@
 			continue
 		}
 		if i.Leaving {
-			q.reckoning.out.leaving++
+			q.decision.out.leaving++
 			continue
 		}
 		held, ok := d.serves(q, s, i)
@@ -199,7 +198,7 @@
 			c.Slots = s.Engine.Slots
 		}
 		if c.Limit != nil && (c.Limit.Permits == 0 || q.declined(&c)) {
-			q.reckoning.noteLimited(c.Limit.Due)
+			q.decision.noteLimited(c.Limit.Due)
 			continue
 		}
 		if s.Engine == nil || d.fits(q, m, &c) {
@@ -207,7 +206,7 @@
 		}
 	}
 	for i := range l {
-		q.reckoning.out.note(&l[i], q.Tried[l[i].Instance])
+		q.decision.out.note(&l[i], q.Tried[l[i].Instance])
 	}
 	return l
 }
@@ -219,7 +218,7 @@
 		return true
 	}
 	if q.HeadSent && q.Revision > 0 && c.Revision != q.Revision {
-		q.reckoning.out.other++
+		q.decision.out.other++
 		return false
 	}
 	wait := time.Duration(swapCaution * float64(m.FirstEvent(c, q.Prompt)))
@@ -244,16 +243,16 @@
 	if c.Revision >= d.Facts.Required(q.Model, d.SwapWithin-margin) && (!c.Prove || !q.declined(c)) {
 		return true
 	}
-	q.reckoning.note(until)
+	q.decision.note(until)
 	if passage == placement.Queued {
-		q.reckoning.out.queued++
+		q.decision.out.queued++
 	} else {
-		q.reckoning.out.over++
+		q.decision.out.over++
 	}
 	return false
 }
 
-// declined says whether an upstream where leave is asked for is not to be asked.
+// declined says whether an upstream that needs a permit is not to be asked for one.
 func (q *Query) declined(c *placement.Candidate) bool {
 	return q.AskNone || q.Declined[c.Instance]
 }
@@ -274,10 +273,10 @@
 	l, ok := d.Load.Tracker.Report(u)
 	switch {
 	case ok && l.Closed:
-		q.reckoning.out.closed++
+		q.decision.out.closed++
 		return 0, false
 	case ok && l.Down:
-		q.reckoning.out.down++
+		q.decision.out.down++
 		return 0, false
 	case ok:
 		held = l.Held
@@ -290,7 +289,7 @@
 	}
 	r := facts.Revision(held, q.Model)
 	if r == 0 {
-		q.reckoning.out.empty++
+		q.decision.out.empty++
 	}
 	return r, r > 0
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// backstage is a gateway with upstreams that a spec plays.
-type backstage struct {
+// testbed is a gateway with upstreams that a spec plays.
+type testbed struct {
 	gateway *Gateway
 	facts   *facts.Facts
 	tracker *placement.Tracker
@@ -84,19 +84,19 @@
 	arrived map[string][]string
 }
 
-func newBackstage(routes ...*catalog.Route) *backstage {
-	return newBackstageBy(time.Now, routes...)
+func newTestbed(routes ...*catalog.Route) *testbed {
+	return newTestbedAt(time.Now, routes...)
 }
 
-// newBackstageBy makes a gateway that goes by a clock.
-func newBackstageBy(now func() time.Time, routes ...*catalog.Route) *backstage {
+// newTestbedAt makes a gateway that goes by a clock.
+func newTestbedAt(now func() time.Time, routes ...*catalog.Route) *testbed {
 	f := facts.New(now)
 	services := []*catalog.Service{{Name: "plain"}, {Name: "engines", Engine: &catalog.Engine{
 		Slots: 4, Step: time.Millisecond, ReadPerSecond: 100000, ReadChunk: 2048, Stride: 5, UsualPrompt: 100, UsualAnswer: 20,
 	}}}
 	orgs := []*catalog.Organisation{{Name: "gym", Keys: []string{"secret"}}}
 	f.SetCatalog(catalog.New(7, routes, services, orgs, catalog.Limits{HeaderBytes: 2000, BodyBytes: 1000}))
-	b := &backstage{facts: f, tracker: placement.NewTracker(now), arrived: map[string][]string{}}
+	b := &testbed{facts: f, tracker: placement.NewTracker(now), arrived: map[string][]string{}}
 	dial := (&net.Dialer{Timeout: time.Second}).DialContext
 	quiet := &log.Logger{Level: log.PanicLevel}
 	load := Load{
@@ -130,7 +130,7 @@
 }
 
 // upstream adds an upstream whose connections are played by hand after the request has been read.
-func (b *backstage) upstream(name string, pool id.Pool, play func(q *http.Request, body string, c net.Conn)) {
+func (b *testbed) upstream(name string, pool id.Pool, play func(q *http.Request, body string, c net.Conn)) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(l.Close)
@@ -149,7 +149,7 @@
 	})
 }
 
-func (b *backstage) play(name string, c net.Conn, play func(q *http.Request, body string, c net.Conn)) {
+func (b *testbed) play(name string, c net.Conn, play func(q *http.Request, body string, c net.Conn)) {
 	defer c.Close()
 	r := bufio.NewReader(c)
 	for {
@@ -169,7 +169,7 @@
 }
 
 // runs is the number of upstreams that a request arrived at.
-func (b *backstage) runs(request string) int {
+func (b *testbed) runs(request string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return len(b.arrived[request])
@@ -182,7 +182,7 @@
 }
 
 // ask sends a caller's request; header fields come in pairs.
-func (b *backstage) ask(method, path, body string, fields ...string) (*http.Response, string, error) {
+func (b *testbed) ask(method, path, body string, fields ...string) (*http.Response, string, error) {
 	q, err := http.NewRequest(method, b.server.URL+path, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	q.Host = "h.example"
@@ -203,7 +203,7 @@
 	It("reaches its upstream unchanged, with the gateway's word on who asks", func() {
 		r := route(catalog.Unsafe, "plain")
 		r.Public = false
-		b := newBackstage(r)
+		b := newTestbed(r)
 		b.upstream("u", "plain", func(q *http.Request, body string, c net.Conn) {
 			reply(c, q, 200, "X-Seal: s\r\n", q.Method+" "+q.RequestURI+" "+body+" "+q.Header.Get(xOrg)+q.Header.Get(xKey)+q.Header.Get("X-Drop")+" "+q.Host)
 		})
@@ -216,7 +216,7 @@
 	DescribeTable("is turned away without an upstream", func(status int, path, body string, fields ...string) {
 		r := route(catalog.Unsafe, "plain")
 		r.Public = false
-		b := newBackstage(r)
+		b := newTestbed(r)
 		b.upstream("u", "plain", func(q *http.Request, _ string, c net.Conn) { reply(c, q, 200, "", "") })
 		a, _, err := b.ask("POST", path, body, fields...)
 		Expect(err).NotTo(HaveOccurred())
@@ -228,7 +228,7 @@
 		Entry("long head", 431, "/p/", "", xKey, "secret", "X-Long", strings.Repeat("x", 2000)))
 
 	It("is counted as one that went beyond the failure domain where it did, as the views of upstreams there rest on it", func() {
-		b := newBackstage(route(catalog.Unsafe, "engines"))
+		b := newTestbed(route(catalog.Unsafe, "engines"))
 		b.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) { reply(c, q, 200, "", "ran") })
 		_, _, err := b.ask("POST", "/p/", "x", xModel, "m")
 		Expect(err).NotTo(HaveOccurred())
@@ -243,7 +243,7 @@
 	})
 
 	It("is promised not to have run where there is no upstream, with a time to come back", func() {
-		b := newBackstage(route(catalog.Unsafe, "plain"))
+		b := newTestbed(route(catalog.Unsafe, "plain"))
 		a, _, err := b.ask("POST", "/p/", "x")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(a.StatusCode).To(Equal(503))
@@ -251,7 +251,7 @@
 	})
 
 	It("is not run a second time after its upstream broke off, and is not promised to be unrun", func() {
-		b := newBackstage(route(catalog.Unsafe, "plain"))
+		b := newTestbed(route(catalog.Unsafe, "plain"))
 		for _, n := range []string{"u", "v"} {
 			b.upstream(n, "plain", func(*http.Request, string, net.Conn) {})
 		}
@@ -262,7 +262,7 @@
 	})
 
 	It("goes to another upstream where the first proved that it did not run it", func() {
-		b := newBackstage(route(catalog.Unsafe, "plain"))
+		b := newTestbed(route(catalog.Unsafe, "plain"))
 		var first sync.Once
 		for _, n := range []string{"u", "v"} {
 			b.upstream(n, "plain", func(q *http.Request, _ string, c net.Conn) {
@@ -281,7 +281,7 @@
 	})
 
 	It("that its upstream calls unrun without proof is not promised to its caller", func() {
-		b := newBackstage(route(catalog.Unsafe, "plain"))
+		b := newTestbed(route(catalog.Unsafe, "plain"))
 		b.upstream("u", "plain", func(q *http.Request, _ string, c net.Conn) { reply(c, q, 503, "", "") })
 		a, _, err := b.ask("POST", "/p/", "x")
 		Expect(err).NotTo(HaveOccurred())
@@ -289,7 +289,7 @@
 	})
 
 	It("that is safe is asked again after a failure, within the route's attempts", func() {
-		b := newBackstage(route(catalog.Safe, "plain"))
+		b := newTestbed(route(catalog.Safe, "plain"))
 		for _, n := range []string{"u", "v", "w"} {
 			b.upstream(n, "plain", func(q *http.Request, _ string, c net.Conn) { reply(c, q, 500, "", "bad") })
 		}
@@ -302,7 +302,7 @@
 	It("is answered at its route's time", func() {
 		r := route(catalog.Unsafe, "plain")
 		r.Timeout = 100 * time.Millisecond
-		b := newBackstage(r)
+		b := newTestbed(r)
 		b.upstream("u", "plain", func(*http.Request, string, net.Conn) { time.Sleep(time.Second) })
 		start := time.Now()
 		a, _, err := b.ask("POST", "/p/", "x", xWait, "5000")
@@ -312,7 +312,7 @@
 	})
 
 	It("ends at its upstream within half a second of its caller's leaving", func() {
-		b := newBackstage(route(catalog.Unsafe, "plain"))
+		b := newTestbed(route(catalog.Unsafe, "plain"))
 		gone := make(chan struct{}, 1)
 		b.upstream("u", "plain", func(_ *http.Request, _ string, c net.Conn) {
 			_, _ = c.Read(make([]byte, 1))
@@ -333,7 +333,7 @@
 	It("costs its requests no more than the time to find out: they go on late rather than not at all", func() {
 		r := route(catalog.Streaming, "engines")
 		r.Aim = 400 * time.Millisecond // far above what a busy machine adds to the prediction, 8 times 7 ms
-		b := newBackstage(r)
+		b := newTestbed(r)
 		b.upstream("v", "engines", func(q *http.Request, _ string, c net.Conn) {
 			stream(c, q, xRevision+": 1\r\n", "id: 1\ndata: a\n\n")
 			_, _ = io.WriteString(c, "0\r\n\r\n")
@@ -367,7 +367,7 @@
 
 var _ = Describe("a planned stop", func() {
 	It("finishes what runs, turns later requests away as unrun, and leaves the balancer at once", func() {
-		b := newBackstage(route(catalog.Unsafe, "plain"))
+		b := newTestbed(route(catalog.Unsafe, "plain"))
 		b.upstream("u", "plain", func(q *http.Request, _ string, c net.Conn) {
 			time.Sleep(leaveQuiet + 300*time.Millisecond)
 			reply(c, q, 200, "", "whole")
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -29,7 +29,7 @@
 type hedge struct {
 	// flight is the request as this attempt alone sees it, and attempt nil until an upstream has been chosen.
 	flight  *flight
-	attempt *try
+	attempt *attempt
 	// attemptsBefore is the number of attempts at the request before this one.
 	attemptsBefore int
 	// ready are events that the caller does not have, and end is io.EOF where the stream ends after them.
@@ -41,7 +41,7 @@
 }
 
 // watch has the upstream's silence noticed after a time, where the stream may be continued elsewhere.
-func (t *try) watch(d time.Duration) {
+func (t *attempt) watch(d time.Duration) {
 	f := t.flight
 	if f.route.Kind != catalog.Streaming || !f.route.Resumable || !f.attemptsLeft() {
 		return
@@ -52,14 +52,14 @@
 }
 
 // moved notes how far the caller's answer has come.
-func (t *try) moved(p position) {
+func (t *attempt) moved(p position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.position, t.passing = p, false
 }
 
 // progressed notes that the upstream has gone on, and says whether it was in time: false where another one went on before it.
-func (t *try) progressed() bool {
+func (t *attempt) progressed() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.watchdog != nil {
@@ -82,7 +82,7 @@
 }
 
 // stalled asks another upstream for what the silent one owes.
-func (t *try) stalled() {
+func (t *attempt) stalled() {
 	h := t.newHedge()
 	if h == nil {
 		return
@@ -106,7 +106,7 @@
 }
 
 // newHedge makes a hedge, or nil where none may be made now.
-func (t *try) newHedge() *hedge {
+func (t *attempt) newHedge() *hedge {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.over || t.passing || t.hedge != nil {
@@ -127,7 +127,7 @@
 }
 
 // fork copies what another attempt at the request rests on; the caller holds the lock.
-func (t *try) fork() *flight {
+func (t *attempt) fork() *flight {
 	f := t.flight
 	c := &flight{
 		gateway: f.gateway, ask: f.ask, route: f.route, catalog: f.catalog, pool: f.pool, org: f.org, request: f.request,
@@ -166,10 +166,10 @@
 }
 
 // accepted says whether the upstream's answer is one to go on with.
-func (t *try) accepted() bool {
+func (t *attempt) accepted() bool {
 	f, e := t.flight, t.exchange
 	v := f.gateway.dialect.Verdict(e.StatusCode, e.Header)
-	t.hearLimit(v.Limit)
+	t.noteLimit(v.Limit)
 	if v.NotRun {
 		_, err := io.Copy(io.Discard, io.LimitReader(e.Body, heldAnswer))
 		t.whole = err == nil
@@ -190,7 +190,7 @@
 		n, err := t.exchange.Body.Read(buffer)
 		if n > 0 {
 			t.answering.Store(true)
-			t.heard = f.gateway.now()
+			t.lastByte = f.gateway.now()
 			h.ready = append(h.ready, f.events.feed(buffer[:n], true)...)
 		}
 		switch {
@@ -215,7 +215,7 @@
 }
 
 // settle ends an attempt with what came of it. Where that is no whole answer, the attempt beside it goes on if it can.
-func (t *try) settle(p *problem) *problem {
+func (t *attempt) settle(p *attemptError) *attemptError {
 	f := t.flight
 	h := t.close(p == nil || p.final)
 	for _, s := range t.spent {
@@ -238,7 +238,7 @@
 }
 
 // close ends the watch over the upstream, and returns the hedge that is under way or has won. That loses where the answer is final.
-func (t *try) close(final bool) *hedge {
+func (t *attempt) close(final bool) *hedge {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.over = true
@@ -260,17 +260,17 @@
 }
 
 // adopt goes on with a hedge that has won.
-func (t *try) adopt(h *hedge) *problem {
+func (t *attempt) adopt(h *hedge) *attemptError {
 	f, o, a := t.flight, h.flight, h.attempt
 	defer o.stop(nil)
-	f.permit, f.asked, f.leaveEnds, f.named, f.limit, f.reckoning = o.permit, o.asked, o.leaveEnds, o.named, o.limit, o.reckoning
+	f.permit, f.asked, f.permitEnds, f.named, f.limit, f.decision = o.permit, o.asked, o.permitEnds, o.named, o.limit, o.decision
 	f.upstream, f.revision = o.upstream, o.revision
 	if !f.headSent {
 		f.predicted = o.predicted
 	}
-	n := &try{
+	n := &attempt{
 		flight: f, choice: a.choice, mark: a.mark, permit: a.permit, exchange: a.exchange, versionEnd: a.versionEnd,
-		parent: t.parent, ctx: a.ctx, stop: a.stop, attempts: f.attempts, eventsBefore: f.events.passed, heard: a.heard, position: f.position(),
+		parent: t.parent, ctx: a.ctx, stop: a.stop, attempts: f.attempts, eventsBefore: f.events.passed, lastByte: a.lastByte, position: f.position(),
 	}
 	defer n.end()
 	n.started()
@@ -278,7 +278,7 @@
 }
 
 // resume passes on what a hedge has read, and what follows.
-func (t *try) resume(h *hedge) *problem {
+func (t *attempt) resume(h *hedge) *attemptError {
 	f := t.flight
 	f.events.restart()
 	if !t.pass(f.events.feed(h.ready, true)) {
--- a/internal/gateway/left_test.go
+++ b/internal/gateway/left_test.go
@@ -54,7 +54,7 @@
 }
 
 // newNeighbour makes the stager beside the only upstream of a gateway, to which the gateway subscribes.
-func (b *backstage) newNeighbour() *neighbour {
+func (b *testbed) newNeighbour() *neighbour {
 	quiet := &log.Logger{Level: log.PanicLevel}
 	c := udp()
 	n := &neighbour{facts: facts.New(time.Now), address: b.facts.Instances()[0].Address}
@@ -84,7 +84,7 @@
 	It("gets no request any more from a gateway whose own list still has it as ready", func() {
 		r := route(catalog.Streaming, "engines")
 		r.Aim = 400 * time.Millisecond
-		b := newBackstage(r)
+		b := newTestbed(r)
 		b.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
 			stream(c, q, xRevision+": 1\r\n", "id: 1\ndata: a\n\n")
 			_, _ = c.Write([]byte("0\r\n\r\n"))
@@ -112,7 +112,7 @@
 	})
 
 	It("gets no second try of a request that was on its way when the word came", func() {
-		b := newBackstage(route(catalog.Unsafe, "plain"))
+		b := newTestbed(route(catalog.Unsafe, "plain"))
 		address := map[string]string{}
 		var first sync.Once
 		for _, n := range []string{"u", "v"} {
--- a/internal/gateway/life_test.go
+++ b/internal/gateway/life_test.go
@@ -19,7 +19,7 @@
 )
 
 // started makes the list say that the only upstream of a gateway started at a moment, holding a version, or none for 0.
-func (b *backstage) started(born id.Birth, held id.Revision) *facts.Instance {
+func (b *testbed) started(born id.Birth, held id.Revision) *facts.Instance {
 	i := *b.facts.Instances()[0]
 	i.Born, i.Held = born, nil
 	if held > 0 {
@@ -38,7 +38,7 @@
 	asked := []string{xModel, "m"}
 
 	It("gets no request for weights that its start before held, once a report says that it has started", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", echo)
 		i := b.started(10, 1)
 		b.tracker.SetReport(i.Address, placement.LoadReport{Born: 20, Taken: time.Now().Add(-time.Minute)})
@@ -49,7 +49,7 @@
 	})
 
 	It("gets no request for weights that a late report of its start before tells of, while its own list has the new start", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", echo)
 		i := b.started(20, 0)
 		b.tracker.Report(i)
@@ -63,7 +63,7 @@
 	})
 
 	It("is asked at once although its start before was left alone for its failures", func() {
-		b := newBackstage(route(catalog.Safe, "plain"))
+		b := newTestbed(route(catalog.Safe, "plain"))
 		var fails atomic.Bool
 		fails.Store(true)
 		b.upstream("u", "plain", func(q *http.Request, body string, c net.Conn) {
@@ -87,7 +87,7 @@
 
 	// The connection breaks with the process. What the start before may have run is not run by the next one.
 	DescribeTable("in the middle of a request", func(kind catalog.Kind, pool id.Pool, runs, status int) {
-		b := newBackstage(route(kind, pool))
+		b := newTestbed(route(kind, pool))
 		began := make(chan net.Conn, 4)
 		b.upstream("u", pool, func(q *http.Request, body string, c net.Conn) {
 			if b.runs("1") > 1 {
@@ -121,7 +121,7 @@
 	)
 
 	It("counts no request of its start before as running there", func() {
-		b := newBackstage(route(catalog.Unsafe, "plain"))
+		b := newTestbed(route(catalog.Unsafe, "plain"))
 		began := make(chan struct{}, 1)
 		b.upstream("u", "plain", func(q *http.Request, _ string, _ net.Conn) {
 			began <- struct{}{}
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -21,17 +21,15 @@
 }
 
 const (
-	// askWithin is how long leave may take to come: a way there and back is 12 ms on the longest of today's platforms, and what takes longer than
-	// this is better sent elsewhere.
-	askWithin = 150 * time.Millisecond
-	// leaveLife is how long after its question leave may be used. A process that stood still meanwhile would send what others have had since.
-	leaveLife = 500 * time.Millisecond
+	// permitTimeout is how long a permit may take to come: a request that waits longer is better sent elsewhere.
+	permitTimeout = 150 * time.Millisecond
+	// permitLife is how long after its question a permit may be used: a suspended process would send what others have had since.
+	permitLife = 500 * time.Millisecond
 )
 
-// leave gets leave to send to an upstream, where that needs any: a permit for one that is limited, as all gateways together may send it no more than it
-// takes, and an answer from beside it where the way there is to be proven. The process beside the upstream gives both; while it is silent each
-// gateway has its part of a limit, and no way is proven.
-func (f *flight) leave(ctx context.Context, c *placement.Choice) bool {
+// acquire gets what an upstream asks for before a request is sent: a permit where it names a limit, and a reply of the stager beside it where
+// the link has to be proven. While that stager is silent, each gateway has a share of a limit, and no link is proven.
+func (f *flight) acquire(ctx context.Context, c *placement.Choice) bool {
 	f.asked = 0
 	if c.Limit == nil && !c.Prove {
 		return true
@@ -42,7 +40,7 @@
 	if !c.Known {
 		return !c.Prove && f.takePart(c)
 	}
-	return f.askLeave(ctx, c)
+	return f.askPermit(ctx, c)
 }
 
 // takePart takes a permit of this gateway's own part of a limit.
@@ -55,10 +53,10 @@
 	return true
 }
 
-// askLeave asks the process beside an upstream.
-func (f *flight) askLeave(ctx context.Context, c *placement.Choice) bool {
+// askPermit asks the process beside an upstream.
+func (f *flight) askPermit(ctx context.Context, c *placement.Choice) bool {
 	g := f.gateway
-	ctx, stop := context.WithTimeout(ctx, askWithin)
+	ctx, stop := context.WithTimeout(ctx, permitTimeout)
 	defer stop()
 	began := g.now()
 	permit, answered := g.load.Permits.Ask(ctx, c.Address, c.Born)
@@ -71,15 +69,15 @@
 		g.tally.add("permits_refused")
 		return false
 	}
-	f.permit, f.leaveEnds = permit, began.Add(leaveLife)
+	f.permit, f.permitEnds = permit, began.Add(permitLife)
 	if c.Limit != nil {
 		g.tally.add("permits")
 	}
 	return true
 }
 
-// hearLimit takes what an answer says of its upstream's limit, and tells the process beside the upstream where that may not know.
-func (t *try) hearLimit(w throttle.Word) {
+// noteLimit takes what an answer says of its upstream's limit, and tells the process beside the upstream where that may not know.
+func (t *attempt) noteLimit(w throttle.Word) {
 	f := t.flight
 	f.named = w
 	if !t.mark.Answered(w) {
--- a/internal/gateway/permit_test.go
+++ b/internal/gateway/permit_test.go
@@ -21,7 +21,7 @@
 
 var _ = Describe("a request before limited upstreams", func() {
 	var (
-		b     *backstage
+		b     *testbed
 		s     *sleeper
 		asked atomic.Int32
 	)
@@ -52,7 +52,7 @@
 	BeforeEach(func() {
 		s = &sleeper{}
 		asked.Store(0)
-		b = newBackstageBy(s.now, route(catalog.Unsafe, "engines"))
+		b = newTestbedAt(s.now, route(catalog.Unsafe, "engines"))
 		b.gateway.load.Permits.Named = func(string, id.Birth, throttle.Rate) {}
 		b.gateway.load.Permits.Ended = func(string, id.Birth, uint64) {}
 		for _, n := range []string{"u", "v", "w", "x"} {
@@ -72,7 +72,7 @@
 		a := ask()
 		Expect(a.StatusCode).To(Equal(503))
 		Expect(b.runs("1")).To(BeZero())
-		Expect(asked.Load()).To(BeEquivalentTo(mostAsks))
+		Expect(asked.Load()).To(BeEquivalentTo(mostPermitAsks))
 		ms, err := strconv.Atoi(a.Header.Get(xRetry))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(ms).To(BeNumerically(">=", 300))
@@ -82,7 +82,7 @@
 	It("is not sent on silence, nor on a permit that came while the VM was suspended", func() {
 		answers(0, false, 0)
 		Expect(ask().StatusCode).To(Equal(503))
-		answers(7, true, leaveLife)
+		answers(7, true, permitLife)
 		Expect(ask().StatusCode).To(Equal(503))
 		Expect(b.runs("1")).To(BeZero())
 	})
@@ -93,14 +93,14 @@
 			Taken: s.now(), Until: s.now().Add(time.Hour), Held: []facts.Held{{Model: "m", Revision: 1}}, Limit: throttle.Told{By: 1, Word: throttle.Word{Said: throttle.Unlimited}},
 		})
 		Expect(ask().StatusCode).To(Equal(200))
-		Expect(asked.Load()).To(BeNumerically("<=", mostAsks))
+		Expect(asked.Load()).To(BeNumerically("<=", mostPermitAsks))
 		Expect(b.runs("1")).To(Equal(1))
 	})
 })
 
 var _ = Describe("what answers say of a limit", func() {
 	It("is told to the stager beside the upstream: a limit each time, its end with the permit of the request", func() {
-		b := newBackstage(route(catalog.Unsafe, "engines"))
+		b := newTestbed(route(catalog.Unsafe, "engines"))
 		d := testDialect()
 		verdict := d.Verdict
 		d.Verdict = func(status int, h http.Header) Verdict {
@@ -138,7 +138,7 @@
 
 var _ = Describe("a stream that breaks off at one upstream while the other is limited", func() {
 	It("goes on there only with a permit", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		for _, n := range []string{"u", "v"} {
 			b.upstream(n, "engines", func(q *http.Request, _ string, c net.Conn) {
 				stream(c, q, xRevision+": 1\r\n", "id: 1\ndata: a\n\n")
--- a/internal/gateway/queue_test.go
+++ b/internal/gateway/queue_test.go
@@ -18,7 +18,7 @@
 
 var _ = Describe("requests over a way on which something may queue at any moment", func() {
 	It("are not sent on the older version where the VM lacks a configuration, which comes onto its link at any moment", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
 			stream(c, q, xRevision+": 1\r\n", "id: 1\ndata: a\n\n")
 			_, _ = io.WriteString(c, "0\r\n\r\n")
@@ -39,7 +39,7 @@
 	// had had the same configuration then. The stream came to the upstream 4.4 s later, and began on a version whose time was over. Cause: whether a VM is behind
 	// was asked as its report came. Evidence: config 8 at the gateway at 21.56 s, a report 0.54 s old at 21.96 s, config 8 at that VM at 30 s or later.
 	It("are not sent on the older version where this gateway has got a configuration since the VM's last report", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
 			stream(c, q, xRevision+": 1\r\n", "id: 1\ndata: a\n\n")
 			_, _ = io.WriteString(c, "0\r\n\r\n")
@@ -67,7 +67,7 @@
 	// ways proven 0.2 s before arrived 1.3 s later and began on version 1 after its time.
 	It("are not sent on the older version in its last 2 s where a newer one has just been named: its chunks may begin to queue on any way", func() {
 		s := &sleeper{}
-		b := newBackstageBy(s.now, route(catalog.Streaming, "engines"))
+		b := newTestbedAt(s.now, route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
 			stream(c, q, xRevision+": 1\r\n", "id: 1\ndata: a\n\n")
 			_, _ = io.WriteString(c, "0\r\n\r\n")
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -55,16 +55,15 @@
 	predicted time.Duration
 	first     time.Duration
 	upstream  string
-	reckoning reckoning
+	decision  decision
 	retry     time.Duration
 	// named is what the newest answer says of its upstream's limit, and limit what was known of the last limited upstream that was chosen.
 	named throttle.Word
 	limit throttle.Limit
-	// permit is the number of the permit of the present attempt, if it has one, asked how long leave took to come, and leaveEnds when it may no longer
-	// be used.
-	permit    uint64
-	asked     time.Duration
-	leaveEnds time.Time
+	// permit is the number of the present attempt's permit, asked how long it took to come, and permitEnds when it expires.
+	permit     uint64
+	asked      time.Duration
+	permitEnds time.Time
 	// fingerprint tells the request from others across its repeats, once its body has been read.
 	fingerprint quarantine.Fingerprint
 	// broken is how far the answer had come on the start of an upstream that broke off last; empty where none did.
@@ -101,10 +100,10 @@
 		return
 	}
 	f.fingerprint = quarantine.Of(r.Method, r.RequestURI, f.org, f.body)
-	if !f.enter() {
+	if !f.checkQuarantine() {
 		return
 	}
-	defer g.flights.leave(f)
+	defer g.flights.remove(f)
 	f.run()
 }
 
@@ -215,7 +214,7 @@
 }
 
 // again says whether the request may be offered to another upstream after a failure.
-func (f *flight) again(ctx context.Context, p *problem) bool {
+func (f *flight) again(ctx context.Context, p *attemptError) bool {
 	if ctx.Err() != nil || p.final || f.gateway.list.Check(f.fingerprint) != quarantine.Pass || !f.attemptsLeft() || !Repeatable(f.route, len(f.tried), p.notRun, f.headSent) {
 		return false
 	}
@@ -239,7 +238,7 @@
 const mostTries = 4
 
 // finish answers a request that is given up.
-func (f *flight) finish(ctx context.Context, p *problem) {
+func (f *flight) finish(ctx context.Context, p *attemptError) {
 	switch {
 	case f.request.Context().Err() != nil:
 		f.gateway.tally.add("caller_left")
@@ -298,7 +297,7 @@
 			Int64("first_ms", f.first.Milliseconds()).Uint64("revision", uint64(f.revision))
 	}
 	if outcome != outcomeAnswered {
-		f.reckoning.log(e)
+		f.decision.log(e)
 		if f.fingerprint != (quarantine.Fingerprint{}) {
 			e = e.Stringer("fingerprint", f.fingerprint)
 		}
@@ -316,8 +315,8 @@
 	e.Msg("request")
 }
 
-// problem is why an attempt brought no answer.
-type problem struct {
+// attemptError is why an attempt brought no answer.
+type attemptError struct {
 	text string
 	// notRun says that this attempt was proved not run.
 	notRun bool
@@ -326,6 +325,6 @@
 	retry time.Duration
 }
 
-func notRun(text string, retry time.Duration) *problem {
-	return &problem{text: text, notRun: true, retry: retry}
+func notRun(text string, retry time.Duration) *attemptError {
+	return &attemptError{text: text, notRun: true, retry: retry}
 }
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -20,11 +20,11 @@
 		rest  = "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"
 		pause = eventStall + 700*time.Millisecond
 	)
-	var b *backstage
+	var b *testbed
 	BeforeEach(func() {
 		r := route(catalog.Streaming, "engines")
 		r.Timeout = 5 * time.Second
-		b = newBackstage(r)
+		b = newTestbed(r)
 	})
 	finish := func(c net.Conn, body string) {
 		_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(body), body)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -42,7 +42,7 @@
 	}
 
 	It("that breaks within an event goes on elsewhere: no event is lost, doubled or in part, and the head stays", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", resume)
 		b.upstream("v", "engines", resume)
 		a, body, err := b.ask("POST", "/p/", "x", xModel, "m", "X-Hang-Up", "1")
@@ -54,7 +54,7 @@
 	It("waits on while its last upstream is silent: nobody else may take it up, so giving up would only cut it", func() {
 		patient := route(catalog.Streaming, "engines")
 		patient.Timeout = 6 * time.Second
-		b := newBackstage(patient)
+		b := newTestbed(patient)
 		slow := func(q *http.Request, _ string, c net.Conn) {
 			if q.Header.Get(xAfter) == "" {
 				stream(c, q, xRevision+": 1\r\n", "id: 1\ndata: a\n\n")
@@ -75,7 +75,7 @@
 	})
 
 	It("never looks complete where nobody can go on with its version", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", resume)
 		b.upstream("v", "engines", resume)
 		for _, i := range b.facts.Instances() {
@@ -96,7 +96,7 @@
 	})
 
 	It("reaches its caller event by event", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
 			stream(c, q, "", "id: 1\ndata: a\n\n")
 			time.Sleep(300 * time.Millisecond)
@@ -116,7 +116,7 @@
 	})
 
 	It("begins only where its model is served, in a version whose time is not over", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", resume)
 		b.facts.SetWanted("m", secondNamed())
 		b.gateway.settings.SwapWithin = swapMargin + 10*time.Millisecond
@@ -133,7 +133,7 @@
 	})
 
 	It("is kept from an older version behind a narrow link earlier, as it would be long on its way", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", resume)
 		b.facts.SetWanted("m", secondNamed())
 		b.gateway.settings.SwapWithin = swapMargin + time.Second
@@ -152,7 +152,7 @@
 
 	It("goes on elsewhere on an older version only with time to spare", func() {
 		for _, spare := range []time.Duration{swapMargin + time.Second, swapResume + time.Second} {
-			b := newBackstage(route(catalog.Streaming, "engines"))
+			b := newTestbed(route(catalog.Streaming, "engines"))
 			b.upstream("u", "engines", resume)
 			b.upstream("v", "engines", resume)
 			b.facts.SetWanted("m", secondNamed())
@@ -171,7 +171,7 @@
 	It("is given up at an upstream that has not begun it when the version's time is over, budget or not", func() {
 		r := route(catalog.Streaming, "engines")
 		r.Timeout = 5 * time.Second
-		b := newBackstage(r)
+		b := newTestbed(r)
 		b.gateway.budget = placement.NewBudget(placement.BudgetRule{Window: time.Second}, func() int { return 1 }, time.Now)
 		gone := make(chan time.Time, 1)
 		b.upstream("frozen", "engines", func(_ *http.Request, _ string, c net.Conn) {
@@ -190,7 +190,7 @@
 	It("is given up also where the newer version is named while it waits at the upstream", func() {
 		r := route(catalog.Streaming, "engines")
 		r.Timeout = 5 * time.Second
-		b := newBackstage(r)
+		b := newTestbed(r)
 		b.gateway.budget = placement.NewBudget(placement.BudgetRule{Window: time.Second}, func() int { return 1 }, time.Now)
 		gone := make(chan time.Time, 1)
 		arrived := make(chan struct{})
@@ -214,7 +214,7 @@
 	It("is given up at once where the date that gave its version time is withdrawn while it waits", func() {
 		r := route(catalog.Streaming, "engines")
 		r.Timeout = 5 * time.Second
-		b := newBackstage(r)
+		b := newTestbed(r)
 		b.gateway.budget = placement.NewBudget(placement.BudgetRule{Window: time.Second}, func() int { return 1 }, time.Now)
 		gone := make(chan time.Time, 1)
 		arrived := make(chan struct{})
@@ -239,7 +239,7 @@
 	It("is given up at once where a newer version of which nobody knows the date is read of while it waits", func() {
 		r := route(catalog.Streaming, "engines")
 		r.Timeout = 5 * time.Second
-		b := newBackstage(r)
+		b := newTestbed(r)
 		b.gateway.budget = placement.NewBudget(placement.BudgetRule{Window: time.Second}, func() int { return 1 }, time.Now)
 		gone := make(chan time.Time, 1)
 		arrived := make(chan struct{})
@@ -263,7 +263,7 @@
 	It("is refused at once where every upstream is too busy to be in time", func() {
 		r := route(catalog.Streaming, "engines")
 		r.Aim = 50 * time.Millisecond
-		b := newBackstage(r)
+		b := newTestbed(r)
 		b.upstream("u", "engines", resume)
 		b.tracker.SetReport(b.facts.Instances()[0].Address, placement.LoadReport{
 			Running: 4, Waiting: 30, Held: []facts.Held{{Model: "m", Revision: 1}}, Taken: time.Now(),
--- a/internal/gateway/suspension_test.go
+++ b/internal/gateway/suspension_test.go
@@ -32,8 +32,8 @@
 }
 
 // sleeping makes a gateway on a VM that may be suspended.
-func sleeping(s *sleeper, routes ...*catalog.Route) *backstage {
-	b := newBackstageBy(s.now, routes...)
+func sleeping(s *sleeper, routes ...*catalog.Route) *testbed {
+	b := newTestbedAt(s.now, routes...)
 	b.gateway.suspended = s.suspended
 	ctx, stop := context.WithCancel(context.Background())
 	DeferCleanup(stop)
--- a/internal/gateway/versionend.go
+++ b/internal/gateway/versionend.go
@@ -33,13 +33,13 @@
 
 // watchVersion gives the request up at an upstream that has not begun it when its version's time is over, also where the
 // newer version is named only while the request waits.
-func (t *try) watchVersion() {
+func (t *attempt) watchVersion() {
 	t.versionEnd = time.AfterFunc(t.flight.gateway.settings.SwapWithin, t.checkVersion)
 	t.checkVersion()
 }
 
 // checkVersion gives the request up, or says when to look again.
-func (t *try) checkVersion() {
+func (t *attempt) checkVersion() {
 	if t.answering.Load() || t.ctx.Err() != nil {
 		return
 	}
--- a/internal/gateway/way_test.go
+++ b/internal/gateway/way_test.go
@@ -161,7 +161,7 @@
 
 // farEnd is a gateway with one upstream on an older version, and the link to the VM of both the upstream and its stager.
 type farEnd struct {
-	*backstage
+	*testbed
 	link  *link
 	named time.Time
 	// begun is when the upstream began requests.
@@ -173,7 +173,7 @@
 func newFarEnd(ctx context.Context, within time.Duration) *farEnd {
 	r := route(catalog.Streaming, "engines")
 	r.Timeout, r.Aim = 20*time.Second, 10*time.Second
-	e := &farEnd{backstage: newBackstage(r), link: newLink(ctx)}
+	e := &farEnd{testbed: newTestbed(r), link: newLink(ctx)}
 	e.gateway.settings.SwapWithin = within
 	e.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
 		e.mu.Lock()
@@ -329,7 +329,7 @@
 	})
 
 	It("are not sent on a connection that took so long to come that too little is left of the version's time", func() {
-		b := newBackstage(route(catalog.Streaming, "engines"))
+		b := newTestbed(route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", func(*http.Request, string, net.Conn) {})
 		b.facts.SetWanted("m", secondNamed())
 		b.gateway.settings.SwapWithin = 3 * swapMargin
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -142,9 +142,9 @@
 // and hardly twice while a hundred chunks are read.
 const verifyMost = 3
 
-// verify compares what lies staged with the verified chunks and mends what has turned bad.
+// verify compares the staged chunks with the verified ones and replaces what differs.
 func (s *Stager) verify(ctx context.Context, g *goal) error {
-	mended := 0
+	repaired := 0
 	for n := range g.engine.Chunks {
 		c := id.Chunk(n)
 		want := g.holding.Chunk(c)
@@ -152,13 +152,13 @@
 		if err == nil && bytes.Equal(got, want) {
 			continue
 		}
-		mended++
+		repaired++
 		if err := s.ports.Upstream.Put(ctx, g.model, c, want); err != nil {
 			return trace.Wrap(err)
 		}
 	}
-	if mended > 0 {
-		s.log.Warn().Str("version", g.name()).Int("chunks", mended).Msg("staged chunks had turned bad and were mended")
+	if repaired > 0 {
+		s.log.Warn().Str("version", g.name()).Int("chunks", repaired).Msg("staged chunks were corrupt and have been replaced")
 	}
 	return nil
 }
