--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,7 +1,8 @@
 // Package clock tells the time by which processes on different VMs agree on how long ago something was.
 //
-// The steady clock of the standard library stands still while a VM is suspended. After that, what was known before would look as fresh as it
-// was then, and a version's time, a lease or a deadline would end too late by as long as the suspension was.
+// The steady clock of the standard library stands still while a VM is suspended. After that, what was known before
+// would look as fresh as it was then, and a version's time, a lease or a deadline would end too late by as long as the
+// suspension was.
 package clock
 
 import (
@@ -12,9 +13,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// readEvery is how old the system's word on suspensions may be, in time that is not suspended: for so long after waking decisions may still
-// be made as if there had been none, and no VM counts as in touch then. A reading takes 0.3 us (BenchmarkNow), so that they take at most
-// 0.02% of a processor.
+// readEvery is how old the system's word on suspensions may be, in time that is not suspended: for so long after waking
+// decisions may still be made as if there had been none, and no VM counts as in touch then. A reading takes 0.3 us
+// (BenchmarkNow), so that they take at most 0.02% of a processor.
 const readEvery = 2 * time.Millisecond
 
 // Clock is steady, and counts suspensions. It is safe for concurrent use.
@@ -46,8 +47,9 @@
 // system is the clock of this VM.
 var system = New(time.Now, sinceBoot)
 
-// Now is the time by the clock of this VM. Only differences between two such times mean anything: the time of day in it is too late by the
-// suspensions since the process started. Contexts and connections take times of the standard library: see In and Left.
+// Now is the time by the clock of this VM. Only differences between two such times mean anything: the time of day in it
+// is too late by the suspensions since the process started. Contexts and connections take times of the standard
+// library: see In and Left.
 func Now() time.Time {
 	return system.Now()
 }
--- a/internal/dating/dating.go
+++ b/internal/dating/dating.go
@@ -1,5 +1,6 @@
-// Package dating brackets the moment of an event whose time nobody was told: a record of the store says what operators have named, and not when.
-// A process knows moments at which the event had not happened yet, and moments at which somebody already knew of it.
+// Package dating brackets the moment of an event whose time nobody was told: a record of the store says what operators
+// have named, and not when. A process knows moments at which the event had not happened yet, and moments at which
+// somebody already knew of it.
 package dating
 
 import "time"
@@ -69,8 +70,8 @@
 	return outcomeNames[o]
 }
 
-// Merge adds what another process tells. A date that is known only ever moves earlier, and only where it is shown to be wrong: another
-// one that is earlier still is as true and says less. Where no date is left, none is known.
+// Merge adds what another process tells. A date that is known only ever moves earlier, and only where it is shown to be
+// wrong: another one that is earlier still is as true and says less. Where no date is left, none is known.
 func (b Bracket) Merge(o Bracket) (Bracket, Outcome) {
 	had := earliest(b.Had, o.Had)
 	told := Bracket{After: o.After, Had: had, Origin: o.Origin}
--- a/internal/decide/result.go
+++ b/internal/decide/result.go
@@ -17,7 +17,8 @@
 	Outcomes map[string]int `json:"outcomes"`
 	// Worth is the parts below as the scenario weighs them.
 	Worth float64 `json:"worth"`
-	// Whole is earned over owed; Window, Kind and Domain are those of the two worst windows, the worst kind, and the worst failure domain.
+	// Whole is earned over owed; Window, Kind and Domain are those of the two worst windows, the worst kind, and the
+	// worst failure domain.
 	Whole  float64 `json:"whole"`
 	Window float64 `json:"window"`
 	Kind   float64 `json:"kind"`
--- a/internal/decide/way.go
+++ b/internal/decide/way.go
@@ -19,7 +19,8 @@
 	reportEvery float64
 	// forgetLost takes second tries for first ones, and atOnce loads a version as soon as it is there.
 	forgetLost, atOnce bool
-	// drain multiplies the time that an upstream is given to let in what waits, where above 0, and cut has a load end what still runs then.
+	// drain multiplies the time that an upstream is given to let in what waits, where above 0, and cut has a load end
+	// what still runs then.
 	drain float64
 	cut   bool
 	// leaveSilent gives a silent upstream up before another one is chosen.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -155,7 +155,8 @@
 	return trace.Wrap(json.NewDecoder(a.Body).Decode(into))
 }
 
-// Send passes a request to the upstream, at most once unless it is repeatable. A connection that could not be made is ErrDown: nothing was sent.
+// Send passes a request to the upstream, at most once unless it is repeatable. A connection that could not be made is
+// ErrDown: nothing was sent.
 func (e *Engine) Send(r *http.Request, repeatable bool) (*http.Response, error) {
 	c := e.once
 	if repeatable {
--- a/internal/facts/wanted.go
+++ b/internal/facts/wanted.go
@@ -15,8 +15,8 @@
 	Date dating.Bracket
 	// Learnt is when this process read of it.
 	Learnt time.Time
-	// unread says that it stands for all versions up to it that this process has not read of, dated by the first of them: the date of
-	// the last one alone is too late.
+	// unread says that it stands for all versions up to it that this process has not read of, dated by the first of
+	// them: the date of the last one alone is too late.
 	unread bool
 	// proved says that no record names it here: an upstream serves it, or the origin has it.
 	proved bool
@@ -64,8 +64,9 @@
 	return Change{News: true, Date: o}
 }
 
-// Prove takes a version that must have been named, as an upstream serves it or the origin calls it the newest, and says whether it was not
-// known. The newest record of a naming may be an older version's, written late, and is all that a process can read at its start.
+// Prove takes a version that must have been named, as an upstream serves it or the origin calls it the newest, and says
+// whether it was not known. The newest record of a naming may be an older version's, written late, and is all that a
+// process can read at its start.
 func (f *Facts) Prove(m id.Model, r id.Revision) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -93,8 +94,8 @@
 	return 0
 }
 
-// Date takes what another process tells of the naming of weights: one that starts while a version is brought out reads it in the store
-// without its age.
+// Date takes what another process tells of the naming of weights: one that starts while a version is brought out reads
+// it in the store without its age.
 func (f *Facts) Date(m id.Model, r id.Revision, d dating.Bracket) dating.Outcome {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -122,8 +123,9 @@
 	return o
 }
 
-// agree withdraws the dates of versions that lie after a moment at which some process knew a later one. Reports tell of the newest version alone:
-// a wrong date of the one before it would stand. It says whether one was withdrawn; the list must not be shared.
+// agree withdraws the dates of versions that lie after a moment at which some process knew a later one. Reports tell of
+// the newest version alone: a wrong date of the one before it would stand. It says whether one was withdrawn; the list
+// must not be shared.
 func agree(l []Wanted) (_ []Wanted, withdrawn bool) {
 	for i := len(l) - 2; i >= 0; i-- {
 		d, o := l[i].Date.Merge(dating.Bracket{Had: l[i+1].Date.Had})
@@ -177,8 +179,8 @@
 	return 0
 }
 
-// Overtaken returns when this process learnt of the newest version of a model, where the time of an older one was running out by then, as another version had
-// followed it before; it is zero elsewhere.
+// Overtaken returns when this process learnt of the newest version of a model, where the time of an older one was
+// running out by then, as another version had followed it before; it is zero elsewhere.
 func (f *Facts) Overtaken(m id.Model, r id.Revision) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -111,9 +111,9 @@
 	}
 }
 
-// may says whether an admitted request may still be sent once its connection, which took a time, is there. Its deadline and that of its permit
-// must not have passed, as after a suspension, and its version must have as much time left as at admission, and as the request needs on a
-// connection that is as slow as the dial or the permit was.
+// may says whether an admitted request may still be sent once its connection, which took a time, is there. Its deadline
+// and that of its permit must not have passed, as after a suspension, and its version must have as much time left as at
+// admission, and as the request needs on a connection that is as slow as the dial or the permit was.
 func (f *flight) may(c placement.Choice, dialled time.Duration) bool {
 	if f.left() <= 0 || (!f.permitEnds.IsZero() && f.gateway.now().After(f.permitEnds)) {
 		return false
@@ -126,7 +126,8 @@
 	return until.IsZero() || !g.now().Add(max(c.Margin, c.Wait+wayDialled*max(dialled, f.asked))).After(until)
 }
 
-// wayDialled bounds how many times longer than the dial or the permit a request may take on the link: the queue may have grown since.
+// wayDialled bounds how many times longer than the dial or the permit a request may take on the link: the queue may
+// have grown since.
 const wayDialled = 2
 
 // attempt is one's exchange with an upstream.
@@ -147,7 +148,8 @@
 	begun bool
 	// answering is true once the upstream has sent anything of its answer.
 	answering atomic.Bool
-	// attempts is the number of attempts at the request with this one, and eventsBefore that of the events that the caller had before it.
+	// attempts is the number of attempts at the request with this one, and eventsBefore that of the events that the
+	// caller had before it.
 	attempts, eventsBefore int
 	// lastByte is when the upstream last sent anything, or when the request was sent.
 	lastByte time.Time
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -12,17 +12,17 @@
 const (
 	// heldRetry is when the caller of a held request may come back. Coming sooner is of no use: an operator has to lift it.
 	heldRetry = 10 * time.Minute
-	// suspectRetry is the same while upstreams have ended under a request and it is not yet known whether it was the cause. It is above the time
-	// in which an upstream begins a request that is tried alone.
+	// suspectRetry is the same while upstreams have ended under a request and it is not yet known whether it was the
+	// cause. It is above the time in which an upstream begins a request that is tried alone.
 	suspectRetry = time.Second
 )
 
 // errHeld ends a request that waits at an upstream when it turns out that upstreams crash under it.
 var errHeld = errors.New("upstreams have crashed under this request")
 
-// checkQuarantine lets the request in, unless upstreams have crashed under it. One that is suspected is let in while no repeat of it is under way here. It guards
-// against a request that ends each upstream which begins it: sent on with each repeat, one ended 40 upstreams in 34 s, and with them all that others
-// had running there.
+// checkQuarantine lets the request in, unless upstreams have crashed under it. One that is suspected is let in while no
+// repeat of it is under way here. It guards against a request that ends each upstream which begins it: sent on with
+// each repeat, one ended 40 upstreams in 34 s, and with them all that others had running there.
 func (f *flight) checkQuarantine() bool {
 	g := f.gateway
 	v := g.list.Check(f.fingerprint)
@@ -57,8 +57,8 @@
 	t.flight.gateway.witness.Left(t.at(), t.flight.presence())
 }
 
-// ended says whether an upstream's process has ended: its VM refuses connections. One that is silent may be cut off, frozen or without power, and no
-// request does that.
+// ended says whether an upstream's process has ended: its VM refuses connections. One that is silent may be cut off,
+// frozen or without power, and no request does that.
 func (g *Gateway) ended(ctx context.Context, s quarantine.Start) (ended, known bool) {
 	return g.pool.Refused(ctx, s.Address, s.Born)
 }
@@ -104,7 +104,8 @@
 	}
 }
 
-// stop ends the requests with a fingerprint that no upstream has begun to answer: an upstream drops what waits in its queue once its caller has gone.
+// stop ends the requests with a fingerprint that no upstream has begun to answer: an upstream drops what waits in its
+// queue once its caller has gone.
 func (l *flights) stop(p quarantine.Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/gateway/decision.go
+++ b/internal/gateway/decision.go
@@ -39,8 +39,9 @@
 	}
 }
 
-// swapRetry is when a caller may come back where no upstream is left: upstreams that were left out for their older version are closed, and
-// load, when its time is over at the latest. It guards against callers that come back into the same seconds of a swap.
+// swapRetry is when a caller may come back where no upstream is left: upstreams that were left out for their older
+// version are closed, and load, when its time is over at the latest. It guards against callers that come back into the
+// same seconds of a swap.
 func (k *decision) swapRetry(now time.Time) time.Duration {
 	return max(placement.NoUpstreamRetry, k.until.Sub(now))
 }
@@ -49,8 +50,9 @@
 type leftOut struct {
 	// leaving ones are about to end, closed ones about to load weights, down ones silent towards their stager.
 	leaving, closed, down int
-	// empty ones serve no version of the model; over ones serve one whose time ends before the request would begin, queued ones such a
-	// version behind a link on which a request may wait for longer than is known; other ones not the version that the stream began with.
+	// empty ones serve no version of the model; over ones serve one whose time ends before the request would begin,
+	// queued ones such a version behind a link on which a request may wait for longer than is known; other ones not the
+	// version that the stream began with.
 	empty, over, queued, other int
 	// suspect ones have failed lately, narrow ones are behind a link on which requests queue: both are last resorts.
 	suspect, narrow int
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -122,7 +122,8 @@
 	return &Refusal{Why: why, Retry: placement.RetryAfter(room, left, d.Random())}
 }
 
-// noUpstream refuses the request as no upstream may have it. Where limits leave no permit, the caller may come back when the next one is due.
+// noUpstream refuses the request as no upstream may have it. Where limits leave no permit, the caller may come back
+// when the next one is due.
 func (d *Desk) noUpstream(q *Query, retry time.Duration) *Refusal {
 	k := &q.decision
 	if k.out.limited == 0 || d.Retry != nil {
@@ -153,15 +154,17 @@
 const (
 	// swapCaution is how many times the predicted wait a request is taken to wait; one in ten still takes longer.
 	swapCaution = 2
-	// swapArrival is the least time for the way to the upstream, on a link that is shared with chunks; see placement.Way for what is added.
+	// swapArrival is the least time for the way to the upstream, on a link that is shared with chunks; see
+	// placement.Way for what is added.
 	swapArrival = 400 * time.Millisecond
-	// burstMargin is the margin of a version whose time is running out already while the chunks of a still newer one may just begin to queue on the way,
-	// burstFor after that is named: six that are asked for at once take 1.9 s of a link of 0.61 Mbit/s. What is longer on its way than that begins late.
+	// burstMargin is the margin of a version whose time is running out already while the chunks of a still newer one
+	// may just begin to queue on the way, burstFor after that is named: six that are asked for at once take 1.9 s of a
+	// link of 0.61 Mbit/s. What is longer on its way than that begins late.
 	burstMargin = 2 * time.Second
 	burstFor    = 2 * time.Second
-	// proveLast is the part of a version's time, from its end back, in which the way to an upstream is proven anew before each send; half of that time at
-	// the most, in which a way of which nothing was seen is not taken anyway. What comes onto a link
-	// of a sudden shows 0.7 s later by stamps, and may hold more than is left by then.
+	// proveLast is the part of a version's time, from its end back, in which the way to an upstream is proven anew
+	// before each send; half of that time at the most, in which a way of which nothing was seen is not taken anyway.
+	// What comes onto a link of a sudden shows 0.7 s later by stamps, and may hold more than is left by then.
 	proveLast = 3 * time.Second
 	// swapResume is the margin for a stream that goes on elsewhere on an older version: few upstreams still serve it then,
 	// and one that took such streams of others let one wait for 2.4 s.
@@ -257,8 +260,9 @@
 	return q.AskNone || q.Declined[c.Instance]
 }
 
-// behind says whether a VM lacks, by its last report, a configuration that this process has: it comes onto the VM's link at any moment. It is asked at the
-// choice and not as the report comes: a report from before this process had the configuration says nothing of whether the VM has it.
+// behind says whether a VM lacks, by its last report, a configuration that this process has: it comes onto the VM's
+// link at any moment. It is asked at the choice and not as the report comes: a report from before this process had the
+// configuration says nothing of whether the VM has it.
 func (d *Desk) behind(c *placement.Candidate) bool {
 	newest := d.Facts.Catalog()
 	return newest != nil && c.Config > 0 && c.Config < newest.Revision
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -8,8 +8,8 @@
 	"pgregory.net/rapid"
 )
 
-// A stream that is cut at any byte and continued by any number of attempts, each from some event on that the caller has or from the next one,
-// reaches the caller in order, each event once.
+// A stream that is cut at any byte and continued by any number of attempts, each from some event on that the caller has
+// or from the next one, reaches the caller in order, each event once.
 func TestEventsOfAnyAttempts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		end := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "line end")
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -24,8 +24,8 @@
 	return position{headSent: f.headSent, revision: f.revision, lastEvent: f.events.last}
 }
 
-// hedge is an attempt at another upstream that is made while the first one is silent. Neither is given up before the other has gone on:
-// the other upstream may be full, or silent as well.
+// hedge is an attempt at another upstream that is made while the first one is silent. Neither is given up before the
+// other has gone on: the other upstream may be full, or silent as well.
 type hedge struct {
 	// flight is the request as this attempt alone sees it, and attempt nil until an upstream has been chosen.
 	flight  *flight
@@ -35,7 +35,8 @@
 	// ready are events that the caller does not have, and end is io.EOF where the stream ends after them.
 	ready []byte
 	end   error
-	// won is true once there is something to go on with, and lost once the first attempt has gone on. Both are under the lock of that one.
+	// won is true once there is something to go on with, and lost once the first attempt has gone on. Both are under
+	// the lock of that one.
 	won, lost bool
 	done      chan struct{}
 }
@@ -237,7 +238,8 @@
 	}
 }
 
-// close ends the watch over the upstream, and returns the hedge that is under way or has won. That loses where the answer is final.
+// close ends the watch over the upstream, and returns the hedge that is under way or has won. That loses where the
+// answer is final.
 func (t *attempt) close(final bool) *hedge {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -11,7 +11,8 @@
 	"github.com/springrail/springrail/internal/throttle"
 )
 
-// Permits is the way to the processes beside upstreams that name a limit; function fields so that tests and plays can replace each.
+// Permits is the way to the processes beside upstreams that name a limit; function fields so that tests and plays can
+// replace each.
 type Permits struct {
 	// Ask asks for a permit, and returns its number, or 0 where there is none, and whether an answer came before the context ended.
 	Ask func(ctx context.Context, address string, born id.Birth) (permit uint64, answered bool)
@@ -27,8 +28,9 @@
 	permitLife = 500 * time.Millisecond
 )
 
-// acquire gets what an upstream asks for before a request is sent: a permit where it names a limit, and a reply of the stager beside it where
-// the link has to be proven. While that stager is silent, each gateway has a share of a limit, and no link is proven.
+// acquire gets what an upstream asks for before a request is sent: a permit where it names a limit, and a reply of the
+// stager beside it where the link has to be proven. While that stager is silent, each gateway has a share of a limit,
+// and no link is proven.
 func (f *flight) acquire(ctx context.Context, c *placement.Choice) bool {
 	f.asked = 0
 	if c.Limit == nil && !c.Prove {
--- a/internal/gateway/queue_test.go
+++ b/internal/gateway/queue_test.go
@@ -35,9 +35,11 @@
 		Expect(b.runs("2")).To(BeZero())
 	})
 
-	// A configuration of 0.6 MB came to a gateway 0.4 s before it sent a stream on to an upstream behind a narrow link, whose last report was older than that: both
-	// had had the same configuration then. The stream came to the upstream 4.4 s later, and began on a version whose time was over. Cause: whether a VM is behind
-	// was asked as its report came. Evidence: config 8 at the gateway at 21.56 s, a report 0.54 s old at 21.96 s, config 8 at that VM at 30 s or later.
+	// A configuration of 0.6 MB came to a gateway 0.4 s before it sent a stream on to an upstream behind a narrow link,
+	// whose last report was older than that: both had had the same configuration then. The stream came to the upstream
+	// 4.4 s later, and began on a version whose time was over. Cause: whether a VM is behind was asked as its report
+	// came. Evidence: config 8 at the gateway at 21.56 s, a report 0.54 s old at 21.96 s, config 8 at that VM at 30 s
+	// or later.
 	It("are not sent on the older version where this gateway has got a configuration since the VM's last report", func() {
 		b := newTestbed(route(catalog.Streaming, "engines"))
 		b.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
@@ -63,8 +65,9 @@
 		Expect(b.runs("2")).To(BeZero())
 	})
 
-	// Six links became narrow just as version 3 was named, 2.3 s before the end of version 1's time, and chunks queued on them: requests that went over
-	// ways proven 0.2 s before arrived 1.3 s later and began on version 1 after its time.
+	// Six links became narrow just as version 3 was named, 2.3 s before the end of version 1's time, and chunks queued
+	// on them: requests that went over ways proven 0.2 s before arrived 1.3 s later and began on version 1 after its
+	// time.
 	It("are not sent on the older version in its last 2 s where a newer one has just been named: its chunks may begin to queue on any way", func() {
 		s := &sleeper{}
 		b := newTestbedAt(s.now, route(catalog.Streaming, "engines"))
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -57,7 +57,8 @@
 	upstream  string
 	decision  decision
 	retry     time.Duration
-	// named is what the newest answer says of its upstream's limit, and limit what was known of the last limited upstream that was chosen.
+	// named is what the newest answer says of its upstream's limit, and limit what was known of the last limited
+	// upstream that was chosen.
 	named throttle.Word
 	limit throttle.Limit
 	// permit is the number of the present attempt's permit, asked how long it took to come, and permitEnds when it expires.
@@ -160,7 +161,8 @@
 	f.deadline = f.arrived.Add(min(held, patience))
 }
 
-// left is how much of the request's time is left. Contexts and connections are given that, as their clock stands still while the VM is suspended.
+// left is how much of the request's time is left. Contexts and connections are given that, as their clock stands still
+// while the VM is suspended.
 func (f *flight) left() time.Duration {
 	return f.deadline.Sub(f.gateway.now())
 }
--- a/internal/gateway/suspension.go
+++ b/internal/gateway/suspension.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// suspensionLook is how often a gateway looks whether its VM was suspended: requests whose time has passed meanwhile get their answer so late
-	// at most, and 0.5 s is what users allow.
+	// suspensionLook is how often a gateway looks whether its VM was suspended: requests whose time has passed
+	// meanwhile get their answer so late at most, and 0.5 s is what users allow.
 	suspensionLook = 100 * time.Millisecond
 	// suspensionLeast is the shortest suspension that is acted upon: timers are late by as much anyway on a busy VM.
 	suspensionLeast = 20 * time.Millisecond
@@ -17,8 +17,8 @@
 	wakingGrace = 200 * time.Millisecond
 )
 
-// watchSuspensions looks for suspensions of the VM until the context ends. Timers stand still in one, so that without this a request would be held beyond
-// its time by as long as the suspension was.
+// watchSuspensions looks for suspensions of the VM until the context ends. Timers stand still in one, so that without
+// this a request would be held beyond its time by as long as the suspension was.
 func (g *Gateway) watchSuspensions(ctx context.Context) {
 	for known := g.suspended(); ctx.Err() == nil; kernel.Pause(ctx, suspensionLook) {
 		if now := g.suspended(); now-known >= suspensionLeast {
--- a/internal/gateway/suspension_test.go
+++ b/internal/gateway/suspension_test.go
@@ -48,8 +48,8 @@
 		return r
 	}
 
-	// A caller waits for 6 s. The gateway's VM is suspended for 1 to 30 s in the midst of that: its timers stand still, and the caller, or who has
-	// the connection then, got an answer as much too late.
+	// A caller waits for 6 s. The gateway's VM is suspended for 1 to 30 s in the midst of that: its timers stand still,
+	// and the caller, or who has the connection then, got an answer as much too late.
 	DescribeTable("ends requests whose time has passed, soon after it wakes", func(suspended time.Duration) {
 		s := &sleeper{}
 		b := sleeping(s, long())
--- a/internal/gateway/versionend.go
+++ b/internal/gateway/versionend.go
@@ -10,8 +10,9 @@
 // beginGuard is taken off a version's time: the upstream needs to see that the request is given up.
 const beginGuard = 200 * time.Millisecond
 
-// lookAgain is how often the end of a version's time is looked at while a request waits: a date that was too late may be withdrawn, and a newer
-// version that is read of late may leave no time. A look takes 1 us where 256 versions are remembered.
+// lookAgain is how often the end of a version's time is looked at while a request waits: a date that was too late may
+// be withdrawn, and a newer version that is read of late may leave no time. A look takes 1 us where 256 versions are
+// remembered.
 const lookAgain = beginGuard
 
 // beginBy is when a request that has not begun by then must be given up at an upstream, because the version there may begin
--- a/internal/gateway/way_test.go
+++ b/internal/gateway/way_test.go
@@ -22,12 +22,14 @@
 )
 
 const (
-	// wideLink and narrowLink are what a link to an upstream's VM carries, in bytes a second, and chunkSize is what a stager asks for at once.
-	// The wide one is so wide that a machine which runs the other suites beside this one makes no queue of it.
+	// wideLink and narrowLink are what a link to an upstream's VM carries, in bytes a second, and chunkSize is what a
+	// stager asks for at once. The wide one is so wide that a machine which runs the other suites beside this one makes
+	// no queue of it.
 	wideLink, narrowLink, chunkSize = 9_000_000, 30_000, 24 << 10
 	// chunksQueued are on their way at any time: 8 ms of the wide link and 2.4 s of the narrow one.
 	chunksQueued = 3
-	// suddenBytes come at once onto a link that carries suddenLink a second: 1.28 s. They come so long before the end of a version's time.
+	// suddenBytes come at once onto a link that carries suddenLink a second: 1.28 s. They come so long before the end
+	// of a version's time.
 	suddenBytes, suddenLink = 51 << 10, 40_000
 	sudden                  = 1300 * time.Millisecond
 	// reportsEvery is how often a stager reports.
@@ -257,12 +259,14 @@
 	return n
 }
 
-// Callers got 502 for requests of a version's last seconds, and the upstream ran them for nobody, on the older version, up to 5.9 s after
-// its time. Order of events: a newer version is named, chunks of it begin to come; the link to the VM narrows, so that they queue on it; a
-// request goes out, as its predicted wait ends in time; the gateway gives it up 0.2 s before the end; its bytes, which nothing takes back,
-// come out of the queue and are begun. Cause: the margin of a send stood for the wait at the upstream and for a fixed time of the way; what
-// the way took was known only to the stager, from four chunks that had come over it, and its word of that queued too. Evidence: records of
-// such requests have the give-up 4.7 s before the arrival, while the log line predicted 1.3 s; below, the arrival is counted at the stand-in.
+// Callers got 502 for requests of a version's last seconds, and the upstream ran them for nobody, on the older version,
+// up to 5.9 s after its time. Order of events: a newer version is named, chunks of it begin to come; the link to the VM
+// narrows, so that they queue on it; a request goes out, as its predicted wait ends in time; the gateway gives it up
+// 0.2 s before the end; its bytes, which nothing takes back, come out of the queue and are begun. Cause: the margin of
+// a send stood for the wait at the upstream and for a fixed time of the way; what the way took was known only to the
+// stager, from four chunks that had come over it, and its word of that queued too. Evidence: records of such requests
+// have the give-up 4.7 s before the arrival, while the log line predicted 1.3 s; below, the arrival is counted at the
+// stand-in.
 var _ = Describe("requests over a link that becomes narrow as a version is named", func() {
 	const within = 6 * time.Second
 
@@ -310,10 +314,11 @@
 		}
 	})
 
-	// Callers' requests were begun 0.1 and 0.2 s after their version's time, by an upstream whose link had narrowed. Order of events: the way there is
-	// proven; 51 KB of chunks come onto the link at once; 1.28 s before the version's end a request goes out behind them and takes as long.
-	// Cause: the proof was up to 0.7 s old when the request went out. Evidence: 6 requests begin late here with proofs by stamps alone, and none where
-	// each send in the last 3 s waits for a datagram there and back.
+	// Callers' requests were begun 0.1 and 0.2 s after their version's time, by an upstream whose link had narrowed.
+	// Order of events: the way there is proven; 51 KB of chunks come onto the link at once; 1.28 s before the version's
+	// end a request goes out behind them and takes as long. Cause: the proof was up to 0.7 s old when the request went
+	// out. Evidence: 6 requests begin late here with proofs by stamps alone, and none where each send in the last 3 s
+	// waits for a datagram there and back.
 	It("are never begun after the older version's time where the queue comes of a sudden in its last seconds", func() {
 		ctx, stop := context.WithCancel(context.Background())
 		DeferCleanup(stop)
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -75,8 +75,9 @@
 	}
 }
 
-// batch puts what is queued behind a line. What was dropped meanwhile comes after that: a line is dropped because those before it are still
-// queued. Told in front, the gap at the end of a burst that went out as one batch was not told until somebody logged again.
+// batch puts what is queued behind a line. What was dropped meanwhile comes after that: a line is dropped because those
+// before it are still queued. Told in front, the gap at the end of a burst that went out as one batch was not told
+// until somebody logged again.
 func (s *Sink) batch(line []byte) []byte {
 	b := slices.Clone(line)
 	for len(b) < batchBytes {
--- a/internal/measure/decide.go
+++ b/internal/measure/decide.go
@@ -104,7 +104,8 @@
 	return nil
 }
 
-// print writes a scenario's table: each way's worth, its difference from the first by the same seeds, and means of what makes it up.
+// print writes a scenario's table: each way's worth, its difference from the first by the same seeds, and means of what
+// makes it up.
 func (r *decideRun) print(out io.Writer) {
 	fmt.Fprintf(out, "%s, %d seeds\n", r.Scenario, r.Differences[0].Seeds)
 	t := tabwriter.NewWriter(out, 9, 0, 1, ' ', tabwriter.AlignRight)
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -11,8 +11,8 @@
 	"github.com/springrail/springrail/internal/throttle"
 )
 
-// limit fills in what is known of an upstream's limit. Where the process beside the upstream reports, it gives the permits; where it is silent, or
-// there is none, the gateways share them. The caller holds the lock.
+// limit fills in what is known of an upstream's limit. Where the process beside the upstream reports, it gives the
+// permits; where it is silent, or there is none, the gateways share them. The caller holds the lock.
 func (t *Tracker) limit(c *Candidate, u *upstream, i *facts.Instance) {
 	if u.isOther(i) {
 		u.limit, u.limited = nil, nil
@@ -50,8 +50,8 @@
 	return l
 }
 
-// isOther says whether another instance has come to the address than the one that is limited, which is not limited then. Starts tell upstreams
-// apart; those that don't tell theirs are other ones under another ID.
+// isOther says whether another instance has come to the address than the one that is limited, which is not limited
+// then. Starts tell upstreams apart; those that don't tell theirs are other ones under another ID.
 func (u *upstream) isOther(i *facts.Instance) bool {
 	if u.limited == nil {
 		u.limited = i
@@ -97,7 +97,8 @@
 	}
 }
 
-// Untold is the limit of an upstream of which the process beside it, by its start, has told nothing; false where there is no such limit.
+// Untold is the limit of an upstream of which the process beside it, by its start, has told nothing; false where there
+// is no such limit.
 func (t *Tracker) Untold(address string, by uint64) (throttle.Rate, id.Birth, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -117,7 +118,8 @@
 	return u != nil && u.limit != nil && u.limit.Take(t.now())
 }
 
-// Answered takes what the upstream's answer to the request says of its limit, and returns whether the process beside the upstream is to be told.
+// Answered takes what the upstream's answer to the request says of its limit, and returns whether the process beside
+// the upstream is to be told.
 func (f *Flight) Answered(w throttle.Word) (tell bool) {
 	t, u := f.tracker, f.upstream
 	t.mu.Lock()
@@ -132,8 +134,9 @@
 	return u.limit != nil && !u.limit.Reported() && !silent
 }
 
-// RetrySpread is when a caller may come back where permits come more slowly than callers: any moment from the next permit on within what a caller
-// heeds that has a time left. All that came back at the next permit would find the one that took it.
+// RetrySpread is when a caller may come back where permits come more slowly than callers: any moment from the next
+// permit on within what a caller heeds that has a time left. All that came back at the next permit would find the one
+// that took it.
 func RetrySpread(due, left time.Duration, r *rand.Rand) time.Duration {
 	most := max(leastRetry, time.Duration(retryShare*float64(left)))
 	from := min(max(due, leastRetry), most)
--- a/internal/placement/outlook.go
+++ b/internal/placement/outlook.go
@@ -104,8 +104,8 @@
 type layout struct {
 	outlook *Outlook
 	options []option
-	// near holds the upstreams of each failure domain as a heap, the one where one more request costs least first: a step of the layout
-	// looks at one of each domain and not at all (BenchmarkChoice of the gateway).
+	// near holds the upstreams of each failure domain as a heap, the one where one more request costs least first: a
+	// step of the layout looks at one of each domain and not at all (BenchmarkChoice of the gateway).
 	near []near
 }
 
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -41,10 +41,11 @@
 	Narrow bool
 	// Config is the version of the configuration that the VM had by its last report; 0 where that is not known.
 	Config uint64
-	// Wait is how long a request is taken to wait there before it begins, and Margin what must be left of its version's time when it is sent.
+	// Wait is how long a request is taken to wait there before it begins, and Margin what must be left of its version's
+	// time when it is sent.
 	Wait, Margin time.Duration
-	// Prove says that the way there is to be proven anew before a request is sent: of the version's time too little is left to bear what may have
-	// come onto it since.
+	// Prove says that the way there is to be proven anew before a request is sent: of the version's time too little is
+	// left to bear what may have come onto it since.
 	Prove bool
 	// Way is what has been seen of the way there.
 	Way Way
@@ -59,8 +60,9 @@
 	return c.Running + c.Waiting
 }
 
-// MeanAge is the mean age of the figures of a failure domain's upstreams, where they are known, or of all where none of the domain's
-// are: those of other domains come less often, and say nothing of when the next ones of the own domain come.
+// MeanAge is the mean age of the figures of a failure domain's upstreams, where they are known, or of all where none of
+// the domain's are: those of other domains come less often, and say nothing of when the next ones of the own domain
+// come.
 func MeanAge(l []Candidate, d id.Domain) time.Duration {
 	if near, n := meanAge(l, func(c *Candidate) bool { return c.Domain == d }); n > 0 {
 		return near
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -277,8 +277,9 @@
 	return c
 }
 
-// wayMemory is how long the way to an upstream is remembered that is no longer listed: heartbeats of a VM behind a narrow link come late over that
-// very link, and its entry goes for a second or two. It is above the 8 to 14 s that users give a version's end, for which a queue counts.
+// wayMemory is how long the way to an upstream is remembered that is no longer listed: heartbeats of a VM behind a
+// narrow link come late over that very link, and its entry goes for a second or two. It is above the 8 to 14 s that
+// users give a version's end, for which a queue counts.
 const wayMemory = 15 * time.Second
 
 // Sweep forgets upstreams that are no longer listed and carry nothing, but for ways on which something has queued lately.
--- a/internal/placement/way_test.go
+++ b/internal/placement/way_test.go
@@ -16,7 +16,8 @@
 	wayWithin = 8 * time.Second
 )
 
-// queued is a link that delivers in turn: behind is how long what is sent now is on its way, and stamps are on their way to arrive at a time.
+// queued is a link that delivers in turn: behind is how long what is sent now is on its way, and stamps are on their
+// way to arrive at a time.
 type queued struct {
 	now, reported time.Time
 	behind        time.Duration
@@ -127,8 +128,9 @@
 		Expect(bears).To(Equal(wayWithin / 2))
 	})
 
-	// Requests began 3.4 s after their version's time at an upstream whose VM was behind a narrow link. Its heartbeats came late over that link, so that its entry
-	// went from the list for 1.3 s; what had been seen of the way until then was forgotten, and between two bursts of chunks the stamps found it clear.
+	// Requests began 3.4 s after their version's time at an upstream whose VM was behind a narrow link. Its heartbeats
+	// came late over that link, so that its entry went from the list for 1.3 s; what had been seen of the way until
+	// then was forgotten, and between two bursts of chunks the stamps found it clear.
 	It("on which something has queued is remembered while the upstream's entry is away", func() {
 		now := start
 		t := NewTracker(func() time.Time { return now })
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -45,8 +45,8 @@
 	Organisation id.Organisation
 	// Starts are those that ended under it.
 	Starts []Start
-	// By is the VM whose gateway held it first, as far as it is known, and SinceUnixMs when, by that VM's time of day, which may jump: it is
-	// for people to read and decides nothing.
+	// By is the VM whose gateway held it first, as far as it is known, and SinceUnixMs when, by that VM's time of day,
+	// which may jump: it is for people to read and decides nothing.
 	By          id.VM
 	SinceUnixMs int64
 	// refused is how often this process has refused it.
@@ -68,8 +68,8 @@
 const (
 	// Pass says that nothing speaks against it.
 	Pass Verdict = iota
-	// Alone says that two starts or more have ended under it. A gateway sends one repeat at a time on, to one upstream; whether that ends too is what tells
-	// a request that crashes upstreams from one that was there.
+	// Alone says that two starts or more have ended under it. A gateway sends one repeat at a time on, to one upstream;
+	// whether that ends too is what tells a request that crashes upstreams from one that was there.
 	Alone
 	// Waits says that enough is known to hold it, and what other gateways have seen of the same ends is still on its way.
 	Waits
--- a/internal/quarantine/held.go
+++ b/internal/quarantine/held.go
@@ -7,8 +7,9 @@
 )
 
 const (
-	// mostOfOne bounds the held requests of one organisation, and mostHeld those of all. Each has cost three crashes; at its bound an
-	// organisation's oldest one is let go, so that no organisation can free another's. An entry takes 0.3 KB, so all take 1.3 MB.
+	// mostOfOne bounds the held requests of one organisation, and mostHeld those of all. Each has cost three crashes;
+	// at its bound an organisation's oldest one is let go, so that no organisation can free another's. An entry takes
+	// 0.3 KB, so all take 1.3 MB.
 	mostOfOne = 256
 	mostHeld  = 4096
 )
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -19,12 +19,14 @@
 )
 
 const (
-	// followWait is how long one question for new records waits at the store, which bounds it to 30 s. A gateway so makes two to three calls a minute
-	// while there are none.
+	// followWait is how long one question for new records waits at the store, which bounds it to 30 s. A gateway so
+	// makes two to three calls a minute while there are none.
 	followWait = 25 * time.Second
-	// retryAfter is the wait after a failure, and up to as much again is added by chance, so that gateways do not come back together.
+	// retryAfter is the wait after a failure, and up to as much again is added by chance, so that gateways do not come
+	// back together.
 	retryAfter = time.Second
-	// writeWithin is the time over which gateways that hold a request at the same moment spread their writing of it: all but the first find it written.
+	// writeWithin is the time over which gateways that hold a request at the same moment spread their writing of it:
+	// all but the first find it written.
 	writeWithin = 500 * time.Millisecond
 )
 
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -13,17 +13,18 @@
 )
 
 const (
-	// enough is the number of upstreams whose processes must have ended under a request before it is held: one crash is most often not the
-	// request's, and the users allow three.
+	// enough is the number of upstreams whose processes must have ended under a request before it is held: one crash is
+	// most often not the request's, and the users allow three.
 	enough = 3
-	// settleTime is how long a request waits that enough starts have ended under, until what all gateways have seen of these ends is here. A
-	// message takes two hops of 3 ms; one that is sent again, or from a VM short of processor time, is still in time, and the users' bound for all
-	// gateways is 3 s.
+	// settleTime is how long a request waits that enough starts have ended under, until what all gateways have seen of
+	// these ends is here. A message takes two hops of 3 ms; one that is sent again, or from a VM short of processor
+	// time, is still in time, and the users' bound for all gateways is 3 s.
 	settleTime = 250 * time.Millisecond
-	// sameEnd is within which time two gateways that know different things of a start's birth tell of one end: an upstream is away for seconds.
+	// sameEnd is within which time two gateways that know different things of a start's birth tell of one end: an
+	// upstream is away for seconds.
 	sameEnd = 2 * time.Second
-	// mostEnds bounds the ends that are remembered, and mostPresent the requests of one end. An upstream has at most 48 requests on the users'
-	// machines, so 1,024 ends take 6 MB at the most and 1 MB where 10 requests are at each.
+	// mostEnds bounds the ends that are remembered, and mostPresent the requests of one end. An upstream has at most 48
+	// requests on the users' machines, so 1,024 ends take 6 MB at the most and 1 MB where 10 requests are at each.
 	mostEnds    = 1024
 	mostPresent = 128
 )
@@ -33,8 +34,8 @@
 	start Start
 	at    time.Time
 	of    map[Fingerprint]id.Organisation
-	// explained is true once one of its requests is held: it says nothing of the others any more. Nor does it of those that were acquitted, whoever
-	// tells of it again.
+	// explained is true once one of its requests is held: it says nothing of the others any more. Nor does it of those
+	// that were acquitted, whoever tells of it again.
 	explained bool
 	acquitted map[Fingerprint]struct{}
 }
@@ -48,16 +49,17 @@
 	tried bool
 }
 
-// proven says whether enough speaks against a request to hold it: enough ends, under as many tries of its callers, one of which was sent on alone.
-// A proper request may be at three ends that it did not cause, where upstreams crash often: it is sent to two in each try, and its caller comes
-// back. In 200 plays with up to one crash a second among 20 upstreams 63 of 600,847 proper requests were held for three ends alone, none so.
+// proven says whether enough speaks against a request to hold it: enough ends, under as many tries of its callers, one
+// of which was sent on alone. A proper request may be at three ends that it did not cause, where upstreams crash often:
+// it is sent to two in each try, and its caller comes back. In 200 plays with up to one crash a second among 20
+// upstreams 63 of 600,847 proper requests were held for three ends alone, none so.
 func (s *suspect) proven() bool {
 	return len(s.ends) >= enough && len(s.tries) >= enough && s.tried
 }
 
-// List decides by what gateways see. All gateways that hear the same come to the same, in whichever order it comes: what counts of an end is
-// which requests were there, and a request is held once it was at enough ends that no other held request explains. It is safe for
-// concurrent use.
+// List decides by what gateways see. All gateways that hear the same come to the same, in whichever order it comes:
+// what counts of an end is which requests were there, and a request is held once it was at enough ends that no other
+// held request explains. It is safe for concurrent use.
 type List struct {
 	vm  id.VM
 	now func() time.Time
@@ -65,8 +67,8 @@
 	after func(d time.Duration, f func())
 	log   *log.Logger
 	vars  *expvar.Map
-	// OnHeld are told of each request that is held from now on, and OnServed of one that is no longer suspected as it has been served here. They
-	// are called without the lock, and set before anything else is called.
+	// OnHeld are told of each request that is held from now on, and OnServed of one that is no longer suspected as it
+	// has been served here. They are called without the lock, and set before anything else is called.
 	OnHeld   []func(h Hold)
 	OnServed func(f Fingerprint)
 
@@ -200,8 +202,8 @@
 	}
 }
 
-// accuse counts an end for a request that was there, and says whether the request is acquitted instead: it has been served here lately.
-// The caller holds the lock.
+// accuse counts an end for a request that was there, and says whether the request is acquitted instead: it has been
+// served here lately. The caller holds the lock.
 func (l *List) accuse(p Presence, e *end) (acquitted bool) {
 	s := l.suspects[p.Fingerprint]
 	if s == nil {
@@ -257,8 +259,8 @@
 	l.acquit(f)
 }
 
-// acquit drops what speaks against a request, also one that is held: it was on its way when it was, and has shown that upstreams bear it. It
-// says whether others suspect it too, by what is known here. The caller holds the lock.
+// acquit drops what speaks against a request, also one that is held: it was on its way when it was, and has shown that
+// upstreams bear it. It says whether others suspect it too, by what is known here. The caller holds the lock.
 func (l *List) acquit(f Fingerprint) bool {
 	ends := 0
 	if s := l.suspects[f]; s != nil {
--- a/internal/quarantine/play_test.go
+++ b/internal/quarantine/play_test.go
@@ -12,8 +12,8 @@
 	"github.com/springrail/springrail/internal/id"
 )
 
-// These plays run the lists of many gateways in virtual time before upstreams that crash, with the queues, runs and ways of today's
-// deployments.
+// These plays run the lists of many gateways in virtual time before upstreams that crash, with the queues, runs and
+// ways of today's deployments.
 
 const (
 	playNews  = 10 * time.Millisecond
--- a/internal/quarantine/served.go
+++ b/internal/quarantine/served.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// servedLife is how long an answered request is remembered: one that many callers send is answered again and again, and is no suspect
-	// however many upstreams end beside it.
+	// servedLife is how long an answered request is remembered: one that many callers send is answered again and again,
+	// and is no suspect however many upstreams end beside it.
 	servedLife = time.Minute
 	// mostServed bounds the requests that are remembered: a gateway of today's deployments answers 30 a second. They take 0.4 MB.
 	mostServed = 4096
--- a/internal/quarantine/witness.go
+++ b/internal/quarantine/witness.go
@@ -8,10 +8,12 @@
 )
 
 const (
-	// gatherFor is how long after the first broken answer of a start others are gathered: those of a process that ends break within a few ms.
+	// gatherFor is how long after the first broken answer of a start others are gathered: those of a process that ends
+	// break within a few ms.
 	gatherFor = 20 * time.Millisecond
-	// probeMost bounds the question whether a process has ended, and probeAgain is when it is asked again where no answer came: on a link with a queue
-	// of 1 s, the longest that does not count as slowed twice over (the users' rules), the third question has its answer 1 s after the end.
+	// probeMost bounds the question whether a process has ended, and probeAgain is when it is asked again where no
+	// answer came: on a link with a queue of 1 s, the longest that does not count as slowed twice over (the users'
+	// rules), the third question has its answer 1 s after the end.
 	probeMost  = 500 * time.Millisecond
 	probeAgain = 400 * time.Millisecond
 	probes     = 3
@@ -22,8 +24,8 @@
 	mostLeft = 256
 )
 
-// Witness gathers the requests that break off together at an upstream, and finds out whether its process has ended: a connection may also be
-// reset while the upstream lives, and then nothing speaks against its requests.
+// Witness gathers the requests that break off together at an upstream, and finds out whether its process has ended: a
+// connection may also be reset while the upstream lives, and then nothing speaks against its requests.
 type Witness struct {
 	// ended says whether a start's process has ended, if that is known.
 	ended func(ctx context.Context, s Start) (ended, known bool)
--- a/internal/records/away.go
+++ b/internal/records/away.go
@@ -38,19 +38,20 @@
 // errAway says that the store gave no answer for longer than records are fresh.
 var errAway = errors.New("the store gave no answer for too long")
 
-// outageEnd is the end of a time in which the store was away for a process and its sources, for longer than awayFor: a shorter one may have
-// been that process's own, as answers get lost or are slow at its start, while others read what was written.
+// outageEnd is the end of a time in which the store was away for a process and its sources, for longer than awayFor: a
+// shorter one may have been that process's own, as answers get lost or are slow at its start, while others read what
+// was written.
 type outageEnd struct {
 	// at is when the process asked in vain for the last time: the store may have been back from then on.
 	at time.Time
-	// next is the offset up to which the process had read. Of what was written before, the outage says nothing: a process that starts
-	// after it reads all of that at once.
+	// next is the offset up to which the process had read. Of what was written before, the outage says nothing: a
+	// process that starts after it reads all of that at once.
 	next uint64
 }
 
-// unread is the moment from which on records may have been written that were not read here; zero where none is known. The time in which
-// nobody could read is left out: operators count from when a version can be known; where somebody had the record before the return, the store was
-// away for this process alone. The caller holds the lock.
+// unread is the moment from which on records may have been written that were not read here; zero where none is known.
+// The time in which nobody could read is left out: operators count from when a version can be known; where somebody had
+// the record before the return, the store was away for this process alone. The caller holds the lock.
 func (l *Log) unread(had time.Time) (time.Time, dating.Evidence) {
 	switch {
 	case l.returned.at.After(l.settled) && (had.IsZero() || !l.returned.at.After(had)):
--- a/internal/records/changes.go
+++ b/internal/records/changes.go
@@ -16,8 +16,8 @@
 	Grace time.Duration
 	// Settled is how long ago the store is known to have had nothing from Next on; below 0 where that is not known.
 	Settled time.Duration
-	// Returned is how long ago the store was to be had again; below 0 where it has not been away. ReturnedNext is the offset up to which it
-	// had been read before that.
+	// Returned is how long ago the store was to be had again; below 0 where it has not been away. ReturnedNext is the
+	// offset up to which it had been read before that.
 	Returned     time.Duration
 	ReturnedNext uint64
 	// Began is how long ago the topic was read for the first time.
--- a/internal/records/claim.go
+++ b/internal/records/claim.go
@@ -30,9 +30,9 @@
 	return l.turn.begin()
 }
 
-// claimees lists whom a claim is told at first: the gateways of the failure domain, and before any is known the processes that the
-// settings name. All that start together know these, and learn of each other from them: without, all processes of a domain read a
-// configuration of 358 KB at once after a loss of power, 1.3 to 2.1 s each.
+// claimees lists whom a claim is told at first: the gateways of the failure domain, and before any is known the
+// processes that the settings name. All that start together know these, and learn of each other from them: without, all
+// processes of a domain read a configuration of 358 KB at once after a loss of power, 1.3 to 2.1 s each.
 func (f *Follower) claimees() []string {
 	l := f.gateways()
 	if len(l) < 2 {
@@ -68,8 +68,9 @@
 	return l
 }
 
-// answerClaim is what this process says to another one's claim. One that has read the store since it last failed there is followed, and
-// so is the one that is let read: its word comes sooner than any question whether it has the records by now.
+// answerClaim is what this process says to another one's claim. One that has read the store since it last failed there
+// is followed, and so is the one that is let read: its word comes sooner than any question whether it has the records
+// by now.
 func (s *Service) answerClaim(c *pb.Claim) *pb.FollowResponse {
 	if c.GetDomain() != string(s.domain) {
 		return &pb.FollowResponse{Claim: &pb.ClaimAnswer{Rivals: s.elsewhere.claimed(c)}}
--- a/internal/records/dates_test.go
+++ b/internal/records/dates_test.go
@@ -224,8 +224,8 @@
 	w.records = append(w.records, Record{Key: key, Value: []byte(value), Offset: uint64(len(w.records))})
 }
 
-// allowed is the latest right date of a naming. What came after a process had read last, and before it asked in vain, counts from that try: nothing
-// tells whether the store was to be had in between.
+// allowed is the latest right date of a naming. What came after a process had read last, and before it asked in vain,
+// counts from that try: nothing tells whether the store was to be had in between.
 func (w *datedWorld) allowed(named time.Time) time.Time {
 	latest := named
 	for _, b := range w.blind {
--- a/internal/records/digest.go
+++ b/internal/records/digest.go
@@ -5,7 +5,8 @@
 	"hash/crc32"
 )
 
-// checksums is computed by the processor itself: each process of a failure domain sums each configuration, of up to 600 KB, twice a change.
+// checksums is computed by the processor itself: each process of a failure domain sums each configuration, of up to 600
+// KB, twice a change.
 var checksums = crc32.MakeTable(crc32.Castagnoli)
 
 // spread makes the sum of checksums, which have 32 bits, one of 64: an odd number without a pattern.
--- a/internal/records/entry.go
+++ b/internal/records/entry.go
@@ -31,8 +31,8 @@
 	packed  []byte
 	patched bool
 	base    uint64
-	// absent is how long ago the store is known not to have had the record, and had how long ago somebody is known to have had it; below 0
-	// where that is not known.
+	// absent is how long ago the store is known not to have had the record, and had how long ago somebody is known to
+	// have had it; below 0 where that is not known.
 	absent, had time.Duration
 }
 
--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -32,9 +32,9 @@
 	slowMost = 3 * time.Second
 	// blameFor is how long a source that failed is left alone; it is how long a disruption at least lasts.
 	blameFor = 3 * time.Second
-	// staleFor is the same for a source that has lost the store itself, or follows this process while that has no fresh records: it
-	// may have it back, or take the reading over, at any moment. Left alone for 3 s, they let a gateway that was cut off from the store
-	// lag by 4 s.
+	// staleFor is the same for a source that has lost the store itself, or follows this process while that has no fresh
+	// records: it may have it back, or take the reading over, at any moment. Left alone for 3 s, they let a gateway
+	// that was cut off from the store lag by 4 s.
 	staleFor = 300 * time.Millisecond
 	// lackFor is how long a source that has asked the store itself in vain is taken to lack it.
 	lackFor = time.Second
@@ -62,7 +62,8 @@
 // Follower keeps the logs up to date from other processes and opens the gate to the store where none will do.
 type Follower struct {
 	logs []*Log
-	// gate lets this process read the list of upstreams from the store, and long the operators' records, which may have hundreds of KB.
+	// gate lets this process read the list of upstreams from the store, and long the operators' records, which may have
+	// hundreds of KB.
 	gate, long *gate
 	origin     *origin
 	self       string
@@ -125,11 +126,11 @@
 	}
 }
 
-// found notes that a source has fresh records. Whoever reads goes on, wherever it stands in the order: taking the reading back, four
-// processes of a domain read the same new configuration at once after an outage.
+// found notes that a source has fresh records. Whoever reads goes on, wherever it stands in the order: taking the
+// reading back, four processes of a domain read the same new configuration at once after an outage.
 //
-// One that only reads may be turned away in the next moment: where a store turned five of twelve away, the others began to wait anew with
-// each that tried, and did not have a change after 2 s.
+// One that only reads may be turned away in the next moment: where a store turned five of twelve away, the others began
+// to wait anew with each that tried, and did not have a change after 2 s.
 func (f *Follower) found(address string) {
 	if f.age() >= freshMost {
 		return
@@ -146,8 +147,8 @@
 // only its reader lost it, the next one would have taken over. Sooner, sources are asked as fast as they answer.
 const awayFor = slowMost
 
-// rest waits after an answer of a source that has lost the store, once nobody has it: all twelve gateways of a domain asked each other
-// 36 times a second each. Who gets it again says so.
+// rest waits after an answer of a source that has lost the store, once nobody has it: all twelve gateways of a domain
+// asked each other 36 times a second each. Who gets it again says so.
 func (f *Follower) rest(ctx context.Context, err error) {
 	if !errors.Is(err, errStale) && !errors.Is(err, errOwn) {
 		return
@@ -201,7 +202,8 @@
 	f.takeOver()
 }
 
-// logBlame says why a source was left. A process that has just started asks several until one has the records, which is no reason to warn.
+// logBlame says why a source was left. A process that has just started asks several until one has the records, which is
+// no reason to warn.
 func (f *Follower) logBlame(address string, err error) {
 	e := f.log.Warn()
 	if !f.started() {
@@ -238,8 +240,8 @@
 	return min(max(0, len(first)-1), takeoverMost)
 }
 
-// waitsFor is the number of processes that are given time to take over before this one: those before it that are not known to have asked the
-// store in vain.
+// waitsFor is the number of processes that are given time to take over before this one: those before it that are not
+// known to have asked the store in vain.
 func (f *Follower) waitsFor() int {
 	first, _ := Sources(f.domain, f.gateways(), f.self)
 	lack := 0
@@ -257,10 +259,11 @@
 	return retryPause * time.Duration(1+f.rank())
 }
 
-// openGate lets this process read the store, or not. At its start the list comes first: it has some tens of KB and shows peers that
-// hold the operators' records. Eight stagers that started beside new upstreams within seconds each read a configuration of 300 KB, again
-// with each change, over one link of 24 Mbit/s between regions: the list took up to 1.5 s on that link, gateways did not see the new
-// upstreams, these heard of no gateway and went on reading, and requests reached upstreams that had left 3.4 s before.
+// openGate lets this process read the store, or not. At its start the list comes first: it has some tens of KB and
+// shows peers that hold the operators' records. Eight stagers that started beside new upstreams within seconds each
+// read a configuration of 300 KB, again with each change, over one link of 24 Mbit/s between regions: the list took up
+// to 1.5 s on that link, gateways did not see the new upstreams, these heard of no gateway and went on reading, and
+// requests reached upstreams that had left 3.4 s before.
 func (f *Follower) openGate(open bool) {
 	f.long.set(open && (f.lookedWithList || f.now().Sub(f.lostAt) > listMost))
 	if f.gate.set(open) {
@@ -279,7 +282,8 @@
 	return true
 }
 
-// listMost is how long the list of upstreams goes before the operators' records: a store that can't give the one may give the other.
+// listMost is how long the list of upstreams goes before the operators' records: a store that can't give the one may
+// give the other.
 const listMost = time.Second
 
 // follow asks a source once and takes its answer.
--- a/internal/records/outage_test.go
+++ b/internal/records/outage_test.go
@@ -268,9 +268,10 @@
 	longTakes  = 120 * time.Millisecond
 )
 
-// The store was away from a failure domain for eight seconds, came back, and was lost again for a second. Four gateways and more
-// then read the operators' records at the same time over the link that they share, 2.6 to 3.4 s each where one reading takes 0.12 s, and
-// refused requests by the older configuration. Each had waited its turn, and all turns had long been over when the store came back.
+// The store was away from a failure domain for eight seconds, came back, and was lost again for a second. Four gateways
+// and more then read the operators' records at the same time over the link that they share, 2.6 to 3.4 s each where one
+// reading takes 0.12 s, and refused requests by the older configuration. Each had waited its turn, and all turns had
+// long been over when the store came back.
 var _ = Describe("a failure domain after an outage of the store", func() {
 	It("reads a long record once, and has it everywhere within two seconds, also where the store is lost again at once", func() {
 		d := newDomain(12, 15, longRecord, longTakes)
@@ -293,9 +294,10 @@
 		Expect(long-before).To(BeNumerically("<=", 3), "one is lost with the store, and one is taken over at the most")
 	})
 
-	// A key was taken away 0.7 s after the store had begun to turn a third of the machines away. Those that go first claimed the turn again and
-	// again and were turned away; each time the others took that for a source that reads, and began to wait for their own turn anew. A gateway still
-	// let the key in 3.1 s after the change was acknowledged.
+	// A key was taken away 0.7 s after the store had begun to turn a third of the machines away. Those that go first
+	// claimed the turn again and again and were turned away; each time the others took that for a source that reads,
+	// and began to wait for their own turn anew. A gateway still let the key in 3.1 s after the change was
+	// acknowledged.
 	It("has another one read where the store turns those away that go first", func() {
 		d := newDomain(12, 15, longRecord, longTakes)
 		Eventually(func() int { return d.lack("config 0 ") }).WithTimeout(20 * time.Second).Should(BeZero())
@@ -332,8 +334,8 @@
 	})
 })
 
-// A version named while the store was away was counted from before that, as the process had only looked whether the store was back: older
-// versions were over seconds early, and a domain refused 300 requests in half a second.
+// A version named while the store was away was counted from before that, as the process had only looked whether the
+// store was back: older versions were over seconds early, and a domain refused 300 requests in half a second.
 var _ = Describe("a record that was written while the store was away", func() {
 	It("is dated by the store's return, by a process that has only looked for that since its source lost the store", func() {
 		s := &fakeStore{logs: map[string][]Record{}}
@@ -409,7 +411,8 @@
 	})
 })
 
-// All processes of a domain started at once after a loss of power. Nobody knew anybody yet, and each read 358 KB over one link, 1.3 to 2.1 s.
+// All processes of a domain started at once after a loss of power. Nobody knew anybody yet, and each read 358 KB over
+// one link, 1.3 to 2.1 s.
 var _ = Describe("processes that start together", func() {
 	// together starts processes of one failure domain that know nobody but the seeds of their settings, and returns the number of
 	// long readings until all have the configuration.
--- a/internal/records/part.go
+++ b/internal/records/part.go
@@ -39,8 +39,8 @@
 	// StartWait is how long a new process waits for a gateway of its failure domain to make itself known before it asks the
 	// store.
 	StartWait time.Duration `toml:"start_wait"`
-	// Seeds are addresses of some processes of any failure domain, of which the hosts count; the port is that of this process. Those that
-	// start together learn of each other from them, and go on without where none answers.
+	// Seeds are addresses of some processes of any failure domain, of which the hosts count; the port is that of this
+	// process. Those that start together learn of each other from them, and go on without where none answers.
 	Seeds []string `toml:"seeds"`
 }
 
@@ -139,8 +139,8 @@
 	return l
 }
 
-// peers lists the stagers beside upstreams of a failure domain that serve weights, with the port of this process. These have followed the
-// records for a while, and a process knows them from the list of upstreams alone.
+// peers lists the stagers beside upstreams of a failure domain that serve weights, with the port of this process. These
+// have followed the records for a while, and a process knows them from the list of upstreams alone.
 func peers(f *facts.Facts, d id.Domain, self string) func() []string {
 	own, port, err := net.SplitHostPort(self)
 	if err != nil {
--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -159,8 +159,8 @@
 	return more, nil
 }
 
-// slowReading is how long an answer takes beyond its wait before a line tells of it: the store's answers take 4 ms, and one with a
-// configuration of 600 KB takes 200 ms on a link of 24 Mbit/s that carries nothing else.
+// slowReading is how long an answer takes beyond its wait before a line tells of it: the store's answers take 4 ms, and
+// one with a configuration of 600 KB takes 200 ms on a link of 24 Mbit/s that carries nothing else.
 const slowReading = 400 * time.Millisecond
 
 // noteSlow tells of an answer that was long on its way, with its size and what was still to come.
@@ -200,9 +200,10 @@
 // end too soon.
 const wokenMost = 200 * time.Millisecond
 
-// dateWoken dates the one record that ended a wait at the store. One that comes sooner than an answer may be on its way need not have: the
-// reader may not have had the newest, or the store had passed its last question over, and then the record was there before this one. An answer
-// that is on its way for longer, and no wait, is dated too late by at most the wait less wokenMost, 0.5 s, which gateways' margin of 1 s bears.
+// dateWoken dates the one record that ended a wait at the store. One that comes sooner than an answer may be on its way
+// need not have: the reader may not have had the newest, or the store had passed its last question over, and then the
+// record was there before this one. An answer that is on its way for longer, and no wait, is dated too late by at most
+// the wait less wokenMost, 0.5 s, which gateways' margin of 1 s bears.
 func (r *Reader) dateWoken(l []Record, asked time.Time, wait time.Duration) {
 	now := r.now()
 	written := now.Add(-wokenMost)
@@ -227,9 +228,9 @@
 // there a short question may bring a long record.
 const lookEvery = 5
 
-// mayRead says whether it is this process's turn to read what it has missed. While the store is away one short question a try shows
-// that, and nobody else is asked. A first failure may be a lost answer alone: another call would only cost the time of one that is
-// lost too.
+// mayRead says whether it is this process's turn to read what it has missed. While the store is away one short question
+// a try shows that, and nobody else is asked. A first failure may be a lost answer alone: another call would only cost
+// the time of one that is lost too.
 func (r *Reader) mayRead(ctx context.Context, started bool) error {
 	if started && (r.failed > 1 || r.log.Age() > awayFor) {
 		l := r.look
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -49,8 +49,9 @@
 	Name string
 	// Apply takes a record whose key has a new value, or is dropped.
 	Apply func(r Record) error
-	// Version is the number that a value names, where keys have values whose numbers only rise; 0 is none. One that is written behind a
-	// value with a higher number is late: its writer had no answer, wrote it again, and the store did the first writing then.
+	// Version is the number that a value names, where keys have values whose numbers only rise; 0 is none. One that is
+	// written behind a value with a higher number is late: its writer had no answer, wrote it again, and the store did
+	// the first writing then.
 	Version func(r Record) uint64
 	// Reduce leaves out of a value what says nothing new, such as the number of a heartbeat; nil keeps all.
 	Reduce func(value []byte) []byte
@@ -58,8 +59,8 @@
 	Upstreams bool
 }
 
-// Platform is what an adapter gives: the store, the operators' topic, that of upstreams, and the name of the product's own for requests that
-// are held.
+// Platform is what an adapter gives: the store, the operators' topic, that of upstreams, and the name of the product's
+// own for requests that are held.
 type Platform struct {
 	Store     Store
 	Operators Topic
--- a/internal/records/start_test.go
+++ b/internal/records/start_test.go
@@ -13,11 +13,12 @@
 	"github.com/springrail/springrail/internal/facts"
 )
 
-// Operators replaced a third of the upstreams within eight seconds while a configuration of 300 KB changed four times a second. The stagers
-// beside the new upstreams knew no gateway, as no gateway knew the new upstreams yet, and read the store themselves: eight readings of all
-// configurations filled the link between two regions, over which the list of upstreams comes too. So gateways did not see the new upstreams, these
-// went on reading, and requests reached upstreams that had left 3.0 to 3.4 s before. The evidence: the lines on slow readings name those
-// stagers, each with 0.5 to 2.8 s for one configuration, and the list took up to 1.4 s at the domain's reader.
+// Operators replaced a third of the upstreams within eight seconds while a configuration of 300 KB changed four times a
+// second. The stagers beside the new upstreams knew no gateway, as no gateway knew the new upstreams yet, and read the
+// store themselves: eight readings of all configurations filled the link between two regions, over which the list of
+// upstreams comes too. So gateways did not see the new upstreams, these went on reading, and requests reached upstreams
+// that had left 3.0 to 3.4 s before. The evidence: the lines on slow readings name those stagers, each with 0.5 to 2.8
+// s for one configuration, and the list took up to 1.4 s at the domain's reader.
 var _ = Describe("processes that start beside new upstreams, which no gateway knows yet", func() {
 	const old = "10.0.0.1:7700"
 	var s *fakeStore
@@ -124,8 +125,9 @@
 })
 
 var _ = Describe("the gate to long records", func() {
-	// The list came between the look for a peer and the opening of the gate, 0.4 ms after its reading had begun: the process knew nobody and
-	// had the list, and read the operators' records from the store three times until it looked again.
+	// The list came between the look for a peer and the opening of the gate, 0.4 ms after its reading had begun: the
+	// process knew nobody and had the list, and read the operators' records from the store three times until it looked
+	// again.
 	It("stays closed where the list has come only after this process looked for somebody to follow", func() {
 		list := NewLog(Topic{Name: "up", Upstreams: true}, facts.New(time.Now), time.Now, quiet)
 		f := &Follower{
--- a/internal/records/starter_test.go
+++ b/internal/records/starter_test.go
@@ -20,9 +20,10 @@
 	Expect(taken).To(BeTrue())
 }
 
-// A process that starts took the moment at which its source had the store again for the date of everything that it read, however old: the older
-// versions of weights that had been named 20 s before got their whole time anew, and reports carried that date to all processes without one. Found
-// by reading; no run of the whole system has shown requests that began late for it.
+// A process that starts took the moment at which its source had the store again for the date of everything that it
+// read, however old: the older versions of weights that had been named 20 s before got their whole time anew, and
+// reports carried that date to all processes without one. Found by reading; no run of the whole system has shown
+// requests that began late for it.
 var _ = Describe("a process that starts beside one that has lost the store and has it again", func() {
 	It("dates nothing by that which its source had read before", func() {
 		now := time.Now()
--- a/internal/records/take.go
+++ b/internal/records/take.go
@@ -11,8 +11,8 @@
 	"github.com/springrail/springrail/internal/dating"
 )
 
-// takeTopic takes what an answer brings of one topic, if that is fresh enough: a source may have one topic and lack another, which
-// is to be had elsewhere.
+// takeTopic takes what an answer brings of one topic, if that is fresh enough: a source may have one topic and lack
+// another, which is to be had elsewhere.
 func (f *Follower) takeTopic(i int, t *pb.TopicChanges, address string, answered time.Time) error {
 	if t.GetReading().GetFirst() {
 		// The source has numbered no change yet: those from the first one on will be no whole.
@@ -106,8 +106,8 @@
 	return nil
 }
 
-// ageMost is the greatest age of records that will do. A peer follows a gateway in its turn, so that its records are older than that one's by up
-// to the wait of a question, and it serves only until a gateway is known here.
+// ageMost is the greatest age of records that will do. A peer follows a gateway in its turn, so that its records are
+// older than that one's by up to the wait of a question, and it serves only until a gateway is known here.
 func (f *Follower) ageMost(l *Log) time.Duration {
 	if f.viaPeer {
 		return slowMost
--- a/internal/records/turn.go
+++ b/internal/records/turn.go
@@ -22,7 +22,8 @@
 	// claimWait bounds the answers to a claim: the way there and back takes 1 ms, and a process that is short of processor time
 	// some tens. Who gives none by then is taken to agree, so that a frozen process holds nobody up for longer.
 	claimWait = 150 * time.Millisecond
-	// rivalFor is how long a process names those that have claimed to others that do: well beyond a reading of 0.12 s on a free link.
+	// rivalFor is how long a process names those that have claimed to others that do: well beyond a reading of 0.12 s
+	// on a free link.
 	rivalFor = 2 * time.Second
 	// mostRivals bounds them; of more that start at the same time the first ones are named, as one of these reads.
 	mostRivals = 16
@@ -31,11 +32,11 @@
 	quietMost = 800 * time.Millisecond
 )
 
-// turn is a process's part in reading a topic whole, which one process of a failure domain does at a time: all at once, they
-// took 3 s over a link that carries one reading in 0.12 s. Whoever is about to read claims the turn first, and then asks the
-// others. Of two that claim at the same time at least one learns of the other, as each asks after it has claimed, and the one
-// that goes first in the order of sources reads, or the one whose last try at the store has not failed, which guards against a store that
-// turns away those that go first. It is safe for concurrent use.
+// turn is a process's part in reading a topic whole, which one process of a failure domain does at a time: all at once,
+// they took 3 s over a link that carries one reading in 0.12 s. Whoever is about to read claims the turn first, and
+// then asks the others. Of two that claim at the same time at least one learns of the other, as each asks after it has
+// claimed, and the one that goes first in the order of sources reads, or the one whose last try at the store has not
+// failed, which guards against a store that turns away those that go first. It is safe for concurrent use.
 type turn struct {
 	self string
 	// before says whether a process goes before another one.
--- a/internal/reports/news.go
+++ b/internal/reports/news.go
@@ -12,19 +12,22 @@
 )
 
 const (
-	// newsRelays is the number of stagers that pass a gateway's news on, of different failure domains where there are as many: of links that lose
-	// three packets in a hundred, all three copies are lost to a gateway once in 5,000 times.
+	// newsRelays is the number of stagers that pass a gateway's news on, of different failure domains where there are
+	// as many: of links that lose three packets in a hundred, all three copies are lost to a gateway once in 5,000
+	// times.
 	newsRelays = 3
-	// newsPerSecond and newsAtOnce bound the news of a gateway: one upstream's end is one message, and one with all upstreams of a failure
-	// domain at once says nothing of the requests there.
+	// newsPerSecond and newsAtOnce bound the news of a gateway: one upstream's end is one message, and one with all
+	// upstreams of a failure domain at once says nothing of the requests there.
 	newsPerSecond = 20
 	newsAtOnce    = 40
-	// passedPerSecond and passedAtOnce bound what a stager passes on: 10 upstreams' ends with requests of all of today's gateways at each.
+	// passedPerSecond and passedAtOnce bound what a stager passes on: 10 upstreams' ends with requests of all of
+	// today's gateways at each.
 	passedPerSecond = 100
 	passedAtOnce    = 200
 )
 
-// Tell tells all gateways that subscribe to reports, by way of some stagers: a gateway knows no other gateways, and stagers know all.
+// Tell tells all gateways that subscribe to reports, by way of some stagers: a gateway knows no other gateways, and
+// stagers know all.
 func (s *Subscriber) Tell(n *pb.CrashNews) {
 	if !s.newsLimit.AllowN(s.now(), 1) {
 		s.vars.Add("news_over_rate", 1)
--- a/internal/reports/permits.go
+++ b/internal/reports/permits.go
@@ -47,8 +47,8 @@
 	delete(q.waiting, number)
 }
 
-// AskPermit asks the stager beside an upstream for a permit, and returns its number, or 0 where there is none, and whether an answer came before the
-// context ended.
+// AskPermit asks the stager beside an upstream for a permit, and returns its number, or 0 where there is none, and
+// whether an answer came before the context ended.
 func (s *Subscriber) AskPermit(ctx context.Context, address string, born id.Birth) (permit uint64, answered bool) {
 	number, answer := s.questions.add()
 	defer s.questions.drop(number)
@@ -146,7 +146,8 @@
 	return true
 }
 
-// takePermit gives a gateway a permit for the upstream beside this process, or takes what the gateway tells of the upstream's limit.
+// takePermit gives a gateway a permit for the upstream beside this process, or takes what the gateway tells of the
+// upstream's limit.
 func (r *Reporter) takePermit(m *pb.PermitRequest) {
 	born := id.Birth(m.GetBorn())
 	if m.Named != nil && throttle.Valid(m.GetNamed()) {
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -161,9 +161,9 @@
 }
 
 const (
-	// farEvery is the number of reports of which one goes to the gateways of other failure domains: one a second, as that is how often a
-	// report tells the demand. A gateway rarely chooses beyond its own domain; one that does asks for each.
-	// Reports are most of the bytes between regions on a quiet day.
+	// farEvery is the number of reports of which one goes to the gateways of other failure domains: one a second, as
+	// that is how often a report tells the demand. A gateway rarely chooses beyond its own domain; one that does asks
+	// for each. Reports are most of the bytes between regions on a quiet day.
 	farEvery = nameEvery
 	// farTime is the time between two of these.
 	farTime = time.Second
@@ -172,8 +172,8 @@
 	urgentReports = 2
 )
 
-// Publish sends a report to its subscribers: to those of the own failure domain and those that want each, and now and then, or when
-// anything but the load has changed, to all. What it tells was read from a moment on, made.
+// Publish sends a report to its subscribers: to those of the own failure domain and those that want each, and now and
+// then, or when anything but the load has changed, to all. What it tells was read from a moment on, made.
 func (r *Reporter) Publish(p *pb.UpstreamReport, made time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -238,7 +238,8 @@
 	})
 })
 
-// A report that waits on a link behind chunks of weights is seconds late, and the age in it is that of the moment at which it was made.
+// A report that waits on a link behind chunks of weights is seconds late, and the age in it is that of the moment at
+// which it was made.
 var _ = describe("a report that was long on its way", func() {
 	it("does not date the naming of weights after it", func() {
 		now := time.Now()
--- a/internal/reports/stamp.go
+++ b/internal/reports/stamp.go
@@ -7,9 +7,9 @@
 	"google.golang.org/protobuf/encoding/protowire"
 )
 
-// stamps mark the moments at which a gateway sends its subscriptions. Reports bring the newest one back that their stager had, which
-// proves that they were made after it: datagrams tell nothing of how long they were on their way, and behind chunks of weights on a
-// link of 0.2 to 0.6 Mbit/s that is seconds.
+// stamps mark the moments at which a gateway sends its subscriptions. Reports bring the newest one back that their
+// stager had, which proves that they were made after it: datagrams tell nothing of how long they were on their way, and
+// behind chunks of weights on a link of 0.2 to 0.6 Mbit/s that is seconds.
 type stamps struct {
 	// start is what stamps count from, and life tells the stamps of this start of the process from those of an earlier one.
 	start time.Time
--- a/internal/reports/subscribe.go
+++ b/internal/reports/subscribe.go
@@ -108,8 +108,9 @@
 	s.sweep(listed)
 }
 
-// probe renews the subscriptions at the stagers of upstreams that lag behind a newer version: which of them may get requests in the last
-// seconds of their version rests on how lately the way there was proven, and by the usual renewals that is 1.2 s.
+// probe renews the subscriptions at the stagers of upstreams that lag behind a newer version: which of them may get
+// requests in the last seconds of their version rests on how lately the way there was proven, and by the usual renewals
+// that is 1.2 s.
 func (s *Subscriber) probe() {
 	c := s.facts.Catalog()
 	if c == nil {
@@ -123,8 +124,8 @@
 	}
 }
 
-// each says whether each report of an upstream in another failure domain is wanted: where much is sent beyond the own one, and, of one
-// that lags behind a newer version, where anything was sent lately.
+// each says whether each report of an upstream in another failure domain is wanted: where much is sent beyond the own
+// one, and, of one that lags behind a newer version, where anything was sent lately.
 func (s *Subscriber) each(i *facts.Instance) bool {
 	return s.wantsEach() || (i.Domain != s.domain && s.tracker.Used(i.Address) && s.lags(i))
 }
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -271,8 +271,9 @@
 // refusedPerSecond bounds the lines on dates that can't be right: each report of each stager may bring one.
 const refusedPerSecond = 0.2
 
-// date takes what a report tells of the naming of weights. The ages in it are those of the moment at which it was made: what was known
-// by then is dated by its coming, and what had not happened by the moment after which it was made, if that is known.
+// date takes what a report tells of the naming of weights. The ages in it are those of the moment at which it was made:
+// what was known by then is dated by its coming, and what had not happened by the moment after which it was made, if
+// that is known.
 func (s *Subscriber) date(upstream string, n *pb.NamedWeights, made time.Time) {
 	if n == nil {
 		return
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -25,8 +25,8 @@
 	bulkIdle = 4
 )
 
-// makeClients makes the client side: HTTP/2 for messages, HTTP/1.1 for chunks so that each has a connection of its own. Records have
-// connections of their own, so that they are counted apart.
+// makeClients makes the client side: HTTP/2 for messages, HTTP/1.1 for chunks so that each has a connection of its own.
+// Records have connections of their own, so that they are counted apart.
 func (s *Server) makeClients() {
 	s.client = s.newClient(traffic.Messages, true)
 	s.records = s.newClient(traffic.Records, true)
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -277,7 +277,8 @@
 	}
 }
 
-// endedEarly checks an answer that ended early: nothing that is planned may do that, nor an upstream's silence. The caller holds the lock.
+// endedEarly checks an answer that ended early: nothing that is planned may do that, nor an upstream's silence. The
+// caller holds the lock.
 func (b *History) endedEarly(r *request, id string, head bool, how string) {
 	if r.crashes || (!head && r.runs == 0) {
 		return
--- a/internal/soak/crasher.go
+++ b/internal/soak/crasher.go
@@ -17,8 +17,8 @@
 	crashMark = "crash-"
 	// crashAway is how long an upstream is away that has ended under one.
 	crashAway = 2 * time.Second
-	// crashEnough is the number of upstreams that may end under such a request before it counts, and crashMost how often it may still be sent on
-	// from settle after that on (the users' rules).
+	// crashEnough is the number of upstreams that may end under such a request before it counts, and crashMost how
+	// often it may still be sent on from settle after that on (the users' rules).
 	crashEnough, crashMost = 3, 3
 	// crashEvery is the least time between two repeats of one.
 	crashEvery = 150 * time.Millisecond
--- a/internal/soak/limit.go
+++ b/internal/soak/limit.go
@@ -9,11 +9,13 @@
 )
 
 const (
-	// limitWithin is how soon after an upstream has named a limit gateways keep to it, and toldWithin how soon after a request there its gateway knows:
-	// the head of the answer takes 20 ms, and the users give half a second from then on.
+	// limitWithin is how soon after an upstream has named a limit gateways keep to it, and toldWithin how soon after a
+	// request there its gateway knows: the head of the answer takes 20 ms, and the users give half a second from then
+	// on.
 	limitWithin = 3 * time.Second
 	toldWithin  = time.Second
-	// limitWindow is the time in which requests are counted; overShare and overCount are how far they may lie above the limit (the users' rules).
+	// limitWindow is the time in which requests are counted; overShare and overCount are how far they may lie above the
+	// limit (the users' rules).
 	limitWindow = 4 * time.Second
 	overShare   = 1.5
 	overCount   = 5
@@ -25,7 +27,8 @@
 type limit struct {
 	perSecond float64
 	since     time.Time
-	// first is when a request of each gateway first reached the upstream since then, and counted are those that are held against the limit.
+	// first is when a request of each gateway first reached the upstream since then, and counted are those that are
+	// held against the limit.
 	first   map[string]time.Time
 	counted []time.Time
 }
@@ -67,8 +70,8 @@
 	b.note("%s takes all again", instance)
 }
 
-// limitArrived checks a request that reaches an upstream against its limit. Those of gateways that it has told count, unless they are excused; the
-// caller holds the lock.
+// limitArrived checks a request that reaches an upstream against its limit. Those of gateways that it has told count,
+// unless they are excused; the caller holds the lock.
 func (b *History) limitArrived(r *request, id, instance string, sound bool) {
 	l := b.limits[instance]
 	if l == nil {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -106,8 +106,8 @@
 // crasherShare is the share of runs with a request that crashes upstreams, and crasherTwo that of these with two.
 const crasherShare, crasherTwo = 0.6, 0.3
 
-// crashers draws when requests begin that crash upstreams; they come again to the run's end. They are drawn last, so that a seed's other steps are
-// what they were before there were any.
+// crashers draws when requests begin that crash upstreams; they come again to the run's end. They are drawn last, so
+// that a seed's other steps are what they were before there were any.
 func (p *planner) crashers(allowed []string) {
 	if len(only([]string{doCrasher}, allowed)) == 0 || p.r.Float64() > crasherShare || p.end <= episodeLeast {
 		return
@@ -124,7 +124,8 @@
 	limitLeast, limitMost = 5 * time.Second, 20 * time.Second
 )
 
-// limits draws when upstreams name limits, and for how long. They are drawn after all others, for the same reason as those that crash.
+// limits draws when upstreams name limits, and for how long. They are drawn after all others, for the same reason as
+// those that crash.
 func (p *planner) limits(allowed []string) {
 	if len(only([]string{doLimit}, allowed)) == 0 {
 		return
@@ -135,7 +136,8 @@
 }
 
 const (
-	// busyEvery is the mean time between two pauses of an upstream that nothing else is wrong with, and busyMost how long one lasts at the most.
+	// busyEvery is the mean time between two pauses of an upstream that nothing else is wrong with, and busyMost how
+	// long one lasts at the most.
 	busyEvery = 2 * time.Second
 	busyMost  = 2500 * time.Millisecond
 )
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -75,8 +75,9 @@
 	return trace.Wrap(ctx.Err())
 }
 
-// closeAhead lets an upstream that is to load as soon as it can take nothing new shortly before its version is there, so that the order
-// need not wait for requests that are on their way. It opens again where the rest of the version is late.
+// closeAhead lets an upstream that is to load as soon as it can take nothing new shortly before its version is there,
+// so that the order need not wait for requests that are on their way. It opens again where the rest of the version is
+// late.
 func (s *Stager) closeAhead(g *goal) {
 	state, up := s.current()
 	if !up || facts.Revision(state.Held, g.model) == 0 || g.wanted.Learnt.IsZero() || s.superseded(g) {
@@ -138,8 +139,8 @@
 	return 0, trace.Wrap(ErrRefused, "the upstream starts anew again and again")
 }
 
-// verifyMost bounds how often chunks are verified for one order: an upstream that has not started anew closes a connection now and then,
-// and hardly twice while a hundred chunks are read.
+// verifyMost bounds how often chunks are verified for one order: an upstream that has not started anew closes a
+// connection now and then, and hardly twice while a hundred chunks are read.
 const verifyMost = 3
 
 // verify compares the staged chunks with the verified ones and replaces what differs.
@@ -166,8 +167,8 @@
 // loadTimeout is how long an order may take once no request runs any more.
 const loadTimeout = 9 * time.Second
 
-// drain waits until no request waits at the upstream, which was closed a moment ago. Those that run are finished by the upstream itself:
-// in a swap hardly any other one may continue a stream on its version.
+// drain waits until no request waits at the upstream, which was closed a moment ago. Those that run are finished by the
+// upstream itself: in a swap hardly any other one may continue a stream on its version.
 func (s *Stager) drain(ctx context.Context) {
 	s.mu.Lock()
 	closedAt := s.closedAt
--- a/internal/stager/load_test.go
+++ b/internal/stager/load_test.go
@@ -15,7 +15,8 @@
 
 var _ = Describe("an order to load", func() {
 	const look = time.Second
-	// wait plays an upstream that finishes its requests after some looks and then takes some more to load, and waits for the version.
+	// wait plays an upstream that finishes its requests after some looks and then takes some more to load, and waits
+	// for the version.
 	wait := func(running, loading int) error {
 		now, looks := time.Unix(1000, 0), 0
 		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -277,8 +277,8 @@
 // tellNaming is how long reports tell since when a version is named: well beyond the 8 to 14 s that the users give a swap.
 const tellNaming = 30 * time.Second
 
-// named is the newest version of the upstream's model, for gateways that have started since it was named. That this process has read of it is
-// told also where it does not know since when it is named: no later date is right.
+// named is the newest version of the upstream's model, for gateways that have started since it was named. That this
+// process has read of it is told also where it does not know since when it is named: no later date is right.
 func (s *Stager) named() *pb.NamedWeights {
 	g, ok := s.goal()
 	if !ok || g.wanted.Learnt.IsZero() {
--- a/internal/stager/proved_test.go
+++ b/internal/stager/proved_test.go
@@ -10,7 +10,8 @@
 	"github.com/springrail/springrail/internal/id"
 )
 
-// The newest record of a model's naming may be of an older version, written late: after a loss of all processes it is all that they can read.
+// The newest record of a model's naming may be of an older version, written late: after a loss of all processes it is
+// all that they can read.
 var _ = Describe("a stager that reads of an older version alone", func() {
 	It("does not bring its upstream back from a version to an older one, and tells the newer one on", func() {
 		e := newEngine(facts.Held{Model: "m", Revision: 3})
--- a/internal/stager/work.go
+++ b/internal/stager/work.go
@@ -226,8 +226,9 @@
 	return l
 }
 
-// manifest asks the origin for a version's manifest. Where nobody knows since when the version is named it asks for the newest: the
-// record of a newer one may lie hidden behind an older one's that was written late, and after a loss of power no upstream serves it.
+// manifest asks the origin for a version's manifest. Where nobody knows since when the version is named it asks for the
+// newest: the record of a newer one may lie hidden behind an older one's that was written late, and after a loss of
+// power no upstream serves it.
 func (s *Stager) manifest(ctx context.Context, g *goal) (*pb.Manifest, error) {
 	r := g.wanted.Revision
 	if g.wanted.Date.After.IsZero() && !s.superseded(g) {
--- a/internal/standin/modelserver.go
+++ b/internal/standin/modelserver.go
@@ -78,8 +78,8 @@
 	// Note is told of each run, and Broken of each promise that the system has broken towards it.
 	Note   func(r Ran)
 	Broken func(what string)
-	// Crashes says whether the server's process ends under a request's body, and after how many events: BeforeHead ends it before the
-	// head of its answer. Crash then ends it. Both are nil for a server that bears every request.
+	// Crashes says whether the server's process ends under a request's body, and after how many events: BeforeHead ends
+	// it before the head of its answer. Crash then ends it. Both are nil for a server that bears every request.
 	Crashes func(body string) (events int, ends bool)
 	Crash   func(body string)
 	// Arrived is told of each request that reaches the server, run or refused; nil for nobody.
@@ -196,7 +196,8 @@
 	}
 }
 
-// order loads what is staged once nothing runs; one that cuts ends what runs. Chunks of another version or spoilt ones are a broken promise.
+// order loads what is staged once nothing runs; one that cuts ends what runs. Chunks of another version or spoilt ones
+// are a broken promise.
 func (s *ModelServer) order(w http.ResponseWriter, r *http.Request) {
 	var o struct {
 		Op               string `json:"op"`
--- a/internal/swapplan/plan.go
+++ b/internal/swapplan/plan.go
@@ -22,8 +22,9 @@
 	Bridge bool
 }
 
-// LoadAt is when the upstream stops taking requests to load the staged version. The change-overs of a domain follow each
-// other, one upstream out at a time, and closer where the time would not do. Where others serve an older version, whose time ends first, they go before.
+// LoadAt is when the upstream stops taking requests to load the staged version. The change-overs of a domain follow
+// each other, one upstream out at a time, and closer where the time would not do. Where others serve an older version,
+// whose time ends first, they go before.
 func LoadAt(v View) time.Time {
 	first := v.Staged
 	if v.OlderUntil.After(first) && v.OlderUntil.Before(v.HeldUntil) {
--- a/internal/throttle/bucket.go
+++ b/internal/throttle/bucket.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// burst is the most permits that lie ready: a caller's request comes some time after the permit that it takes, and one that nobody took by then
-// is not lost.
+// burst is the most permits that lie ready: a caller's request comes some time after the permit that it takes, and one
+// that nobody took by then is not lost.
 const burst = 2
 
 // bucket fills with permits at a rate. It begins empty: what had a permit just before it began is not known.
--- a/internal/throttle/known.go
+++ b/internal/throttle/known.go
@@ -3,10 +3,12 @@
 import "time"
 
 const (
-	// silentShare is the part of an upstream's limit that gateways share among themselves while the process beside it is silent to them. That process
-	// may go on giving permits to others for the whole limit: in 4 s, 4 s of that and the turns of 5 s here are one and a half times the limit.
+	// silentShare is the part of an upstream's limit that gateways share among themselves while the process beside it
+	// is silent to them. That process may go on giving permits to others for the whole limit: in 4 s, 4 s of that and
+	// the turns of 5 s here are one and a half times the limit.
 	silentShare = 0.4
-	// loneShare is that part where nobody ever gives permits: turns of gateways that don't know of each other fall together by chance.
+	// loneShare is that part where nobody ever gives permits: turns of gateways that don't know of each other fall
+	// together by chance.
 	loneShare = 0.7
 )
 
@@ -36,7 +38,8 @@
 	// Permits are thought to be there, and Due is how long it takes until one is.
 	Permits int
 	Due     time.Duration
-	// Sent is how many requests this gateway has sent since it first heard of the limit, and Alone says that it has a part of its own.
+	// Sent is how many requests this gateway has sent since it first heard of the limit, and Alone says that it has a
+	// part of its own.
 	Sent  uint64
 	Alone bool
 }
@@ -66,8 +69,8 @@
 	k.rate, k.heard = r, now
 }
 
-// Answer takes what an answer says to a request that was sent at a moment. Only one that was sent after the limit was last heard of shows that it has
-// ended, and only where nobody beside the upstream says more.
+// Answer takes what an answer says to a request that was sent at a moment. Only one that was sent after the limit was
+// last heard of shows that it has ended, and only where nobody beside the upstream says more.
 func (k *Known) Answer(w Word, sent, now time.Time, silent bool) {
 	switch {
 	case w.Said == Limited:
--- a/internal/throttle/limiter.go
+++ b/internal/throttle/limiter.go
@@ -26,8 +26,8 @@
 	Reported bool
 }
 
-// Limiter is the one that gives permits for an upstream: the process beside it. As there is one of it, what all gateways send together keeps to the
-// limit whatever their number is. It is safe for concurrent use.
+// Limiter is the one that gives permits for an upstream: the process beside it. As there is one of it, what all
+// gateways send together keeps to the limit whatever their number is. It is safe for concurrent use.
 type Limiter struct {
 	// OnChange is told of each limit that begins, changes or ends, and who said so; it is set before use.
 	OnChange func(w Word, by string)
@@ -41,8 +41,8 @@
 	reported bool
 	overTill time.Time
 	bucket   bucket
-	// issued is the number of the newest permit, and named that of the newest one when a limit was last named: only the answer to a later one
-	// proves that the limit has ended, as answers pass each other.
+	// issued is the number of the newest permit, and named that of the newest one when a limit was last named: only the
+	// answer to a later one proves that the limit has ended, as answers pass each other.
 	issued, named uint64
 }
 
--- a/internal/throttle/plays_test.go
+++ b/internal/throttle/plays_test.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// window is the time in which upstreams count what reaches them, and overShare and overCount are how far that may lie above their limit (the
-	// users' rules). usedShare is the least share of a limit that is to be used while there is demand.
+	// window is the time in which upstreams count what reaches them, and overShare and overCount are how far that may
+	// lie above their limit (the users' rules). usedShare is the least share of a limit that is to be used while there
+	// is demand.
 	window    = 4 * time.Second
 	overShare = 1.5
 	overCount = 5
@@ -184,7 +185,8 @@
 
 var _ = Describe("many gateways before one limited upstream", func() {
 	const known = 3 * time.Second
-	// each plays what it is given with all sizes, limits and spreads of callers, of whom there are three times as many as the limit takes.
+	// each plays what it is given with all sizes, limits and spreads of callers, of whom there are three times as many
+	// as the limit takes.
 	each := func(do func(s *scene, callers float64)) {
 		for _, gateways := range []int{7, 40, 300} {
 			for _, limit := range []Rate{0.1, 0.5, 2.1, 10} {
--- a/internal/throttle/turns.go
+++ b/internal/throttle/turns.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// turnLife is how long a turn may be used. Turns that could be kept would be used by all gateways at once after a time without callers.
+// turnLife is how long a turn may be used. Turns that could be kept would be used by all gateways at once after a time
+// without callers.
 const turnLife = time.Second
 
 // turns are the moments at which one of several gateways may send on its own part of a limit.
@@ -12,7 +13,8 @@
 	next time.Time
 }
 
-// newTurns makes the turns of a part; the first one comes at a random place of the time between two, so that gateways' turns don't fall together.
+// newTurns makes the turns of a part; the first one comes at a random place of the time between two, so that gateways'
+// turns don't fall together.
 func newTurns(part Rate, now time.Time, random func() float64) turns {
 	t := turns{part: part}
 	t.next = now.Add(time.Duration(random() * float64(t.period())))
--- a/internal/throttle/ways_test.go
+++ b/internal/throttle/ways_test.go
@@ -6,9 +6,10 @@
 	"time"
 )
 
-// BenchmarkWays holds ways of keeping to a limit against each other: permits that one gives, an even part for each gateway, and none. It tells the most
-// requests in any 4 s as a share of what is allowed, how much of the limit was used, and the share of the refused for whom there was room, at three times as many callers as the limit takes, which are
-// uneven over the gateways.
+// BenchmarkWays holds ways of keeping to a limit against each other: permits that one gives, an even part for each
+// gateway, and none. It tells the most requests in any 4 s as a share of what is allowed, how much of the limit was
+// used, and the share of the refused for whom there was room, at three times as many callers as the limit takes, which
+// are uneven over the gateways.
 func BenchmarkWays(b *testing.B) {
 	const seeds = 20
 	for _, way := range []string{"permits", "parts", "none"} {
--- a/internal/throttle/word.go
+++ b/internal/throttle/word.go
@@ -1,5 +1,5 @@
-// Package throttle keeps what all gateways together send to an upstream within the limit that the upstream names. Its parts know no
-// network: the process beside the upstream grants places, and gateways ask for one before each send.
+// Package throttle keeps what all gateways together send to an upstream within the limit that the upstream names. Its
+// parts know no network: the process beside the upstream grants places, and gateways ask for one before each send.
 package throttle
 
 import (
@@ -27,8 +27,8 @@
 	Rate Rate
 }
 
-// Parse reads the text in which an upstream names its limit; an empty one is that of an upstream that names none. What is no number, or none
-// that can be kept to, is Unclear.
+// Parse reads the text in which an upstream names its limit; an empty one is that of an upstream that names none. What
+// is no number, or none that can be kept to, is Unclear.
 func Parse(text string) Word {
 	if text == "" {
 		return Word{Said: Unlimited}
--- a/internal/traffic/account.go
+++ b/internal/traffic/account.go
@@ -43,8 +43,8 @@
 	} `json:"springrail"`
 }
 
-// Read adds the logs of any number of processes, or the metrics of one. A log line may have a prefix before its first brace. What has no
-// counts is passed over.
+// Read adds the logs of any number of processes, or the metrics of one. A log line may have a prefix before its first
+// brace. What has no counts is passed over.
 func (a *Account) Read(r io.Reader) error {
 	b := bufio.NewReader(r)
 	if head, err := b.Peek(2); err == nil && head[0] == '{' && head[1] == '\n' {
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -1,6 +1,6 @@
-// Package traffic counts what a process sends and gets, by kind and by how far it goes, and whom it calls for what. The links
-// between regions are the scarcest, and calls to the platform's store are shared by all: an operator has to be able to say which part of
-// the system uses them.
+// Package traffic counts what a process sends and gets, by kind and by how far it goes, and whom it calls for what. The
+// links between regions are the scarcest, and calls to the platform's store are shared by all: an operator has to be
+// able to say which part of the system uses them.
 package traffic
 
 import (
@@ -86,8 +86,8 @@
 	calls    expvar.Map
 }
 
-// New makes the counter of a process in a failure domain. Regions says which region each domain is in; domainAt says which domain a
-// host is in, where that is known.
+// New makes the counter of a process in a failure domain. Regions says which region each domain is in; domainAt says
+// which domain a host is in, where that is known.
 func New(self id.Domain, regions map[id.Domain]string, domainAt func(host string) (id.Domain, bool), now func() time.Time) *Counter {
 	return &Counter{
 		self: self, regions: regions, domainAt: domainAt, now: now, start: now(), life: fmt.Sprintf("%016x", rand.Uint64()),
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -158,8 +158,8 @@
 	}
 }
 
-// Refused says whether nothing listens at an address any more: the process there has ended, and its VM lives. It is not known where neither a
-// connection nor a refusal comes. A connection that comes is kept for the next request.
+// Refused says whether nothing listens at an address any more: the process there has ended, and its VM lives. It is not
+// known where neither a connection nor a refusal comes. A connection that comes is kept for the next request.
 func (p *Pool) Refused(ctx context.Context, address string, born id.Birth) (refused, known bool) {
 	c, err := p.connect(ctx, address, born)
 	if err != nil {
--- a/internal/upconn/request.go
+++ b/internal/upconn/request.go
@@ -39,8 +39,9 @@
 	// Born is the start of the upstream that the request is for, where that is known: it goes over no kept connection to an
 	// earlier one.
 	Born id.Birth
-	// May is asked once there is a connection, with the time that it took to come, and false leaves the request unsent; nil stands for
-	// always. It guards against what must not be sent late: a connection over a link with a queue comes seconds after it was asked for.
+	// May is asked once there is a connection, with the time that it took to come, and false leaves the request unsent;
+	// nil stands for always. It guards against what must not be sent late: a connection over a link with a queue comes
+	// seconds after it was asked for.
 	May func(dialled time.Duration) bool
 }
 
