Glossary: terms that have been replaced; a test keeps them and long comments out

internal/spec: comments of at most 130 characters in internal, platform and cmd; in internal/gateway the replaced words.

--- /dev/null
+++ b/internal/spec/style_test.go
@@ -0,0 +1,64 @@
+package spec
+
+import (
+	"bufio"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// commentMost is the longest line of a comment, in characters.
+const commentMost = 130
+
+// replaced are words that packages used for things that have names; see docs/GLOSSARY.md.
+var replaced = map[string]*regexp.Regexp{
+	"internal/gateway": regexp.MustCompile(`(?i)\b(reckoning|backstage|ask(s|ed)? for leave|leave to send|mend(s|ed)?)\b`),
+}
+
+func TestCommentsAndTerms(t *testing.T) {
+	dir, err := os.Getwd()
+	if err != nil {
+		t.Fatal(err)
+	}
+	root := moduleRoot(dir)
+	for _, folder := range []string{"internal", "platform", "cmd"} {
+		err := filepath.WalkDir(filepath.Join(root, folder), func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") {
+				return err
+			}
+			return checkStyle(t, root, path)
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// checkStyle reports comments that are too long and words that have been replaced.
+func checkStyle(t *testing.T, root, path string) error {
+	t.Helper()
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	name, err := filepath.Rel(root, path)
+	if err != nil {
+		return err
+	}
+	words := replaced[filepath.ToSlash(filepath.Dir(name))]
+	s := bufio.NewScanner(f)
+	for n := 1; s.Scan(); n++ {
+		line := s.Text()
+		if strings.HasPrefix(strings.TrimSpace(line), "//") && len(line) > commentMost && !strings.HasSuffix(path, "_test.go") {
+			t.Errorf("%s:%d: a comment of %d characters, %d at the most", name, n, len(line), commentMost)
+		}
+		if words != nil && words.MatchString(line) {
+			t.Errorf("%s:%d: %q has been replaced, see docs/GLOSSARY.md", name, n, words.FindString(line))
+		}
+	}
+	return s.Err()
+}
