Soak: a request of whose answer nothing has come may be given up at its version's end

A gateway must give up what has not begun for all that it has seen, or the rule on versions is broken. Only answers without a head, in the last second of the time of the version that they ran on, are left out; specs on each side.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -141,6 +141,7 @@
 	if r.refused > 0 {
 		b.violate("refused-ran", r.gateway.name, x.Request, "", "ran at %s after its caller was told %d", x.Instance, r.refused)
 	}
+	r.version = x.Version
 	if x.Version == 0 {
 		return
 	}
@@ -284,6 +285,25 @@
 		return
 	}
 	now := b.now()
+	if !head && b.versionEnds(r.version, now) {
+		b.counts["failed at its version's end with nothing of its answer there"]++
+		return
+	}
 	hurt := !b.clean(r.sent.Add(-settle), now, append([]string{r.gateway.name, theMachine}, r.at...)...)
 	b.unless(hurt, "ended-early", r.gateway.name, id, "", "%s, %.2f s after it was sent, with head %t, at %s", how, now.Sub(r.sent).Seconds(), head, strings.Join(r.at, ", "))
 }
+
+// givenUpBefore is how long before a version's end a gateway may give up a request that has not begun for all that it has seen.
+const givenUpBefore = time.Second
+
+// versionEnds says whether a version's time ends at a moment: a gateway then gives up a request of whose answer nothing has come, as it may not
+// begin later. The caller holds the lock.
+func (b *History) versionEnds(version int, now time.Time) bool {
+	for _, n := range b.versions {
+		if n.number > version && version > 0 {
+			end := n.at.Add(swapWithin)
+			return now.After(end.Add(-givenUpBefore)) && now.Before(end)
+		}
+	}
+	return false
+}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -71,9 +71,10 @@
 	sent    time.Time
 	closed  time.Time
 	refused int
-	// at lists the addresses of upstreams that it reached, and runs how often it ran.
-	at   []string
-	runs int
+	// at lists the addresses of upstreams that it reached, runs how often it ran, and version what it ran on last; 0 is none.
+	at      []string
+	runs    int
+	version int
 }
 
 // History is what was done and seen, and what of it breaks a promise. It is safe for concurrent use.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -147,6 +147,30 @@
 		Entry("an answer that has begun is brought to its end", func(h *history) { h.send(); h.arrive(); h.cut(true) }, "ended-early"),
 		Entry("and one that runs", func(h *history) { h.send(); h.arrive(); h.runs(0); h.cut(false) }, "ended-early"),
 		Entry("which is not answered as failed either", func(h *history) { h.send(); h.arrive(); h.runs(0); h.Failed("1", 502) }, "ended-early"),
+		Entry("nor as its version ends, where some of it has come", func(h *history) {
+			h.Named(2)
+			h.pass(swapWithin - givenUpBefore + 1)
+			h.send()
+			h.arrive()
+			h.runs(1)
+			h.cut(true)
+		}, "ended-early"),
+		Entry("but where nothing of it has come", func(h *history) {
+			h.Named(2)
+			h.pass(swapWithin - givenUpBefore + 1)
+			h.send()
+			h.arrive()
+			h.runs(1)
+			h.Failed("1", 502)
+		}),
+		Entry("and not before that", func(h *history) {
+			h.Named(2)
+			h.pass(swapWithin - givenUpBefore)
+			h.send()
+			h.arrive()
+			h.runs(1)
+			h.Failed("1", 502)
+		}, "ended-early"),
 		Entry("before its caller's deadline", func(h *history) { h.send(); h.arrive(); h.pass(patience - 1); h.cut(true) }, "ended-early"),
 		Entry("but not after it", func(h *history) { h.send(); h.arrive(); h.pass(patience); h.cut(true) }),
 		Entry("nor, in a planned stop, before it", func(h *history) { h.send(); h.term(); h.pass(patience - 1); h.cut(true) }, "lost"),
