A hedged request does not continue an answer that is no stream

Found by reading: on a resumable route an answer that is no stream (a 500 of the upstream, say) with a pause in a body over 64 KiB could have been followed by events of another upstream, as its progress did not end the hedge. Also: a stall during a slow write to the caller is looked at again afterwards.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -40,6 +40,9 @@
 	if ok && f.route.Kind == catalog.Streaming {
 		return t.stream()
 	}
+	if !t.progressed() {
+		return t.broke("another upstream continued the stream")
+	}
 	return t.plain()
 }
 
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -110,7 +110,11 @@
 func (t *attempt) newHedge() *hedge {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.over || t.passing || t.hedge != nil {
+	switch {
+	case t.over || t.hedge != nil:
+		return nil
+	case t.passing:
+		t.watchdog.Reset(eventStall)
 		return nil
 	}
 	g := t.flight.gateway
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -116,6 +117,20 @@
 		Eventually(gone).Should(BeClosed(), "the attempt that lost is ended at its upstream")
 	})
 
+	It("is not continued by another one where its answer is no stream", func() {
+		long := strings.Repeat("x", heldAnswer)
+		b.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
+			b.upstream("v", "engines", whole)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 500 x\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", xRequest, q.Header.Get(xRequest), 2*heldAnswer, long)
+			time.Sleep(pause)
+			_, _ = io.WriteString(c, long)
+		})
+		a, body, err := b.ask("POST", "/p/", "x", xModel, "m")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(500))
+		Expect(body).To(Equal(long + long))
+	})
+
 	It("is waited for before its first event where no other one may have it", func() {
 		b.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
 			time.Sleep(firstStall + 600*time.Millisecond)
