--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -296,8 +296,8 @@
 // givenUpBefore is how long before a version's end a gateway may give up a request that has not begun for all that it has seen.
 const givenUpBefore = time.Second
 
-// versionEnds says whether a version's time ends at a moment: a gateway then gives up a request of whose answer nothing has come, as it may not
-// begin later. The caller holds the lock.
+// versionEnds says whether a version's time ends at a moment: a gateway then gives up a request of whose answer nothing
+// has come, as it may not begin later. The caller holds the lock.
 func (b *History) versionEnds(version int, now time.Time) bool {
 	for _, n := range b.versions {
 		if n.number > version && version > 0 {
