--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -22,7 +22,7 @@
 	f, e := t.flight, t.exchange
 	d := f.gateway.dialect
 	v := d.Verdict(e.StatusCode, e.Header)
-	t.noteLimit(v.Limit)
+	t.noteUpstream(v)
 	if v.NotRun {
 		_, err := io.Copy(io.Discard, io.LimitReader(e.Body, heldAnswer))
 		t.whole = err == nil
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -42,6 +42,10 @@
 	Revision id.Revision
 	// Limit is what the answer says of the upstream's limit.
 	Limit throttle.Word
+	// Leaving says that the upstream is about to end.
+	Leaving bool
+	// Rest is how long the upstream wants no further request from this gateway; 0 where it does not say.
+	Rest time.Duration
 }
 
 // Dialect translates headers between the product and the platform.
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -174,7 +174,7 @@
 func (t *attempt) accepted() bool {
 	f, e := t.flight, t.exchange
 	v := f.gateway.dialect.Verdict(e.StatusCode, e.Header)
-	t.noteLimit(v.Limit)
+	t.noteUpstream(v)
 	if v.NotRun {
 		_, err := io.Copy(io.Discard, io.LimitReader(e.Body, heldAnswer))
 		t.whole = err == nil
@@ -271,6 +271,7 @@
 	defer o.stop(nil)
 	f.permit, f.asked, f.permitEnds, f.named, f.limit, f.decision = o.permit, o.asked, o.permitEnds, o.named, o.limit, o.decision
 	f.upstream, f.revision = o.upstream, o.revision
+	f.upstreamLeaving, f.upstreamRest = o.upstreamLeaving, o.upstreamRest
 	if !f.headSent {
 		f.predicted = o.predicted
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -61,6 +61,9 @@
 	// upstream that was chosen.
 	named throttle.Word
 	limit throttle.Limit
+	// upstreamLeaving and upstreamRest are what the newest answer says of the upstream itself.
+	upstreamLeaving bool
+	upstreamRest    time.Duration
 	// permit is the number of the present attempt's permit, asked how long it took to come, and permitEnds when it expires.
 	permit     uint64
 	asked      time.Duration
@@ -304,7 +307,7 @@
 			e = e.Stringer("fingerprint", f.fingerprint)
 		}
 	}
-	e = f.logLimit(e)
+	e = f.logUpstream(f.logLimit(e))
 	if f.broken != "" {
 		e = e.Str("broken", f.broken).Str("broken_instance", string(f.start))
 	}
