--- a/internal/standin/modelserver.go
+++ b/internal/standin/modelserver.go
@@ -89,11 +89,15 @@
 	// limit is what the server names in its answers to requests, and in its reports too where reported; empty for no limit.
 	limit    string
 	reported bool
-	version  int
-	staged   map[int][]byte
-	busy     bool
-	orders   int
-	running  int
+	// leaving is named in answers to requests, and in reports too where leavingReported. While retryAfter is set, every
+	// request is answered 503 with it.
+	leaving, leavingReported bool
+	retryAfter               string
+	version                  int
+	staged                   map[int][]byte
+	busy                     bool
+	orders                   int
+	running                  int
 	// loading is the version of the order that is being carried out; 0 is none.
 	loading int
 	// cutting is closed when an order ends the requests that run.
@@ -124,10 +128,27 @@
 	s.limit, s.reported = text, reported
 }
 
-// name writes the limit into an answer.
+// SetLeaving has the server say in its answers to requests that it leaves, and in its reports too where reported.
+func (s *ModelServer) SetLeaving(leaving, reported bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving, s.leavingReported = leaving, reported
+}
+
+// SetRest has the server turn all requests away with 503 and a Retry-After; an empty text ends it.
+func (s *ModelServer) SetRest(retryAfter string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryAfter = retryAfter
+}
+
+// name writes into an answer what the server says of itself.
 func (s *ModelServer) name(h http.Header, isReport bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.leaving && (s.leavingReported || !isReport) {
+		h.Set("Server-Leaving", "1")
+	}
 	if s.limit != "" && (s.reported || !isReport) {
 		h.Set("Server-Limit", s.limit)
 	}
@@ -266,6 +287,7 @@
 	version, cutting, reason := s.enter(r)
 	if reason != 0 {
 		w.Header().Set("Not-Executed", "1")
+		s.askForRest(w.Header(), reason)
 		w.WriteHeader(reason)
 		return
 	}
@@ -336,7 +358,7 @@
 		return 0, nil, http.StatusMisdirectedRequest
 	case r.Header.Get("Model") != "" && (s.version == 0 || expected != "" && expected != strconv.Itoa(s.version)):
 		return 0, nil, http.StatusMisdirectedRequest
-	case s.running >= s.Slots || s.busy:
+	case s.running >= s.Slots || s.busy || s.retryAfter != "":
 		return 0, nil, http.StatusServiceUnavailable
 	}
 	s.running++
@@ -346,6 +368,15 @@
 	return s.version, s.cutting, 0
 }
 
+// askForRest writes into an answer when the caller may come back.
+func (s *ModelServer) askForRest(h http.Header, status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.retryAfter != "" && status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", s.retryAfter)
+	}
+}
+
 func (s *ModelServer) leave() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
