A start of an upstream whose answer says that it leaves gets no further request

Cause: that an upstream leaves was known from the store alone. Evidence: no line of any process says so before the store is back, and the over-the-wire spec was red (requests reached it after all gateways had passed such an answer on).

Now every answer's word is taken, also of refusals and of hedges, and holds for that start for good, whatever its entries say; it is asked at the choice and again before the bytes go out. The stager beside the upstream reads the same word in its reports and tells all gateways at once, for as long as it is said. A 421 may come from another server and says nothing.

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -68,6 +68,8 @@
 	// watch is for the words that this process tells others of its own upstream, and words are those of other stagers.
 	watch watch
 	words map[id.Instance]*standing
+	// leavers have said themselves that they leave.
+	leavers map[id.Instance]leaver
 }
 
 // New makes an empty set of facts.
@@ -76,6 +78,7 @@
 		now: now, wanted: map[id.Model][]Wanted{}, instances: map[id.Instance]*Instance{}, ended: map[id.Instance]ended{},
 		change: make(chan struct{}), hearing: make(chan struct{}), gateways: map[string]time.Time{},
 		watch: watch{changed: make(chan struct{})}, words: map[id.Instance]*standing{},
+		leavers: map[id.Instance]leaver{},
 	}
 	return f
 }
--- /dev/null
+++ b/internal/facts/leaving.go
@@ -0,0 +1,55 @@
+package facts
+
+import (
+	"time"
+
+	"github.com/springrail/springrail/internal/id"
+)
+
+// leaver is a start of an instance that has said itself that it leaves.
+type leaver struct {
+	born id.Birth
+	// listed is when the own list was last known to have the instance.
+	listed time.Time
+}
+
+// Leaves notes that a start of a listed instance has said itself that it leaves: unlike what a list says, that holds for the
+// start for good. It is false where that was known.
+func (f *Facts) Leaves(n id.Instance, born id.Birth) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leaves(n, born) {
+		return false
+	}
+	f.leavers[n] = leaver{born: born, listed: f.now()}
+	f.list.Store(nil)
+	f.notify()
+	return true
+}
+
+// SaysLeaving says whether a start of an instance has said itself that it leaves.
+func (f *Facts) SaysLeaving(n id.Instance, born id.Birth) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leaves(n, born)
+}
+
+// leaves is SaysLeaving for callers that hold the lock.
+func (f *Facts) leaves(n id.Instance, born id.Birth) bool {
+	l, ok := f.leavers[n]
+	return ok && !l.born.Before(born)
+}
+
+// sweepLeavers forgets instances that the own list has lacked for long: a list may come back older by seconds. The caller
+// holds the lock.
+func (f *Facts) sweepLeavers(now time.Time) {
+	for n, l := range f.leavers {
+		switch {
+		case f.instances[n] != nil:
+			l.listed = now
+			f.leavers[n] = l
+		case now.Sub(l.listed) > wordLife:
+			delete(f.leavers, n)
+		}
+	}
+}
--- a/internal/facts/word.go
+++ b/internal/facts/word.go
@@ -177,11 +177,12 @@
 	return true
 }
 
-// effective is an entry as decisions see it: one that has left by a stager's word is leaving whatever the own list says. The
-// caller holds the lock.
+// effective is an entry as decisions see it: one that has left by a stager's word, or by its own, is leaving whatever the own
+// list says. The caller holds the lock.
 func (f *Facts) effective(i *Instance) *Instance {
 	s := f.words[i.ID]
-	if i.Leaving || s == nil || s.address != i.Address || !s.gone(i.Seen, i.Born) {
+	told := s != nil && s.address == i.Address && s.gone(i.Seen, i.Born)
+	if i.Leaving || !told && !f.leaves(i.ID, i.Born) {
 		return i
 	}
 	l := *i
@@ -189,12 +190,13 @@
 	return &l
 }
 
-// SweepWords forgets the words on instances that the own list has lacked for long. On those that it has they are kept
+// SweepWords forgets what was said of instances that the own list has lacked for long. On those that it has they are kept
 // whether or not their stagers still say so: one that has started again may not know.
 func (f *Facts) SweepWords() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
+	f.sweepLeavers(now)
 	for n, s := range f.words {
 		if f.instances[n] == nil && now.Sub(s.since) > wordLife {
 			delete(f.words, n)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -83,8 +83,7 @@
 	switch {
 	case errors.Is(err, upconn.ErrHeld):
 		f.attempts--
-		f.gateway.tally.add("held_for_version")
-		return notRun("the connection came too late for the version there", f.decision.swapRetry(f.gateway.now()))
+		return f.heldBack()
 	case errors.Is(err, upconn.ErrNotSent):
 		f.attempts--
 		t.mark.Failed()
@@ -111,10 +110,40 @@
 	}
 }
 
-// may says whether an admitted request may still be sent once its connection, which took a time, is there. Its deadline
-// and that of its permit must not have passed, as after a suspension, and its version must have as much time left as at
-// admission, and as the request needs on a connection that is as slow as the dial or the permit was.
+// may says whether an admitted request may still be sent once its connection, which took a time, is there. The upstream
+// must not have said meanwhile that it leaves.
 func (f *flight) may(c placement.Choice, dialled time.Duration) bool {
+	f.held = ""
+	switch {
+	case f.gateway.facts.SaysLeaving(c.Instance, c.Born):
+		f.held = heldLeaving
+	case !f.inTime(c, dialled):
+		f.held = heldVersion
+	}
+	return f.held == ""
+}
+
+// heldReason is why a request was not sent although an upstream had been chosen for it.
+type heldReason string
+
+const (
+	heldVersion heldReason = "version"
+	heldLeaving heldReason = "leaving"
+)
+
+// heldBack is what comes of an attempt that was not sent.
+func (f *flight) heldBack() *attemptError {
+	f.gateway.tally.add("held_for_" + string(f.held))
+	if f.held == heldLeaving {
+		return notRun("the upstream leaves", refusedRetry)
+	}
+	return notRun("the connection came too late for the version there", f.decision.swapRetry(f.gateway.now()))
+}
+
+// inTime says whether a request may still be sent as far as time goes. Its deadline and that of its permit must not have
+// passed, as after a suspension, and its version must have as much time left as at admission, and as the request needs on
+// a connection that is as slow as the dial or the permit was.
+func (f *flight) inTime(c placement.Choice, dialled time.Duration) bool {
 	if f.left() <= 0 || (!f.permitEnds.IsZero() && f.gateway.now().After(f.permitEnds)) {
 		return false
 	}
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -276,6 +276,9 @@
 	held := u.Held
 	l, ok := d.Load.Tracker.Report(u)
 	switch {
+	case ok && l.Leaving:
+		q.decision.out.leaving++
+		return 0, false
 	case ok && l.Closed:
 		q.decision.out.closed++
 		return 0, false
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -43,6 +43,8 @@
 	xRevision = "X-Revision"
 	xNotRun   = "X-Not-Run"
 	xRetry    = "X-Retry-Ms"
+	xLeaving  = "X-Leaving"
+	xRest     = "X-Rest-Ms"
 )
 
 func testDialect() *Dialect {
@@ -65,7 +67,11 @@
 		},
 		Verdict: func(_ int, h http.Header) Verdict {
 			n, _ := strconv.Atoi(h.Get(xRevision))
-			return Verdict{NotRun: h.Get(xNotRun) != "", Revision: id.Revision(n)}
+			rest, _ := strconv.Atoi(h.Get(xRest))
+			return Verdict{
+				NotRun: h.Get(xNotRun) != "", Revision: id.Revision(n), Leaving: h.Get(xLeaving) != "",
+				Rest: time.Duration(rest) * time.Millisecond,
+			}
 		},
 		Promise:    func(status int) bool { return status == http.StatusServiceUnavailable },
 		RetryAfter: func(h http.Header, d time.Duration) { h.Set(xRetry, strconv.FormatInt(d.Milliseconds(), 10)) },
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -61,6 +61,8 @@
 	// upstream that was chosen.
 	named throttle.Word
 	limit throttle.Limit
+	// held is why the newest attempt was not sent; empty where it was.
+	held heldReason
 	// upstreamLeaving and upstreamRest are what the newest answer says of the upstream itself.
 	upstreamLeaving bool
 	upstreamRest    time.Duration
--- /dev/null
+++ b/internal/gateway/upstream_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/placement"
+	"github.com/springrail/springrail/internal/upconn"
+)
+
+var _ = Describe("an upstream whose answer says that it leaves", func() {
+	var b *testbed
+	extra := xLeaving + ": 1\r\n"
+	ask := func(request string) int {
+		a, _, err := b.ask("POST", "/p/", "x", xModel, "m", xWait, "6000", xRequest, request)
+		Expect(err).NotTo(HaveOccurred())
+		return a.StatusCode
+	}
+	BeforeEach(func() {
+		b = newTestbed(route(catalog.Unsafe, "engines"))
+	})
+
+	DescribeTable("gets no request more, and callers are refused where it is the last one", func(status int, more string) {
+		b.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) { reply(c, q, status, extra+more, "ran") })
+		ask("1")
+		Expect(ask("2")).To(Equal(503))
+		Expect(b.runs("2")).To(BeZero())
+	},
+		Entry("in an answer of success", 200, ""), Entry("in a failure", 500, ""),
+		Entry("as it turns a request away", 503, xNotRun+": 1\r\n"))
+
+	It("gets no request for which it was chosen before and whose connection comes after", func() {
+		for _, n := range []string{"u", "v"} {
+			b.upstream(n, "engines", func(q *http.Request, _ string, c net.Conn) { reply(c, q, 200, "", "ran") })
+		}
+		var first string
+		connect := func(ctx context.Context, network, address string) (net.Conn, error) {
+			if first == "" {
+				first = address
+				for _, i := range b.facts.Instances() {
+					if i.Address == address {
+						b.facts.Leaves(i.ID, i.Born)
+					}
+				}
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
+		b.gateway.pool = upconn.New(connect, time.Now, b.gateway.dialect.Echoed)
+		Expect(ask("1")).To(Equal(200))
+		Expect(b.runs("1")).To(Equal(1))
+		Expect(b.gateway.tally.vars.Get("held_for_leaving").String()).To(Equal("1"))
+	})
+
+	It("gets no request where the process beside it says so", func() {
+		b.upstream("u", "engines", func(q *http.Request, _ string, c net.Conn) { reply(c, q, 200, "", "ran") })
+		held := []facts.Held{{Model: "m", Revision: 1}}
+		b.tracker.SetReport(b.facts.Instances()[0].Address, placement.LoadReport{Taken: time.Now(), Held: held, Leaving: true})
+		Expect(ask("1")).To(Equal(503))
+		b.tracker.SetReport(b.facts.Instances()[0].Address, placement.LoadReport{Taken: time.Now(), Held: held})
+		Expect(ask("2")).To(Equal(200))
+	})
+})
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -32,6 +32,8 @@
 	Held             []facts.Held
 	Closed           bool
 	Down             bool
+	// Leaving is true while the upstream says that it is about to end.
+	Leaving bool
 	// Narrow is true while requests queue on their way to the upstream.
 	Narrow bool
 	// Config is the version of the configuration that the upstream's VM has; 0 where that is not known.
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -250,7 +250,7 @@
 
 // noteChange makes the next reports urgent where this one says anything new beside the load; the caller holds the lock.
 func (r *Reporter) noteChange(p *pb.UpstreamReport, now time.Time) {
-	told := fmt.Sprint(p.GetClosed(), p.GetDown(), p.GetNarrow(), p.GetNamed().GetRevision(), p.GetBorn())
+	told := fmt.Sprint(p.GetClosed(), p.GetDown(), p.GetNarrow(), p.GetLeaving(), p.GetNamed().GetRevision(), p.GetBorn())
 	if l := p.GetLimit(); l != nil {
 		told += fmt.Sprint(" ", l.GetRate(), l.GetOver())
 	}
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -235,7 +235,7 @@
 	p := placement.LoadReport{
 		Born:    id.Birth(r.GetBorn()),
 		Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), Pace: r.GetPace(),
-		Closed: r.GetClosed(), Down: r.GetDown(), Narrow: r.GetNarrow(), Taken: s.now(), MadeAfter: made,
+		Closed: r.GetClosed(), Down: r.GetDown(), Narrow: r.GetNarrow(), Leaving: r.GetLeaving(), Taken: s.now(), MadeAfter: made,
 		StampHeld: time.Duration(r.GetEchoHeldMs()) * time.Millisecond, Every: nearEvery, Config: r.GetConfig(),
 		Limit: told(&r),
 	}
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -204,13 +204,16 @@
 	defer s.mu.Unlock()
 	down := err != nil
 	changed := down != s.down || state.Born != s.state.Born || state.Busy != s.state.Busy || !sameHeld(state.Held, s.state.Held) ||
-		state.Limit != s.state.Limit
+		state.Limit != s.state.Limit || state.Leaving != s.state.Leaving
 	if down != s.down {
 		s.log.Info().Bool("down", down).Err(err).Msg("the upstream beside this process")
 	}
 	if !down && s.state.Born.Before(state.Born) {
 		s.log.Info().Uint64("born", uint64(state.Born)).Uint64("life", state.Life).Msg("the upstream beside this process has started again")
 	}
+	if state.Leaving && !s.state.Leaving {
+		s.log.Info().Msg("the upstream beside this process says that it leaves")
+	}
 	s.down, s.state = down, state
 	return changed
 }
@@ -264,7 +267,7 @@
 	r := &pb.UpstreamReport{
 		Named: named, Born: uint64(s.state.Born),
 		Address: s.ports.Address, Running: uint32(s.state.Running), Waiting: uint32(s.state.Waiting),
-		KvUsed: s.state.KVUsed, KvTotal: s.state.KVTotal, Pace: s.state.Pace, Closed: s.closed, Down: s.down,
+		KvUsed: s.state.KVUsed, KvTotal: s.state.KVTotal, Pace: s.state.Pace, Closed: s.closed, Down: s.down, Leaving: s.state.Leaving,
 		Narrow: s.fetching != nil && s.fetching.Narrow(),
 	}
 	for _, h := range s.state.Held {
--- a/internal/stager/ports.go
+++ b/internal/stager/ports.go
@@ -37,6 +37,8 @@
 	Held []facts.Held
 	// Limit is what the upstream says here of the requests that it takes.
 	Limit throttle.Word
+	// Leaving says that the upstream is about to end.
+	Leaving bool
 }
 
 // Order tells the upstream to load what is staged.
