An upstream that asks for rest gets no request of the gateway that it has told

Cause: a 503 was taken as a refusal of that one request; its Retry-After was not read, and an upstream that turns everything away reports nothing running, so that it was chosen first.

Now the tracker keeps for each instance the end of the longest rest that it has asked for. It is asked at the choice, where such an upstream has no room, and again before the bytes go out. Where all rest or leave, callers are refused at once with the end of the first rest, spread as for permits.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -26,7 +26,11 @@
 	if v.NotRun {
 		_, err := io.Copy(io.Discard, io.LimitReader(e.Body, heldAnswer))
 		t.whole = err == nil
-		return notRun("the upstream refused: "+strconv.Itoa(e.StatusCode), refusedRetry)
+		retry := refusedRetry
+		if v.Leaving || v.Rest > 0 {
+			retry = f.retryElsewhere()
+		}
+		return notRun("the upstream refused: "+strconv.Itoa(e.StatusCode), retry)
 	}
 	f.neverRan = false
 	ok := isSuccess(e.StatusCode)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -111,12 +111,14 @@
 }
 
 // may says whether an admitted request may still be sent once its connection, which took a time, is there. The upstream
-// must not have said meanwhile that it leaves.
+// must not have said meanwhile that it leaves, or asked for rest.
 func (f *flight) may(c placement.Choice, dialled time.Duration) bool {
 	f.held = ""
 	switch {
 	case f.gateway.facts.SaysLeaving(c.Instance, c.Born):
 		f.held = heldLeaving
+	case f.gateway.load.Tracker.Resting(c.Address, c.Instance) > 0:
+		f.held = heldResting
 	case !f.inTime(c, dialled):
 		f.held = heldVersion
 	}
@@ -129,15 +131,20 @@
 const (
 	heldVersion heldReason = "version"
 	heldLeaving heldReason = "leaving"
+	heldResting heldReason = "resting"
 )
 
 // heldBack is what comes of an attempt that was not sent.
 func (f *flight) heldBack() *attemptError {
 	f.gateway.tally.add("held_for_" + string(f.held))
-	if f.held == heldLeaving {
-		return notRun("the upstream leaves", refusedRetry)
+	switch f.held {
+	case heldLeaving:
+		return notRun("the upstream leaves", f.retryElsewhere())
+	case heldResting:
+		return notRun("the upstream rests", f.retryElsewhere())
+	default:
+		return notRun("the connection came too late for the version there", f.decision.swapRetry(f.gateway.now()))
 	}
-	return notRun("the connection came too late for the version there", f.decision.swapRetry(f.gateway.now()))
 }
 
 // inTime says whether a request may still be sent as far as time goes. Its deadline and that of its permit must not have
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -19,10 +19,7 @@
 // choose picks the upstream for the next attempt, or says why there is none. Some need a permit of the stager beside them.
 func (f *flight) choose(ctx context.Context) (placement.Choice, *attemptError) {
 	f.permit, f.permitEnds = 0, time.Time{}
-	q := &Query{
-		Catalog: f.catalog, Pool: f.pool, Model: f.ask.Model, Prompt: f.ask.Prompt, Arrived: f.arrived, Lost: f.lost, CallerGives: f.callerGives,
-		Tried: f.tried, Attempts: f.attempts, Declined: map[id.Instance]bool{}, HeadSent: f.headSent, Revision: f.revision,
-	}
+	q := f.query()
 	for {
 		c, no := f.gateway.desk().Choose(q)
 		f.decision = q.decision
@@ -39,3 +36,22 @@
 		q.AskNone = len(q.Declined) >= mostPermitAsks
 	}
 }
+
+// query is the request as the desk sees it.
+func (f *flight) query() *Query {
+	return &Query{
+		Catalog: f.catalog, Pool: f.pool, Model: f.ask.Model, Prompt: f.ask.Prompt, Arrived: f.arrived, Lost: f.lost, CallerGives: f.callerGives,
+		Tried: f.tried, Attempts: f.attempts, Declined: map[id.Instance]bool{}, HeadSent: f.headSent, Revision: f.revision,
+	}
+}
+
+// retryElsewhere is when the caller may come back whose request an upstream does not want: soon where another one would
+// take it, otherwise when the first is due to.
+func (f *flight) retryElsewhere() time.Duration {
+	q := f.query()
+	q.Tried = nil
+	if _, no := f.gateway.desk().Choose(q); no != nil {
+		return no.Retry
+	}
+	return refusedRetry
+}
--- a/internal/gateway/decision.go
+++ b/internal/gateway/decision.go
@@ -23,6 +23,8 @@
 	known bool
 	// permitDue is how long it takes until the first of the limited upstreams that were left out has a permit.
 	permitDue time.Duration
+	// restDue is how long it takes until the first of the resting upstreams that were left out takes requests again.
+	restDue time.Duration
 }
 
 // noteLimited counts an upstream that was left out because of its limit.
@@ -32,6 +34,26 @@
 	}
 }
 
+// noteResting counts an upstream that was left out because it rests.
+func (k *decision) noteResting(due time.Duration) {
+	if k.out.resting++; k.out.resting == 1 || due < k.restDue {
+		k.restDue = due
+	}
+}
+
+// due is when the first upstream takes a request again that was left out for a time that is known, and why it was left
+// out; empty where none was.
+func (k *decision) due() (why string, due time.Duration) {
+	switch {
+	case k.out.limited > 0 && (k.out.resting == 0 || k.permitDue <= k.restDue):
+		return "limited", k.permitDue
+	case k.out.resting > 0:
+		return "resting", k.restDue
+	default:
+		return "", 0
+	}
+}
+
 // note keeps the end of the time of a version that an upstream was left out for.
 func (k *decision) note(until time.Time) {
 	if until.After(k.until) {
@@ -56,8 +78,8 @@
 	empty, over, queued, other int
 	// suspect ones have failed lately, narrow ones are behind a link on which requests queue: both are last resorts.
 	suspect, narrow int
-	// tried ones have had this request, limited ones have no permit for it.
-	tried, limited int
+	// tried ones have had this request, limited ones have no permit for it, resting ones want none of this gateway for now.
+	tried, limited, resting int
 }
 
 // note counts what of the candidates is no first choice.
@@ -89,6 +111,7 @@
 		{"narrow", o.narrow},
 		{"tried", o.tried},
 		{"limited", o.limited},
+		{"resting", o.resting},
 	} {
 		if r.n > 0 {
 			e.Int(r.name, r.n)
@@ -104,6 +127,9 @@
 	if k.out.limited > 0 {
 		e.Int64("permit_due_ms", k.permitDue.Milliseconds())
 	}
+	if k.out.resting > 0 {
+		e.Int64("rest_due_ms", k.restDue.Milliseconds())
+	}
 	if k.nearest == "" {
 		return
 	}
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -122,15 +122,15 @@
 	return &Refusal{Why: why, Retry: placement.RetryAfter(room, left, d.Random())}
 }
 
-// noUpstream refuses the request as no upstream may have it. Where limits leave no permit, the caller may come back
-// when the next one is due.
+// noUpstream refuses the request as no upstream may have it. Where limits leave no permit, or upstreams rest, the caller
+// may come back when the next permit is due or the first rest ends.
 func (d *Desk) noUpstream(q *Query, retry time.Duration) *Refusal {
-	k := &q.decision
-	if k.out.limited == 0 || d.Retry != nil {
+	why, due := q.decision.due()
+	if why == "" || d.Retry != nil {
 		return d.noRoom(q, "no upstream", retry)
 	}
 	left := q.CallerGives.Sub(d.Now())
-	return &Refusal{Why: "limited", Retry: placement.RetrySpread(k.permitDue, left, d.Random())}
+	return &Refusal{Why: why, Retry: placement.RetrySpread(due, left, d.Random())}
 }
 
 // outlook is what is expected until the next reports come, which are twice as far apart as they are old on the mean.
@@ -200,6 +200,10 @@
 		if s.Engine != nil && c.Slots == 0 {
 			c.Slots = s.Engine.Slots
 		}
+		if c.Rest > 0 {
+			q.decision.noteResting(c.Rest)
+			continue
+		}
 		if c.Limit != nil && (c.Limit.Permits == 0 || q.declined(&c)) {
 			q.decision.noteLimited(c.Limit.Due)
 			continue
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/phuslu/log"
 
 	"github.com/springrail/springrail/internal/placement"
@@ -15,7 +17,7 @@
 		f.gateway.noteLeaving(t.choice)
 	}
 	if v.Rest > 0 {
-		f.gateway.tally.add("answers_that_ask_for_rest")
+		t.noteRest(v.Rest)
 	}
 }
 
@@ -27,6 +29,16 @@
 	}
 }
 
+// noteRest has nothing sent to an upstream for a time that it has asked for.
+func (t *attempt) noteRest(d time.Duration) {
+	g, c := t.flight.gateway, t.choice
+	g.tally.add("answers_that_ask_for_rest")
+	if t.mark.Rests(c.Instance, d) {
+		g.log.Info().Str("instance", string(c.Instance)).Str("upstream", c.Address).Int64("rest_ms", d.Milliseconds()).
+			Msg("upstream asks for rest")
+	}
+}
+
 // logUpstream adds to a request's line what its newest answer said of the upstream itself.
 func (f *flight) logUpstream(e *log.Entry) *log.Entry {
 	if f.upstreamLeaving {
--- a/internal/gateway/upstream_test.go
+++ b/internal/gateway/upstream_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -67,3 +69,84 @@
 		Expect(ask("2")).To(Equal(200))
 	})
 })
+
+var _ = Describe("an upstream that asks for rest", func() {
+	var (
+		b *testbed
+		s *sleeper
+	)
+	rests := func(ms string) func(q *http.Request, _ string, c net.Conn) {
+		return func(q *http.Request, _ string, c net.Conn) {
+			reply(c, q, 503, xNotRun+": 1\r\n"+xRest+": "+ms+"\r\n", "")
+		}
+	}
+	serves := func(q *http.Request, _ string, c net.Conn) { reply(c, q, 200, "", "ran") }
+	ask := func(request string) *http.Response {
+		a, _, err := b.ask("POST", "/p/", "x", xModel, "m", xWait, "60000", xRequest, request)
+		Expect(err).NotTo(HaveOccurred())
+		return a
+	}
+	retry := func(a *http.Response) int {
+		ms, err := strconv.Atoi(a.Header.Get(xRetry))
+		Expect(err).NotTo(HaveOccurred())
+		return ms
+	}
+	BeforeEach(func() {
+		s = &sleeper{}
+		b = newTestbedAt(s.now, route(catalog.Unsafe, "engines"))
+	})
+
+	It("gets no request until then, and callers are refused until then where it is the only one", func() {
+		b.upstream("u", "engines", rests("3000"))
+		a := ask("1")
+		Expect(a.StatusCode).To(Equal(503))
+		Expect(retry(a)).To(BeNumerically(">", 2900))
+		s.lost.Add(int64(2 * time.Second))
+		a = ask("2")
+		Expect(a.StatusCode).To(Equal(503))
+		Expect(b.runs("2")).To(BeZero())
+		Expect(retry(a)).To(BeNumerically(">", 900))
+		s.lost.Add(int64(time.Second))
+		ask("3")
+		Expect(b.runs("3")).To(Equal(1))
+	})
+
+	It("leaves the requests to the others, at which their callers may come back soon", func() {
+		b.upstream("u", "engines", rests("3000"))
+		b.upstream("v", "engines", serves)
+		for n := range 20 {
+			request := strconv.Itoa(n + 1)
+			Expect(ask(request).StatusCode).To(Equal(200))
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		turned := 0
+		for _, at := range b.arrived {
+			if slices.Contains(at, "u") {
+				turned++
+			}
+		}
+		Expect(turned).To(BeNumerically("<=", 1))
+	})
+
+	It("is left alone also by a request for which it was chosen before and whose connection comes after", func() {
+		b.upstream("u", "engines", serves)
+		b.upstream("v", "engines", serves)
+		asked := false
+		connect := func(ctx context.Context, network, address string) (net.Conn, error) {
+			for _, i := range b.facts.Instances() {
+				if i.Address == address && !asked {
+					asked = true
+					f := b.tracker.Begin(address, 0)
+					f.Rests(i.ID, time.Second)
+					f.End()
+				}
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
+		b.gateway.pool = upconn.New(connect, time.Now, b.gateway.dialect.Echoed)
+		Expect(ask("1").StatusCode).To(Equal(200))
+		Expect(b.runs("1")).To(Equal(1))
+		Expect(b.gateway.tally.vars.Get("held_for_resting").String()).To(Equal("1"))
+	})
+})
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -37,6 +37,8 @@
 	InFlight int
 	// Pace is how many times longer than usual the upstream works.
 	Pace float64
+	// Rest is for how much longer the upstream wants no request of this process.
+	Rest time.Duration
 	// Narrow is true while requests queue on their way there.
 	Narrow bool
 	// Config is the version of the configuration that the VM had by its last report; 0 where that is not known.
--- /dev/null
+++ b/internal/placement/rest.go
@@ -0,0 +1,45 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/springrail/springrail/internal/id"
+)
+
+// rest is for how long an instance wants no request of this process.
+type rest struct {
+	instance id.Instance
+	until    time.Time
+}
+
+// left is how much of a rest is left of an instance.
+func (r *rest) left(n id.Instance, now time.Time) time.Duration {
+	if r.instance != n {
+		return 0
+	}
+	return max(0, r.until.Sub(now))
+}
+
+// Rests notes that the instance that has had the request wants no further one of this process for a time. A longer rest
+// that it has asked for before holds on. It is true of a rest that begins.
+func (f *Flight) Rests(n id.Instance, d time.Duration) bool {
+	t := f.tracker
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	r := &f.upstream.rest
+	left := r.left(n, now)
+	*r = rest{instance: n, until: now.Add(max(left, d))}
+	return left == 0
+}
+
+// Resting is for how much longer an instance at an address wants no request of this process; 0 where it takes them.
+func (t *Tracker) Resting(address string, n id.Instance) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.known[address]
+	if u == nil {
+		return 0
+	}
+	return u.rest.left(n, t.now())
+}
--- /dev/null
+++ b/internal/placement/rest_test.go
@@ -0,0 +1,62 @@
+package placement
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
+)
+
+var _ = Describe("an upstream that has asked for rest", func() {
+	var now time.Time
+	var t *Tracker
+	u := &facts.Instance{ID: "i", Address: "a"}
+	rest := func(d time.Duration) bool {
+		f := t.Begin("a", 0)
+		defer f.End()
+		return f.Rests("i", d)
+	}
+	BeforeEach(func() {
+		now = time.Unix(1000, 0)
+		t = NewTracker(func() time.Time { return now })
+	})
+
+	It("rests to the end of the longest time that it has asked for", func() {
+		Expect(rest(3 * time.Second)).To(BeTrue())
+		now = now.Add(time.Second)
+		Expect(rest(time.Second)).To(BeFalse())
+		Expect(t.Candidate(u, 0).Rest).To(Equal(2 * time.Second))
+		Expect(rest(4 * time.Second)).To(BeFalse())
+		Expect(t.Resting("a", "i")).To(Equal(4 * time.Second))
+		now = now.Add(4 * time.Second)
+		Expect(t.Candidate(u, 0).Rest).To(BeZero())
+		Expect(rest(time.Second)).To(BeTrue())
+	})
+
+	It("rests although a report shows it idle, and although its entry goes for a time", func() {
+		rest(time.Minute)
+		t.SetReport("a", LoadReport{Taken: now})
+		now = now.Add(wayMemory + time.Second)
+		t.Sweep(map[string]bool{})
+		Expect(t.Candidate(u, 0).Rest).To(BeNumerically(">", 0))
+	})
+
+	It("rests alone: not the next instance at its address, nor its next start", func() {
+		t.SetReport("a", LoadReport{Taken: now, Born: id.Birth(8)})
+		rest(time.Minute)
+		Expect(t.Candidate(&facts.Instance{ID: "j", Address: "a"}, 0).Rest).To(BeZero())
+		Expect(t.Resting("b", "i")).To(BeZero())
+		t.SetReport("a", LoadReport{Taken: now, Born: id.Birth(9)})
+		Expect(t.Candidate(&facts.Instance{ID: "i", Address: "a", Born: 9}, 0).Rest).To(BeZero())
+	})
+
+	It("is forgotten with its entry once the rest is over", func() {
+		rest(time.Second)
+		now = now.Add(wayMemory + time.Second)
+		t.Sweep(map[string]bool{})
+		Expect(t.known).To(BeEmpty())
+	})
+})
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -67,6 +67,8 @@
 	limit *throttle.Known
 	// limited is the instance that the limit is of; nil before one was looked at.
 	limited *facts.Instance
+	// rest is what an instance at the address has asked for.
+	rest rest
 	// used is when a request was last sent.
 	used time.Time
 }
@@ -250,7 +252,7 @@
 	u := t.listed(i)
 	c.Born = max(c.Born, u.born)
 	c.InFlight, c.Way = len(u.sent), u.way
-	c.Suspect = now.Before(u.until)
+	c.Suspect, c.Rest = now.Before(u.until), u.rest.left(i.ID, now)
 	c.Known = u.report.believed(now)
 	if u.limit != nil {
 		t.limit(&c, u, i)
@@ -284,13 +286,14 @@
 // users give a version's end, for which a queue counts.
 const wayMemory = 15 * time.Second
 
-// Sweep forgets upstreams that are no longer listed and carry nothing, but for ways on which something has queued lately.
+// Sweep forgets upstreams that are no longer listed and carry nothing, but for ways on which something has queued lately and
+// for instances that rest.
 func (t *Tracker) Sweep(listed map[string]bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	for a, u := range t.known {
-		if !listed[a] && len(u.sent) == 0 && now.Sub(u.way.slow) > wayMemory {
+		if !listed[a] && len(u.sent) == 0 && now.Sub(u.way.slow) > wayMemory && !now.Before(u.rest.until) {
 			delete(t.known, a)
 		}
 	}
