--- a/internal/standin/keyed.go
+++ b/internal/standin/keyed.go
@@ -41,6 +41,8 @@
 	mu     sync.Mutex
 	topics map[string]*keyedTopic
 	change chan struct{}
+	// era is the number of times that the store has come back from a copy.
+	era int
 }
 
 // NewKeyedStore makes an empty store.
@@ -66,6 +68,49 @@
 	t.first = len(t.records)
 }
 
+// KeyedCopy is what a store held at a moment.
+type KeyedCopy map[string]keyedTopic
+
+// Copy returns what the store holds now.
+func (s *KeyedStore) Copy() KeyedCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := KeyedCopy{}
+	for name, t := range s.topics {
+		c[name] = keyedTopic{records: slices.Clone(t.records), first: t.first}
+	}
+	return c
+}
+
+// Return has the store come back from a copy: what was written since is gone, and the next records get its offsets. Those
+// that are written again are there with the return.
+func (s *KeyedStore) Return(c KeyedCopy, again ...KeyedWriting) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics = map[string]*keyedTopic{}
+	for name, t := range c {
+		s.topics[name] = &keyedTopic{records: slices.Clone(t.records), first: t.first}
+	}
+	for _, w := range again {
+		t := s.topic(w.Topic)
+		t.records = append(t.records, keyedRecord{key: w.Key, value: w.Value})
+	}
+	s.era++
+	close(s.change)
+	s.change = make(chan struct{})
+}
+
+// KeyedWriting is a record to be written; a nil value drops the key.
+type KeyedWriting struct {
+	Topic, Key string
+	Value      []byte
+}
+
+// nameEra writes the era into an answer; the caller holds the lock.
+func (s *KeyedStore) nameEra(h http.Header) {
+	h.Set("Store-Era", strconv.Itoa(s.era))
+}
+
 // topic returns a topic, which comes into being on its first use; the caller holds the lock.
 func (s *KeyedStore) topic(name string) *keyedTopic {
 	t := s.topics[name]
@@ -115,6 +160,9 @@
 		<-r.Context().Done()
 		cut()
 	case f.Status > 0:
+		d.store.mu.Lock()
+		d.store.nameEra(w.Header())
+		d.store.mu.Unlock()
 		w.WriteHeader(f.Status)
 	case r.URL.Path == "/v1/log-newest":
 		d.store.newest(w, r)
@@ -144,6 +192,7 @@
 	}{Items: []item{}}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.nameEra(w.Header())
 	t := s.topic(r.URL.Query().Get("topic"))
 	page.End = len(t.records)
 	newest := map[string]int{}
@@ -178,8 +227,9 @@
 	for ended := wait == 0; ; {
 		s.mu.Lock()
 		t, change := s.topic(q.Get("topic")), s.change
+		s.nameEra(w.Header())
 		switch {
-		case from < t.first:
+		case from < t.first || from > len(t.records):
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -229,6 +279,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.nameEra(w.Header())
 	end := len(s.topic(r.URL.Query().Get("topic")).records)
 	writeJSON(w, map[string]int{"offset": end - len(l), "end": end})
 }
@@ -239,7 +290,7 @@
 	var b bytes.Buffer
 	_ = binary.Write(&b, binary.BigEndian, uint64(len(t.records)))
 	_ = binary.Write(&b, binary.BigEndian, uint64(t.first))
-	for _, k := range t.records[min(from, len(t.records)):] {
+	for _, k := range t.records[from:] {
 		_ = binary.Write(&b, binary.BigEndian, uint32(1+len(k.key)+len(k.value)))
 		b.WriteByte(byte(len(k.key)))
 		b.WriteString(k.key)
