--- a/internal/decide/door.go
+++ b/internal/decide/door.go
@@ -54,7 +54,7 @@
 func (d *door) list(e *engine) {
 	d.seen++
 	d.facts.SetInstance(&facts.Instance{
-		ID: e.name, Born: e.born, Pool: pool, Address: e.address, Domain: e.domain, Slots: d.play.scenario.Engine.Slots, Held: e.holds(), Seen: d.seen,
+		ID: e.name, Born: e.born, Pool: pool, Address: e.address, Domain: e.domain, Slots: d.play.scenario.Engine.Slots, Held: e.holds(), Seen: id.Position(d.seen),
 	})
 }
 
--- a/internal/facts/absence.go
+++ b/internal/facts/absence.go
@@ -27,7 +27,7 @@
 // it. What is read during the grace may be newer than an entry that brings the upstream back.
 type absence struct {
 	until  time.Time
-	offset uint64
+	offset id.Position
 }
 
 // NewAbsences makes an empty set of absences.
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -31,7 +31,7 @@
 	Leaving bool
 	Held    []Held
 	// Seen orders what the list says: of two entries, the one with the higher number was written later.
-	Seen uint64
+	Seen id.Position
 }
 
 // Revision finds a model in a list; 0 is none.
@@ -59,12 +59,12 @@
 	list   atomic.Pointer[[]*Instance]
 	change chan struct{}
 	// heard is the newest offset of the operators' records that this process or another one has read.
-	heard   uint64
+	heard   id.Position
 	hearing chan struct{}
 	// gateways are those heard of lately in the own failure domain, by address, with the time until which they count.
 	gateways map[string]time.Time
 	// readTo is the highest offset of the list of upstreams that is known to have been read.
-	readTo uint64
+	readTo id.Position
 	// watch is for the words that this process tells others of its own upstream, and words are those of other stagers.
 	watch watch
 	words map[id.Instance]*standing
@@ -120,7 +120,7 @@
 }
 
 // DropInstance removes an upstream that has left the list, as the list had it at an offset.
-func (f *Facts) DropInstance(n id.Instance, offset uint64) {
+func (f *Facts) DropInstance(n id.Instance, offset id.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	i := f.instances[n]
@@ -204,7 +204,7 @@
 
 // Heard notes that some process has read the operators' records up to an offset. A reader that waits for them at the
 // store may be passed over there, and learns of them here.
-func (f *Facts) Heard(offset uint64) {
+func (f *Facts) Heard(offset id.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if offset <= f.heard {
@@ -216,7 +216,7 @@
 }
 
 // Hearing returns the newest offset heard of, and a channel that closes when there is a newer one.
-func (f *Facts) Hearing() (uint64, <-chan struct{}) {
+func (f *Facts) Hearing() (id.Position, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.heard, f.hearing
--- a/internal/facts/leaving_test.go
+++ b/internal/facts/leaving_test.go
@@ -71,7 +71,7 @@
 			g.SetInstance(&Instance{ID: "i", Address: "a", Born: 1, Seen: 1})
 			said := false
 			for n := range rapid.IntRange(1, 12).Draw(t, "steps") {
-				seen := rapid.Uint64Range(1, 20).Draw(t, "offset")
+				seen := id.Position(rapid.Uint64Range(1, 20).Draw(t, "offset"))
 				switch rapid.IntRange(0, 4).Draw(t, "step") {
 				case 0:
 					said = true
--- a/internal/facts/life_test.go
+++ b/internal/facts/life_test.go
@@ -20,10 +20,10 @@
 		now = time.Unix(1000, 0)
 		f = New(func() time.Time { return now })
 	})
-	entry := func(born id.Birth, seen uint64, leaving bool) *Instance {
+	entry := func(born id.Birth, seen id.Position, leaving bool) *Instance {
 		return &Instance{ID: "i", Born: born, Address: "a", Seen: seen, Leaving: leaving}
 	}
-	left := func(born id.Birth, offset uint64) Word {
+	left := func(born id.Birth, offset id.Position) Word {
 		return Word{Instance: "i", Born: born, Address: "a", Left: true, Offset: offset}
 	}
 	leaving := func() bool { return f.Instances()[0].Leaving }
--- a/internal/facts/word.go
+++ b/internal/facts/word.go
@@ -17,7 +17,7 @@
 	// Left is true of an instance that says that it leaves, or is gone from the list.
 	Left bool
 	// Offset is how far the list had been read when it said so, or the place of the new entry of one that is back.
-	Offset uint64
+	Offset id.Position
 }
 
 // standing is all that words have said of an instance's newest start.
@@ -26,7 +26,7 @@
 	born    id.Birth
 	// left says that some word named it as left; leftAt and backAt are the highest offsets of words of each kind.
 	left           bool
-	leftAt, backAt uint64
+	leftAt, backAt id.Position
 	// since is when the words last changed what is told of the instance, or were last heard.
 	since time.Time
 }
@@ -50,7 +50,7 @@
 // gone says whether an instance has left whose entry in the own list is at an offset and of a start. Only an entry that was
 // written after the word brings it back, or one of a later start: it shows that the instance lives, while an older entry is
 // what a list says that lags behind.
-func (s *standing) gone(seen uint64, born id.Birth) bool {
+func (s *standing) gone(seen id.Position, born id.Birth) bool {
 	return s.left && !s.born.Before(born) && s.leftAt >= max(seen, s.backAt)
 }
 
@@ -205,14 +205,14 @@
 }
 
 // ReadTo notes an offset of the list that has been read.
-func (f *Facts) ReadTo(offset uint64) {
+func (f *Facts) ReadTo(offset id.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.readTo = max(f.readTo, offset)
 }
 
 // Position is the highest offset of the list that this process knows to have read.
-func (f *Facts) Position() uint64 {
+func (f *Facts) Position() id.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.readTo
--- a/internal/facts/word_test.go
+++ b/internal/facts/word_test.go
@@ -19,12 +19,12 @@
 		now = time.Unix(1000, 0)
 		f = New(func() time.Time { return now })
 	})
-	ready := func(n id.Instance, seen uint64) *Instance {
+	ready := func(n id.Instance, seen id.Position) *Instance {
 		return &Instance{ID: n, Address: "a", Seen: seen}
 	}
 	leaving := func() bool { return f.Instances()[0].Leaving }
-	left := func(offset uint64) Word { return Word{Instance: "i", Address: "a", Left: true, Offset: offset} }
-	back := func(offset uint64) Word { return Word{Instance: "i", Address: "a", Offset: offset} }
+	left := func(offset id.Position) Word { return Word{Instance: "i", Address: "a", Left: true, Offset: offset} }
+	back := func(offset id.Position) Word { return Word{Instance: "i", Address: "a", Offset: offset} }
 
 	It("make an upstream leave that the own list has as ready, until the list has it as ready from later on", func() {
 		f.SetInstance(ready("i", 3))
@@ -67,9 +67,9 @@
 			var all []Word
 			anyLeft := false
 			for i, o := range offsets {
-				w := Word{Instance: "i", Address: "a", Offset: o, Left: rapid.Bool().Draw(t, fmt.Sprint("left ", i))}
+				w := Word{Instance: "i", Address: "a", Offset: id.Position(o), Left: rapid.Bool().Draw(t, fmt.Sprint("left ", i))}
 				anyLeft = anyLeft || w.Left
-				if o > newest.Offset {
+				if id.Position(o) > newest.Offset {
 					newest = w
 				}
 				all = append(all, w, w)
@@ -118,7 +118,7 @@
 		l, _ := f.Told(time.Time{})
 		return l
 	}
-	entry := func(n id.Instance, seen uint64, leaving bool) {
+	entry := func(n id.Instance, seen id.Position, leaving bool) {
 		f.SetInstance(&Instance{ID: n, Address: "a", Seen: seen, Leaving: leaving})
 	}
 	BeforeEach(func() {
@@ -193,7 +193,7 @@
 	It("are of a bounded number of instances, the newest ones, and those new since a moment", func() {
 		for n := range 3 * uint64(mostTold) {
 			now = now.Add(time.Second)
-			entry(id.Instance(fmt.Sprint(n)), n, true)
+			entry(id.Instance(fmt.Sprint(n)), id.Position(n), true)
 		}
 		Expect(told()).To(HaveLen(mostTold))
 		l, _ := f.Told(now)
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -37,7 +37,7 @@
 		address := fmt.Sprintf("10.%d.0.%d:8000", n%domains, n)
 		f.SetInstance(&facts.Instance{
 			ID: id.Instance(fmt.Sprint("i-", n)), Born: 5, Pool: "engines", Address: address, Domain: id.Domain(fmt.Sprint(n % domains)),
-			Slots: 12, Held: held, Seen: uint64(n),
+			Slots: 12, Held: held, Seen: id.Position(n),
 		})
 		t.SetReport(address, placement.LoadReport{Born: 5, Running: n % 12, Waiting: n % 3, Pace: 1, Held: held, Taken: now.Add(-time.Duration(n%200) * time.Millisecond)})
 	}
--- a/internal/measure/newsprocess.go
+++ b/internal/measure/newsprocess.go
@@ -134,20 +134,20 @@
 func (p *newsProcess) platform() *records.Platform {
 	return &records.Platform{
 		Store: records.Store{
-			Answers: func(ctx context.Context, _ string, _ uint64) error {
+			Answers: func(ctx context.Context, _ string, _ id.Position) error {
 				p.hold()
 				err := p.door.answers(ctx)
 				p.hold()
 				return err
 			},
-			Newest: func(ctx context.Context, topic string, progress records.Progress) ([]records.Record, uint64, error) {
+			Newest: func(ctx context.Context, topic string, progress records.Progress) ([]records.Record, id.Position, error) {
 				p.hold()
 				l, next, err := p.door.newest(ctx, topic, progress)
 				p.hold()
 				p.tally.brought(p.storeWay(), l)
 				return l, next, err
 			},
-			Read: func(ctx context.Context, topic string, from uint64, wait time.Duration) (records.Reading, error) {
+			Read: func(ctx context.Context, topic string, from id.Position, wait time.Duration) (records.Reading, error) {
 				p.hold()
 				l, next, err := p.door.read(ctx, topic, from, wait)
 				p.hold()
--- a/internal/measure/newsstore.go
+++ b/internal/measure/newsstore.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/platform"
 	"github.com/springrail/springrail/internal/records"
@@ -54,7 +55,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topics[topic]
-	r := records.Record{Key: key, Value: value, Offset: uint64(len(t.records))}
+	r := records.Record{Key: key, Value: value, Offset: id.Position(len(t.records))}
 	t.records = append(t.records, r)
 	if value == nil {
 		delete(t.newest, key)
@@ -75,7 +76,7 @@
 }
 
 // whole returns the newest record of each key and the offset to read on from.
-func (s *newsStore) whole(topic string) ([]records.Record, uint64) {
+func (s *newsStore) whole(topic string) ([]records.Record, id.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topics[topic]
@@ -83,11 +84,11 @@
 	for _, r := range t.newest {
 		l = append(l, r)
 	}
-	return l, uint64(len(t.records))
+	return l, id.Position(len(t.records))
 }
 
 // since returns the records from an offset on, and a channel that closes with the next one.
-func (s *newsStore) since(topic string, from uint64) ([]records.Record, <-chan struct{}, error) {
+func (s *newsStore) since(topic string, from id.Position) ([]records.Record, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topics[topic]
@@ -106,7 +107,7 @@
 }
 
 // read waits for records from an offset on.
-func (s *newsStore) read(ctx context.Context, topic string, from uint64, wait time.Duration) ([]records.Record, error) {
+func (s *newsStore) read(ctx context.Context, topic string, from id.Position, wait time.Duration) ([]records.Record, error) {
 	over := time.NewTimer(wait)
 	defer over.Stop()
 	for ended := wait == 0; ; {
@@ -223,8 +224,8 @@
 }
 
 // newest is a whole reading.
-func (d *newsDoor) newest(ctx context.Context, topic string, progress records.Progress) ([]records.Record, uint64, error) {
-	next := uint64(0)
+func (d *newsDoor) newest(ctx context.Context, topic string, progress records.Progress) ([]records.Record, id.Position, error) {
+	next := id.Position(0)
 	l, err := d.call(ctx, 0, progress, func(context.Context) ([]records.Record, error) {
 		var l []records.Record
 		l, next = d.store.whole(topic)
@@ -233,9 +234,9 @@
 	return l, next, err
 }
 
-func (d *newsDoor) read(ctx context.Context, topic string, from uint64, wait time.Duration) ([]records.Record, uint64, error) {
+func (d *newsDoor) read(ctx context.Context, topic string, from id.Position, wait time.Duration) ([]records.Record, id.Position, error) {
 	l, err := d.call(ctx, wait, func(int) {}, func(ctx context.Context) ([]records.Record, error) {
 		return d.store.read(ctx, topic, from, wait)
 	})
-	return l, from + uint64(len(l)), err
+	return l, from + id.Position(len(l)), err
 }
--- a/internal/measure/newstally.go
+++ b/internal/measure/newstally.go
@@ -8,6 +8,7 @@
 	"time"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/records"
 )
 
@@ -108,7 +109,7 @@
 // newsRecord names a record.
 type newsRecord struct {
 	key     string
-	offset  uint64
+	offset  id.Position
 	dropped bool
 }
 
@@ -134,7 +135,7 @@
 	defer c.mu.Unlock()
 	for _, t := range a.GetTopics() {
 		for _, r := range t.GetRecords() {
-			n := newsRecord{key: r.GetKey(), offset: r.GetOffset(), dropped: r.GetDropped()}
+			n := newsRecord{key: r.GetKey(), offset: id.Position(r.GetOffset()), dropped: r.GetDropped()}
 			if c.ways[n] == newsUnknown {
 				c.ways[n] = w
 			}
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -173,7 +173,7 @@
 
 // follow brings all records into the list, and then each new one.
 func (k *Keeper) follow(ctx context.Context) {
-	next, started := uint64(0), false
+	next, started := id.Position(0), false
 	for ctx.Err() == nil {
 		var err error
 		if started {
@@ -195,7 +195,7 @@
 }
 
 // readAll takes the newest record of each key, and lets requests through whose record has gone.
-func (k *Keeper) readAll(ctx context.Context) (next uint64, err error) {
+func (k *Keeper) readAll(ctx context.Context) (next id.Position, err error) {
 	l, next, err := k.store.Newest(ctx, k.topic, func(int) {})
 	if err != nil {
 		return 0, err
@@ -226,7 +226,7 @@
 }
 
 // read takes the records from an offset on.
-func (k *Keeper) read(ctx context.Context, from uint64) (next uint64, err error) {
+func (k *Keeper) read(ctx context.Context, from id.Position) (next id.Position, err error) {
 	a, err := k.store.Read(ctx, k.topic, from, followWait)
 	if err != nil {
 		return from, err
@@ -277,7 +277,7 @@
 // skip tells of a record that can't be read: others may write to the topic.
 func (k *Keeper) skip(r records.Record, err error) {
 	k.list.vars.Add("records_skipped", 1)
-	k.log.Warn().Err(err).Str("key", r.Key).Uint64("offset", r.Offset).Msg("record of a held request skipped")
+	k.log.Warn().Err(err).Str("key", r.Key).Uint64("offset", r.Offset.Offset()).Uint64("era", r.Offset.Era()).Msg("record of a held request skipped")
 }
 
 // tell encodes a held request as its record.
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/platform"
 	"github.com/springrail/springrail/internal/records"
 )
@@ -49,13 +50,13 @@
 	s.mu.Unlock()
 	s.set(func() {
 		s.writes++
-		r.Offset = uint64(len(s.records))
+		r.Offset = id.Position(len(s.records))
 		s.records = append(s.records, r)
 	})
 	return nil
 }
 
-func (s *shelf) newest(context.Context, string, records.Progress) (l []records.Record, end uint64, err error) {
+func (s *shelf) newest(context.Context, string, records.Progress) (l []records.Record, end id.Position, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
@@ -71,10 +72,10 @@
 			l = append(l, r)
 		}
 	}
-	return l, uint64(len(s.records)), nil
+	return l, id.Position(len(s.records)), nil
 }
 
-func (s *shelf) read(ctx context.Context, _ string, from uint64, _ time.Duration) (records.Reading, error) {
+func (s *shelf) read(ctx context.Context, _ string, from id.Position, _ time.Duration) (records.Reading, error) {
 	for {
 		s.mu.Lock()
 		change := s.change
@@ -88,7 +89,7 @@
 		case int(from) < len(s.records):
 			l := s.records[from:]
 			s.mu.Unlock()
-			return records.Reading{Records: l, Next: from + uint64(len(l))}, nil
+			return records.Reading{Records: l, Next: from + id.Position(len(l))}, nil
 		}
 		s.mu.Unlock()
 		select {
--- a/internal/records/away.go
+++ b/internal/records/away.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/springrail/springrail/internal/dating"
+	"github.com/springrail/springrail/internal/id"
 )
 
 // outage notes what a batch says of the store's being away. The caller holds the lock.
@@ -46,7 +47,7 @@
 	at time.Time
 	// next is the offset up to which the process had read. Of what was written before, the outage says nothing: a
 	// process that starts after it reads all of that at once.
-	next uint64
+	next id.Position
 }
 
 // unread is the moment from which on records may have been written that were not read here; zero where none is known.
@@ -97,11 +98,11 @@
 func (l *Log) note(err error, own bool) {
 	switch {
 	case err != nil && !l.lost:
-		l.log.Warn().Err(err).Str("topic", l.topic.Name).Uint64("next", l.next).Msg("the store is lost")
+		l.log.Warn().Err(err).Str("topic", l.topic.Name).Uint64("next", l.next.Offset()).Uint64("era", l.next.Era()).Msg("the store is lost")
 	case err == nil && l.lost && !own:
-		l.log.Info().Str("topic", l.topic.Name).Uint64("next", l.next).Msg("another process hands the records on")
+		l.log.Info().Str("topic", l.topic.Name).Uint64("next", l.next.Offset()).Uint64("era", l.next.Era()).Msg("another process hands the records on")
 	case err == nil && l.lost:
-		l.log.Info().Str("topic", l.topic.Name).Uint64("next", l.next).Msg("the store is back")
+		l.log.Info().Str("topic", l.topic.Name).Uint64("next", l.next.Offset()).Uint64("era", l.next.Era()).Msg("the store is back")
 		if l.absent != nil {
 			l.absent.Returned()
 		}
--- a/internal/records/changes.go
+++ b/internal/records/changes.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/springrail/springrail/internal/id"
 )
 
 // Changes is what a follower is told.
@@ -11,7 +13,7 @@
 	Whole   bool
 	// Last is the number of the last change.
 	Last  uint64
-	Next  uint64
+	Next  id.Position
 	Age   time.Duration
 	Grace time.Duration
 	// Settled is how long ago the store is known to have had nothing from Next on; below 0 where that is not known.
@@ -19,13 +21,13 @@
 	// Returned is how long ago the store was to be had again; below 0 where it has not been away. ReturnedNext is the
 	// offset up to which it had been read before that.
 	Returned     time.Duration
-	ReturnedNext uint64
+	ReturnedNext id.Position
 	// Began is how long ago the topic was read for the first time.
 	Began  time.Duration
 	Digest uint64
 	// Gapped says that the changes leave out what came and went from GapFrom on.
 	Gapped  bool
-	GapFrom uint64
+	GapFrom id.Position
 }
 
 // Position is how far a follower has come.
@@ -33,7 +35,7 @@
 	// Epoch is the start of the source that From belongs to, and From the number of the last change that it has of that.
 	Epoch, From uint64
 	// Next is the offset up to which it has read all, from whomever; 0 where it has read nothing.
-	Next uint64
+	Next id.Position
 }
 
 // askWhole is a change that no source has reached: the answer to it is the whole.
@@ -71,7 +73,7 @@
 
 // resumable says whether a follower that has read all up to an offset can be told the rest: a change of the source costs it
 // what is new then, not a configuration of 600 KB. The caller holds the lock.
-func (l *Log) resumable(next uint64) bool {
+func (l *Log) resumable(next id.Position) bool {
 	inGap := l.gap.from < next && next < l.gap.to
 	return next > 0 && next >= l.forgottenTo && !inGap
 }
--- a/internal/records/dated_test.go
+++ b/internal/records/dated_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/springrail/springrail/internal/dating"
 	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/platform"
 )
@@ -18,7 +19,7 @@
 		waits := make(chan time.Duration, 8)
 		g := &gate{}
 		r := &Reader{
-			store: &Store{Read: func(ctx context.Context, _ string, from uint64, wait time.Duration) (Reading, error) {
+			store: &Store{Read: func(ctx context.Context, _ string, from id.Position, wait time.Duration) (Reading, error) {
 				waits <- wait
 				kernel.Pause(ctx, 20*time.Millisecond)
 				return Reading{Next: from, End: from}, nil
@@ -124,9 +125,9 @@
 		f := facts.New(time.Now)
 		l := NewLog(Topic{Name: "t", Apply: func(Record) error { return nil }}, f, time.Now, quiet)
 		l.Take(Batch{Whole: true, Next: 1, Confirmed: time.Now()})
-		end := uint64(3)
+		end := id.Position(3)
 		r := &Reader{
-			store: &Store{Read: func(_ context.Context, _ string, from uint64, _ time.Duration) (Reading, error) {
+			store: &Store{Read: func(_ context.Context, _ string, from id.Position, _ time.Duration) (Reading, error) {
 				return Reading{Records: []Record{{Key: "k", Value: []byte("v"), Offset: from}}, Next: from + 1, End: end}, nil
 			}},
 			log: l, facts: f, gate: &gate{}, now: time.Now, own: func() {}, wait: time.Second, prompt: true,
@@ -167,9 +168,9 @@
 			}}, f, func() time.Time { return now }, quiet)
 			l.Take(Batch{Whole: true, Next: 1, Confirmed: now, Settled: now})
 			r := &Reader{
-				store: &Store{Read: func(_ context.Context, _ string, from uint64, _ time.Duration) (Reading, error) {
+				store: &Store{Read: func(_ context.Context, _ string, from id.Position, _ time.Duration) (Reading, error) {
 					now = now.Add(c.took)
-					a := Reading{Next: from, End: from + uint64(c.records)}
+					a := Reading{Next: from, End: from + id.Position(c.records)}
 					for range c.records {
 						a.Records = append(a.Records, Record{Key: "version", Value: []byte{byte(a.Next)}, Offset: a.Next})
 						a.Next++
--- a/internal/records/dates_test.go
+++ b/internal/records/dates_test.go
@@ -98,16 +98,16 @@
 	return platform.ErrUnavailable
 }
 
-func (p *datedProcess) answers(context.Context, string, uint64) error {
+func (p *datedProcess) answers(context.Context, string, id.Position) error {
 	return p.reached()
 }
 
-func (p *datedProcess) newest(context.Context, string, Progress) ([]Record, uint64, error) {
+func (p *datedProcess) newest(context.Context, string, Progress) ([]Record, id.Position, error) {
 	newest := map[string]Record{}
 	for _, r := range p.world.records {
 		newest[r.Key] = r
 	}
-	next := uint64(len(p.world.records))
+	next := id.Position(len(p.world.records))
 	var l []Record
 	for _, r := range newest {
 		l = append(l, r)
@@ -116,24 +116,24 @@
 }
 
 // read waits for a record. One that is written meanwhile ends the wait, or the store passes the reader over.
-func (p *datedProcess) read(_ context.Context, _ string, from uint64, wait time.Duration) (Reading, error) {
+func (p *datedProcess) read(_ context.Context, _ string, from id.Position, wait time.Duration) (Reading, error) {
 	w := p.world
 	if p.cut || w.away {
 		return Reading{}, p.reached()
 	}
-	if from == uint64(len(w.records)) && wait > 0 {
+	if from == id.Position(len(w.records)) && wait > 0 {
 		before := time.Duration(rapid.IntRange(0, int(wait.Milliseconds())).Draw(w.t, "written after")) * time.Millisecond
 		w.now = w.now.Add(before)
 		if rapid.Bool().Draw(w.t, "written") {
 			w.name()
 		}
-		if from == uint64(len(w.records)) || rapid.IntRange(0, 3).Draw(w.t, "passed over") == 0 {
+		if from == id.Position(len(w.records)) || rapid.IntRange(0, 3).Draw(w.t, "passed over") == 0 {
 			w.now = w.now.Add(wait - before)
 			return Reading{Next: from, End: from}, p.reached()
 		}
 	}
 	l := append([]Record(nil), w.records[from:]...)
-	return Reading{Records: l, Next: uint64(len(w.records)), End: uint64(len(w.records))}, p.reached()
+	return Reading{Records: l, Next: id.Position(len(w.records)), End: id.Position(len(w.records))}, p.reached()
 }
 
 // step lets the process ask the store once.
@@ -221,7 +221,7 @@
 }
 
 func (w *datedWorld) write(key, value string) {
-	w.records = append(w.records, Record{Key: key, Value: []byte(value), Offset: uint64(len(w.records))})
+	w.records = append(w.records, Record{Key: key, Value: []byte(value), Offset: id.Position(len(w.records))})
 }
 
 // allowed is the latest right date of a naming. What came after a process had read last, and before it asked in vain,
--- a/internal/records/deletion_test.go
+++ b/internal/records/deletion_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
 )
 
 // replica is a log with what it has made of the records, and its place at the source that it follows.
@@ -148,7 +149,7 @@
 type world struct {
 	now      time.Time
 	records  []Record
-	first    uint64
+	first    id.Position
 	replicas []*replica
 	// late is an answer on its way, and whose it is.
 	late   *Batch
@@ -175,7 +176,7 @@
 	for _, r := range w.records {
 		newest[r.Key] = r
 	}
-	b := Batch{Whole: true, Next: uint64(len(w.records)), Confirmed: w.now}
+	b := Batch{Whole: true, Next: id.Position(len(w.records)), Confirmed: w.now}
 	for _, r := range newest {
 		if r.Value != nil {
 			b.Records = append(b.Records, r)
@@ -191,7 +192,7 @@
 		r.Take(w.whole())
 		return
 	}
-	r.Take(Batch{Records: append([]Record(nil), w.records[next:]...), Next: uint64(len(w.records)), Confirmed: w.now})
+	r.Take(Batch{Records: append([]Record(nil), w.records[next:]...), Next: id.Position(len(w.records)), Confirmed: w.now})
 }
 
 // step draws what happens next.
@@ -209,7 +210,7 @@
 	case "drop":
 		w.write(w.key(t), nil)
 	case "forget":
-		w.first = uint64(len(w.records))
+		w.first = id.Position(len(w.records))
 	case "read":
 		w.read(r)
 	case "whole":
@@ -234,7 +235,7 @@
 }
 
 func (w *world) write(key string, value []byte) {
-	r := Record{Key: key, Value: value, Offset: uint64(len(w.records))}
+	r := Record{Key: key, Value: value, Offset: id.Position(len(w.records))}
 	w.did = append(w.did, fmt.Sprintf("%s=%s@%d", key, value, r.Offset))
 	w.records = append(w.records, r)
 }
--- a/internal/records/digest.go
+++ b/internal/records/digest.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"hash/crc32"
+
+	"github.com/springrail/springrail/internal/id"
 )
 
 // checksums is computed by the processor itself: each process of a failure domain sums each configuration, of up to 600
@@ -24,7 +26,7 @@
 
 // Differs says whether a source that has read just as far as this process holds other records. A source that has read all
 // anew after a gap can't tell as changes what came and went in it, and a follower may have read that itself.
-func (l *Log) Differs(next, digest uint64) bool {
+func (l *Log) Differs(next id.Position, digest uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return next == l.next && digest != l.digest
--- a/internal/records/entry.go
+++ b/internal/records/entry.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/phuslu/log"
+
+	"github.com/springrail/springrail/internal/id"
 )
 
 // entry is a key's newest record.
@@ -30,7 +32,7 @@
 	Record
 	packed  []byte
 	patched bool
-	base    uint64
+	base    id.Position
 	// absent is how long ago the store is known not to have had the record, and had how long ago somebody is known to
 	// have had it; below 0 where that is not known.
 	absent, had time.Duration
--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -295,7 +295,7 @@
 	q := &pb.FollowRequest{Epoch: f.epoch, WaitMs: wait.Milliseconds()}
 	for i, l := range f.logs {
 		next, _ := l.Position()
-		q.Positions = append(q.Positions, &pb.TopicPosition{Topic: l.topic.Name, From: f.from[i], Next: next})
+		q.Positions = append(q.Positions, &pb.TopicPosition{Topic: l.topic.Name, From: f.from[i], Next: uint64(next)})
 	}
 	ask, stop := context.WithTimeout(ctx, most)
 	defer stop()
--- a/internal/records/harness_test.go
+++ b/internal/records/harness_test.go
@@ -47,7 +47,7 @@
 func (s *fakeStore) put(topic, key, value string) {
 	s.lock().Lock()
 	defer s.lock().Unlock()
-	r := Record{Key: key, Offset: uint64(len(s.logs[topic]))}
+	r := Record{Key: key, Offset: id.Position(len(s.logs[topic]))}
 	if value != "" {
 		r.Value = []byte(value)
 	}
@@ -84,7 +84,7 @@
 
 func (s *fakeStore) store() Store {
 	return Store{
-		Answers: func(_ context.Context, topic string, _ uint64) error {
+		Answers: func(_ context.Context, topic string, _ id.Position) error {
 			s.lock().Lock()
 			defer s.lock().Unlock()
 			s.calls++
@@ -93,7 +93,7 @@
 			}
 			return nil
 		},
-		Newest: func(_ context.Context, topic string, _ Progress) ([]Record, uint64, error) {
+		Newest: func(_ context.Context, topic string, _ Progress) ([]Record, id.Position, error) {
 			s.lock().Lock()
 			defer s.lock().Unlock()
 			s.count(topic)
@@ -105,9 +105,9 @@
 				newest[r.Key] = r
 			}
 			l := slices.DeleteFunc(slices.Collect(maps.Values(newest)), func(r Record) bool { return r.Value == nil })
-			return l, uint64(len(s.logs[topic])), nil
+			return l, id.Position(len(s.logs[topic])), nil
 		},
-		Read: func(ctx context.Context, topic string, from uint64, wait time.Duration) (Reading, error) {
+		Read: func(ctx context.Context, topic string, from id.Position, wait time.Duration) (Reading, error) {
 			until := time.Now().Add(wait)
 			for {
 				s.lock().Lock()
@@ -123,7 +123,7 @@
 				}
 				s.lock().Unlock()
 				if over {
-					return Reading{Records: l, Next: from + uint64(len(l)), End: from + uint64(len(l))}, nil
+					return Reading{Records: l, Next: from + id.Position(len(l)), End: from + id.Position(len(l))}, nil
 				}
 				select {
 				case <-ctx.Done():
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -38,11 +38,11 @@
 	// changes counts the changes; forgotten is the last one that can't be told any more as a change.
 	changes, forgotten uint64
 	// forgottenTo is the offset from which on drops are remembered.
-	forgottenTo uint64
+	forgottenTo id.Position
 	// gap is the newest part of the topic that was not read record by record.
 	gap gap
 	// next is the offset from which on nothing has been read; all that was written before it is held.
-	next uint64
+	next id.Position
 	// settled is a moment at which the store had nothing from next on; zero where none is known.
 	settled       time.Time
 	started, lost bool
@@ -73,8 +73,9 @@
 
 // gap is a part of a topic of which only the newest records were read: what came and went in it is not known.
 type gap struct {
-	// from is the offset at which it begins, to the one after its end, and change the number of the change that it counts as.
-	from, to, change uint64
+	// It begins at from and ends before to; change is the number of the change that it counts as.
+	from, to id.Position
+	change   uint64
 }
 
 // Batch is what a source says of a topic.
@@ -83,7 +84,7 @@
 	// Whole says that the records are all there are.
 	Whole bool
 	// Next is the offset from which on nothing has been read.
-	Next uint64
+	Next id.Position
 	// Confirmed is when the store said so.
 	Confirmed time.Time
 	// Settled is a moment at which the store had nothing from Next on: when it was asked, as its answer may have been
@@ -98,7 +99,7 @@
 	Began time.Time
 	// Gapped says that the source has not read record by record from GapFrom on.
 	Gapped  bool
-	GapFrom uint64
+	GapFrom id.Position
 	// Returned is the end of the last time in which the source had not had the store.
 	Returned outageEnd
 	// Grace is the end of the time in which keys that are gone may come back.
@@ -154,7 +155,7 @@
 }
 
 // skip notes a gap up to an offset; followers that lack an earlier one too get the whole. The caller holds the lock.
-func (l *Log) skip(to uint64) {
+func (l *Log) skip(to id.Position) {
 	l.forgotten = max(l.forgotten, l.gap.change)
 	l.forgottenTo = max(l.forgottenTo, l.gap.to)
 	l.changes++
@@ -228,7 +229,7 @@
 	if r.Offset <= e.Offset || r.Offset < l.next || !l.skippedLines.AllowN(l.now(), 1) {
 		return
 	}
-	l.log.Warn().Str("topic", l.topic.Name).Str("key", r.Key).Uint64("offset", r.Offset).Uint64("held_offset", e.Offset).
+	l.log.Warn().Str("topic", l.topic.Name).Str("key", r.Key).Uint64("offset", r.Offset.Offset()).Uint64("era", r.Offset.Era()).Uint64("held_offset", e.Offset.Offset()).
 		Uint64("version", l.version(r)).Uint64("held_version", e.version).Msg("a record names an older version than one before it; passed over")
 }
 
@@ -239,7 +240,7 @@
 	}
 	d, o := e.Merge(r.Bracket)
 	if o == dating.Refused && l.skippedLines.AllowN(l.now(), 1) {
-		l.log.Warn().Str("topic", l.topic.Name).Str("key", e.Key).Uint64("offset", e.Offset).Time("after", r.After).
+		l.log.Warn().Str("topic", l.topic.Name).Str("key", e.Key).Uint64("offset", e.Offset.Offset()).Uint64("era", e.Offset.Era()).Time("after", r.After).
 			Str("by", r.Origin.By).Stringer("evidence", r.Origin.Evidence).Msg("date of a record refused")
 	}
 	old := e.After
@@ -265,7 +266,7 @@
 	}
 	l.skipped.Add(1)
 	if l.skippedLines.AllowN(l.now(), 1) {
-		l.log.Warn().Err(err).Str("topic", l.topic.Name).Str("key", r.Key).Uint64("offset", r.Offset).
+		l.log.Warn().Err(err).Str("topic", l.topic.Name).Str("key", r.Key).Uint64("offset", r.Offset.Offset()).Uint64("era", r.Offset.Era()).
 			Int64("skipped", l.skipped.Value()).Msg("record skipped")
 	}
 }
@@ -326,7 +327,7 @@
 		if listed[k] || e.Value == nil || e.Offset >= b.Next {
 			continue
 		}
-		l.log.Info().Str("topic", l.topic.Name).Str("key", k).Uint64("offset", e.Offset).Uint64("next", b.Next).
+		l.log.Info().Str("topic", l.topic.Name).Str("key", k).Uint64("offset", e.Offset.Offset()).Uint64("era", e.Offset.Era()).Uint64("next", b.Next.Offset()).
 			Msg("key not among all records any more")
 		l.change(e, Record{Key: k, Offset: b.Next - 1})
 	}
@@ -350,14 +351,14 @@
 }
 
 // Position returns the offset to read on from; started is false before the first whole reading.
-func (l *Log) Position() (next uint64, started bool) {
+func (l *Log) Position() (next id.Position, started bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.next, l.started
 }
 
 // valueAt returns the value of a key if its newest record is the one at an offset.
-func (l *Log) valueAt(key string, offset uint64) []byte {
+func (l *Log) valueAt(key string, offset id.Position) []byte {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e := l.entries[key]; e != nil && e.Offset == offset {
--- a/internal/records/log_test.go
+++ b/internal/records/log_test.go
@@ -46,7 +46,7 @@
 			now := time.Now()
 			clock := func() time.Time { return now }
 			source, follower := NewLog(topic(a), f, clock, quiet), NewLog(topic(b), f, clock, quiet)
-			offset, epoch, from := uint64(0), uint64(0), uint64(0)
+			offset, epoch, from := id.Position(0), uint64(0), uint64(0)
 			var written []Record
 			source.Take(Batch{Whole: true, Confirmed: now})
 			for range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -259,7 +259,7 @@
 			for _, m := range tell("t", c).GetRecords() {
 				v, err := follower.valueOf(m)
 				Expect(err).NotTo(HaveOccurred())
-				follower.Take(Batch{Records: []Record{{Key: m.GetKey(), Value: v, Offset: m.GetOffset()}}, Next: c.Next})
+				follower.Take(Batch{Records: []Record{{Key: m.GetKey(), Value: v, Offset: id.Position(m.GetOffset())}}, Next: c.Next})
 			}
 			p.From = c.Last
 		}
--- a/internal/records/outage_test.go
+++ b/internal/records/outage_test.go
@@ -81,14 +81,14 @@
 	}
 	inner := d.store.store()
 	d.way = Store{
-		Newest: func(ctx context.Context, topic string, progress Progress) ([]Record, uint64, error) {
+		Newest: func(ctx context.Context, topic string, progress Progress) ([]Record, id.Position, error) {
 			l, next, err := inner.Newest(ctx, topic, progress)
 			if err == nil {
 				err = d.link.carry(ctx, bytesOf(l), progress)
 			}
 			return l, next, d.lost(err)
 		},
-		Read: func(ctx context.Context, topic string, from uint64, wait time.Duration) (Reading, error) {
+		Read: func(ctx context.Context, topic string, from id.Position, wait time.Duration) (Reading, error) {
 			a, err := inner.Read(ctx, topic, from, wait)
 			if err == nil {
 				err = d.link.carry(ctx, bytesOf(a.Records), func(int) {})
@@ -140,19 +140,19 @@
 // add makes a process that knows the gateways of its domain.
 func (d *domain) add(name string, wait time.Duration) {
 	way := d.way
-	way.Answers = func(ctx context.Context, topic string, from uint64) error {
+	way.Answers = func(ctx context.Context, topic string, from id.Position) error {
 		if d.turnsAway(ctx, name) {
 			return platform.ErrBusy
 		}
 		return d.way.Answers(ctx, topic, from)
 	}
-	way.Read = func(ctx context.Context, topic string, from uint64, wait time.Duration) (Reading, error) {
+	way.Read = func(ctx context.Context, topic string, from id.Position, wait time.Duration) (Reading, error) {
 		if d.turnsAway(ctx, name) {
 			return Reading{}, platform.ErrBusy
 		}
 		return d.way.Read(ctx, topic, from, wait)
 	}
-	way.Newest = func(ctx context.Context, topic string, progress Progress) ([]Record, uint64, error) {
+	way.Newest = func(ctx context.Context, topic string, progress Progress) ([]Record, id.Position, error) {
 		if d.turnsAway(ctx, name) {
 			return nil, 0, platform.ErrBusy
 		}
@@ -347,7 +347,7 @@
 		var looked time.Time
 		store := s.store()
 		answers := store.Answers
-		store.Answers = func(ctx context.Context, topic string, from uint64) error {
+		store.Answers = func(ctx context.Context, topic string, from id.Position) error {
 			mu.Lock()
 			defer mu.Unlock()
 			if looked.IsZero() {
@@ -422,7 +422,7 @@
 		s.put("up", "u", "here")
 		l := &link{perSecond: int(longRecord / longTakes.Seconds())}
 		way := s.store()
-		way.Newest = func(ctx context.Context, topic string, progress Progress) ([]Record, uint64, error) {
+		way.Newest = func(ctx context.Context, topic string, progress Progress) ([]Record, id.Position, error) {
 			r, next, err := s.store().Newest(ctx, topic, progress)
 			if err != nil {
 				return nil, 0, err
--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -9,6 +9,7 @@
 
 	"github.com/springrail/springrail/internal/dating"
 	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/platform"
 )
@@ -141,7 +142,7 @@
 		return false, err
 	}
 	r.countAnswer(prompt, len(a.Records))
-	r.noteSlow(r.now().Sub(asked), wait, a.Records, a.End-a.Next)
+	r.noteSlow(r.now().Sub(asked), wait, a.Records, uint64(a.End-a.Next))
 	b := r.batch(asked, wait)
 	b.Records, b.Next = a.Records, a.Next
 	r.dateWoken(b.Records, asked, wait)
@@ -285,7 +286,7 @@
 
 // patience is how long a read may wait at the store. The store passes a waiting reader over now and then: once another
 // process is known to have read further, this one does not wait.
-func (r *Reader) patience(ctx context.Context, next uint64) (context.Context, func(), time.Duration) {
+func (r *Reader) patience(ctx context.Context, next id.Position) (context.Context, func(), time.Duration) {
 	if r.wait == 0 || r.prompt {
 		return ctx, func() {}, 0
 	}
@@ -305,7 +306,7 @@
 }
 
 // heard tells others how far the operators' records have been read.
-func (r *Reader) heard(next uint64) {
+func (r *Reader) heard(next id.Position) {
 	if r.wait > 0 {
 		r.facts.Heard(next)
 	}
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -8,13 +8,14 @@
 	"time"
 
 	"github.com/springrail/springrail/internal/dating"
+	"github.com/springrail/springrail/internal/id"
 )
 
 // Record is the newest word on a key. A nil value says that the key was dropped.
 type Record struct {
 	Key    string
 	Value  []byte
-	Offset uint64
+	Offset id.Position
 	// Bracket is what is known of when the record was written.
 	dating.Bracket
 	// Missed is a moment at which the store had none of the records that this process has not read before this one; zero
@@ -28,11 +29,11 @@
 // Store is how the platform's store is asked. Its errors are those of package platform.
 type Store struct {
 	// Answers returns nil where the store answers a short question on a topic that has been read up to an offset.
-	Answers func(ctx context.Context, topic string, from uint64) error
+	Answers func(ctx context.Context, topic string, from id.Position) error
 	// Newest returns the newest record of each key, and the offset from which on reading misses nothing.
-	Newest func(ctx context.Context, topic string, progress Progress) ([]Record, uint64, error)
+	Newest func(ctx context.Context, topic string, progress Progress) ([]Record, id.Position, error)
 	// Read returns the records from an offset on; it waits for the first up to wait.
-	Read func(ctx context.Context, topic string, from uint64, wait time.Duration) (Reading, error)
+	Read func(ctx context.Context, topic string, from id.Position, wait time.Duration) (Reading, error)
 	// Add writes a record of the product's own topics. After an error it may be written all the same, also seconds later.
 	Add func(ctx context.Context, topic string, r Record) error
 }
@@ -41,7 +42,7 @@
 type Reading struct {
 	Records []Record
 	// Next is the offset after the last record, and End the one after the last that the store has.
-	Next, End uint64
+	Next, End id.Position
 }
 
 // Topic is a topic of the store with what the product makes of its records.
--- a/internal/records/service.go
+++ b/internal/records/service.go
@@ -102,7 +102,7 @@
 		at := Position{Epoch: q.GetEpoch()}
 		for _, p := range q.GetPositions() {
 			if p.GetTopic() == l.topic.Name {
-				at.From, at.Next = p.GetFrom(), p.GetNext()
+				at.From, at.Next = p.GetFrom(), id.Position(p.GetNext())
 			}
 		}
 		c, next, started := l.Since(at)
@@ -124,20 +124,21 @@
 
 func tell(topic string, c Changes) *pb.TopicChanges {
 	t := &pb.TopicChanges{
-		Topic: topic, Whole: c.Whole, From: c.Last, Next: c.Next, AgeMs: c.Age.Milliseconds(), GraceMs: c.Grace.Milliseconds(),
+		Topic: topic, Whole: c.Whole, From: c.Last, Next: uint64(c.Next), AgeMs: c.Age.Milliseconds(), GraceMs: c.Grace.Milliseconds(),
 		SettledMs: millisUp(c.Settled), ReturnedMs: millisUp(c.Returned), BeganMs: millisUp(c.Began), Digest: &c.Digest,
-		ReturnedNext: c.ReturnedNext,
+		ReturnedNext: uint64(c.ReturnedNext),
 	}
 	if c.Gapped {
-		t.GapFrom = &c.GapFrom
+		from := uint64(c.GapFrom)
+		t.GapFrom = &from
 	}
 	for _, r := range c.Records {
 		m := &pb.RelayedRecord{
-			Key: r.Key, Value: r.Value, Dropped: r.Value == nil, Offset: r.Offset,
+			Key: r.Key, Value: r.Value, Dropped: r.Value == nil, Offset: uint64(r.Offset),
 			AbsentMs: millisUp(r.absent), HadMs: millisDown(r.had), Origin: r.Origin.Tell(),
 		}
 		if r.packed != nil {
-			m.Value, m.Packed, m.Patched, m.Base = r.packed, true, r.patched, r.base
+			m.Value, m.Packed, m.Patched, m.Base = r.packed, true, r.patched, uint64(r.base)
 		}
 		t.Records = append(t.Records, m)
 	}
--- a/internal/records/starter_test.go
+++ b/internal/records/starter_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/platform"
 )
 
@@ -61,7 +62,7 @@
 		l.Take(Batch{Whole: true, Next: 1, Confirmed: now, Settled: now})
 		now = now.Add(800 * time.Millisecond)
 		r := &Reader{
-			store: &Store{Read: func(_ context.Context, _ string, from uint64, _ time.Duration) (Reading, error) {
+			store: &Store{Read: func(_ context.Context, _ string, from id.Position, _ time.Duration) (Reading, error) {
 				now = now.Add(5 * time.Millisecond)
 				return Reading{Records: []Record{{Key: "version", Value: []byte("3"), Offset: from}}, Next: from + 1, End: from + 1}, nil
 			}},
--- a/internal/records/take.go
+++ b/internal/records/take.go
@@ -9,6 +9,7 @@
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/dating"
+	"github.com/springrail/springrail/internal/id"
 )
 
 // takeTopic takes what an answer brings of one topic, if that is fresh enough: a source may have one topic and lack
@@ -34,7 +35,7 @@
 	}
 	f.from[i] = t.GetFrom()
 	if !taken {
-		f.log.Info().Str("source", address).Str("topic", t.GetTopic()).Uint64("gap_from", t.GetGapFrom()).
+		f.log.Info().Str("source", address).Str("topic", t.GetTopic()).Uint64("gap_from", id.Position(t.GetGapFrom()).Offset()).Uint64("era", id.Position(t.GetGapFrom()).Era()).
 			Msg("records are asked for as a whole: this process has read further than the source had")
 		f.from[i] = askWhole
 	}
@@ -46,11 +47,11 @@
 func (f *Follower) compare(address string, a *pb.FollowResponse) {
 	now := f.now()
 	for i, t := range a.GetTopics() {
-		if t.Digest == nil || !f.logs[i].Differs(t.GetNext(), t.GetDigest()) || now.Before(f.wholeAgain[t.GetTopic()]) {
+		if t.Digest == nil || !f.logs[i].Differs(id.Position(t.GetNext()), t.GetDigest()) || now.Before(f.wholeAgain[t.GetTopic()]) {
 			continue
 		}
 		f.vars.Add("differed", 1)
-		f.log.Warn().Str("source", address).Str("topic", t.GetTopic()).Uint64("next", t.GetNext()).
+		f.log.Warn().Str("source", address).Str("topic", t.GetTopic()).Uint64("next", id.Position(t.GetNext()).Offset()).Uint64("era", id.Position(t.GetNext()).Era()).
 			Msg("the source holds other records; they are asked for as a whole")
 		f.from[i], f.wholeAgain[t.GetTopic()] = askWhole, now.Add(differPause)
 	}
@@ -119,15 +120,15 @@
 func (f *Follower) take(l *Log, t *pb.TopicChanges, answered time.Time) (bool, error) {
 	now := f.now()
 	b := Batch{
-		Whole: t.GetWhole(), Next: t.GetNext(),
+		Whole: t.GetWhole(), Next: id.Position(t.GetNext()),
 		Confirmed: now.Add(-time.Duration(t.GetAgeMs()) * time.Millisecond),
 		Grace:     now.Add(time.Duration(t.GetGraceMs()) * time.Millisecond),
 		Settled:   before(answered, t.SettledMs),
 		Began:     before(answered, t.BeganMs),
 		Gapped:    t.GapFrom != nil,
-		GapFrom:   t.GetGapFrom(),
+		GapFrom:   id.Position(t.GetGapFrom()),
 	}
-	if n := t.GetReturnedNext(); n > 0 {
+	if n := id.Position(t.GetReturnedNext()); n > 0 {
 		// A source that does not say how far it had read before may have read all of this then.
 		b.Returned = outageEnd{at: before(answered, t.ReturnedMs), next: n}
 	}
@@ -137,7 +138,7 @@
 			return false, err
 		}
 		d := dating.Bracket{After: before(answered, r.AbsentMs), Had: before(now, r.HadMs), Origin: dating.Told(r.GetOrigin())}
-		b.Records = append(b.Records, Record{Key: r.GetKey(), Value: v, Offset: r.GetOffset(), Bracket: d})
+		b.Records = append(b.Records, Record{Key: r.GetKey(), Value: v, Offset: id.Position(r.GetOffset()), Bracket: d})
 	}
 	return l.Take(b), nil
 }
@@ -159,9 +160,10 @@
 	case r.GetDropped():
 		return nil, nil
 	case r.GetPatched():
-		base := l.valueAt(r.GetKey(), r.GetBase())
+		at := id.Position(r.GetBase())
+		base := l.valueAt(r.GetKey(), at)
 		if base == nil {
-			return nil, trace.Wrap(errNoBase, "key %s, offset %d", r.GetKey(), r.GetBase())
+			return nil, trace.Wrap(errNoBase, "key %s, offset %s", r.GetKey(), at)
 		}
 		return unpack(r.GetValue(), base)
 	case r.GetPacked():
--- a/internal/records/told_test.go
+++ b/internal/records/told_test.go
@@ -9,6 +9,7 @@
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/dating"
 	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
 )
 
 var _ = Describe("a record that somebody had before its date", func() {
@@ -52,7 +53,7 @@
 		again := record(dating.Bracket{})
 		again[0].Offset = 5
 		l.Take(Batch{Records: again, Next: 6, Confirmed: now, Settled: now})
-		Expect(l.entries["version"].Offset).To(Equal(uint64(5)))
+		Expect(l.entries["version"].Offset).To(Equal(id.Position(5)))
 		Expect(l.entries["version"].After).To(Equal(last))
 	})
 
--- a/internal/records/turn_test.go
+++ b/internal/records/turn_test.go
@@ -12,6 +12,7 @@
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/platform"
 )
 
@@ -281,7 +282,7 @@
 		}
 	})
 	whole := func(l *Log, n int) {
-		l.Take(Batch{Whole: true, Own: true, Next: uint64(n), Confirmed: now, Settled: now, Records: []Record{{Key: "k", Value: []byte("v"), Offset: uint64(n - 1)}}})
+		l.Take(Batch{Whole: true, Own: true, Next: id.Position(n), Confirmed: now, Settled: now, Records: []Record{{Key: "k", Value: []byte("v"), Offset: id.Position(n - 1)}}})
 	}
 	follow := func() error { return f.follow(context.Background(), "source") }
 
@@ -303,7 +304,7 @@
 		Expect(follow()).To(Succeed())
 		next, started := f.logs[0].Position()
 		Expect(started).To(BeTrue())
-		Expect(next).To(Equal(uint64(3)))
+		Expect(next).To(Equal(id.Position(3)))
 	})
 
 	It("leaves it once its bytes have stopped", func() {
--- a/internal/records/wire_test.go
+++ b/internal/records/wire_test.go
@@ -13,6 +13,7 @@
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
 )
 
 // fleet is a store and processes that read it and follow each other by the messages that go over the wire, in a time of its
@@ -21,7 +22,7 @@
 	now       time.Time
 	records   []Record
 	written   []time.Time
-	first     uint64
+	first     id.Position
 	processes map[string]*relay
 	tick      func()
 	did       []string
@@ -83,7 +84,7 @@
 }
 
 func (w *fleet) write(key, value string) {
-	r := Record{Key: key, Offset: uint64(len(w.records))}
+	r := Record{Key: key, Offset: id.Position(len(w.records))}
 	if value != "" {
 		r.Value = []byte(value)
 	}
@@ -110,7 +111,7 @@
 	w.tick()
 	defer w.tick()
 	next, started := p.log.Position()
-	end := uint64(len(w.records))
+	end := id.Position(len(w.records))
 	b := Batch{Own: true, Next: end, Settled: asked}
 	if whole || !started || next < w.first {
 		b.Whole = true
@@ -165,7 +166,7 @@
 	case "drop":
 		w.write(key, "")
 	case "forget":
-		w.first = uint64(len(w.records))
+		w.first = id.Position(len(w.records))
 	case "read", "parts", "whole":
 		p.take(p.ask(s == "whole", s == "parts"))
 	case "follow":
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -135,7 +135,7 @@
 		r.vars.Add("malformed", 1)
 		return
 	}
-	r.facts.Heard(s.GetConfigOffset())
+	r.facts.Heard(id.Position(s.GetConfigOffset()))
 	for _, h := range s.GetProved() {
 		if r.facts.Prove(id.Model(h.GetModel()), id.Revision(h.GetRevision())) {
 			r.log.Warn().Str("model", h.GetModel()).Uint64("revision", h.GetRevision()).Str("gateway", s.GetSender()).
@@ -184,7 +184,8 @@
 		}
 	}
 	r.number++
-	p.ConfigOffset, _ = r.facts.Hearing()
+	heard, _ := r.facts.Hearing()
+	p.ConfigOffset = uint64(heard)
 	if c := r.facts.Catalog(); c != nil {
 		p.Config = c.Revision
 	}
@@ -284,7 +285,7 @@
 	told, _ := r.facts.Told(since)
 	var l []*pb.ListWord
 	for _, w := range told {
-		l = append(l, &pb.ListWord{Instance: string(w.Instance), Born: uint64(w.Born), Left: w.Left, Offset: w.Offset})
+		l = append(l, &pb.ListWord{Instance: string(w.Instance), Born: uint64(w.Born), Left: w.Left, Offset: uint64(w.Offset)})
 	}
 	return l
 }
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -15,6 +15,7 @@
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/catalog"
 	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/placement"
 	"github.com/springrail/springrail/internal/spec"
 )
@@ -121,13 +122,13 @@
 		b, _ := proto.Marshal(&pb.ReportSubscription{Sender: "127.0.0.1:9", ConfigOffset: 7})
 		r.take(b)
 		heard, hearing := far.Hearing()
-		Expect(heard).To(Equal(uint64(7)))
+		Expect(heard).To(Equal(id.Position(7)))
 		near := facts.New(time.Now)
 		s := NewSubscriber(socket(), 1, "d", near, time.Now, quiet)
 		b, _ = proto.Marshal(&pb.UpstreamReport{Address: "a", Incarnation: 1, Number: 1, ConfigOffset: 9})
 		s.take(b)
 		heard, _ = near.Hearing()
-		Expect(heard).To(Equal(uint64(9)))
+		Expect(heard).To(Equal(id.Position(9)))
 		far.Heard(5)
 		Expect(hearing).NotTo(BeClosed())
 		far.Heard(8)
--- a/internal/reports/subscribe.go
+++ b/internal/reports/subscribe.go
@@ -68,7 +68,7 @@
 	now := s.now()
 	stamp := s.stamps.at(now)
 	b, err := proto.Marshal(&pb.ReportSubscription{
-		Sender: s.conn.LocalAddr().String(), ConfigOffset: heard, Domain: string(s.domain),
+		Sender: s.conn.LocalAddr().String(), ConfigOffset: uint64(heard), Domain: string(s.domain),
 		Offered: s.offers.First.PerSecond(of.pool), OfferedLate: s.offers.Late.PerSecond(of.pool), Each: of.each,
 		Stamp: stamp, Proved: s.proved(of.pool),
 	})
--- a/internal/reports/word_test.go
+++ b/internal/reports/word_test.go
@@ -26,7 +26,7 @@
 	var r *Reporter
 	var s *Subscriber
 	var own *net.UDPConn
-	entry := func(seen uint64, leaving bool) *facts.Instance {
+	entry := func(seen id.Position, leaving bool) *facts.Instance {
 		return &facts.Instance{ID: "i", Address: "a", Seen: seen, Leaving: leaving}
 	}
 	subscribe := func() {
--- a/internal/stager/word_test.go
+++ b/internal/stager/word_test.go
@@ -42,7 +42,7 @@
 		Eventually(func() bool { _, up := s.current(); return up }).Should(BeTrue())
 		read := subscribed(to)
 		atOnce := 0
-		for k := range uint64(6) {
+		for k := range id.Position(6) {
 			n := id.Instance(rune('i' + k))
 			named := func(w *pb.ListWord) bool { return w.GetInstance() == string(n) && w.GetLeft() }
 			f.SetInstance(&facts.Instance{ID: n, Pool: "p", Address: s.ports.Address, Seen: 2 * k})
