Records follow a store that comes back from an older copy into its new era

Callers' requests reached an upstream 2.4 to 3.1 s after the store had taken that it leaves, and a confirmed route was refused with 404.

Cause: a process took a higher offset for a later one. After the return it read on at its old offset: what was written below was never read (gateways of one failure domain lacked two configurations until the log passed offset 7 again), a whole reading was judged older than what was held, and a new record at the offset of the one held was taken for that one (an upstream's at 24).

An answer of a later era has the topic read whole, once a failure domain; one of an earlier era counts as none. A whole reading of a later era replaces what is held, but for what never goes back: values whose number only rises, and that a start of an upstream leaves. Entries that the copy lacks have the grace of a return, also at followers. Whole readings that bring nothing to read on from come ever more rarely.

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -111,6 +111,9 @@
 	}
 	f.instances[i.ID] = i
 	f.readTo = max(f.readTo, i.Seen)
+	if i.Leaving {
+		f.leavers[i.ID] = leaver{born: i.Born, listed: f.now()}
+	}
 	f.watchEntry(i)
 	f.list.Store(nil)
 	if old == nil || old.Leaving != i.Leaving || old.Born != i.Born {
--- a/internal/facts/word.go
+++ b/internal/facts/word.go
@@ -112,8 +112,9 @@
 // watchEntry takes an entry of the list; the caller holds the lock. One that is as it should be is only told of where it
 // was told to have left.
 func (f *Facts) watchEntry(i *Instance) {
-	if f.watch.at(i.Address) && (i.Leaving || f.watch.of[i.ID] != nil) {
-		f.watched(Word{Instance: i.ID, Born: i.Born, Left: i.Leaving, Offset: i.Seen})
+	left := i.Leaving || f.leaves(i.ID, i.Born)
+	if f.watch.at(i.Address) && (left || f.watch.of[i.ID] != nil) {
+		f.watched(Word{Instance: i.ID, Born: i.Born, Left: left, Offset: i.Seen})
 	}
 }
 
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -105,14 +105,15 @@
 func (k *Keeper) write(ctx context.Context) {
 	for ctx.Err() == nil {
 		f, w, wait := k.next()
-		switch {
-		case wait > 0:
+		if wait > 0 {
 			k.pause(ctx, wait)
-		case k.store.Add(ctx, k.topic, records.Record{Key: f.String(), Value: w.value}) == nil:
-			k.written(f, w)
-		default:
+			continue
+		}
+		if _, err := k.store.Add(ctx, k.topic, records.Record{Key: f.String(), Value: w.value}); err != nil {
 			k.later(f, w)
+			continue
 		}
+		k.written(f, w)
 	}
 }
 
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -41,11 +41,11 @@
 	s.change = make(chan struct{})
 }
 
-func (s *shelf) add(_ context.Context, _ string, r records.Record) error {
+func (s *shelf) add(_ context.Context, _ string, r records.Record) (id.Position, error) {
 	s.mu.Lock()
 	if s.away {
 		s.mu.Unlock()
-		return platform.ErrUnavailable
+		return 0, platform.ErrUnavailable
 	}
 	s.mu.Unlock()
 	s.set(func() {
@@ -53,7 +53,7 @@
 		r.Offset = id.Position(len(s.records))
 		s.records = append(s.records, r)
 	})
-	return nil
+	return r.Offset, nil
 }
 
 func (s *shelf) newest(context.Context, string, records.Progress) (l []records.Record, end id.Position, err error) {
@@ -193,7 +193,8 @@
 		for _, r := range []records.Record{
 			{Key: "no fingerprint", Value: []byte("x")}, {Key: bad.String(), Value: []byte{0xff}}, {Key: request("good").String(), Value: []byte{}},
 		} {
-			Expect(s.add(context.Background(), "t", r)).To(Succeed())
+			_, err := s.add(context.Background(), "t", r)
+			Expect(err).NotTo(HaveOccurred())
 		}
 		l, _, _ := keep(s)
 		Eventually(func() bool { return l.Check(request("good")) == Held }).Should(BeTrue())
--- a/internal/records/deletion_test.go
+++ b/internal/records/deletion_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -124,7 +125,7 @@
 
 	It("leaves all replicas alike, whoever read what when, followed whom, and whenever an answer came", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			w := &world{now: now, first: 0}
+			w := &world{now: now}
 			for range 3 {
 				w.replicas = append(w.replicas, newReplica(f, clock))
 			}
@@ -145,11 +146,12 @@
 	})
 })
 
-// world is a store that forgets its history, with replicas of it.
+// world is a store that forgets its history and comes back from older copies, with replicas of it.
 type world struct {
 	now      time.Time
 	records  []Record
-	first    id.Position
+	era      uint64
+	first    int
 	replicas []*replica
 	// late is an answer on its way, and whose it is.
 	late   *Batch
@@ -176,7 +178,7 @@
 	for _, r := range w.records {
 		newest[r.Key] = r
 	}
-	b := Batch{Whole: true, Next: id.Position(len(w.records)), Confirmed: w.now}
+	b := Batch{Whole: true, Next: w.at(len(w.records)), Confirmed: w.now}
 	for _, r := range newest {
 		if r.Value != nil {
 			b.Records = append(b.Records, r)
@@ -188,11 +190,27 @@
 // read is a reader's step: the newest records, or all where these are no longer to be had.
 func (w *world) read(r *replica) {
 	next, started := r.Position()
-	if !started || next < w.first {
+	if !started || next.Era() != w.era || next < w.at(w.first) {
 		r.Take(w.whole())
 		return
 	}
-	r.Take(Batch{Records: append([]Record(nil), w.records[next:]...), Next: id.Position(len(w.records)), Confirmed: w.now})
+	r.Take(Batch{Records: append([]Record(nil), w.records[next.Offset():]...), Next: w.at(len(w.records)), Confirmed: w.now})
+}
+
+// at is the position of an offset in the era of now.
+func (w *world) at(offset int) id.Position {
+	p, err := id.PositionAt(w.era, uint64(offset))
+	Expect(err).NotTo(HaveOccurred())
+	return p
+}
+
+// back has the store come back from a copy of its first records.
+func (w *world) back(n int) {
+	w.era++
+	w.records, w.first = slices.Clone(w.records[:n]), min(w.first, n)
+	for i := range w.records {
+		w.records[i].Offset = w.at(i)
+	}
 }
 
 // step draws what happens next.
@@ -200,7 +218,7 @@
 	n := rapid.IntRange(0, len(w.replicas)-1).Draw(t, "replica")
 	r := w.replicas[n]
 	step := rapid.SampledFrom([]string{
-		"write", "write", "drop", "drop", "forget", "read", "read", "read", "whole", "follow", "follow", "follow", "ask", "answer", "tidy",
+		"write", "write", "drop", "drop", "forget", "read", "read", "read", "whole", "follow", "follow", "follow", "ask", "answer", "tidy", "back",
 	}).Draw(t, "step")
 	w.did = append(w.did, fmt.Sprint(n, " ", step))
 	switch step {
@@ -210,7 +228,7 @@
 	case "drop":
 		w.write(w.key(t), nil)
 	case "forget":
-		w.first = id.Position(len(w.records))
+		w.first = len(w.records)
 	case "read":
 		w.read(r)
 	case "whole":
@@ -223,6 +241,9 @@
 		r.mu.Lock()
 		r.forget()
 		r.mu.Unlock()
+	case "back":
+		w.back(rapid.IntRange(0, len(w.records)).Draw(t, "held"))
+		w.did = append(w.did, fmt.Sprint("to ", len(w.records)))
 	case "ask":
 		b := w.whole()
 		w.late, w.lateTo = &b, r
@@ -235,8 +256,8 @@
 }
 
 func (w *world) write(key string, value []byte) {
-	r := Record{Key: key, Value: value, Offset: id.Position(len(w.records))}
-	w.did = append(w.did, fmt.Sprintf("%s=%s@%d", key, value, r.Offset))
+	r := Record{Key: key, Value: value, Offset: w.at(len(w.records))}
+	w.did = append(w.did, fmt.Sprintf("%s=%s@%s", key, value, r.Offset))
 	w.records = append(w.records, r)
 }
 
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -116,6 +116,7 @@
 		return false
 	}
 	l.outage(b)
+	l.enterEra(b.Next)
 	before := l.changes
 	for _, r := range b.Records {
 		if r.Offset >= l.next {
@@ -324,7 +325,7 @@
 		listed[r.Key] = true
 	}
 	for k, e := range l.entries {
-		if listed[k] || e.Value == nil || e.Offset >= b.Next {
+		if listed[k] || e.Value == nil || e.Offset >= b.Next || l.keeps(e, b.Next) {
 			continue
 		}
 		l.log.Info().Str("topic", l.topic.Name).Str("key", k).Uint64("offset", e.Offset.Offset()).Uint64("era", e.Offset.Era()).Uint64("next", b.Next.Offset()).
@@ -333,6 +334,25 @@
 	}
 }
 
+// keeps says whether a key stays that a whole list of a later era lacks: a value whose number only rises is written again,
+// and is not taken back until then. The caller holds the lock.
+func (l *Log) keeps(e *entry, next id.Position) bool {
+	return e.version > 0 && e.Offset.Era() < next.Era()
+}
+
+// enterEra notes that the store has come back from an older copy. The upstreams whose entries it lacks may come back, as
+// after any return of the store. The caller holds the lock.
+func (l *Log) enterEra(next id.Position) {
+	if !l.started || next.Era() <= l.next.Era() {
+		return
+	}
+	l.log.Warn().Str("topic", l.topic.Name).Uint64("era", next.Era()).Uint64("next", next.Offset()).Uint64("era_before", l.next.Era()).
+		Uint64("next_before", l.next.Offset()).Msg("the store has come back from an older copy")
+	if l.absent != nil {
+		l.absent.Returned()
+	}
+}
+
 // ageMost is the greatest age at which a source's records of the topic are taken.
 func (l *Log) ageMost() time.Duration {
 	if l.topic.Upstreams {
--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -44,6 +44,8 @@
 	// versions of a long record: read one after the other by all processes, they kept the store and narrow links busy
 	// beyond the time of an answer, for good.
 	whole bool
+	// expired counts the times in a row that the store could not be read on from where it had been read to.
+	expired int
 	// stood is true once this process has stood still since the last good reading: what it could not read then was not for
 	// the store's being away.
 	stood bool
@@ -72,6 +74,7 @@
 		case errors.Is(err, platform.ErrExpired) && !r.whole:
 			r.whole = true
 			r.log.missed()
+			r.restExpired(ctx)
 		case errors.Is(err, errRefused):
 			r.rest(ctx, retryPause)
 		case err != nil:
@@ -105,6 +108,30 @@
 	r.stood = r.stood || r.now().Sub(began) > d+restMost
 }
 
+// SameEra returns nil where an answer is of the era of a position that has been read to, platform.ErrExpired where it is of
+// a later one, and platform.ErrUnavailable where it is of an earlier one, which comes late.
+func SameEra(got, asked id.Position) error {
+	switch {
+	case got.Era() > asked.Era():
+		return trace.Wrap(platform.ErrExpired, "the store is in era %d, read up to era %d", got.Era(), asked.Era())
+	case got.Era() < asked.Era():
+		return trace.Wrap(platform.ErrUnavailable, "an answer of era %d after one of era %d", got.Era(), asked.Era())
+	}
+	return nil
+}
+
+// expiredMost bounds the doubling of the pause before another whole reading.
+const expiredMost = 5
+
+// restExpired waits before the topic is read whole again although the last whole reading has brought no position that could
+// be read on from; the first time it does not.
+func (r *Reader) restExpired(ctx context.Context) {
+	if r.expired > 0 {
+		r.rest(ctx, retryPause<<min(r.expired, expiredMost))
+	}
+	r.expired++
+}
+
 // behind says whether another process has read further in the operators' records.
 func (r *Reader) behind() bool {
 	heard, _ := r.facts.Hearing()
@@ -141,6 +168,11 @@
 		r.count("no answer")
 		return false, err
 	}
+	if err := SameEra(a.Next, next); err != nil {
+		r.count("another era")
+		return false, err
+	}
+	r.expired = 0
 	r.countAnswer(prompt, len(a.Records))
 	r.noteSlow(r.now().Sub(asked), wait, a.Records, uint64(a.End-a.Next))
 	b := r.batch(asked, wait)
@@ -271,6 +303,10 @@
 	if err != nil {
 		return err
 	}
+	held, _ := r.log.Position()
+	if err := SameEra(next, held); errors.Is(err, platform.ErrUnavailable) {
+		return err
+	}
 	r.noteSlow(r.now().Sub(asked), 0, l, 0)
 	r.whole, r.failed = false, 0
 	b := r.batch(asked, 0)
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -32,10 +32,12 @@
 	Answers func(ctx context.Context, topic string, from id.Position) error
 	// Newest returns the newest record of each key, and the offset from which on reading misses nothing.
 	Newest func(ctx context.Context, topic string, progress Progress) ([]Record, id.Position, error)
-	// Read returns the records from an offset on; it waits for the first up to wait.
+	// Read returns the records from an offset on; it waits for the first up to wait. Where the answer is of another era than
+	// the offset, records may be missing before its first one.
 	Read func(ctx context.Context, topic string, from id.Position, wait time.Duration) (Reading, error)
-	// Add writes a record of the product's own topics. After an error it may be written all the same, also seconds later.
-	Add func(ctx context.Context, topic string, r Record) error
+	// Add writes a record of the product's own topics and returns where it stands. After an error it may be written all the
+	// same, also seconds later.
+	Add func(ctx context.Context, topic string, r Record) (id.Position, error)
 }
 
 // Reading is what one reading record by record has brought. An answer of the store is bounded and may leave some for the next.
