Held requests are written again where the store's older copy lacks them, and dropped where it still has lifted ones

Requests that crash upstreams would be let through again after a return of the store from an older copy: the record of a held request was taken as standing there once written, and a whole reading without it lifted the request; one that had been lifted would be held again.

An append that was acknowledged in an earlier era does not count.

Two specs, both red on the keeper before: seven gateways write a lost record again at most three times and go on holding; a lifted request stays so.

--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -41,9 +41,11 @@
 	mu sync.Mutex
 	// due are the records that this process has still to write, with the moment at which it does; a nil value drops a key.
 	due map[Fingerprint]write
-	// stored are the requests whose records have been read.
-	stored map[Fingerprint]bool
-	wake   chan struct{}
+	// stored are the requests whose records have been read or written, and lifted those whose records were dropped then.
+	stored, lifted map[Fingerprint]bool
+	// all is how far the newest whole reading came.
+	all  id.Position
+	wake chan struct{}
 }
 
 // write is a record that is to be written.
@@ -55,7 +57,7 @@
 // NewKeeper makes a keeper for a list over a topic of the store.
 func NewKeeper(s records.Store, topic string, l *List, now func() time.Time, g *log.Logger) *Keeper {
 	return &Keeper{
-		store: s, topic: topic, list: l, now: now, log: g, due: map[Fingerprint]write{}, stored: map[Fingerprint]bool{}, wake: make(chan struct{}, 1),
+		store: s, topic: topic, list: l, now: now, log: g, due: map[Fingerprint]write{}, stored: map[Fingerprint]bool{}, lifted: map[Fingerprint]bool{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -109,11 +111,10 @@
 			k.pause(ctx, wait)
 			continue
 		}
-		if _, err := k.store.Add(ctx, k.topic, records.Record{Key: f.String(), Value: w.value}); err != nil {
+		at, err := k.store.Add(ctx, k.topic, records.Record{Key: f.String(), Value: w.value})
+		if err != nil || !k.written(f, w, at) {
 			k.later(f, w)
-			continue
 		}
-		k.written(f, w)
 	}
 }
 
@@ -144,18 +145,35 @@
 	}
 }
 
-// written notes that a record stands in the store.
-func (k *Keeper) written(f Fingerprint, w write) {
+// written notes that a record stands in the store. It is false of one that was written before the store came back from an
+// older copy, which need not hold it.
+func (k *Keeper) written(f Fingerprint, w write, at id.Position) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if w.value != nil {
-		k.stored[f] = true
-	} else {
-		delete(k.stored, f)
+	if at.Era() < k.all.Era() {
+		return false
 	}
+	k.mark(f, w.value != nil)
 	if o, ok := k.due[f]; ok && o.at.Equal(w.at) {
 		delete(k.due, f)
 	}
+	return true
+}
+
+// mostLifted bounds the requests that are remembered as lifted.
+const mostLifted = 1024
+
+// mark notes whether the store has a record of a request; the caller holds the lock.
+func (k *Keeper) mark(f Fingerprint, stored bool) {
+	if stored {
+		k.stored[f] = true
+		delete(k.lifted, f)
+		return
+	}
+	if k.stored[f] && len(k.lifted) < mostLifted {
+		k.lifted[f] = true
+	}
+	delete(k.stored, f)
 }
 
 // later puts off a record that could not be written.
@@ -195,24 +213,77 @@
 	}
 }
 
-// readAll takes the newest record of each key, and lets requests through whose record has gone.
+// readAll takes the newest record of each key, and lets requests through whose record has gone. Where the store has come
+// back from an older copy since the last time, its records are what they were before instead.
 func (k *Keeper) readAll(ctx context.Context) (next id.Position, err error) {
 	l, next, err := k.store.Newest(ctx, k.topic, func(int) {})
 	if err != nil {
 		return 0, err
 	}
+	returned, err := k.enter(next)
+	if err != nil {
+		return 0, err
+	}
 	there := map[Fingerprint]bool{}
 	for _, r := range l {
+		if returned && k.dropAgain(r.Key) {
+			continue
+		}
 		if f, ok := k.take(r); ok {
 			there[f] = true
 		}
 	}
+	if returned {
+		k.writeAgain(there)
+		return next, nil
+	}
 	for _, f := range k.gone(there) {
 		k.list.Lift(f)
 	}
 	return next, nil
 }
 
+// enter notes how far a whole reading has come, and says whether it is of a later era than the one before.
+func (k *Keeper) enter(next id.Position) (returned bool, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	err = records.SameEra(next, k.all)
+	if errors.Is(err, platform.ErrUnavailable) {
+		return false, err
+	}
+	k.all = next
+	return err != nil, nil
+}
+
+// dropAgain says whether the request of a record has been lifted before the store came back, and has the record dropped.
+func (k *Keeper) dropAgain(key string) bool {
+	f, err := Parse(key)
+	if err != nil {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.lifted[f] {
+		return false
+	}
+	k.plan(f, write{at: k.now().Add(rand.N(writeWithin))})
+	return true
+}
+
+// writeAgain has the records written that the store lacks. All gateways do so, each after a time by chance; the first
+// one's records keep the others from it.
+func (k *Keeper) writeAgain(there map[Fingerprint]bool) {
+	for _, h := range k.list.Holds() {
+		if there[h.Fingerprint] {
+			continue
+		}
+		k.mu.Lock()
+		delete(k.stored, h.Fingerprint)
+		k.mu.Unlock()
+		k.Keep(h)
+	}
+}
+
 // gone forgets and lists the requests whose records stood in the store and do not any more.
 func (k *Keeper) gone(there map[Fingerprint]bool) (l []Fingerprint) {
 	k.mu.Lock()
@@ -229,6 +300,9 @@
 // read takes the records from an offset on.
 func (k *Keeper) read(ctx context.Context, from id.Position) (next id.Position, err error) {
 	a, err := k.store.Read(ctx, k.topic, from, followWait)
+	if err == nil {
+		err = records.SameEra(a.Next, from)
+	}
 	if err != nil {
 		return from, err
 	}
@@ -268,11 +342,7 @@
 	if due && (w.value != nil) == stored {
 		delete(k.due, f)
 	}
-	if stored {
-		k.stored[f] = true
-		return
-	}
-	delete(k.stored, f)
+	k.mark(f, stored)
 }
 
 // skip tells of a record that can't be read: others may write to the topic.
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	away    bool
 	// gone makes the history before its end unreadable.
 	gone   bool
+	era    uint64
 	writes int
 	change chan struct{}
 }
@@ -48,12 +50,45 @@
 		return 0, platform.ErrUnavailable
 	}
 	s.mu.Unlock()
+	var at id.Position
 	s.set(func() {
 		s.writes++
-		r.Offset = id.Position(len(s.records))
+		r.Offset = s.at(len(s.records))
+		at = r.Offset
 		s.records = append(s.records, r)
 	})
-	return r.Offset, nil
+	return at, nil
+}
+
+// at is the position of a record in the era of now; the caller holds the lock.
+func (s *shelf) at(offset int) id.Position {
+	p, err := id.PositionAt(s.era, uint64(offset))
+	Expect(err).NotTo(HaveOccurred())
+	return p
+}
+
+// copyOf has the store come back from a copy of its first records.
+func (s *shelf) copyOf(n int) {
+	s.set(func() {
+		s.era++
+		s.records = slices.Clone(s.records[:n])
+		for i := range s.records {
+			s.records[i].Offset = s.at(i)
+		}
+	})
+}
+
+// count is the number of records that have been written.
+func (s *shelf) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
+// has says whether the newest record of a key has a value.
+func (s *shelf) has(key string) bool {
+	l, _, _ := s.newest(context.Background(), "t", nil)
+	return slices.ContainsFunc(l, func(r records.Record) bool { return r.Key == key })
 }
 
 func (s *shelf) newest(context.Context, string, records.Progress) (l []records.Record, end id.Position, err error) {
@@ -72,7 +107,7 @@
 			l = append(l, r)
 		}
 	}
-	return l, id.Position(len(s.records)), nil
+	return l, s.at(len(s.records)), nil
 }
 
 func (s *shelf) read(ctx context.Context, _ string, from id.Position, _ time.Duration) (records.Reading, error) {
@@ -86,10 +121,13 @@
 		case s.gone:
 			s.mu.Unlock()
 			return records.Reading{}, platform.ErrExpired
-		case int(from) < len(s.records):
-			l := s.records[from:]
+		case int(from.Offset()) > len(s.records):
 			s.mu.Unlock()
-			return records.Reading{Records: l, Next: from + id.Position(len(l))}, nil
+			return records.Reading{}, platform.ErrExpired
+		case int(from.Offset()) < len(s.records) || from.Era() < s.era:
+			l, next := s.records[from.Offset():], s.at(len(s.records))
+			s.mu.Unlock()
+			return records.Reading{Records: l, Next: next}, nil
 		}
 		s.mu.Unlock()
 		select {
@@ -178,6 +216,46 @@
 		Eventually(held(far)).WithTimeout(3 * (retryAfter + retryAfter)).Should(BeFalse())
 	})
 
+	It("are written again by few, once the store has come back from an older copy that lacks them", func() {
+		s := newShelf()
+		l, _, _ := keep(s)
+		var others []*List
+		for range 6 {
+			o, _, _ := keep(s)
+			others = append(others, o)
+		}
+		crash(l)
+		for _, o := range others {
+			Eventually(held(o)).WithTimeout(3 * time.Second).Should(BeTrue())
+		}
+		time.Sleep(writeWithin)
+		before := s.count()
+		s.copyOf(0)
+		Eventually(func() bool { return s.has(bad.String()) }).WithTimeout(3 * (retryAfter + retryAfter)).Should(BeTrue())
+		time.Sleep(2 * retryAfter)
+		Expect(s.count() - before).To(BeNumerically("<=", 3))
+		for _, o := range others {
+			Expect(held(o)()).To(BeTrue())
+		}
+	})
+
+	It("that have been lifted stay so once the store has come back from a copy that still has them", func() {
+		s := newShelf()
+		l, k, _ := keep(s)
+		far, _, _ := keep(s)
+		crash(l)
+		Eventually(held(far)).WithTimeout(3 * time.Second).Should(BeTrue())
+		time.Sleep(writeWithin)
+		n := s.count()
+		l.Lift(bad)
+		k.Drop(bad)
+		Eventually(held(far)).WithTimeout(3 * time.Second).Should(BeFalse())
+		s.copyOf(n)
+		Expect(s.has(bad.String())).To(BeTrue())
+		Eventually(func() bool { return s.has(bad.String()) }).WithTimeout(3 * (retryAfter + retryAfter)).Should(BeFalse())
+		Consistently(func() bool { return held(l)() || held(far)() }).WithTimeout(2 * retryAfter).Should(BeFalse())
+	})
+
 	It("that have been served after all are dropped from it", func() {
 		s := newShelf()
 		l, _, _ := keep(s)
