--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -112,7 +112,7 @@
 	f.instances[i.ID] = i
 	f.readTo = max(f.readTo, i.Seen)
 	if i.Leaving {
-		f.leavers[i.ID] = leaver{born: i.Born, listed: f.now()}
+		f.addLeaver(i.ID, i.Born)
 	}
 	f.watchEntry(i)
 	f.list.Store(nil)
--- a/internal/facts/leaving.go
+++ b/internal/facts/leaving.go
@@ -21,12 +21,21 @@
 	if f.leaves(n, born) {
 		return false
 	}
-	f.leavers[n] = leaver{born: born, listed: f.now()}
+	f.addLeaver(n, born)
 	f.list.Store(nil)
 	f.notify()
 	return true
 }
 
+// addLeaver notes a start that leaves; the caller holds the lock.
+func (f *Facts) addLeaver(n id.Instance, born id.Birth) {
+	now := f.now()
+	if len(f.leavers) >= mostHeard {
+		f.sweepLeavers(now)
+	}
+	f.leavers[n] = leaver{born: born, listed: now}
+}
+
 // SaysLeaving says whether a start of an instance has said itself that it leaves.
 func (f *Facts) SaysLeaving(n id.Instance, born id.Birth) bool {
 	f.mu.Lock()
--- a/internal/facts/leaving_test.go
+++ b/internal/facts/leaving_test.go
@@ -1,6 +1,7 @@
 package facts
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -52,6 +53,16 @@
 		Expect(f.leavers).To(BeEmpty())
 	})
 
+	It("is forgotten also by a process that does not sweep, once there are many", func() {
+		for n := range 3 * mostHeard {
+			i := id.Instance(fmt.Sprint("left-", n))
+			f.SetInstance(&Instance{ID: i, Address: "b", Seen: id.Position(n), Leaving: true})
+			f.DropInstance(i, id.Position(n))
+			now = now.Add(time.Second)
+		}
+		Expect(len(f.leavers)).To(BeNumerically("<=", mostHeard+1))
+	})
+
 	It("says nothing of another start of its ID, nor of another instance at its address", func() {
 		f.SetInstance(&Instance{ID: "j", Address: "b", Born: 5, Seen: 4})
 		f.Leaves("i", 0)
--- a/internal/gateway/desk.go
+++ b/internal/gateway/desk.go
@@ -200,12 +200,7 @@
 		if s.Engine != nil && c.Slots == 0 {
 			c.Slots = s.Engine.Slots
 		}
-		if c.Rest > 0 {
-			q.decision.noteResting(c.Rest)
-			continue
-		}
-		if c.Limit != nil && (c.Limit.Permits == 0 || q.declined(&c)) {
-			q.decision.noteLimited(c.Limit.Due)
+		if q.unavailable(&c) {
 			continue
 		}
 		if s.Engine == nil || d.fits(q, m, &c) {
@@ -218,6 +213,19 @@
 	return l
 }
 
+// unavailable says whether an upstream takes no request of this process for now: it rests, or gives no permit.
+func (q *Query) unavailable(c *placement.Candidate) bool {
+	switch {
+	case c.Rest > 0:
+		q.decision.noteResting(c.Rest)
+	case c.Limit != nil && (c.Limit.Permits == 0 || q.declined(c)):
+		q.decision.noteLimited(c.Limit.Due)
+	default:
+		return false
+	}
+	return true
+}
+
 // fits says whether an upstream's version may still take the request: it must begin there before the time of that
 // version is over, and a stream that goes on elsewhere must find the version that it began with.
 func (d *Desk) fits(q *Query, m placement.Model, c *placement.Candidate) bool {
