--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -152,6 +152,7 @@
 	}
 	var body []byte
 	if err == nil {
+		c.noteLeaving(&a, r)
 		body, err = io.ReadAll(r.Body)
 	}
 	if err != nil {
@@ -168,6 +169,14 @@
 	}
 }
 
+// noteLeaving tells of an answer of an upstream that says that it leaves.
+func (c *Caller) noteLeaving(a *ask, r *http.Response) {
+	instance, sealed := strings.CutSuffix(r.Header.Get("Response-Seal"), "."+a.id)
+	if sealed && r.Header.Get("Server-Leaving") != "" {
+		c.history.ToldLeaving(a.id, instance)
+	}
+}
+
 // check looks at an answer that came whole.
 func (c *Caller) check(a *ask, r *http.Response, body string) {
 	switch r.StatusCode {
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -107,6 +107,7 @@
 	r.at = append(r.at, address)
 	sound := b.sound(r) && b.clean(now.Add(-settle), now, address)
 	b.limitArrived(r, id, instance, sound)
+	b.toldArrived(r, id, instance)
 	if d, ok := b.departed[instance]; ok {
 		late := now.Sub(d.at)
 		b.counts["reached an upstream after it left"]++
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -33,8 +33,11 @@
 	weights *Slot
 	version int
 	config  int
-	steps   sync.WaitGroup
-	mu      sync.Mutex
+	// lastConfig is the newest configuration, and copies are those of the store that it may come back from.
+	lastConfig []byte
+	copies     []storeCopy
+	steps      sync.WaitGroup
+	mu         sync.Mutex
 }
 
 const (
@@ -57,7 +60,10 @@
 	return "", nil, trace.Errorf("all loopback networks for runs are in use")
 }
 
-// newWorld makes and starts everything.
+// firstVersion is the one that nobody has named.
+const firstVersion = 1
+
+// newFleet makes and starts everything.
 func newFleet(ctx context.Context, s *Settings, b *History) (*Fleet, error) {
 	n, lock, err := takeNet(s.Seed)
 	if err != nil {
@@ -72,7 +78,7 @@
 	go func() {
 		_ = standin.ServeOn(ctx, l, standin.Versions{Model: model, Chunks: chunks, ChunkBytes: chunkBytes})
 	}()
-	w.version = 1
+	w.version = firstVersion
 	w.configure(0)
 	for i := range plainUpstreams {
 		if err := w.slot(ctx, &w.plain, "desk", fmt.Sprintf("%s.5.%d:8001", n, i+1), i); err != nil {
@@ -204,6 +210,7 @@
 	defer w.mu.Unlock()
 	w.config++
 	b := configOf(w.config, size > bigShare, w.origin)
+	w.lastConfig = b
 	w.store.Put(operatorTopic, configKey, b)
 	w.history.Configured(w.config, len(b))
 }
@@ -216,13 +223,20 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
-	w.store.Put(operatorTopic, versionKey, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, w.version))
+	w.putVersion()
 	w.history.Named(w.version)
 }
 
+// putVersion writes the newest version; the caller holds the lock.
+func (w *Fleet) putVersion() {
+	w.store.Put(operatorTopic, versionKey, fmt.Appendf(nil, `{"model":%q,"version":%d}`, model, w.version))
+}
+
 // run lets callers ask and carries the plan out.
 func (w *Fleet) run(ctx context.Context) error {
 	go w.watchMachine(ctx)
+	go w.keepCopies(ctx)
+	go w.watchCalls(ctx)
 	if err := w.filled(ctx); err != nil {
 		return err
 	}
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -86,15 +86,17 @@
 	// end is the planned end of the run; zero before it has begun.
 	end time.Time
 
-	mu         sync.Mutex
-	events     []Event
-	spans      map[string][]*span
-	departed   map[string]departure
-	versions   []named
-	configs    []named
-	requests   map[string]*request
-	crashes    map[string]*crashing
-	limits     map[string]*limit
+	mu       sync.Mutex
+	events   []Event
+	spans    map[string][]*span
+	departed map[string]departure
+	versions []named
+	configs  []named
+	requests map[string]*request
+	crashes  map[string]*crashing
+	limits   map[string]*limit
+	// told is what upstreams have told gateways in their answers, by gateway and instance.
+	told       map[string]*told
 	violations []*Violation
 	counts     map[string]int
 }
@@ -103,7 +105,7 @@
 func NewHistory(seed uint64, now func() time.Time) *History {
 	return &History{
 		seed: seed, start: now(), now: now, spans: map[string][]*span{}, departed: map[string]departure{},
-		requests: map[string]*request{}, crashes: map[string]*crashing{}, limits: map[string]*limit{}, counts: map[string]int{},
+		requests: map[string]*request{}, crashes: map[string]*crashing{}, limits: map[string]*limit{}, told: map[string]*told{}, counts: map[string]int{},
 	}
 }
 
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -53,6 +53,10 @@
 		w.limitOne(ctx, s)
 	case doBusy:
 		w.pauseEngine(ctx, s)
+	case doRest:
+		w.restOne(ctx, s)
+	case doReturn:
+		w.comeBack(ctx, s)
 	}
 }
 
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -89,7 +89,7 @@
 
 // known lists all that can be drawn.
 func known() []string {
-	l := append(append(slices.Clone(faultNames), actNames...), doCrasher, doLimit, doBusy)
+	l := append(append(slices.Clone(faultNames), actNames...), doCrasher, doLimit, doBusy, doRest, doReturn)
 	slices.Sort(l)
 	return slices.Compact(l)
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -32,6 +32,8 @@
 	doCrasher  = "crashing-request"
 	doLimit    = "limit"
 	doBusy     = "upstream-busy"
+	doRest     = "rest"
+	doReturn   = "store-return"
 )
 
 // faultNames lists what may be drawn in an episode, with how many of them are drawn: those that may hide most come most.
@@ -99,6 +101,8 @@
 	p.crashers(allowed)
 	p.limits(allowed)
 	p.pauses(allowed)
+	p.every(allowed, doRest, restEvery, restLeast, restLongest)
+	p.every(allowed, doReturn, returnEvery, 0, returnAway)
 	slices.SortStableFunc(p.steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p.steps
 }
@@ -152,6 +156,17 @@
 	}
 }
 
+// every draws when something begins that lasts for a time between two bounds. What is drawn this way comes after all else,
+// for the same reason.
+func (p *planner) every(allowed []string, do string, mean, least, most time.Duration) {
+	if len(only([]string{do}, allowed)) == 0 {
+		return
+	}
+	for at := p.between(0, 2*mean); at < p.end; at += p.between(0, 2*mean) {
+		p.add(at, do, min(p.between(least, most), p.end-at))
+	}
+}
+
 // planner draws steps.
 type planner struct {
 	r                    *rand.Rand
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -101,9 +101,16 @@
 	<-ended
 }
 
+// The times in which a process does not run.
+const (
+	spanPaused     = "paused"
+	spanKilled     = "killed"
+	spanTerminated = "terminated"
+)
+
 // Pause stops the process for a time.
 func (p *Process) Pause(ctx context.Context, d time.Duration) {
-	end := p.history.Begin(p.name, "paused")
+	end := p.history.Begin(p.name, spanPaused)
 	defer end()
 	p.signal(syscall.SIGSTOP)
 	kernel.Pause(ctx, d)
@@ -112,7 +119,7 @@
 
 // Kill ends the process at once and starts it again after a time.
 func (p *Process) Kill(ctx context.Context, d time.Duration) {
-	end := p.history.Begin(p.name, "killed")
+	end := p.history.Begin(p.name, spanKilled)
 	defer end()
 	p.ordered.Store(true)
 	<-p.signal(syscall.SIGKILL)
@@ -121,7 +128,7 @@
 
 // Terminate asks the process to end, and starts it again a time after it has.
 func (p *Process) Terminate(ctx context.Context, d time.Duration) {
-	end := p.history.Begin(p.name, "terminated")
+	end := p.history.Begin(p.name, spanTerminated)
 	defer end()
 	p.ordered.Store(true)
 	p.termAt.Store(time.Now().UnixNano())
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -67,6 +67,7 @@
 		Weights: standin.Versions{Model: model, Chunks: chunks, ChunkBytes: chunkBytes},
 		Broken:  func(what string) { s.history.Violate("weights", s.address, "", "%s", what) },
 	}
+	server.TurnedAway = func(request, retryAfter string) { s.history.AskedForRest(request, server.Instance, retryAfter) }
 	s.crashes(ctx, server)
 	s.server, s.link, s.state, s.listed, s.came = server, l, stateReady, true, time.Now()
 	go func() { _ = standin.ServeOn(ctx, l, &recorder{slot: s.address, server: server, history: s.history}) }()
@@ -129,6 +130,7 @@
 	if says {
 		s.mu.Lock()
 		s.state = stateDraining
+		s.server.SetLeaving(true, s.starts%2 == 0)
 		s.write()
 		s.history.Departed(s.id, stateDraining)
 		s.mu.Unlock()
--- a/internal/standin/keyed.go
+++ b/internal/standin/keyed.go
@@ -100,6 +100,18 @@
 	s.change = make(chan struct{})
 }
 
+// Keys lists the keys of a topic that have a value.
+func (s *KeyedStore) Keys(topic string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := map[string][]byte{}
+	for _, k := range s.topic(topic).records {
+		last[k.key] = k.value
+	}
+	maps.DeleteFunc(last, func(_ string, value []byte) bool { return value == nil })
+	return slices.Sorted(maps.Keys(last))
+}
+
 // KeyedWriting is a record to be written; a nil value drops the key.
 type KeyedWriting struct {
 	Topic, Key string
--- a/internal/standin/modelserver.go
+++ b/internal/standin/modelserver.go
@@ -82,6 +82,8 @@
 	// it before the head of its answer. Crash then ends it. Both are nil for a server that bears every request.
 	Crashes func(body string) (events int, ends bool)
 	Crash   func(body string)
+	// TurnedAway is told of each request that is answered 503 with a Retry-After; nil for nobody.
+	TurnedAway func(request, retryAfter string)
 	// Arrived is told of each request that reaches the server, run or refused; nil for nobody.
 	Arrived func(request string)
 
@@ -287,7 +289,7 @@
 	version, cutting, reason := s.enter(r)
 	if reason != 0 {
 		w.Header().Set("Not-Executed", "1")
-		s.askForRest(w.Header(), reason)
+		s.askForRest(w.Header(), r.Header.Get("Request-Id"), reason)
 		w.WriteHeader(reason)
 		return
 	}
@@ -369,11 +371,16 @@
 }
 
 // askForRest writes into an answer when the caller may come back.
-func (s *ModelServer) askForRest(h http.Header, status int) {
+func (s *ModelServer) askForRest(h http.Header, request string, status int) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.retryAfter != "" && status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", s.retryAfter)
+	after := s.retryAfter
+	s.mu.Unlock()
+	if after == "" || status != http.StatusServiceUnavailable {
+		return
+	}
+	h.Set("Retry-After", after)
+	if s.TurnedAway != nil {
+		s.TurnedAway(request, after)
 	}
 }
 
