Operators see upstreams that rest or leave, by whose word, and positions with their era

springrail limits list shows them beside limits; the metric position of the records names the era. A refused request that asks when to come back is no longer counted as an offer again where it was held before its send: the count of offers was one too high for each.

--- a/internal/cmd/cmd_limits.go
+++ b/internal/cmd/cmd_limits.go
@@ -14,7 +14,7 @@
 var cmdLimitsList = command{
 	group: "limits",
 	name:  "list",
-	help:  "List the upstreams that name a limit, as a gateway knows them; --server is the gateway's internal listener.",
+	help:  "List the upstreams that name a limit, rest or leave, as a gateway knows them; --server is the gateway's internal listener.",
 	setup: func(*kingpin.CmdClause) action {
 		return func(ctx context.Context, e *env) error {
 			a, err := e.limits.ListLimits(ctx, &pb.ListLimitsRequest{})
@@ -25,11 +25,25 @@
 				for _, l := range a.GetEntries() {
 					printLimit(w, l)
 				}
+				for _, r := range a.GetResting() {
+					left := (time.Duration(r.GetLeftMs()) * time.Millisecond).Round(100 * time.Millisecond)
+					fmt.Fprintf(w, "%s\trests\tfor %s more\t%s\n", r.GetAddress(), left, r.GetInstance())
+				}
+				for _, l := range a.GetLeaving() {
+					fmt.Fprintf(w, "%s\tleaves\tby %s\t%s\n", l.GetAddress(), leavingBy[l.GetBy()], l.GetInstance())
+				}
 			})
 		}
 	},
 }
 
+// leavingBy is who says that an upstream leaves.
+var leavingBy = map[pb.LeavingSource]string{
+	pb.LeavingSource_LEAVING_SOURCE_ENTRY:  "its entry",
+	pb.LeavingSource_LEAVING_SOURCE_ANSWER: "its own answer",
+	pb.LeavingSource_LEAVING_SOURCE_STAGER: "the process beside it",
+}
+
 func printLimit(w io.Writer, l *pb.LimitEntry) {
 	by := "permits by the process beside it"
 	if l.GetAlone() {
--- a/internal/facts/leaving.go
+++ b/internal/facts/leaving.go
@@ -36,6 +36,31 @@
 	f.leavers[n] = leaver{born: born, listed: now}
 }
 
+// LeavingBy is who says that an upstream leaves.
+type LeavingBy int
+
+// The sources: its entry in the list, itself in an answer or in an entry that the list has lost, and the stager beside it.
+const (
+	ByEntry LeavingBy = iota
+	ByAnswer
+	ByStager
+)
+
+// LeavingBy is who says that a listed upstream leaves that does.
+func (f *Facts) LeavingBy(n id.Instance) LeavingBy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := f.instances[n]
+	switch {
+	case i != nil && i.Leaving:
+		return ByEntry
+	case i != nil && f.leaves(n, i.Born):
+		return ByAnswer
+	default:
+		return ByStager
+	}
+}
+
 // SaysLeaving says whether a start of an instance has said itself that it leaves.
 func (f *Facts) SaysLeaving(n id.Instance, born id.Birth) bool {
 	f.mu.Lock()
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -49,7 +49,8 @@
 // take it, otherwise when the first is due to.
 func (f *flight) retryElsewhere() time.Duration {
 	q := f.query()
-	q.Tried = nil
+	// The request has been counted as an offer, and the upstreams that it was sent to may be there for the next one.
+	q.Tried, q.Attempts = nil, max(1, f.attempts)
 	if _, no := f.gateway.desk().Choose(q); no != nil {
 		return no.Retry
 	}
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -4,6 +4,7 @@
 	"context"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/facts"
 )
 
 // ListLimits implements the limit service.
@@ -14,5 +15,20 @@
 			Address: l.Address, Rate: float64(l.Rate), AgeMs: now.Sub(l.Since).Milliseconds(), Permits: uint32(l.Permits), Sent: l.Sent, Alone: l.Alone,
 		})
 	}
+	for _, r := range g.load.Tracker.Rests() {
+		a.Resting = append(a.Resting, &pb.RestingUpstream{Address: r.Address, Instance: string(r.Instance), LeftMs: r.Left.Milliseconds()})
+	}
+	for _, i := range g.facts.Instances() {
+		if i.Leaving {
+			by := leavingSources[g.facts.LeavingBy(i.ID)]
+			a.Leaving = append(a.Leaving, &pb.LeavingUpstream{Address: i.Address, Instance: string(i.ID), By: by})
+		}
+	}
 	return a, nil
 }
+
+var leavingSources = map[facts.LeavingBy]pb.LeavingSource{
+	facts.ByEntry:  pb.LeavingSource_LEAVING_SOURCE_ENTRY,
+	facts.ByAnswer: pb.LeavingSource_LEAVING_SOURCE_ANSWER,
+	facts.ByStager: pb.LeavingSource_LEAVING_SOURCE_STAGER,
+}
--- a/internal/placement/rest.go
+++ b/internal/placement/rest.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/springrail/springrail/internal/id"
@@ -43,3 +45,24 @@
 	}
 	return u.rest.left(n, t.now())
 }
+
+// RestingUpstream is an instance that wants no request of this process for now.
+type RestingUpstream struct {
+	Address  string
+	Instance id.Instance
+	Left     time.Duration
+}
+
+// Rests lists the upstreams that rest, by address.
+func (t *Tracker) Rests() (l []RestingUpstream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for address, u := range t.known {
+		if left := u.rest.left(u.rest.instance, now); left > 0 {
+			l = append(l, RestingUpstream{Address: address, Instance: u.rest.instance, Left: left})
+		}
+	}
+	slices.SortFunc(l, func(a, b RestingUpstream) int { return strings.Compare(a.Address, b.Address) })
+	return l
+}
--- a/internal/records/part.go
+++ b/internal/records/part.go
@@ -105,6 +105,11 @@
 	vars.Set("age_ms", expvar.Func(func() any {
 		return map[string]int64{"operators": operators.Age().Milliseconds(), "upstreams": upstreams.Age().Milliseconds()}
 	}))
+	vars.Set("position", expvar.Func(func() any {
+		o, _ := operators.Position()
+		u, _ := upstreams.Position()
+		return map[string]string{"operators": o.String(), "upstreams": u.String()}
+	}))
 	vars.Set("skipped", expvar.Func(func() any {
 		return map[string]int64{"operators": operators.skipped.Value(), "upstreams": upstreams.skipped.Value()}
 	}))
