--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -286,6 +286,11 @@
 		return
 	}
 	now := b.now()
+	if !b.end.IsZero() && !now.Before(b.end) {
+		// Upstreams end with the run.
+		b.counts["ended with the run"]++
+		return
+	}
 	if !head && b.versionEnds(r.version, now) {
 		b.counts["failed at its version's end with nothing of its answer there"]++
 		return
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -144,6 +144,20 @@
 			h.Begin("a", "crashed")()
 			h.cut(true)
 		}),
+		Entry("an answer that ends with the run is the run's doing", func(h *history) {
+			h.end = h.at.Add(time.Second)
+			h.send()
+			h.runs(0)
+			h.pass(time.Second)
+			h.Failed("1", 502)
+		}),
+		Entry("and one that ends before it is not", func(h *history) {
+			h.end = h.at.Add(time.Second)
+			h.send()
+			h.runs(0)
+			h.pass(time.Second - 1)
+			h.Failed("1", 502)
+		}, "ended-early"),
 		Entry("an answer that has begun is brought to its end", func(h *history) { h.send(); h.arrive(); h.cut(true) }, "ended-early"),
 		Entry("and one that runs", func(h *history) { h.send(); h.arrive(); h.runs(0); h.cut(false) }, "ended-early"),
 		Entry("which is not answered as failed either", func(h *history) { h.send(); h.arrive(); h.runs(0); h.Failed("1", 502) }, "ended-early"),
