That an entry said an upstream leaves outlasts an older copy of the list, and no more

Now only an entry of a later era can't take the word back. One spec for each side; reports tell at once beyond the domain that an upstream says that it leaves.

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -111,7 +111,8 @@
 	}
 	f.instances[i.ID] = i
 	f.readTo = max(f.readTo, i.Seen)
-	if i.Leaving {
+	if old != nil && old.Leaving && !i.Leaving && !old.Born.Before(i.Born) && old.Seen.Era() < i.Seen.Era() {
+		// The store came back from a copy of before it said so.
 		f.addLeaver(i.ID, i.Born)
 	}
 	f.watchEntry(i)
--- a/internal/facts/leaving.go
+++ b/internal/facts/leaving.go
@@ -14,7 +14,7 @@
 }
 
 // Leaves notes that a start of a listed instance has said itself, in an answer, that it leaves. That holds for the start for
-// good, as it does where its entry has said so: the list may come back older. It is false where that was known.
+// good. It is false where that was known.
 func (f *Facts) Leaves(n id.Instance, born id.Birth) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/facts/leaving_test.go
+++ b/internal/facts/leaving_test.go
@@ -56,13 +56,30 @@
 	It("is forgotten also by a process that does not sweep, once there are many", func() {
 		for n := range 3 * mostHeard {
 			i := id.Instance(fmt.Sprint("left-", n))
-			f.SetInstance(&Instance{ID: i, Address: "b", Seen: id.Position(n), Leaving: true})
+			f.SetInstance(&Instance{ID: i, Address: "b", Seen: id.Position(n)})
+			f.Leaves(i, 0)
 			f.DropInstance(i, id.Position(n))
 			now = now.Add(time.Second)
 		}
 		Expect(len(f.leavers)).To(BeNumerically("<=", mostHeard+1))
 	})
 
+	It("leaves by an entry that a list which has come back older calls ready, and is back by one of the same list", func() {
+		at := func(era, offset uint64) id.Position {
+			p, err := id.PositionAt(era, offset)
+			Expect(err).NotTo(HaveOccurred())
+			return p
+		}
+		f.SetInstance(&Instance{ID: "i", Address: "a", Seen: 5, Leaving: true})
+		f.SetInstance(&Instance{ID: "i", Address: "a", Seen: 6})
+		Expect(leaving()).To(BeFalse())
+		f.SetInstance(&Instance{ID: "i", Address: "a", Seen: 7, Leaving: true})
+		f.SetInstance(&Instance{ID: "i", Address: "a", Seen: at(1, 2)})
+		Expect(leaving()).To(BeTrue())
+		f.SetInstance(&Instance{ID: "i", Address: "a", Seen: at(1, 3)})
+		Expect(leaving()).To(BeTrue())
+	})
+
 	It("says nothing of another start of its ID, nor of another instance at its address", func() {
 		f.SetInstance(&Instance{ID: "j", Address: "b", Born: 5, Seen: 4})
 		f.Leaves("i", 0)
--- a/internal/measure/newsfault.go
+++ b/internal/measure/newsfault.go
@@ -42,6 +42,8 @@
 		r.playDoors(ctx, r.processes, func(f *newsDoorFaults) { f.lost = newsLost })
 	case newsFaultRefuses:
 		r.playDoors(ctx, r.half(), func(f *newsDoorFaults) { f.refuse = true })
+	case newsFaultReturns:
+		r.playReturn(ctx)
 	case newsFaultForgets:
 		for ctx.Err() == nil && r.since() < r.plan.faultEnd() {
 			r.store.forget()
@@ -50,6 +52,38 @@
 	}
 }
 
+const (
+	// newsReturnLoses is how old the copy is that the store comes back from, and newsWrittenAgain how long after that all
+	// is written again that was written since.
+	newsReturnLoses  = 3 * time.Second
+	newsWrittenAgain = 500 * time.Millisecond
+)
+
+// playReturn has the store come back from an older copy, which nobody sees it be away for.
+func (r *newsRun) playReturn(ctx context.Context) {
+	held := r.store.copyOf()
+	kernel.Pause(ctx, newsReturnLoses)
+	r.store.comeBack(held)
+	kernel.Pause(ctx, newsWrittenAgain)
+	r.writeAgain()
+}
+
+// writeAgain writes the newest configuration and all upstreams' records, and drops those that are gone.
+func (r *newsRun) writeAgain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.store.put(newsOperators, newsConfigKey, r.config)
+	for key, s := range r.listed {
+		r.store.put(newsUpstreams, key, r.entry(s, 0))
+	}
+	l, _ := r.store.whole(newsUpstreams)
+	for _, e := range l {
+		if _, listed := r.listed[e.Key]; !listed {
+			r.store.put(newsUpstreams, e.Key, nil)
+		}
+	}
+}
+
 // playDown lets the store refuse all until a moment of the run.
 func (r *newsRun) playDown(ctx context.Context, until time.Duration) {
 	for _, p := range r.processes {
--- a/internal/measure/newsplan.go
+++ b/internal/measure/newsplan.go
@@ -53,12 +53,13 @@
 	newsFaultRefuses = "store-refuses-some"
 	newsFaultForgets = "store-forgets-history"
 	newsFaultStorm   = "config-storm"
+	newsFaultReturns = "store-returns-older"
 )
 
 var newsFaultNames = []string{
 	newsFaultNone, newsFaultStopped, newsFaultFrozen, newsFaultTwo, newsFaultCut, newsFaultDown, newsFaultTwice,
 	newsFaultSlow,
-	newsFaultLoses, newsFaultRefuses, newsFaultForgets, newsFaultStorm,
+	newsFaultLoses, newsFaultRefuses, newsFaultForgets, newsFaultStorm, newsFaultReturns,
 }
 
 // newsPlan is one run.
--- a/internal/measure/newsprocess.go
+++ b/internal/measure/newsprocess.go
@@ -155,7 +155,7 @@
 				return records.Reading{Records: l, Next: next, End: next}, err
 			},
 		},
-		Operators: records.Topic{Name: newsOperators, Apply: p.applyConfig},
+		Operators: records.Topic{Name: newsOperators, Apply: p.applyConfig, Version: newsNumber},
 		Upstreams: records.Topic{Name: newsUpstreams, Apply: p.applyUpstream, Reduce: newsReduce, Upstreams: true},
 	}
 }
@@ -167,6 +167,11 @@
 	return newsByTakeover
 }
 
+// newsNumber is the number of a configuration, from 1 on.
+func newsNumber(r records.Record) uint64 {
+	return uint64(newsVersionOf(r.Value) + 1)
+}
+
 func (p *newsProcess) applyConfig(r records.Record) error {
 	p.tally.learn(r)
 	return nil
--- a/internal/measure/newsrun.go
+++ b/internal/measure/newsrun.go
@@ -43,6 +43,8 @@
 	pad    string
 	mu     sync.Mutex
 	listed map[string]newsStage
+	// config is the newest configuration.
+	config []byte
 	// timers are how late timers of this process came, in seconds.
 	timers []float64
 	wait   sync.WaitGroup
@@ -146,7 +148,7 @@
 		r.wait.Wait()
 	}()
 	text := newNewsText(r.plan.configBytes, r.plan.source(newsRandomConfig))
-	r.store.put(newsOperators, newsConfigKey, text.version(0))
+	r.configure(text.version(0))
 	for _, key := range r.plan.first {
 		r.write(key, newsHere, 0)
 	}
@@ -179,14 +181,26 @@
 // make writes a change and notes when the store had taken it.
 func (r *newsRun) make(c *newsChange, text *newsText) {
 	if c.stage == newsConfig {
-		value := text.version(c.version)
-		r.store.put(newsOperators, newsConfigKey, value)
+		r.configure(text.version(c.version))
 	} else {
 		r.write(c.key, c.stage, 0)
 	}
 	c.acked = max(r.since(), 1)
 }
 
+// configure writes a configuration.
+func (r *newsRun) configure(value []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.config = value
+	r.store.put(newsOperators, newsConfigKey, value)
+}
+
+// entry is an upstream's record.
+func (r *newsRun) entry(s newsStage, beat int) []byte {
+	return fmt.Appendf(nil, "%s %s%c%d", s, r.pad, newsMark, beat)
+}
+
 // write writes an upstream's record with the number of a heartbeat, which changes no stage.
 func (r *newsRun) write(key string, s newsStage, beat int) {
 	r.mu.Lock()
@@ -203,7 +217,7 @@
 		return
 	}
 	r.listed[key] = s
-	r.store.put(newsUpstreams, key, fmt.Appendf(nil, "%s %s%c%d", s, r.pad, newsMark, beat))
+	r.store.put(newsUpstreams, key, r.entry(s, beat))
 }
 
 // beat writes the upstreams' heartbeats, spread over their interval, until the context ends.
--- a/internal/measure/newsstore.go
+++ b/internal/measure/newsstore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +41,8 @@
 	mu     sync.Mutex
 	topics map[string]*newsTopic
 	change chan struct{}
+	// era is the number of times that the store has come back from an older copy.
+	era uint64
 }
 
 func newNewsStore(topics ...string) *newsStore {
@@ -55,7 +58,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topics[topic]
-	r := records.Record{Key: key, Value: value, Offset: id.Position(len(t.records))}
+	r := records.Record{Key: key, Value: value, Offset: s.at(len(t.records))}
 	t.records = append(t.records, r)
 	if value == nil {
 		delete(t.newest, key)
@@ -66,6 +69,46 @@
 	s.change = make(chan struct{})
 }
 
+// at is the position of an offset in the era of now.
+func (s *newsStore) at(offset int) id.Position {
+	p, err := id.PositionAt(s.era, uint64(offset))
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
+// copyOf returns all records.
+func (s *newsStore) copyOf() map[string][]records.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := map[string][]records.Record{}
+	for name, t := range s.topics {
+		c[name] = slices.Clone(t.records)
+	}
+	return c
+}
+
+// comeBack replaces what is there with a copy, in a new era.
+func (s *newsStore) comeBack(c map[string][]records.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	for name, l := range c {
+		t := &newsTopic{newest: map[string]records.Record{}, first: min(s.topics[name].first, len(l))}
+		s.topics[name] = t
+		for i, r := range l {
+			r.Offset = s.at(i)
+			t.records = append(t.records, r)
+			if t.newest[r.Key] = r; r.Value == nil {
+				delete(t.newest, r.Key)
+			}
+		}
+	}
+	close(s.change)
+	s.change = make(chan struct{})
+}
+
 // forget drops the history of all topics: what has been written can be read by key only.
 func (s *newsStore) forget() {
 	s.mu.Lock()
@@ -84,43 +127,51 @@
 	for _, r := range t.newest {
 		l = append(l, r)
 	}
-	return l, id.Position(len(t.records))
+	return l, s.at(len(t.records))
 }
 
-// since returns the records from an offset on, and a channel that closes with the next one.
-func (s *newsStore) since(topic string, from id.Position) ([]records.Record, <-chan struct{}, error) {
+// newsAnswer is what the store has from an offset on: some records, the position after them, and a channel that closes with
+// the next one.
+type newsAnswer struct {
+	records []records.Record
+	next    id.Position
+	change  <-chan struct{}
+}
+
+// since returns the records from an offset on; their positions are of the era of now.
+func (s *newsStore) since(topic string, from uint64) (newsAnswer, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topics[topic]
-	if int(from) < t.first {
-		return nil, nil, trace.Wrap(platform.ErrExpired)
+	if int(from) < t.first || int(from) > len(t.records) {
+		return newsAnswer{}, trace.Wrap(platform.ErrExpired)
 	}
 	var l []records.Record
 	bytes := 0
-	for _, r := range t.records[min(int(from), len(t.records)):] {
+	for _, r := range t.records[from:] {
 		if bytes += len(r.Value); len(l) > 0 && bytes > newsReadMost {
 			break
 		}
 		l = append(l, r)
 	}
-	return l, s.change, nil
+	return newsAnswer{records: l, next: s.at(int(from) + len(l)), change: s.change}, nil
 }
 
 // read waits for records from an offset on.
-func (s *newsStore) read(ctx context.Context, topic string, from id.Position, wait time.Duration) ([]records.Record, error) {
+func (s *newsStore) read(ctx context.Context, topic string, from uint64, wait time.Duration) (newsAnswer, error) {
 	over := time.NewTimer(wait)
 	defer over.Stop()
 	for ended := wait == 0; ; {
-		l, change, err := s.since(topic, from)
-		if err != nil || len(l) > 0 || ended {
-			return l, err
+		a, err := s.since(topic, from)
+		if err != nil || len(a.records) > 0 || ended {
+			return a, err
 		}
 		select {
 		case <-ctx.Done():
-			return nil, trace.Wrap(ctx.Err())
+			return newsAnswer{}, trace.Wrap(ctx.Err())
 		case <-over.C:
 			ended = true
-		case <-change:
+		case <-a.change:
 		}
 	}
 }
@@ -235,8 +286,11 @@
 }
 
 func (d *newsDoor) read(ctx context.Context, topic string, from id.Position, wait time.Duration) ([]records.Record, id.Position, error) {
+	next := from
 	l, err := d.call(ctx, wait, func(int) {}, func(ctx context.Context) ([]records.Record, error) {
-		return d.store.read(ctx, topic, from, wait)
+		a, err := d.store.read(ctx, topic, from.Offset(), wait)
+		next = a.next
+		return a.records, err
 	})
-	return l, from + id.Position(len(l)), err
+	return l, next, err
 }
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -116,6 +116,35 @@
 		Expect(s.Demand("p")["e"].First).To(BeZero())
 	})
 
+	it("tell at once, also beyond the own failure domain, that an upstream says that it leaves", func() {
+		own := socket()
+		f := facts.New(time.Now)
+		f.SetInstance(&facts.Instance{ID: "i", Address: "a"})
+		s := NewSubscriber(own, 9, "e", f, time.Now, quiet)
+		r := NewReporter(socket(), "d", facts.New(time.Now), time.Now, quiet)
+		b, _ := proto.Marshal(&pb.ReportSubscription{Sender: own.LocalAddr().String(), Domain: "e"})
+		r.take(b)
+		// publish says whether a report has come to the gateway.
+		publish := func(leaving bool) bool {
+			r.Publish(&pb.UpstreamReport{Address: "a", Leaving: leaving}, time.Now())
+			b := make([]byte, datagramBytes)
+			Expect(own.SetReadDeadline(time.Now().Add(100 * time.Millisecond))).To(Succeed())
+			n, err := own.Read(b)
+			if err == nil {
+				s.take(b[:n])
+			}
+			return err == nil
+		}
+		leaves := func() bool {
+			l, ok := s.Tracker().Fresh("a")
+			return ok && l.Leaving
+		}
+		Expect([]bool{publish(false), publish(false), publish(false)}).To(Equal([]bool{true, true, false}))
+		Expect(leaves()).To(BeFalse())
+		Expect(publish(true)).To(BeTrue())
+		Expect(leaves()).To(BeTrue())
+	})
+
 	it("tell a process that others have read newer records of the operators", func() {
 		far := facts.New(time.Now)
 		r := NewReporter(socket(), "d", far, time.Now, quiet)
