--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -132,7 +132,7 @@
 		return
 	}
 	if f.watch.at(i.Address) {
-		f.watched(Word{Instance: n, Born: i.Born, Left: true, Offset: max(offset, i.Seen)})
+		f.watched(Word{Instance: n, Born: i.Born, Left: true, At: max(offset, i.Seen)})
 	}
 	delete(f.instances, n)
 	f.end(i)
--- a/internal/facts/leaving_test.go
+++ b/internal/facts/leaving_test.go
@@ -28,7 +28,7 @@
 		Expect(f.Leaves("i", 0)).To(BeFalse())
 		Expect(leaving()).To(BeTrue())
 		f.SetInstance(&Instance{ID: "i", Address: "a", Seen: 9})
-		f.Hear(Word{Instance: "i", Address: "a", Offset: 20})
+		f.Hear(Word{Instance: "i", Address: "a", At: 20})
 		Expect(leaving()).To(BeTrue())
 		Expect(f.SaysLeaving("i", 0)).To(BeTrue())
 	})
@@ -109,7 +109,7 @@
 				case 2:
 					g.DropInstance("i", seen)
 				case 3:
-					g.Hear(Word{Instance: "i", Address: "a", Born: 1, Offset: seen, Left: n%2 == 0})
+					g.Hear(Word{Instance: "i", Address: "a", Born: 1, At: seen, Left: n%2 == 0})
 				default:
 					g.SweepWords()
 				}
--- a/internal/facts/life_test.go
+++ b/internal/facts/life_test.go
@@ -24,7 +24,7 @@
 		return &Instance{ID: "i", Born: born, Address: "a", Seen: seen, Leaving: leaving}
 	}
 	left := func(born id.Birth, offset id.Position) Word {
-		return Word{Instance: "i", Born: born, Address: "a", Left: true, Offset: offset}
+		return Word{Instance: "i", Born: born, Address: "a", Left: true, At: offset}
 	}
 	leaving := func() bool { return f.Instances()[0].Leaving }
 
@@ -82,7 +82,7 @@
 		f.SetInstance(entry(10, 3, true))
 		f.SetInstance(entry(20, 4, false))
 		l, _ := f.Told(time.Time{})
-		Expect(l).To(Equal([]Word{{Instance: "i", Born: 20, Address: "a", Offset: 4}}))
+		Expect(l).To(Equal([]Word{{Instance: "i", Born: 20, Address: "a", At: 4}}))
 		f.SetInstance(entry(10, 9, true))
 		l, _ = f.Told(time.Time{})
 		Expect(l[0].Left).To(BeFalse())
--- a/internal/facts/word.go
+++ b/internal/facts/word.go
@@ -7,7 +7,7 @@
 )
 
 // Word is what the list of the stager beside an upstream says of an instance at that upstream's address: that it has left,
-// or that it is back after that. Of two words on an instance the one with the higher offset is right, whichever came first;
+// or that it is back after that. Of two words on an instance the one with the later position is right, whichever came first;
 // a word that comes late, twice or out of order therefore changes nothing.
 type Word struct {
 	Instance id.Instance
@@ -16,8 +16,8 @@
 	Address string
 	// Left is true of an instance that says that it leaves, or is gone from the list.
 	Left bool
-	// Offset is how far the list had been read when it said so, or the place of the new entry of one that is back.
-	Offset id.Position
+	// At is how far the list had been read when it said so, or the place of the new entry of one that is back.
+	At id.Position
 }
 
 // standing is all that words have said of an instance's newest start.
@@ -41,10 +41,10 @@
 	}
 	s.born = max(s.born, w.Born)
 	if w.Left {
-		s.left, s.leftAt = true, max(s.leftAt, w.Offset)
+		s.left, s.leftAt = true, max(s.leftAt, w.At)
 		return
 	}
-	s.backAt = max(s.backAt, w.Offset)
+	s.backAt = max(s.backAt, w.At)
 }
 
 // gone says whether an instance has left whose entry in the own list is at an offset and of a start. Only an entry that was
@@ -100,9 +100,9 @@
 		if s.since.Before(since) {
 			continue
 		}
-		w := Word{Instance: n, Address: s.address, Born: s.born, Left: s.gone(0, 0), Offset: s.leftAt}
+		w := Word{Instance: n, Address: s.address, Born: s.born, Left: s.gone(0, 0), At: s.leftAt}
 		if !w.Left {
-			w.Offset = s.backAt
+			w.At = s.backAt
 		}
 		l = append(l, w)
 	}
@@ -114,7 +114,7 @@
 func (f *Facts) watchEntry(i *Instance) {
 	left := i.Leaving || f.leaves(i.ID, i.Born)
 	if f.watch.at(i.Address) && (left || f.watch.of[i.ID] != nil) {
-		f.watched(Word{Instance: i.ID, Born: i.Born, Left: left, Offset: i.Seen})
+		f.watched(Word{Instance: i.ID, Born: i.Born, Left: left, At: i.Seen})
 	}
 }
 
--- a/internal/facts/word_test.go
+++ b/internal/facts/word_test.go
@@ -23,8 +23,8 @@
 		return &Instance{ID: n, Address: "a", Seen: seen}
 	}
 	leaving := func() bool { return f.Instances()[0].Leaving }
-	left := func(offset id.Position) Word { return Word{Instance: "i", Address: "a", Left: true, Offset: offset} }
-	back := func(offset id.Position) Word { return Word{Instance: "i", Address: "a", Offset: offset} }
+	left := func(offset id.Position) Word { return Word{Instance: "i", Address: "a", Left: true, At: offset} }
+	back := func(offset id.Position) Word { return Word{Instance: "i", Address: "a", At: offset} }
 
 	It("make an upstream leave that the own list has as ready, until the list has it as ready from later on", func() {
 		f.SetInstance(ready("i", 3))
@@ -67,9 +67,9 @@
 			var all []Word
 			anyLeft := false
 			for i, o := range offsets {
-				w := Word{Instance: "i", Address: "a", Offset: id.Position(o), Left: rapid.Bool().Draw(t, fmt.Sprint("left ", i))}
+				w := Word{Instance: "i", Address: "a", At: id.Position(o), Left: rapid.Bool().Draw(t, fmt.Sprint("left ", i))}
 				anyLeft = anyLeft || w.Left
-				if id.Position(o) > newest.Offset {
+				if id.Position(o) > newest.At {
 					newest = w
 				}
 				all = append(all, w, w)
@@ -89,7 +89,7 @@
 		f.SetInstance(ready("next", 4))
 		Expect(f.Instances()[0].ID).To(Equal(id.Instance("next")))
 		Expect(leaving()).To(BeFalse())
-		Expect(f.Hear(Word{Instance: "next", Address: "b", Left: true, Offset: 20})).To(BeFalse())
+		Expect(f.Hear(Word{Instance: "next", Address: "b", Left: true, At: 20})).To(BeFalse())
 		Expect(leaving()).To(BeFalse())
 	})
 
@@ -137,7 +137,7 @@
 		Expect(changed).NotTo(BeClosed())
 		entry("i", 6, true)
 		Expect(changed).To(BeClosed())
-		Expect(told()).To(Equal([]Word{{Instance: "i", Address: "a", Left: true, Offset: 6}}))
+		Expect(told()).To(Equal([]Word{{Instance: "i", Address: "a", Left: true, At: 6}}))
 	})
 
 	It("name an instance that is gone after it was listed, at what the list had been read to", func() {
@@ -146,7 +146,7 @@
 		a.Note("i", false)
 		a.Sweep()
 		entry("next", 9, false)
-		Expect(told()).To(Equal([]Word{{Instance: "i", Address: "a", Left: true, Offset: 8}}))
+		Expect(told()).To(Equal([]Word{{Instance: "i", Address: "a", Left: true, At: 8}}))
 	})
 
 	It("name none whose entry lapsed while the list was away before the grace is over, and none that is back by then", func() {
@@ -173,12 +173,12 @@
 		now = now.Add(lapseGrace)
 		f.ReadTo(20)
 		a.Sweep()
-		Expect(told()).To(Equal([]Word{{Instance: "i", Address: "a", Left: true, Offset: 8}}))
+		Expect(told()).To(Equal([]Word{{Instance: "i", Address: "a", Left: true, At: 8}}))
 		entry("i", 12, false)
-		Expect(told()).To(Equal([]Word{{Instance: "i", Address: "a", Offset: 12}}))
+		Expect(told()).To(Equal([]Word{{Instance: "i", Address: "a", At: 12}}))
 		other := New(time.Now)
 		other.SetInstance(&Instance{ID: "i", Address: "a", Seen: 3})
-		other.Hear(Word{Instance: "i", Address: "a", Left: true, Offset: 8})
+		other.Hear(Word{Instance: "i", Address: "a", Left: true, At: 8})
 		Expect(other.Hear(told()[0])).To(BeTrue())
 		Expect(other.Instances()[0].Leaving).To(BeFalse())
 	})
@@ -197,7 +197,7 @@
 		}
 		Expect(told()).To(HaveLen(mostTold))
 		l, _ := f.Told(now)
-		Expect(l).To(Equal([]Word{{Instance: "11", Address: "a", Left: true, Offset: 11}}))
+		Expect(l).To(Equal([]Word{{Instance: "11", Address: "a", Left: true, At: 11}}))
 	})
 
 	It("are none where no address is watched, also of an entry without an address", func() {
--- a/internal/gateway/left_test.go
+++ b/internal/gateway/left_test.go
@@ -119,7 +119,7 @@
 			other := map[string]string{"u": "v", "v": "u"}[n]
 			b.upstream(n, "plain", func(q *http.Request, _ string, c net.Conn) {
 				first.Do(func() {
-					b.facts.Hear(facts.Word{Instance: id.Instance(other), Address: address[other], Left: true, Offset: 5})
+					b.facts.Hear(facts.Word{Instance: id.Instance(other), Address: address[other], Left: true, At: 5})
 				})
 				reply(c, q, 503, xNotRun+": 1\r\n", "")
 			})
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -348,7 +348,7 @@
 // skip tells of a record that can't be read: others may write to the topic.
 func (k *Keeper) skip(r records.Record, err error) {
 	k.list.vars.Add("records_skipped", 1)
-	k.log.Warn().Err(err).Str("key", r.Key).Uint64("offset", r.Offset.Offset()).Uint64("era", r.Offset.Era()).Msg("record of a held request skipped")
+	k.log.Warn().Err(err).Str("key", r.Key).Uint64("offset", r.At.Offset()).Uint64("era", r.At.Era()).Msg("record of a held request skipped")
 }
 
 // tell encodes a held request as its record.
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -53,8 +53,8 @@
 	var at id.Position
 	s.set(func() {
 		s.writes++
-		r.Offset = s.at(len(s.records))
-		at = r.Offset
+		r.At = s.at(len(s.records))
+		at = r.At
 		s.records = append(s.records, r)
 	})
 	return at, nil
@@ -73,7 +73,7 @@
 		s.era++
 		s.records = slices.Clone(s.records[:n])
 		for i := range s.records {
-			s.records[i].Offset = s.at(i)
+			s.records[i].At = s.at(i)
 		}
 	})
 }
--- a/internal/records/changes.go
+++ b/internal/records/changes.go
@@ -64,8 +64,8 @@
 			c.Records = append(c.Records, e.tell(false, now, l.log))
 		case follows && e.change > p.From:
 			c.Records = append(c.Records, e.tell(e.beforeChange <= p.From, now, l.log))
-		case resumes && e.Offset >= p.Next:
-			c.Records = append(c.Records, e.tell(e.before.Offset < p.Next, now, l.log))
+		case resumes && e.At >= p.Next:
+			c.Records = append(c.Records, e.tell(e.before.At < p.Next, now, l.log))
 		}
 	}
 	return c, l.changed, l.started
--- a/internal/records/dated_test.go
+++ b/internal/records/dated_test.go
@@ -65,7 +65,7 @@
 		now = now.Add(awayFor + time.Second)
 		l.Lost(platform.ErrUnavailable)
 		back := now.Add(-200 * time.Millisecond)
-		r := Record{Key: "version", Value: []byte("2"), Offset: 4}
+		r := Record{Key: "version", Value: []byte("2"), At: 4}
 		l.Take(Batch{Records: []Record{r}, Next: 5, Confirmed: now, Settled: now, Away: back, Own: true, Steady: true})
 		Expect([]time.Time{got.After, got.Missed}).To(Equal([]time.Time{back, back}))
 
@@ -87,7 +87,7 @@
 		follower.Take(Batch{Whole: true, Next: 4, Confirmed: asked, Settled: asked})
 		told := dating.Bracket{After: back}
 		follower.Take(Batch{
-			Records: []Record{{Key: "version", Value: []byte("2"), Offset: 4, Bracket: told}}, Next: 5, Confirmed: now,
+			Records: []Record{{Key: "version", Value: []byte("2"), At: 4, Bracket: told}}, Next: 5, Confirmed: now,
 			Returned: outageEnd{at: back, next: 4},
 		})
 		Expect([]time.Time{got.After, got.Missed}).To(Equal([]time.Time{back, back}))
@@ -100,7 +100,7 @@
 		fresh := NewLog(topic, facts.New(time.Now), func() time.Time { return now }, quiet)
 		since := now.Add(-freshMost + time.Millisecond)
 		fresh.Take(Batch{Whole: true, Next: 4, Confirmed: since, Settled: since})
-		fresh.Take(Batch{Records: []Record{{Key: "version", Value: []byte("2"), Offset: 4}}, Next: 5, Confirmed: now, Returned: outageEnd{at: back, next: 4}})
+		fresh.Take(Batch{Records: []Record{{Key: "version", Value: []byte("2"), At: 4}}, Next: 5, Confirmed: now, Returned: outageEnd{at: back, next: 4}})
 		Expect(got.After).To(Equal(since), "its source alone had lost the store")
 	})
 
@@ -111,7 +111,7 @@
 			got = append(got, r.After)
 			return nil
 		}}, facts.New(time.Now), func() time.Time { return now }, quiet)
-		r := Record{Key: "version", Value: []byte("2"), Offset: 3}
+		r := Record{Key: "version", Value: []byte("2"), At: 3}
 		l.Take(Batch{Whole: true, Records: []Record{r}, Next: 4, Confirmed: now})
 		r.After = now.Add(-3 * time.Second)
 		l.Take(Batch{Whole: true, Records: []Record{r}, Next: 4, Confirmed: now})
@@ -128,7 +128,7 @@
 		end := id.Position(3)
 		r := &Reader{
 			store: &Store{Read: func(_ context.Context, _ string, from id.Position, _ time.Duration) (Reading, error) {
-				return Reading{Records: []Record{{Key: "k", Value: []byte("v"), Offset: from}}, Next: from + 1, End: end}, nil
+				return Reading{Records: []Record{{Key: "k", Value: []byte("v"), At: from}}, Next: from + 1, End: end}, nil
 			}},
 			log: l, facts: f, gate: &gate{}, now: time.Now, own: func() {}, wait: time.Second, prompt: true,
 		}
@@ -172,7 +172,7 @@
 					now = now.Add(c.took)
 					a := Reading{Next: from, End: from + id.Position(c.records)}
 					for range c.records {
-						a.Records = append(a.Records, Record{Key: "version", Value: []byte{byte(a.Next)}, Offset: a.Next})
+						a.Records = append(a.Records, Record{Key: "version", Value: []byte{byte(a.Next)}, At: a.Next})
 						a.Next++
 					}
 					return a, nil
--- a/internal/records/dates_test.go
+++ b/internal/records/dates_test.go
@@ -221,7 +221,7 @@
 }
 
 func (w *datedWorld) write(key, value string) {
-	w.records = append(w.records, Record{Key: key, Value: []byte(value), Offset: id.Position(len(w.records))})
+	w.records = append(w.records, Record{Key: key, Value: []byte(value), At: id.Position(len(w.records))})
 }
 
 // allowed is the latest right date of a naming. What came after a process had read last, and before it asked in vain,
--- a/internal/records/deletion_test.go
+++ b/internal/records/deletion_test.go
@@ -85,7 +85,7 @@
 
 	It("is gone at the followers too once the reader has read all records anew", func() {
 		source, follower := newReplica(f, clock), newReplica(f, clock)
-		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), Offset: 3}}, Next: 4, Confirmed: now})
+		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), At: 3}}, Next: 4, Confirmed: now})
 		follower.follow(source, now, true)
 		source.Take(Batch{Whole: true, Next: 9, Confirmed: now})
 		follower.follow(source, now, true)
@@ -94,9 +94,9 @@
 
 	It("is gone at a follower that has read a newer record of it itself", func() {
 		source, follower := newReplica(f, clock), newReplica(f, clock)
-		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), Offset: 3}}, Next: 4, Confirmed: now})
+		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), At: 3}}, Next: 4, Confirmed: now})
 		follower.follow(source, now, true)
-		follower.Take(Batch{Records: []Record{{Key: "u", Value: []byte("busy"), Offset: 6}}, Next: 7, Confirmed: now})
+		follower.Take(Batch{Records: []Record{{Key: "u", Value: []byte("busy"), At: 6}}, Next: 7, Confirmed: now})
 		source.Take(Batch{Whole: true, Next: 9, Confirmed: now})
 		follower.follow(source, now, true)
 		Expect(follower.got).To(BeEmpty())
@@ -104,7 +104,7 @@
 
 	It("is gone at a follower where its record was the last one written before the reading", func() {
 		source, follower := newReplica(f, clock), newReplica(f, clock)
-		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), Offset: 3}}, Next: 4, Confirmed: now})
+		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), At: 3}}, Next: 4, Confirmed: now})
 		follower.follow(source, now, true)
 		source.Take(Batch{Whole: true, Next: 4, Confirmed: now})
 		follower.follow(source, now, true)
@@ -113,10 +113,10 @@
 
 	It("is back where it was written again after the reading, and stays where that was before", func() {
 		source, follower := newReplica(f, clock), newReplica(f, clock)
-		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), Offset: 3}}, Next: 4, Confirmed: now})
+		source.Take(Batch{Whole: true, Records: []Record{{Key: "u", Value: []byte("ready"), At: 3}}, Next: 4, Confirmed: now})
 		follower.follow(source, now, true)
 		source.Take(Batch{Whole: true, Next: 9, Confirmed: now})
-		source.Take(Batch{Records: []Record{{Key: "u", Value: []byte("back"), Offset: 9}}, Next: 10, Confirmed: now})
+		source.Take(Batch{Records: []Record{{Key: "u", Value: []byte("back"), At: 9}}, Next: 10, Confirmed: now})
 		follower.follow(source, now, true)
 		Expect(follower.got).To(Equal(map[string]string{"u": "back"}))
 		follower.Take(Batch{Whole: true, Next: 9, Confirmed: now})
@@ -209,7 +209,7 @@
 	w.era++
 	w.records, w.first = slices.Clone(w.records[:n]), min(w.first, n)
 	for i := range w.records {
-		w.records[i].Offset = w.at(i)
+		w.records[i].At = w.at(i)
 	}
 }
 
@@ -256,8 +256,8 @@
 }
 
 func (w *world) write(key string, value []byte) {
-	r := Record{Key: key, Value: value, Offset: w.at(len(w.records))}
-	w.did = append(w.did, fmt.Sprintf("%s=%s@%s", key, value, r.Offset))
+	r := Record{Key: key, Value: value, At: w.at(len(w.records))}
+	w.did = append(w.did, fmt.Sprintf("%s=%s@%s", key, value, r.At))
 	w.records = append(w.records, r)
 }
 
--- a/internal/records/era_test.go
+++ b/internal/records/era_test.go
@@ -38,7 +38,7 @@
 	var l *Log
 	BeforeEach(func() {
 		l = NewLog(versions(&got), facts.New(time.Now), time.Now, quiet)
-		l.Take(Batch{Whole: true, Records: []Record{{Key: "config", Value: []byte("5"), Offset: 6}}, Next: 7, Confirmed: time.Now()})
+		l.Take(Batch{Whole: true, Records: []Record{{Key: "config", Value: []byte("5"), At: 6}}, Next: 7, Confirmed: time.Now()})
 	})
 
 	DescribeTable("does not go back where the store comes back from an older copy, and rises from there", func(older ...Record) {
@@ -46,16 +46,16 @@
 		Expect(got).To(Equal("5"))
 		next, _ := l.Position()
 		Expect(next).To(Equal(inEra(1, 3)))
-		l.Take(Batch{Records: []Record{{Key: "config", Value: []byte("5"), Offset: inEra(1, 3)}}, Next: inEra(1, 4), Confirmed: time.Now()})
+		l.Take(Batch{Records: []Record{{Key: "config", Value: []byte("5"), At: inEra(1, 3)}}, Next: inEra(1, 4), Confirmed: time.Now()})
 		Expect(got).To(Equal("5"))
-		l.Take(Batch{Records: []Record{{Key: "config", Value: []byte("8"), Offset: inEra(1, 4)}}, Next: inEra(1, 5), Confirmed: time.Now()})
+		l.Take(Batch{Records: []Record{{Key: "config", Value: []byte("8"), At: inEra(1, 4)}}, Next: inEra(1, 5), Confirmed: time.Now()})
 		Expect(got).To(Equal("8"))
 	},
-		Entry("with an older value", Record{Key: "config", Value: []byte("2"), Offset: 1<<40 + 1}),
+		Entry("with an older value", Record{Key: "config", Value: []byte("2"), At: 1<<40 + 1}),
 		Entry("that lacks the key"))
 
 	It("takes a newer value at the very offset of the one held", func() {
-		l.Take(Batch{Whole: true, Records: []Record{{Key: "config", Value: []byte("8"), Offset: inEra(1, 6)}}, Next: inEra(1, 9), Confirmed: time.Now()})
+		l.Take(Batch{Whole: true, Records: []Record{{Key: "config", Value: []byte("8"), At: inEra(1, 6)}}, Next: inEra(1, 9), Confirmed: time.Now()})
 		Expect(got).To(Equal("8"))
 	})
 })
@@ -68,13 +68,13 @@
 	take := func(whole bool, next id.Position, records ...Record) {
 		l.Take(Batch{Whole: whole, Records: records, Next: next, Confirmed: now, Own: true, Steady: true})
 	}
-	entry := func(value string, at id.Position) Record { return Record{Key: "u", Value: []byte(value), Offset: at} }
+	entry := func(value string, at id.Position) Record { return Record{Key: "u", Value: []byte(value), At: at} }
 	BeforeEach(func() {
 		now = time.Unix(1000, 0)
 		f = facts.New(clock)
 		l = NewLog(Topic{Name: "up", Upstreams: true, Apply: func(r Record) error {
 			if r.Value != nil {
-				f.SetInstance(&facts.Instance{ID: "u", Address: "a", Seen: r.Offset, Leaving: string(r.Value) == "leaving"})
+				f.SetInstance(&facts.Instance{ID: "u", Address: "a", Seen: r.At, Leaving: string(r.Value) == "leaving"})
 			}
 			return nil
 		}}, f, clock, quiet)
--- a/internal/records/follow_test.go
+++ b/internal/records/follow_test.go
@@ -152,11 +152,11 @@
 		f := facts.New(time.Now)
 		t := Topic{Name: "t", Apply: func(Record) error { return nil }}
 		first, second := NewLog(t, f, time.Now, quiet), NewLog(t, f, time.Now, quiet)
-		long := Record{Key: "config", Value: make([]byte, 100<<10), Offset: 1}
+		long := Record{Key: "config", Value: make([]byte, 100<<10), At: 1}
 		for _, l := range []*Log{first, second} {
 			l.Take(Batch{Whole: true, Records: []Record{long}, Next: 2, Confirmed: time.Now()})
 		}
-		second.Take(Batch{Records: []Record{{Key: "u", Value: []byte("new"), Offset: 2}, {Key: "v", Offset: 3}}, Next: 4, Confirmed: time.Now()})
+		second.Take(Batch{Records: []Record{{Key: "u", Value: []byte("new"), At: 2}, {Key: "v", At: 3}}, Next: 4, Confirmed: time.Now()})
 		next, _ := first.Position()
 		c, _, _ := second.Since(Position{Next: next})
 		Expect(c.Whole).To(BeFalse())
--- a/internal/records/harness_test.go
+++ b/internal/records/harness_test.go
@@ -47,7 +47,7 @@
 func (s *fakeStore) put(topic, key, value string) {
 	s.lock().Lock()
 	defer s.lock().Unlock()
-	r := Record{Key: key, Offset: id.Position(len(s.logs[topic]))}
+	r := Record{Key: key, At: id.Position(len(s.logs[topic]))}
 	if value != "" {
 		r.Value = []byte(value)
 	}
@@ -185,7 +185,7 @@
 	}
 	upstream := func(r Record) error {
 		if r.Value != nil {
-			i := &facts.Instance{ID: id.Instance(r.Key), Address: r.Key, Domain: "d", Seen: r.Offset}
+			i := &facts.Instance{ID: id.Instance(r.Key), Address: r.Key, Domain: "d", Seen: r.At}
 			if string(r.Value) == serving {
 				i.Held = []facts.Held{{Model: "m", Revision: 1}}
 			}
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -119,7 +119,7 @@
 	l.enterEra(b.Next)
 	before := l.changes
 	for _, r := range b.Records {
-		if r.Offset >= l.next {
+		if r.At >= l.next {
 			l.bound(&r)
 		}
 		if b.Own && !b.Whole {
@@ -182,21 +182,21 @@
 	case held && version < e.version && version > 0:
 		l.late(e, r)
 		return
-	case held && version > e.version && e.version > 0 && r.Offset != e.Offset:
+	case held && version > e.version && e.version > 0 && r.At != e.At:
 		// Whatever its offset: the newest record of a key need not have the highest number.
 		r.Bracket, _ = dating.Bracket{Had: l.now()}.Merge(r.Bracket)
 		l.change(e, r)
 		return
-	case !held && !current && r.Offset < l.next:
+	case !held && !current && r.At < l.next:
 		// A key that is not held was dropped before next: the record is older than that.
 		return
 	case e == nil:
 		e = &entry{}
 		l.entries[r.Key] = e
-	case r.Offset == e.Offset && r.Value != nil:
+	case r.At == e.At && r.Value != nil:
 		l.date(e, r)
 		return
-	case r.Offset < e.Offset:
+	case r.At < e.At:
 		return
 	}
 	if r.Value != nil && l.topic.Reduce != nil {
@@ -227,10 +227,10 @@
 
 // late tells of a record that was written behind one with a higher number; the caller holds the lock.
 func (l *Log) late(e *entry, r Record) {
-	if r.Offset <= e.Offset || r.Offset < l.next || !l.skippedLines.AllowN(l.now(), 1) {
+	if r.At <= e.At || r.At < l.next || !l.skippedLines.AllowN(l.now(), 1) {
 		return
 	}
-	l.log.Warn().Str("topic", l.topic.Name).Str("key", r.Key).Uint64("offset", r.Offset.Offset()).Uint64("era", r.Offset.Era()).Uint64("held_offset", e.Offset.Offset()).
+	l.log.Warn().Str("topic", l.topic.Name).Str("key", r.Key).Uint64("offset", r.At.Offset()).Uint64("era", r.At.Era()).Uint64("held_offset", e.At.Offset()).
 		Uint64("version", l.version(r)).Uint64("held_version", e.version).Msg("a record names an older version than one before it; passed over")
 }
 
@@ -241,7 +241,7 @@
 	}
 	d, o := e.Merge(r.Bracket)
 	if o == dating.Refused && l.skippedLines.AllowN(l.now(), 1) {
-		l.log.Warn().Str("topic", l.topic.Name).Str("key", e.Key).Uint64("offset", e.Offset.Offset()).Uint64("era", e.Offset.Era()).Time("after", r.After).
+		l.log.Warn().Str("topic", l.topic.Name).Str("key", e.Key).Uint64("offset", e.At.Offset()).Uint64("era", e.At.Era()).Time("after", r.After).
 			Str("by", r.Origin.By).Stringer("evidence", r.Origin.Evidence).Msg("date of a record refused")
 	}
 	old := e.After
@@ -267,7 +267,7 @@
 	}
 	l.skipped.Add(1)
 	if l.skippedLines.AllowN(l.now(), 1) {
-		l.log.Warn().Err(err).Str("topic", l.topic.Name).Str("key", r.Key).Uint64("offset", r.Offset.Offset()).Uint64("era", r.Offset.Era()).
+		l.log.Warn().Err(err).Str("topic", l.topic.Name).Str("key", r.Key).Uint64("offset", r.At.Offset()).Uint64("era", r.At.Era()).
 			Int64("skipped", l.skipped.Value()).Msg("record skipped")
 	}
 }
@@ -308,7 +308,7 @@
 func (l *Log) forget() {
 	for k, e := range l.entries {
 		if e.Value == nil {
-			l.forgottenTo = max(l.forgottenTo, e.Offset+1)
+			l.forgottenTo = max(l.forgottenTo, e.At+1)
 			delete(l.entries, k)
 		}
 	}
@@ -325,19 +325,19 @@
 		listed[r.Key] = true
 	}
 	for k, e := range l.entries {
-		if listed[k] || e.Value == nil || e.Offset >= b.Next || l.keeps(e, b.Next) {
+		if listed[k] || e.Value == nil || e.At >= b.Next || l.keeps(e, b.Next) {
 			continue
 		}
-		l.log.Info().Str("topic", l.topic.Name).Str("key", k).Uint64("offset", e.Offset.Offset()).Uint64("era", e.Offset.Era()).Uint64("next", b.Next.Offset()).
+		l.log.Info().Str("topic", l.topic.Name).Str("key", k).Uint64("offset", e.At.Offset()).Uint64("era", e.At.Era()).Uint64("next", b.Next.Offset()).
 			Msg("key not among all records any more")
-		l.change(e, Record{Key: k, Offset: b.Next - 1})
+		l.change(e, Record{Key: k, At: b.Next - 1})
 	}
 }
 
 // keeps says whether a key stays that a whole list of a later era lacks: a value whose number only rises is written again,
 // and is not taken back until then. The caller holds the lock.
 func (l *Log) keeps(e *entry, next id.Position) bool {
-	return e.version > 0 && e.Offset.Era() < next.Era()
+	return e.version > 0 && e.At.Era() < next.Era()
 }
 
 // enterEra notes that the store has come back from an older copy. The upstreams whose entries it lacks may come back, as
@@ -381,7 +381,7 @@
 func (l *Log) valueAt(key string, offset id.Position) []byte {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e := l.entries[key]; e != nil && e.Offset == offset {
+	if e := l.entries[key]; e != nil && e.At == offset {
 		return e.Value
 	}
 	return nil
--- a/internal/records/log_test.go
+++ b/internal/records/log_test.go
@@ -51,7 +51,7 @@
 			source.Take(Batch{Whole: true, Confirmed: now})
 			for range rapid.IntRange(1, 60).Draw(t, "steps") {
 				key := rapid.SampledFrom([]string{"k", "l", "m"}).Draw(t, "key")
-				r := Record{Key: key, Offset: offset}
+				r := Record{Key: key, At: offset}
 				if rapid.Bool().Draw(t, "kept") {
 					r.Value = []byte(rapid.SampledFrom([]string{"x", "y", ""}).Draw(t, "value"))
 				}
@@ -90,11 +90,11 @@
 		l := NewLog(o, facts.New(time.Now), time.Now, quiet)
 		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a1")}}, Next: 1})
 		c, changed, _ := l.Since(Position{Epoch: l.epoch})
-		l.Take(Batch{Records: []Record{{Key: "k", Value: []byte("a2"), Offset: 1}}, Next: 2})
+		l.Take(Batch{Records: []Record{{Key: "k", Value: []byte("a2"), At: 1}}, Next: 2})
 		Expect(changed).NotTo(BeClosed())
-		l.Take(Batch{Records: []Record{{Key: "k", Value: []byte("b3"), Offset: 2}}, Next: 3})
+		l.Take(Batch{Records: []Record{{Key: "k", Value: []byte("b3"), At: 2}}, Next: 3})
 		Expect(changed).To(BeClosed())
-		l.Take(Batch{Records: []Record{{Key: "k", Value: []byte("a2"), Offset: 1}}, Next: 2})
+		l.Take(Batch{Records: []Record{{Key: "k", Value: []byte("a2"), At: 1}}, Next: 2})
 		Expect(got).To(Equal(map[string]string{"k": "b"}), "an older record does not come back")
 		c, _, _ = l.Since(Position{Epoch: l.epoch, From: c.Last})
 		Expect(c.Records).To(HaveLen(1))
@@ -106,11 +106,11 @@
 		l := newList(f, func() time.Time { return now })
 		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a")}, {Key: "l", Value: []byte("a")}}, Next: 1, Confirmed: now})
 		l.Lost(errOwn)
-		l.Take(Batch{Records: []Record{{Key: "k", Offset: 1}}, Next: 2, Confirmed: now, Own: true})
+		l.Take(Batch{Records: []Record{{Key: "k", At: 1}}, Next: 2, Confirmed: now, Own: true})
 		Expect(f.Instance("k")).To(BeNil())
 		now = now.Add(freshMost + time.Millisecond)
 		l.Lost(errOwn)
-		l.Take(Batch{Records: []Record{{Key: "l", Offset: 2}}, Next: 3, Confirmed: now, Own: true})
+		l.Take(Batch{Records: []Record{{Key: "l", At: 2}}, Next: 3, Confirmed: now, Own: true})
 		Expect(f.Instance("l")).NotTo(BeNil(), "the store was away for all")
 	})
 
@@ -120,7 +120,7 @@
 		l := newList(f, func() time.Time { return now })
 		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a")}}, Next: 1, Confirmed: now})
 		now = now.Add(freshMost + time.Second)
-		l.Take(Batch{Records: []Record{{Key: "k", Offset: 1}}, Next: 2, Confirmed: now, Grace: now.Add(time.Second)})
+		l.Take(Batch{Records: []Record{{Key: "k", At: 1}}, Next: 2, Confirmed: now, Grace: now.Add(time.Second)})
 		Expect(f.Instance("k")).NotTo(BeNil())
 		now = now.Add(2 * time.Second)
 		l.Take(Batch{Next: 2, Confirmed: now})
@@ -136,7 +136,7 @@
 		l := newList(f, func() time.Time { return now })
 		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a")}}, Next: 1, Confirmed: now})
 		now = now.Add(freshMost - time.Millisecond)
-		l.Take(Batch{Records: []Record{{Key: "k", Offset: 1}}, Next: 2, Confirmed: now, Grace: now.Add(2 * time.Second)})
+		l.Take(Batch{Records: []Record{{Key: "k", At: 1}}, Next: 2, Confirmed: now, Grace: now.Add(2 * time.Second)})
 		Expect(f.Instance("k")).To(BeNil())
 	})
 
@@ -147,7 +147,7 @@
 		l.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: []byte("a")}}, Next: 1, Confirmed: now})
 		now = now.Add(freshMost + time.Second)
 		l.Lost(errOwn)
-		l.Take(Batch{Records: []Record{{Key: "k", Offset: 1}}, Next: 2, Confirmed: now})
+		l.Take(Batch{Records: []Record{{Key: "k", At: 1}}, Next: 2, Confirmed: now})
 		Expect(f.Instance("k")).To(BeNil())
 	})
 })
@@ -179,15 +179,15 @@
 		Expect(len(m.GetValue())).To(BeNumerically("<", len(long(0))/2))
 		Expect(follower.valueOf(m)).To(Equal(long(0)))
 		follower.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: long(0)}}, Next: 1})
-		source.Take(Batch{Records: []Record{{Key: "k", Value: long(1), Offset: 1}}, Next: 2})
+		source.Take(Batch{Records: []Record{{Key: "k", Value: long(1), At: 1}}, Next: 2})
 		c, _, _ = source.Since(Position{Epoch: source.epoch, From: c.Last})
 		m = tell("t", c).GetRecords()[0]
 		Expect(len(m.GetValue())).To(BeNumerically("<", 2000))
 		Expect(follower.valueOf(m)).To(Equal(long(1)))
-		follower.Take(Batch{Records: []Record{{Key: "k", Value: long(5), Offset: 5}}, Next: 6})
+		follower.Take(Batch{Records: []Record{{Key: "k", Value: long(5), At: 5}}, Next: 6})
 		_, err := follower.valueOf(m)
 		Expect(errors.Is(err, errNoBase)).To(BeTrue())
-		source.Take(Batch{Records: []Record{{Key: "k", Value: long(2), Offset: 2}}, Next: 3})
+		source.Take(Batch{Records: []Record{{Key: "k", Value: long(2), At: 2}}, Next: 3})
 		c, _, _ = source.Since(Position{Epoch: source.epoch, From: 1})
 		Expect(tell("t", c).GetRecords()[0].GetPatched()).To(BeFalse(), "the follower lacks the one before")
 		c, _, _ = source.Since(Position{})
@@ -209,7 +209,7 @@
 	var now time.Time
 	var f *facts.Facts
 	var l *Log
-	gone := Batch{Records: []Record{{Key: "k", Offset: 1}}, Next: 2}
+	gone := Batch{Records: []Record{{Key: "k", At: 1}}, Next: 2}
 	BeforeEach(func() {
 		now = time.Now()
 		f = facts.New(func() time.Time { return now })
@@ -259,15 +259,15 @@
 			for _, m := range tell("t", c).GetRecords() {
 				v, err := follower.valueOf(m)
 				Expect(err).NotTo(HaveOccurred())
-				follower.Take(Batch{Records: []Record{{Key: m.GetKey(), Value: v, Offset: id.Position(m.GetOffset())}}, Next: c.Next})
+				follower.Take(Batch{Records: []Record{{Key: m.GetKey(), Value: v, At: id.Position(m.GetOffset())}}, Next: c.Next})
 			}
 			p.From = c.Last
 		}
 		source.Take(Batch{Whole: true, Records: []Record{{Key: "k", Value: long}}, Next: 1})
 		pass()
-		source.Take(Batch{Records: []Record{{Key: "k", Value: long, Offset: 1}}, Next: 2})
+		source.Take(Batch{Records: []Record{{Key: "k", Value: long, At: 1}}, Next: 2})
 		pass()
-		source.Take(Batch{Records: []Record{{Key: "k", Value: append([]byte("new"), long...), Offset: 2}}, Next: 3})
+		source.Take(Batch{Records: []Record{{Key: "k", Value: append([]byte("new"), long...), At: 2}}, Next: 3})
 		pass()
 	})
 })
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -13,9 +13,9 @@
 
 // Record is the newest word on a key. A nil value says that the key was dropped.
 type Record struct {
-	Key    string
-	Value  []byte
-	Offset id.Position
+	Key   string
+	Value []byte
+	At    id.Position
 	// Bracket is what is known of when the record was written.
 	dating.Bracket
 	// Missed is a moment at which the store had none of the records that this process has not read before this one; zero
--- a/internal/records/service.go
+++ b/internal/records/service.go
@@ -134,7 +134,7 @@
 	}
 	for _, r := range c.Records {
 		m := &pb.RelayedRecord{
-			Key: r.Key, Value: r.Value, Dropped: r.Value == nil, Offset: uint64(r.Offset),
+			Key: r.Key, Value: r.Value, Dropped: r.Value == nil, Offset: uint64(r.At),
 			AbsentMs: millisUp(r.absent), HadMs: millisDown(r.had), Origin: r.Origin.Tell(),
 		}
 		if r.packed != nil {
--- a/internal/records/starter_test.go
+++ b/internal/records/starter_test.go
@@ -34,7 +34,7 @@
 			got = r
 			return nil
 		}}
-		version := Record{Key: "version", Value: []byte("3"), Offset: 3}
+		version := Record{Key: "version", Value: []byte("3"), At: 3}
 		source := NewLog(topic, facts.New(clock), clock, quiet)
 		source.Take(Batch{Whole: true, Records: []Record{version}, Next: 4, Confirmed: now, Settled: now, Own: true})
 		now = now.Add(4 * time.Second)
@@ -64,7 +64,7 @@
 		r := &Reader{
 			store: &Store{Read: func(_ context.Context, _ string, from id.Position, _ time.Duration) (Reading, error) {
 				now = now.Add(5 * time.Millisecond)
-				return Reading{Records: []Record{{Key: "version", Value: []byte("3"), Offset: from}}, Next: from + 1, End: from + 1}, nil
+				return Reading{Records: []Record{{Key: "version", Value: []byte("3"), At: from}}, Next: from + 1, End: from + 1}, nil
 			}},
 			log: l, facts: facts.New(clock), gate: &gate{}, now: clock, own: func() {}, wait: time.Second,
 		}
--- a/internal/records/take.go
+++ b/internal/records/take.go
@@ -138,7 +138,7 @@
 			return false, err
 		}
 		d := dating.Bracket{After: before(answered, r.AbsentMs), Had: before(now, r.HadMs), Origin: dating.Told(r.GetOrigin())}
-		b.Records = append(b.Records, Record{Key: r.GetKey(), Value: v, Offset: id.Position(r.GetOffset()), Bracket: d})
+		b.Records = append(b.Records, Record{Key: r.GetKey(), Value: v, At: id.Position(r.GetOffset()), Bracket: d})
 	}
 	return l.Take(b), nil
 }
--- a/internal/records/told_test.go
+++ b/internal/records/told_test.go
@@ -20,7 +20,7 @@
 	)
 	clock := func() time.Time { return now }
 	record := func(d dating.Bracket) []Record {
-		return []Record{{Key: "version", Value: []byte("3"), Offset: 4, Bracket: d}}
+		return []Record{{Key: "version", Value: []byte("3"), At: 4, Bracket: d}}
 	}
 
 	BeforeEach(func() {
@@ -51,9 +51,9 @@
 		l.Take(Batch{Records: record(dating.Bracket{}), Next: 5, Confirmed: now, Settled: now})
 		now = now.Add(time.Second)
 		again := record(dating.Bracket{})
-		again[0].Offset = 5
+		again[0].At = 5
 		l.Take(Batch{Records: again, Next: 6, Confirmed: now, Settled: now})
-		Expect(l.entries["version"].Offset).To(Equal(id.Position(5)))
+		Expect(l.entries["version"].At).To(Equal(id.Position(5)))
 		Expect(l.entries["version"].After).To(Equal(last))
 	})
 
--- a/internal/records/turn_test.go
+++ b/internal/records/turn_test.go
@@ -282,7 +282,7 @@
 		}
 	})
 	whole := func(l *Log, n int) {
-		l.Take(Batch{Whole: true, Own: true, Next: id.Position(n), Confirmed: now, Settled: now, Records: []Record{{Key: "k", Value: []byte("v"), Offset: id.Position(n - 1)}}})
+		l.Take(Batch{Whole: true, Own: true, Next: id.Position(n), Confirmed: now, Settled: now, Records: []Record{{Key: "k", Value: []byte("v"), At: id.Position(n - 1)}}})
 	}
 	follow := func() error { return f.follow(context.Background(), "source") }
 
--- a/internal/records/wire_test.go
+++ b/internal/records/wire_test.go
@@ -77,19 +77,19 @@
 		return nil
 	}
 	p.got[r.Key] = string(r.Value)
-	if at := p.fleet.written[r.Offset]; p.dated == "" && (r.After.After(at) || r.Missed.After(at)) {
-		p.dated = fmt.Sprintf("%s dates %s@%d %v after it was written", p.name, r.Key, r.Offset, max(r.After.Sub(at), r.Missed.Sub(at)))
+	if at := p.fleet.written[r.At]; p.dated == "" && (r.After.After(at) || r.Missed.After(at)) {
+		p.dated = fmt.Sprintf("%s dates %s@%d %v after it was written", p.name, r.Key, r.At, max(r.After.Sub(at), r.Missed.Sub(at)))
 	}
 	return nil
 }
 
 func (w *fleet) write(key, value string) {
-	r := Record{Key: key, Offset: id.Position(len(w.records))}
+	r := Record{Key: key, At: id.Position(len(w.records))}
 	if value != "" {
 		r.Value = []byte(value)
 	}
 	w.records, w.written = append(w.records, r), append(w.written, w.now)
-	w.did = append(w.did, fmt.Sprintf("%s=%s@%d", key, value, r.Offset))
+	w.did = append(w.did, fmt.Sprintf("%s=%s@%d", key, value, r.At))
 }
 
 func (w *fleet) state() map[string]string {
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -260,7 +260,7 @@
 	}
 	words, _ := r.facts.Told(now.Add(-wordFresh))
 	for _, w := range words {
-		told += fmt.Sprint(" ", w.Instance, w.Born, w.Left, w.Offset)
+		told += fmt.Sprint(" ", w.Instance, w.Born, w.Left, w.At)
 	}
 	if told != r.told {
 		r.told, r.urgent = told, urgentReports
@@ -285,7 +285,7 @@
 	told, _ := r.facts.Told(since)
 	var l []*pb.ListWord
 	for _, w := range told {
-		l = append(l, &pb.ListWord{Instance: string(w.Instance), Born: uint64(w.Born), Left: w.Left, Offset: uint64(w.Offset)})
+		l = append(l, &pb.ListWord{Instance: string(w.Instance), Born: uint64(w.Born), Left: w.Left, Offset: uint64(w.At)})
 	}
 	return l
 }
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -301,7 +301,7 @@
 func (s *Subscriber) hear(r *pb.UpstreamReport, w *pb.ListWord) {
 	n := id.Instance(w.GetInstance())
 	word := facts.Word{
-		Instance: n, Born: id.Birth(w.GetBorn()), Address: r.GetAddress(), Left: w.GetLeft(), Offset: id.Position(w.GetOffset()),
+		Instance: n, Born: id.Birth(w.GetBorn()), Address: r.GetAddress(), Left: w.GetLeft(), At: id.Position(w.GetOffset()),
 	}
 	if !s.facts.Hear(word) {
 		return
@@ -311,12 +311,12 @@
 		text = "upstream is back by a report"
 	}
 	s.vars.Add("words_before_list", 1)
-	e := s.log.Info().Str("instance", string(n)).Str("upstream", word.Address).Uint64("offset", word.Offset.Offset()).
+	e := s.log.Info().Str("instance", string(n)).Str("upstream", word.Address).Uint64("offset", word.At.Offset()).
 		Uint64("list_offset", s.facts.Position().Offset()).Uint64("stager", r.GetIncarnation()).Uint64("report", r.GetNumber())
 	if i := s.facts.Instance(n); i != nil {
 		e = e.Uint64("entry_offset", i.Seen.Offset())
 	}
-	e.Uint64("era", word.Offset.Era()).Msg(text)
+	e.Uint64("era", word.At.Era()).Msg(text)
 }
 
 // newer notes a report's place and says whether it follows all that came before.
