--- a/internal/soak/era.go
+++ b/internal/soak/era.go
@@ -131,19 +131,7 @@
 func (b *History) Returned(since time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	lost := b.now().Add(unknown)
-	for i, d := range b.departed {
-		if d.at.After(since) {
-			b.departed[i] = departure{at: lost, how: d.how}
-		}
-	}
-	for _, l := range [][]named{b.versions, b.configs} {
-		for i := range l {
-			if l[i].at.After(since) {
-				l[i].at = lost
-			}
-		}
-	}
+	b.redate(since, b.now().Add(unknown))
 	b.note("the store has come back as it was %.2f s before", b.now().Sub(since).Seconds())
 }
 
@@ -151,18 +139,22 @@
 func (b *History) WrittenAgain() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	now := b.now()
+	b.redate(b.now(), b.now())
+	b.note("all has been written again")
+}
+
+// redate takes what the store has taken after a moment as taken at another one; the caller holds the lock.
+func (b *History) redate(after, at time.Time) {
 	for i, d := range b.departed {
-		if d.at.After(now) {
-			b.departed[i] = departure{at: now, how: d.how}
+		if d.at.After(after) {
+			b.departed[i] = departure{at: at, how: d.how}
 		}
 	}
 	for _, l := range [][]named{b.versions, b.configs} {
 		for i := range l {
-			if l[i].at.After(now) {
-				l[i].at = now
+			if l[i].at.After(after) {
+				l[i].at = at
 			}
 		}
 	}
-	b.note("all has been written again")
 }
