Soak: a request may be given up 1.2 s before its version's end, by as much as its naming is dated early

Traced: the request ran on version 11, whose end is 8 s after version 12 was named at 14.863 s; the gateway dates that naming by its earlier reading, 0.878 s before (its line: named_after 43.623, read 44.504), and gives up 0.2 s before the end it reckons with, 1.078 s before the true one. A reading waits for up to 0.7 s, so that is allowed; the check allowed 1 s.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -299,8 +299,9 @@
 	b.unless(hurt, "ended-early", r.gateway.name, id, "", "%s, %.2f s after it was sent, with head %t, at %s", how, now.Sub(r.sent).Seconds(), head, strings.Join(r.at, ", "))
 }
 
-// givenUpBefore is how long before a version's end a gateway may give up a request that has not begun for all that it has seen.
-const givenUpBefore = time.Second
+// givenUpBefore is how long before a version's end a gateway may give up a request that has not begun for all that it has
+// seen: the naming may be dated by the reading before it, which waited for 0.7 s, and 0.2 s are left to the upstream.
+const givenUpBefore = 1200 * time.Millisecond
 
 // versionEnds says whether a version's time ends at a moment: a gateway then gives up a request of whose answer nothing
 // has come, as it may not begin later. The caller holds the lock.
