Soak: a planned stop that overruns is excused by as much as the soak itself stood still, and no more

Now the time stood still is taken off, and what is left must be under the grace; one spec for each side, a short stall and one before the stop excuse nothing.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -46,8 +46,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	hurt := b.standsStill(now) || !b.clean(asked, now, theMachine)
-	b.unless(hurt, "grace", process, "", "", "the process is there %v after SIGTERM", now.Sub(asked).Round(time.Second))
+	ran := now.Sub(asked)
+	for _, s := range b.stalls {
+		if s.until.After(asked) {
+			ran -= min(s.took, s.until.Sub(asked))
+		}
+	}
+	if b.standsStill(now) {
+		ran -= now.Sub(b.ticked)
+	}
+	b.unless(ran < grace, "grace", process, "", "", "the process is there %v after SIGTERM", now.Sub(asked).Round(time.Second))
+}
+
+// Stalled notes that this process has stood still for a time.
+func (b *History) Stalled(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stalls = append(b.stalls, stall{until: b.now(), took: d})
 }
 
 // unless keeps a violation, or counts it where a fault excuses it; the caller holds the lock.
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -199,6 +199,7 @@
 		now := time.Now()
 		w.history.Ticked()
 		if late := now.Sub(last) - lagLook; late > lagMost {
+			w.history.Stalled(late)
 			w.history.Begin(theMachine, fmt.Sprintf("stood still for %v", late.Round(time.Millisecond)))()
 		}
 		last = now
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -50,6 +50,12 @@
 	from, until time.Time
 }
 
+// stall is a time for which this process stood still, up to a moment.
+type stall struct {
+	until time.Time
+	took  time.Duration
+}
+
 // departure is when the store had taken the word that an upstream leaves.
 type departure struct {
 	at  time.Time
@@ -87,6 +93,8 @@
 	end time.Time
 	// ticked is when this process was last seen to run on; zero where nobody looks.
 	ticked time.Time
+	// stalls are the times for which this process stood still.
+	stalls []stall
 
 	mu       sync.Mutex
 	events   []Event
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -163,13 +163,21 @@
 			h.pass(grace)
 			h.Outlived("g", asked)
 		}, "grace"),
-		Entry("is excused where this machine stood still in it", func(h *history) {
+		Entry("is excused where this process stood still for what is over", func(h *history) {
+			asked := h.at
+			h.pass(4 * time.Second)
+			h.Stalled(3 * time.Second)
+			h.pass(grace - 2*time.Second)
+			h.Outlived("g", asked)
+		}),
+		Entry("and not by a short stall, nor by one before it was asked", func(h *history) {
+			h.Stalled(time.Minute)
 			asked := h.at
 			h.pass(time.Second)
-			h.Begin(theMachine, "stood still")()
+			h.Stalled(200 * time.Millisecond)
 			h.pass(grace)
 			h.Outlived("g", asked)
-		}),
+		}, "grace"),
 		Entry("an answer that ends with the run is the run's doing", func(h *history) {
 			h.end = h.at.Add(time.Second)
 			h.send()
