Regions, evacuations, cold engines: read them and keep to them

Change: both sets of regions are decoded once and intersected with the request; one filter of the candidates keeps first tries, retries and hedges to them, and refuses at once where none is left. Demand of domains outside the regions is left out of the forecast. An engine that the list has as cold counts as limited to its pool's cold rate, by the permits of the process beside it; where that is silent it gets nothing.

Plain services have no process beside them, so their cold rate isn't kept.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -50,6 +50,8 @@
 	Public bool
 	// Resumable streams may be continued by another upstream after the last complete event.
 	Resumable bool
+	// AllowedRegions are the regions in which the requests may be served.
+	AllowedRegions Regions
 }
 
 // Idempotent reports whether a request may run more than once.
@@ -89,6 +91,9 @@
 	Name id.Pool
 	// MaxConnections is the maximum number of connections that one upstream accepts from all callers together.
 	MaxConnections int
+	// ColdRate is the number of requests per second that an upstream accepts from all gateways together while it is cold,
+	// which it is for some time after its start; 0 is no limit.
+	ColdRate float64
 	// Engine is set for pools of model engines.
 	Engine *Engine
 	// Origin is the address of an origin of weights; such a service has no upstreams.
@@ -101,6 +106,8 @@
 	Keys []string
 	// Priority ranks organisations; 0 is the highest.
 	Priority int
+	// AllowedRegions are the regions in which the organisation's requests may be served.
+	AllowedRegions Regions
 }
 
 // Limits bounds what a caller may send.
--- a/internal/decide/gateway.go
+++ b/internal/decide/gateway.go
@@ -38,7 +38,7 @@
 	d.budget = placement.NewRetryBudget(rule, count, p.now)
 	d.facts.SetWanted(model, facts.Publication{Revision: 1, PublishTime: dating.TimeBounds{After: p.now()}})
 	d.balancer = &gateway.Balancer{
-		Facts: d.facts, Domain: domain, SwapWithin: seconds(p.scenario.SwapWithin), Now: p.now, Random: func() *rand.Rand { return r },
+		Facts: d.facts, Location: gateway.Location{Domain: domain}, SwapWithin: seconds(p.scenario.SwapWithin), Now: p.now, Random: func() *rand.Rand { return r },
 		Load: gateway.LoadSources{Tracker: d.tracker, Offers: d.demandMeter, Demand: func(id.Pool) placement.Demand { return d.knownDemand() }, Gateways: count},
 	}
 	if p.variant.adjust != nil {
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -29,7 +29,9 @@
 	Domain  id.Domain
 	Slots   int
 	Leaving bool
-	Held    []Held
+	// Cold is true while the upstream warms up and accepts requests only at the cold rate of its pool.
+	Cold bool
+	Held []Held
 	// ListPosition is the position of the entry in the upstream list; of two entries, the one with the higher position
 	// was written later.
 	ListPosition id.Position
@@ -73,6 +75,8 @@
 	announcements map[id.Instance]*announcementState
 	// leaving are the incarnations that have declared themselves that they leave.
 	leaving map[id.Instance]leavingIncarnation
+	// evacuated are the failure domains that operators have evacuated, with the time at which this process learnt of it.
+	evacuated map[id.Domain]time.Time
 }
 
 // New creates empty facts.
@@ -81,7 +85,7 @@
 		now: now, wanted: map[id.Model][]Wanted{}, instances: map[id.Instance]*Instance{}, ended: map[id.Instance]endedIncarnation{},
 		changed: make(chan struct{}), configOffsetChanged: make(chan struct{}), gateways: map[string]time.Time{},
 		watch: addressWatch{changed: make(chan struct{})}, announcements: map[id.Instance]*announcementState{},
-		leaving: map[id.Instance]leavingIncarnation{},
+		leaving: map[id.Instance]leavingIncarnation{}, evacuated: map[id.Domain]time.Time{},
 	}
 	return f
 }
@@ -234,14 +238,14 @@
 	return f.configOffset, f.configOffsetChanged
 }
 
-// gatewayTTL is how long a gateway counts after it was last seen; reports list it about once a second.
-const gatewayTTL = 5 * time.Second
+// GatewayTTL is how long a gateway counts after it was last seen.
+const GatewayTTL = 5 * time.Second
 
 // NoteGateway notes that a gateway of this failure domain is alive.
 func (f *Facts) NoteGateway(address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.gateways[address] = f.now().Add(gatewayTTL)
+	f.gateways[address] = f.now().Add(GatewayTTL)
 }
 
 // Gateways lists the gateways of this failure domain that were seen recently.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,7 +50,7 @@
 	if !f.headSent {
 		f.predictedFirst = c.Predicted
 	}
-	if f.meta.Model != "" && c.Domain != g.domain {
+	if f.meta.Model != "" && c.Domain != g.location.Domain {
 		g.loadSources.Offers.CrossDomain.Record(f.pool)
 	}
 	f.attempts++
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -16,7 +16,7 @@
 type Balancer struct {
 	Facts      *facts.Facts
 	Load       LoadSources
-	Domain     id.Domain
+	Location   Location
 	SwapWithin time.Duration
 	Now        func() time.Time
 	Random     func() *rand.Rand
@@ -43,6 +43,8 @@
 	// one.
 	PermitDenied  map[id.Instance]bool
 	NoMorePermits bool
+	// Regions are the regions in which the request may be served.
+	Regions catalog.Regions
 	// HeadSent is true once the caller has the header of a response that was made with Revision.
 	HeadSent bool
 	Revision id.Revision
@@ -74,7 +76,7 @@
 	if s.Engine != nil {
 		return d.chooseEngine(q, s.Engine, l)
 	}
-	w := &placement.Forecast{PredictFirstEvent: placement.PredictPlainService, Domain: d.Domain}
+	w := &placement.Forecast{PredictFirstEvent: placement.PredictPlainService, Domain: d.Location.Domain}
 	c, ok := placement.Choose(l, q.Tried, w, d.Random())
 	if !ok {
 		return c, d.refuseNoUpstream(q, placement.NoUpstreamRetryAfter)
@@ -145,10 +147,26 @@
 		PredictFirstEvent: func(c *placement.Candidate) time.Duration { return m.FirstEvent(c, q.PromptTokens) },
 		CanAdmit:          func(c *placement.Candidate) bool { return placement.InTime(m.AdmissionLatency(c), 0, aim) },
 		Advance:           m.Advance,
-		Horizon:           2 * placement.MeanReportAge(l, d.Domain), UsualPrompt: e.MeanPromptTokens, Demand: d.Load.Demand(q.Pool), Domain: d.Domain, Late: late,
+		Horizon:           2 * placement.MeanReportAge(l, d.Location.Domain), UsualPrompt: e.MeanPromptTokens, Demand: d.demand(q), Domain: d.Location.Domain, Late: late,
 	}
 }
 
+// demand returns the load to expect on the upstreams that the request may use. Gateways mostly use upstreams of their own
+// failure domain, so the load of domains in other regions than the request's is left out.
+func (d *Balancer) demand(q *Query) placement.Demand {
+	all := d.Load.Demand(q.Pool)
+	if q.Regions == nil {
+		return all
+	}
+	allowed := placement.Demand{}
+	for domain, load := range all {
+		if q.Regions.Contains(d.Location.Region(domain)) {
+			allowed[domain] = load
+		}
+	}
+	return allowed
+}
+
 // swapMargin is subtracted from the grace period of an older version: a request may queue at the upstream before it
 // begins, and this process may have learnt of the version later than others.
 const swapMargin = time.Second
@@ -191,6 +209,9 @@
 		if i.Pool != q.Pool {
 			continue
 		}
+		if !d.mayServe(q, i.Domain) {
+			continue
+		}
 		if i.Leaving {
 			q.decision.excluded.leaving++
 			continue
@@ -201,6 +222,11 @@
 		}
 		c := d.Load.Tracker.Candidate(i, usualPrompt)
 		c.Revision = held
+		if i.Cold && s.ColdRate > 0 && s.Engine != nil && !c.Fresh {
+			// Without the process beside it, nothing bounds what all gateways together send to the cold upstream.
+			q.decision.excluded.cold++
+			continue
+		}
 		if s.Engine != nil && c.Slots == 0 {
 			c.Slots = s.Engine.Slots
 		}
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -49,7 +49,7 @@
 		Tracker: t, Offers: placement.NewDemandMeter(clock), Gateways: func() int { return 350 },
 		Demand: func(id.Pool) placement.Demand { return demand },
 	}
-	g := New(NewSettings(), testDialect(), f, load, emptyQuarantine(), (&net.Dialer{}).DialContext, "0", &log.Logger{Level: log.PanicLevel})
+	g := New(NewSettings(), testDialect(), f, load, emptyQuarantine(), (&net.Dialer{}).DialContext, Location{Domain: "0"}, &log.Logger{Level: log.PanicLevel})
 	q, err := http.NewRequest(http.MethodPost, "/p/x", http.NoBody)
 	if err != nil {
 		b.Fatal(err)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -10,7 +10,7 @@
 
 // balancer returns a Balancer with the gateway's current state.
 func (g *Gateway) balancer() *Balancer {
-	return &Balancer{Facts: g.facts, Load: g.loadSources, Domain: g.domain, SwapWithin: g.settings.SwapWithin, Now: g.now, Random: g.random}
+	return &Balancer{Facts: g.facts, Load: g.loadSources, Location: g.location, SwapWithin: g.settings.SwapWithin, Now: g.now, Random: g.random}
 }
 
 // maxPermitRequests bounds the upstreams at which one request asks for a permit, as each costs a round trip.
@@ -42,7 +42,7 @@
 func (f *callerRequest) query() *Query {
 	return &Query{
 		Catalog: f.catalog, Pool: f.pool, Model: f.meta.Model, PromptTokens: f.meta.PromptTokens, Arrived: f.arrived, ElapsedBefore: f.elapsedBefore, CallerDeadline: f.callerDeadline,
-		Tried: f.tried, Attempts: f.attempts, PermitDenied: map[id.Instance]bool{}, HeadSent: f.headSent, Revision: f.revision,
+		Tried: f.tried, Attempts: f.attempts, PermitDenied: map[id.Instance]bool{}, HeadSent: f.headSent, Revision: f.revision, Regions: f.regions,
 	}
 }
 
--- a/internal/gateway/decision.go
+++ b/internal/gateway/decision.go
@@ -85,6 +85,9 @@
 	// tried counts upstreams that have had this request, limited those without a permit for it, resting those that
 	// have asked this gateway to pause.
 	tried, limited, resting int
+	// evacuated counts upstreams in evacuated failure domains, and region those outside the regions in which the request
+	// may be served. cold counts upstreams that are cold and whose stager does not report.
+	evacuated, region, cold int
 }
 
 // countCandidate counts a candidate that is not a first choice.
@@ -117,6 +120,9 @@
 		{"tried", o.tried},
 		{"limited", o.limited},
 		{"resting", o.resting},
+		{"evacuated", o.evacuated},
+		{"region", o.region},
+		{"cold", o.cold},
 	} {
 		if r.n > 0 {
 			e.Int(r.name, r.n)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -112,13 +112,18 @@
 	}
 	q := emptyQuarantine()
 	b.list = q.Suspects
-	b.gateway = New(NewSettings(), testDialect(), f, load, q, dial, "d", discard)
+	b.gateway = New(NewSettings(), testDialect(), f, load, q, dial, Location{Domain: "d", Region: regionOfTestDomain}, discard)
 	b.gateway.now = now
 	b.server = httptest.NewServer(b.gateway)
 	DeferCleanup(b.server.Close)
 	return b
 }
 
+// regionOfTestDomain returns the region of a failure domain in these tests: a domain and its region have the same initial.
+func regionOfTestDomain(d id.Domain) id.Region {
+	return id.Region("region-" + d[:1])
+}
+
 // emptyQuarantine returns a quarantine that receives nothing from other gateways.
 func emptyQuarantine() *quarantine.Quarantine {
 	return &quarantine.Quarantine{
--- /dev/null
+++ b/internal/gateway/location.go
@@ -0,0 +1,24 @@
+package gateway
+
+import "github.com/springrail/springrail/internal/id"
+
+// Location is where a gateway runs, and in which region each failure domain is.
+type Location struct {
+	Domain id.Domain
+	// Region returns the region of a failure domain, or an empty one if it is unknown.
+	Region func(d id.Domain) id.Region
+}
+
+// mayServe reports whether the upstreams of a failure domain may get the request. An upstream whose region is unknown
+// gets no request that is restricted to some regions.
+func (d *Balancer) mayServe(q *Query, domain id.Domain) bool {
+	switch {
+	case d.Facts.Evacuated(domain):
+		q.decision.excluded.evacuated++
+	case q.Regions != nil && !q.Regions.Contains(d.Location.Region(domain)):
+		q.decision.excluded.region++
+	default:
+		return true
+	}
+	return false
+}
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -97,7 +97,7 @@
 	suspects         *quarantine.SuspectTracker
 	crashDetector    *quarantine.CrashDetector
 	requests         *requestRegistry
-	domain           id.Domain
+	location         Location
 	log              *log.Logger
 	metrics          *metrics
 	now              func() time.Time
@@ -127,11 +127,14 @@
 	loadSources := LoadSources{Tracker: sub.Tracker(), Offers: sub.DemandMeter(), Demand: sub.Demand, Gateways: sub.GatewayCount}
 	loadSources.Permits = PermitClient{Acquire: sub.RequestPermit, ReportLimit: sub.SendLimit, ReportLimitEnd: sub.SendLimitEnd}
 	q := h.Part(quarantine.PartName).(*quarantine.Quarantine)
-	g := New(s, d, h.Part(facts.PartName).(*facts.Facts), loadSources, q, connect, h.Identity.Domain, h.Log)
+	location := Location{Domain: h.Identity.Domain, Region: h.Part(traffic.PartName).(*traffic.Part).Region}
+	f := h.Part(facts.PartName).(*facts.Facts)
+	g := New(s, d, f, loadSources, q, connect, location, h.Log)
 	g.listener = l
 	h.Part(rpc.PartName).(*rpc.Server).Handle(springrailv1connect.NewLimitServiceHandler(g))
 	h.Metric("requests", g.metrics.vars)
 	h.Metric("in_flight", expvar.Func(func() any { return g.inFlight.Load() }))
+	h.Metric("evacuations", expvar.Func(func() any { return f.Evacuations() }))
 	return g, nil
 }
 
@@ -148,11 +151,11 @@
 
 // New returns a gateway that does not listen yet.
 func New(s *Settings, d *Dialect, f *facts.Facts, loadSources LoadSources, q *quarantine.Quarantine,
-	connect func(ctx context.Context, network, address string) (net.Conn, error), domain id.Domain, l *log.Logger,
+	connect func(ctx context.Context, network, address string) (net.Conn, error), location Location, l *log.Logger,
 ) *Gateway {
 	budgetRule := placement.RetryBudgetRule{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow}
 	g := &Gateway{
-		settings: s, dialect: d, facts: f, loadSources: loadSources, domain: domain, log: l, metrics: newMetrics(), now: clock.Now,
+		settings: s, dialect: d, facts: f, loadSources: loadSources, location: location, log: l, metrics: newMetrics(), now: clock.Now,
 		suspended:        clock.Suspended,
 		retryBudget:      placement.NewRetryBudget(budgetRule, loadSources.Gateways, clock.Now),
 		elapsedEstimator: placement.NewPatienceTracker(clock.Now),
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -34,9 +34,11 @@
 	catalog      *catalog.Catalog
 	pool         id.Pool
 	organisation id.Organisation
-	httpRequest  *http.Request
-	writer       http.ResponseWriter
-	arrived      time.Time
+	// regions are the regions in which the request may be served.
+	regions     catalog.Regions
+	httpRequest *http.Request
+	writer      http.ResponseWriter
+	arrived     time.Time
 	// elapsedBefore is the time that the caller spent on earlier tries of this request.
 	elapsedBefore time.Duration
 	// deadline is the earlier of the caller's deadline and the route's timeout; callerDeadline is the caller's alone.
@@ -132,13 +134,8 @@
 		f.fail(http.StatusNotFound, "no route")
 		return false
 	}
-	if !f.route.Public && f.catalog.Organisations > 0 {
-		o := f.catalog.Organisation(f.meta.Key)
-		if o == nil {
-			f.fail(http.StatusUnauthorized, "unknown key")
-			return false
-		}
-		f.organisation = o.Name
+	if !f.authenticate() {
+		return false
 	}
 	limits := f.catalog.Limits
 	if limits.HeaderBytes > 0 && headerSize(f.httpRequest.Header) > limits.HeaderBytes {
@@ -154,6 +151,25 @@
 	return true
 }
 
+// authenticate resolves the caller's organisation, or answers that its key is unknown. The regions of a known organisation
+// apply on public routes too.
+func (f *callerRequest) authenticate() bool {
+	f.regions = f.route.AllowedRegions
+	o := f.catalog.Organisation(f.meta.Key)
+	if o != nil {
+		f.regions = f.regions.Intersect(o.AllowedRegions)
+	}
+	if f.route.Public || f.catalog.Organisations == 0 {
+		return true
+	}
+	if o == nil {
+		f.fail(http.StatusUnauthorized, "unknown key")
+		return false
+	}
+	f.organisation = o.Name
+	return true
+}
+
 // noConfigRetryAfter is the Retry-After of a process that has not loaded a configuration yet.
 const noConfigRetryAfter = time.Second
 
--- a/internal/id/id.go
+++ b/internal/id/id.go
@@ -10,6 +10,9 @@
 // Domain identifies a failure domain.
 type Domain string
 
+// Region identifies a region, which contains one or more failure domains.
+type Region string
+
 // Pool identifies a group of upstreams that a route can send requests to.
 type Pool string
 
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -204,7 +205,7 @@
 		s.observeRevision(h.Model, h.Revision, "upstream")
 	}
 	if err == nil {
-		s.reporter.Limiter().RecordUpstreamReport(state.Limit, state.Born)
+		s.reporter.Limiter().RecordUpstreamReport(s.limitWhileCold(state.Limit), state.Born)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -224,6 +225,24 @@
 	return changed
 }
 
+// limitWhileCold returns the rate limit of the upstream: the one that it announces, or the cold rate of its pool if that is
+// lower, while the list of upstreams has it as cold.
+func (s *Stager) limitWhileCold(announced throttle.LimitInfo) throttle.LimitInfo {
+	c := s.facts.Catalog()
+	if c == nil {
+		return announced
+	}
+	isCold := func(i *facts.Instance) bool { return i.Address == s.ports.Address && i.Cold }
+	if !slices.ContainsFunc(s.facts.Instances(), isCold) {
+		return announced
+	}
+	p := c.Services[id.Pool(s.settings.Pool)]
+	if p == nil || p.ColdRate <= 0 || (announced.State == throttle.Limited && announced.Rate <= throttle.Rate(p.ColdRate)) {
+		return announced
+	}
+	return throttle.LimitInfo{State: throttle.Limited, Rate: throttle.Rate(p.ColdRate)}
+}
+
 // logLimit logs that the request limit of the upstream begins, changes or ends.
 func (s *Stager) logLimit(w throttle.LimitInfo, by string) {
 	s.log.Info().Stringer("limit", w).Str("by", by).Msg("the request limit of the upstream beside this process has changed")
--- a/internal/traffic/part.go
+++ b/internal/traffic/part.go
@@ -27,7 +27,8 @@
 
 // Settings holds the settings section [traffic].
 type Settings struct {
-	// Regions maps each failure domain to its region. If it is empty, all failure domains count as one region.
+	// Regions maps each failure domain to its region. If it is empty, all failure domains count as one region, and requests
+	// that are restricted to some regions are refused.
 	Regions map[string]string `toml:"regions"`
 	// LogEvery is the interval at which the counts are logged; 0 disables logging them.
 	LogEvery time.Duration `toml:"log_every"`
@@ -46,9 +47,9 @@
 		Settings: func() kernel.Section { return &Settings{} },
 		New: func(h *kernel.Host) (any, error) {
 			s := h.Section(PartName).(*Settings)
-			regions := map[id.Domain]string{}
+			regions := map[id.Domain]id.Region{}
 			for d, r := range s.Regions {
-				regions[id.Domain(d)] = r
+				regions[id.Domain(d)] = id.Region(r)
 			}
 			f := h.Part(facts.PartName).(*facts.Facts)
 			p := &Part{
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -80,7 +80,7 @@
 // is bounded.
 type Counter struct {
 	ownDomain   id.Domain
-	regions     map[id.Domain]string
+	regions     map[id.Domain]id.Region
 	domainAt    func(host string) (id.Domain, bool)
 	now         func() time.Time
 	start       time.Time
@@ -91,12 +91,17 @@
 
 // New returns the counter of a process in a failure domain. regions maps failure domains to regions. domainAt returns
 // the failure domain of a host and whether it is known.
-func New(self id.Domain, regions map[id.Domain]string, domainAt func(host string) (id.Domain, bool), now func() time.Time) *Counter {
+func New(self id.Domain, regions map[id.Domain]id.Region, domainAt func(host string) (id.Domain, bool), now func() time.Time) *Counter {
 	return &Counter{
 		ownDomain: self, regions: regions, domainAt: domainAt, now: now, start: now(), incarnation: fmt.Sprintf("%016x", rand.Uint64()),
 	}
 }
 
+// Region returns the region of a failure domain, or an empty one if it is unknown.
+func (c *Counter) Region(d id.Domain) id.Region {
+	return c.regions[d]
+}
+
 // DistanceTo returns the distance to a failure domain. A failure domain whose region is unknown counts as in the same region.
 func (c *Counter) DistanceTo(d id.Domain) Distance {
 	switch {
--- a/internal/traffic/traffic_test.go
+++ b/internal/traffic/traffic_test.go
@@ -25,7 +25,7 @@
 	spec.Run(t, "Traffic")
 }
 
-var regions = map[id.Domain]string{"a": "r", "b": "r", "c": "s"}
+var regions = map[id.Domain]id.Region{"a": "r", "b": "r", "c": "s"}
 
 // counter returns the counter of a process in failure domain a, to which 127.0.0.1 is in failure domain c.
 func counter() *Counter {
