Reports: a gateway subscribes to a subset of the stagers

Cause: each stager reports to each gateway, 432,000 datagrams a second at 546 gateways and 440 stagers; what crosses regions fills the links that heartbeats, records and requests need.

Gateways count themselves by domain, since no stager knows all of them; crash news goes through as many stagers of a domain as cover its gateways; lists of gateways go by turns. Rendezvous orders hash each VM once.

--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -3,6 +3,7 @@
 package rendezvous
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,23 +20,26 @@
 	return d.Sum64()
 }
 
+// weighted is a VM with its weight for a key.
+type weighted struct {
+	vm     id.VM
+	weight uint64
+}
+
 // Order returns the VMs sorted by descending weight for the key. VMs of equal weight are sorted by name.
 func Order(key string, vms []id.VM) []id.VM {
-	l := slices.Clone(vms)
-	slices.SortFunc(l, func(a, b id.VM) int {
-		wa, wb := Weight(key, a), Weight(key, b)
-		if wa != wb {
-			if wa > wb {
-				return -1
-			}
-			return 1
-		}
-		if a < b {
-			return -1
-		}
-		return 1
+	l := make([]weighted, len(vms))
+	for i, v := range vms {
+		l[i] = weighted{vm: v, weight: Weight(key, v)}
+	}
+	slices.SortFunc(l, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.vm, b.vm))
 	})
-	return l
+	ordered := make([]id.VM, len(l))
+	for i, w := range l {
+		ordered[i] = w.vm
+	}
+	return ordered
 }
 
 // Rank returns the index of a VM in the order for a key, or -1 if it is not in the list.
--- a/internal/reports/news.go
+++ b/internal/reports/news.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// newsRelays is the number of stagers that forward a gateway's crash news, in different failure domains where
-	// possible. On links that lose 3 % of the packets, a gateway misses all three copies once in 5,000 times.
+	// newsRelays is the number of stagers that forward a gateway's crash news where every gateway subscribes to every
+	// stager, in different failure domains where possible. On links that lose 3 % of the packets, a gateway misses all
+	// three copies once in 5,000 times.
 	newsRelays = 3
 	// newsPerSecond and newsBurst limit the rate of crash news that a gateway sends. The crash of one upstream takes one
 	// message. If all upstreams of a failure domain crash at once, that says nothing about the requests there.
@@ -32,7 +33,7 @@
 		s.vars.Add("news_over_rate", 1)
 		return
 	}
-	n.Sender = s.conn.LocalAddr().String()
+	n.Sender = s.self()
 	b, err := proto.Marshal(&pb.ReportSubscription{News: n})
 	if err != nil {
 		s.log.Error().Err(err).Msg("failed to encode crash news")
@@ -51,8 +52,29 @@
 	}
 }
 
-// pickRelays picks random stagers that have reported recently, one in each failure domain before a second one in any.
-func (s *Subscriber) pickRelays() (l []*facts.Instance) {
+// pickRelays picks random stagers. Where gateways subscribe to subsets, it picks enough in each failure domain that the
+// gateways there are covered.
+func (s *Subscriber) pickRelays() []*facts.Instance {
+	var l []*facts.Instance
+	by := s.groupStagers()
+	for g, stagers := range by {
+		sizes := s.sizesFor(g.pool, by)
+		if sizes == everyStager {
+			continue
+		}
+		// The gateways of each domain choose the size of their subset as this one does for its own.
+		n := relaysPerDomain(len(stagers), sizes.local)
+		rand.Shuffle(len(stagers), func(i, j int) { stagers[i], stagers[j] = stagers[j], stagers[i] })
+		l = append(l, stagers[:n]...)
+	}
+	if len(l) == 0 {
+		return s.pickRecentRelays()
+	}
+	return l
+}
+
+// pickRecentRelays picks random stagers that have reported recently, one in each failure domain before a second one in any.
+func (s *Subscriber) pickRecentRelays() (l []*facts.Instance) {
 	var rest []*facts.Instance
 	covered := map[id.Domain]bool{}
 	all := s.relayCandidates()
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,8 +28,8 @@
 // ReporterPart is the name under which other parts list the reporter as a dependency.
 const ReporterPart = "reporter"
 
-// maxSubscribers limits the gateways that a stager reports to. The largest planned deployment has 350 nodes in 8 failure
-// domains.
+// maxSubscribers limits the gateways that a stager reports to. Gateways of a large fleet subscribe to subsets of the
+// stagers, so that the number at one stager depends on the number of gateways per stager only.
 const maxSubscribers = 512
 
 func init() {
@@ -72,6 +73,8 @@
 	// go to all subscribers because that content changed.
 	lastState     string
 	urgentPending int
+	// nextListed is the gateway with which the next list in a report begins.
+	nextListed string
 	// newsLimit limits the rate of crash news that this process forwards.
 	newsLimit *rate.Limiter
 	// upstreamAddress is the address of the stager's upstream, as in the last report.
@@ -92,6 +95,8 @@
 	everyReport bool
 	// offered and offeredLate are the requests per second that callers offer to the gateway, by its own count.
 	offered, offeredLate float64
+	// gateways is the number of gateways of its failure domain that the gateway knows.
+	gateways int
 	// stamp is the newest stamp of the gateway, and stampedAt is when it arrived.
 	stamp     uint64
 	stampedAt time.Time
@@ -158,7 +163,7 @@
 	r.demandChanged = r.demandChanged || math.Abs(old.offered-s.GetOffered()) > minLoadChange+loadChangeShare*old.offered
 	r.subscribers[s.GetSender()] = subscriber{
 		addr: addr, expiresAt: r.now().Add(subscriptionTTL), local: local, domain: id.Domain(s.GetDomain()), everyReport: s.GetEach(),
-		offered: max(0, s.GetOffered()), offeredLate: max(0, s.GetOfferedLate()), stamp: s.GetStamp(), stampedAt: r.now(),
+		offered: max(0, s.GetOffered()), offeredLate: max(0, s.GetOfferedLate()), gateways: int(s.GetGateways()), stamp: s.GetStamp(), stampedAt: r.now(),
 	}
 }
 
@@ -298,25 +303,45 @@
 	return l
 }
 
-// maxListedGateways limits the gateways listed in a report, so that it stays below maxDatagramBytes. The largest planned
-// deployment has 44 in a failure domain.
-const maxListedGateways = 64
+const (
+	// maxListedGateways limits the gateways listed in a report, so that it stays below maxDatagramBytes.
+	maxListedGateways = 64
+	// minListedGateways is the number of gateways up to which a report lists all of them.
+	minListedGateways = 16
+	// gatewayListInterval is the time between two reports that list gateways. All are listed by turns within half of the
+	// time for which receivers know them.
+	gatewayListInterval = time.Second
+	gatewayListCycle    = facts.GatewayTTL / 2
+)
 
 // maxDemandDomains limits the failure domains whose demand a report contains; the largest planned deployment has 8.
 const maxDemandDomains = 16
 
-// addGateways lists the gateways of the stager's failure domain in a report; the caller holds the lock.
+// addGateways lists gateways of the stager's failure domain in a report, by turns; the caller holds the lock.
 func (r *Reporter) addGateways(p *pb.UpstreamReport) {
+	var local []string
 	for name, s := range r.subscribers {
-		if s.local && len(p.GetGateways()) < maxListedGateways {
-			p.Gateways = append(p.Gateways, name)
+		if s.local {
+			local = append(local, name)
 		}
 	}
+	if len(local) == 0 {
+		return
+	}
+	slices.Sort(local)
+	part := int(math.Ceil(float64(len(local)) * float64(gatewayListInterval) / float64(gatewayListCycle)))
+	n := min(len(local), max(minListedGateways, part), maxListedGateways)
+	first, _ := slices.BinarySearch(local, r.nextListed)
+	for k := range n {
+		p.Gateways = append(p.Gateways, local[(first+k)%len(local)])
+	}
+	r.nextListed = local[(first+n)%len(local)]
 }
 
 // totalDemand sums the load that callers offer to the subscribers, per failure domain; the caller holds the lock.
 func (r *Reporter) totalDemand() []*pb.Demand {
 	by := map[id.Domain]*pb.Demand{}
+	subscribed := map[id.Domain]int{}
 	var l []*pb.Demand
 	for _, s := range r.subscribers {
 		d := by[s.domain]
@@ -330,6 +355,8 @@
 		}
 		d.Offered += s.offered
 		d.OfferedLate += s.offeredLate
+		subscribed[s.domain]++
+		d.Gateways = max(d.Gateways, uint32(s.gateways), uint32(subscribed[s.domain]))
 	}
 	return l
 }
--- a/internal/reports/stager_state.go
+++ b/internal/reports/stager_state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/placement"
 )
 
@@ -23,10 +24,12 @@
 	// lastReportAt is when the newest report arrived.
 	lastReportAt time.Time
 	// gatewayCount is the number of gateways that subscribe to the stager's reports, and demand is the load that callers
-	// offer to them; demand is valid until demandUntil.
-	gatewayCount int
-	demand       placement.Demand
-	demandUntil  time.Time
+	// offer to them. gatewaysByDomain is the number of gateways of each failure domain, by their own counts. demand and
+	// gatewaysByDomain are valid until demandUntil.
+	gatewayCount     int
+	demand           placement.Demand
+	gatewaysByDomain map[id.Domain]int
+	demandUntil      time.Time
 	// nextLimitSend is when a rate limit that the stager's reports lack may be sent to it again.
 	nextLimitSend time.Time
 }
--- a/internal/reports/subscribe.go
+++ b/internal/reports/subscribe.go
@@ -13,7 +13,7 @@
 	"github.com/springrail/springrail/internal/id"
 )
 
-// subscribe renews the subscriptions at the stagers of all listed engines until the context ends.
+// subscribe renews the subscriptions at the stagers of the gateway's subset until the context ends.
 func (s *Subscriber) subscribe(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.renew()
@@ -71,9 +71,9 @@
 	now := s.now()
 	stamp := s.stamps.encode(now)
 	b, err := proto.Marshal(&pb.ReportSubscription{
-		Sender: s.conn.LocalAddr().String(), ConfigOffset: uint64(offset), Domain: string(s.domain),
+		Sender: s.self(), ConfigOffset: uint64(offset), Domain: string(s.domain),
 		Offered: s.demandMeter.OnTime.PerSecond(g.pool), OfferedLate: s.demandMeter.Late.PerSecond(g.pool), Each: g.everyReport,
-		Stamp: stamp, Proved: s.unrecordedVersions(g.pool),
+		Stamp: stamp, Proved: s.unrecordedVersions(g.pool), Gateways: uint32(max(1, len(s.facts.Gateways()))),
 	})
 	if err != nil {
 		s.log.Error().Err(err).Msg("failed to encode a subscription")
@@ -97,17 +97,16 @@
 }
 
 func (s *Subscriber) renew() {
-	c := s.facts.Catalog()
-	if c == nil {
+	if s.facts.Catalog() == nil {
 		return
 	}
-	listed := map[string]bool{}
 	encoded := map[subscriptionGroup]encodedSubscription{}
+	for _, i := range s.subset() {
+		s.subscribeTo(i, encoded)
+	}
+	listed := map[string]bool{}
 	for _, i := range s.facts.Instances() {
 		listed[i.Address] = true
-		if p := c.Services[i.Pool]; p != nil && p.Engine != nil {
-			s.subscribeTo(i, encoded)
-		}
 	}
 	s.forgetUnlisted(listed)
 }
@@ -116,13 +115,9 @@
 // get requests in the last seconds of their version depends on how recently their connection was confirmed, and the
 // regular renewals confirm it only every 1.2 s.
 func (s *Subscriber) renewOutdated() {
-	c := s.facts.Catalog()
-	if c == nil {
-		return
-	}
 	encoded := map[subscriptionGroup]encodedSubscription{}
-	for _, i := range s.facts.Instances() {
-		if p := c.Services[i.Pool]; p != nil && p.Engine != nil && (i.Domain == s.domain || s.wantsEveryReportOf(i)) && s.servesOutdated(i) {
+	for _, i := range s.subset() {
+		if (i.Domain == s.domain || s.wantsEveryReportOf(i)) && s.servesOutdated(i) {
 			s.subscribeTo(i, encoded)
 		}
 	}
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -162,19 +162,32 @@
 	return largest
 }
 
-// GatewayCount returns the number of gateways that stagers know, this one included. It uses the maximum over the
-// stagers, because a count that is too high makes the share of a rate limit too small, which is safe.
+// GatewayCount returns the number of gateways, this one included: the sum over the failure domains, or the number that
+// subscribe to one stager if that is larger. It uses the maximum over the stagers, because a count that is too high makes
+// the share of a rate limit too small, which is safe.
 func (s *Subscriber) GatewayCount() int {
+	now := s.now()
+	byDomain := map[id.Domain]int{s.domain: len(s.facts.Gateways())}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	largest := 0
 	for _, h := range s.stagers {
 		largest = max(largest, h.gatewayCount)
+		if now.After(h.demandUntil) {
+			continue
+		}
+		for d, n := range h.gatewaysByDomain {
+			byDomain[d] = max(byDomain[d], n)
+		}
+	}
+	total := 0
+	for _, n := range byDomain {
+		total += n
 	}
 	if largest == 0 {
-		return defaultGateways
+		return max(total, defaultGateways)
 	}
-	return largest
+	return max(total, largest)
 }
 
 // Run renews subscriptions and receives reports until the context ends.
@@ -340,6 +353,10 @@
 	h.gatewayCount = int(r.GetSubscribers())
 	if len(r.GetDemand()) > 0 {
 		h.demand, h.demandUntil = demandFromProto(r.GetDemand()), now.Add(demandTTL)
+		h.gatewaysByDomain = map[id.Domain]int{}
+		for _, d := range r.GetDemand() {
+			h.gatewaysByDomain[id.Domain(d.GetDomain())] = int(d.GetGateways())
+		}
 	}
 	return true
 }
