Records: followers beyond the 16th are redirected, a joint start reads once

Cause: 196 processes of a domain follow one VM, which can't send them the configuration within the time that they wait, and all of them take over one after the other. At a joint start most of them read the store themselves: a seed that hundreds ask answers later than silence counts as agreement, and who has the records from a reader leaves it for a peer that has none.

Change: a process serves 16 followers and names three of them to any other; one that is followed polls its source each 0.2 s; one that waits for a source that reads lets its own followers wait. A process without records waits up to 1 s for the first answer to its lease request, which goes to the first 16 gateways of the domain. It stays with its source until it knows gateways.

--- a/internal/records/answer.go
+++ b/internal/records/answer.go
@@ -15,6 +15,7 @@
 // mergeTopic merges the part of an answer on one topic, if that is fresh enough. A source may have one topic and lack
 // another, which this process then gets elsewhere.
 func (f *Follower) mergeTopic(i int, t *pb.TopicChanges, address string, answeredAt time.Time) error {
+	f.logs[i].noteSourceReading(t.GetReading())
 	if t.GetReading().GetFirst() {
 		// The source has not numbered any change yet, so its changes from the first one on would not be complete.
 		f.lastChanges[i] = requestSnapshot
@@ -107,10 +108,10 @@
 	return nil
 }
 
-// maxAge returns the maximum age of records accepted from the current source. A peer follows a gateway itself, so its
-// records are older by up to the wait of a request. It is used only until a gateway is known.
+// maxAge returns the maximum age of records accepted from the current source. A peer or a process named in a redirect
+// follows another one itself, so its records are older by up to the wait of a request.
 func (f *Follower) maxAge(l *Log) time.Duration {
-	if f.viaPeer {
+	if f.viaPeer || f.viaRedirect {
 		return maxOperatorsAge
 	}
 	return l.maxAge()
--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -18,8 +18,8 @@
 	// source that is short of processor time, it bounds how long a frozen source goes unnoticed.
 	longPollWait  = 500 * time.Millisecond
 	longPollSlack = 400 * time.Millisecond
-	// successorPollWait replaces longPollWait in the process that takes over first when its source fails, as the other
-	// processes of the domain wait for it.
+	// successorPollWait replaces longPollWait in the process that takes over first when its source fails, and in those
+	// that others follow, as the other processes of the domain wait for them.
 	successorPollWait = 200 * time.Millisecond
 	// firstPollSlack is added to longPollSlack in the first request to a source, whose answer may carry the changes of
 	// several seconds. That request does not wait for changes: if the second source is frozen too, a wait would add to
@@ -106,8 +106,14 @@
 	// choseWithList is true if the list of upstreams, which shows the peers, had been read when a source was last
 	// chosen.
 	choseWithList bool
-	// viaPeer is true while the source is a peer.
-	viaPeer bool
+	// viaPeer is true while the source is a peer, and viaRedirect while it was named by the chosen one.
+	viaPeer, viaRedirect bool
+	// redirect is the last redirect that a source has answered with, and insist is true if the next request is to be
+	// served without one.
+	redirect redirect
+	insist   bool
+	// followers are the processes that follow this one; nil for none.
+	followers *followerSet
 	// epoch is the source's epoch, and lastChanges holds the number of the last change received from it in each topic.
 	epoch       uint64
 	lastChanges []uint64
@@ -126,6 +132,7 @@
 			f.hint.wait(ctx, chooseRetryPause)
 			continue
 		}
+		address = f.redirected(address)
 		err := f.followOnce(ctx, address)
 		switch {
 		case ctx.Err() != nil:
@@ -135,6 +142,7 @@
 			f.backOff(ctx, err)
 		default:
 			f.noteFreshSource(address)
+			f.pauseIfBehind(ctx)
 		}
 	}
 }
@@ -313,7 +321,10 @@
 		f.source, f.epoch, f.lastChanges = address, 0, make([]uint64, len(f.logs))
 	}
 	wait, timeout := f.pollTimeouts()
-	q := &pb.FollowRequest{Epoch: f.epoch, WaitMs: wait.Milliseconds()}
+	q := &pb.FollowRequest{Epoch: f.epoch, WaitMs: wait.Milliseconds(), Follower: f.self}
+	if f.insist {
+		q.Follower, f.insist = "", false
+	}
 	for i, l := range f.logs {
 		next, _ := l.Position()
 		q.Positions = append(q.Positions, &pb.TopicPosition{Topic: l.topic.Name, From: f.lastChanges[i], Next: uint64(next)})
@@ -327,6 +338,11 @@
 		f.source = ""
 		return trace.Wrap(err)
 	}
+	if len(a.GetRedirects()) > 0 {
+		f.source = ""
+		f.followRedirect(address, a)
+		return nil
+	}
 	if err := f.checkSource(a); err != nil {
 		f.source = ""
 		return err
@@ -359,7 +375,7 @@
 		// A peer that holds the records answers at once. One on a VM that is down delays a start by no more than this
 		// timeout, as the store is asked after the first failure.
 		return 0, firstPollSlack + longPollSlack
-	case f.epoch != 0 && f.takeoverRank() == 0:
+	case f.epoch != 0 && (f.takeoverRank() == 0 || f.followers.any()):
 		wait = successorPollWait
 	default:
 		wait = longPollWait
--- a/internal/records/lease.go
+++ b/internal/records/lease.go
@@ -23,6 +23,9 @@
 	// process that is short of processor time. A process that does not answer by then counts as agreeing, so that a
 	// frozen one delays others no longer.
 	leaseRequestTimeout = 150 * time.Millisecond
+	// firstAnswerTimeout bounds the wait for the first answer instead, in a process without records: processes that start
+	// together all ask the same few others, which then take longer to answer.
+	firstAnswerTimeout = time.Second
 	// requesterTTL is how long a lease request is named to other requesters. It is well beyond the 0.12 s of a snapshot
 	// on an idle link.
 	requesterTTL = 2 * time.Second
--- a/internal/records/lease_request.go
+++ b/internal/records/lease_request.go
@@ -14,9 +14,17 @@
 	targets := append(f.leasePeers(), l.lease.request(failed)...)
 	contacted := map[string]bool{f.self: true}
 	c := &pb.Claim{Topic: l.topic.Name, Claimant: f.self, Domain: string(f.domain), Failed: failed}
+	firstTimeout := leaseRequestTimeout
+	if _, started := l.Position(); !started {
+		firstTimeout = firstAnswerTimeout
+	}
 	for len(targets) > 0 {
 		var others []string
-		for _, a := range f.askAll(ctx, targets, contacted, c) {
+		answers := f.askAll(ctx, targets, contacted, c, firstTimeout)
+		if len(answers) > 0 {
+			firstTimeout = leaseRequestTimeout
+		}
+		for _, a := range answers {
 			if a.GetRefused() {
 				l.lease.release()
 				f.hint.set(a.GetFollow())
@@ -30,43 +38,57 @@
 	return l.lease.acquire()
 }
 
-// leasePeers returns the processes that a lease request goes to first: the gateways of the failure domain, and the
-// configured seeds while fewer than two gateways are known. Processes that start together share the seeds and learn of
+// leasePeers returns the processes that a lease request goes to first: the first gateways of the failure domain in the
+// order of sources, and the configured seeds while fewer than two gateways are known. As all requests go to the same few,
+// these know a process that reads, and the number of requests in a large domain grows with its processes only. Processes that start together share the seeds and learn of
 // each other from them. Without seeds, all processes of a domain read a configuration of 358 KB at once after a power
 // failure, in 1.3 to 2.1 s each.
 func (f *Follower) leasePeers() []string {
-	l := f.gateways()
+	l, _ := Sources(f.domain, f.gateways(), "")
 	if len(l) < 2 {
 		l = append(l, f.seeds...)
 	}
-	return l
+	return l[:min(len(l), maxRequesters)]
 }
 
 // askAll sends a lease request in parallel to all processes that have not been asked yet, and returns the answers that
-// arrive in time.
-func (f *Follower) askAll(ctx context.Context, addresses []string, contacted map[string]bool, c *pb.Claim) []*pb.ClaimAnswer {
-	ctx, stop := context.WithTimeout(ctx, leaseRequestTimeout)
+// arrive within leaseRequestTimeout, or within firstTimeout while there is none.
+func (f *Follower) askAll(ctx context.Context, addresses []string, contacted map[string]bool, c *pb.Claim, firstTimeout time.Duration) (l []*pb.ClaimAnswer) {
+	ctx, stop := context.WithTimeout(ctx, firstTimeout)
 	defer stop()
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	var l []*pb.ClaimAnswer
+	pending := 0
+	// A nil answer stands for a process that does not answer, which counts as agreeing.
+	answers := make(chan *pb.ClaimAnswer, len(addresses))
 	for _, address := range addresses {
 		if contacted[address] {
 			continue
 		}
 		contacted[address] = true
-		wg.Go(func() {
+		pending++
+		go func() {
 			a, err := f.ask(ctx, address, &pb.FollowRequest{Claim: c})
 			if err != nil {
-				// A process that does not answer counts as agreeing.
-				return
+				a = nil
 			}
-			mu.Lock()
-			defer mu.Unlock()
-			l = append(l, a.GetClaim())
-		})
+			answers <- a.GetClaim()
+		}()
+	}
+	usual := time.NewTimer(leaseRequestTimeout)
+	defer usual.Stop()
+	usualOver := false
+	for pending > 0 && (!usualOver || len(l) == 0) {
+		select {
+		case a := <-answers:
+			pending--
+			if a != nil {
+				l = append(l, a)
+			}
+		case <-usual.C:
+			usualOver = true
+		case <-ctx.Done():
+			return l
+		}
 	}
-	wg.Wait()
 	return l
 }
 
--- a/internal/records/lease_test.go
+++ b/internal/records/lease_test.go
@@ -251,6 +251,20 @@
 	})
 })
 
+var _ = Describe("the processes that a lease request goes to first", func() {
+	It("are the same for all of a domain, and do not become more with its gateways", func() {
+		for _, n := range []int{110, 220} {
+			var gateways []string
+			for k := range n {
+				gateways = append(gateways, fmt.Sprintf("10.0.0.%d:7700", k))
+			}
+			first := (&Follower{self: "a", domain: "d", gateways: func() []string { return gateways }}).leasePeers()
+			Expect(first).To(HaveLen(maxRequesters))
+			Expect((&Follower{self: gateways[7], domain: "d", gateways: func() []string { return gateways }}).leasePeers()).To(Equal(first))
+		}
+	})
+})
+
 var _ = Describe("a follower of a process that holds a read lease", func() {
 	var f *Follower
 	var source *Service
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 	"golang.org/x/time/rate"
 
+	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/dating"
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
@@ -61,6 +62,10 @@
 	confirmedAt time.Time
 	// storeReadAt is when this process itself last read the store, and storeFailedAt when a request of its own last failed.
 	storeReadAt, storeFailedAt time.Time
+	// firstReading is the progress of the source's reading of its first snapshot, which it last told at firstReadingAt;
+	// nil if the source does not read one.
+	firstReading   *pb.Reading
+	firstReadingAt time.Time
 	// changed closes at the next change.
 	changed chan struct{}
 }
@@ -387,6 +392,25 @@
 	return l.next, l.started
 }
 
+// noteSourceReading notes the progress of the source's reading of its first snapshot; nil if it does not read one.
+func (l *Log) noteSourceReading(r *pb.Reading) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.firstReading, l.firstReadingAt = r, l.now()
+}
+
+// sourceReading returns the progress of the first snapshot that the source of this process reads, as long as this process
+// has no records itself; nil if there is none. It lets processes that follow this one wait too.
+func (l *Log) sourceReading() *pb.Reading {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	elapsed := l.now().Sub(l.firstReadingAt)
+	if l.started || l.firstReading == nil || elapsed > longPollWait+longPollSlack {
+		return nil
+	}
+	return &pb.Reading{Bytes: l.firstReading.GetBytes(), QuietMs: l.firstReading.GetQuietMs() + elapsed.Milliseconds(), First: true}
+}
+
 // valueAt returns the value of a key if its newest record is at the given position, or else nil.
 func (l *Log) valueAt(key string, offset id.Position) []byte {
 	l.mu.Lock()
--- a/internal/records/outage_test.go
+++ b/internal/records/outage_test.go
@@ -419,6 +419,9 @@
 // Guards against concurrent snapshots at a joint start. After a power failure no process knew any other, and each read
 // 358 KB over one link, in 1.3 to 2.1 s.
 var _ = Describe("processes that start together", func() {
+	// seedTime is how long the seed takes to answer one request after the other.
+	var seedTime time.Duration
+	BeforeEach(func() { seedTime = 0 })
 	// together starts n processes of one failure domain that know only the configured seeds, and returns the number of
 	// large answers until all have the configuration.
 	together := func(n int, seedDomain string, seeds ...string) int {
@@ -434,7 +437,8 @@
 			}
 			return r, next, l.transfer(ctx, bytesOf(r), progress)
 		}
-		var mu sync.Mutex
+		const seed = "10.0.9.1:7700"
+		var mu, seedBusy sync.Mutex
 		byName := map[string]*Records{}
 		ask := func(ctx context.Context, address string, q *pb.FollowRequest) (*pb.FollowResponse, error) {
 			mu.Lock()
@@ -443,6 +447,14 @@
 			if to == nil {
 				return nil, platform.ErrUnavailable
 			}
+			if address == seed {
+				seedBusy.Lock()
+				time.Sleep(seedTime)
+				seedBusy.Unlock()
+			}
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
 			return to.service.Follow(ctx, q)
 		}
 		add := func(name, domain string) *Records {
@@ -458,7 +470,7 @@
 		}
 		ctx, stop := context.WithCancel(context.Background())
 		DeferCleanup(stop)
-		add("10.0.9.1:7700", seedDomain)
+		add(seed, seedDomain)
 		var all []*Records
 		for i := range n {
 			all = append(all, add(fmt.Sprintf("10.0.0.%d:7700", i), "d"))
@@ -483,4 +495,10 @@
 	It("read it once if the seed is of another failure domain", func() {
 		Expect(together(10, "e", "10.0.9.1:8000")).To(BeNumerically("<=", 2))
 	})
+
+	// A hundred requests at once keep the seed busy for longer than a usual answer takes.
+	It("read it twice at most if there are so many that the seed answers most of them late", func() {
+		seedTime = 5 * time.Millisecond
+		Expect(together(100, "e", "10.0.9.1:8000")).To(BeNumerically("<=", 2))
+	})
 })
--- a/internal/records/part.go
+++ b/internal/records/part.go
@@ -115,9 +115,10 @@
 		return map[string]int64{"operators": operators.skipped.Value(), "upstreams": upstreams.skipped.Value()}
 	}))
 	o := newOrigin(self, now)
+	followers := newFollowerSet(now)
 	w := &Follower{
 		logs: logs, upstreamsGate: upstreamsGate, operatorsGate: operatorsGate, origin: o, peers: peers(f, d, self), self: self, domain: d, gateways: f.Gateways, now: now, log: l, metrics: metrics,
-		avoidUntil: map[string]time.Time{}, followsThisUntil: map[string]time.Time{}, withoutStoreUntil: map[string]time.Time{}, nextSnapshotAt: map[string]time.Time{}, startUntil: now().Add(s.StartWait), hint: t, seeds: withPortOf(self, s.Seeds),
+		avoidUntil: map[string]time.Time{}, followsThisUntil: map[string]time.Time{}, withoutStoreUntil: map[string]time.Time{}, nextSnapshotAt: map[string]time.Time{}, startUntil: now().Add(s.StartWait), hint: t, seeds: withPortOf(self, s.Seeds), followers: followers,
 	}
 	return &Records{
 		readers: []*Reader{
@@ -126,7 +127,7 @@
 		},
 		follower: w,
 		service: &Service{
-			logs: logs, origin: o, hint: t, domain: d, remoteRequests: &remoteRequests{now: now, byTopic: map[remoteTopic]requesters{}},
+			logs: logs, origin: o, hint: t, domain: d, remoteRequests: &remoteRequests{now: now, byTopic: map[remoteTopic]requesters{}}, followers: followers,
 		},
 	}
 }
--- a/internal/records/service.go
+++ b/internal/records/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -23,15 +24,20 @@
 	domain id.Domain
 	// remoteRequests holds the lease requests of other failure domains.
 	remoteRequests *remoteRequests
+	followers      *followerSet
 }
 
 // Follow implements the record service. It returns the changes of the requested topics, and waits for a change if there
-// is none. While this process reads a snapshot, it waits for the end of that.
+// is none. While this process reads a snapshot, it waits for the end of that. If too many processes follow this one, it
+// names others to follow, unless its records are too old to be followed at all.
 func (s *Service) Follow(ctx context.Context, q *pb.FollowRequest) (*pb.FollowResponse, error) {
 	if c := q.GetClaim(); c != nil {
 		return s.answerLeaseRequest(c), nil
 	}
 	wasReading := s.readingSnapshot()
+	if redirects := s.redirects(q); len(redirects) > 0 {
+		return &pb.FollowResponse{Redirects: redirects}, nil
+	}
 	wait := min(max(0, time.Duration(q.GetWaitMs())*time.Millisecond), longPollWait)
 	if !wasReading {
 		wait = min(wait, s.remainingFreshness())
@@ -61,14 +67,22 @@
 	}
 }
 
-// readingSnapshot reports whether this process is reading the snapshot of a topic.
-func (s *Service) readingSnapshot() bool {
-	for _, l := range s.logs {
-		if l.lease.held() {
-			return true
-		}
+// redirects returns the processes that a follower has to ask instead, if too many follow this one.
+func (s *Service) redirects(q *pb.FollowRequest) []string {
+	if q.GetFollower() == "" || (!s.readingSnapshot() && s.remainingFreshness() == 0) {
+		return nil
 	}
-	return false
+	return s.followers.admit(q.GetFollower())
+}
+
+// readingSnapshot reports whether this process is reading the snapshot of a topic, or waits for one that its source reads.
+func (s *Service) readingSnapshot() bool {
+	return s.readsStore() || slices.ContainsFunc(s.logs, func(l *Log) bool { return l.sourceReading() != nil })
+}
+
+// readsStore reports whether this process itself is reading the snapshot of a topic.
+func (s *Service) readsStore() bool {
+	return slices.ContainsFunc(s.logs, func(l *Log) bool { return l.lease.held() })
 }
 
 // remainingFreshness returns how long the logs stay fresh if the store does not confirm them again. A follower learns
@@ -95,7 +109,7 @@
 func (s *Service) collectChanges(q *pb.FollowRequest) (*pb.FollowResponse, [topicCount]<-chan struct{}, error) {
 	var changed [topicCount]<-chan struct{}
 	a := &pb.FollowResponse{Epoch: s.logs[0].epoch, Origin: s.origin.get()}
-	if s.readingSnapshot() {
+	if s.readsStore() {
 		a.Origin = s.origin.self
 	}
 	available := false
@@ -112,7 +126,9 @@
 		if started {
 			t = topicChanges(l.topic.Name, c)
 		}
-		t.Reading = l.lease.status(!started)
+		if t.Reading = l.lease.status(!started); t.Reading == nil {
+			t.Reading = l.sourceReading()
+		}
 		available = available || started || t.GetReading() != nil
 		a.StoreFailed = a.StoreFailed || l.storeFailed()
 		a.Topics = append(a.Topics, t)
--- a/internal/records/sources.go
+++ b/internal/records/sources.go
@@ -41,6 +41,10 @@
 	if a := f.firstUsable(preferredSources); a != "" {
 		return a, true
 	}
+	if len(known) == 0 && f.source != "" && f.firstUsable([]string{f.source}) != "" {
+		// A process that has the records is better than a peer, which at a joint start may not have them yet.
+		return f.source, true
+	}
 	// A gateway that is itself listed must read the store if no gateway precedes it.
 	if !f.allRead() || len(known) == 0 {
 		if a := f.firstUsable(f.peerOrder()); a != "" {
--- a/internal/records/start_test.go
+++ b/internal/records/start_test.go
@@ -114,6 +114,20 @@
 		Entry("this process is the only gateway, and reads the store", []string{"self"}, true, ""),
 	)
 
+	It("stays with its source while no gateway is known, as the peers may have no records yet", func() {
+		gateways = nil
+		f.source = "reader"
+		a, _ := f.chooseSource()
+		Expect(a).To(Equal("reader"))
+		f.avoidUntil["reader"] = time.Now().Add(time.Hour)
+		a, _ = f.chooseSource()
+		Expect(a).To(Equal("peer"))
+		gateways = []string{"g"}
+		f.avoidUntil = map[string]time.Time{}
+		a, _ = f.chooseSource()
+		Expect(a).To(Equal("g"))
+	})
+
 	It("accepts older records from a peer than from a gateway, as the peer follows one itself", func() {
 		staleAnswer := &pb.FollowResponse{Topics: []*pb.TopicChanges{{Topic: "op", AgeMs: maxOperatorsAge.Milliseconds() - 1}}}
 		f.logs[0].topic.KeysAreUpstreams = true
