--- a/internal/records/lease_request.go
+++ b/internal/records/lease_request.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/kernel"
 )
 
 // requestLease asks the other processes of the failure domain for the lease to read a topic's snapshot from the store.
@@ -52,7 +54,8 @@
 }
 
 // askAll sends a lease request in parallel to all processes that have not been asked yet, and returns the answers that
-// arrive within leaseRequestTimeout, or within firstTimeout while there is none.
+// arrive within leaseRequestTimeout, or within firstTimeout while there is none. Until then it asks again where a request
+// fails: of processes that start together, some ask before others listen.
 func (f *Follower) askAll(ctx context.Context, addresses []string, contacted map[string]bool, c *pb.Claim, firstTimeout time.Duration) (l []*pb.ClaimAnswer) {
 	ctx, stop := context.WithTimeout(ctx, firstTimeout)
 	defer stop()
@@ -67,6 +70,10 @@
 		pending++
 		go func() {
 			a, err := f.ask(ctx, address, &pb.FollowRequest{Claim: c})
+			for err != nil && firstTimeout > leaseRequestTimeout && ctx.Err() == nil {
+				kernel.Pause(ctx, rand.N(2*chooseRetryPause))
+				a, err = f.ask(ctx, address, &pb.FollowRequest{Claim: c})
+			}
 			if err != nil {
 				a = nil
 			}
--- a/internal/records/outage_test.go
+++ b/internal/records/outage_test.go
@@ -419,9 +419,9 @@
 // Guards against concurrent snapshots at a joint start. After a power failure no process knew any other, and each read
 // 358 KB over one link, in 1.3 to 2.1 s.
 var _ = Describe("processes that start together", func() {
-	// seedTime is how long the seed takes to answer one request after the other.
-	var seedTime time.Duration
-	BeforeEach(func() { seedTime = 0 })
+	// seedTime is how long the seed takes to answer one request after the other, and seedStart when it begins to listen.
+	var seedTime, seedStart time.Duration
+	BeforeEach(func() { seedTime, seedStart = 0, 0 })
 	// together starts n processes of one failure domain that know only the configured seeds, and returns the number of
 	// large answers until all have the configuration.
 	together := func(n int, seedDomain string, seeds ...string) int {
@@ -438,13 +438,14 @@
 			return r, next, l.transfer(ctx, bytesOf(r), progress)
 		}
 		const seed = "10.0.9.1:7700"
+		began := time.Now()
 		var mu, seedBusy sync.Mutex
 		byName := map[string]*Records{}
 		ask := func(ctx context.Context, address string, q *pb.FollowRequest) (*pb.FollowResponse, error) {
 			mu.Lock()
 			to := byName[address]
 			mu.Unlock()
-			if to == nil {
+			if to == nil || (address == seed && time.Since(began) < seedStart) {
 				return nil, platform.ErrUnavailable
 			}
 			if address == seed {
@@ -496,6 +497,11 @@
 		Expect(together(10, "e", "10.0.9.1:8000")).To(BeNumerically("<=", 2))
 	})
 
+	It("read it twice at most if the seed listens a moment later than they ask it", func() {
+		seedStart = 50 * time.Millisecond
+		Expect(together(30, "e", "10.0.9.1:8000")).To(BeNumerically("<=", 2))
+	})
+
 	// A hundred requests at once keep the seed busy for longer than a usual answer takes.
 	It("read it twice at most if there are so many that the seed answers most of them late", func() {
 		seedTime = 5 * time.Millisecond
