--- a/internal/records/redirect.go
+++ b/internal/records/redirect.go
@@ -13,8 +13,7 @@
 
 const (
 	// maxFollowers is how many processes follow one directly. Beyond it, a process redirects to those that follow it, so
-	// that n processes form a tree of depth log(n) instead of a star: all 200 processes of a failure domain at one VM
-	// with a link of 40 Mbit/s took 3 s to receive 16 MB at a joint start, longer than they wait for an answer.
+	// that n processes form a tree of depth log(n) instead of a star, whose centre could not serve all of them in time.
 	maxFollowers = 16
 	// followerTTL is how long a process counts as a follower after its last request. It is longer than the time between
 	// two requests, which a source may hold for longPollWait.
