--- a/internal/records/lease_request.go
+++ b/internal/records/lease_request.go
@@ -42,9 +42,9 @@
 
 // leasePeers returns the processes that a lease request goes to first: the first gateways of the failure domain in the
 // order of sources, and the configured seeds while fewer than two gateways are known. As all requests go to the same few,
-// these know a process that reads, and the number of requests in a large domain grows with its processes only. Processes that start together share the seeds and learn of
-// each other from them. Without seeds, all processes of a domain read a configuration of 358 KB at once after a power
-// failure, in 1.3 to 2.1 s each.
+// these know a process that reads, and the number of requests in a large domain grows with its processes only. Processes
+// that start together share the seeds and learn of each other from them. Without seeds, all processes of a domain read a
+// configuration of 358 KB at once after a power failure, in 1.3 to 2.1 s each.
 func (f *Follower) leasePeers() []string {
 	l, _ := Sources(f.domain, f.gateways(), "")
 	if len(l) < 2 {
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -1,6 +1,6 @@
 // Package records replicates the keyed topics of the platform's store: the operators' configuration and the list of
-// upstreams. In each failure domain one process reads them from the store and the others follow it. A process that
-// loses its source follows the next one, or reads the store itself.
+// upstreams. In each failure domain one process reads them from the store and the others follow it, directly or through
+// each other. A process that loses its source follows the next one, or reads the store itself.
 package records
 
 import (
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -1,6 +1,6 @@
 // Package reports sends load reports of upstreams from their stagers to the gateways, as UDP datagrams; the next report
-// makes up for a lost one. A gateway renews its subscription at each stager periodically, and a stager reports to the
-// gateways that have subscribed recently, so it needs no list of gateways.
+// makes up for a lost one. A gateway periodically renews its subscriptions at all stagers, or at a subset of them in a
+// large fleet, and a stager reports to the gateways that have subscribed recently, so it needs no list of gateways.
 package reports
 
 import (
