--- a/internal/records/redirect.go
+++ b/internal/records/redirect.go
@@ -43,14 +43,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
-	for a, until := range s.until {
-		if now.After(until) {
-			delete(s.until, a)
-		}
-	}
+	s.expire()
 	if _, known := s.until[address]; known || len(s.until) < maxFollowers {
-		s.until[address] = now.Add(followerTTL)
+		s.until[address] = s.now().Add(followerTTL)
 		return nil
 	}
 	var vms []id.VM
@@ -73,13 +68,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.expire()
+	return len(s.until) > 0
+}
+
+// expire removes the processes that have stopped following. The caller holds the lock.
+func (s *followerSet) expire() {
 	now := s.now()
-	for _, until := range s.until {
-		if !now.After(until) {
-			return true
+	for a, until := range s.until {
+		if now.After(until) {
+			delete(s.until, a)
 		}
 	}
-	return false
 }
 
 // redirect is a process that a source has named in its own place.
--- a/internal/reports/news.go
+++ b/internal/reports/news.go
@@ -1,6 +1,7 @@
 package reports
 
 import (
+	"math"
 	"math/rand/v2"
 	"net"
 
@@ -73,6 +74,19 @@
 	return l
 }
 
+// maxUncoveredShare is the largest share of gateways that may subscribe to none of the stagers that forward crash news.
+const maxUncoveredShare = 0.001
+
+// relaysPerDomain returns through how many stagers of each failure domain crash news has to go, so that nearly every
+// gateway there subscribes to one of them, where each gateway subscribes to a subset of the given size.
+func relaysPerDomain(stagers, size int) int {
+	if size >= stagers {
+		return min(stagers, newsRelays)
+	}
+	missed := math.Log(1 - float64(size)/float64(stagers))
+	return min(stagers, max(newsRelays, int(math.Ceil(math.Log(maxUncoveredShare)/missed))))
+}
+
 // pickRecentRelays picks random stagers that have reported recently, one in each failure domain before a second one in any.
 func (s *Subscriber) pickRecentRelays() (l []*facts.Instance) {
 	var rest []*facts.Instance
