--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -206,10 +206,7 @@
 	}
 	q.newestRevision = d.Facts.Wanted(q.Model).Revision
 	for _, i := range d.Facts.Instances() {
-		if i.Pool != q.Pool {
-			continue
-		}
-		if !d.mayServe(q, i.Domain) {
+		if i.Pool != q.Pool || !d.mayServe(q, i.Domain) {
 			continue
 		}
 		if i.Leaving {
@@ -222,15 +219,10 @@
 		}
 		c := d.Load.Tracker.Candidate(i, usualPrompt)
 		c.Revision = held
-		if i.Cold && s.ColdRate > 0 && s.Engine != nil && !c.Fresh {
-			// Without the process beside it, nothing bounds what all gateways together send to the cold upstream.
-			q.decision.excluded.cold++
-			continue
-		}
 		if s.Engine != nil && c.Slots == 0 {
 			c.Slots = s.Engine.Slots
 		}
-		if q.unavailable(&c) {
+		if q.unavailable(&c) || q.isUnlimitedCold(s, i, &c) {
 			continue
 		}
 		if s.Engine == nil || d.canBeginInTime(q, m, &c) {
@@ -257,6 +249,16 @@
 	return true
 }
 
+// isUnlimitedCold reports whether an upstream is a cold engine whose stager, which would issue the permits for its cold
+// rate, does not report. Nothing then bounds what all gateways together send to it.
+func (q *Query) isUnlimitedCold(s *catalog.Service, i *facts.Instance, c *placement.Candidate) bool {
+	if !i.Cold || s.ColdRate <= 0 || s.Engine == nil || c.Fresh {
+		return false
+	}
+	q.decision.excluded.cold++
+	return true
+}
+
 // canBeginInTime reports whether an upstream's version may still take the request. It must begin there before the
 // grace period of that version ends, and a stream that is continued must find the version that it began with.
 func (d *Balancer) canBeginInTime(q *Query, m placement.LatencyModel, c *placement.Candidate) bool {
