--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -62,8 +62,8 @@
 	confirmedAt time.Time
 	// storeReadAt is when this process itself last read the store, and storeFailedAt when a request of its own last failed.
 	storeReadAt, storeFailedAt time.Time
-	// firstReading is the progress of the source's reading of its first snapshot, which it last told at firstReadingAt;
-	// nil if the source does not read one.
+	// firstReading is the progress of the source's reading of its first snapshot, as of firstReadingAt; nil if the source
+	// does not read one.
 	firstReading   *pb.Reading
 	firstReadingAt time.Time
 	// changed closes at the next change.
