--- a/internal/quarantine/persister_test.go
+++ b/internal/quarantine/persister_test.go
@@ -276,7 +276,8 @@
 		}
 		l, _, _ := start(s)
 		Eventually(func() bool { return l.Check(request("good")) == Held }).Should(BeTrue())
+		// A snapshot has no order, so the valid record may be applied before the invalid ones.
+		Eventually(func() string { return l.vars.Get("records_skipped").String() }).Should(Equal("2"))
 		Expect(l.Check(bad)).To(Equal(Pass))
-		Expect(l.vars.Get("records_skipped").String()).To(Equal("2"))
 	})
 })
