--- a/internal/records/answer.go
+++ b/internal/records/answer.go
@@ -176,3 +176,13 @@
 		return r.GetValue(), nil
 	}
 }
+
+// valueAt returns the value of a key if its newest record is at the given position, or else nil.
+func (l *Log) valueAt(key string, offset id.Position) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.entries[key]; e != nil && e.Position == offset {
+		return e.Value
+	}
+	return nil
+}
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -391,32 +391,3 @@
 	defer l.mu.Unlock()
 	return l.next, l.started
 }
-
-// noteSourceReading notes the progress of the source's reading of its first snapshot; nil if it does not read one.
-func (l *Log) noteSourceReading(r *pb.Reading) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.firstReading, l.firstReadingAt = r, l.now()
-}
-
-// sourceReading returns the progress of the first snapshot that the source of this process reads, as long as this process
-// has no records itself; nil if there is none. It lets processes that follow this one wait too.
-func (l *Log) sourceReading() *pb.Reading {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	elapsed := l.now().Sub(l.firstReadingAt)
-	if l.started || l.firstReading == nil || elapsed > longPollWait+longPollSlack {
-		return nil
-	}
-	return &pb.Reading{Bytes: l.firstReading.GetBytes(), QuietMs: l.firstReading.GetQuietMs() + elapsed.Milliseconds(), First: true}
-}
-
-// valueAt returns the value of a key if its newest record is at the given position, or else nil.
-func (l *Log) valueAt(key string, offset id.Position) []byte {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if e := l.entries[key]; e != nil && e.Position == offset {
-		return e.Value
-	}
-	return nil
-}
