Evacuations are read without a lock, cold rates before the list

Cause: each choice of an upstream took the facts' lock once for every upstream of the pool to see whether its domain is evacuated, and each look at the upstream (ten a second) compared its address with the whole list, also in pools without a cold rate.

Change: the evacuated domains are a map that is replaced at each change; a stager looks at the list only if its pool has a cold rate.

Measured: specs of facts, stager, reports and the groups of gateway and platform pass.

--- a/internal/facts/evacuation.go
+++ b/internal/facts/evacuation.go
@@ -1,6 +1,7 @@
 package facts
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -19,32 +20,31 @@
 func (f *Facts) SetEvacuated(d id.Domain, evacuated bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, was := f.evacuated[d]; was == evacuated {
+	if f.Evacuated(d) == evacuated {
 		return false
 	}
+	changed := maps.Clone(*f.evacuated.Load())
 	if evacuated {
-		f.evacuated[d] = f.now()
+		changed[d] = f.now()
 	} else {
-		delete(f.evacuated, d)
+		delete(changed, d)
 	}
+	f.evacuated.Store(&changed)
 	f.notify()
 	return true
 }
 
 // Evacuated reports whether a failure domain is evacuated.
 func (f *Facts) Evacuated(d id.Domain) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	_, ok := f.evacuated[d]
+	_, ok := (*f.evacuated.Load())[d]
 	return ok
 }
 
 // Evacuations returns the evacuated failure domains, sorted by name.
 func (f *Facts) Evacuations() []Evacuation {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	l := make([]Evacuation, 0, len(f.evacuated))
-	for d, t := range f.evacuated {
+	evacuated := *f.evacuated.Load()
+	l := make([]Evacuation, 0, len(evacuated))
+	for d, t := range evacuated {
 		l = append(l, Evacuation{Domain: d, Since: t})
 	}
 	slices.SortFunc(l, func(a, b Evacuation) int { return strings.Compare(string(a.Domain), string(b.Domain)) })
--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -75,8 +75,9 @@
 	announcements map[id.Instance]*announcementState
 	// leaving are the incarnations that have declared themselves that they leave.
 	leaving map[id.Instance]leavingIncarnation
-	// evacuated are the failure domains that operators have evacuated, with the time at which this process learnt of it.
-	evacuated map[id.Domain]time.Time
+	// evacuated are the failure domains that operators have evacuated, with the time at which this process learnt of it. The
+	// map is replaced at each change, as every choice of an upstream reads it.
+	evacuated atomic.Pointer[map[id.Domain]time.Time]
 }
 
 // New creates empty facts.
@@ -85,8 +86,9 @@
 		now: now, wanted: map[id.Model][]Wanted{}, instances: map[id.Instance]*Instance{}, ended: map[id.Instance]endedIncarnation{},
 		changed: make(chan struct{}), configOffsetChanged: make(chan struct{}), gateways: map[string]time.Time{},
 		watch: addressWatch{changed: make(chan struct{})}, announcements: map[id.Instance]*announcementState{},
-		leaving: map[id.Instance]leavingIncarnation{}, evacuated: map[id.Domain]time.Time{},
+		leaving: map[id.Instance]leavingIncarnation{},
 	}
+	f.evacuated.Store(&map[id.Domain]time.Time{})
 	return f
 }
 
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -232,14 +232,14 @@
 	if c == nil {
 		return announced
 	}
-	isCold := func(i *facts.Instance) bool { return i.Address == s.ports.Address && i.Cold }
-	if !slices.ContainsFunc(s.facts.Instances(), isCold) {
-		return announced
-	}
 	p := c.Services[id.Pool(s.settings.Pool)]
 	if p == nil || p.ColdRate <= 0 || (announced.State == throttle.Limited && announced.Rate <= throttle.Rate(p.ColdRate)) {
 		return announced
 	}
+	isCold := func(i *facts.Instance) bool { return i.Address == s.ports.Address && i.Cold }
+	if !slices.ContainsFunc(s.facts.Instances(), isCold) {
+		return announced
+	}
 	return throttle.LimitInfo{State: throttle.Limited, Rate: throttle.Rate(p.ColdRate)}
 }
 
