Records: a takeover always asks for the lease

Cause: a process whose records are fresh took over without a lease request.

Change: each takeover asks for the lease; a process that is refused follows the refuser at once, though it had avoided it or its records are fresh. The spec of a reader that takes over got the lease function that readers have.

--- a/internal/records/lease_request.go
+++ b/internal/records/lease_request.go
@@ -29,7 +29,7 @@
 		for _, a := range answers {
 			if a.GetRefused() {
 				l.lease.release()
-				f.hint.set(a.GetFollow())
+				f.hint.setReader(a.GetFollow())
 				f.metrics.Add("claims_refused", 1)
 				return false
 			}
@@ -170,8 +170,9 @@
 	mu      sync.Mutex
 	address string
 	until   time.Time
-	// isNew is true until get has returned the hint once.
-	isNew bool
+	// isNew is true until get has returned the hint once. reads is true if the process has refused this one's
+	// lease request.
+	isNew, reads bool
 	// updated closes at the next hint.
 	updated chan struct{}
 }
@@ -180,24 +181,35 @@
 	return &sourceHint{now: now, updated: make(chan struct{})}
 }
 
-// set replaces the hint and wakes waiters.
+// set replaces the hint by a process that is about to read the store, and wakes waiters.
 func (h *sourceHint) set(address string) {
+	h.replace(address, false)
+}
+
+// setReader replaces the hint by a process that has refused this one's lease request, as it reads the store, takes
+// precedence in reading it or has its records.
+func (h *sourceHint) setReader(address string) {
+	h.replace(address, true)
+}
+
+func (h *sourceHint) replace(address string, reads bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.address, h.until, h.isNew = address, h.now().Add(hintTTL), true
+	h.address, h.until, h.isNew, h.reads = address, h.now().Add(hintTTL), true, reads
 	close(h.updated)
 	h.updated = make(chan struct{})
 }
 
-// get returns the hinted process, empty if there is none, and whether the hint is new since the last call.
-func (h *sourceHint) get() (address string, isNew bool) {
+// get returns the hinted process, empty if there is none, whether the hint is new since the last call, and whether the
+// process has refused this one's lease request.
+func (h *sourceHint) get() (address string, isNew, reads bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.now().Before(h.until) {
-		return "", false
+		return "", false, false
 	}
 	isNew, h.isNew = h.isNew, false
-	return h.address, isNew
+	return h.address, isNew, h.reads
 }
 
 // matches reports whether a process is the hinted one.
--- a/internal/records/lease_test.go
+++ b/internal/records/lease_test.go
@@ -378,7 +378,7 @@
 		now = now.Add(time.Millisecond)
 		source.logs[0].NoteStoreFailure(platform.ErrUnavailable)
 		Expect(requestLease().GetRefused()).To(BeFalse())
-		a, _ := source.hint.get()
+		a, _, _ := source.hint.get()
 		Expect(a).To(Equal("self"), "it follows the process that reads")
 	})
 })
--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -151,8 +151,9 @@
 	// Another process may have provided the records that this one failed to read.
 	r.needsSnapshot, r.failures = false, 0
 	noWait := r.noWait
-	if r.takingOver && !r.log.fresh() {
-		// Without a lease, all processes that take over at the same time would read the missed records, which may be large.
+	if r.takingOver {
+		// Without a lease, all processes that take over at the same time would read the missed records, which may be large,
+		// and one that has only lost an answer would read beside its source.
 		if err := r.acquireLease(ctx, true); err != nil {
 			return false, err
 		}
--- a/internal/records/reader_test.go
+++ b/internal/records/reader_test.go
@@ -26,6 +26,7 @@
 			}},
 			log: NewLog(Topic{Name: "t"}, facts.New(time.Now), time.Now, silentLogger), facts: facts.New(time.Now), gate: g,
 			now: time.Now, onStoreRead: func() {}, backoff: func() time.Duration { return retryPause }, wait: time.Second,
+			requestLease: func(context.Context, *Log, bool) bool { return true },
 		}
 		r.log.Merge(Batch{Snapshot: true, Next: 1, ConfirmedAt: time.Now()})
 		g.set(false)
--- a/internal/records/sources.go
+++ b/internal/records/sources.go
@@ -63,10 +63,12 @@
 }
 
 // hintedSource returns a process that is known to read the store, while this one has no fresh records; empty if there
-// is none.
+// is none. A process that has just refused this one's lease request is returned once even so: this one has lost its source
+// and may not read the store itself.
 func (f *Follower) hintedSource() string {
-	a, isNew := f.hint.get()
-	if a == f.self || f.oldestAge() < maxFreshAge {
+	a, isNew, reads := f.hint.get()
+	justRefused := isNew && reads
+	if a == f.self || (f.oldestAge() < maxFreshAge && !justRefused) {
 		return ""
 	}
 	if isNew {
