Ranks of requests, several choices of one assignment, Priority towards engines

Cause: routes and organisations have priorities that nothing reads, and a caller's own Priority header passes through to upstreams, so that any caller can overtake others there.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -125,6 +125,8 @@
 	byHost         map[string][]*Route
 	byKey          map[string]*Organisation
 	latencyTargets map[id.Pool]time.Duration
+	rankTargets    map[poolRank]time.Duration
+	ranks          map[id.Pool][]Rank
 }
 
 // New indexes a configuration so that the routes of a host are tried by descending prefix length.
@@ -132,6 +134,7 @@
 	c := &Catalog{
 		Revision: revision, Services: map[id.Pool]*Service{}, Limits: l, Organisations: len(orgs),
 		byHost: map[string][]*Route{}, byKey: map[string]*Organisation{}, latencyTargets: map[id.Pool]time.Duration{},
+		rankTargets: map[poolRank]time.Duration{},
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
@@ -153,6 +156,15 @@
 			c.byKey[k] = o
 		}
 	}
+	c.ranks = poolRanks(routes, orgs)
+	for _, r := range routes {
+		for _, p := range r.Shares {
+			k := poolRank{p.Pool, r.Priority}
+			if shortest, ok := c.rankTargets[k]; r.LatencyTarget > 0 && (!ok || r.LatencyTarget < shortest) {
+				c.rankTargets[k] = r.LatencyTarget
+			}
+		}
+	}
 	return c
 }
 
--- /dev/null
+++ b/internal/catalog/rank.go
@@ -0,0 +1,67 @@
+package catalog
+
+import (
+	"slices"
+	"time"
+
+	"github.com/springrail/springrail/internal/id"
+)
+
+// Rank is the urgency of a request; 0 is the most urgent. The priority of the organisation takes precedence over that of
+// the route.
+type Rank int
+
+// maxPriority is the least urgent priority of a route or an organisation.
+const maxPriority = 9
+
+// NewRank returns the rank of an organisation's requests on a route; a nil organisation has priority 0.
+func NewRank(o *Organisation, r *Route) Rank {
+	rank := clampPriority(r.Priority)
+	if o != nil {
+		rank += (maxPriority + 1) * clampPriority(o.Priority)
+	}
+	return Rank(rank)
+}
+
+func clampPriority(p int) int {
+	return min(max(p, 0), maxPriority)
+}
+
+// poolRank identifies the routes of one priority to a pool.
+type poolRank struct {
+	pool     id.Pool
+	priority int
+}
+
+// poolRanks returns the ranks that requests for each pool can have, in ascending order.
+func poolRanks(routes []*Route, orgs []*Organisation) map[id.Pool][]Rank {
+	ranks := map[id.Pool][]Rank{}
+	for _, r := range routes {
+		var l []Rank
+		for _, o := range orgs {
+			l = append(l, NewRank(o, r))
+		}
+		if len(orgs) == 0 || r.Public {
+			l = append(l, NewRank(nil, r))
+		}
+		for _, s := range r.Shares {
+			ranks[s.Pool] = append(ranks[s.Pool], l...)
+		}
+	}
+	for p, l := range ranks {
+		slices.Sort(l)
+		ranks[p] = slices.Compact(l)
+	}
+	return ranks
+}
+
+// Ranks returns the ranks that requests for a pool can have, in ascending order. The caller must not change them.
+func (c *Catalog) Ranks(p id.Pool) []Rank {
+	return c.ranks[p]
+}
+
+// RankLatencyTarget returns the shortest latency target of the routes to a pool that have a route's priority, so that a
+// route with a long target does not fill the queue of the others of its priority.
+func (c *Catalog) RankLatencyTarget(p id.Pool, r *Route) time.Duration {
+	return c.rankTargets[poolRank{p, r.Priority}]
+}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -31,6 +31,10 @@
 	Timeout time.Duration
 	// Revision is the version that must serve the request; 0 for any.
 	Revision id.Revision
+	// Ranked is true where requests of different ranks queue at the upstream, and QueuePriority, from 0 to 9, is then the
+	// request's position among them: 0 is let in first.
+	Ranked        bool
+	QueuePriority int
 	// LastEventID is the ID of the last event that the caller has received; empty for none.
 	LastEventID string
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -31,14 +31,24 @@
 // Choose selects an upstream for a request among those not tried yet; suspects are used only if there is no other.
 // Forecast describes how reported loads are projected to the present.
 func Choose(candidates []Candidate, tried map[id.Instance]bool, forecast *Forecast, r *rand.Rand) (Choice, bool) {
+	l := ChooseSeveral(candidates, tried, forecast, 1, r)
+	if len(l) == 0 {
+		return Choice{}, false
+	}
+	return l[0], true
+}
+
+// ChooseSeveral returns up to n distinct choices from one assignment; the first is the one that Choose returns for the
+// same random numbers.
+func ChooseSeveral(candidates []Candidate, tried map[id.Instance]bool, forecast *Forecast, n int, r *rand.Rand) []Choice {
 	y := assignments.Get().(*assignment)
 	defer assignments.Put(y)
 	for _, suspects := range []bool{false, true} {
 		if y.prepare(candidates, tried, forecast, r, suspects); len(y.options) > 0 {
-			return y.choose(r), true
+			return y.choose(n, r)
 		}
 	}
-	return Choice{}, false
+	return nil
 }
 
 // plainServiceTime is the assumed time per request of an upstream that is not an engine; only ratios between upstreams
--- a/internal/placement/forecast.go
+++ b/internal/placement/forecast.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -264,15 +265,44 @@
 	return p
 }
 
-// choose assigns the expected requests together with the request itself, and takes a random one of the batches of the
-// same kind. Requests that can still be served in time come first: a late one is worth a fraction of them.
-func (y *assignment) choose(r *rand.Rand) Choice {
+// choose assigns the expected requests together with the request itself, and takes up to n random batches of the same
+// kind, each of another upstream. Requests that can still be served in time come first: a late one is worth a fraction of
+// them. Upstreams of the own failure domain that got no request follow, the cheapest first.
+func (y *assignment) choose(n int, r *rand.Rand) []Choice {
 	w := y.forecast
 	own := y.assignAll(false)
 	if w.Late {
 		own = y.assignAll(true)
 	}
-	return pickBatch(own, r).choice(w)
+	var l []Choice
+	for len(l) < n && len(own) > 0 {
+		p := pickBatch(own, r)
+		l = append(l, p.choice(w))
+		own = slices.DeleteFunc(own, func(o batch) bool { return o.option == p.option })
+	}
+	if len(l) < n {
+		l = y.appendUnassigned(l, n)
+	}
+	return l
+}
+
+// appendUnassigned appends upstreams of the own failure domain that are not in the list, the cheapest first, until it has
+// n entries.
+func (y *assignment) appendUnassigned(l []Choice, n int) []Choice {
+	w := y.forecast
+	var rest []*option
+	for i := range y.options {
+		o := &y.options[i]
+		chosen := slices.ContainsFunc(l, func(c Choice) bool { return c.Instance == o.Instance })
+		if o.Domain == w.Domain && !chosen && !o.outOfPermits() {
+			rest = append(rest, o)
+		}
+	}
+	slices.SortFunc(rest, func(a, b *option) int { return cmp.Compare(a.cost, b.cost) })
+	for _, o := range rest[:min(len(rest), n-len(l))] {
+		l = append(l, batch{option: o, admitted: w.admits(&o.Candidate, w.Late)}.choice(w))
+	}
+	return l
 }
 
 // domainLoads returns the expected late or on-time requests by failure domain, this process's domain first and with the
