--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -188,6 +188,7 @@
 	t.sendHead(false, 0)
 	t.answerComplete = true
 	f.gateway.suspects.Served(f.fingerprint)
+	f.recordAnswerLength()
 	f.complete("stream")
 	return nil
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,6 +97,9 @@
 	return nil
 }
 
+// maxQueuePriority is the least urgent position that ForwardMeta can state.
+const maxQueuePriority = 9
+
 // upstreamRequest builds the request that is sent to an upstream.
 func (f *callerRequest) upstreamRequest(c placement.Choice) *upconn.Request {
 	r := f.httpRequest
@@ -104,6 +108,9 @@
 	if f.headSent || f.gateway.facts.MinRevision(f.meta.Model, f.gateway.settings.SwapWithin-swapMargin) > 0 {
 		s.Revision = c.Revision
 	}
+	if f.ranked() {
+		s.Ranked, s.QueuePriority = true, min(slices.Index(f.catalog.Ranks(f.pool), f.rank), maxQueuePriority)
+	}
 	f.gateway.dialect.PrepareHeader(h, s)
 	return &upconn.Request{
 		Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: h, Body: f.body, BodyRest: f.unreadBody, ContentLength: r.ContentLength,
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -43,6 +43,10 @@
 	// one.
 	PermitDenied  map[id.Instance]bool
 	NoMorePermits bool
+	// Excluded are upstreams whose stagers say that they take no requests now; nil before the first question. OtherDomains
+	// excludes the upstreams of this process's own failure domain.
+	Excluded     map[id.Instance]bool
+	OtherDomains bool
 	// Regions are the regions in which the request may be served.
 	Regions catalog.Regions
 	// HeadSent is true once the caller has the header of a response that was made with Revision.
@@ -64,9 +68,19 @@
 
 // Choose selects the upstream for the next attempt, or returns a Refusal.
 func (d *Balancer) Choose(q *Query) (placement.Choice, *Refusal) {
+	l, refusal := d.Choices(q, 1)
+	if len(l) == 0 {
+		return placement.Choice{}, refusal
+	}
+	return l[0], refusal
+}
+
+// Choices returns up to n upstreams for the next attempt, where the pool is one of engines; otherwise one. The first is
+// the one that Choose selects, and the Refusal is its.
+func (d *Balancer) Choices(q *Query, n int) ([]placement.Choice, *Refusal) {
 	s := q.Catalog.Services[q.Pool]
 	if s == nil {
-		return placement.Choice{}, d.refuse(q, "no such pool", placement.NoUpstreamRetryAfter)
+		return nil, d.refuse(q, "no such pool", placement.NoUpstreamRetryAfter)
 	}
 	q.decision = decision{}
 	scratch := candidateListPool.Get().(*[]placement.Candidate)
@@ -74,47 +88,54 @@
 	*scratch = d.candidates(q, s, (*scratch)[:0])
 	l := *scratch
 	if s.Engine != nil {
-		return d.chooseEngine(q, s.Engine, l)
+		return d.chooseEngines(q, s.Engine, l, n)
 	}
 	w := &placement.Forecast{PredictFirstEvent: placement.PredictPlainService, Domain: d.Location.Domain}
-	c, ok := placement.Choose(l, q.Tried, w, d.Random())
-	if !ok {
-		return c, d.refuseNoUpstream(q, placement.NoUpstreamRetryAfter)
+	chosen := placement.ChooseSeveral(l, q.Tried, w, 1, d.Random())
+	if len(chosen) == 0 {
+		return nil, d.refuseNoUpstream(q, placement.NoUpstreamRetryAfter)
 	}
-	return c, nil
+	return chosen, nil
 }
 
-// chooseEngine selects a model engine that has the capacity to begin the request in time.
-func (d *Balancer) chooseEngine(q *Query, e *catalog.Engine, l []placement.Candidate) (placement.Choice, *Refusal) {
+// chooseEngines selects up to n model engines, the first of which has the capacity to begin the request in time unless
+// there is a Refusal.
+func (d *Balancer) chooseEngines(q *Query, e *catalog.Engine, l []placement.Candidate, n int) ([]placement.Choice, *Refusal) {
 	m := placement.NewLatencyModel(e)
-	elapsed := q.ElapsedBefore + d.Now().Sub(q.Arrived)
-	if len(q.Tried) > 0 {
-		// The request has been sent to an upstream already: serving it late is better than not at all.
-		elapsed = 0
-	}
 	aim := q.Catalog.LatencyTarget(q.Pool)
+	elapsed := d.elapsed(q)
 	w := d.newForecast(q, m, e, l, elapsed, aim)
 	if d.AdjustOutlook != nil {
 		d.AdjustOutlook(w, l)
 	}
-	c, ok := placement.Choose(l, q.Tried, w, d.Random())
-	if !ok {
-		return c, d.refuseNoUpstream(q, q.decision.retryAfterSwap(d.Now()))
+	chosen := placement.ChooseSeveral(l, q.Tried, w, n, d.Random())
+	if len(chosen) == 0 {
+		return nil, d.refuseNoUpstream(q, q.decision.retryAfterSwap(d.Now()))
 	}
+	c := &chosen[0]
 	usualWait := m.AdmissionLatency(&c.Candidate)
 	k := &q.decision
 	k.nearest, k.predictedWait, k.elapsed, k.aim, k.reportAge, k.reportKnown = c.Address, usualWait, elapsed, aim, c.Age, c.Fresh
 	// A stream that has begun is not refused.
 	if q.HeadSent || c.HasCapacity {
-		return c, nil
+		return chosen, nil
 	}
 	if c.Limit != nil {
 		k.noteLimited(c.Limit.NextPermitIn)
-		return c, d.refuseNoUpstream(q, 0)
+		return chosen, d.refuseNoUpstream(q, 0)
 	}
 	refusal := d.refuse(q, "too busy", usualWait-aim)
 	refusal.Predicted = c.Predicted
-	return c, refusal
+	return chosen, refusal
+}
+
+// elapsed returns the time that the caller has lost of the latency target.
+func (d *Balancer) elapsed(q *Query) time.Duration {
+	if len(q.Tried) > 0 {
+		// The request has been sent to an upstream already: serving it late is better than not at all.
+		return 0
+	}
+	return q.ElapsedBefore + d.Now().Sub(q.Arrived)
 }
 
 // refuse refuses the request before it was sent; capacity is expected after dueIn.
@@ -140,7 +161,7 @@
 // newForecast returns a forecast of the load until the next reports. Their interval is taken to be twice their mean age.
 func (d *Balancer) newForecast(q *Query, m placement.LatencyModel, e *catalog.Engine, l []placement.Candidate, elapsed, aim time.Duration) *placement.Forecast {
 	late := !placement.InTime(0, elapsed, aim)
-	if q.Attempts == 0 && len(q.PermitDenied) == 0 {
+	if q.Attempts == 0 && len(q.PermitDenied) == 0 && q.Excluded == nil {
 		d.Load.Offers.Record(q.Pool, late)
 	}
 	return &placement.Forecast{
@@ -206,7 +227,7 @@
 	}
 	q.newestRevision = d.Facts.Wanted(q.Model).Revision
 	for _, i := range d.Facts.Instances() {
-		if i.Pool != q.Pool || !d.mayServe(q, i.Domain) {
+		if i.Pool != q.Pool || !d.mayServe(q, i.Domain) || q.Excluded[i.ID] || (q.OtherDomains && i.Domain == d.Location.Domain) {
 			continue
 		}
 		if i.Leaving {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -19,16 +19,18 @@
 // choose selects the upstream for the next attempt and acquires a permit of the stager on its VM if one is
 // required. It returns an error if no upstream can be chosen.
 func (f *callerRequest) choose(ctx context.Context) (placement.Choice, *attemptError) {
-	f.permit, f.permitExpiry = 0, time.Time{}
+	f.permit, f.permitExpiry, f.reservation = 0, time.Time{}, reservationLog{}
 	q := f.query()
+	if f.needsReservation() {
+		if c, refusal := f.reserve(ctx, q); refusal != nil || f.permit > 0 {
+			return c, f.refusalError(refusal)
+		}
+	}
 	for {
 		c, refusal := f.gateway.balancer().Choose(q)
 		f.decision = q.decision
 		if refusal != nil {
-			if refusal.Predicted > 0 {
-				f.predictedFirst = refusal.Predicted
-			}
-			return c, &attemptError{text: refusal.Reason, notRun: true, final: true, retryAfter: refusal.RetryAfter}
+			return c, f.refusalError(refusal)
 		}
 		if f.acquirePermit(ctx, &c) {
 			return c, nil
@@ -38,6 +40,17 @@
 	}
 }
 
+// refusalError returns the error of a request that no upstream may take; nil for no refusal.
+func (f *callerRequest) refusalError(refusal *Refusal) *attemptError {
+	if refusal == nil {
+		return nil
+	}
+	if refusal.Predicted > 0 {
+		f.predictedFirst = refusal.Predicted
+	}
+	return &attemptError{text: refusal.Reason, notRun: true, final: true, retryAfter: refusal.RetryAfter}
+}
+
 // query returns the request in the form that the Balancer takes.
 func (f *callerRequest) query() *Query {
 	return &Query{
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -21,6 +21,8 @@
 	Model   id.Model
 	// PromptTokens is the length of the prompt in tokens.
 	PromptTokens float64
+	// MaxAnswerTokens is the most tokens that the answer may have; 0 if not stated.
+	MaxAnswerTokens float64
 }
 
 // ForwardMeta holds what the gateway adds to the header of a request that it sends to an upstream.
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -136,7 +136,7 @@
 func (t *attempt) forkRequest() *callerRequest {
 	f := t.request
 	copied := &callerRequest{
-		gateway: f.gateway, meta: f.meta, route: f.route, catalog: f.catalog, pool: f.pool, organisation: f.organisation, httpRequest: f.httpRequest,
+		gateway: f.gateway, meta: f.meta, route: f.route, catalog: f.catalog, pool: f.pool, organisation: f.organisation, rank: f.rank, hedged: true, httpRequest: f.httpRequest,
 		arrived: f.arrived, elapsedBefore: f.elapsedBefore, deadline: f.deadline, callerDeadline: f.callerDeadline, body: f.body, unreadBody: f.unreadBody,
 		tried: maps.Clone(f.tried), attempts: t.attemptNumber, allNotRun: true, fingerprint: f.fingerprint, exclusive: f.exclusive,
 		headSent: t.position.headSent, revision: t.position.revision, events: eventSplitter{lastID: t.position.lastEventID},
@@ -270,6 +270,7 @@
 func (t *attempt) adoptHedge(h *hedge) *attemptError {
 	f, hedged, won := t.request, h.request, h.attempt
 	defer hedged.cancel(nil)
+	f.reservation = hedged.reservation
 	f.permit, f.permitWait, f.permitExpiry, f.responseLimit, f.knownLimit, f.decision = hedged.permit, hedged.permitWait, hedged.permitExpiry, hedged.responseLimit, hedged.knownLimit, hedged.decision
 	f.upstreamAddress, f.revision = hedged.upstreamAddress, hedged.revision
 	f.upstreamLeaving, f.upstreamRest = hedged.upstreamLeaving, hedged.upstreamRest
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,6 +37,10 @@
 	t.vars.Add(name, 1)
 }
 
+func (t *metrics) add(name string, n int) {
+	t.vars.Add(name, int64(n))
+}
+
 // observe records the absolute value of a duration.
 func (t *metrics) observe(name string, d time.Duration) {
 	t.mu.Lock()
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -40,6 +40,9 @@
 	RetryRatio  float64       `toml:"repeat_ratio"`
 	RetrySlack  float64       `toml:"repeat_slack"`
 	RetryWindow time.Duration `toml:"repeat_window"`
+	// ReservationMinGateways is the number of gateways of a failure domain from which on they ask the stagers of engines for
+	// reservations; 0 is never.
+	ReservationMinGateways int `toml:"reservation_min_gateways"`
 }
 
 // NewSettings returns the default settings.
@@ -54,6 +57,7 @@
 	c.Require(s.SwapWithin > 0, "swap_within", "a time above 0")
 	c.Require(s.RetryRatio >= 0, "repeat_ratio", "a number of 0 or more")
 	c.Require(s.RetrySlack >= 0, "repeat_slack", "a number of 0 or more")
+	c.Require(s.ReservationMinGateways >= 0, "reservation_min_gateways", "a whole number of 0 or more")
 	c.Require(s.RetryWindow >= time.Second, "repeat_window", "a time of at least 1s")
 }
 
@@ -102,6 +106,7 @@
 	metrics          *metrics
 	now              func() time.Time
 	random           func() *rand.Rand
+	answerLengths    *placement.AnswerLengths
 	// suspended returns the total time for which this VM has been suspended.
 	suspended func() time.Duration
 
@@ -126,6 +131,7 @@
 	connect := h.Part(traffic.PartName).(*traffic.Part).CountingDialer(traffic.Requests, dial.New(dialTimeout).DialContext)
 	loadSources := LoadSources{Tracker: sub.Tracker(), Offers: sub.DemandMeter(), Demand: sub.Demand, Gateways: sub.GatewayCount}
 	loadSources.Permits = PermitClient{Acquire: sub.RequestPermit, ReportLimit: sub.SendLimit, ReportLimitEnd: sub.SendLimitEnd}
+	loadSources.Reservations = ReservationClient{Reserve: sub.RequestReservation, Take: sub.TakeReservation, Release: sub.ReleaseReservation}
 	q := h.Part(quarantine.PartName).(*quarantine.Quarantine)
 	location := Location{Domain: h.Identity.Domain, Region: h.Part(traffic.PartName).(*traffic.Part).Region}
 	f := h.Part(facts.PartName).(*facts.Facts)
@@ -147,6 +153,8 @@
 	// Gateways returns the number of processes that share the retry budget.
 	Gateways func() int
 	Permits  PermitClient
+	// Reservations is used only where the settings call for reservations.
+	Reservations ReservationClient
 }
 
 // New returns a gateway that does not listen yet.
@@ -162,6 +170,7 @@
 		connections:      upconn.New(connect, clock.Now, d.ResponseMatches),
 		suspects:         q.Suspects,
 		requests:         newRequestRegistry(),
+		answerLengths:    placement.NewAnswerLengths(),
 		random:           func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) },
 	}
 	g.crashDetector = quarantine.NewCrashDetector(g.upstreamEnded, q.ReportCrash, clock.Now)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -34,6 +34,8 @@
 	catalog      *catalog.Catalog
 	pool         id.Pool
 	organisation id.Organisation
+	// rank is the urgency of the request.
+	rank catalog.Rank
 	// regions are the regions in which the request may be served.
 	regions     catalog.Regions
 	httpRequest *http.Request
@@ -75,6 +77,9 @@
 	permit       uint64
 	permitWait   time.Duration
 	permitExpiry time.Time
+	// reservation is the outcome of the newest requests for a reservation, and hedged is true of a hedged attempt.
+	reservation reservationLog
+	hedged      bool
 	// fingerprint identifies the request across its retries, once its body has been read.
 	fingerprint quarantine.Fingerprint
 	// brokenProgress is how far the response of the last upstream that broke off had come, and brokenInstance is that
@@ -156,6 +161,7 @@
 func (f *callerRequest) authenticate() bool {
 	f.regions = f.route.AllowedRegions
 	o := f.catalog.Organisation(f.meta.Key)
+	f.rank = catalog.NewRank(o, f.route)
 	if o != nil {
 		f.regions = f.regions.Intersect(o.AllowedRegions)
 	}
@@ -331,7 +337,7 @@
 			e = e.Stringer("fingerprint", f.fingerprint)
 		}
 	}
-	e = f.logUpstream(f.logLimit(e))
+	e = f.logUpstream(f.logReservation(f.logLimit(e)))
 	if f.brokenProgress != "" {
 		e = e.Str("broken", f.brokenProgress).Str("broken_instance", string(f.brokenInstance))
 	}
--- a/internal/placement/forecast.go
+++ b/internal/placement/forecast.go
@@ -267,7 +267,7 @@
 
 // choose assigns the expected requests together with the request itself, and takes up to n random batches of the same
 // kind, each of another upstream. Requests that can still be served in time come first: a late one is worth a fraction of
-// them. Upstreams of the own failure domain that got no request follow, the cheapest first.
+// them. Upstreams of the own failure domain that were assigned no request follow, the cheapest first.
 func (y *assignment) choose(n int, r *rand.Rand) []Choice {
 	w := y.forecast
 	own := y.assignAll(false)
--- a/internal/reports/announcement_test.go
+++ b/internal/reports/announcement_test.go
@@ -174,13 +174,13 @@
 	it("is in every report at first and in some of them later, and absent if nothing has left", func() {
 		Expect(countAnnouncements(publish())).To(BeZero())
 		remote.SetInstance(entry(4, true))
-		for range 2 * gatewayListEvery {
+		for range 2 * reportsInCycle {
 			Expect(countAnnouncements(publish())).To(Equal(1))
 		}
 		now = now.Add(announcementRepeatTime + time.Second)
 		subscribe()
 		total := 0
-		for range 2 * gatewayListEvery {
+		for range 2 * reportsInCycle {
 			total += countAnnouncements(publish())
 		}
 		Expect(total).To(Equal(2))
--- /dev/null
+++ b/internal/reports/interval.go
@@ -0,0 +1,45 @@
+package reports
+
+import "time"
+
+const (
+	// reportInterval is the time between two reports while nothing but the load changes.
+	reportInterval = 200 * time.Millisecond
+	// reservedReportInterval replaces reportInterval while gateways ask for reservations. The answers then carry the load,
+	// and reports the versions and the membership.
+	reservedReportInterval = 400 * time.Millisecond
+	// reservationMemory is how long after a request for a reservation reports remain rare; it spans a lull of some requests.
+	reservationMemory = 2 * time.Second
+	// cycle is the time in which one report lists gateways, contains the demand and goes to gateways of other failure
+	// domains. A gateway rarely sends requests outside its own domain; one that does requests every report. Reports are most
+	// of the traffic between regions when little else happens.
+	cycle = time.Second
+)
+
+// Interval returns the time between two reports while nothing but the load changes.
+func (r *Reporter) Interval() time.Duration {
+	if last := r.lastReservation.Load(); last != 0 && r.now().UnixNano()-last < int64(reservationMemory) {
+		return reservedReportInterval
+	}
+	return reportInterval
+}
+
+// reportsPerCycle returns the number of reports in a cycle.
+func reportsPerCycle(interval time.Duration) uint64 {
+	return uint64((cycle + interval - 1) / interval)
+}
+
+// fullReport reports whether the current report is the one of its cycle that contains everything; the caller holds the
+// lock.
+func (r *Reporter) fullReport() bool {
+	return r.lastNumber%reportsPerCycle(r.Interval()) == 0
+}
+
+// localEveryMs returns the interval that reports to the own failure domain state; 0 stands for reportInterval, the only
+// interval that older releases know.
+func localEveryMs(interval time.Duration) uint32 {
+	if interval == reportInterval {
+		return 0
+	}
+	return uint32(interval.Milliseconds())
+}
--- a/internal/reports/permits.go
+++ b/internal/reports/permits.go
@@ -17,27 +17,30 @@
 type pendingPermits struct {
 	mu         sync.Mutex
 	lastNumber uint64
-	pending    map[uint64]chan uint64
+	pending    map[uint64]chan *pb.PermitAnswer
 }
 
 // add registers a permit request and returns its number and the channel that receives its answer.
-func (q *pendingPermits) add() (number uint64, answer chan uint64) {
+func (q *pendingPermits) add() (number uint64, answer chan *pb.PermitAnswer) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.lastNumber++
-	answer = make(chan uint64, 1)
+	answer = make(chan *pb.PermitAnswer, 1)
 	q.pending[q.lastNumber] = answer
 	return q.lastNumber, answer
 }
 
-// resolve delivers the answer to a permit request; it ignores a request that is no longer pending.
-func (q *pendingPermits) resolve(number, permit uint64) {
+// resolve delivers the answer to a permit request. It returns false if the request is no longer pending.
+func (q *pendingPermits) resolve(a *pb.PermitAnswer) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if c := q.pending[number]; c != nil {
-		c <- permit
-		delete(q.pending, number)
+	c := q.pending[a.GetNumber()]
+	if c == nil {
+		return false
 	}
+	c <- a
+	delete(q.pending, a.GetNumber())
+	return true
 }
 
 // cancel removes a permit request whose caller has stopped waiting.
@@ -50,14 +53,22 @@
 // RequestPermit requests a permit from an upstream's stager. It returns the permit's number, or 0 if none is available,
 // and whether an answer came before the context ended.
 func (s *Subscriber) RequestPermit(ctx context.Context, address string, born id.Incarnation) (permit uint64, answered bool) {
+	a, answered := s.ask(ctx, address, &pb.PermitRequest{Born: uint64(born)})
+	return a.GetPermit(), answered
+}
+
+// ask sends a numbered request to an upstream's stager and returns its answer, and whether one came before the context
+// ended.
+func (s *Subscriber) ask(ctx context.Context, address string, m *pb.PermitRequest) (a *pb.PermitAnswer, answered bool) {
 	number, answer := s.permitRequests.add()
 	defer s.permitRequests.cancel(number)
-	s.sendToStager(address, &pb.PermitRequest{Number: number, Born: uint64(born)})
+	m.Number = number
+	s.sendToStager(address, m)
 	select {
 	case <-ctx.Done():
-		return 0, false
-	case p := <-answer:
-		return p, true
+		return nil, false
+	case a := <-answer:
+		return a, true
 	}
 }
 
@@ -102,7 +113,11 @@
 // handlePermitAnswer delivers the answer to a permit request and stores the rate limit that comes with it.
 func (s *Subscriber) handlePermitAnswer(r *pb.UpstreamReport) {
 	s.vars.Add("permit_answers", 1)
-	s.permitRequests.resolve(r.GetPermit().GetNumber(), r.GetPermit().GetPermit())
+	a := r.GetPermit()
+	if !s.permitRequests.resolve(a) && a.GetReservation() != nil && a.GetPermit() > 0 {
+		s.vars.Add("late_reservations", 1)
+		s.ReleaseReservation(r.GetAddress(), a.GetPermit())
+	}
 	s.tracker.RecordLimitAnnouncement(r.GetAddress(), limitFromReport(r))
 }
 
@@ -157,6 +172,7 @@
 	if m.GetEnded() > 0 {
 		r.limiter.RecordGatewayEnd(m.GetEnded(), born)
 	}
+	r.handleReservation(m)
 	if m.GetNumber() == 0 {
 		return
 	}
@@ -170,7 +186,7 @@
 
 // answerPermit sends the answer to a gateway's permit request.
 func (r *Reporter) answerPermit(addr *net.UDPAddr, m *pb.PermitRequest) {
-	a := &pb.PermitAnswer{Number: m.GetNumber(), Permit: r.limiter.IssuePermit()}
+	a := r.reserve(m)
 	r.mu.Lock()
 	address, domain := r.upstreamAddress, r.subscribers[m.GetSender()].domain
 	r.mu.Unlock()
--- a/internal/reports/remote_gateway_test.go
+++ b/internal/reports/remote_gateway_test.go
@@ -61,34 +61,34 @@
 		gateway = newSocket()
 		r = NewReporter(newSocket(), "d", f, func() time.Time { return now }, discardLog)
 		subscribe(false)
-		countSent(remoteReportEvery, &pb.UpstreamReport{})
+		countSent(reportsInCycle, &pb.UpstreamReport{})
 	})
 
 	it("are sent once a second while only the load changes, and contain the demand and the report interval", func() {
-		Expect(countSent(3*remoteReportEvery, &pb.UpstreamReport{})).To(Equal(3))
+		Expect(countSent(3*reportsInCycle, &pb.UpstreamReport{})).To(Equal(3))
 		var last *pb.UpstreamReport
-		for range remoteReportEvery {
+		for range reportsInCycle {
 			if p := publish(&pb.UpstreamReport{}); p != nil {
 				last = p
 			}
 		}
-		Expect(last.GetEveryMs()).To(BeNumerically("==", remoteReportInterval.Milliseconds()))
+		Expect(last.GetEveryMs()).To(BeNumerically("==", cycle.Milliseconds()))
 		Expect(last.GetDemand()).NotTo(BeEmpty())
 		Expect(last.GetGateways()).To(BeEmpty())
 	})
 
 	it("are all sent while the gateway's subscription requests every report", func() {
 		subscribe(true)
-		Expect(countSent(2*remoteReportEvery, &pb.UpstreamReport{})).To(Equal(2 * remoteReportEvery))
+		Expect(countSent(2*reportsInCycle, &pb.UpstreamReport{})).To(Equal(2 * reportsInCycle))
 		Expect(publish(&pb.UpstreamReport{}).GetEveryMs()).To(BeZero())
 		subscribe(false)
-		Expect(countSent(2*remoteReportEvery, &pb.UpstreamReport{})).To(Equal(2))
+		Expect(countSent(2*reportsInCycle, &pb.UpstreamReport{})).To(Equal(2))
 	})
 
 	ginkgo.DescribeTable("are sent twice at once when anything but the load changes", func(p *pb.UpstreamReport) {
 		Expect(publish(p)).NotTo(BeNil())
 		Expect(publish(p)).NotTo(BeNil(), "the first may have been lost")
-		Expect(countSent(remoteReportEvery-2, p)).To(BeNumerically("<=", 1))
+		Expect(countSent(reportsInCycle-2, p)).To(BeNumerically("<=", 1))
 	},
 		ginkgo.Entry("the upstream is closed", &pb.UpstreamReport{Closed: true}),
 		ginkgo.Entry("the upstream is down", &pb.UpstreamReport{Down: true}),
@@ -99,7 +99,7 @@
 
 	it("are sent twice at once when an instance leaves", func() {
 		f.SetInstance(&facts.Instance{ID: "i", Address: "a", ListPosition: 3})
-		countSent(remoteReportEvery, &pb.UpstreamReport{})
+		countSent(reportsInCycle, &pb.UpstreamReport{})
 		f.SetInstance(&facts.Instance{ID: "i", Address: "a", ListPosition: 4, Leaving: true})
 		Expect(publish(&pb.UpstreamReport{}).GetWords()).To(HaveLen(1))
 		Expect(publish(&pb.UpstreamReport{}).GetWords()).To(HaveLen(1))
@@ -117,10 +117,10 @@
 			now = receivedAt
 			return ok
 		}
-		Expect(fresh(1, remoteReportInterval, 2*remoteReportInterval)).To(BeTrue())
-		Expect(fresh(2, remoteReportInterval, 3*remoteReportInterval)).To(BeFalse())
+		Expect(fresh(1, cycle, 2*cycle)).To(BeTrue())
+		Expect(fresh(2, cycle, 3*cycle)).To(BeFalse())
 		Expect(fresh(3, time.Minute, maxRemoteValidity+time.Millisecond)).To(BeFalse())
-		Expect(fresh(4, 0, remoteReportInterval+time.Millisecond)).To(BeFalse(), "a report within the domain")
+		Expect(fresh(4, 0, cycle+time.Millisecond)).To(BeFalse(), "a report within the domain")
 	})
 })
 
@@ -151,3 +151,6 @@
 		Expect(each()).To(BeFalse())
 	})
 })
+
+// reportsInCycle is the number of reports in a cycle without reservations.
+const reportsInCycle = int(cycle / reportInterval)
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -17,10 +18,12 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/admission"
 	"github.com/springrail/springrail/internal/clock"
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/reservation"
 	"github.com/springrail/springrail/internal/throttle"
 	"github.com/springrail/springrail/internal/traffic"
 )
@@ -47,6 +50,8 @@
 			c := h.Part(traffic.PartName).(*traffic.Part).Counter
 			r.onSent = func(to id.Domain, bytes int) { c.CountDatagram(traffic.Reports, to, bytes) }
 			h.Metric("reports", r.vars)
+			h.Metric("reservations", expvar.Func(func() any { return r.ledger.Stats() }))
+			h.Metric("admission", expvar.Func(func() any { return r.admission.Stats() }))
 			return r, nil
 		},
 	})
@@ -80,8 +85,15 @@
 	// upstreamAddress is the address of the stager's upstream, as in the last report.
 	upstreamAddress string
 
-	// limiter issues the permits of an upstream that names a rate limit.
+	// limiter issues the permits of an upstream that names a rate limit, and ledger holds the reservations at it.
 	limiter *throttle.Limiter
+	ledger  *reservation.Ledger
+	// admission decides which requests get a reservation under overload.
+	admission *admission.Controller
+	// lastReservation is when a reservation was last asked for, in ns.
+	lastReservation atomic.Int64
+	// OnReservation is called before each request for a reservation is answered; it must not block, and is set before Run.
+	OnReservation func()
 }
 
 // subscriber is a gateway with its subscription.
@@ -104,10 +116,11 @@
 
 // NewReporter creates a reporter for a stager in a failure domain; it sends and receives on the given socket.
 func NewReporter(c *net.UDPConn, d id.Domain, f *facts.Facts, now func() time.Time, l *log.Logger) *Reporter {
+	limiter, admitted := throttle.NewLimiter(now), admission.New(now)
 	return &Reporter{
 		conn: c, domain: d, facts: f, now: now, log: l, vars: new(expvar.Map), incarnation: rand.Uint64() | 1,
 		subscribers: map[string]subscriber{}, onSent: func(id.Domain, int) {}, newsLimit: rate.NewLimiter(forwardedPerSecond, forwardedBurst),
-		limiter: throttle.NewLimiter(now),
+		limiter: limiter, ledger: reservation.New(now, limiter, admitted), admission: admitted, OnReservation: func() {},
 	}
 }
 
@@ -167,20 +180,12 @@
 	}
 }
 
-const (
-	// remoteReportEvery is the interval, in reports, at which gateways of other failure domains get one. It makes one a
-	// second, which is how often a report contains the demand. A gateway rarely sends requests outside its own domain;
-	// one that does requests every report. Reports are most of the traffic between regions when little else happens.
-	remoteReportEvery = gatewayListEvery
-	// remoteReportInterval is the time between two reports to a gateway of another failure domain.
-	remoteReportInterval = time.Second
-	// urgentReports is how many consecutive reports go to all subscribers after anything but the load has changed. The
-	// first may be lost, and an upstream that is about to load waits for the second one.
-	urgentReports = 2
-)
+// urgentReports is how many consecutive reports go to all subscribers after anything but the load has changed. The first
+// may be lost, and an upstream that is about to load waits for the second one.
+const urgentReports = 2
 
 // Publish sends a report to its subscribers. Gateways of the same failure domain and those that requested every report
-// get each one; the others get one at the remote interval, or if anything but the load has changed. readAt is when the
+// get each one; the others get one in each cycle, or if anything but the load has changed. readAt is when the
 // reading of the report's data began.
 func (r *Reporter) Publish(p *pb.UpstreamReport, readAt time.Time) {
 	r.mu.Lock()
@@ -201,9 +206,9 @@
 	p.Words = r.announcements(p.GetAddress(), now)
 	p.Limit, r.upstreamAddress = r.limitMessage(), p.GetAddress()
 	r.detectChange(p, now)
-	toAll := r.urgentPending > 0 || r.lastNumber%remoteReportEvery == 0
+	toAll := r.urgentPending > 0 || r.fullReport()
 	r.urgentPending = max(0, r.urgentPending-1)
-	if r.lastNumber%gatewayListEvery == 0 || r.demandChanged {
+	if r.fullReport() || r.demandChanged {
 		r.demandChanged = false
 		p.Demand = r.totalDemand()
 	}
@@ -231,15 +236,17 @@
 
 // encodeAll encodes a report for each group of subscribers; the caller holds the lock.
 func (r *Reporter) encodeAll(p *pb.UpstreamReport) (t encodedReports, ok bool) {
+	interval := r.Interval()
+	p.EveryMs = localEveryMs(interval)
 	if t.everyReport, ok = r.encode(p); !ok {
 		return t, false
 	}
-	p.EveryMs = uint32(remoteReportInterval.Milliseconds())
+	p.EveryMs = uint32(interval.Milliseconds()) * uint32(reportsPerCycle(interval))
 	if t.remote, ok = r.encode(p); !ok {
 		return t, false
 	}
-	p.EveryMs = 0
-	if r.lastNumber%gatewayListEvery == 0 {
+	p.EveryMs = localEveryMs(interval)
+	if r.fullReport() {
 		r.addGateways(p)
 	}
 	t.local, ok = r.encode(p)
@@ -278,12 +285,8 @@
 	}
 }
 
-// gatewayListEvery is the interval, in reports, at which a report lists the gateways of the failure domain and contains
-// the demand: about once a second, as often as gateways send their own demand.
-const gatewayListEvery = 5
-
 // announcementRepeatTime is how long every report contains a new announcement about an instance. Requests to an instance
-// that leaves must stop within 3 s; this is three times as long, rounded up. Later only one report in gatewayListEvery
+// that leaves must stop within 3 s; this is three times as long, rounded up. Later only one report of each cycle
 // contains it, for gateways that were disconnected meanwhile.
 const announcementRepeatTime = 10 * time.Second
 
@@ -292,7 +295,7 @@
 func (r *Reporter) announcements(address string, now time.Time) []*pb.ListWord {
 	r.facts.WatchAddress(address)
 	since := now.Add(-announcementRepeatTime)
-	if r.lastNumber%gatewayListEvery == 0 {
+	if r.fullReport() {
 		since = time.Time{}
 	}
 	announcements, _ := r.facts.Announcements(since)
@@ -308,10 +311,9 @@
 	maxListedGateways = 64
 	// minListedGateways is the number of gateways up to which a report lists all of them.
 	minListedGateways = 16
-	// gatewayListInterval is the time between two reports that list gateways. All are listed by turns within half of the
-	// time for which receivers know them.
-	gatewayListInterval = time.Second
-	gatewayListCycle    = facts.GatewayTTL / 2
+	// gatewayListCycle is the time within which all gateways are listed by turns, one part in each cycle of reports: half of
+	// the time for which receivers know them.
+	gatewayListCycle = facts.GatewayTTL / 2
 )
 
 // maxDemandDomains limits the failure domains whose demand a report contains; the largest planned deployment has 8.
@@ -329,7 +331,7 @@
 		return
 	}
 	slices.Sort(local)
-	part := int(math.Ceil(float64(len(local)) * float64(gatewayListInterval) / float64(gatewayListCycle)))
+	part := int(math.Ceil(float64(len(local)) * float64(cycle) / float64(gatewayListCycle)))
 	n := min(len(local), max(minListedGateways, part), maxListedGateways)
 	first, _ := slices.BinarySearch(local, r.nextListed)
 	for k := range n {
--- a/internal/reports/subset_test.go
+++ b/internal/reports/subset_test.go
@@ -157,7 +157,7 @@
 			r.subscribers[name] = subscriber{addr: &net.UDPAddr{}, local: true}
 		}
 		seen := map[string]bool{}
-		for range int(gatewayListCycle / gatewayListInterval) {
+		for range int(gatewayListCycle / cycle) {
 			var p pb.UpstreamReport
 			r.addGateways(&p)
 			for _, a := range p.GetGateways() {
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -86,8 +86,14 @@
 
 	publishMu sync.Mutex
 
+	// pollNow requests a poll of the upstream before the next one is due, and polledAt is when the newest one began, in ns.
+	pollNow  chan struct{}
+	polledAt atomic.Int64
+
 	mu    sync.Mutex
 	state State
+	// readAt is when the newest read of the state began.
+	readAt time.Time
 	// down is true while the upstream does not respond. closed is true while it accepts no new requests because it is
 	// about to load weights; closedAt is the time of the last change of closed.
 	down, closed bool
@@ -105,6 +111,7 @@
 		swarm.Member{Domain: h.Identity.Domain}, h.Events, h.Log)
 	g.reporter = h.Part(reports.ReporterPart).(*reports.Reporter)
 	g.reporter.Limiter().OnChange = g.logLimit
+	g.reporter.OnReservation = g.pollForReservation
 	pace := rate.NewLimiter(rate.Inf, pacingBurst)
 	if s.UplinkBytesPerSecond > 0 {
 		pace = rate.NewLimiter(rate.Limit(s.UplinkBytesPerSecond), pacingBurst)
@@ -147,7 +154,7 @@
 	t := transfer.NewSettings()
 	t.Uploads, t.Downloads, t.TakeoverDelay, t.SourceTimeout = maxUploads, maxDownloads, takeoverDelay, originTimeout
 	t.MaxQueueDelay, t.HaveInterval = maxQueueDelay, haveInterval
-	st := &Stager{down: true, swapDuration: swapplan.DefaultSwapDuration, settings: s, ports: p, facts: f, log: g, now: clock.Now, peerTransport: l, orders: new(expvar.Map)}
+	st := &Stager{down: true, swapDuration: swapplan.DefaultSwapDuration, settings: s, ports: p, facts: f, log: g, now: clock.Now, peerTransport: l, orders: new(expvar.Map), pollNow: make(chan struct{}, 1)}
 	f.WatchAddress(p.Address)
 	st.dependencies = transfer.Dependencies{
 		Settings: t, Self: self, Holdings: transfer.NewHoldingStore(int64(s.MemoryBytes)), Log: g, Events: e, Stats: &st.stats,
@@ -155,12 +162,8 @@
 	return st
 }
 
-const (
-	// pollInterval is the interval at which the state of the upstream, which runs on the same machine, is polled.
-	pollInterval = 100 * time.Millisecond
-	// reportInterval is the interval of reports while the upstream's state does not change.
-	reportInterval = 200 * time.Millisecond
-)
+// pollInterval is the interval at which the state of the upstream, which runs on the same machine, is polled.
+const pollInterval = 100 * time.Millisecond
 
 // Run polls the upstream, publishes reports and deploys versions until the context ends.
 func (s *Stager) Run(ctx context.Context) error {
@@ -172,11 +175,11 @@
 			// Before the first poll a report would say that the upstream is down.
 			go s.reportAnnouncements(ctx)
 		}
-		if now := s.now(); changed || now.Sub(last) >= reportInterval-pollInterval/2 {
+		if now := s.now(); changed || now.Sub(last) >= s.reporter.Interval()-pollInterval/2 {
 			s.publish()
 			last = now
 		}
-		kernel.Pause(ctx, pollInterval)
+		s.waitForPoll(ctx)
 	}
 	return nil
 }
@@ -198,6 +201,8 @@
 
 // pollUpstream reads the upstream's state and reports whether anything that gateways need has changed.
 func (s *Stager) pollUpstream(ctx context.Context) bool {
+	readAt := s.now()
+	s.polledAt.Store(readAt.UnixNano())
 	state, err := s.ports.Upstream.State(ctx)
 	for _, h := range state.Held {
 		// This precedes the update of the state: an upstream that serves a newer version than any record has would
@@ -221,7 +226,8 @@
 	if state.Leaving && !s.state.Leaving {
 		s.log.Info().Msg("the upstream beside this process is shutting down")
 	}
-	s.down, s.state = down, state
+	s.down, s.state, s.readAt = down, state, readAt
+	s.updateLedger()
 	return changed
 }
 
@@ -275,6 +281,7 @@
 	s.closed = closed
 	if changed {
 		s.closedAt = s.now()
+		s.updateLedger()
 	}
 	s.mu.Unlock()
 	if changed {
