--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -82,7 +82,7 @@
 
 // Decide counts an offer and decides about it.
 func (c *Controller) Decide(o Offer, target time.Duration, l Load) Decision {
-	if o.Begun || l.Predicted <= time.Duration(targetShare*float64(target)) {
+	if o.Begun || (l.Predicted <= time.Duration(targetShare*float64(target)) && (!o.Late || l.Occupied < l.Slots)) {
 		return Decision{}
 	}
 	return Decision{Refusal: Busy, RoomIn: l.Predicted - target}
--- a/internal/reports/reservations.go
+++ b/internal/reports/reservations.go
@@ -104,9 +104,9 @@
 	}
 }
 
-// reserve answers a request for a permit, and for a reservation if one is asked for.
+// reserve answers a request for a permit, and for a reservation if one is asked for and the state of the engine is known.
 func (r *Reporter) reserve(m *pb.PermitRequest) *pb.PermitAnswer {
-	if m.GetReservation() == nil {
+	if m.GetReservation() == nil || !r.ledger.Ready() {
 		return &pb.PermitAnswer{Number: m.GetNumber(), Permit: r.limiter.IssuePermit()}
 	}
 	r.lastReservation.Store(r.now().UnixNano())
--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -3,15 +3,28 @@
 package reservation
 
 import (
+	"sync"
 	"time"
 
 	"github.com/springrail/springrail/internal/admission"
 	"github.com/springrail/springrail/internal/catalog"
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/placement"
 	"github.com/springrail/springrail/internal/throttle"
 )
 
+const (
+	// heldFor is how long a reservation lasts that is neither taken nor released: longer than a gateway waits for answers,
+	// so that only those of gateways that died and of lost datagrams end that way.
+	heldFor = 40 * time.Millisecond
+	// arrivalTime is the time after a reservation was taken within which its request has reached the engine, so that the
+	// engine's own figures contain it.
+	arrivalTime = 20 * time.Millisecond
+	// takenFor is how long a taken reservation lasts while the engine's figures can't be read.
+	takenFor = 500 * time.Millisecond
+)
+
 // Request asks for a reservation.
 type Request struct {
 	// Gateway is the address of the requesting gateway. It identifies the request together with Number, which the gateway
@@ -67,40 +80,175 @@
 	Taken, Released, Expired, Duplicate uint64
 }
 
+// entry is a reservation.
+type entry struct {
+	request Request
+	answer  Answer
+	// takenAt is zero until the reservation is taken.
+	takenAt, expiresAt time.Time
+}
+
+// question identifies a request for a reservation.
+type question struct {
+	gateway string
+	number  uint64
+}
+
 // Ledger holds the reservations for one upstream. It is safe for concurrent use.
 type Ledger struct {
 	now       func() time.Time
 	limiter   *throttle.Limiter
 	admission *admission.Controller
+
+	mu     sync.Mutex
+	engine *catalog.Engine
+	state  State
+	// entries are the reservations whose requests the engine's figures don't contain yet, by permit, and questions those
+	// that were asked for.
+	entries   map[uint64]*entry
+	questions map[question]*entry
+	arrivals  arrivals
+	stats     Stats
 }
 
 // New returns a ledger without reservations. Permits come from the limiter.
 func New(now func() time.Time, l *throttle.Limiter, a *admission.Controller) *Ledger {
-	return &Ledger{now: now, limiter: l, admission: a}
+	return &Ledger{now: now, limiter: l, admission: a, entries: map[uint64]*entry{}, questions: map[question]*entry{}}
 }
 
 // SetEngine sets the properties of the engine; nil for none.
-func (l *Ledger) SetEngine(e *catalog.Engine) {}
+func (l *Ledger) SetEngine(e *catalog.Engine) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.engine = e
+}
+
+// Ready reports whether the engine's properties and state are known, which predictions need.
+func (l *Ledger) Ready() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.engine != nil && !l.state.ReadAt.IsZero()
+}
+
+// RecordState replaces the engine's figures. Reservations whose requests they contain end.
+func (l *Ledger) RecordState(s State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state = s
+	l.sweep()
+	for p, e := range l.entries {
+		if !e.takenAt.IsZero() && s.ReadAt.Sub(e.takenAt) > arrivalTime {
+			l.arrivals.add(e)
+			l.remove(p, e)
+		}
+	}
+}
+
+// sweep ends the reservations that have expired. The caller holds the lock.
+func (l *Ledger) sweep() {
+	now := l.now()
+	for p, e := range l.entries {
+		if now.After(e.expiresAt) {
+			l.stats.Expired++
+			l.remove(p, e)
+		}
+	}
+}
 
-// RecordState replaces the engine's figures.
-func (l *Ledger) RecordState(s State) {}
+func (l *Ledger) remove(permit uint64, e *entry) {
+	delete(l.entries, permit)
+	delete(l.questions, question{e.request.Gateway, e.request.Number})
+}
 
 // Reserve holds a reservation or says why there is none.
 func (l *Ledger) Reserve(q Request) Answer {
-	p := l.limiter.IssuePermit()
-	if p == 0 {
-		return Answer{Refusal: admission.Limit}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sweep()
+	if e := l.questions[question{q.Gateway, q.Number}]; e != nil {
+		l.stats.Duplicate++
+		return e.answer
+	}
+	switch {
+	case l.engine == nil || l.state.Closed:
+		return Answer{Refusal: admission.Closed}
+	case q.Revision > 0 && facts.HeldRevision(l.state.Held, q.Model) != q.Revision:
+		return Answer{Refusal: admission.Version}
+	}
+	load, firstEvent := l.predict(&q)
+	d := l.admission.Decide(admission.Offer{Rank: q.Rank, Organisation: q.Organisation, Asked: q.Asked, Late: q.Late, Begun: q.Begun}, q.Target, load)
+	a := Answer{FirstEvent: firstEvent, Refusal: d.Refusal, RoomIn: d.RoomIn, Overloaded: d.Overloaded}
+	if a.Refusal != admission.Admitted {
+		return a
+	}
+	if a.Permit = l.limiter.IssuePermit(); a.Permit == 0 {
+		a.Refusal = admission.Limit
+		return a
+	}
+	e := &entry{request: q, answer: a, expiresAt: l.now().Add(heldFor)}
+	l.entries[a.Permit], l.questions[question{q.Gateway, q.Number}] = e, e
+	return a
+}
+
+// predict returns the load that a request will find at the engine, and the predicted time to its first event. Requests
+// that are less urgent don't delay it, as the engine lets the more urgent ones in first. The caller holds the lock.
+func (l *Ledger) predict(q *Request) (admission.Load, time.Duration) {
+	m := placement.NewLatencyModel(l.engine)
+	c := placement.Candidate{Slots: l.engine.Slots, Running: l.state.Running, Waiting: l.state.Waiting, Slowdown: max(1, l.state.Slowdown)}
+	m.Advance(&c, l.now().Sub(l.state.ReadAt))
+	all, ahead := c, c
+	ahead.Waiting = 0
+	for _, w := range l.arrivals.newest(c.Waiting, l.engine.MeanPromptTokens) {
+		all.Backlog += w.promptTokens
+		if w.rank <= q.Rank {
+			ahead.Waiting++
+			ahead.Backlog += w.promptTokens
+		}
 	}
-	return Answer{Permit: p}
+	for _, e := range l.entries {
+		all.Waiting++
+		all.Backlog += e.request.PromptTokens
+		if e.request.Rank <= q.Rank {
+			ahead.Waiting++
+			ahead.Backlog += e.request.PromptTokens
+		}
+	}
+	slots := max(1, c.Slots)
+	perRequest := time.Duration(float64(m.TimePerRequest(slots)) * c.Slowdown)
+	idle := placement.Candidate{Slots: slots, Running: slots - 1, Slowdown: c.Slowdown}
+	return admission.Load{
+		Slots: slots, Occupied: all.Running + all.Waiting, AheadInQueue: ahead.Waiting, PerSecond: float64(time.Second) / float64(max(1, perRequest)),
+		ReadTime: m.AdmissionLatency(&idle), Predicted: m.AdmissionLatency(&all),
+	}, m.FirstEvent(&ahead, q.PromptTokens)
 }
 
 // Take records that the gateway sends the request of a reservation.
-func (l *Ledger) Take(permit uint64) {}
+func (l *Ledger) Take(permit uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.entries[permit]; e != nil && e.takenAt.IsZero() {
+		now := l.now()
+		l.stats.Taken++
+		e.takenAt, e.expiresAt = now, now.Add(takenFor)
+	}
+}
 
-// Release ends a reservation whose request the gateway sends to another upstream.
-func (l *Ledger) Release(permit uint64) {}
+// Release ends a reservation whose request the gateway sends to another upstream, and returns its permit.
+func (l *Ledger) Release(permit uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.entries[permit]; e != nil && e.takenAt.IsZero() {
+		l.stats.Released++
+		l.remove(permit, e)
+		l.limiter.ReturnPermit(permit)
+	}
+}
 
 // Stats returns the current figures.
 func (l *Ledger) Stats() Stats {
-	return Stats{}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stats
+	s.Held = len(l.entries)
+	return s
 }
--- a/internal/throttle/bucket.go
+++ b/internal/throttle/bucket.go
@@ -40,6 +40,12 @@
 	return true
 }
 
+// giveBack returns a permit that was not used.
+func (b *bucket) giveBack(now time.Time) {
+	b.refill(now)
+	b.tokens = min(b.tokens+1, burst)
+}
+
 // available returns the number of whole permits.
 func (b *bucket) available(now time.Time) int {
 	b.refill(now)
--- a/internal/throttle/limiter.go
+++ b/internal/throttle/limiter.go
@@ -48,6 +48,8 @@
 	// issued is the number of the newest permit, and issuedAtLimit its value when a limit was last received. As
 	// responses overtake each other, only the response to a later permit proves that the limit has ended.
 	issued, issuedAtLimit uint64
+	// issuedBeforeLimit is the value of issued when the limit began.
+	issuedBeforeLimit uint64
 }
 
 // NewLimiter returns a limiter for an upstream that is not known to have a limit.
@@ -121,7 +123,7 @@
 	if info.State == Limited {
 		l.issuedAtLimit = l.issued
 		if old.State != Limited {
-			l.bucket = bucket{updatedAt: now}
+			l.bucket, l.issuedBeforeLimit = bucket{updatedAt: now}, l.issued
 		}
 		l.bucket.setRate(l.permitRate(), now)
 	} else if old.State == Limited {
@@ -151,6 +153,15 @@
 	return l.issued
 }
 
+// ReturnPermit takes back a permit whose request is not sent. A permit from before the limit took nothing.
+func (l *Limiter) ReturnPermit(permit uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.info.State == Limited && l.issuedBeforeLimit < permit && permit <= l.issued {
+		l.bucket.giveBack(l.now())
+	}
+}
+
 // Announce returns the announcement to gateways. The end of a limit is announced for the time endAnnouncedFor.
 func (l *Limiter) Announce() Announcement {
 	l.mu.Lock()
