Callers whose patience varies are not taken for returning ones

Cause: the time that a caller has lost is the longest patience of its route less the stated one. Where callers vary by 15%, most first attempts seemed to have lost more than the latency target allows. The variation is now learnt from attempts at times when nobody was refused.

--- a/internal/decide/gateway.go
+++ b/internal/decide/gateway.go
@@ -188,6 +188,7 @@
 // fail ends the attempt without a response: refused if the request never ran, and failed otherwise.
 func (f *clientAttempt) fail(retryAfter time.Duration) {
 	f.close()
+	f.gateway.patience.RecordRefusal()
 	p, q := f.gateway.sim, f.request
 	delay := ms(p.scenario.Links.CallerMs)
 	wasRefused := f.neverRan && !f.query.HeadSent
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -295,6 +295,7 @@
 // refuse answers that the request was not run and when the caller may retry.
 func (f *callerRequest) refuse(why string, retryAfter time.Duration) {
 	f.retryAfter = max(retryAfter, minRetryAfter)
+	f.gateway.elapsedEstimator.RecordRefusal()
 	f.gateway.dialect.SetRetryAfter(f.writer.Header(), f.retryAfter)
 	f.fail(http.StatusServiceUnavailable, why)
 }
