--- a/internal/placement/patience.go
+++ b/internal/placement/patience.go
@@ -18,10 +18,10 @@
 	minTimeLost = 50 * time.Millisecond
 	// maxVariationSamples is the number of first attempts from which the callers' own variation is learnt, and
 	// minVariationSamples the number from which on it is used.
-	maxVariationSamples, minVariationSamples = 64, 16
+	maxVariationSamples, minVariationSamples = 128, 16
 	// variationQuantile is the quantile of the samples that counts as the callers' variation. Some samples are not of first
 	// attempts, as other gateways refuse callers too.
-	variationQuantile = 0.95
+	variationQuantile = 0.98
 )
 
 // PatienceTracker learns, for each route, how long callers wait in total, counted from their first attempt. A returning
