Reports: a duplicated answer no longer releases a reservation in use

Cause: an answer to a request that was no longer pending was released, so a duplicate of an answer that had been delivered released the reservation whose request was about to be sent, and returned its permit of a rate limit. Refusals of 256 and above wrapped around to a granted reservation. Numbers began at 1 in every process, so an answer to an earlier process at the same address could be taken. An answer that came together with the end of the wait was neither used nor released.

Change: ended requests are remembered (the last 256) with their permits; an answer is released if its permit is not the one that was delivered, and only at a listed upstream. Numbers begin at random. Answers with a reservation have counters of their own, by reason.

--- a/internal/reports/permits.go
+++ b/internal/reports/permits.go
@@ -2,22 +2,48 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/throttle"
 )
 
+// maxSettledPermits bounds the ended permit requests that are remembered. They are remembered for longer than a reservation
+// is held that is neither taken nor released, unless a gateway sends more than six thousand a second.
+const maxSettledPermits = 256
+
 // pendingPermits holds the permit requests that await an answer.
 type pendingPermits struct {
 	mu         sync.Mutex
 	lastNumber uint64
 	pending    map[uint64]chan *pb.PermitAnswer
+	// settled has the permits of the requests that ended last, 0 for none, by number; settledOrder has their numbers from
+	// the place next on, the oldest first.
+	settled      map[uint64]uint64
+	settledOrder [maxSettledPermits]uint64
+	next         int
+}
+
+// newPendingPermits returns a set without requests. Numbers start at random, so that an answer to an earlier process at the
+// same address is not taken for one to this process.
+func newPendingPermits() pendingPermits {
+	return pendingPermits{lastNumber: uint64(rand.Uint32()), pending: map[uint64]chan *pb.PermitAnswer{}, settled: map[uint64]uint64{}}
+}
+
+// settle ends a permit request with its permit. The caller holds the lock.
+func (q *pendingPermits) settle(number, permit uint64) {
+	delete(q.pending, number)
+	delete(q.settled, q.settledOrder[q.next])
+	q.settled[number], q.settledOrder[q.next] = permit, number
+	q.next = (q.next + 1) % maxSettledPermits
 }
 
 // add registers a permit request and returns its number and the channel that receives its answer.
@@ -30,24 +56,28 @@
 	return q.lastNumber, answer
 }
 
-// resolve delivers the answer to a permit request. It returns false if the request is no longer pending.
-func (q *pendingPermits) resolve(a *pb.PermitAnswer) bool {
+// resolve delivers the answer to a permit request. It returns false if the permit in it is not used: its request was given
+// up before, or got another permit. A duplicate of an answer that was delivered is used.
+func (q *pendingPermits) resolve(a *pb.PermitAnswer) (used bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	c := q.pending[a.GetNumber()]
 	if c == nil {
-		return false
+		permit, known := q.settled[a.GetNumber()]
+		return known && permit == a.GetPermit()
 	}
 	c <- a
-	delete(q.pending, a.GetNumber())
+	q.settle(a.GetNumber(), a.GetPermit())
 	return true
 }
 
-// cancel removes a permit request whose caller has stopped waiting.
+// cancel ends a permit request whose caller has stopped waiting.
 func (q *pendingPermits) cancel(number uint64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	delete(q.pending, number)
+	if q.pending[number] != nil {
+		q.settle(number, 0)
+	}
 }
 
 // RequestPermit requests a permit from an upstream's stager. It returns the permit's number, or 0 if none is available,
@@ -61,15 +91,21 @@
 // ended.
 func (s *Subscriber) ask(ctx context.Context, address string, m *pb.PermitRequest) (a *pb.PermitAnswer, answered bool) {
 	number, answer := s.permitRequests.add()
-	defer s.permitRequests.cancel(number)
 	m.Number = number
 	s.sendToStager(address, m)
 	select {
 	case <-ctx.Done():
-		return nil, false
 	case a := <-answer:
 		return a, true
 	}
+	// An answer that came just before the cancellation is used, as nothing else would release its permit.
+	s.permitRequests.cancel(number)
+	select {
+	case a := <-answer:
+		return a, true
+	default:
+		return nil, false
+	}
 }
 
 // SendLimit sends an upstream's stager the rate limit that an answer of the upstream named.
@@ -100,6 +136,11 @@
 	s.onSent(s.domainOf(address), len(b))
 }
 
+// isListed reports whether an address is that of a listed upstream. A datagram must not make this process send to others.
+func (s *Subscriber) isListed(address string) bool {
+	return slices.ContainsFunc(s.facts.Instances(), func(i *facts.Instance) bool { return i.Address == address })
+}
+
 // domainOf returns the failure domain of a listed upstream.
 func (s *Subscriber) domainOf(address string) id.Domain {
 	for _, i := range s.facts.Instances() {
@@ -114,7 +155,7 @@
 func (s *Subscriber) handlePermitAnswer(r *pb.UpstreamReport) {
 	s.vars.Add("permit_answers", 1)
 	a := r.GetPermit()
-	if !s.permitRequests.resolve(a) && a.GetReservation() != nil && a.GetPermit() > 0 {
+	if !s.permitRequests.resolve(a) && a.GetReservation() != nil && a.GetPermit() > 0 && s.isListed(r.GetAddress()) {
 		s.vars.Add("late_reservations", 1)
 		s.ReleaseReservation(r.GetAddress(), a.GetPermit())
 	}
@@ -195,11 +236,7 @@
 		r.log.Error().Err(err).Msg("failed to encode a permit answer")
 		return
 	}
-	if a.GetPermit() > 0 {
-		r.vars.Add("permits", 1)
-	} else {
-		r.vars.Add("permits_refused", 1)
-	}
+	r.countAnswer(a)
 	if _, err := r.conn.WriteToUDP(b, addr); err != nil {
 		r.vars.Add("send_failed", 1)
 		return
--- a/internal/reports/reservations.go
+++ b/internal/reports/reservations.go
@@ -83,7 +83,7 @@
 		Permit: r.GetPermit(), FirstEvent: time.Duration(p.GetFirstEventUs()) * time.Microsecond, Refusal: admission.Refusal(p.GetRefusal()),
 		RoomIn: time.Duration(p.GetRoomInMs()) * time.Millisecond, Overloaded: p.GetOverloaded(),
 	}
-	if p.GetRefusal() < 0 || a.Refusal > admission.Version || (a.Permit == 0 && a.Refusal == admission.Admitted) {
+	if p.GetRefusal() < 0 || p.GetRefusal() > pb.ReservationRefusal(admission.Version) || (a.Permit == 0 && a.Refusal == admission.Admitted) {
 		a.Refusal = admission.Busy
 	}
 	return a
@@ -114,3 +114,27 @@
 	a := r.ledger.Reserve(reservationFromProto(m))
 	return &pb.PermitAnswer{Number: m.GetNumber(), Permit: a.Permit, Reservation: answerToProto(&a)}
 }
+
+// refusalCounters are the counters of the answers without a reservation.
+var refusalCounters = map[pb.ReservationRefusal]string{
+	pb.ReservationRefusal_RESERVATION_REFUSAL_BUSY:    "reservations_refused_busy",
+	pb.ReservationRefusal_RESERVATION_REFUSAL_RANK:    "reservations_refused_rank",
+	pb.ReservationRefusal_RESERVATION_REFUSAL_SHARE:   "reservations_refused_share",
+	pb.ReservationRefusal_RESERVATION_REFUSAL_LIMIT:   "reservations_refused_limit",
+	pb.ReservationRefusal_RESERVATION_REFUSAL_CLOSED:  "reservations_refused_closed",
+	pb.ReservationRefusal_RESERVATION_REFUSAL_VERSION: "reservations_refused_version",
+}
+
+// countAnswer counts an answer: permits, and reservations by the reason for a refusal.
+func (r *Reporter) countAnswer(a *pb.PermitAnswer) {
+	switch {
+	case a.GetReservation() == nil && a.GetPermit() > 0:
+		r.vars.Add("permits", 1)
+	case a.GetReservation() == nil:
+		r.vars.Add("permits_refused", 1)
+	case a.GetPermit() > 0:
+		r.vars.Add("reservations", 1)
+	default:
+		r.vars.Add(refusalCounters[a.GetReservation().GetRefusal()], 1)
+	}
+}
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -124,7 +124,7 @@
 		OnCrashNews:    func(*pb.CrashNews) {},
 		demandMeter:    placement.NewDemandMeter(now),
 		onSent:         func(id.Domain, int) {},
-		permitRequests: pendingPermits{pending: map[uint64]chan *pb.PermitAnswer{}},
+		permitRequests: newPendingPermits(),
 	}
 	s.tracker.Gateways = s.GatewayCount
 	return s
