Stager: reports every 400 ms while reservations are asked for

Cause: a report went out up to 50 ms early, which made up for polls 100 ms apart. While reservations are asked for polls come every 20 ms, so each report was early and the interval 350 ms.

Change: the next report is due an interval after the last one was due, not after it was sent.

--- a/internal/stager/leaving_announcement_test.go
+++ b/internal/stager/leaving_announcement_test.go
@@ -14,12 +14,18 @@
 	"github.com/springrail/springrail/internal/id"
 )
 
-// subscribe subscribes a gateway to a stager's reports and returns a function that reads the next one.
+// subscribe subscribes a gateway of another failure domain to a stager's reports and returns a function that reads the next
+// one.
 func subscribe(to *net.UDPAddr) func() *pb.UpstreamReport {
+	return subscribeIn("", to)
+}
+
+// subscribeIn subscribes a gateway of a failure domain.
+func subscribeIn(domain string, to *net.UDPAddr) func() *pb.UpstreamReport {
 	gateway, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(gateway.Close)
-	subscription, err := proto.Marshal(&pb.ReportSubscription{Sender: gateway.LocalAddr().String()})
+	subscription, err := proto.Marshal(&pb.ReportSubscription{Sender: gateway.LocalAddr().String(), Domain: domain})
 	Expect(err).NotTo(HaveOccurred())
 	_, err = gateway.WriteToUDP(subscription, to)
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -168,16 +168,22 @@
 // Run polls the upstream, publishes reports and deploys versions until the context ends.
 func (s *Stager) Run(ctx context.Context) error {
 	go s.reconcile(ctx)
-	last := s.now()
+	nextReport := s.now().Add(s.reporter.Interval())
 	for first := true; ctx.Err() == nil; first = false {
 		changed := s.pollUpstream(ctx)
 		if first {
 			// Before the first poll a report would say that the upstream is down.
 			go s.reportAnnouncements(ctx)
 		}
-		if now := s.now(); changed || now.Sub(last) >= s.reporter.Interval()-pollInterval/2 {
+		if now := s.now(); changed || !now.Before(nextReport.Add(-pollInterval/2)) {
 			s.publish()
-			last = now
+			// A report that goes out a little early doesn't advance the next one: while reservations are asked for, polls are
+			// so frequent that every report would be early.
+			interval := s.reporter.Interval()
+			nextReport = nextReport.Add(interval)
+			if earliest := now.Add(interval - pollInterval/2); changed || nextReport.Before(earliest) {
+				nextReport = now.Add(interval)
+			}
 		}
 		s.waitForPoll(ctx)
 	}
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -73,6 +73,8 @@
 	newest id.Revision
 	// onLastChunkRead runs once, when the last staged chunk has been read.
 	onLastChunkRead func()
+	// onPoll runs before each read of the state.
+	onPoll func()
 }
 
 func newFakeUpstream(held ...facts.Held) *fakeUpstream {
@@ -88,6 +90,12 @@
 func (e *fakeUpstream) ports() *Ports {
 	return &Ports{Address: "127.0.0.1:9", Upstream: Upstream{
 		State: func(context.Context) (State, error) {
+			e.mu.Lock()
+			onPoll := e.onPoll
+			e.mu.Unlock()
+			if onPoll != nil {
+				onPoll()
+			}
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			if e.down {
@@ -216,6 +224,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { _ = c.Close() })
 	s.reporter = reports.NewReporter(c, "d", f, time.Now, quiet)
+	s.reporter.OnReservation = s.pollForReservation
 	ctx, stop := context.WithCancel(context.Background())
 	DeferCleanup(stop)
 	go func() { _ = s.reporter.Run(ctx) }()
