--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -104,9 +104,9 @@
 func (f *callerRequest) upstreamRequest(c placement.Choice) *upconn.Request {
 	r := f.httpRequest
 	h := forwardedHeader(r.Header)
-	s := ForwardMeta{Instance: c.Instance, Organisation: f.organisation, Timeout: f.deadline.Sub(f.gateway.now()), LastEventID: f.events.lastID}
-	if f.headSent || f.gateway.facts.MinRevision(f.meta.Model, f.gateway.settings.SwapWithin-swapMargin) > 0 {
-		s.Revision = c.Revision
+	s := ForwardMeta{
+		Instance: c.Instance, Organisation: f.organisation, Timeout: f.deadline.Sub(f.gateway.now()), LastEventID: f.events.lastID,
+		Revision: f.expectedRevision(c),
 	}
 	if f.ranked() {
 		s.Ranked, s.QueuePriority = true, min(slices.Index(f.catalog.Ranks(f.pool), f.rank), maxQueuePriority)
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -43,16 +43,16 @@
 	// one.
 	PermitDenied  map[id.Instance]bool
 	NoMorePermits bool
-	// Excluded are upstreams whose stagers say that they take no requests now; nil before the first question. OtherDomains
-	// excludes the upstreams of this process's own failure domain.
-	Excluded     map[id.Instance]bool
-	OtherDomains bool
+	// Excluded are upstreams whose stagers say that they take no requests now; nil before the first question.
+	Excluded map[id.Instance]bool
 	// Regions are the regions in which the request may be served.
 	Regions catalog.Regions
 	// HeadSent is true once the caller has the header of a response that was made with Revision.
 	HeadSent bool
 	Revision id.Revision
 
+	// scope are the failure domains whose upstreams may be chosen.
+	scope    domainScope
 	decision decision
 	// newestRevision is the newest published version of the model that this process knows of.
 	newestRevision id.Revision
@@ -227,7 +227,7 @@
 	}
 	q.newestRevision = d.Facts.Wanted(q.Model).Revision
 	for _, i := range d.Facts.Instances() {
-		if i.Pool != q.Pool || !d.mayServe(q, i.Domain) || q.Excluded[i.ID] || (q.OtherDomains && i.Domain == d.Location.Domain) {
+		if i.Pool != q.Pool || !d.mayServe(q, i.Domain) || q.Excluded[i.ID] || !q.scope.contains(i.Domain, d.Location.Domain) {
 			continue
 		}
 		if i.Leaving {
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -136,7 +136,7 @@
 func (t *attempt) forkRequest() *callerRequest {
 	f := t.request
 	copied := &callerRequest{
-		gateway: f.gateway, meta: f.meta, route: f.route, catalog: f.catalog, pool: f.pool, organisation: f.organisation, rank: f.rank, hedged: true, httpRequest: f.httpRequest,
+		gateway: f.gateway, meta: f.meta, route: f.route, catalog: f.catalog, pool: f.pool, organisation: f.organisation, rank: f.rank, regions: f.regions, hedged: true, httpRequest: f.httpRequest,
 		arrived: f.arrived, elapsedBefore: f.elapsedBefore, deadline: f.deadline, callerDeadline: f.callerDeadline, body: f.body, unreadBody: f.unreadBody,
 		tried: maps.Clone(f.tried), attempts: t.attemptNumber, allNotRun: true, fingerprint: f.fingerprint, exclusive: f.exclusive,
 		headSent: t.position.headSent, revision: t.position.revision, events: eventSplitter{lastID: t.position.lastEventID},
--- a/internal/gateway/location.go
+++ b/internal/gateway/location.go
@@ -22,3 +22,17 @@
 	}
 	return false
 }
+
+// domainScope are the failure domains whose upstreams are considered.
+type domainScope uint8
+
+const (
+	anyDomain domainScope = iota
+	ownDomain
+	otherDomains
+)
+
+// contains reports whether upstreams of a failure domain are considered by a gateway in the domain own.
+func (s domainScope) contains(d, own id.Domain) bool {
+	return s == anyDomain || (s == ownDomain) == (d == own)
+}
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -2,10 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
-	"github.com/phuslu/log"
-
 	"github.com/springrail/springrail/internal/admission"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/placement"
@@ -48,182 +47,106 @@
 	return s != nil && s.Engine != nil && g.settings.ReservationMinGateways > 0 && len(g.facts.Gateways()) >= g.settings.ReservationMinGateways
 }
 
-// reserve asks a few upstreams for a reservation and takes the one with the soonest first event. It returns neither a
-// permit nor a Refusal if the answers don't decide, as none came.
+// reserve asks a few upstreams for a reservation and takes the one with the soonest first event: upstreams of the own failure
+// domain, and others only if none there has room. It returns neither a permit nor a Refusal if the answers don't decide.
 func (f *callerRequest) reserve(ctx context.Context, q *Query) (placement.Choice, *Refusal) {
-	b := f.gateway.balancer()
-	var refused []reservationOffer
+	refused, silent := []reservationOffer(nil), false
 	for range reservationRounds {
-		l, refusal := b.Choices(q, maxReservationRequests)
-		f.decision = q.decision
-		if q.Excluded == nil {
-			q.Excluded = map[id.Instance]bool{}
-		}
-		if len(l) == 0 {
-			return placement.Choice{}, refusal
+		own := f.ownChoices(q)
+		if len(own) == 0 {
+			break
 		}
-		offers := f.askAll(ctx, q, ownDomain(l, f.gateway.location.Domain))
-		if c, ok := f.takeSoonest(offers); ok {
+		offers := f.askAll(ctx, own)
+		if c, ok := f.takeSoonest(ctx, offers); ok {
 			return c, nil
 		}
-		refused = append(refused, offers...)
-		if !excludeClosed(q, offers) {
+		if ctx.Err() != nil {
+			return placement.Choice{}, &Refusal{Reason: endedWhileAsking}
+		}
+		refused, silent = append(refused, offers...), len(offers) == 0
+		if !q.excludeClosed(offers) {
 			break
 		}
 	}
-	if len(refused) == 0 {
+	if silent {
 		return placement.Choice{}, nil
 	}
-	q.OtherDomains = true
-	if l, refusal := b.Choices(q, maxReservationRequests); refusal == nil {
-		if c, ok := f.takeSoonest(f.askAll(ctx, q, l)); ok {
+	if l := f.otherChoices(q); len(l) > 0 {
+		offers := f.askAll(ctx, l)
+		if c, ok := f.takeSoonest(ctx, offers); ok {
 			return c, nil
 		}
+		if ctx.Err() != nil {
+			return placement.Choice{}, &Refusal{Reason: endedWhileAsking}
+		}
+		refused = append(refused, offers...)
+	}
+	switch {
+	case len(refused) == 0:
+		return placement.Choice{}, nil
+	case f.headSent:
+		f.includeAllIfNone(q)
+		return placement.Choice{}, nil
 	}
-	q.OtherDomains = false
 	return placement.Choice{}, f.refuseReservation(q, refused)
 }
 
-// ownDomain returns the choices in a failure domain.
-func ownDomain(l []placement.Choice, d id.Domain) []placement.Choice {
-	var own []placement.Choice
-	for _, c := range l {
-		if c.Domain == d {
+// ownChoices returns the upstreams of the own failure domain that are asked. The assignment may place the request in another
+// domain by a view that is older than the answers; the own ones are then drawn separately.
+func (f *callerRequest) ownChoices(q *Query) []placement.Choice {
+	b := f.gateway.balancer()
+	l, _ := b.Choices(q, maxReservationRequests)
+	f.decision = q.decision
+	if q.Excluded == nil {
+		q.Excluded = map[id.Instance]bool{}
+	}
+	isOther := func(c placement.Choice) bool { return c.Domain != b.Location.Domain }
+	if !slices.ContainsFunc(l, isOther) {
+		return l
+	}
+	own := slices.DeleteFunc(l, isOther)
+	q.scope = ownDomain
+	defer func() { q.scope = anyDomain }()
+	more, _ := b.Choices(q, maxReservationRequests)
+	for _, c := range more {
+		same := func(o placement.Choice) bool { return o.Instance == c.Instance }
+		if len(own) < maxReservationRequests && !slices.ContainsFunc(own, same) {
 			own = append(own, c)
 		}
 	}
 	return own
 }
 
-// reservationOffer is a stager's answer with the upstream that it is about.
-type reservationOffer struct {
-	choice placement.Choice
-	answer reservation.Answer
-	// askedAt is when it was asked for.
-	askedAt time.Time
-}
-
-// excludeClosed excludes the upstreams that take no requests at all, and reports whether all offers are of such ones.
-func excludeClosed(q *Query, offers []reservationOffer) bool {
-	excluded := 0
-	for _, o := range offers {
-		switch o.answer.Refusal {
-		case admission.Closed, admission.Version, admission.Limit:
-			q.Excluded[o.choice.Instance] = true
-			excluded++
-		default:
-		}
-	}
-	return excluded > 0 && excluded == len(offers)
-}
-
-// askAll asks upstreams for reservations and returns the answers that came in time.
-func (f *callerRequest) askAll(ctx context.Context, q *Query, l []placement.Choice) []reservationOffer {
-	g := f.gateway
-	if len(l) == 0 {
-		return nil
-	}
-	ctx, stop := context.WithTimeout(ctx, reservationTimeout)
-	defer stop()
-	start := g.now()
-	r := f.reservationRequest(q, len(l))
-	answers := make(chan *reservationOffer, len(l))
-	for _, c := range l {
-		go func() { answers <- f.ask(ctx, c, r) }()
-	}
-	offers := f.collect(answers, len(l), stop)
-	f.reservation.asked += len(l)
-	f.reservation.answered += len(offers)
-	f.reservation.took += g.now().Sub(start)
-	g.metrics.add("reservations_asked", len(l))
-	g.metrics.add("reservations_unanswered", len(l)-len(offers))
-	return offers
-}
-
-// collect waits for n answers. Stragglers have less time than the first one, after which stop ends the wait for them.
-func (f *callerRequest) collect(answers <-chan *reservationOffer, n int, stop context.CancelFunc) []reservationOffer {
-	stragglersDue := time.NewTimer(stragglerTimeout)
-	defer stragglersDue.Stop()
-	var offers []reservationOffer
-	due := false
-	for range n {
-		var o *reservationOffer
-		select {
-		case o = <-answers:
-		case <-stragglersDue.C:
-			due = true
-			if len(offers) > 0 {
-				stop()
-			}
-			o = <-answers
-		}
-		if o != nil {
-			offers = append(offers, *o)
-		}
-		if due && len(offers) > 0 {
-			stop()
-		}
-	}
-	return offers
-}
-
-// ask asks one upstream's stager; it returns nil without an answer.
-func (f *callerRequest) ask(ctx context.Context, c placement.Choice, r reservation.Request) *reservationOffer {
-	g := f.gateway
-	o := &reservationOffer{choice: c, askedAt: g.now()}
-	a, offered, answered := g.loadSources.Reservations.Reserve(ctx, c.Address, c.Incarnation, r)
-	switch {
-	case !answered:
+// otherChoices returns the upstreams of other failure domains that are asked, if the view shows capacity there.
+func (f *callerRequest) otherChoices(q *Query) []placement.Choice {
+	q.scope = otherDomains
+	defer func() { q.scope = anyDomain }()
+	l, refusal := f.gateway.balancer().Choices(q, maxReservationRequests)
+	if refusal != nil {
 		return nil
-	case !offered && a.Permit == 0:
-		a.Refusal = admission.Limit
-	case !offered:
-		// The stager predicts nothing, so that the prediction of this process and its admission apply.
-		a.FirstEvent = c.Predicted
-		if a.Refusal = admission.Admitted; !c.HasCapacity && !r.Begun {
-			a.Refusal = admission.Busy
-		}
 	}
-	o.answer = a
-	return o
+	return l
 }
 
-// reservationRequest returns the request as stagers are asked for it.
-func (f *callerRequest) reservationRequest(q *Query, asked int) reservation.Request {
-	b := f.gateway.balancer()
-	target := f.admissionTarget()
-	r := reservation.Request{
-		PromptTokens: f.meta.PromptTokens, AnswerTokens: f.expectedAnswerTokens(), Target: target, Late: !placement.InTime(0, b.elapsed(q), target),
-		Begun: f.headSent || f.hedged, Rank: int(f.rank), Organisation: f.organisation, Asked: asked, Model: f.meta.Model,
+// includeAllIfNone includes the excluded upstreams again where no other is left. A stream that has begun is not refused: it
+// is sent to one of them, which may have reopened since its answer.
+func (f *callerRequest) includeAllIfNone(q *Query) {
+	if l, _ := f.gateway.balancer().Choices(q, 1); len(l) == 0 {
+		clear(q.Excluded)
 	}
-	if f.headSent {
-		r.Revision = f.revision
-	}
-	return r
 }
 
-// admissionTarget returns the latency target by which the request is admitted: that of its rank, where the pool has
-// several.
-func (f *callerRequest) admissionTarget() time.Duration {
-	if f.ranked() {
-		return f.catalog.RankLatencyTarget(f.pool, f.route)
-	}
-	return f.catalog.LatencyTarget(f.pool)
-}
-
-// ranked reports whether requests of different ranks compete for the pool's engines.
-func (f *callerRequest) ranked() bool {
-	s := f.catalog.Services[f.pool]
-	return s != nil && s.Engine != nil && len(f.catalog.Ranks(f.pool)) > 1
-}
+// endedWhileAsking is the reason for a request whose caller has left, or whose deadline has passed, before an answer came.
+const endedWhileAsking = "ended while it asked for a reservation"
 
-// takeSoonest takes the reservation with the soonest first event and releases the others.
-func (f *callerRequest) takeSoonest(offers []reservationOffer) (placement.Choice, bool) {
+// takeSoonest takes the reservation with the soonest first event and releases the others; all of them if the request has
+// ended meanwhile.
+func (f *callerRequest) takeSoonest(ctx context.Context, offers []reservationOffer) (placement.Choice, bool) {
 	g := f.gateway
 	var soonest *reservationOffer
 	for i := range offers {
 		o := &offers[i]
-		if o.answer.Refusal == admission.Admitted && (soonest == nil || o.answer.FirstEvent < soonest.answer.FirstEvent) {
+		if ctx.Err() == nil && o.answer.Refusal == admission.Admitted && (soonest == nil || o.answer.FirstEvent < soonest.answer.FirstEvent) {
 			soonest = o
 		}
 	}
@@ -234,6 +157,7 @@
 			g.loadSources.Reservations.Take(o.choice.Address, o.answer.Permit)
 		case o.answer.Permit > 0:
 			g.loadSources.Reservations.Release(o.choice.Address, o.answer.Permit)
+			g.metrics.count("reservations_released")
 		}
 	}
 	if soonest == nil {
@@ -250,62 +174,3 @@
 	g.metrics.count("reservations_taken")
 	return c, true
 }
-
-// refusalReasons are the reasons that callers and logs are given, the one that applies first where upstreams differ.
-var refusalReasons = []struct {
-	refusal admission.Refusal
-	reason  string
-}{
-	{admission.Busy, "too busy"},
-	{admission.Rank, "rank"},
-	{admission.Share, "share of the organisation"},
-}
-
-// refuseReservation refuses a request for which no upstream that answered has room. In overload callers return at a random
-// time up to the longest wait that they accept: one that returns into the same burst is refused for good.
-func (f *callerRequest) refuseReservation(q *Query, offers []reservationOffer) *Refusal {
-	b := f.gateway.balancer()
-	roomIn, overloaded := time.Duration(-1), false
-	for _, o := range offers {
-		overloaded = overloaded || o.answer.Overloaded
-		if roomIn < 0 || o.answer.RoomIn < roomIn {
-			roomIn = o.answer.RoomIn
-		}
-	}
-	for _, r := range refusalReasons {
-		for _, o := range offers {
-			if o.answer.Refusal != r.refusal {
-				continue
-			}
-			f.gateway.metrics.count("refused: " + r.reason)
-			remaining := q.CallerDeadline.Sub(b.Now())
-			if overloaded {
-				return &Refusal{Reason: r.reason, RetryAfter: placement.SpreadRetryAfter(roomIn, remaining, b.Random()), Predicted: o.answer.FirstEvent}
-			}
-			return &Refusal{Reason: r.reason, RetryAfter: placement.RetryAfter(roomIn, remaining, b.Random()), Predicted: o.answer.FirstEvent}
-		}
-	}
-	return b.refuseNoUpstream(q, q.decision.retryAfterSwap(b.Now()))
-}
-
-// logReservation adds what is known of the request's reservation to its log line.
-func (f *callerRequest) logReservation(e *log.Entry) *log.Entry {
-	if f.reservation.asked == 0 {
-		return e
-	}
-	return e.Int("asked", f.reservation.asked).Int("offers", f.reservation.answered).Int64("reserve_us", f.reservation.took.Microseconds()).Int("rank", int(f.rank))
-}
-
-// expectedAnswerTokens returns the expected length of the rest of the answer, in tokens.
-func (f *callerRequest) expectedAnswerTokens() float64 {
-	e := f.catalog.Services[f.pool].Engine
-	whole := f.gateway.answerLengths.Expected(f.route.Name, e.MeanAnswerTokens, f.meta.MaxAnswerTokens)
-	return max(float64(e.StepsPerPass), whole-float64(f.events.forwarded*e.StepsPerPass))
-}
-
-// recordAnswerLength learns from a complete answer.
-func (f *callerRequest) recordAnswerLength() {
-	if s := f.catalog.Services[f.pool]; s != nil && s.Engine != nil && f.events.forwarded > 0 {
-		f.gateway.answerLengths.Record(f.route.Name, float64(f.events.forwarded*s.Engine.StepsPerPass))
-	}
-}
