--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -112,8 +112,11 @@
 	DescribeTable("is refused at once if all stagers refuse", func(a reservation.Answer, why string, least time.Duration) {
 		b := newEngines("d1", "d2", "d3", "d4")
 		s := b.reserveWith(func(context.Context, string) (reservation.Answer, bool, bool) { return a, true, true })
+		start := time.Now()
 		r, body, err := b.sendRequest("POST", "/p/", "x", xModel, "m", xTimeout, "6000")
 		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(start)).To(BeNumerically("<", 300*time.Millisecond), "far below any Retry-After, on a busy machine too")
+		Expect(s.asked).To(HaveLen(len(slices.Compact(slices.Sorted(slices.Values(s.asked))))), "no stager is asked twice")
 		Expect(r.StatusCode).To(Equal(503))
 		Expect(body).To(Equal(why + "\n"))
 		Expect(b.upstreamCount("1")).To(BeZero())
