The soak plays reservations, ranks and lost datagrams

Cause: the soak's gateways never asked for reservations, all requests to engines had one rank, and no fault touched the datagrams between gateways and stagers.

Change: - Two routes to the engines and two organisations of different priority; gateway.reservation_min_gateways is 2, as a failure domain has two of the four gateways. - A relay in the soak's process passes on all datagrams between gateways and stagers. Faults: datagram-loss, datagram-delay, datagram-double, and stager-pause-reserved, stager-kill-reserved, gateway-pause-reserved, which stop a process under a reservation that a stager has offered and the gateway has not received. origin-outage takes the origin away around two versions. - Checks late-refusal, priority and rank, each with specs of histories that break it and of ones that do not. Faults of datagrams excuse nothing in any check.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -51,6 +51,8 @@
 type callerRequest struct {
 	id, path, body string
 	stream, unsafe bool
+	// key is the API key, and ownPriority the Priority header that the caller sends itself.
+	key, ownPriority string
 	// configVersion is the configuration that contains the path's route; 0 means that every configuration does.
 	configVersion int
 }
@@ -100,10 +102,11 @@
 func (c *Caller) nextRequest() callerRequest {
 	c.sentCount++
 	a := callerRequest{id: fmt.Sprintf("%s-%d", c.name, c.sentCount), path: "/look/"}
+	a.key, a.ownPriority = [...]string{gymKey, labKey}[c.sentCount%2], ownPriorities[c.sentCount%len(ownPriorities)]
 	a.body = a.id + strings.Repeat("x", c.random.IntN(maxBodyBytes))
 	switch n := c.random.IntN(100); {
 	case n < 30:
-		a.path, a.stream = "/chat/", true
+		a.path, a.stream = [...]string{chatPath, bulkPath}[c.sentCount/2%2], true
 	case n < 60:
 		a.path, a.unsafe = "/desk/", true
 	case n < 75:
@@ -122,7 +125,10 @@
 	}
 	q.Header.Set("Request-Id", a.id)
 	q.Header.Set("Deadline-Ms", strconv.FormatInt(callerDeadline.Milliseconds(), 10))
-	q.Header.Set("Authorization", "Bearer k")
+	q.Header.Set("Authorization", "Bearer "+a.key)
+	if a.ownPriority != "" {
+		q.Header.Set("Priority", a.ownPriority)
+	}
 	if a.stream {
 		q.Header.Set("Model", model)
 		q.Header.Set("Token-Usage", "100,60")
@@ -137,7 +143,7 @@
 		c.history.RecordEvent("%s: %v", a.id, err)
 		return
 	}
-	c.history.RecordSent(a.id, &request{gateway: c.gateway, unsafe: a.unsafe})
+	c.history.RecordSent(a.id, &request{gateway: c.gateway, unsafe: a.unsafe, priority: queuePriorities[a.key+a.path], ownPriority: a.ownPriority})
 	timeout := callerTimeout
 	if closesEarly := c.random.Float64() < earlyCloseShare; closesEarly {
 		timeout = time.Duration(c.random.Int64N(int64(maxEarlyClose)))
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -83,6 +83,7 @@
 	r.sent = b.now()
 	b.requests[id] = r
 	b.counts["sent"]++
+	b.countRank(r)
 	if b.inFinalPhase() && !r.crashesUpstreams {
 		b.counts[countSentAtEnd]++
 	}
@@ -254,6 +255,8 @@
 	r := b.requests[id]
 	r.refused = status
 	b.counts["refused"]++
+	b.countRank(r)
+	b.checkRefusalTime(r, id, status)
 	if r.runs > 0 {
 		b.recordViolation("refused-ran", r.gateway.name, id, "", "its caller received status %d although it ran %d times", status, r.runs)
 	}
--- a/internal/soak/crasher.go
+++ b/internal/soak/crasher.go
@@ -39,7 +39,7 @@
 	w.history.RecordEvent("a request that crashes upstreams is sent repeatedly: %s", body)
 	every := minCrashRetryInterval + time.Duration(s.Magnitude*float64(time.Second))
 	for n := 0; ctx.Err() == nil; n++ {
-		a := callerRequest{id: fmt.Sprintf("%s.%d", body, n), path: "/chat/", body: body, stream: true}
+		a := callerRequest{id: fmt.Sprintf("%s.%d", body, n), path: chatPath, body: body, stream: true, key: gymKey}
 		g := w.gateways[n%len(w.gateways)]
 		w.runningSteps.Go(func() { w.sendOnce(ctx, &a, g) })
 		kernel.Pause(ctx, every)
@@ -53,7 +53,7 @@
 		w.history.RecordEvent("%s: %v", a.id, err)
 		return
 	}
-	w.history.RecordSent(a.id, &request{gateway: g, crashesUpstreams: true})
+	w.history.RecordSent(a.id, &request{gateway: g, crashesUpstreams: true, priority: queuePriorities[a.key+a.path]})
 	ctx, stop := context.WithTimeout(ctx, callerDeadline)
 	defer stop()
 	q = q.WithContext(ctx)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -22,6 +22,7 @@
 	settings      *Settings
 	history       *History
 	store         *standin.KeyedStore
+	relay         *Relay
 	net           string
 	netLock       net.Listener
 	originAddress string
@@ -71,10 +72,12 @@
 		return nil, err
 	}
 	w := &Fleet{settings: s, history: b, store: standin.NewKeyedStore(), net: n, netLock: lock, originAddress: n + ".3.1:8001"}
+	w.relay = newRelay(s.Seed, b.Count)
 	l, err := listenLink(w.originAddress)
 	if err != nil {
 		return w, err
 	}
+	b.streamTargets = append(b.streamTargets, w.originAddress)
 	w.originSlot = &Slot{address: w.originAddress, link: l}
 	go func() {
 		_ = standin.ServeOn(ctx, l, standin.ModelOrigin{Model: model, Chunks: chunks, ChunkBytes: chunkBytes})
@@ -104,6 +107,7 @@
 	s := &Slot{address: address, pool: pool, domain: w.domain(i), history: w.history, store: w.store}
 	if pool == "engines" {
 		s.eventInterval = eventIntervals[i%len(eventIntervals)]
+		w.history.streamTargets = append(w.history.streamTargets, address)
 	}
 	*to = append(*to, s)
 	if err := s.Start(ctx); err != nil {
@@ -141,8 +145,12 @@
 // startProcess writes a program's settings, opens its endpoint of the store and starts it.
 func (w *Fleet) startProcess(ctx context.Context, i int, kind, text, ip string) (*Process, error) {
 	name := fmt.Sprintf("%s-%d", kind, i+1)
+	w.history.streamTargets = append(w.history.streamTargets, name)
 	group := map[string]int{"gateway": 1, "stager": 2}[kind]
 	endpoint := fmt.Sprintf("%s.4.%d:80%02d", w.net, i+1, group)
+	if err := w.relay.Serve(ctx, ip); err != nil {
+		return nil, err
+	}
 	d, err := serveStoreEndpoint(ctx, w.store, endpoint)
 	if err != nil {
 		return nil, err
@@ -153,7 +161,7 @@
 		return nil, trace.Wrap(err)
 	}
 	p := &Process{
-		name: name, program: filepath.Join(w.settings.BinDir, "springrail-"+kind), settingsFile: file,
+		name: name, ip: ip, program: filepath.Join(w.settings.BinDir, "springrail-"+kind), settingsFile: file,
 		logFile: filepath.Join(w.settings.LogDir, name+".log"), store: d, history: w.history,
 	}
 	return p, p.Start()
@@ -269,5 +277,6 @@
 	running.Wait()
 	w.runningSteps.Wait()
 	w.history.CheckFinalPhase()
+	w.history.CheckRanks()
 	return nil
 }
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -82,6 +82,10 @@
 	reached []string
 	runs    int
 	version int
+	// priority is the Priority header that the request must have at upstreams, and ownPriority the one of its caller.
+	priority, ownPriority string
+	// offered is true once a faulty link to an upstream has received it, and countsInRank if it is sent to a healthy fleet.
+	offered, countsInRank bool
 }
 
 // History records injected faults and observations, and detects broken guarantees. It is safe for concurrent use.
@@ -106,6 +110,8 @@
 	requests map[string]*request
 	crashes  map[string]*crashRecord
 	limits   map[string]*limit
+	// streamTargets are what answers to streams depend on.
+	streamTargets []string
 	// announced holds what upstreams have announced to gateways in their answers, by gateway and instance.
 	announced  map[string]*announcements
 	violations []*Violation
@@ -117,6 +123,7 @@
 	return &History{
 		seed: seed, start: now(), now: now, spans: map[string][]*faultSpan{}, departed: map[string]departure{},
 		requests: map[string]*request{}, crashes: map[string]*crashRecord{}, limits: map[string]*limit{}, announced: map[string]*announcements{}, counts: map[string]int{},
+		streamTargets: []string{storeTarget, machineTarget, datagramTarget},
 	}
 }
 
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -58,6 +58,12 @@
 		w.restUpstream(ctx, s)
 	case doStoreRestore:
 		w.restoreStore(ctx, s)
+	case doDatagramLoss, doDatagramDelay, doDatagramDouble:
+		w.faultDatagrams(ctx, s)
+	case doStagerPauseReserved, doStagerKillReserved, doGatewayPauseReserved:
+		w.faultAtReservation(ctx, s)
+	case doOriginOutage:
+		w.faultOrigin(ctx, s)
 	}
 }
 
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -14,6 +14,8 @@
 // proxy.
 type Link struct {
 	net.Listener
+	// onFaultyRead is called with incoming data that is delayed or discarded; it is set before the first connection.
+	onFaultyRead func(data []byte)
 
 	mu    sync.Mutex
 	conns map[*linkConn]struct{}
@@ -30,7 +32,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &Link{Listener: l, conns: map[*linkConn]struct{}{}}, nil
+	return &Link{Listener: l, conns: map[*linkConn]struct{}{}, onFaultyRead: func([]byte) {}}, nil
 }
 
 // Accept implements net.Listener.
@@ -115,6 +117,9 @@
 	for {
 		n, err := c.Conn.Read(b)
 		silent, delay, _ := c.state()
+		if n > 0 && (silent || delay > 0) {
+			c.link.onFaultyRead(b[:n])
+		}
 		if silent && err == nil {
 			continue
 		}
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -45,9 +46,13 @@
 
 	It("silences a connection for good without a reset while new ones work", func() {
 		existing := dial()
+		var discarded atomic.Int32
+		l.onFaultyRead = func(data []byte) { discarded.Add(int32(len(data))) }
 		l.SetSilent(false)
 		Expect(echo(existing)).To(MatchError(ContainSubstring("timeout")))
+		Expect(discarded.Load()).To(Equal(int32(1)), "an attempt over a silent link counts as one")
 		Expect(echo(dial())).To(Succeed())
+		Expect(discarded.Load()).To(Equal(int32(1)))
 		l.SetSilent(false)
 		Expect(echo(existing)).To(MatchError(ContainSubstring("timeout")))
 	})
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -34,6 +34,24 @@
 	doPauseUpstream = "upstream-busy"
 	doRetryAfter    = "rest"
 	doStoreRestore  = "store-return"
+
+	doDatagramLoss         = "datagram-loss"
+	doDatagramDelay        = "datagram-delay"
+	doDatagramDouble       = "datagram-double"
+	doStagerPauseReserved  = "stager-pause-reserved"
+	doStagerKillReserved   = "stager-kill-reserved"
+	doGatewayPauseReserved = "gateway-pause-reserved"
+	doOriginOutage         = "origin-outage"
+)
+
+// reservationFaults lists the faults of reservations, which are drawn at a mean interval of meanReservationInterval each.
+var reservationFaults = []string{doDatagramLoss, doDatagramDelay, doDatagramDouble, doStagerPauseReserved, doStagerKillReserved, doGatewayPauseReserved}
+
+const (
+	// minReservationFault and maxReservationFault bound their duration. A reservation lasts 40 to 500 ms.
+	meanReservationInterval, minReservationFault, maxReservationFault = 15 * time.Second, 20 * time.Millisecond, 3 * time.Second
+	// meanOutageInterval is the mean time between two outages of the origin; minOutage and maxOutage bound one.
+	meanOutageInterval, minOutage, maxOutage = 25 * time.Second, 2 * time.Second, 7 * time.Second
 )
 
 // faultNames lists the faults that are drawn. A fault listed several times is drawn more often: those that can hide the
@@ -106,6 +124,10 @@
 	p.drawPauses(allowed)
 	p.drawRecurring(allowed, doRetryAfter, meanRestInterval, minRestDuration, maxRestDuration)
 	p.drawRecurring(allowed, doStoreRestore, meanRestoreInterval, 0, maxRestoreOutage)
+	for _, do := range reservationFaults {
+		p.drawRecurring(allowed, do, meanReservationInterval, minReservationFault, maxReservationFault)
+	}
+	p.drawRecurring(allowed, doOriginOutage, meanOutageInterval, minOutage, maxOutage)
 	slices.SortStableFunc(p.steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p.steps
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -29,7 +29,7 @@
 
 // Process is a program under test with its state.
 type Process struct {
-	name, program, settingsFile, logFile string
+	name, ip, program, settingsFile, logFile string
 	// readyURL is the readiness probe of a gateway; empty for stagers.
 	readyURL string
 	// callerAddress is the address for callers.
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -62,11 +62,13 @@
 config_wait = "700ms"
 list_every = "700ms"
 `
+	// gatewaySettings switch reservations on where a failure domain has two gateways, and let datagrams pass the relay.
 	gatewaySettings = commonSettings + `[gateway]
 listen = "%[5]s:8005"
 swap_within = "%[6]s"
+reservation_min_gateways = 2
 [subscriber]
-listen = "%[5]s:7700"
+listen = "%[5]s:7701"
 port = 7700
 [readiness]
 listen = "%[5]s:8002"
@@ -80,14 +82,17 @@
 [upstream]
 address = "%[5]s:8001"
 [reporter]
-listen = "%[5]s:7700"
+listen = "%[5]s:7701"
 port = 7700
 `
 	routeFormat  = `{"name":%q,"host":"h.example","pathPrefix":%q,"kind":%q,"timeoutMs":6000,"targetLatencyMs":2000,"service":%q,"maxAttempts":%d%s}`
 	configFormat = `{"version":%d,"routes":[%s],"services":[{"name":"engines","engine":{"slots":16,"stride":5,"step_ms":9,
 "read_per_s":20000,"chunk":2048,"layers":1,"chunks":%d,"chunk_bytes":%d,"usual":{"prompt":100,"answer":60},
 "models":[{"name":"m","warmS":0.1}]}},{"name":"desk"},{"name":"origin","origin":%q}],
-"tenants":[{"name":"gym","apiKeys":["k"]}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536}}`
+"tenants":[{"name":"gym","apiKeys":[%q]},{"name":"lab","apiKeys":[%q],"priority":%d}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536}}`
+	// chatPath and bulkPath are the prefixes of the routes to engines.
+	chatPath, bulkPath = "/chat/", "/bulk/"
+	streamOptions      = `,"streamResume":true,"gap_aim_ms":400`
 	// bigRoutes makes a configuration of about 400 KB.
 	bigRoutes = 2500
 	// keptRoutes is the number of newer configurations that still contain a configuration's route.
@@ -97,7 +102,8 @@
 // configOf returns a configuration. Each contains a new route, by which callers detect that it is in force.
 func configOf(version int, big bool, origin string) []byte {
 	l := []string{
-		fmt.Sprintf(routeFormat, "chat", "/chat/", "streaming", "engines", 3, `,"streamResume":true,"gap_aim_ms":400`),
+		fmt.Sprintf(routeFormat, "chat", chatPath, "streaming", "engines", 3, streamOptions),
+		fmt.Sprintf(routeFormat, "bulk", bulkPath, "streaming", "engines", 3, streamOptions+fmt.Sprintf(`,"priority":%d`, bulkPriority)),
 		fmt.Sprintf(routeFormat, "desk", "/desk/", "unsafe", "desk", 1, ""),
 		fmt.Sprintf(routeFormat, "look", "/look/", "safe", "desk", 3, ""),
 	}
@@ -107,7 +113,7 @@
 	for n := 0; big && n < bigRoutes; n++ {
 		l = append(l, fmt.Sprintf(routeFormat, fmt.Sprint("f", n), fmt.Sprintf("/f%d/", n), "safe", "desk", 1, ""))
 	}
-	return fmt.Appendf(nil, configFormat, version, strings.Join(l, ","), chunks, chunkBytes, origin)
+	return fmt.Appendf(nil, configFormat, version, strings.Join(l, ","), chunks, chunkBytes, origin, gymKey, labKey, labPriority)
 }
 
 func configPath(version int) string {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -59,6 +59,7 @@
 	if err != nil {
 		return err
 	}
+	l.onFaultyRead = s.history.RecordOffered
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.startCount++
@@ -87,6 +88,7 @@
 func (h *recorder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !strings.HasPrefix(r.URL.Path, "/v1/") {
 		h.history.RecordArrival(r.Header.Get("Request-Id"), r.Header.Get("Target-Instance"), h.slot)
+		h.history.RecordPriority(r.Header.Get("Request-Id"), r.Header.Values("Priority"))
 	}
 	h.server.ServeHTTP(w, r)
 }
