--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -134,7 +134,6 @@
 	c := &Catalog{
 		Revision: revision, Services: map[id.Pool]*Service{}, Limits: l, Organisations: len(orgs),
 		byHost: map[string][]*Route{}, byKey: map[string]*Organisation{}, latencyTargets: map[id.Pool]time.Duration{},
-		rankTargets: map[poolRank]time.Duration{},
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
@@ -156,15 +155,7 @@
 			c.byKey[k] = o
 		}
 	}
-	c.ranks = poolRanks(routes, orgs)
-	for _, r := range routes {
-		for _, p := range r.Shares {
-			k := poolRank{p.Pool, r.Priority}
-			if shortest, ok := c.rankTargets[k]; r.LatencyTarget > 0 && (!ok || r.LatencyTarget < shortest) {
-				c.rankTargets[k] = r.LatencyTarget
-			}
-		}
-	}
+	c.ranks, c.rankTargets = poolRanks(routes, orgs), rankTargets(routes)
 	return c
 }
 
--- a/internal/catalog/rank.go
+++ b/internal/catalog/rank.go
@@ -55,6 +55,20 @@
 	return ranks
 }
 
+// rankTargets returns the shortest latency target of the routes of each priority to each pool.
+func rankTargets(routes []*Route) map[poolRank]time.Duration {
+	targets := map[poolRank]time.Duration{}
+	for _, r := range routes {
+		for _, p := range r.Shares {
+			k := poolRank{p.Pool, r.Priority}
+			if shortest, ok := targets[k]; r.LatencyTarget > 0 && (!ok || r.LatencyTarget < shortest) {
+				targets[k] = r.LatencyTarget
+			}
+		}
+	}
+	return targets
+}
+
 // Ranks returns the ranks that requests for a pool can have, in ascending order. The caller must not change them.
 func (c *Catalog) Ranks(p id.Pool) []Rank {
 	return c.ranks[p]
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -26,6 +26,7 @@
 			return c, f.refusalError(refusal)
 		}
 	}
+	f.permitSearchEnd = f.gateway.now().Add(permitSearchTimeout)
 	for {
 		c, refusal := f.gateway.balancer().Choose(q)
 		f.decision = q.decision
@@ -36,7 +37,7 @@
 			return c, nil
 		}
 		q.PermitDenied[c.Instance] = true
-		q.NoMorePermits = len(q.PermitDenied) >= maxPermitRequests
+		q.NoMorePermits = len(q.PermitDenied) >= maxPermitRequests || !f.gateway.now().Before(f.permitSearchEnd)
 	}
 }
 
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -27,6 +27,9 @@
 const (
 	// permitTimeout bounds the wait for a permit: a request that would wait longer is better sent to another upstream.
 	permitTimeout = 150 * time.Millisecond
+	// permitSearchTimeout bounds the wait for permits of several upstreams, one after another, so that a request that gets
+	// none is refused soon.
+	permitSearchTimeout = 200 * time.Millisecond
 	// permitLifetime is how long a permit is valid after it was requested. After a suspension, its share of the limit
 	// may have been given to others.
 	permitLifetime = 500 * time.Millisecond
@@ -62,9 +65,9 @@
 // requestPermit requests a permit of the stager on the upstream's VM.
 func (f *callerRequest) requestPermit(ctx context.Context, c *placement.Choice) bool {
 	g := f.gateway
-	ctx, stop := context.WithTimeout(ctx, permitTimeout)
-	defer stop()
 	start := g.now()
+	ctx, stop := context.WithTimeout(ctx, min(permitTimeout, f.permitSearchEnd.Sub(start)))
+	defer stop()
 	permit, answered := g.loadSources.Permits.Acquire(ctx, c.Address, c.Incarnation)
 	f.permitWait = g.now().Sub(start)
 	switch {
--- a/internal/gateway/permit_test.go
+++ b/internal/gateway/permit_test.go
@@ -79,6 +79,15 @@
 		Expect(ms).To(BeNumerically("<=", 2000))
 	})
 
+	// Three silent stagers, asked one after another, delayed the refusal by 450 ms.
+	It("is refused soon if no stager replies", func() {
+		setPermitReply(0, false, 0)
+		start := time.Now()
+		Expect(ask().StatusCode).To(Equal(503))
+		Expect(time.Since(start)).To(BeNumerically("<", permitSearchTimeout+200*time.Millisecond))
+		Expect(permitRequests.Load()).To(BeNumerically("<=", 2))
+	})
+
 	It("is not sent without a reply, nor with a permit that arrived while the VM was suspended", func() {
 		setPermitReply(0, false, 0)
 		Expect(ask().StatusCode).To(Equal(503))
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -77,6 +77,8 @@
 	permit       uint64
 	permitWait   time.Duration
 	permitExpiry time.Time
+	// permitSearchEnd is when the search for an upstream that grants a permit ends.
+	permitSearchEnd time.Time
 	// reservation is the outcome of the newest requests for a reservation, and hedged is true of a hedged attempt.
 	reservation reservationLog
 	hedged      bool
