--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -132,7 +132,7 @@
 		Entry("as they are about to load", reservation.Answer{Refusal: admission.Closed}, "no upstream", time.Duration(0)),
 	)
 
-	It("is told to return when one that has only too much load has room, not one that is closed", func() {
+	It("gets the time until one that only has too much load has room, not that of a closed one", func() {
 		b := newEngines("d1", "d2", "d3")
 		b.reserveWith(func(_ context.Context, name string) (reservation.Answer, bool, bool) {
 			if name == "d1" {
