--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -3,6 +3,7 @@
 package reservation
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -10,7 +11,6 @@
 	"github.com/springrail/springrail/internal/catalog"
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
-	"github.com/springrail/springrail/internal/placement"
 	"github.com/springrail/springrail/internal/throttle"
 )
 
@@ -103,9 +103,9 @@
 	mu     sync.Mutex
 	engine *catalog.Engine
 	state  State
-	// entries are the reservations whose requests the engine's figures don't contain yet, by permit, and questions those
-	// that were asked for.
-	entries   map[uint64]*entry
+	// entries are the reservations whose requests the engine's figures don't contain yet, in the order of their permits, and
+	// questions those that were asked for.
+	entries   []*entry
 	questions map[question]*entry
 	arrivals  arrivals
 	stats     Stats
@@ -113,7 +113,7 @@
 
 // New returns a ledger without reservations. Permits come from the limiter.
 func New(now func() time.Time, l *throttle.Limiter, a *admission.Controller) *Ledger {
-	return &Ledger{now: now, limiter: l, admission: a, entries: map[uint64]*entry{}, questions: map[question]*entry{}}
+	return &Ledger{now: now, limiter: l, admission: a, questions: map[question]*entry{}}
 }
 
 // SetEngine sets the properties of the engine; nil for none.
@@ -123,11 +123,12 @@
 	l.engine = e
 }
 
-// Ready reports whether the engine's properties and state are known, which predictions need.
+// Ready reports whether the engine's properties and its recent state are known, which predictions need. An engine looks
+// idle once figures older than that have been extrapolated to now.
 func (l *Ledger) Ready() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.engine != nil && !l.state.ReadAt.IsZero()
+	return l.engine != nil && !l.state.ReadAt.IsZero() && l.now().Sub(l.state.ReadAt) <= takenFor
 }
 
 // RecordState replaces the engine's figures. Reservations whose requests they contain end.
@@ -136,28 +137,51 @@
 	defer l.mu.Unlock()
 	l.state = s
 	l.sweep()
-	for p, e := range l.entries {
-		if !e.takenAt.IsZero() && s.ReadAt.Sub(e.takenAt) > arrivalTime {
-			l.arrivals.add(e)
-			l.remove(p, e)
+	var arrived []*entry
+	l.removeWhere(func(e *entry) bool {
+		contained := !e.takenAt.IsZero() && s.ReadAt.Sub(e.takenAt) > arrivalTime
+		if contained {
+			arrived = append(arrived, e)
 		}
+		return contained
+	})
+	slices.SortStableFunc(arrived, func(a, b *entry) int { return a.takenAt.Compare(b.takenAt) })
+	for _, e := range arrived {
+		l.arrivals.add(e)
 	}
 }
 
 // sweep ends the reservations that have expired. The caller holds the lock.
 func (l *Ledger) sweep() {
 	now := l.now()
-	for p, e := range l.entries {
-		if now.After(e.expiresAt) {
+	l.removeWhere(func(e *entry) bool {
+		expired := now.After(e.expiresAt)
+		if expired {
 			l.stats.Expired++
-			l.remove(p, e)
 		}
-	}
+		return expired
+	})
+}
+
+// removeWhere removes the reservations for which a function returns true. The caller holds the lock.
+func (l *Ledger) removeWhere(ended func(e *entry) bool) {
+	l.entries = slices.DeleteFunc(l.entries, func(e *entry) bool {
+		if !ended(e) {
+			return false
+		}
+		delete(l.questions, question{e.request.Gateway, e.request.Number})
+		return true
+	})
 }
 
-func (l *Ledger) remove(permit uint64, e *entry) {
-	delete(l.entries, permit)
-	delete(l.questions, question{e.request.Gateway, e.request.Number})
+// current returns the reservation of a permit that has not been taken, or nil. The caller holds the lock.
+func (l *Ledger) current(permit uint64) *entry {
+	l.sweep()
+	i := slices.IndexFunc(l.entries, func(e *entry) bool { return e.answer.Permit == permit && e.takenAt.IsZero() })
+	if i < 0 {
+		return nil
+	}
+	return l.entries[i]
 }
 
 // Reserve holds a reservation or says why there is none.
@@ -186,47 +210,16 @@
 		return a
 	}
 	e := &entry{request: q, answer: a, expiresAt: l.now().Add(heldFor)}
-	l.entries[a.Permit], l.questions[question{q.Gateway, q.Number}] = e, e
+	l.entries = append(l.entries, e)
+	l.questions[question{q.Gateway, q.Number}] = e
 	return a
 }
 
-// predict returns the load that a request will find at the engine, and the predicted time to its first event. Requests
-// that are less urgent don't delay it, as the engine lets the more urgent ones in first. The caller holds the lock.
-func (l *Ledger) predict(q *Request) (admission.Load, time.Duration) {
-	m := placement.NewLatencyModel(l.engine)
-	c := placement.Candidate{Slots: l.engine.Slots, Running: l.state.Running, Waiting: l.state.Waiting, Slowdown: max(1, l.state.Slowdown)}
-	m.Advance(&c, l.now().Sub(l.state.ReadAt))
-	all, ahead := c, c
-	ahead.Waiting = 0
-	for _, w := range l.arrivals.newest(c.Waiting, l.engine.MeanPromptTokens) {
-		all.Backlog += w.promptTokens
-		if w.rank <= q.Rank {
-			ahead.Waiting++
-			ahead.Backlog += w.promptTokens
-		}
-	}
-	for _, e := range l.entries {
-		all.Waiting++
-		all.Backlog += e.request.PromptTokens
-		if e.request.Rank <= q.Rank {
-			ahead.Waiting++
-			ahead.Backlog += e.request.PromptTokens
-		}
-	}
-	slots := max(1, c.Slots)
-	perRequest := time.Duration(float64(m.TimePerRequest(slots)) * c.Slowdown)
-	idle := placement.Candidate{Slots: slots, Running: slots - 1, Slowdown: c.Slowdown}
-	return admission.Load{
-		Slots: slots, Occupied: all.Running + all.Waiting, AheadInQueue: ahead.Waiting, PerSecond: float64(time.Second) / float64(max(1, perRequest)),
-		ReadTime: m.AdmissionLatency(&idle), Predicted: m.AdmissionLatency(&all),
-	}, m.FirstEvent(&ahead, q.PromptTokens)
-}
-
 // Take records that the gateway sends the request of a reservation.
 func (l *Ledger) Take(permit uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e := l.entries[permit]; e != nil && e.takenAt.IsZero() {
+	if e := l.current(permit); e != nil {
 		now := l.now()
 		l.stats.Taken++
 		e.takenAt, e.expiresAt = now, now.Add(takenFor)
@@ -237,9 +230,9 @@
 func (l *Ledger) Release(permit uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e := l.entries[permit]; e != nil && e.takenAt.IsZero() {
+	if e := l.current(permit); e != nil {
 		l.stats.Released++
-		l.remove(permit, e)
+		l.removeWhere(func(o *entry) bool { return o == e })
 		l.limiter.ReturnPermit(permit)
 	}
 }
