Simulation: reservations, uneven engines, load and gateways by flag

Cause: the number of upstreams that a gateway asks was weighed with a simulation that is not in the tree.

Change: the variants reserve-1, -2 and -3 run reservation.Ledger beside each simulated engine, with the sequence of gateway/reserve.go; messages take a network delay and are not lost. A share of the engines can be slow in turns.

--- a/internal/decide/compare.go
+++ b/internal/decide/compare.go
@@ -47,6 +47,9 @@
 // Run simulates each variant on each seed from firstSeed on, with up to jobs simulations in parallel, and returns the
 // results by variant.
 func Run(ctx context.Context, s *Scenario, variants []*Variant, firstSeed uint64, seeds, jobs int) ([][]*Result, error) {
+	if err := s.check(); err != nil {
+		return nil, err
+	}
 	results := make([][]*Result, len(variants))
 	type task struct{ variant, seed int }
 	tasks := make(chan task)
--- a/internal/decide/draw.go
+++ b/internal/decide/draw.go
@@ -14,6 +14,7 @@
 	seedFaults
 	seedClients
 	seedUpstreams
+	seedSlowness
 )
 
 func randomStream(seed uint64, purpose uint64) *rand.Rand {
--- a/internal/decide/engine.go
+++ b/internal/decide/engine.go
@@ -36,7 +36,10 @@
 	passTimer           *timer
 	// startedRequests counts the requests that have occupied a slot.
 	startedRequests int
+	// slowdown is the factor by which the engine works slower at present, and pace that of its last pass, which it reports.
+	slowdown, pace float64
 	reporter
+	reservationStager
 	versionSwap
 }
 
@@ -129,7 +132,8 @@
 	if decoding > 0 {
 		d += float64(s.Stride) * (s.StepMs + float64(decoding)*s.PerSeqMs + context/1000*s.ContextPerKMs)
 	}
-	return ms(d)
+	e.pace = e.slowdown
+	return ms(d * e.slowdown)
 }
 
 // endPass emits an event for each decoding request and starts the next pass.
--- a/internal/decide/gateway.go
+++ b/internal/decide/gateway.go
@@ -138,11 +138,22 @@
 	d := f.gateway
 	p := d.sim
 	f.query.Attempts = f.attempts
+	if p.variant.reservationsAsked > 0 {
+		f.reserve(1, nil)
+		return
+	}
 	c, refusal := d.balancer.Choose(&f.query)
 	if refusal != nil {
 		f.fail(refusal.RetryAfter)
 		return
 	}
+	f.send(c)
+}
+
+// send sends the request to an upstream.
+func (f *clientAttempt) send(c placement.Choice) {
+	d := f.gateway
+	p := d.sim
 	f.query.Tried[c.Instance] = true
 	e := p.engineByName(c.Instance)
 	if e.domain != d.domain {
--- a/internal/decide/report.go
+++ b/internal/decide/report.go
@@ -14,6 +14,8 @@
 	fullRateShare = 0.1
 	// urgentRepeats is how often a state change is reported to all gateways at once, as the first report may be lost.
 	urgentRepeats = 2
+	// reservationReportFactor scales the time between reports while gateways ask for reservations.
+	reservationReportFactor = 2
 )
 
 // reporter is the reporting part of an engine's stager.
@@ -35,6 +37,7 @@
 // reportUrgently sends a report to all gateways at once, and has the next periodic one sent to all as well.
 func (e *engine) reportUrgently() {
 	e.urgentPending = urgentRepeats
+	e.readState()
 	e.report()
 }
 
@@ -44,12 +47,24 @@
 	p := e.sim
 	s := &p.scenario.Reports
 	e.reportCount++
-	remoteEvery := max(1, int(s.RemoteIntervalMs/s.IntervalMs+0.5))
+	interval := s.IntervalMs
+	if p.variant.reservationsAsked > 0 {
+		interval *= reservationReportFactor
+	}
+	remoteEvery := max(1, int(s.RemoteIntervalMs/interval+0.5))
 	toAll := e.urgentPending > 0 || e.reportCount%remoteEvery == 0
 	if e.urgentPending > 0 {
 		e.urgentPending--
 	}
-	r := placement.LoadReport{Incarnation: e.born, Slowdown: 1, Held: e.heldVersions(), Closed: e.closed, Down: !e.up}
+	r := e.loadReport()
+	for i := range p.gatewaysByDomain {
+		e.deliver(p.gatewaysByDomain[i], r, toAll, ms(s.RemoteIntervalMs))
+	}
+}
+
+// loadReport returns the engine's load and state.
+func (e *engine) loadReport() placement.LoadReport {
+	r := placement.LoadReport{Incarnation: e.born, Slowdown: e.pace, Held: e.heldVersions(), Closed: e.closed, Down: !e.up}
 	for _, j := range e.running {
 		if j.decoding && !j.cancelled {
 			r.Running++
@@ -58,9 +73,7 @@
 		}
 	}
 	r.Waiting += len(e.queue)
-	for i := range p.gatewaysByDomain {
-		e.deliver(p.gatewaysByDomain[i], r, toAll, ms(s.RemoteIntervalMs))
-	}
+	return r
 }
 
 // deliver sends a report to the gateways of a failure domain.
--- a/internal/decide/result.go
+++ b/internal/decide/result.go
@@ -29,10 +29,16 @@
 	InTime            float64 `json:"in_time"`
 	Late              float64 `json:"late"`
 	Refused           float64 `json:"refused"`
+	// LateFirst is the share of the requests whose first event came after their latency target.
+	LateFirst float64 `json:"late_first"`
 	// BegunOnExpired counts requests that began on a version after its lifetime.
 	BegunOnExpired int `json:"on_over"`
 	// FirstEventMs holds percentiles of the time from the first attempt to the first event.
 	FirstEventMs map[string]float64 `json:"first_ms"`
+	// PredictedMs and ObservedMs hold percentiles of the predicted and observed times from sending a request to its first
+	// event.
+	PredictedMs map[string]float64 `json:"predicted_ms"`
+	ObservedMs  map[string]float64 `json:"observed_ms"`
 	// Prediction is the correlation between predicted and observed times to the first event.
 	Prediction float64 `json:"prediction"`
 	// BusiestRatio is the largest number of requests started by one upstream, divided by the mean.
@@ -78,6 +84,7 @@
 	domains        map[string]*account
 	bySecond       []account
 	repeatRefusals float64
+	lateFirst      int
 	counts         [outcomeCount]int
 	firstEvents    *hdrhistogram.Histogram
 }
@@ -106,6 +113,9 @@
 			b.repeatRefusals += repeatRefusalPenalty * weight * q.kind.Worth
 		}
 		if q.outcome == inTime || q.outcome == late {
+			if q.firstEventAt-q.arrivedAt > ms(q.kind.AimMs) {
+				b.lateFirst++
+			}
 			_ = b.firstEvents.RecordValue(min(maxFirstEvent, (q.firstEventAt - q.arrivedAt).Microseconds()))
 		}
 	}
@@ -150,10 +160,13 @@
 	r.Worth = (1-w.Window-w.Kind-w.Domain)*r.Overall + w.Window*r.WorstWindows + w.Kind*r.WorstKind + w.Domain*r.WorstDomain - r.RepeatRefusalCost
 	n := float64(max(1, r.Requests))
 	r.InTime, r.Late = float64(b.counts[inTime])/n, float64(b.counts[late])/n
+	r.LateFirst = float64(b.lateFirst) / n
 	r.Refused = float64(b.counts[refused]+b.counts[refusedAgain]) / n
-	for name, q := range map[string]float64{"p50": 50, "p95": 95, "p99": 99} {
+	for name, q := range map[string]float64{"p50": 50, "p90": 90, "p95": 95, "p99": 99} {
 		r.FirstEventMs[name] = float64(b.firstEvents.ValueAtQuantile(q)) / 1000
 	}
+	r.PredictedMs = percentiles(p.latencySamples, func(l latencySample) time.Duration { return l.predicted })
+	r.ObservedMs = percentiles(p.latencySamples, func(l latencySample) time.Duration { return l.observed })
 	for i := range b.bySecond {
 		r.ShareBySecond = append(r.ShareBySecond, b.bySecond[i].share())
 	}
@@ -170,6 +183,15 @@
 	return float64(largest*len(p.engines)) / float64(max(1, sum))
 }
 
+// percentiles returns the median and the 90th percentile of a time of the samples, in milliseconds.
+func percentiles(l []latencySample, value func(l latencySample) time.Duration) map[string]float64 {
+	h := hdrhistogram.New(1, maxFirstEvent, 3)
+	for _, s := range l {
+		_ = h.RecordValue(min(maxFirstEvent, value(s).Microseconds()))
+	}
+	return map[string]float64{"p50": float64(h.ValueAtQuantile(50)) / 1000, "p90": float64(h.ValueAtQuantile(90)) / 1000}
+}
+
 // correlation is the correlation coefficient of predicted and observed times.
 func correlation(l []latencySample) float64 {
 	n := float64(len(l))
--- a/internal/decide/scenario.go
+++ b/internal/decide/scenario.go
@@ -55,6 +55,10 @@
 	// LoadMs is how long an engine takes to load a version, and StallMs how long requests hang after an engine's crash.
 	LoadMs  float64 `toml:"warm_ms"`
 	StallMs float64 `toml:"stall_ms"`
+	// A SlowShare of the engines, drawn again every SlowSeconds, works slower by SlowFactor.
+	SlowShare   float64 `toml:"slow_share"`
+	SlowFactor  float64 `toml:"slow_factor"`
+	SlowSeconds float64 `toml:"slow_s"`
 }
 
 // ReportParams describes how load reports reach gateways.
@@ -154,6 +158,11 @@
 	return s, trace.Wrap(s.check(), "%s", file)
 }
 
+// validSlowness reports whether the parameters of slow engines can be simulated.
+func (e *EngineParams) validSlowness() bool {
+	return e.SlowShare == 0 || (e.SlowShare > 0 && e.SlowShare <= 1 && e.SlowFactor >= 1 && e.SlowSeconds >= 0.01)
+}
+
 // check returns the first problem of the scenario.
 func (s *Scenario) check() error {
 	e, w := &s.Engine, &s.Weights
@@ -164,6 +173,7 @@
 		{s.Seconds > s.WarmUp && s.WarmUp >= 0, "seconds must be above warm_up"},
 		{e.Slots > 0 && e.Queue >= 0, "engine.slots must be above 0, and queue not negative"},
 		{e.StepMs > 0 && e.ReadPerS > 0 && e.Chunk > 0 && e.Stride > 0, "engine.step_ms, read_per_s, chunk and stride must be above 0"},
+		{e.validSlowness(), "engine.slow_share must be between 0 and 1, with slow_factor at least 1 and slow_s at least 0.01"},
 		{s.Reports.IntervalMs >= 1 && s.Reports.RemoteIntervalMs >= s.Reports.IntervalMs, "reports.every_ms must be at least 1, and far_every_ms at least every_ms"},
 		{s.Reports.LossShare >= 0 && s.Reports.LossShare < 1, "reports.lost must be at least 0 and below 1"},
 		{w.WindowS > 0 && w.Window >= 0 && w.Kind >= 0 && w.Domain >= 0 && w.Window+w.Kind+w.Domain <= 1, "weigh.window, kind and domain must be shares that add up to at most 1, and window_s above 0"},
--- a/internal/decide/simulation.go
+++ b/internal/decide/simulation.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -38,6 +39,8 @@
 	latencySamples []latencySample
 	// begunOnExpired counts requests that began on a version after its lifetime.
 	begunOnExpired int
+	// reservationCount numbers the requests for reservations.
+	reservationCount uint64
 }
 
 // Simulate runs a scenario once; the same scenario, variant and seed give the same result.
@@ -72,6 +75,10 @@
 		p.schedule(q.arrivedAt, func() { p.submit(q, q.homeGateway) })
 	}
 	p.schedule(0, p.sampleDemand)
+	if s.Engine.SlowShare > 0 {
+		slow := randomStream(seed, seedSlowness)
+		p.schedule(0, func() { p.slowEngines(slow) })
+	}
 	return p
 }
 
@@ -105,13 +112,16 @@
 	for n := range d.Upstreams {
 		e := &engine{
 			sim: p, name: id.Instance(fmt.Sprintf("%s-%d", d.Name, n)), address: fmt.Sprintf("%s:%d", d.Name, n), domain: id.Domain(d.Name),
-			born: 1, up: true, held: 1, staged: 1,
+			born: 1, up: true, held: 1, staged: 1, slowdown: 1, pace: 1,
 		}
 		p.engines = append(p.engines, e)
 		e.interval = ms(p.scenario.Reports.IntervalMs)
 		if p.variant.reportIntervalFactor > 0 {
 			e.interval = time.Duration(float64(e.interval) * p.variant.reportIntervalFactor)
 		}
+		if p.variant.reservationsAsked > 0 {
+			e.startReservations()
+		}
 		p.schedule(time.Duration(upstreams.Float64()*float64(e.interval)), e.reportPeriodically)
 	}
 	var l []*simGateway
@@ -123,6 +133,21 @@
 	p.gatewaysByDomain = append(p.gatewaysByDomain, l)
 }
 
+// slowEngines draws the engines that work slower until the next draw.
+func (p *simulation) slowEngines(r *rand.Rand) {
+	if p.elapsed > p.endTime() {
+		return
+	}
+	s := &p.scenario.Engine
+	slow := int(math.Round(s.SlowShare * float64(len(p.engines))))
+	for rank, i := range r.Perm(len(p.engines)) {
+		if p.engines[i].slowdown = 1; rank < slow {
+			p.engines[i].slowdown = s.SlowFactor
+		}
+	}
+	p.after(seconds(s.SlowSeconds), func() { p.slowEngines(r) })
+}
+
 // oneWayDelay returns the network delay between two failure domains.
 func (p *simulation) oneWayDelay(a, b id.Domain) time.Duration {
 	if a == b {
--- a/internal/decide/simulation_test.go
+++ b/internal/decide/simulation_test.go
@@ -94,6 +94,9 @@
 				if len(e.queue)+len(e.running) > 0 || e.busy {
 					t.Fatalf("%s still has %d queued and %d running requests", e.name, len(e.queue), len(e.running))
 				}
+				if e.ledger != nil && e.ledger.Stats().Held > 0 {
+					t.Fatalf("%s still has reservations: %+v", e.name, e.ledger.Stats())
+				}
 				for _, d := range p.gateways {
 					if c := d.tracker.Candidate(&facts.Instance{Address: e.address, Born: e.born}, 0); c.InFlight > 0 {
 						t.Fatalf("a gateway still counts %d requests at %s", c.InFlight, e.name)
--- a/internal/decide/upstream_attempt.go
+++ b/internal/decide/upstream_attempt.go
@@ -120,7 +120,9 @@
 	f.leaveTimer.stop()
 	p, q := f.gateway.sim, f.request
 	q.firstEventAt = p.elapsed + ms(p.scenario.Links.CallerMs)
-	p.latencySamples = append(p.latencySamples, latencySample{predicted: s.choice.Predicted, observed: took})
+	if q.arrivedAt >= seconds(p.scenario.WarmUp) {
+		p.latencySamples = append(p.latencySamples, latencySample{predicted: s.choice.Predicted, observed: took})
+	}
 }
 
 // onComplete handles the end of a response at the gateway.
--- a/internal/decide/variants.go
+++ b/internal/decide/variants.go
@@ -26,6 +26,8 @@
 	cutRunning  bool
 	// abandonSilent abandons a silent upstream before another one is chosen.
 	abandonSilent bool
+	// reservationsAsked is the number of upstreams that are asked for a reservation; 0 for none.
+	reservationsAsked int
 }
 
 // Variants returns all variants that can be compared; the first one is the current code.
@@ -51,6 +53,9 @@
 		{Name: "cut", Text: "a load cuts requests that still run 0.9 s after their upstream stopped admission", cutRunning: true},
 		{Name: "cut-drain-half", Text: "a load cuts requests that still run 0.45 s after their upstream stopped admission", cutRunning: true, drainFactor: 0.5},
 		{Name: "leave-silent", Text: "a silent upstream is abandoned before another one is chosen", abandonSilent: true},
+		{Name: "reserve-1", Text: "a reservation is asked for at one upstream", reservationsAsked: 1, reportIntervalFactor: reservationReportFactor},
+		{Name: "reserve-2", Text: "reservations are asked for at two upstreams", reservationsAsked: 2, reportIntervalFactor: reservationReportFactor},
+		{Name: "reserve-3", Text: "reservations are asked for at three upstreams", reservationsAsked: 3, reportIntervalFactor: reservationReportFactor},
 		{Name: "no-suspects", Text: "upstreams that failed are not avoided", adjust: noSuspects},
 	}
 }
--- a/internal/measure/decide.go
+++ b/internal/measure/decide.go
@@ -25,6 +25,9 @@
 	seeds     int
 	jobs      int
 	plot      string
+	load      float64
+	gateways  int
+	slowShare float64
 	json      bool
 }
 
@@ -52,6 +55,9 @@
 	c.Flag("seeds", "Number of seeds.").Default("20").IntVar(&f.seeds)
 	c.Flag("jobs", "Plays at one time.").Default("2").IntVar(&f.jobs)
 	c.Flag("plot", "File for a plot of the last scenario by second, ending in .svg.").StringVar(&f.plot)
+	c.Flag("load", "Constant load factor instead of the scenario's.").Float64Var(&f.load)
+	c.Flag("gateways", "Number of gateways in all failure domains together instead of the scenario's.").IntVar(&f.gateways)
+	c.Flag("slow-share", "Share of the engines that are slow in turns instead of the scenario's.").Default("-1").Float64Var(&f.slowShare)
 	c.Flag("json", "Print JSON.").BoolVar(&f.json)
 	return f.run
 }
@@ -80,6 +86,7 @@
 		if err != nil {
 			return err
 		}
+		f.adjust(s)
 		rows, err := decide.Run(ctx, s, f.selectedVariants(), f.seed, max(1, f.seeds), f.jobs)
 		if err != nil {
 			return err
@@ -104,16 +111,32 @@
 	return nil
 }
 
+// adjust replaces the parts of a scenario that flags give.
+func (f *decideFlags) adjust(s *decide.Scenario) {
+	if f.load > 0 {
+		s.Load = []decide.LoadStep{{Factor: f.load}}
+	}
+	if f.slowShare >= 0 {
+		s.Engine.SlowShare = f.slowShare
+	}
+	for i := range s.Domains {
+		if n := len(s.Domains); f.gateways > 0 {
+			s.Domains[i].Gateways = max(1, (f.gateways+n-1-i)/n)
+		}
+	}
+}
+
 // print writes a scenario's table: each variant's worth, its difference from the baseline over the same seeds, and
 // the means of the metrics behind it.
 func (r *decideRun) print(out io.Writer) {
 	fmt.Fprintf(out, "%s, %d seeds\n", r.Scenario, r.Differences[0].Seeds)
 	t := tabwriter.NewWriter(out, 9, 0, 1, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "way\tworth\tdifference\t95% within\twhole\twindows\tkind\tdomain\tin time\tlate\trefused\tp50 ms\tp95 ms\tpredicted\tbusiest\ton over\t")
+	fmt.Fprintln(t, "way\tworth\tdifference\t95% within\twhole\twindows\tkind\tdomain\tin time\tlate\tlate first\trefused\tp50 ms\tp90 ms\tp95 ms\tpredicted p50\tp90\tactual p50\tp90\tpredicted\tbusiest\ton over\t")
 	for i, d := range r.Differences {
 		m := meanResult(r.Results[i])
-		fmt.Fprintf(t, "%s\t%.3f\t%+.4f\t%.4f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.2f\t%.2f\t%d\t\n", d.Variant, d.Worth, d.Mean, d.HalfInterval,
-			m.Overall, m.WorstWindows, m.WorstKind, m.WorstDomain, m.InTime, m.Late, m.Refused, m.FirstEventMs["p50"], m.FirstEventMs["p95"], m.Prediction, m.BusiestRatio, m.BegunOnExpired)
+		fmt.Fprintf(t, "%s\t%.3f\t%+.4f\t%.4f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.2f\t%.2f\t%d\t\n", d.Variant, d.Worth, d.Mean, d.HalfInterval,
+			m.Overall, m.WorstWindows, m.WorstKind, m.WorstDomain, m.InTime, m.Late, m.LateFirst, m.Refused, m.FirstEventMs["p50"], m.FirstEventMs["p90"], m.FirstEventMs["p95"],
+			m.PredictedMs["p50"], m.PredictedMs["p90"], m.ObservedMs["p50"], m.ObservedMs["p90"], m.Prediction, m.BusiestRatio, m.BegunOnExpired)
 	}
 	_ = t.Flush()
 	fmt.Fprintln(out)
@@ -121,7 +144,7 @@
 
 // meanResult returns the mean of a variant's results over all seeds; event counts are summed.
 func meanResult(l []*decide.Result) *decide.Result {
-	m := &decide.Result{FirstEventMs: map[string]float64{}}
+	m := &decide.Result{FirstEventMs: map[string]float64{}, PredictedMs: map[string]float64{}, ObservedMs: map[string]float64{}}
 	n := float64(len(l))
 	for _, r := range l {
 		for _, x := range []struct {
@@ -129,12 +152,14 @@
 			add float64
 		}{
 			{&m.Overall, r.Overall}, {&m.WorstWindows, r.WorstWindows}, {&m.WorstKind, r.WorstKind}, {&m.WorstDomain, r.WorstDomain}, {&m.InTime, r.InTime}, {&m.Late, r.Late},
-			{&m.Refused, r.Refused}, {&m.Prediction, r.Prediction}, {&m.BusiestRatio, r.BusiestRatio},
+			{&m.Refused, r.Refused}, {&m.Prediction, r.Prediction}, {&m.BusiestRatio, r.BusiestRatio}, {&m.LateFirst, r.LateFirst},
 		} {
 			*x.sum += x.add / n
 		}
-		for k, v := range r.FirstEventMs {
-			m.FirstEventMs[k] += v / n
+		for _, x := range []struct{ sum, add map[string]float64 }{{m.FirstEventMs, r.FirstEventMs}, {m.PredictedMs, r.PredictedMs}, {m.ObservedMs, r.ObservedMs}} {
+			for k, v := range x.add {
+				x.sum[k] += v / n
+			}
 		}
 		m.BegunOnExpired += r.BegunOnExpired
 		m.ShareBySecond = addMean(m.ShareBySecond, r.ShareBySecond, n)
