Ledger: the sizes of waiting requests count while all slots are occupied

Cause: where a request waits for a slot, the prediction counted each request ahead of it with the usual prompt, also where the ledger knows its prompt.

Change: the mean of the known prompts replaces the usual one there. With nothing known, predictions are the same.

--- a/internal/reservation/predict.go
+++ b/internal/reservation/predict.go
@@ -22,7 +22,7 @@
 			ahead.Backlog += w.promptTokens
 		}
 	}
-	predicted, firstEvent := m.AdmissionLatency(&all), m.FirstEvent(&ahead, q.PromptTokens)
+	predicted, firstEvent := m.AdmissionLatency(&all), l.firstEvent(&ahead, q.PromptTokens)
 	for _, e := range l.entries {
 		// The model has a step where all slots become occupied, at which a long backlog no longer counts. The largest value
 		// keeps a further reservation from lowering the prediction.
@@ -30,7 +30,7 @@
 		predicted = max(predicted, m.AdmissionLatency(&all))
 		if e.request.Rank <= q.Rank {
 			enqueue(&ahead, e.request.PromptTokens)
-			firstEvent = max(firstEvent, m.FirstEvent(&ahead, q.PromptTokens))
+			firstEvent = max(firstEvent, l.firstEvent(&ahead, q.PromptTokens))
 		}
 	}
 	slots := max(1, c.Slots)
@@ -42,6 +42,18 @@
 	}, firstEvent
 }
 
+// firstEvent predicts the time to a first event. Where the request waits for a slot, the model counts each request ahead of
+// it with the usual prompt; the mean of their known prompts replaces that. The caller holds the lock.
+func (l *Ledger) firstEvent(c *placement.Candidate, promptTokens float64) time.Duration {
+	d := placement.NewLatencyModel(l.engine).FirstEvent(c, promptTokens)
+	excess := c.Running + c.Waiting + 1 - max(1, c.Slots)
+	if excess <= 0 || c.Waiting == 0 {
+		return d
+	}
+	surplusTokens := float64(excess) * (c.Backlog/float64(c.Waiting) - l.engine.MeanPromptTokens)
+	return d + time.Duration(surplusTokens/l.engine.PrefillTokensPerSecond*float64(time.Second)*c.Slowdown)
+}
+
 // enqueue adds a waiting request.
 func enqueue(c *placement.Candidate, promptTokens float64) {
 	c.Waiting++
--- a/internal/reservation/predict_test.go
+++ b/internal/reservation/predict_test.go
@@ -92,6 +92,21 @@
 		})
 	})
 
+	// Requests that wait for a slot were counted with the usual prompt, whatever was known of them.
+	It("grows with the prompts of the requests ahead once all slots are occupied", func() {
+		behind := func(running int, promptTokens float64) time.Duration {
+			b := newBench()
+			b.read(running, 0)
+			q := b.request()
+			q.PromptTokens = promptTokens
+			b.Reserve(q)
+			return b.predicted()
+		}
+		Expect(behind(12, 900+1900) - behind(12, 900)).To(BeNumerically("~", 2*100*millisecond, time.Microsecond))
+		Expect(behind(12, 1)).To(BeNumerically("<", behind(12, 900)))
+		Expect(behind(12, 1)).To(BeNumerically(">", behind(11, 1)))
+	})
+
 	// The least urgent of the recent arrivals are assumed to wait; the order of arrivals must not depend on map order.
 	It("takes the newest and least urgent arrivals for those that wait", func() {
 		b := newBench()
