--- a/internal/decide/reserve.go
+++ b/internal/decide/reserve.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/springrail/springrail/internal/admission"
+	"github.com/springrail/springrail/internal/gateway"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/placement"
 	"github.com/springrail/springrail/internal/reservation"
@@ -106,9 +107,9 @@
 // reserveElsewhere asks upstreams of other failure domains if the view shows capacity there.
 func (f *clientAttempt) reserveElsewhere(refused []reservationOffer) {
 	d := f.gateway
-	f.query.OtherDomains = true
+	f.query.Scope = gateway.OtherDomains
 	l, refusal := d.balancer.Choices(&f.query, d.sim.variant.reservationsAsked)
-	f.query.OtherDomains = false
+	f.query.Scope = gateway.AnyDomain
 	if refusal != nil {
 		l = nil
 	}
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -53,9 +53,9 @@
 	// HeadSent is true once the caller has the header of a response that was made with Revision.
 	HeadSent bool
 	Revision id.Revision
+	// Scope restricts the failure domains whose upstreams may be chosen.
+	Scope DomainScope
 
-	// scope are the failure domains whose upstreams may be chosen.
-	scope    domainScope
 	decision decision
 	// newestRevision is the newest published version of the model that this process knows of.
 	newestRevision id.Revision
@@ -235,7 +235,7 @@
 	}
 	q.newestRevision = d.Facts.Wanted(q.Model).Revision
 	for _, i := range d.Facts.Instances() {
-		if i.Pool != q.Pool || !d.mayServe(q, i.Domain) || q.Excluded[i.ID] || !q.scope.contains(i.Domain, d.Location.Domain) {
+		if i.Pool != q.Pool || !d.mayServe(q, i.Domain) || q.Excluded[i.ID] || !q.Scope.contains(i.Domain, d.Location.Domain) {
 			continue
 		}
 		if i.Leaving {
--- a/internal/gateway/location.go
+++ b/internal/gateway/location.go
@@ -23,16 +23,17 @@
 	return false
 }
 
-// domainScope are the failure domains whose upstreams are considered.
-type domainScope uint8
+// DomainScope is a set of failure domains, relative to that of this process.
+type DomainScope uint8
 
+// The failure domains whose upstreams may be chosen.
 const (
-	anyDomain domainScope = iota
-	ownDomain
-	otherDomains
+	AnyDomain DomainScope = iota
+	OwnDomain
+	OtherDomains
 )
 
 // contains reports whether upstreams of a failure domain are considered by a gateway in the domain own.
-func (s domainScope) contains(d, own id.Domain) bool {
-	return s == anyDomain || (s == ownDomain) == (d == own)
+func (s DomainScope) contains(d, own id.Domain) bool {
+	return s == AnyDomain || (s == OwnDomain) == (d == own)
 }
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -107,8 +107,8 @@
 		return l
 	}
 	own := slices.DeleteFunc(l, isOther)
-	q.scope = ownDomain
-	defer func() { q.scope = anyDomain }()
+	q.Scope = OwnDomain
+	defer func() { q.Scope = AnyDomain }()
 	more, _ := b.Choices(q, maxReservationRequests)
 	for _, c := range more {
 		same := func(o placement.Choice) bool { return o.Instance == c.Instance }
@@ -121,8 +121,8 @@
 
 // otherChoices returns the upstreams of other failure domains that are asked, if the view shows capacity there.
 func (f *callerRequest) otherChoices(q *Query) []placement.Choice {
-	q.scope = otherDomains
-	defer func() { q.scope = anyDomain }()
+	q.Scope = OtherDomains
+	defer func() { q.Scope = AnyDomain }()
 	l, refusal := f.gateway.balancer().Choices(q, maxReservationRequests)
 	if refusal != nil {
 		return nil
