Admission by rank and shares of organisations

Cause: stagers admit by prediction alone, so that bursts refuse all ranks alike, and one organisation can take the room of all others.

Change: internal/admission counts offered rates by rank and organisation. In overload, organisations of the same priority divide the room by max-min fairness, free slots are kept for more urgent offers, and each rank keeps 5% of the capacity. The ledger returns the room of released reservations (Controller.Cancel).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -3,6 +3,7 @@
 package admission
 
 import (
+	"sync"
 	"time"
 
 	"github.com/springrail/springrail/internal/id"
@@ -62,33 +63,129 @@
 	RoomIn time.Duration
 	// Overloaded is true while the offered load exceeds the capacity.
 	Overloaded bool
+	// fromReserve and fromShare are true if an admitted offer took a token of its rank's reserve and of its organisation's
+	// share, which Cancel returns.
+	fromReserve, fromShare bool
 }
 
-// Stats are figures for operators.
-type Stats struct{}
-
 // Controller decides about the offers for one engine. It is safe for concurrent use.
 type Controller struct {
 	now func() time.Time
+
+	mu       sync.Mutex
+	ranks    ranks
+	shares   shares
+	refusals [Version + 1]uint64
 }
 
 // New returns a controller that has seen no load.
 func New(now func() time.Time) *Controller {
-	return &Controller{now: now}
+	return &Controller{now: now, shares: shares{entries: map[shareKey]*shareEntry{}}}
 }
 
 // targetShare is the share of the latency target that a prediction may use.
 const targetShare = 0.9
 
-// Decide counts an offer and decides about it.
+// offered is an offer with the figures that decide about it.
+type offered struct {
+	Offer
+	load   Load
+	target time.Duration
+	now    time.Time
+	// demand is what compares with the offer. It is set in overload only.
+	demand demand
+}
+
+// limit returns the latest predicted time to the first event with which an offer of a target is admitted.
+func limit(target time.Duration) time.Duration {
+	return time.Duration(targetShare * float64(target))
+}
+
+func (f *offered) free() int {
+	return f.load.Slots - f.load.Occupied
+}
+
+// newOffered returns an offer with its rank within the bounds.
+func newOffered(o Offer, target time.Duration, l Load, now time.Time) *offered {
+	o.Rank = min(max(o.Rank, 0), maxRank)
+	return &offered{Offer: o, load: l, target: target, now: now}
+}
+
+// Decide counts an offer and decides about it. Cancel is to be called for an admitted offer that is not used.
 func (c *Controller) Decide(o Offer, target time.Duration, l Load) Decision {
-	if o.Begun || (l.Predicted <= time.Duration(targetShare*float64(target)) && (!o.Late || l.Occupied < l.Slots)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f := newOffered(o, target, l, c.now())
+	c.ranks.record(f)
+	e := c.shares.record(f)
+	overloaded := c.ranks.exceed(l.PerSecond, f.now)
+	var d Decision
+	switch {
+	case f.Begun:
+	case overloaded:
+		d = c.decideOverloaded(f, e)
+	default:
+		f.demand.moreUrgent = c.ranks.moreUrgent(f.Rank, f.now)
+		d = c.decideCalm(f)
+	}
+	d.Overloaded = overloaded
+	c.refusals[d.Refusal]++
+	if d.Refusal == Admitted {
+		d.fromReserve, d.fromShare = c.ranks.reserves[f.Rank].take(), e.bucket.take()
+	}
+	return d
+}
+
+// decideCalm decides while the engine can serve all that is offered within the shares. It holds nobody back for others,
+// and less urgent requests that wait don't count for more urgent ones.
+func (c *Controller) decideCalm(f *offered) Decision {
+	shortest := c.ranks.shortestTarget(f)
+	d := f.decideByPrediction(shortest)
+	if d.Refusal == Admitted || c.ranks.active(f.now) < 2 {
+		return d
+	}
+	return c.ranks.decide(f, 0)
+}
+
+// decideOverloaded decides while more is offered than the engine can serve. Where organisations that ask for more than
+// their shares are the reason, limiting them is enough.
+func (c *Controller) decideOverloaded(f *offered, e *shareEntry) Decision {
+	f.demand = c.shares.demand(f, &c.ranks)
+	ranked := c.ranks.active(f.now) > 1
+	d := e.decide(f)
+	switch {
+	case d.Refusal != Admitted:
+	case !f.demand.all.exceeds(f.load.PerSecond):
+		return c.decideCalm(f)
+	case ranked:
+		d = c.ranks.decide(f, f.keptSlots())
+	default:
+		return f.decideByPrediction(f.target)
+	}
+	if d.Refusal != Admitted && !f.Late && c.ranks.takeReserve(f) {
 		return Decision{}
 	}
-	return Decision{Refusal: Busy, RoomIn: l.Predicted - target}
+	return d
 }
 
-// Stats returns the current figures.
-func (c *Controller) Stats() Stats {
-	return Stats{}
+// decideByPrediction admits an offer whose predicted time is within a target, without regard to ranks.
+func (f *offered) decideByPrediction(target time.Duration) Decision {
+	if f.load.Predicted <= limit(target) && (!f.Late || f.free() > 0) {
+		return Decision{}
+	}
+	return Decision{Refusal: Busy, RoomIn: f.load.Predicted - target}
+}
+
+// Cancel returns what an admitted offer took, as its request is sent to another engine.
+func (c *Controller) Cancel(o Offer, d Decision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f := newOffered(o, 0, Load{}, c.now())
+	if d.fromReserve {
+		b := &c.ranks.reserves[f.Rank]
+		b.tokens = min(1, b.tokens+1)
+	}
+	if e := c.shares.entries[shareKey{f.Rank, f.Organisation}]; e != nil && d.fromShare {
+		e.bucket.tokens++
+	}
 }
--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -48,6 +48,11 @@
 	Revision id.Revision
 }
 
+// offer returns the request as admission decides about it.
+func (q *Request) offer() admission.Offer {
+	return admission.Offer{Rank: q.Rank, Organisation: q.Organisation, Asked: q.Asked, Late: q.Late, Begun: q.Begun}
+}
+
 // Answer is the answer to a Request.
 type Answer struct {
 	// Permit is the number of the reservation and of the permit that it includes; 0 if none is held.
@@ -82,8 +87,9 @@
 
 // entry is a reservation.
 type entry struct {
-	request Request
-	answer  Answer
+	request  Request
+	answer   Answer
+	decision admission.Decision
 	// takenAt is zero until the reservation is taken.
 	takenAt, expiresAt time.Time
 }
@@ -176,16 +182,17 @@
 		return Answer{Refusal: admission.Version}
 	}
 	load, firstEvent := l.predict(&q)
-	d := l.admission.Decide(admission.Offer{Rank: q.Rank, Organisation: q.Organisation, Asked: q.Asked, Late: q.Late, Begun: q.Begun}, q.Target, load)
+	d := l.admission.Decide(q.offer(), q.Target, load)
 	a := Answer{FirstEvent: firstEvent, Refusal: d.Refusal, RoomIn: d.RoomIn, Overloaded: d.Overloaded}
 	if a.Refusal != admission.Admitted {
 		return a
 	}
 	if a.Permit = l.limiter.IssuePermit(); a.Permit == 0 {
 		a.Refusal = admission.Limit
+		l.admission.Cancel(q.offer(), d)
 		return a
 	}
-	e := &entry{request: q, answer: a, expiresAt: l.now().Add(heldFor)}
+	e := &entry{request: q, answer: a, decision: d, expiresAt: l.now().Add(heldFor)}
 	l.entries[a.Permit], l.questions[question{q.Gateway, q.Number}] = e, e
 	return a
 }
@@ -241,6 +248,7 @@
 		l.stats.Released++
 		l.remove(permit, e)
 		l.limiter.ReturnPermit(permit)
+		l.admission.Cancel(e.request.offer(), e.decision)
 	}
 }
 
