Take over lanes only while the origin is known to answer

Cause: a lane without new chunks made its higher ranks due whether its VM was dead or the origin was unavailable to all. At the end of an outage the VMs of ranks 1 and 2 of all lanes fetched beside the first ranks.

Change: swarm.OriginAnswers keeps the time during which the origin is known to answer: by new chunks of any lane, by this VM's own fetches, and, where nothing shows it, by a request for the manifest, one at a time and paced. Ranks beyond the first are due by that time only. It begins again after a gap without answers, and for a VM whose own requests failed, with its first answer.

--- a/internal/swarm/lane.go
+++ b/internal/swarm/lane.go
@@ -135,12 +135,13 @@
 	}
 }
 
-// MayFetchFromOrigin reports whether the VM of a rank may fetch from a lane whose last new chunk was seen at the given
-// time. Rank 0 may at once; each higher rank waits for one more takeover delay. Ranks beyond the budget never may: as
-// long as all VMs have the same member list, the origin sends each chunk at most as often as the budget has copies.
-func MayFetchFromOrigin(rank int, copies float64, lastNew time.Time, takeoverDelay time.Duration, now time.Time) bool {
+// MayFetchFromOrigin reports whether the VM of a rank may fetch from a lane without new chunks during a time in which
+// the origin is known to answer, see OriginAnswers. Rank 0 may at once; each higher rank waits for one more takeover
+// delay of that time. Ranks beyond the budget never may: as long as all VMs have the same member list, the origin sends
+// each chunk at most as often as the budget has copies.
+func MayFetchFromOrigin(rank int, copies float64, answering, takeoverDelay time.Duration) bool {
 	if rank < 0 || rank >= max(1, int(copies)) {
 		return false
 	}
-	return rank == 0 || now.Sub(lastNew) >= time.Duration(rank)*takeoverDelay
+	return rank == 0 || answering >= time.Duration(rank)*takeoverDelay
 }
--- a/internal/swarm/swarm_test.go
+++ b/internal/swarm/swarm_test.go
@@ -62,7 +62,7 @@
 			for lane := range l.Count() {
 				n := 0
 				for _, m := range members {
-					if MayFetchFromOrigin(l.Ranks(m.VM)[lane], copies, time.Time{}, time.Second, time.Time{}.Add(waited)) {
+					if MayFetchFromOrigin(l.Ranks(m.VM)[lane], copies, waited, time.Second) {
 						n++
 					}
 				}
@@ -194,7 +194,7 @@
 		return
 	}
 	for lane, rank := range lanes.Ranks(m.VM) {
-		if c, ok := PickOriginChunk(v, lanes, lane, rank); ok && MayFetchFromOrigin(rank, copies, time.Time{}, time.Second, v.Now) {
+		if c, ok := PickOriginChunk(v, lanes, lane, rank); ok && MayFetchFromOrigin(rank, copies, time.Hour, time.Second) {
 			sim.fetched[c]++
 			v.Have.Add(c)
 			return
--- a/internal/transfer/download.go
+++ b/internal/transfer/download.go
@@ -115,6 +115,9 @@
 	// sourceRetryAt is when a source may be used again after sourceFailures consecutive failures.
 	sourceRetryAt  time.Time
 	sourceFailures int
+	// originAnswers is the time during which the origin is known to answer; originCheckAt is when the next check is allowed.
+	originAnswers swarm.OriginAnswers
+	originCheckAt time.Time
 }
 
 // Dependencies holds what the downloads of one VM share. Seed determines random choices between equivalent options.
@@ -265,6 +268,8 @@
 		d.laneProgressAt[i] = time.Now()
 	}
 	d.startedAt = time.Now()
+	// The manifest is the first answer: a lane whose VM is dead from the start is taken over after one delay.
+	d.originAnswers.Record(d.startedAt, d.maxOriginGap())
 	d.reason = "fetching"
 }
 
@@ -313,26 +318,7 @@
 			d.startSourceFetch(ctx, lane, c)
 		}
 	}
-}
-
-// scheduleStalled fetches chunks from a source that neighbours hold but do not send. The caller holds the lock.
-func (d *Download) scheduleStalled(ctx context.Context, v *swarm.View) {
-	for lane, rank := range d.ranks {
-		if rank >= int(swarm.OriginCopyBudget(d.rollout)) || !d.sourceFetchAllowed(lane, v.Now) {
-			continue
-		}
-		if c, ok := swarm.PickStalledChunk(v, d.lanes, lane, rank); ok {
-			d.startSourceFetch(ctx, lane, c)
-		}
-	}
-}
-
-// startSourceFetch starts a fetch from a source. The caller holds the lock.
-func (d *Download) startSourceFetch(ctx context.Context, lane int, c id.Chunk) {
-	d.sourceFetches++
-	d.laneBytes[lane] += d.holding.Size(c)
-	d.inFlight[c]++
-	go d.fetchFromSource(ctx, c)
+	d.checkOriginIfDue(ctx, v)
 }
 
 // LinkTooSlow reports whether the link to this VM is so slow that even one chunk delays a live request for too long.
--- a/internal/transfer/download_test.go
+++ b/internal/transfer/download_test.go
@@ -24,7 +24,11 @@
 	"github.com/springrail/springrail/internal/swarm"
 )
 
+// suite is the test that runs the specs; simulations in virtual time need it.
+var suite *testing.T
+
 func TestTransfer(t *testing.T) {
+	suite = t
 	spec.Run(t, "Transfers")
 }
 
--- a/internal/transfer/source_budget.go
+++ b/internal/transfer/source_budget.go
@@ -14,12 +14,18 @@
 // mayFetchFromSource reports whether this VM may fetch the next chunk of a lane from a source (the store or the origin)
 // now. A lane is a group of chunks that one VM at a time fetches, see swarm.Lanes. The caller holds the lock.
 func (d *Download) mayFetchFromSource(lane int, now time.Time) bool {
-	rank := d.ranks[lane]
+	delay := d.takeoverDelay()
+	answering := d.originAnswers.AnsweringSince(d.laneProgressAt[lane], d.maxOriginGap(), now)
+	return d.sourceFetchAllowed(lane, now) && swarm.MayFetchFromOrigin(d.laneRank(lane), swarm.OriginCopyBudget(d.rollout), answering, delay)
+}
+
+// laneRank returns the rank of this VM in a lane. Other VMs would receive late what this VM fetches over a slow link, so
+// it then takes the last rank of the budget. The caller holds the lock.
+func (d *Download) laneRank(lane int) int {
 	if d.linkTooSlow() {
-		// Other VMs would receive late what this VM fetches over its slow link, so it takes the last rank of the budget.
-		rank = max(rank, int(swarm.OriginCopyBudget(d.rollout))-1)
+		return max(d.ranks[lane], int(swarm.OriginCopyBudget(d.rollout))-1)
 	}
-	return d.sourceFetchAllowed(lane, now) && swarm.MayFetchFromOrigin(rank, swarm.OriginCopyBudget(d.rollout), d.laneProgressAt[lane], d.takeoverDelay(), now)
+	return d.ranks[lane]
 }
 
 // sourceFetchAllowed reports whether the number of concurrent source fetches, the backoff and the lane's byte budget
@@ -65,6 +71,26 @@
 // originBytesDelayFactor multiplies the takeover delay of organisations that save origin bytes.
 const originBytesDelayFactor = 3
 
+// scheduleStalled fetches chunks from a source that neighbours hold but do not send. The caller holds the lock.
+func (d *Download) scheduleStalled(ctx context.Context, v *swarm.View) {
+	for lane, rank := range d.ranks {
+		if rank >= int(swarm.OriginCopyBudget(d.rollout)) || !d.sourceFetchAllowed(lane, v.Now) {
+			continue
+		}
+		if c, ok := swarm.PickStalledChunk(v, d.lanes, lane, rank); ok {
+			d.startSourceFetch(ctx, lane, c)
+		}
+	}
+}
+
+// startSourceFetch starts a fetch from a source. The caller holds the lock.
+func (d *Download) startSourceFetch(ctx context.Context, lane int, c id.Chunk) {
+	d.sourceFetches++
+	d.laneBytes[lane] += d.holding.Size(c)
+	d.inFlight[c]++
+	go d.fetchFromSource(ctx, c)
+}
+
 // fetchFromSource fetches a chunk from the store or the origin.
 func (d *Download) fetchFromSource(ctx context.Context, c id.Chunk) {
 	size := d.holding.Size(c)
@@ -81,6 +107,9 @@
 	defer d.mu.Unlock()
 	d.sourceFetches--
 	d.releaseChunk(c)
+	if err == nil {
+		d.originAnswers.RecordOwn(time.Now(), d.maxOriginGap())
+	}
 	switch {
 	case valid:
 		d.sourceFailures = 0
@@ -88,6 +117,9 @@
 	case ctx.Err() == nil:
 		// Only bytes that were sent count: in a long outage, failed fetches would otherwise use up the whole budget.
 		d.refund(d.lanes.Lane(c), size, got.OriginBytes)
+		if err != nil {
+			d.originAnswers.RecordFailure(time.Now())
+		}
 		d.sourceFailures++
 		d.sourceRetryAt = time.Now().Add(d.sourceRetryDelay(err))
 		d.reason = sourceFailureReason(err)
