Stop a superseded version that cannot be whole in time

Cause: a superseded version of which half was reachable kept its requests to the origin until the served version ended, also while the origin could no longer send the rest by then.

A version that is not staged and does not fit into the rest of the served version's time is cancelled at once, with its requests.

--- a/internal/stager/plan_test.go
+++ b/internal/stager/plan_test.go
@@ -54,6 +54,24 @@
 		e.withLock(func() { e.unavailable = nil })
 		Eventually(e.servedRevision).WithTimeout(waitTimeout).Should(Equal(id.Revision(3)))
 	})
+
+	It("stop fetching a superseded version at once if the origin cannot send the rest in time", func() {
+		e := newFakeUpstream(facts.Held{Model: "m", Revision: 1})
+		e.releaseSecondHalf, e.chunkDelay = make(chan struct{}), 350*time.Millisecond
+		s, f := startStager(e, 4*time.Second)
+		Eventually(func() bool { _, up := s.upstreamState(); return up }).Should(BeTrue())
+		f.SetWanted("m", publishedNow(2))
+		Eventually(func() int { e.mu.Lock(); defer e.mu.Unlock(); return len(e.staged) }).WithTimeout(waitTimeout).
+			Should(Equal(chunks / 2))
+		// The rest takes 1.4 s. The version would bridge until 3 s after its publication.
+		time.Sleep(500 * time.Millisecond)
+		f.SetWanted("m", publishedNow(3))
+		fetching := func() (n int) { e.withLock(func() { n = e.fetching[2] }); return }
+		Eventually(fetching).WithTimeout(500 * time.Millisecond).Should(BeZero())
+		Consistently(fetching).WithTimeout(300 * time.Millisecond).Should(BeZero())
+		close(e.releaseSecondHalf)
+		Eventually(e.servedRevision).WithTimeout(waitTimeout).Should(Equal(id.Revision(3)))
+	})
 })
 
 var _ = Describe("the expected swap duration", func() {
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -69,6 +69,9 @@
 	// the second half of the chunks only once it is closed.
 	unavailable       map[id.Revision]bool
 	releaseSecondHalf chan struct{}
+	// chunkDelay is how long the origin takes for a chunk; fetching is the number of its requests in progress by version.
+	chunkDelay time.Duration
+	fetching   map[id.Revision]int
 	// newest is the newest version of the origin; 0 if it does not report one.
 	newest id.Revision
 	// onLastChunkRead runs once, when the last staged chunk has been read.
@@ -76,7 +79,7 @@
 }
 
 func newFakeUpstream(held ...facts.Held) *fakeUpstream {
-	return &fakeUpstream{staged: map[id.Chunk][]byte{}, state: State{Held: held}, corruptOrigin: map[id.Chunk]bool{}, corruptStaged: map[id.Chunk]bool{}}
+	return &fakeUpstream{staged: map[id.Chunk][]byte{}, state: State{Held: held}, corruptOrigin: map[id.Chunk]bool{}, corruptStaged: map[id.Chunk]bool{}, fetching: map[id.Revision]int{}}
 }
 
 func (e *fakeUpstream) withLock(f func()) {
@@ -136,6 +139,9 @@
 			return m, r, err
 		},
 		Chunk: func(ctx context.Context, _ string, _ id.Model, r id.Revision, c id.Chunk) ([]byte, error) {
+			e.withLock(func() { e.fetching[r]++ })
+			defer e.withLock(func() { e.fetching[r]-- })
+			kernel.Pause(ctx, e.chunkDelay)
 			if e.releaseSecondHalf != nil && c >= chunks/2 {
 				select {
 				case <-ctx.Done():
--- a/internal/stager/work.go
+++ b/internal/stager/work.go
@@ -144,7 +144,7 @@
 const finishPollInterval = 100 * time.Millisecond
 
 // watchForSuccessor cancels a deployment once a newer version is published, unless this VM and its neighbours hold most
-// of this one. In that case the newer one is fetched in parallel and the swap schedule decides whether this one is still
+// of this one and the rest can come in time. In that case the newer one is fetched in parallel and the swap schedule decides whether this one is still
 // loaded: nothing else could serve between the end of the old version's servable time and the end of the newer one's
 // transfer.
 func (s *Stager) watchForSuccessor(ctx context.Context, g *targetVersion, cancel context.CancelCauseFunc) {
@@ -159,7 +159,8 @@
 		}
 	}
 	held, _ := g.holding.Count()
-	if ctx.Err() != nil || s.servesVersion(g) || (!g.staged.Load() && g.download.ReachableShare() < finishThreshold) {
+	if ctx.Err() != nil || s.servesVersion(g) ||
+		(!g.staged.Load() && (g.download.ReachableShare() < finishThreshold || !s.canFinishInTime(g))) {
 		cancel(errSuperseded)
 		return
 	}
@@ -172,7 +173,7 @@
 	go next.download.Run(ctx)
 	g.successor.Store(next)
 	for ctx.Err() == nil && !g.loading.Load() {
-		if v, ok := s.planInputs(g, s.now()); !ok || s.now().After(v.ServableUntil) || s.isSuperseded(next) {
+		if !s.canFinishInTime(g) || s.isSuperseded(next) {
 			cancel(errSuperseded)
 			return
 		}
@@ -180,6 +181,20 @@
 	}
 }
 
+// canFinishInTime reports whether a superseded version can be whole before the one that the upstream serves ends. If not,
+// its requests to the origin only take up the link that the newest version needs.
+func (s *Stager) canFinishInTime(g *targetVersion) bool {
+	v, ok := s.planInputs(g, s.now())
+	if !ok {
+		return false
+	}
+	ready := s.now()
+	if !g.staged.Load() {
+		ready = ready.Add(g.download.MinRemaining())
+	}
+	return !ready.After(v.ServableUntil)
+}
+
 // isSuperseded reports whether a newer version was published.
 func (s *Stager) isSuperseded(g *targetVersion) bool {
 	return s.facts.Wanted(g.model).Revision != g.wanted.Revision
--- a/internal/transfer/download.go
+++ b/internal/transfer/download.go
@@ -118,6 +118,8 @@
 	// originAnswers is the time during which the origin is known to answer; originCheckAt is when the next check is allowed.
 	originAnswers swarm.OriginAnswers
 	originCheckAt time.Time
+	// progressAt is when a chunk was last fetched from a source by this VM or a neighbour.
+	progressAt time.Time
 }
 
 // Dependencies holds what the downloads of one VM share. Seed determines random choices between equivalent options.
@@ -328,22 +330,6 @@
 	return d.linkTooSlow() && !d.holding.Complete()
 }
 
-// ReachableShare returns the share of the chunks that this VM or a neighbour holds, from 0 to 1.
-func (d *Download) ReachableShare() float64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.have == nil || len(d.rarity) == 0 {
-		return 0
-	}
-	reachable := 0
-	for c, n := range d.rarity {
-		if n > 0 || d.have.Has(id.Chunk(c)) {
-			reachable++
-		}
-	}
-	return float64(reachable) / float64(len(d.rarity))
-}
-
 // InheritLinkEstimate copies the link estimate of another download of this VM.
 func (d *Download) InheritLinkEstimate(o *Download) {
 	o.mu.Lock()
--- a/internal/transfer/fetch.go
+++ b/internal/transfer/fetch.go
@@ -122,7 +122,8 @@
 // that has taken over a lane continues until another VM makes progress on it.
 func (d *Download) recordArrival(c id.Chunk) {
 	if d.rarity[c] == 0 && !d.have.Has(c) {
-		d.originAnswers.Record(time.Now(), d.maxOriginGap())
+		d.progressAt = time.Now()
+		d.originAnswers.Record(d.progressAt, d.maxOriginGap())
 		d.recordLaneProgress(d.lanes.Lane(c))
 	}
 }
--- a/internal/transfer/source_budget.go
+++ b/internal/transfer/source_budget.go
@@ -112,6 +112,7 @@
 	}
 	switch {
 	case valid:
+		d.progressAt = time.Now()
 		d.sourceFailures = 0
 		d.reason = "fetching"
 	case ctx.Err() == nil:
