--- a/internal/stager/work.go
+++ b/internal/stager/work.go
@@ -144,9 +144,9 @@
 const finishPollInterval = 100 * time.Millisecond
 
 // watchForSuccessor cancels a deployment once a newer version is published, unless this VM and its neighbours hold most
-// of this one and the rest can come in time. In that case the newer one is fetched in parallel and the swap schedule decides whether this one is still
-// loaded: nothing else could serve between the end of the old version's servable time and the end of the newer one's
-// transfer.
+// of this one and the rest can come in time. In that case the newer one is fetched in parallel and the swap schedule
+// decides whether this one is still loaded: nothing else could serve between the end of the old version's servable time
+// and the end of the newer one's transfer.
 func (s *Stager) watchForSuccessor(ctx context.Context, g *targetVersion, cancel context.CancelCauseFunc) {
 	for ctx.Err() == nil {
 		changed := s.facts.Changed()
