--- a/internal/transfer/download.go
+++ b/internal/transfer/download.go
@@ -115,6 +115,11 @@
 	// sourceRetryAt is when a source may be used again after sourceFailures consecutive failures.
 	sourceRetryAt  time.Time
 	sourceFailures int
+	// originAnswers is the time during which the origin is known to answer; originCheckAt is when the next check is allowed.
+	originAnswers swarm.OriginAnswers
+	originCheckAt time.Time
+	// progressAt is when a chunk was last fetched from a source by this VM or a neighbour.
+	progressAt time.Time
 }
 
 // Dependencies holds what the downloads of one VM share. Seed determines random choices between equivalent options.
@@ -265,6 +270,8 @@
 		d.laneProgressAt[i] = time.Now()
 	}
 	d.startedAt = time.Now()
+	// The manifest is the first answer: a lane whose VM is dead from the start is taken over after one delay.
+	d.originAnswers.Record(d.startedAt, d.maxOriginGap())
 	d.reason = "fetching"
 }
 
@@ -313,26 +320,7 @@
 			d.startSourceFetch(ctx, lane, c)
 		}
 	}
-}
-
-// scheduleStalled fetches chunks from a source that neighbours hold but do not send. The caller holds the lock.
-func (d *Download) scheduleStalled(ctx context.Context, v *swarm.View) {
-	for lane, rank := range d.ranks {
-		if rank >= int(swarm.OriginCopyBudget(d.rollout)) || !d.sourceFetchAllowed(lane, v.Now) {
-			continue
-		}
-		if c, ok := swarm.PickStalledChunk(v, d.lanes, lane, rank); ok {
-			d.startSourceFetch(ctx, lane, c)
-		}
-	}
-}
-
-// startSourceFetch starts a fetch from a source. The caller holds the lock.
-func (d *Download) startSourceFetch(ctx context.Context, lane int, c id.Chunk) {
-	d.sourceFetches++
-	d.laneBytes[lane] += d.holding.Size(c)
-	d.inFlight[c]++
-	go d.fetchFromSource(ctx, c)
+	d.checkOriginIfDue(ctx, v)
 }
 
 // LinkTooSlow reports whether the link to this VM is so slow that even one chunk delays a live request for too long.
@@ -342,22 +330,6 @@
 	return d.linkTooSlow() && !d.holding.Complete()
 }
 
-// ReachableShare returns the share of the chunks that this VM or a neighbour holds, from 0 to 1.
-func (d *Download) ReachableShare() float64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.have == nil || len(d.rarity) == 0 {
-		return 0
-	}
-	reachable := 0
-	for c, n := range d.rarity {
-		if n > 0 || d.have.Has(id.Chunk(c)) {
-			reachable++
-		}
-	}
-	return float64(reachable) / float64(len(d.rarity))
-}
-
 // InheritLinkEstimate copies the link estimate of another download of this VM.
 func (d *Download) InheritLinkEstimate(o *Download) {
 	o.mu.Lock()
