Reservations: a duplicate request gets the first answer for a second

Cause: the ledger knew a request only while its reservation was held. A duplicate of a refused request was decided and counted as offered load again; one after the end of a reservation held a second one, with a second permit.

Change: the ledger remembers the answers of the last second, at most 1024. A spec used one number for two different requests, which is a duplicate by the protocol; the second one now has a number of its own.

--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -90,12 +90,6 @@
 	takenAt, expiresAt time.Time
 }
 
-// question identifies a request for a reservation.
-type question struct {
-	gateway string
-	number  uint64
-}
-
 // Ledger holds the reservations for one upstream. It is safe for concurrent use.
 type Ledger struct {
 	now       func() time.Time
@@ -105,17 +99,16 @@
 	mu     sync.Mutex
 	engine *catalog.Engine
 	state  State
-	// entries are the reservations whose requests the engine's figures don't contain yet, in the order of their permits, and
-	// questions those that were asked for.
-	entries   []*entry
-	questions map[question]*entry
-	arrivals  arrivals
-	stats     Stats
+	// entries are the reservations whose requests the engine's figures don't contain yet, in the order of their permits.
+	entries  []*entry
+	answered answered
+	arrivals arrivals
+	stats    Stats
 }
 
 // New returns a ledger without reservations. Permits come from the limiter.
 func New(now func() time.Time, l *throttle.Limiter, a *admission.Controller) *Ledger {
-	return &Ledger{now: now, limiter: l, admission: a, questions: map[question]*entry{}}
+	return &Ledger{now: now, limiter: l, admission: a, answered: answered{answers: map[requestKey]Answer{}}}
 }
 
 // SetEngine sets the properties of the engine; nil for none.
@@ -167,13 +160,7 @@
 
 // removeWhere removes the reservations for which a function returns true. The caller holds the lock.
 func (l *Ledger) removeWhere(ended func(e *entry) bool) {
-	l.entries = slices.DeleteFunc(l.entries, func(e *entry) bool {
-		if !ended(e) {
-			return false
-		}
-		delete(l.questions, question{e.request.Gateway, e.request.Number})
-		return true
-	})
+	l.entries = slices.DeleteFunc(l.entries, ended)
 }
 
 // current returns the reservation of a permit that has not been taken, or nil. The caller holds the lock.
@@ -186,15 +173,24 @@
 	return l.entries[i]
 }
 
-// Reserve holds a reservation or says why there is none.
+// Reserve holds a reservation or says why there is none. A duplicate of a request gets the same answer and is not counted
+// as offered load again, also after a refusal and after the reservation has ended.
 func (l *Ledger) Reserve(q Request) Answer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sweep()
-	if e := l.questions[question{q.Gateway, q.Number}]; e != nil {
+	k := requestKey{q.Gateway, q.Number}
+	if a, ok := l.answered.answers[k]; ok {
 		l.stats.Duplicate++
-		return e.answer
+		return a
 	}
+	a := l.reserve(q)
+	l.answered.add(k, a, l.now())
+	return a
+}
+
+// reserve decides about a request that is not a duplicate. The caller holds the lock.
+func (l *Ledger) reserve(q Request) Answer {
 	switch {
 	case l.engine == nil || l.state.Closed:
 		return Answer{Refusal: admission.Closed}
@@ -211,9 +207,7 @@
 		a.Refusal = admission.Limit
 		return a
 	}
-	e := &entry{request: q, answer: a, expiresAt: l.now().Add(heldFor)}
-	l.entries = append(l.entries, e)
-	l.questions[question{q.Gateway, q.Number}] = e
+	l.entries = append(l.entries, &entry{request: q, answer: a, expiresAt: l.now().Add(heldFor)})
 	return a
 }
 
--- a/internal/reservation/reservation_test.go
+++ b/internal/reservation/reservation_test.go
@@ -118,6 +118,43 @@
 		Expect(b.Stats().Held).To(Equal(2))
 	})
 
+	// A late duplicate must not take a second permit, nor count a second time as offered load.
+	It("is decided once for a request, also after a refusal and after its end", func() {
+		b := newBench()
+		released, taken, refused := b.request(), b.request(), b.request()
+		first, second := b.Reserve(released), b.Reserve(taken)
+		b.Release(first.Permit)
+		b.Take(second.Permit)
+		b.pass(arrivalTime + 1)
+		b.read(5, 0)
+		refused.Target = 0
+		refusal := b.Reserve(refused)
+		Expect(refusal.Refusal).To(Equal(admission.Busy))
+		b.read(0, 0)
+		refused.Target = time.Hour
+		b.pass(rememberedFor - arrivalTime - 1)
+		Expect([]Answer{b.Reserve(released), b.Reserve(taken), b.Reserve(refused)}).To(Equal([]Answer{first, second, refusal}))
+		Expect(b.Stats()).To(Equal(Stats{Taken: 1, Released: 1, Duplicate: 3}))
+	})
+
+	It("has its answer forgotten after a second, or once more than 1024 are newer", func() {
+		b := newBench()
+		q := b.request()
+		q.Revision = 2
+		b.Reserve(q)
+		for range maxRemembered {
+			other := b.request()
+			other.Revision = 2
+			b.Reserve(other)
+		}
+		Expect(b.answered.answers).To(HaveLen(maxRemembered))
+		Expect(b.answered.answers).NotTo(HaveKey(requestKey{q.Gateway, q.Number}))
+		b.pass(rememberedFor + 1)
+		b.Reserve(q)
+		Expect(b.answered.answers).To(HaveLen(1))
+		Expect(b.answered.order).To(HaveLen(1))
+	})
+
 	It("ends once when it is released, and not when it has been taken", func() {
 		b := newBench()
 		first, second := b.Reserve(b.request()), b.Reserve(b.request())
@@ -134,6 +171,7 @@
 		q := b.request()
 		q.Revision = 2
 		Expect(b.Reserve(q)).To(Equal(Answer{Refusal: admission.Version}))
+		q = b.request()
 		q.Revision = 3
 		Expect(b.Reserve(q).Refusal).To(Equal(admission.Admitted))
 		b.RecordState(State{ReadAt: b.time, Closed: true})
