Stager: a change is reported twice within 250 ms at the longer report interval too

Cause: the report of a change is repeated with the next regular one, as the first may be lost, and an upstream that is about to load waits 250 ms for requests of gateways that got only the second. While reservations are asked for the next regular report comes up to 400 ms later, so such a gateway would send to an upstream that has begun to load.

Change: at the longer interval the stager repeats the report of a change at the first poll 100 ms after it. Nothing changes at the usual interval.

In a trial without the repetition the new spec fails.

--- a/internal/reports/interval.go
+++ b/internal/reports/interval.go
@@ -10,6 +10,9 @@
 	reservedReportInterval = 400 * time.Millisecond
 	// reservationMemory is how long after a request for a reservation reports remain rare; it spans a lull of some requests.
 	reservationMemory = 2 * time.Second
+	// repeatInterval is the time after which the report of a change is repeated while reports are rare. An upstream that is
+	// about to load waits for 250 ms, which have to cover this time and a poll interval of 100 ms.
+	repeatInterval = 100 * time.Millisecond
 	// cycle is the time in which one report lists gateways, contains the demand and goes to gateways of other failure
 	// domains. A gateway rarely sends requests outside its own domain; one that does requests every report. Reports are most
 	// of the traffic between regions when little else happens.
@@ -24,6 +27,17 @@
 	return reportInterval
 }
 
+// RepeatDue reports whether the report of a change has to be repeated before the next regular report, as the first one may
+// have been lost. At the usual interval the next regular one comes soon enough.
+func (r *Reporter) RepeatDue() bool {
+	if r.Interval() == reportInterval {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.urgentPending > 0 && !r.now().Before(r.repeatAt)
+}
+
 // reportsPerCycle returns the number of reports in a cycle.
 func reportsPerCycle(interval time.Duration) uint64 {
 	return uint64((cycle + interval - 1) / interval)
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -78,6 +78,8 @@
 	// go to all subscribers because that content changed.
 	lastState     string
 	urgentPending int
+	// repeatAt is when the report of the newest change is repeated, if the next regular one is later.
+	repeatAt time.Time
 	// nextListed is the gateway with which the next list in a report begins.
 	nextListed string
 	// newsLimit limits the rate of crash news that this process forwards.
@@ -281,7 +283,7 @@
 		state += fmt.Sprint(" ", w.Instance, w.Born, w.Left, w.Position)
 	}
 	if state != r.lastState {
-		r.lastState, r.urgentPending = state, urgentReports
+		r.lastState, r.urgentPending, r.repeatAt = state, urgentReports, now.Add(repeatInterval)
 	}
 }
 
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -170,7 +170,7 @@
 	go s.reconcile(ctx)
 	nextReport := s.now().Add(s.reporter.Interval())
 	for first := true; ctx.Err() == nil; first = false {
-		changed := s.pollUpstream(ctx)
+		changed := s.pollUpstream(ctx) || s.reporter.RepeatDue()
 		if first {
 			// Before the first poll a report would say that the upstream is down.
 			go s.reportAnnouncements(ctx)
--- a/internal/stager/reservations_test.go
+++ b/internal/stager/reservations_test.go
@@ -14,6 +14,7 @@
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/admission"
 	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/swapplan"
 )
 
 // askReservations returns a function that asks a stager for a reservation over the network and returns its answer.
@@ -114,4 +115,27 @@
 		}
 		Expect(time.Since(began)).To(BeNumerically(">", reports*400*time.Millisecond-pollInterval))
 	})
+
+	// A gateway that loses the first report of a change would send requests to an upstream that has begun to load: the stager
+	// waits for them for 250 ms. The shortest of several times counts, as a busy machine adds to each.
+	It("repeats the report that its upstream is about to load within the time that it waits for late requests", func() {
+		_, s, to, ask := start()
+		ask()
+		read := subscribeIn("d", to)
+		shortest := time.Hour
+		for range 3 {
+			for range 3 {
+				Expect(read().GetEveryMs()).To(BeEquivalentTo(400))
+			}
+			ask()
+			closedAt := time.Now()
+			s.setClosed(true)
+			for range 2 {
+				Expect(read().GetClosed()).To(BeTrue())
+			}
+			shortest = min(shortest, time.Since(closedAt))
+			s.setClosed(false)
+		}
+		Expect(shortest).To(BeNumerically("<", swapplan.LateArrivalWait))
+	})
 })
