Ranks: the pool's latency target applies where a priority has none

Cause: where no route of a priority to a pool had a latency target, requests of that priority were admitted by a target of 0, which no prediction meets: all were refused. Priorities out of range had one rank but targets of their own.

Change: such requests are admitted by the pool's target, as before ranks; targets are kept by the priority in range.

Measured: go test ./internal/catalog passes; without the change the new spec fails.

--- a/internal/catalog/rank.go
+++ b/internal/catalog/rank.go
@@ -60,7 +60,7 @@
 	targets := map[poolRank]time.Duration{}
 	for _, r := range routes {
 		for _, p := range r.Shares {
-			k := poolRank{p.Pool, r.Priority}
+			k := poolRank{p.Pool, clampPriority(r.Priority)}
 			if shortest, ok := targets[k]; r.LatencyTarget > 0 && (!ok || r.LatencyTarget < shortest) {
 				targets[k] = r.LatencyTarget
 			}
@@ -75,7 +75,11 @@
 }
 
 // RankLatencyTarget returns the shortest latency target of the routes to a pool that have a route's priority, so that a
-// route with a long target does not fill the queue of the others of its priority.
+// route with a long target does not fill the queue of the others of its priority. Where none of them has a target, that of the
+// pool applies: without any, each request would be refused as late.
 func (c *Catalog) RankLatencyTarget(p id.Pool, r *Route) time.Duration {
-	return c.rankTargets[poolRank{p, r.Priority}]
+	if target, ok := c.rankTargets[poolRank{p, clampPriority(r.Priority)}]; ok {
+		return target
+	}
+	return c.LatencyTarget(p)
 }
--- a/internal/catalog/rank_test.go
+++ b/internal/catalog/rank_test.go
@@ -36,4 +36,13 @@
 		Expect(c.RankLatencyTarget("p", long)).To(Equal(time.Second))
 		Expect(c.LatencyTarget("p")).To(Equal(300 * time.Millisecond))
 	})
+
+	// Guards against a route of which every request is refused as late.
+	It("has the pool's latency target where no route of its priority has one, and that of the nearest priority in range", func() {
+		a, none, high, higher := to("a", 0, 400*time.Millisecond), to("b", 2, 0), to("c", 9, time.Second), to("d", 12, 900*time.Millisecond)
+		c := New(1, []*Route{a, none, high, higher}, nil, nil, Limits{})
+		Expect(c.RankLatencyTarget("p", none)).To(Equal(400 * time.Millisecond))
+		Expect(c.RankLatencyTarget("p", high)).To(Equal(900 * time.Millisecond))
+		Expect(c.RankLatencyTarget("p", higher)).To(Equal(900 * time.Millisecond))
+	})
 })
