Reservations: a closed engine refuses them also while it answers no polls

Cause: a stager whose figures were older than 500 ms answered as one without reservations, with a permit, although it had closed its upstream to load weights. An engine that is loading may not answer polls for as long.

Change: the ledger of a closed engine is ready whatever the age of its figures, as its answer needs none.

Measured: go test ./internal/reservation and ./internal/reports pass; without the change the new spec fails.

--- a/internal/reservation/ledger.go
+++ b/internal/reservation/ledger.go
@@ -118,12 +118,15 @@
 	l.engine = e
 }
 
-// Ready reports whether the engine's properties and its recent state are known, which predictions need. An engine looks
-// idle once figures older than that have been extrapolated to now.
+// Ready reports whether requests can be answered: the engine is closed, or its properties and its recent state are known,
+// which predictions need. An engine looks idle once figures older than that have been extrapolated to now.
 func (l *Ledger) Ready() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.engine != nil && !l.state.ReadAt.IsZero() && l.now().Sub(l.state.ReadAt) <= takenFor
+	if l.engine == nil || l.state.ReadAt.IsZero() {
+		return false
+	}
+	return l.state.Closed || l.now().Sub(l.state.ReadAt) <= takenFor
 }
 
 // RecordState replaces the engine's figures. Reservations whose requests they contain end.
--- a/internal/reservation/reservation_test.go
+++ b/internal/reservation/reservation_test.go
@@ -183,6 +183,15 @@
 		Expect(b.Reserve(b.request()).Refusal).To(Equal(admission.Closed))
 	})
 
+	// An engine that is loading may not answer polls. A stager that is not ready grants permits without a reservation.
+	It("is refused while the engine is closed, however old its figures are", func() {
+		b := newBench()
+		b.RecordState(State{ReadAt: b.time, Closed: true})
+		b.pass(takenFor + 1)
+		Expect(b.Ready()).To(BeTrue())
+		Expect(b.Reserve(b.request())).To(Equal(Answer{Refusal: admission.Closed}))
+	})
+
 	It("has room again once an engine that closed after a reservation has opened", func() {
 		b := newBench()
 		before := b.predicted()
