--- a/internal/gateway/reserve_ask.go
+++ b/internal/gateway/reserve_ask.go
@@ -38,7 +38,8 @@
 	return offers
 }
 
-// collect waits for n answers. Stragglers have less time than the first one, after which stop ends the wait for them.
+// collect waits for n answers. Those that come after stragglerTimeout count only if no other has come by then; stop ends the
+// wait for the rest.
 func (f *callerRequest) collect(answers <-chan *reservationOffer, n int, stop context.CancelFunc) []reservationOffer {
 	stragglersDue := time.NewTimer(stragglerTimeout)
 	defer stragglersDue.Stop()
@@ -66,10 +67,10 @@
 }
 
 const (
-	// probePadding makes a question about as long as a request, in bytes, where it has to show that the link is not narrow:
-	// on one of 0.5 Mbit/s it takes 18 ms.
+	// probePadding is the number of bytes that make a reservation request about as long as a caller's request, where it has to
+	// show that the link is not narrow: on one of 0.5 Mbit/s it takes 18 ms.
 	probePadding = 1100
-	// maxProvenRoundTrip is the longest round trip of such a question that shows a clear path.
+	// maxProvenRoundTrip is the longest round trip of such a reservation request that shows a clear path.
 	maxProvenRoundTrip = 15 * time.Millisecond
 )
 
--- a/internal/reports/reservations.go
+++ b/internal/reports/reservations.go
@@ -40,7 +40,7 @@
 	}
 }
 
-// maxPadding keeps a padded question within one packet.
+// maxPadding keeps a padded reservation request within one packet.
 const maxPadding = 1200
 
 // maxRank bounds ranks received from other processes: the least urgent organisation's least urgent route.
