Gateway: the end of a version needs a stager's own prediction; specs of proven paths

Cause: in the last second of a version's grace period a request was also sent on the answer of a stager without reservations. The margin there is 600 ms instead of 1 s because the stager's prediction contains the queue, which such an answer lacks. No spec covered requests in that time.

Change: such an answer counts as one for another version.

--- a/internal/gateway/reserve_ask.go
+++ b/internal/gateway/reserve_ask.go
@@ -88,6 +88,9 @@
 		return nil
 	case c.NeedsProbe && g.now().Sub(o.askedAt) > maxProvenRoundTrip:
 		a.Refusal = admission.Version
+	case !offered && c.Margin < swapMargin:
+		// provenMargin needs the stager's own prediction.
+		a.Refusal = admission.Version
 	case !offered && a.Permit == 0:
 		a.Refusal = admission.Limit
 	case !offered:
--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/springrail/springrail/internal/admission"
+	"github.com/springrail/springrail/internal/dating"
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/placement"
@@ -371,4 +372,27 @@
 		Expect(p).NotTo(BeNil())
 		Expect(last.Sub(start)).To(BeNumerically("<", permitSearchTimeout+reservationTimeout/2))
 	})
+
+	// Guards against a request that begins after its version's grace period, as its link is narrow or its queue is not known.
+	DescribeTable("is sent to a version in the last second of its grace period only if the answer proves the path and the queue",
+		func(delay time.Duration, isOffered, sent bool) {
+			b := newEngines("d1")
+			s := b.reserveWith(nil)
+			s.reply = func(context.Context, string) (reservation.Answer, bool, bool) {
+				time.Sleep(delay)
+				return reservation.Answer{Permit: 7}, isOffered, true
+			}
+			now := time.Now()
+			b.facts.SetWanted("m", facts.Publication{Revision: 2, PublishTime: dating.TimeBounds{After: now.Add(900*time.Millisecond - b.gateway.settings.SwapWithin)}})
+			for range 5 { // A busy machine may delay an answer.
+				_, _ = b.newRequest().choose(ctx)
+			}
+			Expect(s.requests[0].Padding).To(Equal(probePadding))
+			Expect(s.requests[0].Revision).To(BeEquivalentTo(1))
+			Expect(len(s.taken) > 0).To(Equal(sent))
+		},
+		Entry("and it does", time.Duration(0), true, true),
+		Entry("and it comes late", 2*maxProvenRoundTrip-stragglerTimeout, true, false),
+		Entry("and it has no prediction", time.Duration(0), false, false),
+	)
 })
