--- a/internal/gateway/reserve_test.go
+++ b/internal/gateway/reserve_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/springrail/springrail/internal/admission"
+	"github.com/springrail/springrail/internal/dating"
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/placement"
@@ -165,6 +166,42 @@
 		Expect(slices.Compact(s.asked)).To(HaveLen(6))
 	})
 
+	// Guards against a refusal, or a request to another failure domain, while uneven engines leave room in the own one.
+	DescribeTable("asks three others of its own failure domain once if all that it asked are busy without overload",
+		func(first, further func(ctx context.Context) (reservation.Answer, bool, bool), asked int, want string) {
+			b := newEngines("d1", "d2", "d3", "d4", "d5", "d6", "d7", "d8", "d9", "e1")
+			answered := 0
+			s := b.reserveWith(nil)
+			s.reply = func(ctx context.Context, name string) (reservation.Answer, bool, bool) {
+				s.mu.Lock()
+				answered++
+				n := answered
+				s.mu.Unlock()
+				switch {
+				case name == "e1":
+					return grants(0)
+				case n <= maxReservationRequests:
+					return first(ctx)
+				default:
+					return further(ctx)
+				}
+			}
+			c, p := b.newRequest().choose(ctx)
+			Expect(p).To(BeNil())
+			Expect(string(c.Domain)).To(Equal(want))
+			own := slices.DeleteFunc(slices.Sorted(slices.Values(s.asked)), func(name string) bool { return name == "e1" })
+			Expect(slices.Compact(own)).To(HaveLen(asked))
+		},
+		Entry("and takes what one of these offers", busy, offered, 6, "d"),
+		Entry("and then other failure domains, if these are busy", busy, busy, 6, "e"),
+		Entry("and then other failure domains, if these are silent", busy, isSilent, 6, "e"),
+		Entry("but not under overload", func(context.Context) (reservation.Answer, bool, bool) {
+			return reservation.Answer{Refusal: admission.Busy, Overloaded: true}, true, true
+		}, offered, 3, "e"),
+		Entry("but not if more urgent requests need the room", func(context.Context) (reservation.Answer, bool, bool) { return refuses(admission.Rank) }, offered, 3, "e"),
+		Entry("also if these were asked as the first were closed", func(context.Context) (reservation.Answer, bool, bool) { return refuses(admission.Closed) }, busy, 9, "e"),
+	)
+
 	It("is sent by the view, but not to closed upstreams, if the others are silent", func() {
 		b := newEngines("d1", "d2", "d3", "d4", "e1")
 		closed := map[string]bool{}
@@ -313,4 +350,49 @@
 		Expect(p).To(BeNil())
 		Expect(f.permit).NotTo(BeZero())
 	})
+
+	// Guards against a refusal later than 250 ms after the request came.
+	It("asks for permits after silence only until 200 ms after it began to ask for reservations", func() {
+		b := newEngines("d1", "d2")
+		for _, i := range b.facts.Instances() {
+			b.tracker.SetReport(i.Address, placement.LoadReport{
+				Held: i.Held, ReceivedAt: time.Now().Add(time.Minute), ValidUntil: time.Now().Add(time.Hour),
+				Limit: throttle.Announcement{LimitInfo: throttle.LimitInfo{State: throttle.Limited, Rate: 2}, Incarnation: 1, Permits: 2},
+			})
+		}
+		var last time.Time
+		b.gateway.loadSources.Permits.Acquire = func(ctx context.Context, _ string, _ id.Incarnation) (uint64, bool) {
+			last, _ = ctx.Deadline()
+			<-ctx.Done()
+			return 0, false
+		}
+		b.reserveWith(func(ctx context.Context, _ string) (reservation.Answer, bool, bool) { return isSilent(ctx) })
+		start := time.Now()
+		_, p := b.newRequest().choose(ctx)
+		Expect(p).NotTo(BeNil())
+		Expect(last.Sub(start)).To(BeNumerically("<", permitSearchTimeout+reservationTimeout/2))
+	})
+
+	// Guards against a request that begins after its version's grace period, as its link is narrow or its queue is not known.
+	DescribeTable("is sent to a version in the last second of its grace period only if the answer proves the path and the queue",
+		func(delay time.Duration, isOffered, sent bool) {
+			b := newEngines("d1")
+			s := b.reserveWith(nil)
+			s.reply = func(context.Context, string) (reservation.Answer, bool, bool) {
+				time.Sleep(delay)
+				return reservation.Answer{Permit: 7}, isOffered, true
+			}
+			now := time.Now()
+			b.facts.SetWanted("m", facts.Publication{Revision: 2, PublishTime: dating.TimeBounds{After: now.Add(900*time.Millisecond - b.gateway.settings.SwapWithin)}})
+			for range 5 { // A busy machine may delay an answer.
+				_, _ = b.newRequest().choose(ctx)
+			}
+			Expect(s.requests[0].Padding).To(Equal(probePadding))
+			Expect(s.requests[0].Revision).To(BeEquivalentTo(1))
+			Expect(len(s.taken) > 0).To(Equal(sent))
+		},
+		Entry("and it does", time.Duration(0), true, true),
+		Entry("and it comes late", 2*maxProvenRoundTrip-stragglerTimeout, true, false),
+		Entry("and it has no prediction", time.Duration(0), false, false),
+	)
 })
