--- a/internal/decide/gateway.go
+++ b/internal/decide/gateway.go
@@ -139,7 +139,7 @@
 	p := d.sim
 	f.query.Attempts = f.attempts
 	if p.variant.reservationsAsked > 0 {
-		f.reserve(1, nil, false)
+		f.reserve(1, nil)
 		return
 	}
 	c, refusal := d.balancer.Choose(&f.query)
--- a/internal/decide/reserve.go
+++ b/internal/decide/reserve.go
@@ -78,17 +78,13 @@
 
 // reserve asks several upstreams for a reservation, in the sequence of the gateway's own code, and sends the request to the
 // one with the soonest first event. Messages are never lost here.
-func (f *clientAttempt) reserve(round int, refused []reservationOffer, askedFurther bool) {
+func (f *clientAttempt) reserve(round int, refused []reservationOffer) {
 	d := f.gateway
 	l, refusal := d.balancer.Choices(&f.query, d.sim.variant.reservationsAsked)
 	if f.query.Excluded == nil {
 		f.query.Excluded = map[id.Instance]bool{}
 	}
-	switch {
-	case len(l) == 0 && len(refused) > 0:
-		f.refuseReservation(refused)
-		return
-	case len(l) == 0:
+	if len(l) == 0 {
 		f.fail(refusal.RetryAfter)
 		return
 	}
@@ -100,14 +96,11 @@
 	}
 	f.askAll(own, func(offers []reservationOffer) {
 		refused = append(refused, offers...)
-		switch {
-		case f.excludeClosed(offers) && round < reservationRounds:
-			f.reserve(round+1, refused, askedFurther)
-		case !askedFurther && f.excludeBusy(offers):
-			f.reserve(round+1, refused, true)
-		default:
-			f.reserveElsewhere(refused)
+		if f.excludeClosed(offers) && round < reservationRounds {
+			f.reserve(round+1, refused)
+			return
 		}
+		f.reserveElsewhere(refused)
 	})
 }
 
@@ -221,16 +214,3 @@
 	}
 	return excluded > 0 && excluded == len(offers)
 }
-
-// excludeBusy excludes the upstreams of offers that are all refused as busy without overload, and reports whether they are.
-func (f *clientAttempt) excludeBusy(offers []reservationOffer) bool {
-	for _, o := range offers {
-		if o.answer.Refusal != admission.Busy || o.answer.Overloaded {
-			return false
-		}
-	}
-	for _, o := range offers {
-		f.query.Excluded[o.choice.Instance] = true
-	}
-	return len(offers) > 0
-}
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -25,8 +25,7 @@
 	// maxReservationRequests is the number of upstreams that are asked at the same time. With three, the time to the first
 	// event in simulations is close to that with a perfect view of all; with two, four times as many requests are late.
 	maxReservationRequests = 3
-	// reservationRounds bounds how often a request asks upstreams of its own failure domain while those that it asked are
-	// about to load. One further round follows where all that were asked are busy without overload.
+	// reservationRounds bounds how often a request asks upstreams of its own failure domain, as others may be about to load.
 	reservationRounds = 2
 	// stragglerTimeout bounds the wait for all answers, and reservationTimeout that for the first one. A round trip within a
 	// failure domain takes less than a millisecond, unless chunks of weights queue on the link.
@@ -53,9 +52,8 @@
 func (f *callerRequest) reserve(ctx context.Context, q *Query) (placement.Choice, *Refusal) {
 	q.PathsProven = true
 	defer func() { q.PathsProven = false }()
-	var refused []reservationOffer
-	askedFurther := false
-	for round := 1; ; round++ {
+	refused, silent := []reservationOffer(nil), false
+	for range reservationRounds {
 		own := f.ownChoices(q)
 		if len(own) == 0 {
 			break
@@ -64,20 +62,16 @@
 		if c, ok := f.takeSoonest(ctx, offers); ok {
 			return c, nil
 		}
-		switch {
-		case ctx.Err() != nil:
+		if ctx.Err() != nil {
 			return placement.Choice{}, &Refusal{Reason: endedWhileAsking}
-		case len(offers) == 0 && !askedFurther:
-			return placement.Choice{}, nil
-		}
-		refused = append(refused, offers...)
-		if q.excludeClosed(offers) && round < reservationRounds {
-			continue
 		}
-		if askedFurther || len(offers) < len(own) || !q.excludeBusy(offers) {
+		refused, silent = append(refused, offers...), len(offers) == 0
+		if !q.excludeClosed(offers) {
 			break
 		}
-		askedFurther = true
+	}
+	if silent {
+		return placement.Choice{}, nil
 	}
 	if l := f.otherChoices(q); len(l) > 0 {
 		offers := f.askAll(ctx, l)
--- a/internal/gateway/reserve_refuse.go
+++ b/internal/gateway/reserve_refuse.go
@@ -23,20 +23,6 @@
 	return excluded > 0 && excluded == len(offers)
 }
 
-// excludeBusy excludes the upstreams of offers that are all refused as busy while none says that the offered load exceeds the
-// capacity, and reports whether they are. Where engines are uneven, others have room then.
-func (q *Query) excludeBusy(offers []reservationOffer) bool {
-	for _, o := range offers {
-		if o.answer.Refusal != admission.Busy || o.answer.Overloaded {
-			return false
-		}
-	}
-	for _, o := range offers {
-		q.Excluded[o.choice.Instance] = true
-	}
-	return len(offers) > 0
-}
-
 // refusalReasons are the refusals for load with the reasons that callers and logs are given and the names of their counters,
 // the one that applies first where upstreams differ.
 var refusalReasons = []struct {
