Records: a gateway stays with the reader that refused its lease request

Cause: the spec of the first gateway of a domain told both gateways of each other before both had read both topics. If the second one has read the operators' records by then, it refuses the first one's lease request, and the first one follows it for good, as whichever process reads the store goes on. The spec waited for the opposite.

A process now keeps a fallback that has refused its lease request.

The spec lets both read both topics before they learn of each other, and announces both while it waits, as a gateway counts for 5 s only. Its assertions and bounds are the same. Two specs cover the other order, one with two processes and one of the choice.

--- a/internal/records/lease_request.go
+++ b/internal/records/lease_request.go
@@ -219,6 +219,13 @@
 	return h.address == address && h.now().Before(h.until)
 }
 
+// refusedBy reports whether a process is the hinted one because it has refused this process's lease request.
+func (h *sourceHint) refusedBy(address string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reads && h.address == address && h.now().Before(h.until)
+}
+
 // wait returns after d, at the next hint or when the context ends.
 func (h *sourceHint) wait(ctx context.Context, d time.Duration) {
 	h.mu.Lock()
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -173,34 +173,36 @@
 			return p.service.Follow(ctx, q)
 		}
 		order, _ := Sources("d", []string{"a", "b"}, "")
-		first, _ := newProcess(order[0], refusingStore, ask)
-		second, _ := newProcess(order[1], s, ask)
-		mu.Lock()
-		all[order[0]], all[order[1]] = first, second
-		mu.Unlock()
-		for _, p := range all {
-			p.facts.NoteGateway("a")
-			p.facts.NoteGateway("b")
-			Eventually(func() string { return p.value("u") }).Should(Equal("here"))
+		announce := func() {
+			for _, p := range all {
+				p.facts.NoteGateway("a")
+				p.facts.NoteGateway("b")
+			}
+		}
+		start := func(name string, of *fakeStore) *process {
+			p, _ := newProcess(name, of, ask)
+			mu.Lock()
+			all[name] = p
+			mu.Unlock()
+			Eventually(func() string { return p.value("config") }).WithTimeout(3 * time.Second).Should(Equal("1"))
+			Eventually(func() string { return p.value("u") }).WithTimeout(3 * time.Second).Should(Equal("here"))
+			return p
 		}
+		// Each has read both topics before it knows the other one. Otherwise the first one's lease request may be refused,
+		// and it rightly follows the second from the start.
+		first, second := start(order[0], refusingStore), start(order[1], s)
 		readsStore := func() bool {
+			announce()
 			g := second.follower.upstreamsGate
 			g.mu.Lock()
 			defer g.mu.Unlock()
 			return g.closed == nil
 		}
-		announce := func() {
-			for _, p := range all {
-				p.facts.NoteGateway("a")
-				p.facts.NoteGateway("b")
-			}
-		}
 		Eventually(readsStore).WithTimeout(5*time.Second).Should(BeFalse(), "it follows the first one")
 		refusingStore.setDown(true)
 		Eventually(readsStore).WithTimeout(maxFreshAge + 2*time.Second).Should(BeTrue())
 		Eventually(first.follower.oldestAge).WithTimeout(maxFreshAge + 2*time.Second).Should(BeNumerically("<", maxFreshAge))
 		for range 50 {
-			announce()
 			time.Sleep(100 * time.Millisecond)
 			Expect(readsStore()).To(BeTrue(), "it stopped reading the store to follow a process that follows it")
 		}
--- a/internal/records/sources.go
+++ b/internal/records/sources.go
@@ -52,11 +52,14 @@
 			return a, true
 		}
 	}
-	if f.now().Sub(f.origin.lastStoreRead()) > maxFreshAge {
-		if slices.Contains(fallbacks, f.source) && f.firstUsable([]string{f.source}) != "" {
-			// The other gateways may follow this process by now, so the current source is kept.
-			return f.source, false
-		}
+	noStoreRead := f.now().Sub(f.origin.lastStoreRead()) > maxFreshAge
+	if (noStoreRead || f.hint.refusedBy(f.source)) && slices.Contains(fallbacks, f.source) && f.firstUsable([]string{f.source}) != "" {
+		// The other gateways may follow this process by now, so the current source is kept. One that has refused this
+		// process's lease request for one topic is kept also if this process has just read the other topic. Otherwise this
+		// process opens its gates after each answer, and both read the store.
+		return f.source, false
+	}
+	if noStoreRead {
 		return f.firstUsable(fallbacks), false
 	}
 	return "", false
--- a/internal/records/start_test.go
+++ b/internal/records/start_test.go
@@ -128,6 +128,25 @@
 		Expect(a).To(Equal("g"))
 	})
 
+	// Guards against a gateway that leaves the reader after each answer and reads the store beside it, as it had read one
+	// topic itself before the reader refused its lease request for the other one.
+	It("stays with a fallback that has refused a lease request, though this process has just read the store", func() {
+		gateways, _ = Sources("d", []string{"g", "h"}, "")
+		f.self, f.source = gateways[0], gateways[1]
+		f.logs[0].Merge(Batch{Snapshot: true, Next: 1, ConfirmedAt: time.Now()})
+		f.hint.set(f.source)
+		a, _ := f.chooseSource()
+		Expect(a).To(BeEmpty(), "it has not been refused")
+		f.hint.setReader(f.source)
+		for range 3 {
+			a, _ = f.chooseSource()
+			Expect(a).To(Equal(gateways[1]))
+		}
+		f.followsThisUntil[f.source] = time.Now().Add(time.Hour)
+		a, _ = f.chooseSource()
+		Expect(a).To(BeEmpty(), "the reader follows this process by now")
+	})
+
 	It("accepts older records from a peer than from a gateway, as the peer follows one itself", func() {
 		staleAnswer := &pb.FollowResponse{Topics: []*pb.TopicChanges{{Topic: "op", AgeMs: maxOperatorsAge.Milliseconds() - 1}}}
 		f.logs[0].topic.KeysAreUpstreams = true
--- a/internal/records/takeover_test.go
+++ b/internal/records/takeover_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/platform"
 )
@@ -82,4 +83,51 @@
 		Eventually(func() string { return first.value("config") }).WithTimeout(2 * time.Second).Should(Equal("2"))
 		Expect(second.value("config")).To(Equal("2"))
 	})
+
+	It("lets that one read the store alone from the start, though it has read the list of upstreams itself", func() {
+		s := &fakeStore{logs: map[string][]Record{}}
+		s.write("op", "config", "1")
+		s.write("up", "u", "here")
+		order, _ := Sources("d", []string{"a", "b"}, "")
+		note := func(p *process) {
+			p.facts.NoteGateway("a")
+			p.facts.NoteGateway("b")
+		}
+		announce := func(ctx context.Context, p *process) {
+			for ; ctx.Err() == nil; kernel.Pause(ctx, time.Second) {
+				note(p)
+			}
+		}
+		second := newProcessWith(order[1], 0, s.store(), noPeers, announce)
+		Eventually(func() string { return second.value("config") }).WithTimeout(3 * time.Second).Should(Equal("1"))
+		own := &fakeStore{logs: s.logs, shared: s}
+		// The first one learns of the second while it reads the list, with the lease for that and none for the other topic.
+		store, readsList, announced := own.store(), make(chan struct{}, 1), make(chan struct{})
+		read := store.Snapshot
+		store.Snapshot = func(ctx context.Context, topic string, progress Progress) ([]Record, id.Position, error) {
+			if topic == "up" {
+				select {
+				case readsList <- struct{}{}:
+				default:
+				}
+				<-announced
+			}
+			return read(ctx, topic, progress)
+		}
+		ask := func(ctx context.Context, _ string, q *pb.FollowRequest) (*pb.FollowResponse, error) {
+			return second.service.Follow(ctx, q)
+		}
+		first := newProcessWith(order[0], 0, store, ask, func(ctx context.Context, p *process) {
+			<-readsList
+			note(p)
+			close(announced)
+			announce(ctx, p)
+		})
+		Eventually(func() string { return first.value("config") }).WithTimeout(3 * time.Second).Should(Equal("1"))
+		Expect(own.callsFor("op")).To(BeZero(), "the second one refused the lease")
+		time.Sleep(maxFreshAge)
+		before := own.callsFor("up")
+		Expect(before).NotTo(BeZero())
+		Consistently(func() int { return own.callsFor("up") }).WithTimeout(2 * time.Second).Should(Equal(before))
+	})
 })
