Placement: the first send slot's random source is set by the spec

Cause: the start of the first send slot came from the global random source. Two gateways have a slot every 2.5 s each, and the spec's last look is 9.9 s after the first one: there are four slots, or three if the first one starts in the last 4% of the first period. The spec expected 5 +- 1, so it accepted four and failed at three.

Tracker.Random is a seam, as Tracker.Gateways is. The spec sets it and expects the exact times of all permits for three starts, one of them the case that failed. It is stricter than the count was.

--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -28,7 +28,7 @@
 	if u.report.isFresh(now) {
 		return u.limit.Granted(now)
 	}
-	return u.limit.Shared(now, u.limit.Share(t.Gateways(), !u.hasReported()), rand.Float64)
+	return u.limit.Shared(now, u.limit.Share(t.Gateways(), !u.hasReported()), t.Random)
 }
 
 // LimitedUpstream is an upstream that announces a rate limit.
--- a/internal/placement/limit_test.go
+++ b/internal/placement/limit_test.go
@@ -89,20 +89,27 @@
 		Expect(f.RecordLimitAnswer(limited)).To(BeFalse())
 	})
 
-	It("give each gateway its share while the process beside the upstream is silent", func() {
-		t.Gateways = func() int { return 2 }
+	// Guards against permits beyond the share, and against slots that do not start at the drawn time: two gateways divide
+	// 0.4 of two requests a second, which is a slot every 2.5 s.
+	DescribeTable("give each gateway its share while the process beside the upstream is silent", func(start float64, takenAtMs ...int) {
+		t.Gateways, t.Random = func() int { return 2 }, func() float64 { return start }
 		report(5, throttle.Announcement{LimitInfo: limited, Incarnation: 1, Permits: 2})
 		Expect(t.TakeSharePermit("a")).To(BeFalse())
 		now = now.Add(2 * time.Second)
-		taken := 0
+		silentSince := now
+		var taken []int
 		for range 100 {
-			now = now.Add(100 * time.Millisecond)
 			if t.Candidate(i, 0).Limit.Permits > 0 && t.TakeSharePermit("a") {
-				taken++
+				taken = append(taken, int(now.Sub(silentSince).Milliseconds()))
 			}
+			now = now.Add(100 * time.Millisecond)
 		}
-		Expect(taken).To(BeNumerically("~", 5, 1))
-	})
+		Expect(taken).To(Equal(takenAtMs))
+	},
+		Entry("with the first slot at once", 0.0, 0, 2500, 5000, 7500),
+		Entry("with the first slot in the middle of the first period", 0.5, 1300, 3800, 6300, 8800),
+		Entry("with the first slot at the end of the first period", 0.98, 2500, 5000, 7500),
+	)
 })
 
 var _ = Describe("the Retry-After of a caller that got no permit", func() {
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -85,6 +86,9 @@
 type Tracker struct {
 	// Gateways returns the number of processes that send to the same upstreams; it is set before use.
 	Gateways func() int
+	// Random returns a number in [0, 1) for the start of this process's send slots at a rate-limited upstream; it is set
+	// before use.
+	Random func() float64
 
 	now       func() time.Time
 	mu        sync.Mutex
@@ -93,7 +97,7 @@
 
 // NewTracker returns a tracker without upstreams.
 func NewTracker(now func() time.Time) *Tracker {
-	return &Tracker{Gateways: func() int { return assumedPeers + 1 }, now: now, upstreams: map[string]*upstream{}}
+	return &Tracker{Gateways: func() int { return assumedPeers + 1 }, Random: rand.Float64, now: now, upstreams: map[string]*upstream{}}
 }
 
 func (t *Tracker) entry(address string) *upstream {
