A lane counts as stalled only after two rounds of the others

Cause: on a saturated link each healthy lane gets a chunk every 0.53 s (11 lanes, 48 ms a chunk), and its announcement takes several hops.

Reports stay at 200 ms while the upstream serves an outdated version, and a path counts as proven up to a round trip of 3 ms.

--- a/internal/gateway/reserve_ask.go
+++ b/internal/gateway/reserve_ask.go
@@ -70,8 +70,9 @@
 	// probePadding is the number of bytes that make a reservation request about as long as a caller's request, where it has to
 	// show that the link is not narrow: on one of 0.5 Mbit/s it takes 18 ms.
 	probePadding = 1100
-	// maxProvenRoundTrip is the longest round trip of such a reservation request that shows a clear path.
-	maxProvenRoundTrip = 15 * time.Millisecond
+	// maxProvenRoundTrip is the longest round trip of such a reservation request that shows a clear path. On a link on which
+	// it takes longer, 3 Mbit/s, six chunks of weights that queue suddenly would take longer than provenMargin.
+	maxProvenRoundTrip = 3 * time.Millisecond
 )
 
 // ask asks one upstream's stager; it returns nil without an answer.
--- a/internal/reports/interval.go
+++ b/internal/reports/interval.go
@@ -1,6 +1,10 @@
 package reports
 
-import "time"
+import (
+	"time"
+
+	pb "github.com/springrail/springrail/gen/springrail/v1"
+)
 
 const (
 	// reportInterval is the time between two reports while nothing but the load changes.
@@ -19,14 +23,29 @@
 	cycle = time.Second
 )
 
-// Interval returns the time between two reports while nothing but the load changes.
+// Interval returns the time between two reports while nothing but the load changes. While the upstream serves an outdated
+// version, gateways need the echoes of frequent reports to see a queue on the path before the version's end.
 func (r *Reporter) Interval() time.Duration {
+	if r.outdated.Load() {
+		return reportInterval
+	}
 	if last := r.lastReservation.Load(); last != 0 && r.now().UnixNano()-last < int64(reservationMemory) {
 		return reservedReportInterval
 	}
 	return reportInterval
 }
 
+// servesOutdated reports whether a report shows an upstream that serves an older version than the newest one.
+func servesOutdated(p *pb.UpstreamReport) bool {
+	n := p.GetNamed()
+	for _, h := range p.GetHeld() {
+		if n != nil && h.GetModel() == n.GetModel() && h.GetRevision() < n.GetRevision() {
+			return true
+		}
+	}
+	return false
+}
+
 // RepeatDue reports whether the report of a change has to be repeated before the next regular report, as the first one may
 // have been lost. At the usual interval the next regular one comes soon enough.
 func (r *Reporter) RepeatDue() bool {
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -94,6 +94,8 @@
 	admission *admission.Controller
 	// lastReservation is when a reservation was last asked for, in ns.
 	lastReservation atomic.Int64
+	// outdated is true while the upstream serves an older version than the newest one.
+	outdated atomic.Bool
 	// OnReservation is called before each request for a reservation is answered; it must not block, and is set before Run.
 	OnReservation func()
 }
@@ -199,6 +201,7 @@
 		}
 	}
 	r.lastNumber++
+	r.outdated.Store(servesOutdated(p))
 	offset, _ := r.facts.ConfigOffset()
 	p.ConfigOffset = uint64(offset)
 	if c := r.facts.Catalog(); c != nil {
--- a/internal/swarm/lane.go
+++ b/internal/swarm/lane.go
@@ -135,6 +135,18 @@
 	}
 }
 
+// takeoverRounds is the number of rounds, of one chunk of each lane, that the origin has to deliver per rank before a lane
+// without a new chunk counts as stalled. On a saturated link a healthy lane takes one round for each of its chunks, and the
+// announcement of a chunk takes several hops.
+const takeoverRounds = 2
+
+// OriginBusy reports whether the origin's link is busy with the chunks of other lanes, so that a lane without a new chunk
+// may only wait for its share of the link. delivered is the number of chunks that any VM has got of the origin since the
+// lane's last one, and idle the time since the last of them.
+func (l Lanes) OriginBusy(rank, delivered int, idle, maxGap time.Duration) bool {
+	return rank > 0 && idle <= maxGap/freshShare && delivered < rank*takeoverRounds*l.count
+}
+
 // MayFetchFromOrigin reports whether the VM of a rank may fetch from a lane without new chunks during a time in which
 // the origin is known to answer, see OriginAnswers. Rank 0 may at once; each higher rank waits for one more takeover
 // delay of that time. Ranks beyond the budget never may: as long as all VMs have the same member list, the origin sends
--- a/internal/transfer/download.go
+++ b/internal/transfer/download.go
@@ -118,8 +118,11 @@
 	// originAnswers is the time during which the origin is known to answer; originCheckAt is when the next check is allowed.
 	originAnswers swarm.OriginAnswers
 	originCheckAt time.Time
-	// progressAt is when a chunk was last fetched from a source by this VM or a neighbour.
-	progressAt time.Time
+	// progressAt is when a chunk was last fetched from a source by this VM or a neighbour, and fetchedTotal the number of
+	// such chunks. laneProgressTotal is its value at each lane's laneProgressAt.
+	progressAt        time.Time
+	fetchedTotal      int
+	laneProgressTotal []int
 }
 
 // Dependencies holds what the downloads of one VM share. Seed determines random choices between equivalent options.
@@ -219,6 +222,7 @@
 		d.laneBytes = append(d.laneBytes, 0)
 		d.laneCorruptBytes = append(d.laneCorruptBytes, 0)
 		d.laneDelivered = append(d.laneDelivered, 0)
+		d.laneProgressTotal = append(d.laneProgressTotal, d.fetchedTotal)
 	}
 	wanted := map[id.VM]bool{}
 	for _, v := range swarm.Neighbours(d.rollout.GetId(), d.self, live, d.settings.Neighbours) {
--- a/internal/transfer/fetch.go
+++ b/internal/transfer/fetch.go
@@ -123,6 +123,7 @@
 func (d *Download) recordArrival(c id.Chunk) {
 	if d.rarity[c] == 0 && !d.have.Has(c) {
 		d.progressAt = time.Now()
+		d.fetchedTotal++
 		d.originAnswers.Record(d.progressAt, d.maxOriginGap())
 		d.recordLaneProgress(d.lanes.Lane(c))
 	}
@@ -133,7 +134,7 @@
 func (d *Download) recordLaneProgress(lane int) {
 	d.laneDelivered[lane]++
 	if !swarm.Lagging(d.laneDelivered, lane) {
-		d.laneProgressAt[lane] = time.Now()
+		d.laneProgressAt[lane], d.laneProgressTotal[lane] = time.Now(), d.fetchedTotal
 	}
 }
 
--- a/internal/transfer/source_budget.go
+++ b/internal/transfer/source_budget.go
@@ -14,9 +14,12 @@
 // mayFetchFromSource reports whether this VM may fetch the next chunk of a lane from a source (the store or the origin)
 // now. A lane is a group of chunks that one VM at a time fetches, see swarm.Lanes. The caller holds the lock.
 func (d *Download) mayFetchFromSource(lane int, now time.Time) bool {
-	delay := d.takeoverDelay()
-	answering := d.originAnswers.AnsweringSince(d.laneProgressAt[lane], d.maxOriginGap(), now)
-	return d.sourceFetchAllowed(lane, now) && swarm.MayFetchFromOrigin(d.laneRank(lane), swarm.OriginCopyBudget(d.rollout), answering, delay)
+	rank, maxGap := d.laneRank(lane), d.maxOriginGap()
+	if !d.sourceFetchAllowed(lane, now) || d.lanes.OriginBusy(rank, d.fetchedTotal-d.laneProgressTotal[lane], now.Sub(d.progressAt), maxGap) {
+		return false
+	}
+	answering := d.originAnswers.AnsweringSince(d.laneProgressAt[lane], maxGap, now)
+	return swarm.MayFetchFromOrigin(rank, swarm.OriginCopyBudget(d.rollout), answering, d.takeoverDelay())
 }
 
 // laneRank returns the rank of this VM in a lane. Other VMs would receive late what this VM fetches over a slow link, so
@@ -113,6 +116,7 @@
 	switch {
 	case valid:
 		d.progressAt = time.Now()
+		d.fetchedTotal++
 		d.sourceFailures = 0
 		d.reason = "fetching"
 	case ctx.Err() == nil:
