Gateway: bounds on what slow callers and upstreams make it hold

Cause: an incomplete event of a resumable stream, a response header and the sockets of a request had no bound of ours, and nothing bounded all requests together. An unread answer that its upstream cut off counted as the upstream's failure and was asked for again. A hedge could be sent right after a blocked write, as the timer for a silent upstream ran meanwhile. An early answer to a body that came slowly waited for the body, and its connection was held without a deadline.

Change (docs/design/0009): - By request: 256 KB of an incomplete event and of a response header, 128 KB for each socket buffer. - For the process: gateway.buffer_bytes, 256 MiB by default. Over it, bodies above 16 KB are refused as not run and answers that have begun wait 250 ms in total, then continue with their fixed buffers. - An answer that is cut off after writes to the caller were blocked for a second or more, before the gateway has caught up, has the reason caller_read_too_slowly: no suspect, no crash report, not sent again. - The timer for a silent upstream restarts after each write to the caller. - An answer to a body that is still arriving is written at once, and closes the connection within a second. - Metrics buffered_bytes (now, peak, limit) and no_buffer_space.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -58,28 +59,27 @@
 func (t *attempt) forwardPlain() *attemptError {
 	f, e := t.request, t.exchange
 	t.noteAnswerStart()
-	body, err := io.ReadAll(io.LimitReader(e.Body, maxBufferedAnswer))
+	body, whole, err := t.bufferAnswer()
 	if err != nil {
 		return t.handleBreak("the upstream broke off in its answer")
 	}
 	if f.gateway.dialect.PromisesNotRun(e.StatusCode) {
 		// The status promises the caller that the request was not run, but the header does not prove it, so the gateway
 		// does not forward the status.
-		t.answerComplete = true
+		t.answerComplete = whole
 		return &attemptError{text: "the upstream answered " + strconv.Itoa(e.StatusCode) + " without proof"}
 	}
 	if e.StatusCode >= http.StatusInternalServerError && f.route.Kind == catalog.Safe && f.canRetry() {
-		t.answerComplete = true
+		t.answerComplete = whole
 		return &attemptError{text: "the upstream answered " + strconv.Itoa(e.StatusCode)}
 	}
-	exceedsBuffer := len(body) == maxBufferedAnswer
-	t.sendHead(!exceedsBuffer, len(body))
-	if _, err := f.writer.Write(body); err != nil {
+	t.sendHead(whole, len(body))
+	if err := t.writeCaller(body); err != nil {
 		return t.callerGoneError()
 	}
-	if exceedsBuffer {
-		if _, err := io.Copy(f.writer, e.Body); err != nil {
-			return t.handleBreak("the upstream broke off in its answer")
+	if !whole {
+		if p := t.copyAnswer(body[:cap(body)]); p != nil {
+			return p
 		}
 	}
 	t.answerComplete = true
@@ -90,6 +90,58 @@
 	return nil
 }
 
+// bufferAnswer reads the response, or its beginning if it is longer than maxBufferedAnswer or if there is no buffer
+// space for more than a first read. The request's account keeps what it reserves, as a failed answer is held as well
+// until the next attempt.
+func (t *attempt) bufferAnswer() (body []byte, whole bool, err error) {
+	f := t.request
+	f.buffers.add(streamReadSize)
+	b := make([]byte, 0, streamReadSize)
+	for {
+		n, err := t.readUpstream(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		switch {
+		case errors.Is(err, io.EOF) && len(b) < maxBufferedAnswer:
+			return b, true, nil
+		case err != nil && !errors.Is(err, io.EOF):
+			return b, false, err
+		case len(b) == maxBufferedAnswer:
+			return b, false, nil
+		case len(b) < cap(b):
+			continue
+		}
+		if cap(b) == streamReadSize && !f.reserveBuffer(t.ctx, maxBufferedAnswer-streamReadSize) {
+			return b, false, nil
+		}
+		b = append(make([]byte, 0, min(2*cap(b), maxBufferedAnswer)), b...)
+	}
+}
+
+// reserveBuffer reserves buffer space for an answer that has begun. Meanwhile nothing is read from its upstream.
+func (f *callerRequest) reserveBuffer(ctx context.Context, n int64) bool {
+	ok := f.buffers.reserve(ctx, n, f.gateway.now)
+	if !ok {
+		f.gateway.metrics.count("no_buffer_space")
+	}
+	return ok
+}
+
+// copyAnswer forwards the rest of a response through a buffer.
+func (t *attempt) copyAnswer(buffer []byte) *attemptError {
+	for {
+		n, err := t.readUpstream(buffer)
+		if n > 0 && t.writeCaller(buffer[:n]) != nil {
+			return t.callerGoneError()
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return t.handleBreak("the upstream broke off in its answer")
+		}
+	}
+}
+
 // noteAnswerStart records that the upstream has started to answer.
 func (t *attempt) noteAnswerStart() {
 	if t.startRecorded {
@@ -127,6 +179,7 @@
 	if f.gateway.leaving.Load() {
 		header.Set("Connection", "close")
 	}
+	f.closeAfterUpload()
 	f.writer.WriteHeader(e.StatusCode)
 }
 
@@ -144,17 +197,19 @@
 
 // forwardEvents forwards the rest of a stream.
 func (t *attempt) forwardEvents() *attemptError {
-	f, e := t.request, t.exchange
+	f := t.request
+	f.buffers.add(streamReadSize)
+	defer f.buffers.add(-streamReadSize)
 	buffer := make([]byte, streamReadSize)
 	for {
-		n, err := e.Body.Read(buffer)
+		n, err := t.readUpstream(buffer)
 		if (n > 0 || errors.Is(err, io.EOF)) && !t.noteProgress() {
 			return t.handleBreak("another upstream continued the stream")
 		}
 		if n > 0 {
 			t.noteAnswerStart()
 			t.lastByteAt = f.gateway.now()
-			if !t.writeEvents(f.events.feed(buffer[:n], f.route.Resumable)) {
+			if !t.writeEvents(t.boundPartial(f.events.feed(buffer[:n], f.route.Resumable))) {
 				return t.callerGoneError()
 			}
 		}
@@ -164,6 +219,21 @@
 	}
 }
 
+// boundPartial reserves buffer space for a long incomplete event. If there is none, the event is added to those that
+// are forwarded now.
+func (t *attempt) boundPartial(events []byte) []byte {
+	f := t.request
+	n := int64(cap(f.events.partialEvent)) - f.partialReserved
+	if n <= 0 || len(f.events.partialEvent) <= streamReadSize {
+		return events
+	}
+	if !f.reserveBuffer(t.ctx, n) {
+		return append(events, f.events.stopSplitting()...)
+	}
+	f.partialReserved += n
+	return events
+}
+
 // writeEvents writes events to the caller and reports whether that succeeded.
 func (t *attempt) writeEvents(events []byte) bool {
 	f := t.request
@@ -172,8 +242,13 @@
 		return true
 	}
 	t.sendHead(false, 0)
-	_, err := f.writer.Write(events)
-	return err == nil && http.NewResponseController(f.writer).Flush() == nil
+	if t.writeCaller(events) != nil {
+		return false
+	}
+	start := f.gateway.now()
+	err := http.NewResponseController(f.writer).Flush()
+	t.pace.recordWrite(f.gateway.now().Sub(start))
+	return err == nil
 }
 
 // finishStream handles the end of a stream: io.EOF, or the error that interrupted it.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -198,6 +198,8 @@
 	attemptNumber, eventsBefore int
 	// lastByteAt is when the upstream last sent data, or when the request was sent.
 	lastByteAt time.Time
+	// pace tells an answer that stayed unread from a failure of the upstream.
+	pace callerPace
 
 	mu sync.Mutex
 	// position is how far the caller's response has come.
--- a/internal/gateway/attempt_end.go
+++ b/internal/gateway/attempt_end.go
@@ -33,6 +33,8 @@
 	endVersionOver    endReason = "version_over"
 	endLoading        endReason = "upstream_loading"
 	endBrokeOff       endReason = "upstream_broke_off"
+	// endUnread is an answer that the upstream cut off while the caller read it too slowly.
+	endUnread endReason = "caller_read_too_slowly"
 )
 
 // attemptEnd describes an attempt that ended without a complete response. It is part of the request's log line.
@@ -76,6 +78,8 @@
 		return endStalled
 	case g.aboutToLoad(t.choice.Address):
 		return endLoading
+	case t.pace.isUnread():
+		return endUnread
 	default:
 		return endBrokeOff
 	}
--- a/internal/gateway/broken.go
+++ b/internal/gateway/broken.go
@@ -21,6 +21,9 @@
 		t.reportAbandoned()
 		t.tracked.RecordStall()
 		return &attemptError{text: "the upstream stalled"}
+	case endUnread:
+		// Another upstream would have to run the request again, for a caller that would leave its answer unread too.
+		return &attemptError{text: "the caller read too slowly: the upstream cut off the unread answer", final: true}
 	case endLoading:
 		// An upstream cancels its requests before it loads weights, which is no failure, unless it crashed under one of
 		// them.
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -12,8 +12,15 @@
 	// forwarded is the number of events that were forwarded whole.
 	forwarded    int
 	partialEvent []byte
+	// unsplit is true once a part of an event was forwarded, as the event was too long to buffer. The stream is then
+	// forwarded as it comes, and no other upstream can continue it.
+	unsplit bool
 }
 
+// maxPartialEvent is the longest incomplete event, in bytes, that is buffered until it is whole. Usual events have about
+// a hundred.
+const maxPartialEvent = 256 << 10
+
 // eventIDPrefix starts the line with an event's ID.
 var eventIDPrefix = []byte("id:")
 
@@ -30,7 +37,7 @@
 // feed takes received bytes and returns those that may be forwarded: all of them if the stream cannot be continued
 // by another upstream, otherwise whole events that the caller does not have.
 func (e *eventSplitter) feed(b []byte, wholeEvents bool) []byte {
-	if !wholeEvents {
+	if !wholeEvents || e.unsplit {
 		return b
 	}
 	e.partialEvent = append(e.partialEvent, b...)
@@ -38,7 +45,7 @@
 	for {
 		n := eventLength(e.partialEvent)
 		if n == 0 {
-			return out
+			break
 		}
 		event := e.partialEvent[:n]
 		if id := eventID(event); id == "" || e.isNew(id) {
@@ -50,6 +57,17 @@
 		}
 		e.partialEvent = e.partialEvent[n:]
 	}
+	if len(e.partialEvent) > maxPartialEvent {
+		out = append(out, e.stopSplitting()...)
+	}
+	return out
+}
+
+// stopSplitting returns the incomplete event. The rest of the stream is forwarded as it comes.
+func (e *eventSplitter) stopSplitting() []byte {
+	b := e.partialEvent
+	e.partialEvent, e.unsplit = nil, true
+	return b
 }
 
 // isNew reports whether an event follows the last one. IDs that are not numbers always count as new.
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -18,10 +18,12 @@
 	headSent    bool
 	revision    id.Revision
 	lastEventID string
+	// unsplit is true if no other upstream can continue it.
+	unsplit bool
 }
 
 func (f *callerRequest) currentPosition() streamPosition {
-	return streamPosition{headSent: f.headSent, revision: f.revision, lastEventID: f.events.lastID}
+	return streamPosition{headSent: f.headSent, revision: f.revision, lastEventID: f.events.lastID, unsplit: f.events.unsplit}
 }
 
 // hedge is a hedged attempt at another upstream while the first one is silent. Neither attempt is given up before
@@ -57,6 +59,10 @@
 func (t *attempt) updatePosition(p streamPosition) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.forwarding && t.stallTimer != nil && !t.ended {
+		// The upstream was not silent while a write to the caller was blocked.
+		t.stallTimer.Reset(eventStallTimeout)
+	}
 	t.position, t.forwarding = p, false
 }
 
@@ -112,7 +118,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
-	case t.ended || t.hedge != nil:
+	case t.ended || t.hedge != nil || t.position.unsplit:
 		return nil
 	case t.forwarding:
 		t.stallTimer.Reset(eventStallTimeout)
@@ -138,7 +144,7 @@
 	copied := &callerRequest{
 		gateway: f.gateway, meta: f.meta, route: f.route, catalog: f.catalog, pool: f.pool, organisation: f.organisation, rank: f.rank, regions: f.regions, hedged: true, httpRequest: f.httpRequest,
 		arrived: f.arrived, elapsedBefore: f.elapsedBefore, deadline: f.deadline, callerDeadline: f.callerDeadline, body: f.body, unreadBody: f.unreadBody,
-		tried: maps.Clone(f.tried), attempts: t.attemptNumber, allNotRun: true, fingerprint: f.fingerprint, exclusive: f.exclusive,
+		tried: maps.Clone(f.tried), attempts: t.attemptNumber, allNotRun: true, fingerprint: f.fingerprint, exclusive: f.exclusive, buffers: newBufferAccount(f.gateway.buffers),
 		headSent: t.position.headSent, revision: t.position.revision, events: eventSplitter{lastID: t.position.lastEventID},
 	}
 	for _, h := range t.failedHedges {
@@ -192,12 +198,13 @@
 func (h *hedge) awaitEvent() bool {
 	t, f := h.attempt, h.request
 	buffer := make([]byte, streamReadSize)
+	f.buffers.add(streamReadSize)
 	for {
 		n, err := t.exchange.Body.Read(buffer)
 		if n > 0 {
 			t.answerStarted.Store(true)
 			t.lastByteAt = f.gateway.now()
-			h.pendingEvents = append(h.pendingEvents, f.events.feed(buffer[:n], true)...)
+			h.pendingEvents = append(h.pendingEvents, t.boundPartial(f.events.feed(buffer[:n], true))...)
 		}
 		switch {
 		case errors.Is(err, io.EOF) && !f.events.hasPartial():
@@ -217,6 +224,7 @@
 	if h.attempt != nil {
 		h.attempt.release()
 	}
+	h.request.buffers.release()
 	h.request.cancel(nil)
 }
 
@@ -270,6 +278,7 @@
 func (t *attempt) adoptHedge(h *hedge) *attemptError {
 	f, hedged, won := t.request, h.request, h.attempt
 	defer hedged.cancel(nil)
+	defer hedged.buffers.release()
 	f.reservation = hedged.reservation
 	f.permit, f.permitWait, f.permitExpiry, f.responseLimit, f.knownLimit, f.decision = hedged.permit, hedged.permitWait, hedged.permitExpiry, hedged.responseLimit, hedged.knownLimit, hedged.decision
 	f.upstreamAddress, f.revision = hedged.upstreamAddress, hedged.revision
@@ -290,7 +299,11 @@
 func (t *attempt) resumeFromHedge(h *hedge) *attemptError {
 	f := t.request
 	f.events.dropPartial()
-	if !t.writeEvents(f.events.feed(h.pendingEvents, true)) {
+	events := f.events.feed(h.pendingEvents, true)
+	if h.request.events.unsplit {
+		events = append(events, f.events.stopSplitting()...)
+	}
+	if !t.writeEvents(events) {
 		return t.callerGoneError()
 	}
 	f.events.partialEvent = slices.Clone(h.request.events.partialEvent)
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -43,13 +43,18 @@
 	// ReservationMinGateways is the number of gateways of a failure domain from which on they ask the stagers of engines for
 	// reservations; 0 is never.
 	ReservationMinGateways int `toml:"reservation_min_gateways"`
+	// BufferBytes bounds what requests hold in buffers beyond the fixed buffers of each request.
+	BufferBytes int64 `toml:"buffer_bytes"`
 }
 
 // NewSettings returns the default settings.
 func NewSettings() *Settings {
-	return &Settings{SwapWithin: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second}
+	return &Settings{SwapWithin: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, BufferBytes: defaultBufferBytes}
 }
 
+// defaultBufferBytes holds 1024 of the longest bodies that are buffered, or 4096 of the longest answers.
+const defaultBufferBytes = 256 << 20
+
 // Check implements kernel.Section.
 func (s *Settings) Check(c *kernel.Checker) {
 	_, _, err := net.SplitHostPort(s.Listen)
@@ -58,6 +63,7 @@
 	c.Require(s.RetryRatio >= 0, "repeat_ratio", "a number of 0 or more")
 	c.Require(s.RetrySlack >= 0, "repeat_slack", "a number of 0 or more")
 	c.Require(s.ReservationMinGateways >= 0, "reservation_min_gateways", "a whole number of 0 or more")
+	c.Require(s.BufferBytes >= maxBufferedBody, "buffer_bytes", "a number of at least 262144, the longest body that is buffered")
 	c.Require(s.RetryWindow >= time.Second, "repeat_window", "a time of at least 1s")
 }
 
@@ -101,6 +107,7 @@
 	suspects         *quarantine.SuspectTracker
 	crashDetector    *quarantine.CrashDetector
 	requests         *requestRegistry
+	buffers          *bufferBudget
 	location         Location
 	log              *log.Logger
 	metrics          *metrics
@@ -140,6 +147,7 @@
 	h.Part(rpc.PartName).(*rpc.Server).Handle(springrailv1connect.NewLimitServiceHandler(g))
 	h.Metric("requests", g.metrics.vars)
 	h.Metric("in_flight", expvar.Func(func() any { return g.inFlight.Load() }))
+	h.Metric("buffered_bytes", expvar.Func(func() any { return g.buffers.stats() }))
 	h.Metric("evacuations", expvar.Func(func() any { return f.Evacuations() }))
 	return g, nil
 }
@@ -170,6 +178,7 @@
 		connections:      upconn.New(connect, clock.Now, d.ResponseMatches),
 		suspects:         q.Suspects,
 		requests:         newRequestRegistry(),
+		buffers:          newBufferBudget(s.BufferBytes),
 		answerLengths:    placement.NewAnswerLengths(),
 		random:           func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) },
 	}
@@ -178,11 +187,17 @@
 	g.connections.OnDial = func() { g.metrics.count("dialled") }
 	g.server = &http.Server{
 		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil,
+		ErrorLog: nil, ConnContext: limitConnBuffers,
 	}
 	return g
 }
 
+// limitConnBuffers bounds the socket buffers of a caller's connection.
+func limitConnBuffers(ctx context.Context, c net.Conn) context.Context {
+	dial.LimitSocketBuffers(c)
+	return ctx
+}
+
 // Run serves callers until the context ends.
 func (g *Gateway) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -17,14 +17,8 @@
 	"github.com/springrail/springrail/internal/throttle"
 )
 
-const (
-	// maxBufferedBody is the longest request body, in bytes, that is buffered so that it can be sent again. A longer
-	// body is streamed and sent only once. Usual bodies are a few KB.
-	maxBufferedBody = 256 << 10
-	// writeDeadlineSlack extends the write deadline beyond the caller's deadline for data still on its way to the
-	// caller.
-	writeDeadlineSlack = 100 * time.Millisecond
-)
+// writeDeadlineSlack extends the write deadline beyond the caller's deadline for data still on its way to the caller.
+const writeDeadlineSlack = 100 * time.Millisecond
 
 // callerRequest is one caller's request in flight and the state of its attempts.
 type callerRequest struct {
@@ -47,6 +41,9 @@
 	deadline, callerDeadline time.Time
 	body                     []byte
 	unreadBody               io.Reader
+	// upload is unreadBody, and buffers what the request holds of the gateway's buffer budget.
+	upload  *streamedBody
+	buffers *bufferAccount
 
 	tried    map[id.Instance]bool
 	attempts int
@@ -55,7 +52,9 @@
 	// allNotRun is true while every attempt has been proven not to have run.
 	allNotRun bool
 	events    eventSplitter
-	revision  id.Revision
+	// partialReserved is the buffer space that was reserved for a long incomplete event.
+	partialReserved int64
+	revision        id.Revision
 	// The predicted and actual time to the first event, the upstream and the basis of its choice, for the log line;
 	// retryAfter is the Retry-After of a refusal.
 	predictedFirst  time.Duration
@@ -108,7 +107,8 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	f := &callerRequest{gateway: g, httpRequest: r, writer: w, arrived: g.now(), meta: g.dialect.ReadRequest(r.Header), tried: map[id.Instance]bool{}, allNotRun: true}
+	f := &callerRequest{gateway: g, httpRequest: r, writer: w, arrived: g.now(), meta: g.dialect.ReadRequest(r.Header), tried: map[id.Instance]bool{}, allNotRun: true, buffers: newBufferAccount(g.buffers)}
+	defer f.buffers.release()
 	if g.rejecting.Load() {
 		f.refuse("leaving", minRetryAfter)
 		return
@@ -125,6 +125,7 @@
 	}
 	defer g.requests.remove(f)
 	f.run()
+	f.endUpload()
 }
 
 // admit resolves the request's route and authenticates its caller, or answers with the reason for a refusal.
@@ -201,36 +202,6 @@
 	return f.deadline.Sub(f.gateway.now())
 }
 
-// readBody buffers a body of up to maxBufferedBody and keeps the rest of a longer one for streaming.
-func (f *callerRequest) readBody() bool {
-	if f.httpRequest.ContentLength == 0 {
-		return true
-	}
-	_ = http.NewResponseController(f.writer).SetReadDeadline(clock.DeadlineAfter(f.remaining()))
-	limit := int64(f.catalog.Limits.BodyBytes)
-	if limit <= 0 {
-		limit = maxBufferedBody
-	}
-	body := http.MaxBytesReader(nil, f.httpRequest.Body, limit)
-	var b bytes.Buffer
-	n, err := io.CopyN(&b, body, maxBufferedBody)
-	f.body = b.Bytes()
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		f.fail(http.StatusRequestEntityTooLarge, "body too large")
-		return false
-	case errors.Is(err, io.EOF):
-		return true
-	case err != nil:
-		f.fail(http.StatusBadRequest, "the body did not come whole")
-		return false
-	case n == maxBufferedBody:
-		f.unreadBody = body
-	}
-	return true
-}
-
 // run sends the request to upstreams one after another until one answers or no retry is allowed.
 func (f *callerRequest) run() {
 	ctx, stop := context.WithTimeout(f.ctx, f.remaining())
@@ -251,7 +222,7 @@
 
 // mayRetry reports whether the request may be sent to another upstream after a failure.
 func (f *callerRequest) mayRetry(ctx context.Context, p *attemptError) bool {
-	if ctx.Err() != nil || p.final || f.gateway.suspects.Check(f.fingerprint) != quarantine.Pass || !f.hasAttemptsLeft() || !Retryable(f.route, len(f.tried), p.notRun, f.headSent) {
+	if ctx.Err() != nil || p.final || f.gateway.suspects.Check(f.fingerprint) != quarantine.Pass || !f.hasAttemptsLeft() || !Retryable(f.route, len(f.tried), p.notRun, f.headSent) || f.events.unsplit {
 		return false
 	}
 	return f.attempts == 0 || f.gateway.retryBudget.TakeRetry(f.pool)
@@ -309,6 +280,8 @@
 func (f *callerRequest) fail(status int, why string) {
 	h := f.writer.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(why)+1))
+	f.closeAfterUpload()
 	f.writer.WriteHeader(status)
 	_, _ = io.WriteString(f.writer, why+"\n")
 	f.gateway.metrics.count(why)
--- a/internal/upconn/conn.go
+++ b/internal/upconn/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -34,12 +35,45 @@
 	address string
 	// incarnation is the upstream's process lifetime that was known when the connection was opened.
 	incarnation id.Incarnation
+	head        headReader
 	r           *bufio.Reader
 	w           *bufio.Writer
 	// reusableUntil is the time from which the connection may not be used for another request.
 	reusableUntil time.Time
 }
 
+// maxResponseHeadBytes bounds what is read of one response header. Callers' request headers are bounded to a quarter of it.
+const maxResponseHeadBytes = 256 << 10
+
+// errHeadTooLong reports a response header longer than maxResponseHeadBytes.
+var errHeadTooLong = errors.New("the header of the response is too long")
+
+// headReader reads from a connection and bounds what is read of a response header.
+type headReader struct {
+	from io.Reader
+	// left is what may still be read of the header; it is not used within a body.
+	left   int
+	inHead bool
+}
+
+func (h *headReader) start() {
+	h.inHead, h.left = true, maxResponseHeadBytes
+}
+
+func (h *headReader) end() {
+	h.inHead = false
+}
+
+// Read implements io.Reader.
+func (h *headReader) Read(b []byte) (int, error) {
+	if h.inHead && h.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := h.from.Read(b)
+	h.left -= n
+	return n, err
+}
+
 // isReusable reports whether an idle connection is still open and has no unread bytes. Unrequested bytes belong to a late or
 // duplicate response, and no request may follow them on this connection.
 func (c *conn) isReusable() bool {
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -12,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/springrail/springrail/internal/dial"
 	"github.com/springrail/springrail/internal/id"
 )
 
@@ -82,7 +83,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: n, address: address, incarnation: incarnation, reusableUntil: p.now().Add(defaultIdleTimeout), r: bufio.NewReaderSize(n, bufferBytes), w: bufio.NewWriterSize(n, bufferBytes)}, nil
+	dial.LimitSocketBuffers(n)
+	c := &conn{Conn: n, address: address, incarnation: incarnation, reusableUntil: p.now().Add(defaultIdleTimeout), w: bufio.NewWriterSize(n, bufferBytes)}
+	c.head.from = n
+	c.r = bufio.NewReaderSize(&c.head, bufferBytes)
+	return c, nil
 }
 
 // sendAndReadHead sends the request and reads the header of its response.
@@ -113,10 +118,12 @@
 // readHead reads the header of the response, and skips informational responses and those to other requests.
 func (e *Exchange) readHead(r *Request) error {
 	for range maxResponseHeads {
+		e.conn.head.start()
 		a, err := http.ReadResponse(e.conn.r, &http.Request{Method: r.Method}) //nolint:bodyclose // Release closes the connection
 		if err != nil {
 			return err
 		}
+		e.conn.head.end()
 		if a.StatusCode < http.StatusOK {
 			continue
 		}
