--- a/internal/reports/interval.go
+++ b/internal/reports/interval.go
@@ -11,7 +11,7 @@
 	reportInterval = 200 * time.Millisecond
 	// reservedReportInterval replaces reportInterval while gateways ask for reservations. The answers then carry the load,
 	// and reports the versions and the membership.
-	reservedReportInterval = 400 * time.Millisecond
+	reservedReportInterval = 500 * time.Millisecond
 	// reservationMemory is how long after a request for a reservation reports remain rare; it spans a lull of some requests.
 	reservationMemory = 2 * time.Second
 	// repeatInterval is the time after which the report of a change is repeated while reports are rare. An upstream that is
--- a/internal/swarm/origin.go
+++ b/internal/swarm/origin.go
@@ -7,7 +7,7 @@
 const freshShare = 2
 
 // OriginAnswers is what a VM knows of the time during which the origin answers any VM. A new chunk of any lane shows
-// that it does. A dead VM of a lane is told apart by it from an origin that is unavailable to all.
+// that it does, which distinguishes a dead VM of a lane from an origin that is unavailable to all.
 type OriginAnswers struct {
 	// since and last are the times of the first and the last answer of the current period without a longer gap.
 	since, last time.Time
