--- a/internal/admission/rank.go
+++ b/internal/admission/rank.go
@@ -11,7 +11,7 @@
 	routeRanks = 10
 	// keptFor is the number of running requests until whose end free slots are kept for the more urgent offers expected by
 	// then, and maxKeptSlots bounds the kept slots. With at most two, fewer than 0.95 of the most urgent requests are on
-	// time in a burst (docs/design/0006-ranks-and-shares.md).
+	// time in a burst (docs/design/0007-ranks-and-shares.md).
 	keptFor      = 4
 	maxKeptSlots = 4
 	// reservedShare is the share of the capacity that each rank keeps. Together the ranks keep at most maxReserved.
