--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -125,6 +125,8 @@
 	byHost         map[string][]*Route
 	byKey          map[string]*Organisation
 	latencyTargets map[id.Pool]time.Duration
+	rankTargets    map[poolRank]time.Duration
+	ranks          map[id.Pool][]Rank
 }
 
 // New indexes a configuration so that the routes of a host are tried by descending prefix length.
@@ -153,6 +155,7 @@
 			c.byKey[k] = o
 		}
 	}
+	c.ranks, c.rankTargets = poolRanks(routes, orgs), rankTargets(routes)
 	return c
 }
 
--- a/internal/decide/gateway.go
+++ b/internal/decide/gateway.go
@@ -138,11 +138,22 @@
 	d := f.gateway
 	p := d.sim
 	f.query.Attempts = f.attempts
+	if p.variant.reservationsAsked > 0 {
+		f.reserve(1, nil)
+		return
+	}
 	c, refusal := d.balancer.Choose(&f.query)
 	if refusal != nil {
 		f.fail(refusal.RetryAfter)
 		return
 	}
+	f.send(c)
+}
+
+// send sends the request to an upstream.
+func (f *clientAttempt) send(c placement.Choice) {
+	d := f.gateway
+	p := d.sim
 	f.query.Tried[c.Instance] = true
 	e := p.engineByName(c.Instance)
 	if e.domain != d.domain {
@@ -188,6 +199,7 @@
 // fail ends the attempt without a response: refused if the request never ran, and failed otherwise.
 func (f *clientAttempt) fail(retryAfter time.Duration) {
 	f.close()
+	f.gateway.patience.RecordRefusal()
 	p, q := f.gateway.sim, f.request
 	delay := ms(p.scenario.Links.CallerMs)
 	wasRefused := f.neverRan && !f.query.HeadSent
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -96,13 +97,19 @@
 	return nil
 }
 
+// maxQueuePriority is the least urgent position that ForwardMeta can state.
+const maxQueuePriority = 9
+
 // upstreamRequest builds the request that is sent to an upstream.
 func (f *callerRequest) upstreamRequest(c placement.Choice) *upconn.Request {
 	r := f.httpRequest
 	h := forwardedHeader(r.Header)
-	s := ForwardMeta{Instance: c.Instance, Organisation: f.organisation, Timeout: f.deadline.Sub(f.gateway.now()), LastEventID: f.events.lastID}
-	if f.headSent || f.gateway.facts.MinRevision(f.meta.Model, f.gateway.settings.SwapWithin-swapMargin) > 0 {
-		s.Revision = c.Revision
+	s := ForwardMeta{
+		Instance: c.Instance, Organisation: f.organisation, Timeout: f.deadline.Sub(f.gateway.now()), LastEventID: f.events.lastID,
+		Revision: f.expectedRevision(c),
+	}
+	if f.ranked() {
+		s.Ranked, s.QueuePriority = true, min(slices.Index(f.catalog.Ranks(f.pool), f.rank), maxQueuePriority)
 	}
 	f.gateway.dialect.PrepareHeader(h, s)
 	return &upconn.Request{
@@ -191,6 +198,8 @@
 	attemptNumber, eventsBefore int
 	// lastByteAt is when the upstream last sent data, or when the request was sent.
 	lastByteAt time.Time
+	// pace tells an answer that stayed unread from a failure of the upstream.
+	pace callerPace
 
 	mu sync.Mutex
 	// position is how far the caller's response has come.
--- a/internal/gateway/balancer.go
+++ b/internal/gateway/balancer.go
@@ -43,13 +43,23 @@
 	// one.
 	PermitDenied  map[id.Instance]bool
 	NoMorePermits bool
+	// Excluded are upstreams whose stagers say that they take no requests now; nil before the first reservation request.
+	Excluded map[id.Instance]bool
+	// PathsProven is true if the stagers of the chosen upstreams are asked before the request is sent. Their answers then
+	// show whether the network path is clear, whatever earlier probes showed.
+	PathsProven bool
 	// Regions are the regions in which the request may be served.
 	Regions catalog.Regions
 	// HeadSent is true once the caller has the header of a response that was made with Revision.
 	HeadSent bool
 	Revision id.Revision
+	// Scope restricts the failure domains whose upstreams may be chosen.
+	Scope DomainScope
 
 	decision decision
+	// now is when the newest choice began; reading the clock for each upstream would take a quarter of the time of a choice
+	// among 870.
+	now time.Time
 	// newestRevision is the newest published version of the model that this process knows of.
 	newestRevision id.Revision
 }
@@ -64,9 +74,19 @@
 
 // Choose selects the upstream for the next attempt, or returns a Refusal.
 func (d *Balancer) Choose(q *Query) (placement.Choice, *Refusal) {
+	l, refusal := d.Choices(q, 1)
+	if len(l) == 0 {
+		return placement.Choice{}, refusal
+	}
+	return l[0], refusal
+}
+
+// Choices returns up to n upstreams for the next attempt, where the pool is one of engines; otherwise one. The first is
+// the one that Choose selects, and the Refusal is its.
+func (d *Balancer) Choices(q *Query, n int) ([]placement.Choice, *Refusal) {
 	s := q.Catalog.Services[q.Pool]
 	if s == nil {
-		return placement.Choice{}, d.refuse(q, "no such pool", placement.NoUpstreamRetryAfter)
+		return nil, d.refuse(q, "no such pool", placement.NoUpstreamRetryAfter)
 	}
 	q.decision = decision{}
 	scratch := candidateListPool.Get().(*[]placement.Candidate)
@@ -74,47 +94,54 @@
 	*scratch = d.candidates(q, s, (*scratch)[:0])
 	l := *scratch
 	if s.Engine != nil {
-		return d.chooseEngine(q, s.Engine, l)
+		return d.chooseEngines(q, s.Engine, l, n)
 	}
 	w := &placement.Forecast{PredictFirstEvent: placement.PredictPlainService, Domain: d.Location.Domain}
-	c, ok := placement.Choose(l, q.Tried, w, d.Random())
-	if !ok {
-		return c, d.refuseNoUpstream(q, placement.NoUpstreamRetryAfter)
+	chosen := placement.ChooseSeveral(l, q.Tried, w, 1, d.Random())
+	if len(chosen) == 0 {
+		return nil, d.refuseNoUpstream(q, placement.NoUpstreamRetryAfter)
 	}
-	return c, nil
+	return chosen, nil
 }
 
-// chooseEngine selects a model engine that has the capacity to begin the request in time.
-func (d *Balancer) chooseEngine(q *Query, e *catalog.Engine, l []placement.Candidate) (placement.Choice, *Refusal) {
+// chooseEngines selects up to n model engines, the first of which has the capacity to begin the request in time unless
+// there is a Refusal.
+func (d *Balancer) chooseEngines(q *Query, e *catalog.Engine, l []placement.Candidate, n int) ([]placement.Choice, *Refusal) {
 	m := placement.NewLatencyModel(e)
-	elapsed := q.ElapsedBefore + d.Now().Sub(q.Arrived)
-	if len(q.Tried) > 0 {
-		// The request has been sent to an upstream already: serving it late is better than not at all.
-		elapsed = 0
-	}
 	aim := q.Catalog.LatencyTarget(q.Pool)
+	elapsed := d.elapsed(q)
 	w := d.newForecast(q, m, e, l, elapsed, aim)
 	if d.AdjustOutlook != nil {
 		d.AdjustOutlook(w, l)
 	}
-	c, ok := placement.Choose(l, q.Tried, w, d.Random())
-	if !ok {
-		return c, d.refuseNoUpstream(q, q.decision.retryAfterSwap(d.Now()))
+	chosen := placement.ChooseSeveral(l, q.Tried, w, n, d.Random())
+	if len(chosen) == 0 {
+		return nil, d.refuseNoUpstream(q, q.decision.retryAfterSwap(d.Now()))
 	}
+	c := &chosen[0]
 	usualWait := m.AdmissionLatency(&c.Candidate)
 	k := &q.decision
 	k.nearest, k.predictedWait, k.elapsed, k.aim, k.reportAge, k.reportKnown = c.Address, usualWait, elapsed, aim, c.Age, c.Fresh
 	// A stream that has begun is not refused.
 	if q.HeadSent || c.HasCapacity {
-		return c, nil
+		return chosen, nil
 	}
 	if c.Limit != nil {
 		k.noteLimited(c.Limit.NextPermitIn)
-		return c, d.refuseNoUpstream(q, 0)
+		return chosen, d.refuseNoUpstream(q, 0)
 	}
 	refusal := d.refuse(q, "too busy", usualWait-aim)
 	refusal.Predicted = c.Predicted
-	return c, refusal
+	return chosen, refusal
+}
+
+// elapsed returns the time that the caller has lost of the latency target.
+func (d *Balancer) elapsed(q *Query) time.Duration {
+	if len(q.Tried) > 0 {
+		// The request has been sent to an upstream already: serving it late is better than not at all.
+		return 0
+	}
+	return q.ElapsedBefore + d.Now().Sub(q.Arrived)
 }
 
 // refuse refuses the request before it was sent; capacity is expected after dueIn.
@@ -140,7 +167,7 @@
 // newForecast returns a forecast of the load until the next reports. Their interval is taken to be twice their mean age.
 func (d *Balancer) newForecast(q *Query, m placement.LatencyModel, e *catalog.Engine, l []placement.Candidate, elapsed, aim time.Duration) *placement.Forecast {
 	late := !placement.InTime(0, elapsed, aim)
-	if q.Attempts == 0 && len(q.PermitDenied) == 0 {
+	if q.Attempts == 0 && len(q.PermitDenied) == 0 && q.Excluded == nil {
 		d.Load.Offers.Record(q.Pool, late)
 	}
 	return &placement.Forecast{
@@ -171,6 +198,11 @@
 // begins, and this process may have learnt of the version later than others.
 const swapMargin = time.Second
 
+// provenMargin replaces swapMargin where the stager beside the upstream has just answered: its prediction contains the
+// queue, and a request that has not begun giveUpMargin before the end is cancelled. The rest covers a chunk of weights on
+// the link.
+const provenMargin = 600 * time.Millisecond
+
 const (
 	// waitSafetyFactor multiplies the predicted wait of a request; one in ten still waits longer.
 	waitSafetyFactor = 2
@@ -204,9 +236,9 @@
 		usualPrompt = s.Engine.MeanPromptTokens
 		m = placement.NewLatencyModel(s.Engine)
 	}
-	q.newestRevision = d.Facts.Wanted(q.Model).Revision
+	q.now, q.newestRevision = d.Now(), d.Facts.Wanted(q.Model).Revision
 	for _, i := range d.Facts.Instances() {
-		if i.Pool != q.Pool || !d.mayServe(q, i.Domain) {
+		if i.Pool != q.Pool || !d.mayServe(q, i.Domain) || q.Excluded[i.ID] || !q.Scope.contains(i.Domain, d.Location.Domain) {
 			continue
 		}
 		if i.Leaving {
@@ -270,28 +302,28 @@
 		return false
 	}
 	wait := time.Duration(waitSafetyFactor * float64(m.FirstEvent(c, q.PromptTokens)))
-	transit, passage := c.Path.MaxDelay(d.Now(), d.SwapWithin)
-	if c.Congested || d.lacksConfig(c) {
+	transit, passage := c.Path.MaxDelay(q.now, d.SwapWithin)
+	mayQueue := c.Congested || d.lacksConfig(c)
+	if mayQueue {
 		// A sudden queue cannot be seen in advance: a configuration of 0.6 MB occupied a link of 0.46 Mbit/s for 5 s that
 		// had been idle before.
 		transit, passage = d.SwapWithin, placement.PathQueued
 	}
-	margin := max(swapMargin, wait+max(minTransitTime, transit))
-	if c.Revision < q.newestRevision && d.Now().Sub(d.Facts.OvertakenAt(q.Model, c.Revision)) < burstWindow {
-		margin = max(margin, burstMargin)
-	}
-	if q.HeadSent {
-		margin = max(margin, resumeMargin)
-	}
-	c.ExpectedWait, c.Margin = wait, margin
+	c.ExpectedWait, c.Margin = wait, d.margin(q, c, swapMargin, wait+max(minTransitTime, transit))
 	if c.Revision >= q.newestRevision {
 		return true
 	}
 	versionEnd := d.Facts.ServableUntil(q.Model, c.Revision, d.SwapWithin)
-	c.NeedsProbe = !versionEnd.IsZero() && versionEnd.Sub(d.Now()) < min(probeWindow, d.SwapWithin/2)
-	if c.Revision >= d.Facts.MinRevision(q.Model, d.SwapWithin-margin) && (!c.NeedsProbe || !q.permitDenied(c)) {
+	c.NeedsProbe = !versionEnd.IsZero() && versionEnd.Sub(q.now) < min(probeWindow, d.SwapWithin/2)
+	if d.servableFor(q, c) && (!c.NeedsProbe || !q.permitDenied(c)) {
 		return true
 	}
+	if q.PathsProven && !mayQueue {
+		c.NeedsProbe, c.Margin = true, d.margin(q, c, provenMargin, wait+minTransitTime)
+		if d.servableFor(q, c) {
+			return true
+		}
+	}
 	q.decision.noteVersionEnd(versionEnd)
 	if passage == placement.PathQueued {
 		q.decision.excluded.queued++
@@ -301,6 +333,24 @@
 	return false
 }
 
+// margin returns the minimum remaining lifetime of a candidate's version: the given one, or more where the request needs
+// more time to begin, a still newer version was published recently, or a stream is continued.
+func (d *Balancer) margin(q *Query, c *placement.Candidate, least, toBegin time.Duration) time.Duration {
+	margin := max(least, toBegin)
+	if c.Revision < q.newestRevision && q.now.Sub(d.Facts.OvertakenAt(q.Model, c.Revision)) < burstWindow {
+		margin = max(margin, burstMargin)
+	}
+	if q.HeadSent {
+		margin = max(margin, resumeMargin)
+	}
+	return margin
+}
+
+// servableFor reports whether a candidate's version remains servable for its margin.
+func (d *Balancer) servableFor(q *Query, c *placement.Candidate) bool {
+	return c.Revision >= d.Facts.MinRevision(q.Model, d.SwapWithin-c.Margin)
+}
+
 // permitDenied reports whether an upstream that requires a permit must not be asked for one again.
 func (q *Query) permitDenied(c *placement.Candidate) bool {
 	return q.NoMorePermits || q.PermitDenied[c.Instance]
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -21,6 +21,8 @@
 	Model   id.Model
 	// PromptTokens is the length of the prompt in tokens.
 	PromptTokens float64
+	// MaxAnswerTokens is the most tokens that the answer may have; 0 if not stated.
+	MaxAnswerTokens float64
 }
 
 // ForwardMeta holds what the gateway adds to the header of a request that it sends to an upstream.
@@ -31,6 +33,10 @@
 	Timeout time.Duration
 	// Revision is the version that must serve the request; 0 for any.
 	Revision id.Revision
+	// Ranked is true where requests of different ranks queue at the upstream, and QueuePriority, from 0 to 9, is then the
+	// request's position among them: 0 is let in first.
+	Ranked        bool
+	QueuePriority int
 	// LastEventID is the ID of the last event that the caller has received; empty for none.
 	LastEventID string
 }
--- a/internal/gateway/location.go
+++ b/internal/gateway/location.go
@@ -22,3 +22,18 @@
 	}
 	return false
 }
+
+// DomainScope is a set of failure domains, relative to that of this process.
+type DomainScope uint8
+
+// The failure domains whose upstreams may be chosen.
+const (
+	AnyDomain DomainScope = iota
+	OwnDomain
+	OtherDomains
+)
+
+// contains reports whether upstreams of a failure domain are considered by a gateway in the domain own.
+func (s DomainScope) contains(d, own id.Domain) bool {
+	return s == AnyDomain || (s == OwnDomain) == (d == own)
+}
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -69,14 +69,19 @@
 	// the second half of the chunks only once it is closed.
 	unavailable       map[id.Revision]bool
 	releaseSecondHalf chan struct{}
+	// chunkDelay is how long the origin takes for a chunk; fetching is the number of its requests in progress by version.
+	chunkDelay time.Duration
+	fetching   map[id.Revision]int
 	// newest is the newest version of the origin; 0 if it does not report one.
 	newest id.Revision
 	// onLastChunkRead runs once, when the last staged chunk has been read.
 	onLastChunkRead func()
+	// onPoll runs before each read of the state.
+	onPoll func()
 }
 
 func newFakeUpstream(held ...facts.Held) *fakeUpstream {
-	return &fakeUpstream{staged: map[id.Chunk][]byte{}, state: State{Held: held}, corruptOrigin: map[id.Chunk]bool{}, corruptStaged: map[id.Chunk]bool{}}
+	return &fakeUpstream{staged: map[id.Chunk][]byte{}, state: State{Held: held}, corruptOrigin: map[id.Chunk]bool{}, corruptStaged: map[id.Chunk]bool{}, fetching: map[id.Revision]int{}}
 }
 
 func (e *fakeUpstream) withLock(f func()) {
@@ -88,6 +93,12 @@
 func (e *fakeUpstream) ports() *Ports {
 	return &Ports{Address: "127.0.0.1:9", Upstream: Upstream{
 		State: func(context.Context) (State, error) {
+			e.mu.Lock()
+			onPoll := e.onPoll
+			e.mu.Unlock()
+			if onPoll != nil {
+				onPoll()
+			}
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			if e.down {
@@ -136,6 +147,9 @@
 			return m, r, err
 		},
 		Chunk: func(ctx context.Context, _ string, _ id.Model, r id.Revision, c id.Chunk) ([]byte, error) {
+			e.withLock(func() { e.fetching[r]++ })
+			defer e.withLock(func() { e.fetching[r]-- })
+			kernel.Pause(ctx, e.chunkDelay)
 			if e.releaseSecondHalf != nil && c >= chunks/2 {
 				select {
 				case <-ctx.Done():
@@ -216,6 +230,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { _ = c.Close() })
 	s.reporter = reports.NewReporter(c, "d", f, time.Now, quiet)
+	s.reporter.OnReservation = s.pollForReservation
 	ctx, stop := context.WithCancel(context.Background())
 	DeferCleanup(stop)
 	go func() { _ = s.reporter.Run(ctx) }()
