--- a/internal/stager/reservations.go
+++ b/internal/stager/reservations.go
@@ -44,10 +44,26 @@
 	l.SetEngine(s.engine())
 	l.RecordState(reservation.State{
 		ReadAt: s.readAt, Running: s.state.Running, Waiting: s.state.Waiting, Slowdown: s.state.Pace, Held: s.state.Held,
-		Closed: s.closed || s.down || s.state.Leaving,
+		Closed: s.closed || s.down || s.state.Leaving || s.leavesByList(),
 	})
 }
 
+// leavesByList reports whether the list of upstreams has the upstream as leaving. A gateway whose copy of the list lacks that
+// learns it from the refusal of its reservation.
+func (s *Stager) leavesByList() bool {
+	leaving := false
+	for _, i := range s.facts.Instances() {
+		if i.Address != s.ports.Address {
+			continue
+		}
+		if !i.Leaving {
+			return false
+		}
+		leaving = true
+	}
+	return leaving
+}
+
 // engine returns the properties of the upstream, or nil as long as no configuration is known.
 func (s *Stager) engine() *catalog.Engine {
 	c := s.facts.Catalog()
--- a/internal/stager/reservations_test.go
+++ b/internal/stager/reservations_test.go
@@ -14,6 +14,7 @@
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/admission"
 	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/swapplan"
 )
 
@@ -82,6 +83,21 @@
 		Expect(ask().GetPermit()).NotTo(BeZero())
 	})
 
+	// A gateway whose copy of the list lacked that an upstream leaves sent it requests for 3.1 s.
+	It("refuses them while the list has its upstream as leaving, until another one is listed at its address", func() {
+		_, s, _, ask := start()
+		list := func(name string, leaving bool, position id.Position) {
+			s.facts.SetInstance(&facts.Instance{ID: id.Instance(name), Pool: "p", Address: s.ports.Address, Domain: "d", Leaving: leaving, ListPosition: position})
+		}
+		closed := func() bool { return ask().GetReservation().GetRefusal() == pb.ReservationRefusal(admission.Closed) }
+		list("first", false, 1)
+		Consistently(closed).WithTimeout(3 * pollInterval).Should(BeFalse())
+		list("first", true, 2)
+		Eventually(closed).Should(BeTrue())
+		list("second", false, 3)
+		Eventually(closed).Should(BeFalse())
+	})
+
 	DescribeTable("refuses them once a poll shows that its upstream takes no requests", func(change func(e *fakeUpstream)) {
 		e, _, _, ask := start()
 		e.withLock(func() { change(e) })
