Lines of failed requests name the shared parts of their prompts, and crashes the answers that began

Requests that share a part of their prompts crash upstreams, and nothing said so: the access log line had the fingerprint of the whole request, which no two of them share, and the line of a crash named neither the requests there nor how far their answers had come.

The access log line of a request that was not answered has them as prompt_parts. A gateway's line of a crash counts its requests there by how far their answers had come, with the fingerprints of those that were beginning.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -150,6 +150,9 @@
 	t.startRecorded = true
 	t.answerStarted.Store(true)
 	f := t.request
+	if t.firstDataAt.IsZero() {
+		t.firstDataAt = f.gateway.now()
+	}
 	f.answerBegun.Store(true)
 	took := t.tracked.RecordFirstEvent()
 	if !f.headSent {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -193,6 +193,8 @@
 	startRecorded  bool
 	// answerStarted is true once the upstream has sent any part of its response.
 	answerStarted atomic.Bool
+	// firstDataAt is when the first data after the header was received; zero before.
+	firstDataAt time.Time
 	// attemptNumber counts the attempts at the request up to this one, and eventsBefore the events that the caller had
 	// received before it.
 	attemptNumber, eventsBefore int
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -43,9 +43,28 @@
 	return false
 }
 
-// inFlightRequest describes the request for the detection of requests that crash upstreams.
-func (f *callerRequest) inFlightRequest() quarantine.InFlightRequest {
-	return quarantine.InFlightRequest{Fingerprint: f.fingerprint, Organisation: f.organisation, Attempt: quarantine.CallerAttemptOf(f.meta.Request), Alone: f.exclusive}
+// beginningTime is how long after its first data an answer counts as beginning. An upstream that crashes as it begins an
+// answer may have sent a few events of it.
+const beginningTime = 500 * time.Millisecond
+
+// inFlightRequest describes the attempt for the detection of requests that crash upstreams.
+func (t *attempt) inFlightRequest() quarantine.InFlightRequest {
+	f := t.request
+	return quarantine.InFlightRequest{
+		Fingerprint: f.fingerprint, Organisation: f.organisation, Attempt: quarantine.CallerAttemptOf(f.meta.Request), Alone: f.exclusive, Progress: t.crashProgress(),
+	}
+}
+
+// crashProgress returns how far the answer had come, in case that the upstream has crashed.
+func (t *attempt) crashProgress() quarantine.Progress {
+	switch {
+	case t.exchange == nil:
+		return quarantine.Waiting
+	case t.firstDataAt.IsZero() || t.request.gateway.now().Sub(t.firstDataAt) < beginningTime:
+		return quarantine.Beginning
+	default:
+		return quarantine.Writing
+	}
 }
 
 // upstreamIncarnation identifies the process lifetime of the upstream that the request was sent to.
@@ -55,7 +74,7 @@
 
 // reportAbandoned records that the request was given up at its upstream, which may begin it nevertheless.
 func (t *attempt) reportAbandoned() {
-	t.request.gateway.crashDetector.RequestAbandoned(t.upstreamIncarnation(), t.request.inFlightRequest())
+	t.request.gateway.crashDetector.RequestAbandoned(t.upstreamIncarnation(), t.inFlightRequest())
 }
 
 // upstreamEnded reports whether an upstream's process has ended, that is, whether its VM refuses connections. An
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -36,6 +36,24 @@
 		Entry("within the stream", progressBody, func(q *http.Request, _ string, c net.Conn) { stream(c, q, "", "id: 1\ndata: a\n\n") }),
 	)
 
+	It("names the parts of the prompt that other requests may have too, unless the request was answered", func() {
+		b := newTestbed(route(catalog.Streaming, "engines"))
+		b.addUpstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
+			if q.Header.Get("X-Whole") != "" {
+				stream(c, q, "", "id: 1\ndata: a\n\n")
+				_, _ = io.WriteString(c, "0\r\n\r\n")
+			}
+		})
+		lines := &logBuffer{}
+		b.gateway.log = &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: lines}}
+		_, _, _ = b.sendRequest("POST", "/p/", "x", xModel, "m", "X-Hang-Up", "1", xParts, "1a 2b")
+		Eventually(lines.String).Should(ContainSubstring(`"prompt_parts":["1a","2b"]`))
+		_, _, err := b.sendRequest("POST", "/p/", "x", xModel, "m", xParts, "3c", "X-Whole", "1")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(lines.String).Should(ContainSubstring(`"outcome":"answered"`))
+		Expect(lines.String()).NotTo(ContainSubstring("3c"))
+	})
+
 	It("has no fingerprint if the request was refused before its body was read", func() {
 		b := newTestbed(route(catalog.Streaming, "engines"))
 		lines := &logBuffer{}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -23,6 +23,8 @@
 	PromptTokens float64
 	// MaxAnswerTokens is the most tokens that the answer may have; 0 if not stated.
 	MaxAnswerTokens float64
+	// SharedParts are the parts of the prompt, in order, that other requests may have too.
+	SharedParts []id.PromptPart
 }
 
 // ForwardMeta holds what the gateway adds to the header of a request that it sends to an upstream.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -37,6 +37,7 @@
 	xKey          = "X-Key"
 	xTimeout      = "X-Wait-Ms"
 	xModel        = "X-Model"
+	xParts        = "X-Parts" // the shared parts of the prompt, separated by spaces
 	xInstance     = "X-Instance"
 	xOrganisation = "X-Org"
 	xLastEventID  = "X-After"
@@ -51,8 +52,12 @@
 	return &Dialect{
 		ReadRequest: func(h http.Header) RequestMeta {
 			ms, _ := strconv.Atoi(h.Get(xTimeout))
+			var parts []id.PromptPart
+			for _, p := range strings.Fields(h.Get(xParts)) {
+				parts = append(parts, id.PromptPart(p))
+			}
 			return RequestMeta{
-				Request: id.Request(h.Get(xRequest)), Key: h.Get(xKey), Model: id.Model(h.Get(xModel)),
+				SharedParts: parts, Request: id.Request(h.Get(xRequest)), Key: h.Get(xKey), Model: id.Model(h.Get(xModel)),
 				Timeout: time.Duration(ms) * time.Millisecond, PromptTokens: 100,
 			}
 		},
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -202,8 +202,10 @@
 	for {
 		n, err := t.exchange.Body.Read(buffer)
 		if n > 0 {
-			t.answerStarted.Store(true)
 			t.lastByteAt = f.gateway.now()
+			if !t.answerStarted.Swap(true) {
+				t.firstDataAt = t.lastByteAt
+			}
 			h.pendingEvents = append(h.pendingEvents, t.boundPartial(f.events.feed(buffer[:n], true))...)
 		}
 		switch {
@@ -288,7 +290,7 @@
 	}
 	adopted := &attempt{
 		request: f, choice: won.choice, tracked: won.tracked, permit: won.permit, exchange: won.exchange, versionTimer: won.versionTimer,
-		parentCtx: t.parentCtx, ctx: won.ctx, cancel: won.cancel, attemptNumber: f.attempts, eventsBefore: f.events.forwarded, lastByteAt: won.lastByteAt, position: f.currentPosition(),
+		parentCtx: t.parentCtx, ctx: won.ctx, cancel: won.cancel, attemptNumber: f.attempts, eventsBefore: f.events.forwarded, lastByteAt: won.lastByteAt, firstDataAt: won.firstDataAt, position: f.currentPosition(),
 	}
 	defer adopted.release()
 	adopted.noteAnswerStart()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/springrail/springrail/internal/catalog"
 	"github.com/springrail/springrail/internal/clock"
 	"github.com/springrail/springrail/internal/id"
@@ -312,6 +314,7 @@
 		if f.fingerprint != (quarantine.Fingerprint{}) {
 			e = e.Stringer("fingerprint", f.fingerprint)
 		}
+		e = f.logSharedParts(e)
 	}
 	e = f.logUpstream(f.logReservation(f.logLimit(e)))
 	if f.brokenProgress != "" {
@@ -326,6 +329,18 @@
 	e.Msg("request")
 }
 
+// logSharedParts adds the parts of the prompt that other requests may have too.
+func (f *callerRequest) logSharedParts(e *log.Entry) *log.Entry {
+	if len(f.meta.SharedParts) == 0 {
+		return e
+	}
+	l := make([]string, 0, len(f.meta.SharedParts))
+	for _, p := range f.meta.SharedParts {
+		l = append(l, string(p))
+	}
+	return e.Strs("prompt_parts", l)
+}
+
 // attemptError is the reason why an attempt produced no complete response.
 type attemptError struct {
 	text string
--- a/internal/id/id.go
+++ b/internal/id/id.go
@@ -19,6 +19,10 @@
 // Model is the name of a model or an adapter as callers request it.
 type Model string
 
+// PromptPart identifies a part of a prompt that several requests for a model may share. It is a number in hexadecimal digits,
+// in lower case and without leading zeros.
+type PromptPart string
+
 // Version identifies a version of a model.
 type Version string
 
--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -74,6 +74,21 @@
 	w.abandoned = append(w.abandoned, abandonedRequest{incarnation: s, request: p, expiresAt: w.now().Add(abandonedTTL)})
 }
 
+// logCrash logs how far the answers to this gateway's requests had come, which tells the requests that the upstream was about
+// to answer from those that waited or had been answered for some time.
+func (l *SuspectTracker) logCrash(e Crash) {
+	counts := map[Progress]int{}
+	var beginning []string
+	for _, r := range e.Requests {
+		counts[r.Progress]++
+		if r.Progress == Beginning {
+			beginning = append(beginning, r.Fingerprint.String())
+		}
+	}
+	l.log.Info().Str("instance", string(e.Incarnation.Instance)).Int("waiting", counts[Waiting]).Int("beginning", counts[Beginning]).
+		Int("writing", counts[Writing]).Strs("beginning_fingerprints", beginning).Msg("requests of this gateway ended with an upstream process")
+}
+
 // startProbing collects the requests of an incarnation and starts to check whether its process has ended.
 func (w *CrashDetector) startProbing(s Incarnation) {
 	w.mu.Lock()
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -24,6 +24,18 @@
 	return CallerAttempt(h.Sum32())
 }
 
+// Progress is how far an upstream's answer to a request had come when its process ended.
+type Progress uint8
+
+const (
+	// Waiting means that no part of the answer had been received.
+	Waiting Progress = iota
+	// Beginning means that only the header had been received, or the first data shortly before.
+	Beginning
+	// Writing means that the answer had begun earlier.
+	Writing
+)
+
 // InFlightRequest is a request that was in flight at an upstream when its process ended.
 type InFlightRequest struct {
 	Fingerprint  Fingerprint
@@ -31,6 +43,8 @@
 	Attempt      CallerAttempt
 	// Alone is true of a suspected request that the gateway sent to one upstream only, with no other copy in flight.
 	Alone bool
+	// Progress is not known of other gateways' requests.
+	Progress Progress
 }
 
 // Crash is the end of an upstream's process as one gateway saw it, with the gateway's own requests that were in flight
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -61,6 +61,7 @@
 
 // ReportCrash adds a crash that this gateway has seen, and sends it to the other gateways.
 func (q *Quarantine) ReportCrash(e Crash) {
+	q.Suspects.logCrash(e)
 	q.Suspects.RecordCrash(e)
 	q.Broadcast(CrashNews{Crashes: []Crash{e}})
 }
