--- a/internal/cmd/cmd_quarantine.go
+++ b/internal/cmd/cmd_quarantine.go
@@ -14,7 +14,7 @@
 var cmdQuarantineList = command{
 	group: "quarantine",
 	name:  "list",
-	help:  "List the requests that a gateway holds, and those under which upstreams have ended; --server is the gateway's internal listener.",
+	help:  "List the requests and the parts of prompts that a gateway holds, and those under which upstreams have ended; --server is the gateway's internal listener.",
 	setup: func(*kingpin.CmdClause) action {
 		return func(ctx context.Context, e *env) error {
 			a, err := e.quarantine.ListHeld(ctx, &pb.ListHeldRequest{})
@@ -56,6 +56,9 @@
 	r := h.GetRequest()
 	since := time.UnixMilli(r.GetSinceUnixMs()).UTC().Format(time.RFC3339)
 	fmt.Fprintf(w, "%s\t%s\t%s\tsince %s by %s\trefused %d\n", h.GetFingerprint(), state, r.GetOrganisation(), since, r.GetBy(), h.GetRefused())
+	for _, p := range r.GetParts() {
+		fmt.Fprintf(w, "  prompt part %x\n", p)
+	}
 	for _, s := range r.GetStarts() {
 		fmt.Fprintf(w, "  ended %s at %s\n", s.GetInstance(), s.GetAddress())
 	}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -84,7 +84,7 @@
 	}
 	t.answerComplete = true
 	if e.StatusCode < http.StatusMultipleChoices {
-		f.gateway.suspects.Served(f.fingerprint)
+		f.gateway.suspects.Served(f.fingerprint, f.parts...)
 	}
 	f.complete(strconv.Itoa(e.StatusCode))
 	return nil
@@ -265,7 +265,7 @@
 	}
 	t.sendHead(false, 0)
 	t.answerComplete = true
-	f.gateway.suspects.Served(f.fingerprint)
+	f.gateway.suspects.Served(f.fingerprint, f.parts...)
 	f.recordAnswerLength()
 	f.complete("stream")
 	return nil
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -21,16 +21,31 @@
 // errQuarantined cancels a request that is queued at an upstream when the request is quarantined.
 var errQuarantined = errors.New("upstreams have crashed under this request")
 
+// identify sets what the detection of requests that crash upstreams recognises the request by.
+func (f *callerRequest) identify() {
+	r := f.httpRequest
+	f.fingerprint = quarantine.Of(r.Method, r.RequestURI, f.organisation, f.body)
+	for _, p := range f.meta.SharedParts {
+		f.parts = append(f.parts, quarantine.OfPart(f.meta.Model, f.organisation, p))
+	}
+}
+
+// checkSuspects returns what may be done with the request by the crashes that are known.
+func (f *callerRequest) checkSuspects() quarantine.Verdict {
+	return f.gateway.suspects.Check(f.fingerprint, f.parts...)
+}
+
 // checkQuarantine admits the request unless upstreams have crashed under it. A suspected request is admitted only
 // while no retry of it is in flight here. This guards against a request that crashes each upstream that begins it:
 // with retries, one such request crashed 40 upstreams in 34 s, along with all other requests running there.
 func (f *callerRequest) checkQuarantine() bool {
 	g := f.gateway
-	v := g.suspects.Check(f.fingerprint)
+	v := f.checkSuspects()
 	f.exclusive = v == quarantine.Alone
 	f.ctx, f.cancel = context.WithCancelCause(f.httpRequest.Context())
 	switch {
 	case v == quarantine.Held:
+		f.heldAs, _ = g.suspects.HeldAs(f.fingerprint, f.parts...)
 		f.refuse("held: upstreams have crashed under this request", quarantineRetryAfter)
 	case v == quarantine.Waits:
 		f.refuse("upstreams have just crashed under this request", suspectRetryAfter)
@@ -50,9 +65,13 @@
 // inFlightRequest describes the attempt for the detection of requests that crash upstreams.
 func (t *attempt) inFlightRequest() quarantine.InFlightRequest {
 	f := t.request
-	return quarantine.InFlightRequest{
+	q := quarantine.InFlightRequest{
 		Fingerprint: f.fingerprint, Organisation: f.organisation, Attempt: quarantine.CallerAttemptOf(f.meta.Request), Alone: f.exclusive, Progress: t.crashProgress(),
 	}
+	if q.Progress != quarantine.Writing {
+		q.Parts = f.parts
+	}
+	return q
 }
 
 // crashProgress returns how far the answer had come, in case that the upstream has crashed.
@@ -125,14 +144,28 @@
 	}
 }
 
-// cancelUnbegun cancels the requests with a fingerprint that no upstream has started to answer: an upstream drops a
-// queued request when its caller disconnects.
-func (l *requestRegistry) cancelUnbegun(fingerprint quarantine.Fingerprint) {
+// cancelUnbegun cancels the held requests that no upstream has started to answer: an upstream drops a queued request when
+// its caller disconnects.
+func (l *requestRegistry) cancelUnbegun(h quarantine.HeldRequest) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for f := range l.byFingerprint[fingerprint] {
-		if !f.answerBegun.Load() {
-			f.cancel(errQuarantined)
+	if len(h.Parts) == 0 {
+		for f := range l.byFingerprint[h.Fingerprint] {
+			f.cancelUnbegun()
 		}
+		return
+	}
+	for _, same := range l.byFingerprint {
+		for f := range same {
+			if h.Holds(f.parts) {
+				f.cancelUnbegun()
+			}
+		}
+	}
+}
+
+func (f *callerRequest) cancelUnbegun() {
+	if !f.answerBegun.Load() {
+		f.cancel(errQuarantined)
 	}
 }
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -206,6 +206,58 @@
 		Expect(b.list.Check(crashing)).To(Equal(quarantine.Pass), "an upstream has served it")
 	})
 
+	It("is refused, and cancelled while no upstream has begun it, if a part of its prompt is quarantined, and others are served", func() {
+		b := newTestbed(route(catalog.Streaming, "engines"))
+		waiting := make(chan struct{}, 1)
+		b.addUpstream("u", "engines", func(q *http.Request, body string, c net.Conn) {
+			if q.Header.Get(xRequest) == "waits" {
+				_, _ = c.Read(make([]byte, 1))
+				waiting <- struct{}{}
+				return
+			}
+			completeStream(q, body, c)
+		})
+		answered := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			a, _, err := b.sendRequest("POST", "/p/", "one", xModel, "m", xRequest, "waits", xParts, "1a 2b")
+			Expect(err).NotTo(HaveOccurred())
+			answered <- a.StatusCode
+		}()
+		Eventually(func() int { return b.upstreamCount("waits") }).Should(Equal(1))
+		b.list.AddHeld(quarantine.HeldRequest{Fingerprint: quarantine.OfPart("m", "", "2b"), Parts: []quarantine.Fingerprint{quarantine.OfPart("m", "", "2b")}})
+		Eventually(waiting).Should(Receive())
+		Eventually(answered).Should(Receive(Equal(http.StatusBadGateway)))
+		a, body, err := b.sendRequest("POST", "/p/", "two", xModel, "m", xRequest, "2", xParts, "3c 2b 1a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(a.Header.Get(xRetry)).To(Equal(strconv.FormatInt(quarantineRetryAfter.Milliseconds(), 10)))
+		Expect(body).To(ContainSubstring("held"))
+		Expect(b.upstreamCount("2")).To(BeZero())
+		for n, other := range []string{xModel + " m " + xParts + " 1a", xModel + " m " + xParts + " 2"} {
+			h := strings.Fields(other)
+			a, _, err = b.sendRequest("POST", "/p/", "three", append(h, xRequest, strconv.Itoa(3+n))...)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(a.StatusCode).To(Equal(http.StatusOK))
+		}
+	})
+
+	It("is not sent to a second upstream if two have crashed under a part of its prompt", func() {
+		b := newTestbed(route(catalog.Streaming, "engines"))
+		for _, n := range []string{"u", "v"} {
+			b.addCrashingUpstream(n)
+		}
+		part := quarantine.OfPart("m", "", "2b")
+		for n := range 2 {
+			b.list.RecordCrash(quarantine.Crash{
+				Incarnation: quarantine.Incarnation{Instance: id.Instance(strconv.Itoa(n)), Address: "a"},
+				Requests:    []quarantine.InFlightRequest{{Fingerprint: quarantine.Of("POST", "/", "", []byte{byte(n)}), Parts: []quarantine.Fingerprint{part}, Progress: quarantine.Beginning}},
+			})
+		}
+		_, _, _ = b.sendRequest("POST", "/p/", "bad", xModel, "m", xParts, "2b")
+		Expect(b.upstreamCount("1")).To(Equal(1))
+	})
+
 	It("is identified by the start of its body if that exceeds the buffer", func() {
 		b := newTestbed(route(catalog.Unsafe, "plain"))
 		r := *b.facts.Catalog().Match("h.example", "/p/")
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -183,7 +183,7 @@
 		random:           func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) },
 	}
 	g.crashDetector = quarantine.NewCrashDetector(g.upstreamEnded, q.ReportCrash, clock.Now)
-	q.Suspects.OnHeld = append(q.Suspects.OnHeld, func(h quarantine.HeldRequest) { g.requests.cancelUnbegun(h.Fingerprint) })
+	q.Suspects.OnHeld = append(q.Suspects.OnHeld, g.requests.cancelUnbegun)
 	g.connections.OnDial = func() { g.metrics.count("dialled") }
 	g.server = &http.Server{
 		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -85,6 +85,9 @@
 	hedged      bool
 	// fingerprint identifies the request across its retries, once its body has been read.
 	fingerprint quarantine.Fingerprint
+	// parts identify the parts of its prompt that other requests may have too, and heldAs what it is refused for.
+	parts  []quarantine.Fingerprint
+	heldAs quarantine.Fingerprint
 	// brokenProgress is how far the response of the last upstream that broke off had come, and brokenInstance is that
 	// upstream; empty where none did.
 	brokenProgress string
@@ -121,7 +124,7 @@
 	if !f.readBody() {
 		return
 	}
-	f.fingerprint = quarantine.Of(r.Method, r.RequestURI, f.organisation, f.body)
+	f.identify()
 	if !f.checkQuarantine() {
 		return
 	}
@@ -224,7 +227,7 @@
 
 // mayRetry reports whether the request may be sent to another upstream after a failure.
 func (f *callerRequest) mayRetry(ctx context.Context, p *attemptError) bool {
-	if ctx.Err() != nil || p.final || f.gateway.suspects.Check(f.fingerprint) != quarantine.Pass || !f.hasAttemptsLeft() || !Retryable(f.route, len(f.tried), p.notRun, f.headSent) || f.events.unsplit {
+	if ctx.Err() != nil || p.final || f.checkSuspects() != quarantine.Pass || !f.hasAttemptsLeft() || !Retryable(f.route, len(f.tried), p.notRun, f.headSent) || f.events.unsplit {
 		return false
 	}
 	return f.attempts == 0 || f.gateway.retryBudget.TakeRetry(f.pool)
@@ -314,6 +317,9 @@
 		if f.fingerprint != (quarantine.Fingerprint{}) {
 			e = e.Stringer("fingerprint", f.fingerprint)
 		}
+		if f.heldAs != (quarantine.Fingerprint{}) {
+			e = e.Stringer("held_as", f.heldAs)
+		}
 		e = f.logSharedParts(e)
 	}
 	e = f.logUpstream(f.logReservation(f.logLimit(e)))
--- /dev/null
+++ b/internal/quarantine/crash_record.go
@@ -0,0 +1,200 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/springrail/springrail/internal/id"
+)
+
+const (
+	// maxCrashes limits the crashes that are remembered, and maxPresent the requests and parts of prompts of one crash. An
+	// upstream has at most 48 requests on the planned machines, and a prompt usually two to five parts, so 1,024 crashes
+	// take 3 MB with 10 requests each, and at most 20 MB.
+	maxCrashes = 1024
+	maxPresent = 256
+	// sameCrashWindow is how close in time two gateways' reports of a crash must be to count as one if only one of them
+	// knows the incarnation: an upstream takes seconds to restart.
+	sameCrashWindow = 2 * time.Second
+)
+
+// recordedCrash is a crash of an upstream process, with all requests that were in flight there and the parts of their
+// prompts.
+type recordedCrash struct {
+	incarnation Incarnation
+	recordedAt  time.Time
+	present     map[Fingerprint]*presence
+	// unwritten are the requests with shared parts whose answers had not begun, or only just.
+	unwritten []unwrittenRequest
+	// explained is true once a request or a part that was present is held: the crash then is no evidence against other
+	// requests. partsExplained is true once a part is held: it then is no evidence against parts other than those held
+	// together. It never is evidence against what is in cleared, whichever gateway reports it again.
+	explained, partsExplained bool
+	heldTogether              []Fingerprint
+	cleared                   map[Fingerprint]struct{}
+}
+
+// presence describes a request, or a part of prompts, that was present at a crash.
+type presence struct {
+	organisation id.Organisation
+	part         bool
+	// beginning is true if the upstream was beginning an answer on it.
+	beginning bool
+}
+
+// unwrittenRequest is a request that was in flight at a crash and may have been the cause by a part of its prompt.
+type unwrittenRequest struct {
+	fingerprint Fingerprint
+	parts       []Fingerprint
+	beginning   bool
+}
+
+// add notes that a request or part was present. It returns nil if too many are.
+func (e *recordedCrash) add(f Fingerprint, o id.Organisation, part bool) *presence {
+	p := e.present[f]
+	if p == nil {
+		if len(e.present) >= maxPresent {
+			return nil
+		}
+		p = &presence{organisation: o, part: part}
+		e.present[f] = p
+	}
+	return p
+}
+
+// isEvidence reports whether the crash is evidence against a request or part that was present.
+func (e *recordedCrash) isEvidence(f Fingerprint) bool {
+	p := e.present[f]
+	if _, cleared := e.cleared[f]; cleared || p == nil {
+		return false
+	}
+	if !p.part {
+		return !e.explained
+	}
+	return !e.partsExplained || slices.Contains(e.heldTogether, f)
+}
+
+// counts reports whether the crash counts against a part: the upstream was beginning an answer on it, or on no other part
+// that may be the cause.
+func (e *recordedCrash) counts(f Fingerprint) bool {
+	if e.present[f].beginning {
+		return true
+	}
+	for o, p := range e.present {
+		if p.part && p.beginning && e.isEvidence(o) {
+			return false
+		}
+	}
+	return true
+}
+
+// addUnwritten notes that a request was in flight, with its parts. The parts are not kept if too many others are present.
+func (e *recordedCrash) addUnwritten(p InFlightRequest) {
+	for _, f := range p.Parts {
+		if o := e.add(f, p.Organisation, true); o != nil {
+			o.beginning = o.beginning || p.Progress == Beginning
+		}
+	}
+	known := slices.IndexFunc(e.unwritten, func(o unwrittenRequest) bool { return o.fingerprint == p.Fingerprint })
+	switch {
+	case len(p.Parts) == 0:
+	case known >= 0:
+		e.unwritten[known].beginning = e.unwritten[known].beginning || p.Progress == Beginning
+	case len(e.unwritten) < maxPresent:
+		e.unwritten = append(e.unwritten, unwrittenRequest{fingerprint: p.Fingerprint, parts: p.Parts, beginning: p.Progress == Beginning})
+	}
+}
+
+// causes lists the requests with a part that the crash counts against, and returns how many requests in all may have caused
+// the crash by a part.
+func (e *recordedCrash) causes(f Fingerprint) (with []Fingerprint, all int) {
+	begun := slices.ContainsFunc(e.unwritten, func(r unwrittenRequest) bool { return r.beginning && slices.ContainsFunc(r.parts, e.isEvidence) })
+	for _, r := range e.unwritten {
+		if begun && !r.beginning || !slices.ContainsFunc(r.parts, e.isEvidence) {
+			continue
+		}
+		all++
+		if slices.Contains(r.parts, f) && e.isEvidence(f) {
+			with = append(with, r.fingerprint)
+		}
+	}
+	return with, all
+}
+
+// explainedBy reports whether a held request or held parts are a cause of the crash, as far as known.
+func (e *recordedCrash) explainedBy(h *HeldRequest) bool {
+	if len(h.Parts) == 0 {
+		return e.present[h.Fingerprint] != nil
+	}
+	return !slices.ContainsFunc(h.Parts, func(p Fingerprint) bool { return e.present[p] == nil || !e.counts(p) })
+}
+
+// findCrash returns the crash of an incarnation if it is known; the caller holds the lock.
+func (l *SuspectTracker) findCrash(s Incarnation) *recordedCrash {
+	for _, e := range l.byInstance[s.Instance] {
+		sameBirth := e.incarnation.Born == s.Born
+		unknownBirth := (e.incarnation.Born == 0 || s.Born == 0) && l.now().Sub(e.recordedAt) < sameCrashWindow
+		if sameBirth || unknownBirth {
+			return e
+		}
+	}
+	return nil
+}
+
+// addCrash adds a new crash, and evicts the oldest one if there are too many; the caller holds the lock.
+func (l *SuspectTracker) addCrash(s Incarnation) *recordedCrash {
+	if len(l.crashes) >= maxCrashes {
+		l.forgetCrash(l.crashes[0])
+	}
+	e := &recordedCrash{
+		incarnation: s, recordedAt: l.now(), present: map[Fingerprint]*presence{}, cleared: map[Fingerprint]struct{}{},
+	}
+	l.crashes = append(l.crashes, e)
+	l.byInstance[s.Instance] = append(l.byInstance[s.Instance], e)
+	l.vars.Add("ends", 1)
+	l.log.Info().Str("instance", string(s.Instance)).Str("upstream", s.Address).Uint64("born", uint64(s.Born)).
+		Msg("an upstream process ended with requests in flight")
+	return e
+}
+
+// forgetCrash removes a crash; the caller holds the lock.
+func (l *SuspectTracker) forgetCrash(e *recordedCrash) {
+	for f := range e.present {
+		l.removeEvidence(f, e)
+	}
+	l.crashes = slices.DeleteFunc(l.crashes, func(o *recordedCrash) bool { return o == e })
+	rest := slices.DeleteFunc(l.byInstance[e.incarnation.Instance], func(o *recordedCrash) bool { return o == e })
+	if len(rest) == 0 {
+		delete(l.byInstance, e.incarnation.Instance)
+		return
+	}
+	l.byInstance[e.incarnation.Instance] = rest
+}
+
+// explain marks a crash as caused by what is held, so that it is no evidence against others; the caller holds the lock.
+func (l *SuspectTracker) explain(e *recordedCrash, by *HeldRequest) {
+	e.explained = true
+	if len(by.Parts) > 0 {
+		e.heldTogether = slices.DeleteFunc(slices.Clone(by.Parts), func(p Fingerprint) bool {
+			return e.partsExplained && !slices.Contains(e.heldTogether, p)
+		})
+		e.partsExplained = true
+	}
+	for f := range e.present {
+		if !e.isEvidence(f) {
+			l.removeEvidence(f, e)
+		}
+	}
+}
+
+// removeEvidence removes a crash from the evidence against a suspect; the caller holds the lock.
+func (l *SuspectTracker) removeEvidence(f Fingerprint, e *recordedCrash) {
+	s := l.suspects[f]
+	if s == nil {
+		return
+	}
+	delete(s.crashes, e)
+	if len(s.crashes) == 0 {
+		delete(l.suspects, f)
+	}
+}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 
 	"github.com/springrail/springrail/internal/id"
 )
@@ -43,7 +44,9 @@
 	Attempt      CallerAttempt
 	// Alone is true of a suspected request that the gateway sent to one upstream only, with no other copy in flight.
 	Alone bool
-	// Progress is not known of other gateways' requests.
+	// Parts are the parts of the request's prompt that other requests may have too; empty if the answer had begun earlier.
+	Parts []Fingerprint
+	// Progress of another gateway's request is Waiting unless it was Beginning.
 	Progress Progress
 }
 
@@ -54,10 +57,14 @@
 	Requests    []InFlightRequest
 }
 
-// HeldRequest is a request that is held: gateways no longer send it to upstreams.
+// HeldRequest is a request that is held, or parts of prompts: gateways no longer send the request, or any request with all
+// of these parts, to upstreams.
 type HeldRequest struct {
+	// Fingerprint identifies the request, or the parts together.
 	Fingerprint  Fingerprint
 	Organisation id.Organisation
+	// Parts is empty for a request.
+	Parts []Fingerprint
 	// Incarnations are the upstream processes that crashed under the request.
 	Incarnations []Incarnation
 	// HeldBy is the VM whose gateway held the request first, as far as known. SinceUnixMs is when, by that VM's time of
@@ -68,10 +75,23 @@
 	refused uint64
 }
 
+// Holds reports whether requests with the given parts in their prompts are held because of parts.
+func (h *HeldRequest) Holds(parts []Fingerprint) bool {
+	return len(h.Parts) > 0 && containsAll(parts, h.Parts)
+}
+
+// outweighs reports whether this holds parts that explain all crashes of another held request or held parts, and more.
+func (h *HeldRequest) outweighs(o *HeldRequest) bool {
+	if len(h.Parts) == 0 || len(h.Incarnations) <= len(o.Incarnations) {
+		return false
+	}
+	return !slices.ContainsFunc(o.Incarnations, func(s Incarnation) bool { return !slices.Contains(h.Incarnations, s) })
+}
+
 // CrashNews is what gateways exchange about crashes and suspected requests.
 type CrashNews struct {
 	Crashes []Crash
-	// Served are requests that were answered completely although they were suspected.
+	// Served are requests that were answered completely although they were suspected, and parts of such requests.
 	Served []Fingerprint
 	// Held are requests that the sender holds from now on.
 	Held []HeldRequest
@@ -83,6 +103,9 @@
 const (
 	// Pass means that there is no evidence against the request.
 	Pass Verdict = iota
+	// Once means that two or more upstream processes have crashed under a part of the request's prompt. A gateway sends it
+	// to one upstream only.
+	Once
 	// Alone means that two or more upstream processes have crashed under the request. A gateway sends one retry at a
 	// time, to one upstream. Whether that one crashes too distinguishes a request that crashes upstreams from one that
 	// was merely in flight there.
@@ -94,7 +117,7 @@
 	Held
 )
 
-var verdictNames = [...]string{Pass: "pass", Alone: "alone", Waits: "waits", Held: "held"}
+var verdictNames = [...]string{Pass: "pass", Once: "once", Alone: "alone", Waits: "waits", Held: "held"}
 
 // String returns the name of the verdict.
 func (v Verdict) String() string {
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -19,22 +19,47 @@
 const fingerprintBytes = 16
 
 // Fingerprint identifies a request across its retries: requests with the same method, path, query, organisation and body
-// have the same one.
+// have the same one. It also identifies a part of an organisation's prompts for a model, or several such parts together.
 type Fingerprint [fingerprintBytes]byte
 
 // Of returns the fingerprint of a request. Target is the path and query as the caller sent them, and body the buffered
 // part of the body. It excludes headers, because IDs and deadlines differ between retries, and the host, because routes
 // of several hosts lead to the same upstreams.
 func Of(method, target string, o id.Organisation, body []byte) Fingerprint {
+	return hash(body, method, target, string(o))
+}
+
+// partLabel takes the place of the method, none of which has a space.
+const partLabel = "prompt part"
+
+// OfPart returns the fingerprint of a part of an organisation's prompts for a model. Another organisation's part with the
+// same ID has another one, so that no organisation can have the parts of others held.
+func OfPart(m id.Model, o id.Organisation, p id.PromptPart) Fingerprint {
+	return hash(nil, partLabel, string(m), string(o), string(p))
+}
+
+// ofTogether returns the fingerprint of parts, which are in order; that of one part is its own.
+func ofTogether(parts []Fingerprint) Fingerprint {
+	if len(parts) == 1 {
+		return parts[0]
+	}
+	var all []byte
+	for _, p := range parts {
+		all = append(all, p[:]...)
+	}
+	return hash(all, partLabel)
+}
+
+func hash(rest []byte, fields ...string) Fingerprint {
 	h := sha256.New()
-	for _, part := range []string{method, target, string(o)} {
-		// The length prefix makes the concatenation of the parts unambiguous.
+	for _, s := range fields {
+		// The length prefix makes the concatenation of the fields unambiguous.
 		var n [8]byte
-		binary.BigEndian.PutUint64(n[:], uint64(len(part)))
+		binary.BigEndian.PutUint64(n[:], uint64(len(s)))
 		h.Write(n[:])
-		h.Write([]byte(part))
+		h.Write([]byte(s))
 	}
-	h.Write(body)
+	h.Write(rest)
 	var sum [sha256.Size]byte
 	return Fingerprint(h.Sum(sum[:0])[:fingerprintBytes])
 }
--- a/internal/quarantine/held.go
+++ b/internal/quarantine/held.go
@@ -17,18 +17,62 @@
 // heldSet is the bounded set of held requests.
 type heldSet struct {
 	entries map[Fingerprint]*HeldRequest
+	// byPart lists the entries with a part.
+	byPart map[Fingerprint][]Fingerprint
 	// byOrganisation lists the entries of each organisation, oldest first.
 	byOrganisation map[id.Organisation][]Fingerprint
 }
 
 func newHeldSet() *heldSet {
-	return &heldSet{entries: map[Fingerprint]*HeldRequest{}, byOrganisation: map[id.Organisation][]Fingerprint{}}
+	return &heldSet{entries: map[Fingerprint]*HeldRequest{}, byPart: map[Fingerprint][]Fingerprint{}, byOrganisation: map[id.Organisation][]Fingerprint{}}
 }
 
 func (h *heldSet) get(f Fingerprint) *HeldRequest {
 	return h.entries[f]
 }
 
+// match returns the entry for which a request with the given parts is held, or nil.
+func (h *heldSet) match(f Fingerprint, parts []Fingerprint) *HeldRequest {
+	if e := h.entries[f]; e != nil && len(e.Parts) == 0 {
+		return e
+	}
+	for _, p := range parts {
+		for _, f := range h.byPart[p] {
+			if e := h.entries[f]; containsAll(parts, e.Parts) {
+				return e
+			}
+		}
+	}
+	return nil
+}
+
+// covers reports whether an entry is of no use: all requests that it would hold are held already, or an entry for parts
+// explains its crashes and others.
+func (h *heldSet) covers(e HeldRequest) bool {
+	if len(e.Parts) > 0 && h.match(Fingerprint{}, e.Parts) != nil || h.entries[e.Fingerprint] != nil {
+		return true
+	}
+	for _, o := range h.entries {
+		if o.outweighs(&e) {
+			return true
+		}
+	}
+	return false
+}
+
+// dropWeaker removes the entries that an entry for parts makes unnecessary, and returns their fingerprints.
+func (h *heldSet) dropWeaker(e HeldRequest) (dropped []Fingerprint) {
+	for f, o := range h.entries {
+		if e.outweighs(o) || len(e.Parts) > 0 && len(o.Parts) > len(e.Parts) && containsAll(o.Parts, e.Parts) {
+			dropped = append(dropped, f)
+		}
+	}
+	for _, f := range dropped {
+		h.drop(f)
+	}
+	return dropped
+}
+
 func (h *heldSet) size() int {
 	return len(h.entries)
 }
@@ -43,6 +87,9 @@
 		evicted = h.drop(h.byOrganisation[h.largest()][0])
 	}
 	h.entries[e.Fingerprint] = &e
+	for _, p := range e.Parts {
+		h.byPart[p] = append(h.byPart[p], e.Fingerprint)
+	}
 	h.byOrganisation[e.Organisation] = append(h.byOrganisation[e.Organisation], e.Fingerprint)
 	return evicted
 }
@@ -64,6 +111,12 @@
 		return nil
 	}
 	delete(h.entries, f)
+	for _, p := range e.Parts {
+		h.byPart[p] = slices.DeleteFunc(h.byPart[p], func(o Fingerprint) bool { return o == f })
+		if len(h.byPart[p]) == 0 {
+			delete(h.byPart, p)
+		}
+	}
 	l := slices.DeleteFunc(h.byOrganisation[e.Organisation], func(o Fingerprint) bool { return o == f })
 	if len(l) == 0 {
 		delete(h.byOrganisation, e.Organisation)
--- /dev/null
+++ b/internal/quarantine/hold.go
@@ -0,0 +1,123 @@
+package quarantine
+
+import (
+	"maps"
+	"slices"
+)
+
+// settle holds the suspects that explain the most crashes, one after the other, until no suspect with enough evidence
+// remains. Requests that were in flight at equally many crashes can't be distinguished and are held together.
+func (l *SuspectTracker) settle() {
+	c := changes{here: true}
+	l.mu.Lock()
+	l.settling = false
+	for next := l.topSuspects(); len(next) > 0; next = l.topSuspects() {
+		for _, h := range next {
+			c.released = append(c.released, l.hold(h)...)
+		}
+		c.held = append(c.held, next...)
+	}
+	l.updateWatching()
+	l.mu.Unlock()
+	l.notify(c)
+}
+
+// candidate is a request, or parts of prompts, with enough evidence to be held, and the crashes that this explains.
+type candidate struct {
+	held    HeldRequest
+	crashes []*recordedCrash
+}
+
+// losesTo reports whether another candidate explains the same crashes better. A request goes before the parts of its
+// prompt, as fewer requests are held by it, and of different parts with equally many crashes neither is held yet: the next
+// crash distinguishes them.
+func (c *candidate) losesTo(o *candidate) bool {
+	overlap := slices.ContainsFunc(c.crashes, func(e *recordedCrash) bool { return slices.Contains(o.crashes, e) })
+	return overlap && (len(o.crashes) > len(c.crashes) || len(o.crashes) == len(c.crashes) && len(c.held.Parts) > 0)
+}
+
+// topSuspects lists the candidates that explain their crashes best; the caller holds the lock.
+func (l *SuspectTracker) topSuspects() (top []HeldRequest) {
+	var all []*candidate
+	listed := map[Fingerprint]bool{}
+	for f, s := range l.suspects {
+		if !l.proven(f, s) {
+			continue
+		}
+		c := &candidate{held: l.heldRequestOf(f, s), crashes: slices.Collect(maps.Keys(s.crashes))}
+		if s.part {
+			c.held.Parts = l.sameEvidence(f)
+			c.held.Fingerprint, c.crashes = ofTogether(c.held.Parts), s.countedCrashes(f)
+		}
+		if !listed[c.held.Fingerprint] && l.held.get(c.held.Fingerprint) == nil {
+			listed[c.held.Fingerprint] = true
+			all = append(all, c)
+		}
+	}
+	for _, c := range all {
+		if !slices.ContainsFunc(all, func(o *candidate) bool { return o != c && c.losesTo(o) }) {
+			top = append(top, c.held)
+		}
+	}
+	slices.SortFunc(top, func(a, b HeldRequest) int { return slices.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
+	return top
+}
+
+func (l *SuspectTracker) heldRequestOf(f Fingerprint, s *suspect) HeldRequest {
+	e := HeldRequest{Fingerprint: f, Organisation: s.organisation, HeldBy: l.vm, SinceUnixMs: l.now().UnixMilli()}
+	for n := range s.crashes {
+		if !s.part || n.counts(f) {
+			e.Incarnations = append(e.Incarnations, n.incarnation)
+		}
+	}
+	slices.SortFunc(e.Incarnations, func(a, b Incarnation) int { return slices.Compare([]byte(a.Instance), []byte(b.Instance)) })
+	return e
+}
+
+// hold adds what is held and marks the crashes that it explains. It returns what is no longer held because this explains
+// more. The caller holds the lock.
+func (l *SuspectTracker) hold(e HeldRequest) (released []Fingerprint) {
+	released = l.held.dropWeaker(e)
+	if evicted := l.held.put(e); evicted != nil {
+		l.vars.Add("dropped", 1)
+		l.log.Warn().Stringer("fingerprint", evicted.Fingerprint).Str("organisation", string(evicted.Organisation)).
+			Msg("held request evicted: too many requests are held")
+	}
+	for _, n := range l.crashes {
+		if n.explainedBy(&e) {
+			l.explain(n, &e)
+		}
+	}
+	delete(l.suspects, e.Fingerprint)
+	l.vars.Add("held_in_all", 1)
+	c := l.log.Warn().Stringer("fingerprint", e.Fingerprint).Str("organisation", string(e.Organisation)).Str("by", string(e.HeldBy)).
+		Int("parts", len(e.Parts))
+	var crashed []string
+	for _, s := range e.Incarnations {
+		crashed = append(crashed, string(s.Instance)+" at "+s.Address)
+	}
+	c.Strs("ended", crashed).Msg("request held: upstreams crashed while it was in flight")
+	return released
+}
+
+// AddHeld holds what another gateway holds, except parts that were served here since the first of its crashes.
+func (l *SuspectTracker) AddHeld(e HeldRequest) {
+	l.mu.Lock()
+	if l.held.covers(e) {
+		l.mu.Unlock()
+		return
+	}
+	c := changes{served: l.servedSince(e)}
+	if len(c.served) > 0 {
+		c.here, c.released = true, append(c.released, e.Fingerprint)
+		e.Parts = slices.DeleteFunc(slices.Clone(e.Parts), func(p Fingerprint) bool { return slices.Contains(c.served, p) })
+		e.Fingerprint = ofTogether(e.Parts)
+	}
+	if len(c.served) == 0 || len(e.Parts) > 0 && !l.held.covers(e) {
+		c.released = append(c.released, l.hold(e)...)
+		c.held = append(c.held, e)
+	}
+	l.updateWatching()
+	l.mu.Unlock()
+	l.notify(c)
+}
--- a/internal/quarantine/news.go
+++ b/internal/quarantine/news.go
@@ -5,16 +5,23 @@
 	"github.com/springrail/springrail/internal/id"
 )
 
-// maxRequestsPerMessage limits the requests in one message so that it fits into a packet; each takes about 40 bytes.
-const maxRequestsPerMessage = 32
+const (
+	// maxRequestsPerMessage limits the requests in one message so that it fits into a packet; each takes about 40 bytes.
+	maxRequestsPerMessage = 32
+	// bytesPerRequest and bytesPerPart are the sizes of the requests in flight at a crash and of the parts of their prompts,
+	// of which maxBytesPerMessage fit into a packet.
+	bytesPerRequest    = 40
+	bytesPerPart       = fingerprintBytes + 2
+	maxBytesPerMessage = maxRequestsPerMessage * bytesPerRequest
+)
 
 // Messages encodes crash news, as several messages if one would not fit into a packet.
 func (n CrashNews) Messages() (l []*pb.CrashNews) {
 	for _, e := range n.Crashes {
 		for rest := e.Requests; len(rest) > 0; {
-			part := rest[:min(maxRequestsPerMessage, len(rest))]
-			rest = rest[len(part):]
-			l = append(l, &pb.CrashNews{Ends: []*pb.UpstreamEnd{{Start: e.Incarnation.toProto(), Requests: inFlightToProto(part)}}})
+			n := requestsThatFit(rest)
+			l = append(l, &pb.CrashNews{Ends: []*pb.UpstreamEnd{{Start: e.Incarnation.toProto(), Requests: inFlightToProto(rest[:n])}}})
+			rest = rest[n:]
 		}
 	}
 	if len(n.Served) > 0 {
@@ -30,13 +37,47 @@
 	return l
 }
 
+// requestsThatFit returns how many of the requests, at least one, fit into a message.
+func requestsThatFit(of []InFlightRequest) (n int) {
+	size := 0
+	for ; n < len(of); n++ {
+		size += bytesPerRequest + bytesPerPart*len(of[n].Parts)
+		if n > 0 && size > maxBytesPerMessage {
+			break
+		}
+	}
+	return n
+}
+
 func inFlightToProto(of []InFlightRequest) (l []*pb.PresentRequest) {
 	for _, p := range of {
-		l = append(l, &pb.PresentRequest{Fingerprint: p.Fingerprint[:], Organisation: string(p.Organisation), Try: uint32(p.Attempt), Alone: p.Alone})
+		l = append(l, &pb.PresentRequest{
+			Fingerprint: p.Fingerprint[:], Organisation: string(p.Organisation), Try: uint32(p.Attempt), Alone: p.Alone,
+			Parts: fingerprintsToProto(p.Parts), Beginning: p.Progress == Beginning,
+		})
 	}
 	return l
 }
 
+func fingerprintsToProto(l []Fingerprint) (b [][]byte) {
+	for _, f := range l {
+		b = append(b, f[:])
+	}
+	return b
+}
+
+// fingerprintsFromProto decodes fingerprints, or returns ErrFingerprint if one of them is invalid.
+func fingerprintsFromProto(l [][]byte) (decoded []Fingerprint, err error) {
+	for _, b := range l {
+		f, err := FromBytes(b)
+		if err != nil {
+			return nil, err
+		}
+		decoded = append(decoded, f)
+	}
+	return decoded, nil
+}
+
 func (s Incarnation) toProto() *pb.UpstreamStart {
 	return &pb.UpstreamStart{Address: s.Address, Instance: string(s.Instance), Born: uint64(s.Born)}
 }
@@ -50,14 +91,12 @@
 	for _, crash := range m.GetEnds() {
 		e := Crash{Incarnation: incarnationFromProto(crash.GetStart())}
 		for _, p := range crash.GetRequests() {
-			f, err := FromBytes(p.GetFingerprint())
+			r, err := inFlightFromProto(p)
 			if err != nil {
 				l.vars.Add("malformed", 1)
 				continue
 			}
-			e.Requests = append(e.Requests, InFlightRequest{
-				Fingerprint: f, Organisation: id.Organisation(p.GetOrganisation()), Attempt: CallerAttempt(p.GetTry()), Alone: p.GetAlone(),
-			})
+			e.Requests = append(e.Requests, r)
 		}
 		l.RecordCrash(e)
 	}
@@ -75,6 +114,28 @@
 			l.vars.Add("malformed", 1)
 			continue
 		}
-		l.AddHeld(heldFromProto(f, h.GetRequest()))
+		e, err := heldFromProto(f, h.GetRequest())
+		if err != nil {
+			l.vars.Add("malformed", 1)
+			continue
+		}
+		l.AddHeld(e)
+	}
+}
+
+// maxPartsPerRequest limits the parts of a prompt that are read from a message.
+const maxPartsPerRequest = 64
+
+func inFlightFromProto(p *pb.PresentRequest) (r InFlightRequest, err error) {
+	f, err := FromBytes(p.GetFingerprint())
+	if err != nil {
+		return r, err
+	}
+	parts := p.GetParts()
+	r.Parts, err = fingerprintsFromProto(parts[:min(len(parts), maxPartsPerRequest)])
+	r.Fingerprint, r.Organisation, r.Attempt, r.Alone = f, id.Organisation(p.GetOrganisation()), CallerAttempt(p.GetTry()), p.GetAlone()
+	if p.GetBeginning() {
+		r.Progress = Beginning
 	}
+	return r, err
 }
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -44,11 +44,18 @@
 	}
 	s.OnCrashNews = l.ApplyNews
 	l.OnHeld = append(l.OnHeld, q.Persist, q.broadcastHeld)
-	l.OnServed = func(f Fingerprint) {
+	l.OnServed = func(f Fingerprint) { q.Broadcast(CrashNews{Served: []Fingerprint{f}}) }
+	l.OnReleased = q.release
+	return q
+}
+
+// release deletes the record of what is no longer held, or leaves that to the gateway that found it out.
+func (q *Quarantine) release(f Fingerprint, here bool) {
+	if here {
 		q.Remove(f)
-		q.Broadcast(CrashNews{Served: []Fingerprint{f}})
+	} else {
+		q.CancelWrite(f)
 	}
-	return q
 }
 
 // broadcastHeld sends a request that this gateway has decided to hold to the other gateways, because one that missed the
--- a/internal/quarantine/persister.go
+++ b/internal/quarantine/persister.go
@@ -97,6 +97,15 @@
 	}
 }
 
+// CancelWrite cancels the pending write of the record of a request that is no longer held.
+func (k *Persister) CancelWrite(f Fingerprint) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if w, due := k.pending[f]; due && w.value != nil {
+		delete(k.pending, f)
+	}
+}
+
 // schedule adds a pending write and wakes the writer; the caller holds the lock.
 func (k *Persister) schedule(f Fingerprint, w pendingWrite) {
 	k.pending[f] = w
@@ -357,7 +366,7 @@
 
 // proto encodes a held request as its record.
 func (h *HeldRequest) toProto() *pb.HeldRequest {
-	m := &pb.HeldRequest{Organisation: string(h.Organisation), By: string(h.HeldBy), SinceUnixMs: h.SinceUnixMs}
+	m := &pb.HeldRequest{Organisation: string(h.Organisation), By: string(h.HeldBy), SinceUnixMs: h.SinceUnixMs, Parts: fingerprintsToProto(h.Parts)}
 	for _, s := range h.Incarnations {
 		m.Starts = append(m.Starts, s.toProto())
 	}
@@ -369,13 +378,17 @@
 	if err := proto.Unmarshal(value, &m); err != nil {
 		return HeldRequest{}, trace.Wrap(err)
 	}
-	return heldFromProto(f, &m), nil
+	return heldFromProto(f, &m)
 }
 
-func heldFromProto(f Fingerprint, m *pb.HeldRequest) HeldRequest {
-	h := HeldRequest{Fingerprint: f, Organisation: id.Organisation(m.GetOrganisation()), HeldBy: id.VM(m.GetBy()), SinceUnixMs: m.GetSinceUnixMs()}
+func heldFromProto(f Fingerprint, m *pb.HeldRequest) (HeldRequest, error) {
+	parts, err := fingerprintsFromProto(m.GetParts())
+	if err != nil {
+		return HeldRequest{}, err
+	}
+	h := HeldRequest{Fingerprint: f, Organisation: id.Organisation(m.GetOrganisation()), HeldBy: id.VM(m.GetBy()), SinceUnixMs: m.GetSinceUnixMs(), Parts: parts}
 	for _, s := range m.GetStarts() {
 		h.Incarnations = append(h.Incarnations, incarnationFromProto(s))
 	}
-	return h
+	return h, nil
 }
--- a/internal/quarantine/persister_test.go
+++ b/internal/quarantine/persister_test.go
@@ -145,7 +145,7 @@
 		l := NewSuspectTracker("vm", time.Now, discardLog)
 		k := NewPersister(s.store(), "t", l, time.Now, discardLog)
 		l.OnHeld = append(l.OnHeld, k.Persist)
-		l.OnServed = k.Remove
+		l.OnReleased = (&Quarantine{Persister: k}).release
 		ctx, stop := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() {
@@ -179,6 +179,28 @@
 		Eventually(held(later)).Should(BeTrue())
 	})
 
+	It("hold a part of prompts at gateways that have seen none of the crashes, until it is served at one", func() {
+		s := newFakeTopic()
+		l, _, shutDown := start(s)
+		for n := range minPartCrashes {
+			l.RecordCrash(promptCrash(n, []string{"p", "bad"}))
+			time.Sleep(sameCauseWindow)
+		}
+		l.Served(request("other"), partNamed("p"))
+		verdict := func(l *SuspectTracker) func() Verdict {
+			return func() Verdict { return l.Check(request("new"), partNamed("p"), partNamed("bad")) }
+		}
+		Eventually(verdict(l)).Should(Equal(Held))
+		Eventually(func() bool { return s.has(partNamed("bad").String()) }).WithTimeout(3 * time.Second).Should(BeTrue())
+		shutDown()
+		later, _, _ := start(s)
+		Eventually(verdict(later)).Should(Equal(Held))
+		Expect(later.Check(request("new"), partNamed("p"))).To(Equal(Pass))
+		later.Served(request("new"), partNamed("bad"))
+		Expect(verdict(later)()).To(Equal(Pass))
+		Eventually(func() bool { return s.has(partNamed("bad").String()) }).Should(BeFalse())
+	})
+
 	It("are written once or twice, not by every gateway that holds them", func() {
 		s := newFakeTopic()
 		for range 12 {
--- /dev/null
+++ b/internal/quarantine/prompt_part.go
@@ -0,0 +1,206 @@
+package quarantine
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// minRequests is the number of different requests with a part that must have been present at crashes before the part is
+	// held. While there is only one, the request as a whole may be the cause.
+	minRequests = 2
+	// minPartCrashes is the number of crashes that must count against a part before it is held. Many more requests share a
+	// part than repeat a request, and a part can't be tried alone.
+	minPartCrashes = 4
+	// minUnbegunCrashes is the number of crashes that must count against a part of which no two crashes happened as an answer
+	// began.
+	minUnbegunCrashes = 5
+	// minCertainCrashes is the number of crashes that must count against a part on which this gateway has recently forwarded
+	// complete answers, and that suffice, whatever their weight, against one on which it has not.
+	minCertainCrashes = 6
+	// sameCauseWindow is the time within which several crashes count as one against a part: upstreams that end together
+	// are ended by something else than the requests that they have in common.
+	sameCauseWindow = 50 * time.Millisecond
+	// minWeight is the least weight of the evidence against a part: each event has the share of the requests with the part
+	// among all that may be the cause. Upstreams that end together with many requests say little about each of these.
+	minWeight = 0.6
+	// unrelatedPerCrash is the number of unrelated events for which one more crash is needed.
+	unrelatedPerCrash = 3
+	// maxCounted limits the crashes, newest first, that are weighed.
+	maxCounted = 32
+)
+
+// countedCrashes lists the crashes that count against a part, oldest first; the caller holds the lock.
+func (s *suspect) countedCrashes(f Fingerprint) (l []*recordedCrash) {
+	l = slices.Collect(maps.Keys(s.crashes))
+	slices.SortFunc(l, func(a, b *recordedCrash) int {
+		if c := a.recordedAt.Compare(b.recordedAt); c != 0 {
+			return c
+		}
+		return bytes.Compare([]byte(a.incarnation.Instance), []byte(b.incarnation.Instance))
+	})
+	l = l[max(0, len(l)-maxCounted):]
+	return slices.DeleteFunc(l, func(e *recordedCrash) bool { return !e.counts(f) })
+}
+
+// independentEvents lists the times of crashes, oldest first, that can't have a common external cause.
+func independentEvents(crashes []*recordedCrash) (events []time.Time) {
+	for _, e := range crashes {
+		if len(events) == 0 || e.recordedAt.Sub(events[len(events)-1]) >= sameCauseWindow {
+			events = append(events, e.recordedAt)
+		}
+	}
+	return events
+}
+
+// crashesBetween lists all crashes from one time to another; the caller holds the lock.
+func (l *SuspectTracker) crashesBetween(from, to time.Time) []*recordedCrash {
+	compare := func(e *recordedCrash, t time.Time) int { return e.recordedAt.Compare(t) }
+	i, _ := slices.BinarySearchFunc(l.crashes, from, compare)
+	j, _ := slices.BinarySearchFunc(l.crashes, to, compare)
+	return slices.Clone(l.crashes[i:j])
+}
+
+// partProven reports whether the evidence suffices to hold requests because of a part; the caller holds the lock.
+func (l *SuspectTracker) partProven(f Fingerprint, s *suspect) bool {
+	if len(s.crashes) < minPartCrashes {
+		return false
+	}
+	crashes := s.countedCrashes(f)
+	events := independentEvents(crashes)
+	needed := minPartCrashes
+	if countBegun(crashes, f) < minCrashes-1 {
+		needed = minUnbegunCrashes
+	}
+	if len(events) < needed || len(events) < min(minCertainCrashes, needed+l.unrelatedEvents(f, crashes)/unrelatedPerCrash) {
+		return false
+	}
+	weight, requests := l.weigh(f, events)
+	if l.served.has(f) {
+		return len(requests) >= minRequests && weight >= minWeight && len(events) >= minCertainCrashes
+	}
+	return len(requests) >= minRequests && (weight >= minWeight || len(events) >= minCertainCrashes)
+}
+
+// unrelatedEvents counts the events, between the first and the last of the crashes against a part, at which it was not
+// present and that nothing explains. The more often upstreams crash anyway, the likelier is it that a harmless part was
+// present at a few crashes. The caller holds the lock.
+func (l *SuspectTracker) unrelatedEvents(f Fingerprint, crashes []*recordedCrash) int {
+	first, last := crashes[0], crashes[len(crashes)-1]
+	return len(independentEvents(slices.DeleteFunc(l.crashesBetween(first.recordedAt, last.recordedAt), func(e *recordedCrash) bool {
+		return e.partsExplained || e.present[f] != nil
+	})))
+}
+
+// weigh returns the weight of the evidence against a part, and the requests with it that were present; the caller holds the
+// lock.
+func (l *SuspectTracker) weigh(f Fingerprint, events []time.Time) (weight float64, requests map[Fingerprint]struct{}) {
+	requests = map[Fingerprint]struct{}{}
+	for _, at := range events {
+		with, all := 0, 0
+		for _, e := range l.crashesBetween(at.Add(-sameCauseWindow), at.Add(sameCauseWindow)) {
+			if e.partsExplained && !slices.Contains(e.heldTogether, f) {
+				continue
+			}
+			w, n := e.causes(f)
+			with, all = with+len(w), all+n
+			for _, r := range w {
+				requests[r] = struct{}{}
+			}
+		}
+		weight += float64(with) / float64(max(all, 1))
+	}
+	return weight, requests
+}
+
+// countBegun counts the crashes at which the upstream was beginning an answer on a part.
+func countBegun(crashes []*recordedCrash, f Fingerprint) (n int) {
+	for _, e := range crashes {
+		if e.present[f].beginning {
+			n++
+		}
+	}
+	return n
+}
+
+// sameEvidence lists the parts, in order, against which exactly the same crashes count as against a part, including
+// itself. These parts can't be distinguished; the caller holds the lock.
+func (l *SuspectTracker) sameEvidence(f Fingerprint) (parts []Fingerprint) {
+	crashes := l.suspects[f].countedCrashes(f)
+	for o, p := range crashes[0].present {
+		s := l.suspects[o]
+		if p.part && s != nil && slices.Equal(crashes, s.countedCrashes(o)) {
+			parts = append(parts, o)
+		}
+	}
+	slices.SortFunc(parts, func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
+	return parts
+}
+
+// checkParts returns the verdict on a request by the parts of its prompt; the caller holds the lock.
+func (l *SuspectTracker) checkParts(parts []Fingerprint) Verdict {
+	v := Pass
+	for _, f := range parts {
+		s := l.suspects[f]
+		switch {
+		case s == nil || !s.part || len(s.crashes) < minCrashes-1 || len(s.countedCrashes(f)) < minCrashes-1:
+			continue
+		case l.partProven(f, s) && containsAll(parts, l.sameEvidence(f)):
+			l.scheduleSettle()
+			return Waits
+		default:
+			v = Once
+		}
+	}
+	return v
+}
+
+// containsAll reports whether a request with the given parts has all the others.
+func containsAll(parts, others []Fingerprint) bool {
+	return !slices.ContainsFunc(others, func(p Fingerprint) bool { return !slices.Contains(parts, p) })
+}
+
+// reduceHeld replaces each held combination that has a part, which was served, by the rest of its parts. It returns what
+// is no longer held and what is held instead. The caller holds the lock.
+func (l *SuspectTracker) reduceHeld(part Fingerprint) (released []Fingerprint, fresh []HeldRequest) {
+	for _, f := range slices.Clone(l.held.byPart[part]) {
+		dropped := l.held.drop(f)
+		if dropped == nil {
+			continue
+		}
+		released = append(released, f)
+		h := *dropped
+		h.Parts = slices.DeleteFunc(slices.Clone(h.Parts), func(o Fingerprint) bool { return o == part })
+		if len(h.Parts) == 0 {
+			continue
+		}
+		h.Fingerprint = ofTogether(h.Parts)
+		if !l.held.covers(h) {
+			released = append(released, l.hold(h)...)
+			fresh = append(fresh, h)
+		}
+	}
+	return released, fresh
+}
+
+// servedSince lists the parts of a held request that were served here after the first of its crashes that is known here;
+// the caller holds the lock.
+func (l *SuspectTracker) servedSince(h HeldRequest) (parts []Fingerprint) {
+	var first time.Time
+	for _, s := range h.Incarnations {
+		if e := l.findCrash(s); e != nil && (first.IsZero() || e.recordedAt.Before(first)) {
+			first = e.recordedAt
+		}
+	}
+	if first.IsZero() {
+		return nil
+	}
+	for _, p := range h.Parts {
+		if at, ok := l.served.servedAt[p]; ok && at.After(first) {
+			parts = append(parts, p)
+		}
+	}
+	return parts
+}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -42,10 +42,13 @@
 	}
 	var suspects []*pb.HeldEntry
 	for f, s := range l.suspects {
-		if len(s.crashes) < minCrashes-1 {
+		if len(s.crashes) < minCrashes-1 || s.part && len(s.countedCrashes(f)) < minCrashes-1 {
 			continue
 		}
 		h := l.heldRequestOf(f, s)
+		if s.part {
+			h.Parts = []Fingerprint{f}
+		}
 		suspects = append(suspects, &pb.HeldEntry{Fingerprint: f.String(), Request: h.toProto()})
 	}
 	slices.SortFunc(suspects, func(a, b *pb.HeldEntry) int { return strings.Compare(a.GetFingerprint(), b.GetFingerprint()) })
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -20,6 +21,10 @@
 	restartTime = 5 * time.Second
 	crashDelay  = 80 * time.Millisecond
 	lossRate    = 0.03
+	// maxInFlight is the number of requests that an upstream takes.
+	maxInFlight = 24
+	// beginningTime is how long an answer counts as beginning: the time to the first event and half a second.
+	beginningTime = 600 * time.Millisecond
 )
 
 // simulationConfig configures a simulation.
@@ -31,6 +36,15 @@
 	// bad is the number of requests that crash upstreams, each repeated badRate times a second.
 	bad     int
 	badRate float64
+	// prompt draws the shared parts of a harmless request's prompt, and badPrompt those of one that crashes upstreams. If
+	// badPrompt is set no two bad requests are alike.
+	prompt    func(random *rand.Rand) []string
+	badPrompt func(random *rand.Rand, bad string) []string
+	// killRate is the rate per second at which killed upstreams are ended at once by something else.
+	killRate float64
+	killed   int
+	// warmUp is the time before the first bad request and crash.
+	warmUp time.Duration
 	// crashRate is the rate per second of upstream crashes that no request causes.
 	crashRate float64
 	duration  time.Duration
@@ -65,6 +79,12 @@
 	name    string
 	bad     bool
 	gateway int
+	// kind is the name of a harmless request, or what all bad requests have in common that crash upstreams for the same
+	// reason. parts are the fingerprints of the shared parts of its prompt.
+	kind  string
+	parts []Fingerprint
+	// begins is when its upstream begins the answer.
+	begins time.Duration
 	// sends counts the upstreams that the caller's attempt was sent to, and retried is true once the caller has retried.
 	sends          int
 	attempt        CallerAttempt
@@ -75,7 +95,16 @@
 type fakeUpstream struct {
 	restarts int
 	up       bool
-	requests map[*simulatedRequest]bool
+	// requests are those in flight, in the order in which they were sent.
+	requests []*simulatedRequest
+}
+
+func (p *fakeUpstream) has(r *simulatedRequest) bool {
+	return slices.Contains(p.requests, r)
+}
+
+func (p *fakeUpstream) remove(r *simulatedRequest) {
+	p.requests = slices.DeleteFunc(p.requests, func(o *simulatedRequest) bool { return o == r })
 }
 
 // simulation is the state of one simulation.
@@ -97,19 +126,26 @@
 func simulate(m simulationConfig, seed uint64) *simulation {
 	t := &simulation{simulationConfig: m, random: rand.New(rand.NewPCG(seed, 1)), sends: map[string][]time.Duration{}, crashTimes: map[string][]time.Duration{}}
 	base := time.Unix(1000, 0)
-	for range m.gateways {
-		l := NewSuspectTracker("vm", func() time.Time { return base.Add(t.now) }, discardLog)
+	for g := range m.gateways {
+		l := NewSuspectTracker(id.VM(fmt.Sprint("vm", g)), func() time.Time { return base.Add(t.now) }, discardLog)
 		l.after = func(d time.Duration, f func()) { t.schedule(d, f) }
 		l.OnServed = func(f Fingerprint) {
 			for _, o := range t.trackers {
 				t.schedule(newsDelay, func() { o.ClearSuspicion(f) })
 			}
 		}
+		l.OnHeld = append(l.OnHeld, func(h HeldRequest) {
+			for _, o := range t.trackers {
+				if o != l && h.HeldBy == l.vm && t.shared {
+					t.schedule(newsDelay, func() { o.AddHeld(h) })
+				}
+			}
+		})
 		t.trackers = append(t.trackers, l)
 		t.inFlight = append(t.inFlight, map[string]int{})
 	}
 	for range m.upstreams {
-		t.fakeUpstreams = append(t.fakeUpstreams, &fakeUpstream{up: true, requests: map[*simulatedRequest]bool{}})
+		t.fakeUpstreams = append(t.fakeUpstreams, &fakeUpstream{up: true})
 	}
 	t.arrivals()
 	for t.queue.Len() > 0 {
@@ -128,9 +164,9 @@
 	heap.Push(&t.queue, event{at: t.now + d, sequence: t.sequence, do: f})
 }
 
-// scheduleAtRate schedules a function at random times with the given rate.
-func (t *simulation) scheduleAtRate(perSecond float64, f func(n int)) {
-	at := time.Duration(0)
+// scheduleAtRate schedules a function at random times with the given rate, from a time on.
+func (t *simulation) scheduleAtRate(from time.Duration, perSecond float64, f func(n int)) {
+	at := from
 	for n := 0; perSecond > 0; n++ {
 		at += time.Duration(t.random.ExpFloat64() / perSecond * float64(time.Second))
 		if at > t.duration {
@@ -141,24 +177,40 @@
 }
 
 func (t *simulation) arrivals() {
-	t.scheduleAtRate(t.simulationConfig.proper, func(n int) {
+	t.scheduleAtRate(0, t.simulationConfig.proper, func(n int) {
 		r := &simulatedRequest{name: fmt.Sprint("proper", n)}
 		if t.random.Float64() < t.hotShare {
 			r.name = "hot"
 		}
+		r.kind = r.name
+		if t.prompt != nil {
+			r.parts = partsNamed(t.prompt(t.random))
+		}
 		t.proper++
 		t.arrive(r)
 	})
 	for b := range t.bad {
-		t.scheduleAtRate(t.badRate, func(int) { t.arrive(&simulatedRequest{name: fmt.Sprint("bad", b), bad: true}) })
+		t.scheduleAtRate(t.warmUp, t.badRate, func(n int) {
+			r := &simulatedRequest{name: fmt.Sprint("bad", b), kind: fmt.Sprint("bad", b), bad: true}
+			if t.badPrompt != nil {
+				r.parts = partsNamed(t.badPrompt(t.random, r.kind))
+				r.name = fmt.Sprint(r.kind, "/", n)
+			}
+			t.arrive(r)
+		})
 	}
-	t.scheduleAtRate(t.crashRate, func(int) { t.crash(t.fakeUpstreams[t.random.IntN(len(t.fakeUpstreams))]) })
+	t.scheduleAtRate(t.warmUp, t.killRate, func(int) {
+		for _, n := range t.random.Perm(len(t.fakeUpstreams))[:t.killed] {
+			t.crash(t.fakeUpstreams[n])
+		}
+	})
+	t.scheduleAtRate(t.warmUp, t.crashRate, func(int) { t.crash(t.fakeUpstreams[t.random.IntN(len(t.fakeUpstreams))]) })
 }
 
 // arrive simulates a request of a caller at one of the gateways.
 func (t *simulation) arrive(r *simulatedRequest) {
 	r.gateway = t.random.IntN(t.gateways)
-	v := t.trackers[r.gateway].Check(request(r.name))
+	v := t.trackers[r.gateway].Check(request(r.name), r.parts...)
 	if v == Held || v == Waits || (v == Alone && t.inFlight[r.gateway][r.name] > 0) {
 		if !r.bad {
 			t.refused++
@@ -175,7 +227,7 @@
 func (t *simulation) send(r *simulatedRequest) {
 	var up []*fakeUpstream
 	for _, p := range t.fakeUpstreams {
-		if p.up {
+		if p.up && len(p.requests) < maxInFlight {
 			up = append(up, p)
 		}
 	}
@@ -185,26 +237,27 @@
 	}
 	p := up[t.random.IntN(len(up))]
 	incarnation := p.restarts
-	p.requests[r] = true
+	p.requests = append(p.requests, r)
 	r.sends++
 	if r.bad {
-		t.sends[r.name] = append(t.sends[r.name], t.now)
+		t.sends[r.kind] = append(t.sends[r.kind], t.now)
 	}
 	wait := time.Duration((0.05 + 0.45*t.random.Float64()) * float64(time.Second))
+	r.begins = t.now + wait
 	if r.bad {
 		t.schedule(wait+crashDelay, func() {
-			if p.restarts == incarnation && p.requests[r] {
-				t.crashTimes[r.name] = append(t.crashTimes[r.name], t.now)
+			if p.restarts == incarnation && p.has(r) {
+				t.crashTimes[r.kind] = append(t.crashTimes[r.kind], t.now)
 				t.crash(p)
 			}
 		})
 		return
 	}
 	t.schedule(wait+time.Duration(t.random.ExpFloat64()*1.5*float64(time.Second)), func() {
-		if p.restarts == incarnation && p.requests[r] {
-			delete(p.requests, r)
+		if p.restarts == incarnation && p.has(r) {
+			p.remove(r)
 			t.inFlight[r.gateway][r.name]--
-			t.trackers[r.gateway].Served(request(r.name))
+			t.trackers[r.gateway].Served(request(r.name), r.parts...)
 		}
 	})
 }
@@ -215,20 +268,22 @@
 		return
 	}
 	seen := map[int]*Crash{}
-	s := Incarnation{Instance: id.Instance(fmt.Sprintf("%p-%d", p, p.restarts))}
-	for r := range p.requests {
+	s := Incarnation{Instance: id.Instance(fmt.Sprintf("%d-%d", slices.Index(t.fakeUpstreams, p), p.restarts))}
+	for _, r := range p.requests {
 		if seen[r.gateway] == nil {
 			seen[r.gateway] = &Crash{Incarnation: s}
 		}
-		seen[r.gateway].Requests = append(seen[r.gateway].Requests, InFlightRequest{
-			Fingerprint: request(r.name), Organisation: "gym", Attempt: r.attempt, Alone: r.alone,
-		})
+		seen[r.gateway].Requests = append(seen[r.gateway].Requests, t.inFlightRequest(r))
 		t.retry(r)
 	}
-	p.up, p.requests = false, map[*simulatedRequest]bool{}
+	p.up, p.requests = false, nil
 	p.restarts++
 	t.schedule(restartTime, func() { p.up = true })
-	for g, e := range seen {
+	for g := range t.gateways {
+		e := seen[g]
+		if e == nil {
+			continue
+		}
 		t.schedule(gatherTime, func() { t.trackers[g].RecordCrash(*e) })
 		for o, l := range t.trackers {
 			// Three stagers forward the news, so it is rarely lost.
@@ -239,9 +294,24 @@
 	}
 }
 
+// inFlightRequest describes a request whose upstream has crashed.
+func (t *simulation) inFlightRequest(r *simulatedRequest) InFlightRequest {
+	p := InFlightRequest{Fingerprint: request(r.name), Organisation: "gym", Attempt: r.attempt, Alone: r.alone, Progress: Writing}
+	switch {
+	case t.now < r.begins:
+		p.Progress = Waiting
+	case t.now < r.begins+beginningTime:
+		p.Progress = Beginning
+	}
+	if p.Progress != Writing {
+		p.Parts = r.parts
+	}
+	return p
+}
+
 // retry resends a request that broke off at another upstream, or simulates its caller's retry once.
 func (t *simulation) retry(r *simulatedRequest) {
-	v := t.trackers[r.gateway].Check(request(r.name))
+	v := t.trackers[r.gateway].Check(request(r.name), r.parts...)
 	if r.sends < 2 && v == Pass {
 		t.schedule(time.Millisecond, func() { t.send(r) })
 		return
--- a/internal/quarantine/suspects_test.go
+++ b/internal/quarantine/suspects_test.go
@@ -278,7 +278,7 @@
 			d.ApplyNews(m)
 		}
 		Expect(d.crashes).To(HaveLen(1))
-		Expect(d.crashes[0].requests).To(HaveLen(2*maxRequestsPerMessage + 3))
+		Expect(d.crashes[0].present).To(HaveLen(2*maxRequestsPerMessage + 3))
 		h := HeldRequest{Fingerprint: request("bad"), Organisation: "gym", HeldBy: "far", SinceUnixMs: 5, Incarnations: []Incarnation{{Address: "a", Instance: "i", Born: 3}}}
 		d.ApplyNews(CrashNews{Held: []HeldRequest{h}}.Messages()[0])
 		Expect(d.HeldRequests()).To(Equal([]HeldRequest{h}))
