Gateway: a stream that its upstream ends within an event never looks complete

What callers saw: on routes whose streams no other upstream may continue, and after an event too long to be kept, a stream that its upstream ended within an event reached the caller with a proper end.

Cause: the end of a stream was checked against the events that are kept for another upstream, and there nothing is kept; the hedge had a copy of the check.

Change: what is forwarded as it comes is tracked for the end of its events, and one function decides for both whether a stream was broken off. Such a caller's connection is closed without the end of the answer. Responses that name another content type than server-sent events are not checked.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/springrail/springrail/internal/catalog"
 )
@@ -254,14 +255,30 @@
 	return err == nil
 }
 
+// streamBreak returns how a stream was broken off that has ended with io.EOF or the error that interrupted it; empty for a
+// complete one.
+func (t *attempt) streamBreak(err error) string {
+	switch {
+	case !errors.Is(err, io.EOF):
+		return "the upstream broke off its stream"
+	case t.request.events.hasPartial() && isEventStream(t.exchange.Header):
+		return "the upstream ended its stream within an event"
+	default:
+		return ""
+	}
+}
+
+// isEventStream reports whether a response has no other content than server-sent events, as far as its header says.
+func isEventStream(h http.Header) bool {
+	kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return kind == "" || strings.EqualFold(strings.TrimSpace(kind), "text/event-stream")
+}
+
 // finishStream handles the end of a stream: io.EOF, or the error that interrupted it.
 func (t *attempt) finishStream(err error) *attemptError {
 	f := t.request
-	switch {
-	case !errors.Is(err, io.EOF):
-		return t.handleBreak("the upstream broke off its stream")
-	case f.events.hasPartial():
-		return t.handleBreak("the upstream ended its stream within an event")
+	if text := t.streamBreak(err); text != "" {
+		return t.handleBreak(text)
 	}
 	t.sendHead(false, 0)
 	t.answerComplete = true
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -15,6 +15,28 @@
 	// unsplit is true once a part of an event was forwarded, as the event was too long to buffer. The stream is then
 	// forwarded as it comes, and no other upstream can continue it.
 	unsplit bool
+	// passedOn tracks the events in what was forwarded as it came.
+	passedOn eventBoundary
+}
+
+// eventBoundary tracks whether a stream that is not split is within an event.
+type eventBoundary struct {
+	withinEvent, withinLine bool
+}
+
+// advance takes the next bytes of the stream.
+func (e *eventBoundary) advance(b []byte) {
+	for _, c := range b {
+		switch {
+		case c == '\r':
+		case c != '\n':
+			e.withinEvent, e.withinLine = true, true
+		case e.withinLine:
+			e.withinLine = false
+		default:
+			e.withinEvent = false
+		}
+	}
 }
 
 // maxPartialEvent is the longest incomplete event, in bytes, that is buffered until it is whole. Usual events have about
@@ -26,18 +48,19 @@
 
 // dropPartial drops the incomplete event of an interrupted stream; the next upstream sends it whole.
 func (e *eventSplitter) dropPartial() {
-	e.partialEvent = e.partialEvent[:0]
+	e.partialEvent, e.passedOn = e.partialEvent[:0], eventBoundary{}
 }
 
 // hasPartial reports whether an event has begun and not ended.
 func (e *eventSplitter) hasPartial() bool {
-	return len(bytes.TrimSpace(e.partialEvent)) > 0
+	return len(bytes.TrimSpace(e.partialEvent)) > 0 || e.passedOn.withinEvent
 }
 
 // feed takes received bytes and returns those that may be forwarded: all of them if the stream cannot be continued
 // by another upstream, otherwise whole events that the caller does not have.
 func (e *eventSplitter) feed(b []byte, wholeEvents bool) []byte {
 	if !wholeEvents || e.unsplit {
+		e.passedOn.advance(b)
 		return b
 	}
 	e.partialEvent = append(e.partialEvent, b...)
@@ -67,6 +90,7 @@
 func (e *eventSplitter) stopSplitting() []byte {
 	b := e.partialEvent
 	e.partialEvent, e.unsplit = nil, true
+	e.passedOn.advance(b)
 	return b
 }
 
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"maps"
 	"slices"
@@ -208,14 +207,15 @@
 			}
 			h.pendingEvents = append(h.pendingEvents, t.boundPartial(f.events.feed(buffer[:n], true))...)
 		}
-		switch {
-		case errors.Is(err, io.EOF) && !f.events.hasPartial():
+		if err != nil {
+			if text := t.streamBreak(err); text != "" {
+				t.handleBreak(text)
+				return false
+			}
 			h.streamEnd = err
 			return true
-		case err != nil:
-			t.handleBreak("the upstream broke off its stream")
-			return false
-		case len(h.pendingEvents) > 0:
+		}
+		if len(h.pendingEvents) > 0 {
 			return true
 		}
 	}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -95,6 +95,33 @@
 		Expect(truncated).To(BeNumerically(">", 0))
 	})
 
+	DescribeTable("never looks complete to its caller if its upstream ends it within an event and no other one may continue it",
+		func(resumable bool, piece string, complete bool) {
+			r := route(catalog.Streaming, "engines")
+			r.Resumable = resumable
+			b := newTestbed(r)
+			b.addUpstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
+				stream(c, q, "", "id: 1\ndata: a\n\n", piece)
+				_, _ = io.WriteString(c, "0\r\n\r\n")
+			})
+			_, body, err := b.sendRequest("POST", "/p/", "x", xModel, "m")
+			Expect(body).To(HavePrefix("id: 1\ndata: a\n\n"))
+			if complete {
+				Expect(err).NotTo(HaveOccurred())
+				Expect(body).To(HaveSuffix(piece))
+			} else {
+				Expect(err).To(HaveOccurred())
+			}
+		},
+		Entry("within a line", false, "id: 2\nda", false),
+		Entry("after a line", false, "id: 2\ndata: b\n", false),
+		Entry("after a line that ends with CR LF", false, "id: 2\r\ndata: b\r\n", false),
+		Entry("after a whole event", false, "id: 2\ndata: b\n\n", true),
+		Entry("after a whole event whose lines end with CR LF", false, "id: 2\r\ndata: b\r\n\r\n", true),
+		Entry("within an event too long to be kept", true, "id: 2\ndata: "+strings.Repeat("b", maxPartialEvent+1), false),
+		Entry("after an event too long to be kept", true, "id: 2\ndata: "+strings.Repeat("b", maxPartialEvent+1)+"\n\n", true),
+	)
+
 	It("reaches its caller event by event", func() {
 		b := newTestbed(route(catalog.Streaming, "engines"))
 		b.addUpstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
