Gateway: an answer without a length is complete only if its upstream is still there

What callers saw: an upstream that crashed in the middle of an answer without a length left an answer that looked complete.

Cause: such an answer ends with its connection, and the end of the connection was taken for the end of the answer. The crash was no broken request either, and the answer cleared the very request that caused it of suspicion.

Change: at the end of an answer that is neither chunked nor has a length, the gateway dials the upstream. A refused connection means that its process has ended: the answer counts as broken off, unless the upstream has announced that it leaves or has gone from the list, and is retried, continued or closed without its end. Only an end that proves that the upstream has survived clears suspicions.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -74,6 +74,9 @@
 		t.answerComplete = whole
 		return &attemptError{text: "the upstream answered " + strconv.Itoa(e.StatusCode)}
 	}
+	if whole && t.upstreamCrashed() {
+		return t.handleBreak(textCrashed)
+	}
 	t.sendHead(whole, len(body))
 	if err := t.writeCaller(body); err != nil {
 		return t.callerGoneError()
@@ -82,9 +85,12 @@
 		if p := t.copyAnswer(body[:cap(body)]); p != nil {
 			return p
 		}
+		if t.upstreamCrashed() {
+			return t.handleBreak(textCrashed)
+		}
 	}
 	t.answerComplete = true
-	if e.StatusCode < http.StatusMultipleChoices {
+	if e.StatusCode < http.StatusMultipleChoices && t.endProven {
 		f.gateway.suspects.Served(f.fingerprint, f.parts...)
 	}
 	f.complete(strconv.Itoa(e.StatusCode))
@@ -263,11 +269,30 @@
 		return "the upstream broke off its stream"
 	case t.request.events.hasPartial() && isEventStream(t.exchange.Header):
 		return "the upstream ended its stream within an event"
+	case t.upstreamCrashed():
+		return textCrashed
 	default:
 		return ""
 	}
 }
 
+const textCrashed = "the upstream crashed in its answer"
+
+// upstreamCrashed reports, at the end of an answer, whether the upstream's process has ended and with it an answer without
+// a length, which may then be incomplete. One that leaves may end after its last complete answer. It also sets endProven.
+func (t *attempt) upstreamCrashed() bool {
+	if t.exchange.Framed() {
+		t.endProven = true
+		return false
+	}
+	g := t.request.gateway
+	ended, known := g.connections.ProbeRefused(t.ctx, t.choice.Address, t.choice.Incarnation)
+	t.endProven = known && !ended
+	i := g.facts.Instance(t.choice.Instance)
+	left := i == nil || i.Leaving || g.facts.AnnouncedLeaving(t.choice.Instance, t.choice.Incarnation)
+	return ended && !left
+}
+
 // isEventStream reports whether a response has no other content than server-sent events, as far as its header says.
 func isEventStream(h http.Header) bool {
 	kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
@@ -282,7 +307,9 @@
 	}
 	t.sendHead(false, 0)
 	t.answerComplete = true
-	f.gateway.suspects.Served(f.fingerprint, f.parts...)
+	if t.endProven {
+		f.gateway.suspects.Served(f.fingerprint, f.parts...)
+	}
 	f.recordAnswerLength()
 	f.complete("stream")
 	return nil
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -191,6 +191,8 @@
 	// answerComplete is true once the response has been read to its end, so that the connection can be reused.
 	answerComplete bool
 	startRecorded  bool
+	// endProven is true once the end of the answer proves that it is complete and that the upstream has not crashed under it.
+	endProven bool
 	// answerStarted is true once the upstream has sent any part of its response.
 	answerStarted atomic.Bool
 	// firstDataAt is when the first data after the header was received; zero before.
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -138,6 +138,12 @@
 	return errors.New("received only responses to other requests")
 }
 
+// Framed reports whether the response states its own length, so that its end shows that it is complete. Any other response
+// ends with its connection, also where the upstream's process ends in the middle.
+func (e *Exchange) Framed() bool {
+	return e.ContentLength >= 0 || len(e.TransferEncoding) > 0 || e.Body == http.NoBody
+}
+
 // Release returns the connection to the pool after a complete response; otherwise it closes the connection, which aborts the
 // upstream's processing.
 func (e *Exchange) Release(complete bool) {
