Quarantine: upstreams that crash before the header, and requests sent from one to the next

Cause: a request without a header counted as waiting, so that the answers that had just begun beside it took the blame; and three upstreams that one request ended within 4 ms counted as one event, as if something else had ended them.

Change: a request counts as beginning for 100 ms after it was sent, and crashes at which the same request was present count by themselves, as it was sent to the second upstream after the first had ended.

The simulations, in which requests that were just sent now count as beginning too, keep their bounds.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -58,9 +58,13 @@
 	return false
 }
 
-// beginningTime is how long after its first data an answer counts as beginning. An upstream that crashes as it begins an
-// answer may have sent a few events of it.
-const beginningTime = 500 * time.Millisecond
+const (
+	// beginningTime is how long after its first data an answer counts as beginning. An upstream that crashes as it begins an
+	// answer may have sent a few events of it.
+	beginningTime = 500 * time.Millisecond
+	// arrivalTime is how long after a request was sent an upstream may be beginning it although it has not sent the header.
+	arrivalTime = 100 * time.Millisecond
+)
 
 // inFlightRequest describes the attempt for the detection of requests that crash upstreams.
 func (t *attempt) inFlightRequest() quarantine.InFlightRequest {
@@ -76,10 +80,11 @@
 
 // crashProgress returns how far the answer had come, in case that the upstream has crashed.
 func (t *attempt) crashProgress() quarantine.Progress {
+	now := t.request.gateway.now()
 	switch {
-	case t.exchange == nil:
+	case t.exchange == nil && now.Sub(t.lastByteAt) >= arrivalTime:
 		return quarantine.Waiting
-	case t.firstDataAt.IsZero() || t.request.gateway.now().Sub(t.firstDataAt) < beginningTime:
+	case t.firstDataAt.IsZero() || now.Sub(t.firstDataAt) < beginningTime:
 		return quarantine.Beginning
 	default:
 		return quarantine.Writing
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -16,6 +16,7 @@
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/quarantine"
+	"github.com/springrail/springrail/internal/upconn"
 )
 
 var _ = Describe("the log line of a request whose upstream broke off", func() {
@@ -258,6 +259,25 @@
 		Expect(b.upstreamCount("1")).To(Equal(1))
 	})
 
+	DescribeTable("is reported as beginning only shortly after it was sent, or as its answer begins", func(sent, header, data time.Duration, want quarantine.Progress) {
+		b := newTestbed(route(catalog.Streaming, "engines"))
+		now := time.Now()
+		t := &attempt{request: &callerRequest{gateway: b.gateway}, lastByteAt: now.Add(-sent)}
+		if header > 0 {
+			t.exchange = &upconn.Exchange{}
+		}
+		if data > 0 {
+			t.firstDataAt = now.Add(-data)
+		}
+		Expect(t.crashProgress()).To(Equal(want))
+	},
+		Entry("just sent", time.Millisecond, time.Duration(0), time.Duration(0), quarantine.Beginning),
+		Entry("sent some time before", time.Second, time.Duration(0), time.Duration(0), quarantine.Waiting),
+		Entry("with its header", time.Second, time.Second, time.Duration(0), quarantine.Beginning),
+		Entry("with its first data", time.Second, time.Second, 50*time.Millisecond, quarantine.Beginning),
+		Entry("with data for some time", time.Minute, time.Minute, time.Second, quarantine.Writing),
+	)
+
 	It("is identified by the start of its body if that exceeds the buffer", func() {
 		b := newTestbed(route(catalog.Unsafe, "plain"))
 		r := *b.facts.Catalog().Match("h.example", "/p/")
--- a/internal/quarantine/crash_record.go
+++ b/internal/quarantine/crash_record.go
@@ -121,6 +121,13 @@
 	return with, all
 }
 
+// sharesRequest reports whether a request that may have been a cause was present at both crashes.
+func (e *recordedCrash) sharesRequest(o *recordedCrash) bool {
+	return slices.ContainsFunc(e.unwritten, func(r unwrittenRequest) bool {
+		return slices.ContainsFunc(o.unwritten, func(s unwrittenRequest) bool { return s.fingerprint == r.fingerprint })
+	})
+}
+
 // explainedBy reports whether a held request or held parts are a cause of the crash, as far as known.
 func (e *recordedCrash) explainedBy(h *HeldRequest) bool {
 	if len(h.Parts) == 0 {
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -29,9 +29,10 @@
 type Progress uint8
 
 const (
-	// Waiting means that no part of the answer had been received.
+	// Waiting means that no part of the answer had been received for some time.
 	Waiting Progress = iota
-	// Beginning means that only the header had been received, or the first data shortly before.
+	// Beginning means that the request had been sent shortly before, that only the header had been received, or the first
+	// data shortly before.
 	Beginning
 	// Writing means that the answer had begun earlier.
 	Writing
--- a/internal/quarantine/prompt_part.go
+++ b/internal/quarantine/prompt_part.go
@@ -45,12 +45,15 @@
 	return slices.DeleteFunc(l, func(e *recordedCrash) bool { return !e.counts(f) })
 }
 
-// independentEvents lists the times of crashes, oldest first, that can't have a common external cause.
+// independentEvents lists the times of crashes, oldest first, that can't have a common external cause. Where the same request
+// was present at two of them it was sent to the second upstream after the first had ended.
 func independentEvents(crashes []*recordedCrash) (events []time.Time) {
+	var last *recordedCrash
 	for _, e := range crashes {
-		if len(events) == 0 || e.recordedAt.Sub(events[len(events)-1]) >= sameCauseWindow {
+		if last == nil || e.recordedAt.Sub(events[len(events)-1]) >= sameCauseWindow || last.sharesRequest(e) {
 			events = append(events, e.recordedAt)
 		}
+		last = e
 	}
 	return events
 }
--- a/internal/quarantine/prompt_part_test.go
+++ b/internal/quarantine/prompt_part_test.go
@@ -76,6 +76,18 @@
 		Expect(d.HeldRequests()).To(BeEmpty())
 	})
 
+	It("is held for upstreams that end shortly after each other if the same requests were sent from one to the next", func() {
+		d := newManualTracker()
+		for n := range 6 {
+			e := promptCrash(n, []string{"bad"})
+			e.Requests[0].Fingerprint = request(fmt.Sprint("sent to three ", n/3))
+			d.RecordCrash(e)
+			d.clock = d.clock.Add(2 * time.Millisecond)
+		}
+		d.runTimers()
+		Expect(d.checkPrompt("bad")).To(Equal(Held))
+	})
+
 	It("is not held if answers on it come between the crashes", func() {
 		d := newManualTracker()
 		for n := range 20 {
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -21,6 +21,8 @@
 	restartTime = 5 * time.Second
 	crashDelay  = 80 * time.Millisecond
 	lossRate    = 0.03
+	// arrivalTime is how long after it was sent an upstream may be beginning a request.
+	arrivalTime = 100 * time.Millisecond
 	// maxInFlight is the number of requests that an upstream takes.
 	maxInFlight = 24
 	// beginningTime is how long an answer counts as beginning: the time to the first event and half a second.
@@ -83,8 +85,8 @@
 	// reason. parts are the fingerprints of the shared parts of its prompt.
 	kind  string
 	parts []Fingerprint
-	// begins is when its upstream begins the answer.
-	begins time.Duration
+	// sent is when it was sent, and begins when its upstream begins the answer.
+	sent, begins time.Duration
 	// sends counts the upstreams that the caller's attempt was sent to, and retried is true once the caller has retried.
 	sends          int
 	attempt        CallerAttempt
@@ -243,7 +245,7 @@
 		t.sends[r.kind] = append(t.sends[r.kind], t.now)
 	}
 	wait := time.Duration((0.05 + 0.45*t.random.Float64()) * float64(time.Second))
-	r.begins = t.now + wait
+	r.sent, r.begins = t.now, t.now+wait
 	if r.bad {
 		t.schedule(wait+crashDelay, func() {
 			if p.restarts == incarnation && p.has(r) {
@@ -298,7 +300,7 @@
 func (t *simulation) inFlightRequest(r *simulatedRequest) InFlightRequest {
 	p := InFlightRequest{Fingerprint: request(r.name), Organisation: "gym", Attempt: r.attempt, Alone: r.alone, Progress: Writing}
 	switch {
-	case t.now < r.begins:
+	case t.now < r.begins && t.now >= r.sent+arrivalTime:
 		p.Progress = Waiting
 	case t.now < r.begins+beginningTime:
 		p.Progress = Beginning
