Soak: parts of prompts that crash upstreams, answers without a length

Cause: the soak's crashing request was always the same one, so that nothing in it showed that requests which share only a part are not recognised.

Change: two of three draws send requests, no two alike, whose prompts share a part in the middle or in the first place; about half of those answers have no length. Sound streams share the other parts. Five crashes start the bound for a part, three that for a request. A sound request that is refused as held is a violation of its own (held-harmless).

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -51,6 +51,8 @@
 type callerRequest struct {
 	id, path, body string
 	stream, unsafe bool
+	// prompt are the parts of the prompt that other requests may have too.
+	prompt []string
 	// key is the API key, and ownPriority the Priority header that the caller sends itself.
 	key, ownPriority string
 	// configVersion is the configuration that contains the path's route; 0 means that every configuration does.
@@ -107,6 +109,7 @@
 	switch n := c.random.IntN(100); {
 	case n < 30:
 		a.path, a.stream = [...]string{chatPath, bulkPath}[c.sentCount/2%2], true
+		a.prompt = []string{firstPart(c.sentCount), secondPart(c.sentCount)}
 	case n < 60:
 		a.path, a.unsafe = "/desk/", true
 	case n < 75:
@@ -132,6 +135,11 @@
 	if a.stream {
 		q.Header.Set("Model", model)
 		q.Header.Set("Token-Usage", "100,60")
+		parts := ""
+		for _, p := range a.prompt {
+			parts += p + ":40,"
+		}
+		q.Header.Set("Prompt-Prefix", parts+"f:20")
 	}
 	return q, nil
 }
@@ -193,6 +201,9 @@
 		c.checkBody(a, r, body)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusRequestTimeout:
 		c.history.RecordRefused(a.id, r.StatusCode)
+		if strings.HasPrefix(body, "held") {
+			c.history.RecordViolation("held-harmless", c.gateway.name, a.id, "refused, as upstreams have crashed under it or a part of its prompt: %v", a.prompt)
+		}
 	case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
 		c.history.RecordDenied(a.id, r.StatusCode, a.configVersion)
 	case http.StatusBadGateway:
--- a/internal/soak/crasher.go
+++ b/internal/soak/crasher.go
@@ -17,10 +17,12 @@
 	crashMark = "crash-"
 	// crashDowntime is the downtime of an upstream that such a request has crashed.
 	crashDowntime = 2 * time.Second
-	// crashThreshold is the number of upstreams that such a request may crash before the rule applies, and
-	// maxSendsAfterThreshold the number of times it may still be forwarded from settleTime after that on; both are
-	// required by the users.
-	crashThreshold, maxSendsAfterThreshold = 3, 3
+	// crashThreshold is the number of upstreams that such a request may crash before the rule applies, partThreshold that
+	// for all requests with such a part, and maxSendsAfterThreshold the number of times they may still be forwarded from
+	// settleTime after that on; all are required by the users.
+	crashThreshold, partThreshold, maxSendsAfterThreshold = 3, 5, 3
+	// crashPartMark follows crashMark in the IDs and bodies of requests with a part that crashes upstreams.
+	crashPartMark = "part-"
 	// minCrashRetryInterval is the minimum time between two retries of such a request.
 	minCrashRetryInterval = 150 * time.Millisecond
 )
@@ -28,18 +30,53 @@
 // crashRecord counts the crashes that one such request has caused.
 type crashRecord struct {
 	count int
-	// thresholdAt is when the request had crashed crashThreshold upstreams.
+	// thresholdAt is when the requests had crashed threshold upstreams.
 	thresholdAt time.Time
 	sendsAfter  int
 }
 
-// sendCrashingRequests repeats a request that crashes upstreams, at each gateway in turn, until the context ends.
+// crashKind returns what requests have in common that crash upstreams for the same reason, by the body of one.
+func crashKind(body string) string {
+	kind, _, _ := strings.Cut(body, "/")
+	return kind
+}
+
+// thresholdOf returns the number of upstreams that requests of a kind may crash before the rule applies.
+func thresholdOf(kind string) int {
+	if strings.HasPrefix(kind, crashMark+crashPartMark) {
+		return partThreshold
+	}
+	return crashThreshold
+}
+
+// crashingRequest returns the n-th request of a step: a repeat of one request, or a request whose prompt has the same part
+// as all others of the step, in the middle or in the first place.
+func crashingRequest(s Step, n int) callerRequest {
+	kind := fmt.Sprint(crashMark, s.Selector)
+	a := callerRequest{id: fmt.Sprintf("%s.%d", kind, n), path: chatPath, body: kind, stream: true, key: gymKey}
+	if s.Selector%3 == 0 {
+		return a
+	}
+	kind = fmt.Sprint(crashMark, crashPartMark, s.Selector)
+	a.id, a.body = fmt.Sprintf("%s.%d", kind, n), fmt.Sprintf("%s/%d", kind, n)
+	a.prompt = []string{firstPart(n), fmt.Sprintf("%x", s.Selector), secondPart(n)}
+	if s.Selector%3 == 1 {
+		a.prompt = a.prompt[1:]
+	}
+	return a
+}
+
+// firstPart and secondPart return parts of the prompt of a request with a number that other requests share.
+func firstPart(n int) string  { return fmt.Sprintf("a%d", n%3) }
+func secondPart(n int) string { return fmt.Sprintf("c%d", n%7) }
+
+// sendCrashingRequests sends requests that crash upstreams for the same reason, to each gateway in turn, until the context
+// ends.
 func (w *Fleet) sendCrashingRequests(ctx context.Context, s Step) {
-	body := fmt.Sprint(crashMark, s.Selector)
-	w.history.RecordEvent("a request that crashes upstreams is sent repeatedly: %s", body)
+	w.history.RecordEvent("requests that crash upstreams are sent repeatedly: %s", crashingRequest(s, 0).body)
 	every := minCrashRetryInterval + time.Duration(s.Magnitude*float64(time.Second))
 	for n := 0; ctx.Err() == nil; n++ {
-		a := callerRequest{id: fmt.Sprintf("%s.%d", body, n), path: chatPath, body: body, stream: true, key: gymKey}
+		a := crashingRequest(s, n)
 		g := w.gateways[n%len(w.gateways)]
 		w.runningSteps.Go(func() { w.sendOnce(ctx, &a, g) })
 		kernel.Pause(ctx, every)
@@ -73,6 +110,9 @@
 	m.CrashPoint = func(body string) (events int, ends bool) {
 		return len(s.id)%3 + standin.BeforeHead, strings.HasPrefix(body, crashMark)
 	}
+	m.Unframed = func(body string) bool {
+		return strings.HasPrefix(body, crashMark) && strings.ContainsAny(body[len(body)-1:], "13579")
+	}
 	m.OnCrash = func(body string) {
 		s.mu.Lock()
 		l, newest := s.link, s.server == m
@@ -80,7 +120,7 @@
 		if !newest || !s.busy.TryLock() {
 			return
 		}
-		s.history.RecordCrash(body)
+		s.history.RecordCrash(crashKind(body))
 		end := s.history.BeginFault(s.address, "crashed under a request")
 		l.Close()
 		go func() {
@@ -91,27 +131,27 @@
 	}
 }
 
-// RecordCrash records that a marked request has crashed an upstream.
-func (b *History) RecordCrash(body string) {
+// RecordCrash records that a marked request of a kind has crashed an upstream.
+func (b *History) RecordCrash(kind string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	c := b.crashes[body]
+	c := b.crashes[kind]
 	if c == nil {
 		c = &crashRecord{}
-		b.crashes[body] = c
+		b.crashes[kind] = c
 	}
 	c.count++
 	b.counts["upstreams ended under a request"]++
-	if c.count == crashThreshold {
+	if c.count == thresholdOf(kind) {
 		c.thresholdAt = b.now()
 	}
 }
 
 // checkCrashingRun checks a marked request that an upstream starts. The caller holds the lock.
 func (b *History) checkCrashingRun(r *request, id string) {
-	body, _, _ := strings.Cut(id, ".")
-	c := b.crashes[body]
-	if c == nil || c.count < crashThreshold || b.now().Sub(c.thresholdAt) < settleTime {
+	kind, _, _ := strings.Cut(id, ".")
+	c := b.crashes[kind]
+	if c == nil || c.count < thresholdOf(kind) || b.now().Sub(c.thresholdAt) < settleTime {
 		return
 	}
 	if !b.faultFree(r) {
@@ -119,6 +159,6 @@
 		return
 	}
 	if c.sendsAfter++; c.sendsAfter > maxSendsAfterThreshold {
-		b.recordViolation("crashing", r.gateway.name, id, body, "forwarded %d times later than %v after it had crashed %d upstreams", c.sendsAfter, settleTime, crashThreshold)
+		b.recordViolation("crashing", r.gateway.name, id, kind, "forwarded %d times later than %v after it had crashed %d upstreams", c.sendsAfter, settleTime, thresholdOf(kind))
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -258,6 +259,35 @@
 		Entry("an answer whose last bytes are missing", strings.TrimSuffix(standin.StreamOf("r1", 3), "\n\n"), "u.r1", "wrong-answer"),
 	)
 
+	It("reports a refusal as held of a request that crashes nothing", func() {
+		h := newHistory()
+		c := &Caller{history: h.History, gateway: h.gateway}
+		for _, body := range []string{"too busy\n", "held: upstreams have crashed under this request\n"} {
+			h.send()
+			c.checkAnswer(&callerRequest{id: "1", stream: true}, &http.Response{StatusCode: http.StatusServiceUnavailable}, body)
+		}
+		Expect(h.brokenChecks()).To(Equal([]string{"held-harmless"}))
+	})
+
+	DescribeTable("counts requests that crash upstreams for the same reason together", func(kind string, crashes, runs int, want ...string) {
+		h := newHistory()
+		for range crashes {
+			h.RecordCrash(crashKind(kind + "/7"))
+		}
+		h.advance(settleTime)
+		for n := range runs {
+			r := fmt.Sprintf("%s.%d", kind, n)
+			h.RecordSent(r, &request{gateway: h.gateway, crashesUpstreams: true})
+			h.RecordRun(standin.RequestRun{Request: r, Instance: "u", At: h.at})
+		}
+		Expect(h.brokenChecks()).To(Equal(append([]string{}, want...)))
+	},
+		Entry("a repeated request", "crash-1", 3, 4, "crashing"),
+		Entry("a repeated request, rarely enough", "crash-1", 3, 3),
+		Entry("a part", "crash-part-1", 5, 4, "crashing"),
+		Entry("a part, before enough crashes", "crash-part-1", 4, 9),
+	)
+
 	It("lists the events around a violation and counts repetitions", func() {
 		h := newHistory()
 		h.RecordEvent("long ago")
--- a/internal/standin/modelserver.go
+++ b/internal/standin/modelserver.go
@@ -85,6 +85,9 @@
 	// that never crashes.
 	CrashPoint func(body string) (events int, ends bool)
 	OnCrash    func(body string)
+	// Unframed decides by the body whether a stream is sent without a length, so that it ends with its connection. It may be
+	// nil.
+	Unframed func(body string) bool
 	// OnRetryAfter is called for each request that is answered 503 with a Retry-After header; it may be nil.
 	OnRetryAfter func(request, retryAfter string)
 	// OnRequest is called for each request that reaches the server, executed or refused; it may be nil.
@@ -315,6 +318,9 @@
 	}
 	w.Header().Set("Versions", strconv.Itoa(version))
 	w.Header().Set("Content-Type", "text/event-stream")
+	if s.Unframed != nil && s.Unframed(string(body)) {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	interval := defaultEventInterval
 	if s.EventInterval > 0 {
 		interval = s.EventInterval
