Quarantine: the parts that were beginning are kept first at a crash

Cause: at most 256 requests and parts are kept of a crash, in the order of the reports, so that requests with many parts beside the cause could keep it out. Change: requests first, then the parts of those that were beginning. Evidence: a spec with 40 requests of 15 parts each beside the cause.

--- a/internal/quarantine/crash_record.go
+++ b/internal/quarantine/crash_record.go
@@ -62,6 +62,21 @@
 	return p
 }
 
+// addRequests notes that requests were in flight: first the requests, then the parts of those that were beginning and of
+// the others, of which those beyond maxPresent are not kept.
+func (e *recordedCrash) addRequests(l []InFlightRequest) {
+	for _, p := range l {
+		e.add(p.Fingerprint, p.Organisation, false)
+	}
+	for _, beginning := range []bool{true, false} {
+		for _, p := range l {
+			if (p.Progress == Beginning) == beginning {
+				e.addUnwritten(p)
+			}
+		}
+	}
+}
+
 // isEvidence reports whether the crash is evidence against a request or part that was present.
 func (e *recordedCrash) isEvidence(f Fingerprint) bool {
 	p := e.present[f]
@@ -88,7 +103,7 @@
 	return true
 }
 
-// addUnwritten notes that a request was in flight, with its parts. The parts are not kept if too many others are present.
+// addUnwritten notes the parts of a request.
 func (e *recordedCrash) addUnwritten(p InFlightRequest) {
 	for _, f := range p.Parts {
 		if o := e.add(f, p.Organisation, true); o != nil {
--- a/internal/quarantine/prompt_part_test.go
+++ b/internal/quarantine/prompt_part_test.go
@@ -234,6 +234,26 @@
 		Expect(d.checkPrompt("x")).To(Equal(Pass))
 	})
 
+	It("is held although other requests there had more parts than are kept", func() {
+		d := newManualTracker()
+		for n := range 6 {
+			e := promptCrash(n)
+			for r := range 40 {
+				var names []string
+				for p := range 15 {
+					names = append(names, fmt.Sprint("flood", n, r, p))
+				}
+				e.Requests = append(e.Requests, InFlightRequest{Fingerprint: request(fmt.Sprint("flood", n, r)), Organisation: "gym", Parts: partsNamed(names)})
+			}
+			e.Requests = append(e.Requests, promptCrash(n, []string{"bad"}).Requests...)
+			d.RecordCrash(e)
+			Expect(len(d.crashes[n].present)).To(BeNumerically("<=", maxPresent))
+			d.clock = d.clock.Add(time.Second)
+		}
+		d.runTimers()
+		Expect(d.checkPrompt("bad")).To(Equal(Held))
+	})
+
 	It("is held alike by all gateways, whichever way the reports of the crashes arrive", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			var reports []Crash
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -160,10 +160,7 @@
 	if n == nil {
 		n = l.addCrash(e.Incarnation)
 	}
-	for _, p := range e.Requests {
-		n.add(p.Fingerprint, p.Organisation, false)
-		n.addUnwritten(p)
-	}
+	n.addRequests(e.Requests)
 	for _, p := range e.Requests {
 		if h := l.held.match(p.Fingerprint, p.Parts); h != nil && n.explainedBy(h) {
 			l.explain(n, h)
