Quarantine: a repeated request is not blamed on the parts of others

Cause: a request is held only once it was tried alone; until then the parts of those beside it had as many crashes and were held first. The crashes of a held request remained evidence against the parts of others.

Change: a part waits while one request that is neither held nor cleared was present at all its crashes but one. A held request explains its crashes to all parts but its own. Requests without parts are among the possible causes in the weight, and only a shared request with the part makes crashes independent.

A spec of its own; all specs of quarantine pass with their bounds.

--- a/internal/quarantine/crash_record.go
+++ b/internal/quarantine/crash_record.go
@@ -24,14 +24,14 @@
 	incarnation Incarnation
 	recordedAt  time.Time
 	present     map[Fingerprint]*presence
-	// unwritten are the requests with shared parts whose answers had not begun, or only just.
+	// unwritten are the requests whose answers had not begun, or only just.
 	unwritten []unwrittenRequest
 	// explained is true once a request or a part that was present is held: the crash then is no evidence against other
-	// requests. partsExplained is true once a part is held: it then is no evidence against parts other than those held
-	// together. It never is evidence against what is in cleared, whichever gateway reports it again.
-	explained, partsExplained bool
-	heldTogether              []Fingerprint
-	cleared                   map[Fingerprint]struct{}
+	// requests, nor against parts other than those in stillSuspected, which are those held together or of the held request.
+	// It never is evidence against what is in cleared, whichever gateway reports it again.
+	explained      bool
+	stillSuspected []Fingerprint
+	cleared        map[Fingerprint]struct{}
 }
 
 // presence describes a request, or a part of prompts, that was present at a crash.
@@ -42,7 +42,8 @@
 	beginning bool
 }
 
-// unwrittenRequest is a request that was in flight at a crash and may have been the cause by a part of its prompt.
+// unwrittenRequest is a request that was in flight at a crash and may have been the cause, by itself or by a part of its
+// prompt.
 type unwrittenRequest struct {
 	fingerprint Fingerprint
 	parts       []Fingerprint
@@ -83,10 +84,7 @@
 	if _, cleared := e.cleared[f]; cleared || p == nil {
 		return false
 	}
-	if !p.part {
-		return !e.explained
-	}
-	return !e.partsExplained || slices.Contains(e.heldTogether, f)
+	return !e.explained || p.part && slices.Contains(e.stillSuspected, f)
 }
 
 // counts reports whether the crash counts against a part: the upstream was beginning an answer on it, or on no other part
@@ -112,7 +110,7 @@
 	}
 	known := slices.IndexFunc(e.unwritten, func(o unwrittenRequest) bool { return o.fingerprint == p.Fingerprint })
 	switch {
-	case len(p.Parts) == 0:
+	case p.Progress == Writing:
 	case known >= 0:
 		e.unwritten[known].beginning = e.unwritten[known].beginning || p.Progress == Beginning
 	case len(e.unwritten) < maxPresent:
@@ -120,12 +118,20 @@
 	}
 }
 
+// mayBeCause reports whether a request may have caused the crash, by itself if its prompt has no shared parts.
+func (e *recordedCrash) mayBeCause(r unwrittenRequest) bool {
+	if len(r.parts) == 0 {
+		return e.isEvidence(r.fingerprint)
+	}
+	return slices.ContainsFunc(r.parts, e.isEvidence)
+}
+
 // causes lists the requests with a part that the crash counts against, and returns how many requests in all may have caused
-// the crash by a part.
+// the crash.
 func (e *recordedCrash) causes(f Fingerprint) (with []Fingerprint, all int) {
-	begun := slices.ContainsFunc(e.unwritten, func(r unwrittenRequest) bool { return r.beginning && slices.ContainsFunc(r.parts, e.isEvidence) })
+	begun := slices.ContainsFunc(e.unwritten, func(r unwrittenRequest) bool { return r.beginning && e.mayBeCause(r) })
 	for _, r := range e.unwritten {
-		if begun && !r.beginning || !slices.ContainsFunc(r.parts, e.isEvidence) {
+		if begun && !r.beginning || !e.mayBeCause(r) {
 			continue
 		}
 		all++
@@ -136,10 +142,10 @@
 	return with, all
 }
 
-// sharesRequest reports whether a request that may have been a cause was present at both crashes.
-func (e *recordedCrash) sharesRequest(o *recordedCrash) bool {
+// sharesRequest reports whether the same request with a part was present at both crashes.
+func (e *recordedCrash) sharesRequest(o *recordedCrash, f Fingerprint) bool {
 	return slices.ContainsFunc(e.unwritten, func(r unwrittenRequest) bool {
-		return slices.ContainsFunc(o.unwritten, func(s unwrittenRequest) bool { return s.fingerprint == r.fingerprint })
+		return slices.Contains(r.parts, f) && slices.ContainsFunc(o.unwritten, func(s unwrittenRequest) bool { return s.fingerprint == r.fingerprint })
 	})
 }
 
@@ -195,13 +201,16 @@
 
 // explain marks a crash as caused by what is held, so that it is no evidence against others; the caller holds the lock.
 func (l *SuspectTracker) explain(e *recordedCrash, by *HeldRequest) {
-	e.explained = true
-	if len(by.Parts) > 0 {
-		e.heldTogether = slices.DeleteFunc(slices.Clone(by.Parts), func(p Fingerprint) bool {
-			return e.partsExplained && !slices.Contains(e.heldTogether, p)
-		})
-		e.partsExplained = true
+	parts := by.Parts
+	for _, r := range e.unwritten {
+		if len(by.Parts) == 0 && r.fingerprint == by.Fingerprint {
+			parts = r.parts
+		}
 	}
+	e.stillSuspected = slices.DeleteFunc(slices.Clone(parts), func(p Fingerprint) bool {
+		return e.explained && !slices.Contains(e.stillSuspected, p)
+	})
+	e.explained = true
 	for f := range e.present {
 		if !e.isEvidence(f) {
 			l.removeEvidence(f, e)
--- a/internal/quarantine/prompt_part.go
+++ b/internal/quarantine/prompt_part.go
@@ -46,11 +46,11 @@
 }
 
 // independentEvents lists the times of crashes, oldest first, that can't have a common external cause. Where the same request
-// was present at two of them it was sent to the second upstream after the first had ended.
-func independentEvents(crashes []*recordedCrash) (events []time.Time) {
+// with the part was present at two of them it was sent to the second upstream after the first had ended.
+func independentEvents(crashes []*recordedCrash, f Fingerprint) (events []time.Time) {
 	var last *recordedCrash
 	for _, e := range crashes {
-		if last == nil || e.recordedAt.Sub(events[len(events)-1]) >= sameCauseWindow || last.sharesRequest(e) {
+		if last == nil || e.recordedAt.Sub(events[len(events)-1]) >= sameCauseWindow || last.sharesRequest(e, f) {
 			events = append(events, e.recordedAt)
 		}
 		last = e
@@ -72,12 +72,12 @@
 		return false
 	}
 	crashes := s.countedCrashes(f)
-	events := independentEvents(crashes)
+	events := independentEvents(crashes, f)
 	needed := minPartCrashes
 	if countBegun(crashes, f) < minCrashes-1 {
 		needed = minUnbegunCrashes
 	}
-	if len(events) < needed || len(events) < min(minCertainCrashes, needed+l.unrelatedEvents(f, crashes)/unrelatedPerCrash) {
+	if len(events) < needed || len(events) < min(minCertainCrashes, needed+l.unrelatedEvents(f, crashes)/unrelatedPerCrash) || l.oneRequestExplains(crashes) {
 		return false
 	}
 	weight, requests := l.weigh(f, events)
@@ -87,14 +87,33 @@
 	return len(requests) >= minRequests && (weight >= minWeight || len(events) >= minCertainCrashes)
 }
 
+// oneRequestExplains reports whether one request that is suspected by itself was present at all of the crashes, or all but
+// one. Until it is held or cleared it is the likelier cause. The caller holds the lock.
+func (l *SuspectTracker) oneRequestExplains(crashes []*recordedCrash) bool {
+	present := map[Fingerprint]int{}
+	for _, e := range crashes {
+		for f, p := range e.present {
+			if !p.part && e.isEvidence(f) {
+				present[f]++
+			}
+		}
+	}
+	for _, n := range present {
+		if n >= len(crashes)-1 {
+			return true
+		}
+	}
+	return false
+}
+
 // unrelatedEvents counts the events, between the first and the last of the crashes against a part, at which it was not
 // present and that nothing explains. The more often upstreams crash anyway, the likelier is it that a harmless part was
 // present at a few crashes. The caller holds the lock.
 func (l *SuspectTracker) unrelatedEvents(f Fingerprint, crashes []*recordedCrash) int {
 	first, last := crashes[0], crashes[len(crashes)-1]
 	return len(independentEvents(slices.DeleteFunc(l.crashesBetween(first.recordedAt, last.recordedAt), func(e *recordedCrash) bool {
-		return e.partsExplained || e.present[f] != nil
-	})))
+		return e.explained || e.present[f] != nil
+	}), f))
 }
 
 // weigh returns the weight of the evidence against a part, and the requests with it that were present; the caller holds the
@@ -104,7 +123,7 @@
 	for _, at := range events {
 		with, all := 0, 0
 		for _, e := range l.crashesBetween(at.Add(-sameCauseWindow), at.Add(sameCauseWindow)) {
-			if e.partsExplained && !slices.Contains(e.heldTogether, f) {
+			if e.explained && !slices.Contains(e.stillSuspected, f) {
 				continue
 			}
 			w, n := e.causes(f)
--- a/internal/quarantine/prompt_part_test.go
+++ b/internal/quarantine/prompt_part_test.go
@@ -234,6 +234,22 @@
 		Expect(d.checkPrompt("x")).To(Equal(Pass))
 	})
 
+	It("is not held, nor kept suspected, for the crashes of a repeated request without it while nothing is answered", func() {
+		d := newManualTracker()
+		for n := range 8 {
+			e := promptCrash(n, []string{"first"})
+			repeated := InFlightRequest{Fingerprint: request("repeated"), Organisation: "gym", Attempt: CallerAttempt(n), Alone: n >= 6}
+			e.Requests = append(e.Requests, repeated)
+			d.RecordCrash(e)
+			d.runTimers()
+			Expect(d.checkPrompt("first")).NotTo(BeElementOf(Waits, Held))
+			d.clock = d.clock.Add(time.Second)
+		}
+		Expect(d.Check(request("repeated"))).To(Equal(Held))
+		Expect(d.HeldRequests()).To(HaveLen(1))
+		Expect(d.checkPrompt("first")).To(Equal(Pass))
+	})
+
 	It("is held although other requests there had more parts than are kept", func() {
 		d := newManualTracker()
 		for n := range 6 {
