--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -267,7 +267,7 @@
 	switch {
 	case !errors.Is(err, io.EOF):
 		return "the upstream broke off its stream"
-	case t.request.events.hasPartial() && isEventStream(t.exchange.Header):
+	case t.request.events.hasPartial(), t.request.events.passedOn.withinEvent && isEventStream(t.exchange.Header):
 		return "the upstream ended its stream within an event"
 	case t.upstreamCrashed():
 		return textCrashed
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -51,9 +51,9 @@
 	e.partialEvent, e.passedOn = e.partialEvent[:0], eventBoundary{}
 }
 
-// hasPartial reports whether an event has begun and not ended.
+// hasPartial reports whether an event that is kept has begun and not ended.
 func (e *eventSplitter) hasPartial() bool {
-	return len(bytes.TrimSpace(e.partialEvent)) > 0 || e.passedOn.withinEvent
+	return len(bytes.TrimSpace(e.partialEvent)) > 0
 }
 
 // feed takes received bytes and returns those that may be forwarded: all of them if the stream cannot be continued
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -122,6 +122,25 @@
 		Entry("after an event too long to be kept", true, "id: 2\ndata: "+strings.Repeat("b", maxPartialEvent+1)+"\n\n", true),
 	)
 
+	DescribeTable("of another content type is complete as it comes, unless a part of it is kept for another upstream", func(resumable, complete bool) {
+		r := route(catalog.Streaming, "engines")
+		r.Resumable, r.MaxAttempts = resumable, 1
+		b := newTestbed(r)
+		b.addUpstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 x\r\n%s: %s\r\nContent-Type: application/x-ndjson\r\nContent-Length: 4\r\n\r\n{}\n1", xRequest, q.Header.Get(xRequest))
+		})
+		a, body, err := b.sendRequest("POST", "/p/", "x", xModel, "m")
+		if complete {
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal("{}\n1"))
+		} else {
+			Expect(err != nil || a.StatusCode == http.StatusBadGateway).To(BeTrue())
+		}
+	},
+		Entry("passed on", false, true),
+		Entry("kept", true, false),
+	)
+
 	It("reaches its caller event by event", func() {
 		b := newTestbed(route(catalog.Streaming, "engines"))
 		b.addUpstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
