Quarantine: weigh crashes once for each decision, and hold no part that another one explains

A harmless part was compared with what could be held only.

Change: reports only schedule the decision; what may have caused a crash is kept until its evidence changes. A part is not held while another was present at all its crashes and at more; once a decision has left it, requests with it are no longer refused until the evidence changes.

Specs of quarantine pass.

--- a/internal/quarantine/crash_record.go
+++ b/internal/quarantine/crash_record.go
@@ -32,6 +32,15 @@
 	explained      bool
 	stillSuspected []Fingerprint
 	cleared        map[Fingerprint]struct{}
+	// causes caches what findCauses has found, until the evidence changes.
+	causes *possibleCauses
+}
+
+// possibleCauses are the requests that may have caused a crash.
+type possibleCauses struct {
+	// beginning is true if the upstream was beginning an answer on a part that may be the cause; the others then don't count.
+	beginning bool
+	requests  []unwrittenRequest
 }
 
 // presence describes a request, or a part of prompts, that was present at a crash.
@@ -66,6 +75,7 @@
 // addRequests notes that requests were in flight: first the requests, then the parts of those that were beginning and of
 // the others, of which those beyond maxPresent are not kept.
 func (e *recordedCrash) addRequests(l []InFlightRequest) {
+	e.causes = nil
 	for _, p := range l {
 		e.add(p.Fingerprint, p.Organisation, false)
 	}
@@ -90,15 +100,7 @@
 // counts reports whether the crash counts against a part: the upstream was beginning an answer on it, or on no other part
 // that may be the cause.
 func (e *recordedCrash) counts(f Fingerprint) bool {
-	if e.present[f].beginning {
-		return true
-	}
-	for o, p := range e.present {
-		if p.part && p.beginning && e.isEvidence(o) {
-			return false
-		}
-	}
-	return true
+	return e.present[f].beginning || !e.findCauses().beginning
 }
 
 // addUnwritten notes the parts of a request.
@@ -126,20 +128,26 @@
 	return slices.ContainsFunc(r.parts, e.isEvidence)
 }
 
-// causes lists the requests with a part that the crash counts against, and returns how many requests in all may have caused
-// the crash.
-func (e *recordedCrash) causes(f Fingerprint) (with []Fingerprint, all int) {
-	begun := slices.ContainsFunc(e.unwritten, func(r unwrittenRequest) bool { return r.beginning && e.mayBeCause(r) })
+// findCauses lists the requests that may have caused the crash.
+func (e *recordedCrash) findCauses() *possibleCauses {
+	if e.causes != nil {
+		return e.causes
+	}
+	c := &possibleCauses{}
+	begun := false
 	for _, r := range e.unwritten {
-		if begun && !r.beginning || !e.mayBeCause(r) {
-			continue
+		if r.beginning && e.mayBeCause(r) {
+			begun = true
+			c.beginning = c.beginning || len(r.parts) > 0
 		}
-		all++
-		if slices.Contains(r.parts, f) && e.isEvidence(f) {
-			with = append(with, r.fingerprint)
+	}
+	for _, r := range e.unwritten {
+		if (r.beginning || !begun) && e.mayBeCause(r) {
+			c.requests = append(c.requests, r)
 		}
 	}
-	return with, all
+	e.causes = c
+	return c
 }
 
 // sharesRequest reports whether the same request with a part was present at both crashes.
@@ -210,7 +218,7 @@
 	e.stillSuspected = slices.DeleteFunc(slices.Clone(parts), func(p Fingerprint) bool {
 		return e.explained && !slices.Contains(e.stillSuspected, p)
 	})
-	e.explained = true
+	e.explained, e.causes = true, nil
 	for f := range e.present {
 		if !e.isEvidence(f) {
 			l.removeEvidence(f, e)
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -10,7 +10,7 @@
 func (l *SuspectTracker) settle() {
 	c := changes{here: true}
 	l.mu.Lock()
-	l.settling = false
+	l.settling, l.undecided = false, false
 	for next := l.topSuspects(); len(next) > 0; next = l.topSuspects() {
 		for _, h := range next {
 			c.released = append(c.released, l.hold(h)...)
@@ -55,7 +55,7 @@
 		}
 	}
 	for _, c := range all {
-		if !slices.ContainsFunc(all, func(o *candidate) bool { return o != c && c.losesTo(o) }) {
+		if !slices.ContainsFunc(all, func(o *candidate) bool { return o != c && c.losesTo(o) }) && !l.partExplainsMore(c) {
 			top = append(top, c.held)
 		}
 	}
@@ -63,6 +63,25 @@
 	return top
 }
 
+// partExplainsMore reports whether another part was present at all crashes of a candidate for parts and at more, even if that
+// does not suffice to hold it. The caller holds the lock.
+func (l *SuspectTracker) partExplainsMore(c *candidate) bool {
+	if len(c.held.Parts) == 0 {
+		return false
+	}
+	for f, p := range c.crashes[0].present {
+		s := l.suspects[f]
+		if !p.part || s == nil || len(s.crashes) <= len(c.crashes) || !s.hasAll(c.crashes) {
+			continue
+		}
+		counted := s.countedCrashes(f)
+		if len(counted) > len(c.crashes) && !slices.ContainsFunc(c.crashes, func(e *recordedCrash) bool { return !slices.Contains(counted, e) }) {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *SuspectTracker) heldRequestOf(f Fingerprint, s *suspect) HeldRequest {
 	e := HeldRequest{Fingerprint: f, Organisation: s.organisation, HeldBy: l.vm, SinceUnixMs: l.now().UnixMilli()}
 	for n := range s.crashes {
--- a/internal/quarantine/prompt_part.go
+++ b/internal/quarantine/prompt_part.go
@@ -45,6 +45,14 @@
 	return slices.DeleteFunc(l, func(e *recordedCrash) bool { return !e.counts(f) })
 }
 
+// hasAll reports whether all of the crashes are evidence against a suspect.
+func (s *suspect) hasAll(crashes []*recordedCrash) bool {
+	return !slices.ContainsFunc(crashes, func(e *recordedCrash) bool {
+		_, ok := s.crashes[e]
+		return !ok
+	})
+}
+
 // independentEvents lists the times of crashes, oldest first, that can't have a common external cause. Where the same request
 // with the part was present at two of them it was sent to the second upstream after the first had ended.
 func independentEvents(crashes []*recordedCrash, f Fingerprint) (events []time.Time) {
@@ -77,19 +85,20 @@
 	if countBegun(crashes, f) < minCrashes-1 {
 		needed = minUnbegunCrashes
 	}
-	if len(events) < needed || len(events) < min(minCertainCrashes, needed+l.unrelatedEvents(f, crashes)/unrelatedPerCrash) || l.oneRequestExplains(crashes) {
+	if len(events) < needed || len(events) < min(minCertainCrashes, needed+l.unrelatedEvents(f, crashes)/unrelatedPerCrash) {
 		return false
 	}
 	weight, requests := l.weigh(f, events)
-	if l.served.has(f) {
-		return len(requests) >= minRequests && weight >= minWeight && len(events) >= minCertainCrashes
+	certain := len(events) >= minCertainCrashes
+	if len(requests) < minRequests || weight < minWeight && (!certain || l.served.has(f)) || l.served.has(f) && !certain {
+		return false
 	}
-	return len(requests) >= minRequests && (weight >= minWeight || len(events) >= minCertainCrashes)
+	return !oneRequestExplains(crashes)
 }
 
 // oneRequestExplains reports whether one request that is suspected by itself was present at all of the crashes, or all but
-// one. Until it is held or cleared it is the likelier cause. The caller holds the lock.
-func (l *SuspectTracker) oneRequestExplains(crashes []*recordedCrash) bool {
+// one. Until it is held or cleared it is the likelier cause.
+func oneRequestExplains(crashes []*recordedCrash) bool {
 	present := map[Fingerprint]int{}
 	for _, e := range crashes {
 		for f, p := range e.present {
@@ -126,10 +135,13 @@
 			if e.explained && !slices.Contains(e.stillSuspected, f) {
 				continue
 			}
-			w, n := e.causes(f)
-			with, all = with+len(w), all+n
-			for _, r := range w {
-				requests[r] = struct{}{}
+			evidence := e.isEvidence(f)
+			for _, r := range e.findCauses().requests {
+				all++
+				if evidence && slices.Contains(r.parts, f) {
+					with++
+					requests[r.fingerprint] = struct{}{}
+				}
 			}
 		}
 		weight += float64(with) / float64(max(all, 1))
@@ -152,8 +164,7 @@
 func (l *SuspectTracker) sameEvidence(f Fingerprint) (parts []Fingerprint) {
 	crashes := l.suspects[f].countedCrashes(f)
 	for o, p := range crashes[0].present {
-		s := l.suspects[o]
-		if p.part && s != nil && slices.Equal(crashes, s.countedCrashes(o)) {
+		if s := l.suspects[o]; p.part && s != nil && s.hasAll(crashes) && slices.Equal(crashes, s.countedCrashes(o)) {
 			parts = append(parts, o)
 		}
 	}
@@ -169,7 +180,7 @@
 		switch {
 		case s == nil || !s.part || len(s.crashes) < minCrashes-1 || len(s.countedCrashes(f)) < minCrashes-1:
 			continue
-		case l.partProven(f, s) && containsAll(parts, l.sameEvidence(f)):
+		case l.undecided && l.partProven(f, s) && containsAll(parts, l.sameEvidence(f)):
 			l.scheduleSettle()
 			return Waits
 		default:
--- a/internal/quarantine/prompt_part_test.go
+++ b/internal/quarantine/prompt_part_test.go
@@ -250,6 +250,26 @@
 		Expect(d.checkPrompt("first")).To(Equal(Pass))
 	})
 
+	It("is not held, nor refused for long, if another part that is not held yet was present at all its crashes and at more", func() {
+		d := newManualTracker()
+		d.Served(request("before"), partNamed("bad"))
+		for n := range 5 {
+			prompts := [][]string{{"bad", fmt.Sprint("own", n)}}
+			if n < 4 {
+				prompts = append(prompts, []string{"hot"})
+			}
+			d.RecordCrash(promptCrash(n, prompts...))
+			d.clock = d.clock.Add(time.Second)
+		}
+		d.runTimers()
+		Expect(d.HeldRequests()).To(BeEmpty())
+		Expect(d.checkPrompt("hot")).To(Equal(Once))
+		d.crashEach(5, []string{"bad"})
+		d.runTimers()
+		Expect(d.checkPrompt("bad")).To(Equal(Held))
+		Expect(d.checkPrompt("hot")).To(Equal(Pass))
+	})
+
 	It("is held although other requests there had more parts than are kept", func() {
 		d := newManualTracker()
 		for n := range 6 {
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -77,6 +77,8 @@
 	held       *heldSet
 	served     *recentlyServed
 	settling   bool
+	// undecided is true if evidence against parts has changed since the last decision on what to hold.
+	undecided bool
 }
 
 // NewSuspectTracker creates an empty tracker for the gateway on a VM.
@@ -221,7 +223,8 @@
 	}
 	_, known := s.crashes[e]
 	s.crashes[e] = struct{}{}
-	if l.partProven(f, s) {
+	l.undecided = true
+	if len(s.crashes) >= minPartCrashes {
 		l.scheduleSettle()
 	}
 	if known || len(s.crashes) < minCrashes-1 || !e.present[f].beginning {
@@ -244,7 +247,7 @@
 func (l *SuspectTracker) clearSuspect(f Fingerprint, s *suspect) {
 	delete(l.suspects, f)
 	for e := range s.crashes {
-		e.cleared[f] = struct{}{}
+		e.cleared[f], e.causes = struct{}{}, nil
 	}
 }
 
@@ -279,6 +282,7 @@
 	if s := l.suspects[f]; s != nil {
 		crashes = len(s.crashes)
 		l.clearSuspect(f, s)
+		l.undecided = true
 	}
 	if h := l.held.get(f); h != nil && len(h.Parts) == 0 {
 		crashes = len(h.Incarnations)
