--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -28,7 +28,7 @@
 	crashes []*recordedCrash
 }
 
-// losesTo reports whether another candidate explains the same crashes better. A request goes before the parts of its
+// losesTo reports whether another candidate explains the same crashes better. A request outranks the parts of its
 // prompt, as fewer requests are held by it, and of different parts with equally many crashes neither is held yet: the next
 // crash distinguishes them.
 func (c *candidate) losesTo(o *candidate) bool {
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -26,8 +26,8 @@
 	organisation id.Organisation
 	part         bool
 	crashes      map[*recordedCrash]struct{}
-	// For a request, attempts are the callers' attempts that were in flight at these crashes, and triedAlone is true once one of them
-	// was sent alone.
+	// For a request, attempts are the callers' attempts that were in flight at these crashes, and triedAlone is true once
+	// one of them was sent alone.
 	attempts   map[CallerAttempt]struct{}
 	triedAlone bool
 }
