--- a/internal/standin/modelserver.go
+++ b/internal/standin/modelserver.go
@@ -113,9 +113,6 @@
 	abortRunning chan struct{}
 }
 
-// BeforeHead is the crash point before the response header: the server crashes without sending any part of its answer.
-const BeforeHead = -1
-
 // ServedVersion returns the version that is served; 0 means none.
 func (s *ModelServer) ServedVersion() int {
 	s.mu.Lock()
@@ -340,20 +337,6 @@
 	}
 }
 
-// crashPoint reports whether the process crashes while it runs a request with this body, and after how many events.
-func (s *ModelServer) crashPoint(body string) (events int, ends bool) {
-	if s.CrashPoint == nil {
-		return 0, false
-	}
-	return s.CrashPoint(body)
-}
-
-// endProcess ends the process and aborts the answer in progress.
-func (s *ModelServer) endProcess(body string) {
-	s.OnCrash(body)
-	abortConnection()
-}
-
 // StreamOf returns the complete body of a stream that a version generates for a request.
 func StreamOf(request string, version int) string {
 	var b strings.Builder
