Gateway: lines and metrics that tell apart why a shutdown ends requests

Requests that the end of the process cuts off left no trace but a count: http.Server.Serve returns as Shutdown begins, so that Run's deferred stop takes back what would mark them. Nothing told a request that was admitted early and sent late from one that was simply long. Lines of requests have the times to the whole body, to the newest send and from the start of the shutdown to the arrival; each request in flight when the shutdown gives up has a line with its stage and is counted. The count of requests in flight becomes a set of them. No decision is changed.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -176,6 +176,7 @@
 		return
 	}
 	f.headSent = true
+	f.progress.noteAnswering()
 	header := f.writer.Header()
 	for name, values := range forwardedHeader(e.Header) {
 		header[name] = values
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -131,7 +131,11 @@
 	case !f.beginsInTime(c, dialled):
 		f.notSent = notSentVersion
 	}
-	return f.notSent == ""
+	if f.notSent != "" {
+		return false
+	}
+	f.progress.noteSent(f.gateway.now())
+	return true
 }
 
 // notSentReason is the reason why a request was not sent although an upstream had been chosen for it.
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -119,10 +119,12 @@
 
 	listener net.Listener
 	server   *http.Server
-	inFlight atomic.Int64
+	inFlight *inFlightRequests
 	// leaving makes callers open their next connection to another gateway; rejecting refuses requests that still
 	// arrive.
 	leaving, rejecting atomic.Bool
+	// drainBegan is when the graceful shutdown began; nil before.
+	drainBegan atomic.Pointer[time.Time]
 	// connectionsClosed is true once the callers' connections have been closed.
 	connectionsClosed atomic.Bool
 }
@@ -146,7 +148,7 @@
 	g.listener = l
 	h.Part(rpc.PartName).(*rpc.Server).Handle(springrailv1connect.NewLimitServiceHandler(g))
 	h.Metric("requests", g.metrics.vars)
-	h.Metric("in_flight", expvar.Func(func() any { return g.inFlight.Load() }))
+	h.Metric("in_flight", expvar.Func(func() any { return g.inFlight.count() }))
 	h.Metric("buffered_bytes", expvar.Func(func() any { return g.buffers.stats() }))
 	h.Metric("evacuations", expvar.Func(func() any { return f.Evacuations() }))
 	return g, nil
@@ -178,6 +180,7 @@
 		connections:      upconn.New(connect, clock.Now, d.ResponseMatches),
 		suspects:         q.Suspects,
 		requests:         newRequestRegistry(),
+		inFlight:         newInFlightRequests(),
 		buffers:          newBufferBudget(s.BufferBytes),
 		answerLengths:    placement.NewAnswerLengths(),
 		random:           func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) },
@@ -227,6 +230,8 @@
 
 // Drain implements kernel.Drainer: callers are sent to other gateways while requests in flight are completed.
 func (g *Gateway) Drain(ctx context.Context) {
+	began := g.now()
+	g.drainBegan.Store(&began)
 	g.leaving.Store(true)
 	deadline, ok := ctx.Deadline()
 	if ok {
@@ -237,14 +242,25 @@
 	}
 	kernel.Pause(ctx, drainAcceptPeriod)
 	g.rejecting.Store(true)
-	for ctx.Err() == nil && g.inFlight.Load() > 0 {
+	for ctx.Err() == nil && g.inFlight.count() > 0 {
 		kernel.Pause(ctx, drainPollInterval)
 	}
 	// Shutdown closes idle connections and waits for those on which a request has started to arrive.
 	if err := g.server.Shutdown(ctx); err != nil {
-		g.log.Warn().Int64("in_flight", g.inFlight.Load()).Msg("shutting down with requests still in flight")
+		g.logUnfinished()
 	}
 }
 
+// logUnfinished logs the requests that are in flight when the time for a graceful shutdown is over. Their handlers end with
+// the process and log nothing themselves.
+func (g *Gateway) logUnfinished() {
+	now := g.now()
+	g.log.Warn().Int("in_flight", g.inFlight.count()).Msg("shutting down with requests still in flight")
+	g.inFlight.each(func(f *callerRequest) {
+		g.metrics.count("abandoned")
+		f.logAbandoned(now)
+	})
+}
+
 // drainPollInterval is how often a draining process checks whether requests are still in flight.
 const drainPollInterval = 20 * time.Millisecond
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -101,19 +101,20 @@
 	answerBegun atomic.Bool
 	cancel      context.CancelCauseFunc
 	ctx         context.Context
+	progress    progress
 	// resumeTimer ends the request at its deadline after the VM was suspended; nil if it has not been.
 	resumeTimer *time.Timer
 }
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.inFlight.Add(1)
-	defer g.inFlight.Add(-1)
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	f := &callerRequest{gateway: g, httpRequest: r, writer: w, arrived: g.now(), meta: g.dialect.ReadRequest(r.Header), tried: map[id.Instance]bool{}, allNotRun: true, buffers: newBufferAccount(g.buffers)}
 	defer f.buffers.release()
+	g.inFlight.add(f)
+	defer g.inFlight.remove(f)
 	if g.rejecting.Load() {
 		f.refuse("leaving", minRetryAfter)
 		return
@@ -124,6 +125,7 @@
 	if !f.readBody() {
 		return
 	}
+	f.progress.noteReceived(g.now())
 	f.identify()
 	if !f.checkQuarantine() {
 		return
@@ -322,7 +324,10 @@
 		}
 		e = f.logSharedParts(e)
 	}
-	e = f.logUpstream(f.logReservation(f.logLimit(e)))
+	e = f.logUpstream(f.logReservation(f.logLimit(f.logProgress(e))))
+	if began := g.drainBegan.Load(); began != nil {
+		e = e.Int64("drain_ms", f.arrived.Sub(*began).Milliseconds())
+	}
 	if f.brokenProgress != "" {
 		e = e.Str("broken", f.brokenProgress).Str("broken_instance", string(f.brokenInstance))
 	}
--- a/internal/gateway/slow_reader_test.go
+++ b/internal/gateway/slow_reader_test.go
@@ -151,7 +151,7 @@
 		for i := range conns {
 			conns[i] = b.dialSlowly("slow", 1, "x")
 		}
-		Eventually(func() int64 { return b.gateway.inFlight.Load() }).Should(BeEquivalentTo(callers))
+		Eventually(b.gateway.inFlight.count).Should(BeEquivalentTo(callers))
 		Eventually(b.buffered).Should(BeNumerically(">", budget-maxBufferedAnswer))
 		start := time.Now()
 		refused := b.dialSlowly("long", maxBufferedBody/2, "x")
--- a/internal/gateway/suspension.go
+++ b/internal/gateway/suspension.go
@@ -32,7 +32,7 @@
 // resetDeadlines restarts the deadline timers of all requests after a suspension.
 func (g *Gateway) resetDeadlines(suspended time.Duration) {
 	g.metrics.count("suspensions")
-	g.log.Warn().Int64("suspended_ms", suspended.Milliseconds()).Int64("in_flight", g.inFlight.Load()).Msg("this VM was suspended")
+	g.log.Warn().Int64("suspended_ms", suspended.Milliseconds()).Int("in_flight", g.inFlight.count()).Msg("this VM was suspended")
 	g.requests.each(func(f *callerRequest) {
 		if f.resumeTimer != nil {
 			f.resumeTimer.Stop()
