Reproduce: requests that a shutdown abandons without an answer

A gateway with 5 s for its shutdown and requests of deadline 6 s, watched from the callers' side, all connections closed as the end of a process does. On this code three of seven requests end without an answer 4.5 s after SIGTERM: one that was sent to an upstream at once and is not over in time; one whose body is complete 0.5 s after the gateway has stopped taking requests, which is sent to an upstream nevertheless; one whose body never comes.

--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -21,7 +21,7 @@
 	stageAnswering
 )
 
-var stageNames = [...]string{"receiving", "waiting", "sent", "answering"}
+var stageNames = [...]string{stageReceiving: "receiving", stageWaiting: "waiting", stageSent: "sent", stageAnswering: "answering"}
 
 // progress is a request's stage, with the times at which it came there. It may be read while the request runs.
 type progress struct {
--- /dev/null
+++ b/internal/gateway/shutdown_test.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/springrail/springrail/internal/catalog"
+)
+
+// xWork is how long an upstream takes to answer a request.
+const xWork = "X-Work-Ms"
+
+// closingListener closes all its connections at once, as the end of a process does.
+type closingListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *closingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, c)
+	return c, err
+}
+
+func (l *closingListener) closeAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		if c != nil {
+			c.Close()
+		}
+	}
+}
+
+// process is a gateway that runs and ends as in a process of its own.
+type process struct {
+	*testbed
+	address  string
+	listener *closingListener
+	stopRun  context.CancelFunc
+	termAt   time.Time
+	ended    chan struct{}
+}
+
+func startProcess(b *testbed) *process {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	p := &process{testbed: b, address: l.Addr().String(), listener: &closingListener{Listener: l}, ended: make(chan struct{})}
+	b.gateway.listener = p.listener
+	ctx, stop := context.WithCancel(context.Background())
+	p.stopRun = stop
+	DeferCleanup(stop)
+	go func() { _ = b.gateway.Run(ctx) }()
+	return p
+}
+
+// terminate shuts the gateway down within the given time, and then ends the process.
+func (p *process) terminate(within time.Duration) {
+	p.termAt = time.Now()
+	go func() {
+		defer close(p.ended)
+		ctx, stop := context.WithTimeout(context.Background(), within)
+		defer stop()
+		p.gateway.Drain(ctx)
+		p.stopRun()
+		p.listener.closeAll()
+	}()
+}
+
+func (p *process) sleepUntil(afterTerm time.Duration) {
+	time.Sleep(time.Until(p.termAt.Add(afterTerm)))
+}
+
+// send sends the header and the first byte of a body of two at one time after SIGTERM, and the second byte at another.
+func (p *process) send(request string, deadline, work, headerAt, bodyAt time.Duration) (status int, body string, err error) {
+	p.sleepUntil(headerAt)
+	c, err := net.Dial("tcp", p.address)
+	if err != nil {
+		return 0, "", err
+	}
+	defer c.Close()
+	_, _ = fmt.Fprintf(c, "POST /p/ HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\n%s: %d\r\nContent-Length: 2\r\n\r\nx",
+		xRequest, request, xTimeout, deadline.Milliseconds(), xWork, work.Milliseconds())
+	go func() {
+		p.sleepUntil(bodyAt)
+		_, _ = io.WriteString(c, "y")
+	}()
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, "", err
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	return a.StatusCode, string(b), err
+}
+
+// addWorkingUpstream adds an upstream that answers each request after the time that its header states.
+func (b *testbed) addWorkingUpstream(name string) {
+	b.addUpstream(name, "plain", func(q *http.Request, _ string, c net.Conn) {
+		ms, _ := strconv.Atoi(q.Header.Get(xWork))
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+		reply(c, q, 200, "", "whole")
+	})
+}
+
+var _ = Describe("a graceful shutdown shorter than the requests' deadlines", func() {
+	const within, deadline = 5 * time.Second, 6 * time.Second
+
+	It("ends no request without a complete answer, and reports none as not run that was sent", func() {
+		r := route(catalog.Unsafe, "plain")
+		r.Timeout = deadline
+		p := startProcess(newTestbed(r))
+		p.addWorkingUpstream("u")
+		p.terminate(within)
+		const s = time.Second
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		var wrong []string
+		for n, k := range []struct {
+			name                   string
+			headerAt, bodyAt, work time.Duration
+			statuses               []int
+		}{
+			{"early and short", 0, 0, s / 10, []int{200}},
+			{"early and slow, but over in time", 0, 0, 4 * s, []int{200}},
+			{"sent at once, not over in time", 2 * s, 2 * s, 5 * s, []int{502, 503}},
+			{"complete late, not over in time", 2 * s, 7 * s / 2, 5 * s, []int{503}},
+			{"complete late", s / 2, 4 * s, s / 10, []int{200, 503}},
+			{"never complete", 2 * s, 20 * s, 0, []int{503}},
+			{"late", 7 * s / 2, 7 * s / 2, 5 * s, []int{503}},
+		} {
+			wg.Go(func() {
+				request := strconv.Itoa(n)
+				status, _, err := p.send(request, deadline, k.work, k.headerAt, k.bodyAt)
+				ran := p.upstreamCount(request)
+				if err != nil || !slices.Contains(k.statuses, status) || (status == http.StatusServiceUnavailable && ran > 0) {
+					mu.Lock()
+					defer mu.Unlock()
+					wrong = append(wrong, fmt.Sprintf("%s: status %d, error %v, sent to %d upstreams", k.name, status, err, ran))
+				}
+			})
+		}
+		wg.Wait()
+		Expect(wrong).To(BeEmpty())
+		Eventually(p.ended, 2*within).Should(BeClosed())
+		Expect(time.Since(p.termAt)).To(BeNumerically("<", within))
+	})
+})
