Gateway: no request is taken or sent that would outlast the shutdown

Callers saw a request taken long after SIGTERM and given up. Cause: whether a request is taken was decided once, at its header, by a flag that a timer set 3 s after SIGTERM. A request whose body was complete seconds later was sent to an upstream all the same, and the process ended under it; nothing compared what a request may still need with what the process has left. A shutdown now stores its times at SIGTERM: until when requests are taken that may outlast it, when all answers are due, when connections close. The arrival, the complete body and the moment before the send compare the request's deadline with them; the send also the expected end of the answer, twice the predicted wait and generation. Requests that are over in time whatever happens are taken to the end. A wait for a body ends with the time for taking requests, and the refusal reaches its caller although bytes are still coming. Times are compared by the clock that counts suspensions; no timer decides. Answers may take until 0.8 s before the end of the time (of 30 s, 3 s before; of 8 s, as before). New: requests that engines are not expected to complete in time are not sent, shorter ones are.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -187,9 +187,7 @@
 	if withLength {
 		header.Set("Content-Length", strconv.Itoa(length))
 	}
-	if f.gateway.leaving.Load() {
-		header.Set("Connection", "close")
-	}
+	f.closeIfLeaving()
 	f.closeAfterUpload()
 	f.writer.WriteHeader(e.StatusCode)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -130,6 +130,8 @@
 		f.notSent = notSentResting
 	case !f.beginsInTime(c, dialled):
 		f.notSent = notSentVersion
+	case !f.completesInTime(c):
+		f.notSent = notSentShutdown
 	}
 	if f.notSent != "" {
 		return false
@@ -145,6 +147,8 @@
 	notSentVersion notSentReason = "version"
 	notSentLeaving notSentReason = "leaving"
 	notSentResting notSentReason = "resting"
+	// notSentShutdown is a request that this gateway is not expected to complete before it ends.
+	notSentShutdown notSentReason = "shutdown"
 )
 
 // notSentError returns the error of an attempt that was not sent.
@@ -155,6 +159,8 @@
 		return notRunError("the upstream leaves", f.retryAfterElsewhere())
 	case notSentResting:
 		return notRunError("the upstream rests", f.retryAfterElsewhere())
+	case notSentShutdown:
+		return &attemptError{text: reasonLeaving, notRun: true, final: true, retryAfter: leavingRetryAfter}
 	default:
 		return notRunError("the connection came too late for the version there", f.decision.retryAfterSwap(f.gateway.now()))
 	}
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,7 +51,7 @@
 	if f.httpRequest.ContentLength == 0 {
 		return true
 	}
-	_ = http.NewResponseController(f.writer).SetReadDeadline(clock.DeadlineAfter(f.remaining()))
+	f.startReceiving()
 	limit := int64(f.catalog.Limits.BodyBytes)
 	if limit <= 0 {
 		limit = maxBufferedBody
@@ -67,6 +68,8 @@
 	case errors.Is(err, errNoBufferSpace):
 		f.refuseBody()
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded) && !f.takeWhileLeaving():
+		return false
 	case err != nil:
 		f.fail(http.StatusBadRequest, "the body did not come whole")
 		return false
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -42,7 +42,6 @@
 	g := f.gateway
 	v := f.checkSuspects()
 	f.exclusive = v == quarantine.Alone
-	f.ctx, f.cancel = context.WithCancelCause(f.httpRequest.Context())
 	switch {
 	case v == quarantine.Held:
 		f.heldAs, _ = g.suspects.HeldAs(f.fingerprint, f.parts...)
@@ -54,7 +53,6 @@
 	default:
 		return true
 	}
-	f.cancel(nil)
 	return false
 }
 
@@ -136,7 +134,6 @@
 
 // remove removes a request that has ended.
 func (l *requestRegistry) remove(f *callerRequest) {
-	f.cancel(nil)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if f.resumeTimer != nil {
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -11,8 +11,9 @@
 type stage int32
 
 const (
-	// stageReceiving is a request whose body is not complete.
-	stageReceiving stage = iota
+	// stageArriving is a request that is not admitted yet, and stageReceiving one whose body is not complete.
+	stageArriving stage = iota
+	stageReceiving
 	// stageWaiting is a complete request that was sent to no upstream.
 	stageWaiting
 	// stageSent is one that was sent to an upstream and has no response header.
@@ -21,7 +22,7 @@
 	stageAnswering
 )
 
-var stageNames = [...]string{stageReceiving: "receiving", stageWaiting: "waiting", stageSent: "sent", stageAnswering: "answering"}
+var stageNames = [...]string{stageArriving: "arriving", stageReceiving: "receiving", stageWaiting: "waiting", stageSent: "sent", stageAnswering: "answering"}
 
 // progress is a request's stage, with the times at which it came there. It may be read while the request runs.
 type progress struct {
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -88,11 +88,6 @@
 	callerIdleTimeout = time.Minute
 	// maxHeaderBytes bounds the request header until a configuration with its own limit has been loaded.
 	maxHeaderBytes = 64 << 10
-	// drainAcceptPeriod is the time for which a draining process still accepts connections. A load balancer that
-	// probes readiness once a second removes it after two failed probes.
-	drainAcceptPeriod = 3 * time.Second
-	// drainShare is the fraction of the time for a graceful shutdown after which requests in flight are abandoned.
-	drainShare = 0.9
 )
 
 // Gateway is the reverse proxy that admits callers' requests and forwards them to upstreams.
@@ -120,11 +115,8 @@
 	listener net.Listener
 	server   *http.Server
 	inFlight *inFlightRequests
-	// leaving makes callers open their next connection to another gateway; rejecting refuses requests that still
-	// arrive.
-	leaving, rejecting atomic.Bool
-	// drainBegan is when the graceful shutdown began; nil before.
-	drainBegan atomic.Pointer[time.Time]
+	// shutdown is nil until a graceful shutdown begins.
+	shutdown atomic.Pointer[shutdown]
 	// connectionsClosed is true once the callers' connections have been closed.
 	connectionsClosed atomic.Bool
 }
@@ -203,23 +195,27 @@
 
 // Run serves callers until the context ends.
 func (g *Gateway) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() {
-		g.connectionsClosed.Store(true)
-		g.server.Close()
-	})
-	defer stop()
+	defer context.AfterFunc(ctx, g.closeConnections)()
 	go g.watchSuspensions(ctx)
 	err := g.server.Serve(g.listener)
-	if ctx.Err() != nil || g.rejecting.Load() {
-		return nil
+	if ctx.Err() == nil && !g.isLeaving() {
+		return trace.Wrap(err)
 	}
-	return trace.Wrap(err)
+	// Serve returns when a shutdown closes the listener, while requests are still in flight.
+	<-ctx.Done()
+	g.closeConnections()
+	return nil
+}
+
+func (g *Gateway) closeConnections() {
+	g.connectionsClosed.Store(true)
+	g.server.Close()
 }
 
 // NotReady implements kernel.ReadinessReporter.
 func (g *Gateway) NotReady() string {
 	switch {
-	case g.leaving.Load():
+	case g.isLeaving():
 		return "leaving"
 	case g.facts.Catalog() == nil:
 		return "no configuration yet"
@@ -227,40 +223,3 @@
 		return ""
 	}
 }
-
-// Drain implements kernel.Drainer: callers are sent to other gateways while requests in flight are completed.
-func (g *Gateway) Drain(ctx context.Context) {
-	began := g.now()
-	g.drainBegan.Store(&began)
-	g.leaving.Store(true)
-	deadline, ok := ctx.Deadline()
-	if ok {
-		timeout := time.Duration(drainShare * float64(clock.Until(deadline)))
-		var stop context.CancelFunc
-		ctx, stop = context.WithTimeout(ctx, timeout)
-		defer stop()
-	}
-	kernel.Pause(ctx, drainAcceptPeriod)
-	g.rejecting.Store(true)
-	for ctx.Err() == nil && g.inFlight.count() > 0 {
-		kernel.Pause(ctx, drainPollInterval)
-	}
-	// Shutdown closes idle connections and waits for those on which a request has started to arrive.
-	if err := g.server.Shutdown(ctx); err != nil {
-		g.logUnfinished()
-	}
-}
-
-// logUnfinished logs the requests that are in flight when the time for a graceful shutdown is over. Their handlers end with
-// the process and log nothing themselves.
-func (g *Gateway) logUnfinished() {
-	now := g.now()
-	g.log.Warn().Int("in_flight", g.inFlight.count()).Msg("shutting down with requests still in flight")
-	g.inFlight.each(func(f *callerRequest) {
-		g.metrics.count("abandoned")
-		f.logAbandoned(now)
-	})
-}
-
-// drainPollInterval is how often a draining process checks whether requests are still in flight.
-const drainPollInterval = 20 * time.Millisecond
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -108,21 +108,13 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	f := &callerRequest{gateway: g, httpRequest: r, writer: w, arrived: g.now(), meta: g.dialect.ReadRequest(r.Header), tried: map[id.Instance]bool{}, allNotRun: true, buffers: newBufferAccount(g.buffers)}
 	defer f.buffers.release()
+	f.ctx, f.cancel = context.WithCancelCause(r.Context())
+	defer f.cancel(nil)
 	g.inFlight.add(f)
 	defer g.inFlight.remove(f)
-	if g.rejecting.Load() {
-		f.refuse("leaving", minRetryAfter)
-		return
-	}
-	if !f.admit() {
-		return
-	}
-	if !f.readBody() {
+	if !f.admit() || !f.takeWhileLeaving() || !f.readBody() || !f.takeWhileLeaving() {
 		return
 	}
 	f.progress.noteReceived(g.now())
@@ -265,7 +257,7 @@
 		panic(http.ErrAbortHandler)
 	case p.notRun && f.allNotRun:
 		f.refuse(p.text, p.retryAfter)
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errQuarantined):
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		f.fail(http.StatusGatewayTimeout, p.text)
 	default:
 		f.fail(http.StatusBadGateway, p.text)
@@ -288,6 +280,7 @@
 	h := f.writer.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(why)+1))
+	f.closeIfLeaving()
 	f.closeAfterUpload()
 	f.writer.WriteHeader(status)
 	_, _ = io.WriteString(f.writer, why+"\n")
@@ -325,8 +318,8 @@
 		e = f.logSharedParts(e)
 	}
 	e = f.logUpstream(f.logReservation(f.logLimit(f.logProgress(e))))
-	if began := g.drainBegan.Load(); began != nil {
-		e = e.Int64("drain_ms", f.arrived.Sub(*began).Milliseconds())
+	if s := g.shutdown.Load(); s != nil {
+		e = e.Int64("drain_ms", f.arrived.Sub(s.beganAt).Milliseconds())
 	}
 	if f.brokenProgress != "" {
 		e = e.Str("broken", f.brokenProgress).Str("broken_instance", string(f.brokenInstance))
--- /dev/null
+++ b/internal/gateway/shutdown.go
@@ -0,0 +1,162 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/springrail/springrail/internal/clock"
+	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/placement"
+)
+
+const (
+	// acceptPeriod is the time after the start of a shutdown in which requests are taken that may outlast the process. A
+	// load balancer that probes readiness once a second removes the process after two failed probes.
+	acceptPeriod = 3 * time.Second
+	// answerReserve is what is left of the time for a shutdown when the requests in flight are ended, and exitReserve
+	// when connections are closed, both at most a share of that time. After that the other parts of the process stop.
+	answerReserve      = 800 * time.Millisecond
+	answerReserveShare = 0.1
+	exitReserve        = answerReserve / 2
+	// shutdownPollInterval is how often a shutdown checks the time and the requests in flight. A timer would be late by the
+	// length of a suspension.
+	shutdownPollInterval = 20 * time.Millisecond
+	// leavingRetryAfter is the Retry-After of a request that another gateway is to take.
+	leavingRetryAfter = minRetryAfter
+	// reasonLeaving is the reason of a refusal because of the shutdown.
+	reasonLeaving = "leaving"
+)
+
+// shutdown holds the times of a graceful shutdown.
+type shutdown struct {
+	beganAt time.Time
+	// acceptUntil is when the gateway stops taking requests whose deadline is after answersDue.
+	acceptUntil time.Time
+	// answersDue is when the requests that are still in flight are ended, and exitDue when all connections are closed.
+	answersDue, exitDue time.Time
+}
+
+func newShutdown(now time.Time, within time.Duration) *shutdown {
+	reserve := min(answerReserve, time.Duration(answerReserveShare*float64(within)))
+	s := &shutdown{beganAt: now, answersDue: now.Add(within - reserve), exitDue: now.Add(within - min(exitReserve, reserve/2))}
+	s.acceptUntil = now.Add(min(acceptPeriod, within-reserve))
+	return s
+}
+
+// noShutdownLimit is the time for a shutdown whose context has no deadline.
+const noShutdownLimit = 30 * time.Second
+
+// Drain implements kernel.Drainer: callers are sent to other gateways while requests in flight are completed. Each of them
+// has an answer before the context ends.
+func (g *Gateway) Drain(ctx context.Context) {
+	within := noShutdownLimit
+	if deadline, ok := ctx.Deadline(); ok {
+		within = clock.Until(deadline)
+	}
+	s := newShutdown(g.now(), within)
+	g.shutdown.Store(s)
+	g.pauseUntil(ctx, s.acceptUntil, func() bool { return false })
+	g.inFlight.each((*callerRequest).stopReceiving)
+	g.pauseUntil(ctx, s.answersDue, g.isIdle)
+	ctx, stop := context.WithTimeout(ctx, s.exitDue.Sub(g.now()))
+	defer stop()
+	// Shutdown closes idle connections and waits for those on which a request has started to arrive.
+	if err := g.server.Shutdown(ctx); err != nil && !g.isIdle() {
+		g.logUnfinished()
+	}
+}
+
+// pauseUntil returns at the given time, or as soon as the condition holds or the context has ended.
+func (g *Gateway) pauseUntil(ctx context.Context, t time.Time, done func() bool) {
+	for ctx.Err() == nil && !done() {
+		left := t.Sub(g.now())
+		if left <= 0 {
+			return
+		}
+		kernel.Pause(ctx, min(left, shutdownPollInterval))
+	}
+}
+
+func (g *Gateway) isIdle() bool {
+	return g.inFlight.count() == 0
+}
+
+// logUnfinished logs the requests that are in flight although they were ended. Their handlers end with the process and log
+// nothing themselves.
+func (g *Gateway) logUnfinished() {
+	now := g.now()
+	g.inFlight.each(func(f *callerRequest) {
+		g.metrics.count("abandoned")
+		f.logAbandoned(now)
+	})
+}
+
+func (g *Gateway) isLeaving() bool {
+	return g.shutdown.Load() != nil
+}
+
+// closeIfLeaving makes the caller open its next connection to another gateway.
+func (f *callerRequest) closeIfLeaving() {
+	if f.gateway.isLeaving() {
+		f.writer.Header().Set("Connection", "close")
+	}
+}
+
+// outlastsShutdown reports whether the request may still run when the time for a shutdown is over.
+func (f *callerRequest) outlastsShutdown() bool {
+	s := f.gateway.shutdown.Load()
+	return s != nil && f.deadline.After(s.answersDue)
+}
+
+// takeWhileLeaving refuses the request if the gateway is leaving and may not be able to complete it.
+func (f *callerRequest) takeWhileLeaving() bool {
+	g := f.gateway
+	if !f.outlastsShutdown() || g.now().Before(g.shutdown.Load().acceptUntil) {
+		return true
+	}
+	f.refuseLeaving()
+	return false
+}
+
+// refuseLeaving refuses the request, whose body may be incomplete, for another gateway to take it.
+func (f *callerRequest) refuseLeaving() {
+	f.refuse(reasonLeaving, leavingRetryAfter)
+	f.boundUnreadBody()
+}
+
+// completesInTime reports whether the answer is expected to be complete before a shutdown ends it, if the request is sent
+// now.
+func (f *callerRequest) completesInTime(c placement.Choice) bool {
+	if !f.outlastsShutdown() {
+		return true
+	}
+	expected := c.Predicted
+	if s := f.catalog.Services[f.pool]; s != nil && s.Engine != nil {
+		expected += placement.NewLatencyModel(s.Engine).Generation(&c.Candidate, f.expectedAnswerTokens())
+	}
+	return !f.gateway.now().Add(waitSafetyFactor * expected).After(f.gateway.shutdown.Load().answersDue)
+}
+
+// startReceiving bounds the wait for the body, by the moment at which the gateway stops taking requests if it is leaving.
+func (f *callerRequest) startReceiving() {
+	p, g := &f.progress, f.gateway
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stage = stageReceiving
+	wait := f.remaining()
+	if f.outlastsShutdown() {
+		wait = min(wait, g.shutdown.Load().acceptUntil.Sub(g.now()))
+	}
+	_ = http.NewResponseController(f.writer).SetReadDeadline(clock.DeadlineAfter(wait))
+}
+
+// stopReceiving ends the wait for a body that is not complete when the gateway stops taking requests.
+func (f *callerRequest) stopReceiving() {
+	p := &f.progress
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stage == stageReceiving && f.outlastsShutdown() {
+		_ = http.NewResponseController(f.writer).SetReadDeadline(clock.DeadlineAfter(0))
+	}
+}
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -133,19 +133,21 @@
 		for n, k := range []struct {
 			name                   string
 			headerAt, bodyAt, work time.Duration
+			deadline               time.Duration
 			statuses               []int
 		}{
-			{"early and short", 0, 0, s / 10, []int{200}},
-			{"early and slow, but over in time", 0, 0, 4 * s, []int{200}},
-			{"sent at once, not over in time", 2 * s, 2 * s, 5 * s, []int{502, 503}},
-			{"complete late, not over in time", 2 * s, 7 * s / 2, 5 * s, []int{503}},
-			{"complete late", s / 2, 4 * s, s / 10, []int{200, 503}},
-			{"never complete", 2 * s, 20 * s, 0, []int{503}},
-			{"late", 7 * s / 2, 7 * s / 2, 5 * s, []int{503}},
+			{"early and short", 0, 0, s / 10, deadline, []int{200}},
+			{"early and slow, but over in time", 0, 0, 4 * s, deadline, []int{200}},
+			{"sent at once, not over in time", 2 * s, 2 * s, 5 * s, deadline, []int{502, 503}},
+			{"complete late, not over in time", 2 * s, 7 * s / 2, 5 * s, deadline, []int{503}},
+			{"complete late", s / 2, 4 * s, s / 10, deadline, []int{200, 503}},
+			{"never complete", 2 * s, 20 * s, 0, deadline, []int{503}},
+			{"late", 7 * s / 2, 7 * s / 2, 5 * s, deadline, []int{503}},
+			{"late, but over in time whatever happens", 7 * s / 2, 7 * s / 2, s / 10, s / 2, []int{200}},
 		} {
 			wg.Go(func() {
 				request := strconv.Itoa(n)
-				status, _, err := p.send(request, deadline, k.work, k.headerAt, k.bodyAt)
+				status, _, err := p.send(request, k.deadline, k.work, k.headerAt, k.bodyAt)
 				ran := p.upstreamCount(request)
 				if err != nil || !slices.Contains(k.statuses, status) || (status == http.StatusServiceUnavailable && ran > 0) {
 					mu.Lock()
@@ -159,4 +161,22 @@
 		Eventually(p.ended, 2*within).Should(BeClosed())
 		Expect(time.Since(p.termAt)).To(BeNumerically("<", within))
 	})
+
+	DescribeTable("does not send a request to an engine that is not expected to complete it in time", func(tokens float64, sent int) {
+		r := route(catalog.Streaming, "engines")
+		r.Timeout = deadline
+		p := startProcess(newTestbed(r))
+		p.addUpstream("u", "engines", func(q *http.Request, _ string, c net.Conn) { reply(c, q, 200, "", "id: 1\ndata: a\n\n") })
+		for range 100 {
+			p.gateway.answerLengths.Record(r.Name, tokens)
+		}
+		p.terminate(2 * time.Second)
+		Eventually(p.gateway.isLeaving).Should(BeTrue())
+		a, _, err := p.sendRequest("POST", "/p/", "x", xModel, "m")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(p.upstreamCount("1")).To(Equal(sent))
+		Expect(a.StatusCode == http.StatusServiceUnavailable).To(Equal(sent == 0))
+	},
+		Entry("an answer of 0.1 s", 100.0, 1),
+		Entry("an answer of 5 s", 5000.0, 0))
 })
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -16,7 +16,7 @@
 	It("completes requests in flight, refuses later ones as not run, and fails the readiness probe at once", func() {
 		b := newTestbed(route(catalog.Unsafe, "plain"))
 		b.addUpstream("u", "plain", func(q *http.Request, _ string, c net.Conn) {
-			time.Sleep(drainAcceptPeriod + 300*time.Millisecond)
+			time.Sleep(acceptPeriod + 300*time.Millisecond)
 			reply(c, q, 200, "", "whole")
 		})
 		b.gateway.facts.Catalog().Match("h.example", "/p/").Timeout = 10 * time.Second
@@ -34,7 +34,7 @@
 		defer stop()
 		go b.gateway.Drain(ctx)
 		Eventually(b.gateway.NotReady).Should(Equal("leaving"))
-		time.Sleep(drainAcceptPeriod + 50*time.Millisecond)
+		time.Sleep(acceptPeriod + 50*time.Millisecond)
 		a, _, err := b.sendRequest("POST", "/p/", "x", xRequest, "2")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(a.StatusCode).To(Equal(503))
--- a/internal/placement/predict.go
+++ b/internal/placement/predict.go
@@ -158,6 +158,13 @@
 	return time.Duration(float64(d) * max(1, c.Slowdown))
 }
 
+// Generation predicts the time from the first event of an answer until its end, for a length in tokens.
+func (m LatencyModel) Generation(c *Candidate, tokens float64) time.Duration {
+	running := min(c.load()+1, max(1, c.Slots))
+	passes := tokens / float64(max(1, m.engine.StepsPerPass))
+	return time.Duration(passes * float64(m.passDuration(running)) * max(1, c.Slowdown))
+}
+
 // admissionPromptFactor is the prompt length, in usual prompts, that admission assumes for every request. With the
 // actual length, long prompts were refused nearly always once short ones had filled the queue.
 const admissionPromptFactor = 1.5
