Gateway: requests in flight at the end of a shutdown are answered

Cause: when the time was over the process just ended; http.Server.Shutdown had returned with requests in flight, and Run with it, as Serve returns when Shutdown begins. Now what is in flight when answers are due is cancelled: what no upstream can have run is refused as such, what was sent without a header of an answer fails with 502, and a stream that has begun is broken off after a whole event. A caller that does not read can't hold the process. Each writes its line, with gateway_shutdown as the reason of its attempt. New: a stream that is broken off does not look complete and has its line.

--- a/internal/gateway/attempt_end.go
+++ b/internal/gateway/attempt_end.go
@@ -60,7 +60,7 @@
 	g := f.gateway
 	cause := context.Cause(t.ctx)
 	switch {
-	case f.httpRequest.Context().Err() != nil && g.connectionsClosed.Load():
+	case errors.Is(cause, errShutdown), f.httpRequest.Context().Err() != nil && g.connectionsClosed.Load():
 		return endShutdown
 	case f.httpRequest.Context().Err() != nil:
 		return endCallerLeft
--- a/internal/gateway/broken.go
+++ b/internal/gateway/broken.go
@@ -9,8 +9,11 @@
 	r := t.findEndReason()
 	t.recordEnd(r)
 	switch r {
-	case endCallerLeft, endShutdown, endCallerDeadline, endRouteTimeout, endOvertaken:
+	case endCallerLeft, endCallerDeadline, endRouteTimeout, endOvertaken:
 		t.reportAbandoned()
+	case endShutdown:
+		t.reportAbandoned()
+		return &attemptError{text: errShutdown.Error(), final: true}
 	case endQuarantined:
 		t.reportAbandoned()
 		return &attemptError{text: "held: upstreams have crashed under this request", final: true}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -28,6 +29,9 @@
 	reasonLeaving = "leaving"
 )
 
+// errShutdown cancels a request that is in flight when the time for the shutdown is over.
+var errShutdown = errors.New("the gateway shuts down")
+
 // shutdown holds the times of a graceful shutdown.
 type shutdown struct {
 	beganAt time.Time
@@ -59,6 +63,10 @@
 	g.pauseUntil(ctx, s.acceptUntil, func() bool { return false })
 	g.inFlight.each((*callerRequest).stopReceiving)
 	g.pauseUntil(ctx, s.answersDue, g.isIdle)
+	if !g.isIdle() {
+		g.endRequests()
+		g.pauseUntil(ctx, s.exitDue, g.isIdle)
+	}
 	ctx, stop := context.WithTimeout(ctx, s.exitDue.Sub(g.now()))
 	defer stop()
 	// Shutdown closes idle connections and waits for those on which a request has started to arrive.
@@ -82,6 +90,17 @@
 	return g.inFlight.count() == 0
 }
 
+// endRequests ends the requests in flight: those that were not run are refused, and others fail.
+func (g *Gateway) endRequests() {
+	g.log.Warn().Int("in_flight", g.inFlight.count()).Msg("ending requests that are still in flight, as the time for the shutdown is over")
+	g.inFlight.each(func(f *callerRequest) {
+		g.metrics.count("ended_by_shutdown")
+		f.cancel(errShutdown)
+		// A caller that does not read would block its handler.
+		_ = http.NewResponseController(f.writer).SetWriteDeadline(clock.DeadlineAfter(exitReserve))
+	})
+}
+
 // logUnfinished logs the requests that are in flight although they were ended. Their handlers end with the process and log
 // nothing themselves.
 func (g *Gateway) logUnfinished() {
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
 
 	"github.com/springrail/springrail/internal/catalog"
 )
@@ -162,6 +163,24 @@
 		Expect(time.Since(p.termAt)).To(BeNumerically("<", within))
 	})
 
+	It("breaks off a stream that has begun so that it does not look complete, and says so in its line", func() {
+		r := route(catalog.Streaming, "plain")
+		r.Timeout = deadline
+		p := startProcess(newTestbed(r))
+		lines := &logBuffer{}
+		p.gateway.log = &log.Logger{Writer: log.IOWriter{Writer: lines}}
+		p.addUpstream("u", "plain", func(q *http.Request, _ string, c net.Conn) {
+			stream(c, q, "", "id: 1\ndata: a\n\n")
+			_, _ = c.Read(make([]byte, 1))
+		})
+		p.terminate(time.Second)
+		status, body, err := p.send("1", deadline, 0, 0, 0)
+		Expect(status).To(Equal(200))
+		Expect(body).To(Equal("id: 1\ndata: a\n\n"))
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		Eventually(lines.String).Should(ContainSubstring(`"reason":"gateway_shutdown"`))
+	})
+
 	DescribeTable("does not send a request to an engine that is not expected to complete it in time", func(tokens float64, sent int) {
 		r := route(catalog.Streaming, "engines")
 		r.Timeout = deadline
