Gateway: a margin at the end of the time for taking requests in a shutdown

The 3 s in which a leaving gateway takes requests that may outlast it run from the moment when the process sees SIGTERM. One that is short of processor time sees it late, and took requests beyond the 3 s after SIGTERM that operators count. A load balancer that probes once a second has taken the gateway out after 2 s; the time is 2.5 s now. Requests with short deadlines are taken on.

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -14,7 +14,7 @@
 const (
 	// acceptPeriod is the time after the start of a shutdown in which requests are taken that may outlast the process. A
 	// load balancer that probes readiness once a second removes the process after two failed probes.
-	acceptPeriod = 3 * time.Second
+	acceptPeriod = 2500 * time.Millisecond
 	// answerReserve is what is left of the time for a shutdown when the requests in flight are ended, and exitReserve
 	// when connections are closed, both at most a share of that time. After that the other parts of the process stop.
 	answerReserve      = 800 * time.Millisecond
