Gateway: the spec of shutdowns covers requests that arrive while they are taken

A request that a leaving gateway takes and that is over after it has stopped taking others must be answered: the deadline for receiving its body may not end it. It does not, as the server removes that deadline once the body is complete; shown by a run of the spec (passes).

--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -139,6 +139,7 @@
 		}{
 			{"early and short", 0, 0, s / 10, deadline, []int{200}},
 			{"early and slow, but over in time", 0, 0, 4 * s, deadline, []int{200}},
+			{"while it takes requests, over in time afterwards", s, s, 5 * s / 2, deadline, []int{200}},
 			{"sent at once, not over in time", 2 * s, 2 * s, 5 * s, deadline, []int{502, 503}},
 			{"complete late, not over in time", 2 * s, 7 * s / 2, 5 * s, deadline, []int{503}},
 			{"complete late", s / 2, 4 * s, s / 10, deadline, []int{200, 503}},
