Gateway: a long upload that was sent on is not broken off when a shutdown stops taking requests

Callers of an upload over 256 KiB that a leaving gateway had taken and sent to an upstream saw their connection end in silence 2.5 s after SIGTERM. Cause: set the deadline for reads to that moment and left it there for the streamed rest of the body; net/http takes a read that fails for a caller that has left. The deadline for reads is the request's own again; only bodies still being buffered at that moment are ended.

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -157,15 +157,16 @@
 	return !f.gateway.now().Add(waitSafetyFactor * expected).After(f.gateway.shutdown.Load().answersDue)
 }
 
-// startReceiving bounds the wait for the body, by the moment at which the gateway stops taking requests if it is leaving.
+// startReceiving bounds the wait for the body.
 func (f *callerRequest) startReceiving() {
 	p, g := &f.progress, f.gateway
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stage = stageReceiving
 	wait := f.remaining()
-	if f.outlastsShutdown() {
-		wait = min(wait, g.shutdown.Load().acceptUntil.Sub(g.now()))
+	if f.outlastsShutdown() && !g.now().Before(g.shutdown.Load().acceptUntil) {
+		// stopReceiving may have been called before.
+		wait = 0
 	}
 	_ = http.NewResponseController(f.writer).SetReadDeadline(clock.DeadlineAfter(wait))
 }
