Gateway: the last answers of a shutdown have time after a suspension, and after short drains

Cause: what was left for writing answers was the rest up to a stored moment, nothing after a suspension, and shrank with the time for the shutdown. Requests that are ended have 0.2 s to write their answers at least; the reserve is 0.8 s, at most a quarter of the time, taken from the time before. Answers that have begun go on until half of the reserve is left, as breaking them off takes no time. The rest of a refused body is received until then at most.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -151,5 +151,9 @@
 
 // boundUnreadBody bounds how long the rest of the body is received after the response.
 func (f *callerRequest) boundUnreadBody() {
-	_ = http.NewResponseController(f.writer).SetReadDeadline(clock.DeadlineAfter(unreadBodyTimeout))
+	wait := unreadBodyTimeout
+	if s := f.gateway.shutdown.Load(); s != nil {
+		wait = min(wait, max(0, s.exitDue.Sub(f.gateway.now())))
+	}
+	_ = http.NewResponseController(f.writer).SetReadDeadline(clock.DeadlineAfter(wait))
 }
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -50,6 +50,12 @@
 	p.stage = stageAnswering
 }
 
+func (p *progress) currentStage() stage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stage
+}
+
 // logProgress adds the times from the request's arrival to its complete body and to its newest send.
 func (f *callerRequest) logProgress(e *log.Entry) *log.Entry {
 	p := &f.progress
@@ -66,9 +72,7 @@
 
 // logAbandoned logs a request that the end of the process cuts off.
 func (f *callerRequest) logAbandoned(now time.Time) {
-	f.progress.mu.Lock()
-	s := f.progress.stage
-	f.progress.mu.Unlock()
+	s := f.progress.currentStage()
 	e := f.gateway.log.Warn().Str("request", string(f.meta.Request)).Str("stage", stageNames[s]).Int64("took_ms", now.Sub(f.arrived).Milliseconds())
 	f.logProgress(e).Msg("abandoned at the end of the process")
 }
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -15,11 +15,16 @@
 	// acceptPeriod is the time after the start of a shutdown in which requests are taken that may outlast the process. A
 	// load balancer that probes readiness once a second removes the process after two failed probes.
 	acceptPeriod = 2500 * time.Millisecond
-	// answerReserve is what is left of the time for a shutdown when the requests in flight are ended, and exitReserve
-	// when connections are closed, both at most a share of that time. After that the other parts of the process stop.
+	// answerReserve is what is left of the time for a shutdown when the requests without an answer are ended, at most a
+	// share of that time. Answers that have begun may take until half of it is left. The other parts of the process stop after
+	// that.
 	answerReserve      = 800 * time.Millisecond
-	answerReserveShare = 0.1
-	exitReserve        = answerReserve / 2
+	answerReserveShare = 0.25
+	// minAnswerTime is the least time in which requests that are ended may write their answers, if a suspension has used
+	// up the reserve.
+	minAnswerTime = 200 * time.Millisecond
+	// closeTime is the time in which handlers and connections end once the last request was ended.
+	closeTime = 100 * time.Millisecond
 	// shutdownPollInterval is how often a shutdown checks the time and the requests in flight. A timer would be late by the
 	// length of a suspension.
 	shutdownPollInterval = 20 * time.Millisecond
@@ -37,22 +42,23 @@
 	beganAt time.Time
 	// acceptUntil is when the gateway stops taking requests whose deadline is after answersDue.
 	acceptUntil time.Time
-	// answersDue is when the requests that are still in flight are ended, and exitDue when all connections are closed.
+	// answersDue is when requests without an answer are ended, and exitDue when answers that have begun are.
 	answersDue, exitDue time.Time
 }
 
 func newShutdown(now time.Time, within time.Duration) *shutdown {
 	reserve := min(answerReserve, time.Duration(answerReserveShare*float64(within)))
-	s := &shutdown{beganAt: now, answersDue: now.Add(within - reserve), exitDue: now.Add(within - min(exitReserve, reserve/2))}
-	s.acceptUntil = now.Add(min(acceptPeriod, within-reserve))
-	return s
+	return &shutdown{
+		beganAt: now, acceptUntil: now.Add(min(acceptPeriod, within-reserve)),
+		answersDue: now.Add(within - reserve), exitDue: now.Add(within - reserve/2),
+	}
 }
 
 // noShutdownLimit is the time for a shutdown whose context has no deadline.
 const noShutdownLimit = 30 * time.Second
 
-// Drain implements kernel.Drainer: callers are sent to other gateways while requests in flight are completed. Each of them
-// has an answer before the context ends.
+// Drain implements kernel.Drainer: callers are sent to other gateways while requests in flight are completed. Those that
+// are not complete in time are ended with an answer, or broken off if their answer has begun.
 func (g *Gateway) Drain(ctx context.Context) {
 	within := noShutdownLimit
 	if deadline, ok := ctx.Deadline(); ok {
@@ -63,11 +69,11 @@
 	g.pauseUntil(ctx, s.acceptUntil, func() bool { return false })
 	g.inFlight.each((*callerRequest).stopReceiving)
 	g.pauseUntil(ctx, s.answersDue, g.isIdle)
-	if !g.isIdle() {
-		g.endRequests()
-		g.pauseUntil(ctx, s.exitDue, g.isIdle)
-	}
-	ctx, stop := context.WithTimeout(ctx, s.exitDue.Sub(g.now()))
+	g.endRequests(stageSent)
+	g.pauseUntil(ctx, latest(s.exitDue, g.now().Add(minAnswerTime)), g.isIdle)
+	g.endRequests(stageAnswering)
+	g.pauseUntil(ctx, g.now().Add(closeTime), g.isIdle)
+	ctx, stop := context.WithTimeout(ctx, closeTime)
 	defer stop()
 	// Shutdown closes idle connections and waits for those on which a request has started to arrive.
 	if err := g.server.Shutdown(ctx); err != nil && !g.isIdle() {
@@ -86,19 +92,36 @@
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (g *Gateway) isIdle() bool {
 	return g.inFlight.count() == 0
 }
 
-// endRequests ends the requests in flight: those that were not run are refused, and others fail.
-func (g *Gateway) endRequests() {
-	g.log.Warn().Int("in_flight", g.inFlight.count()).Msg("ending requests that are still in flight, as the time for the shutdown is over")
+// endRequests ends the requests in flight up to a stage: those that were not run are refused, and others fail.
+func (g *Gateway) endRequests(last stage) {
+	ended := 0
 	g.inFlight.each(func(f *callerRequest) {
+		s := f.progress.currentStage()
+		if s > last {
+			return
+		}
+		ended++
 		g.metrics.count("ended_by_shutdown")
 		f.cancel(errShutdown)
-		// A caller that does not read would block its handler.
-		_ = http.NewResponseController(f.writer).SetWriteDeadline(clock.DeadlineAfter(exitReserve))
+		if s == stageAnswering {
+			// A caller that does not read would block the handler.
+			_ = http.NewResponseController(f.writer).SetWriteDeadline(clock.DeadlineAfter(closeTime))
+		}
 	})
+	if ended > 0 {
+		g.log.Warn().Int("requests", ended).Msg("ending requests, as the time for the shutdown is over")
+	}
 }
 
 // logUnfinished logs the requests that are in flight although they were ended. Their handlers end with the process and log
