Gateway: a shutdown drops no request that was received on an open connection

Callers whose request was complete after the shutdown had begun to close connections saw them end in silence: on a kept connection in the middle of a header, and on a new one that waited for its first request, up to 5 s. Cause: http.Server.Shutdown. From its call on the server drops each request once its header is read, and it waits for new connections without serving them. It is not called any more. New connections are accepted until 3 s after SIGTERM, which also bounds the shutdown where new ones keep coming; open ones are served until nothing is in flight, and new ones get 0.3 s for their first request. Then only reads are ended, so that a request that was received is still served.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -68,7 +68,7 @@
 	case errors.Is(err, errNoBufferSpace):
 		f.refuseBody()
 		return false
-	case errors.Is(err, os.ErrDeadlineExceeded) && !f.takeWhileLeaving():
+	case errors.Is(err, os.ErrDeadlineExceeded) && f.refuseIfLeaving():
 		return false
 	case err != nil:
 		f.fail(http.StatusBadRequest, "the body did not come whole")
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -115,6 +115,8 @@
 	listener net.Listener
 	server   *http.Server
 	inFlight *inFlightRequests
+	// callerConns are the open connections of callers.
+	callerConns *callerConns
 	// shutdown is nil until a graceful shutdown begins.
 	shutdown atomic.Pointer[shutdown]
 	// connectionsClosed is true once the callers' connections have been closed.
@@ -173,6 +175,7 @@
 		suspects:         q.Suspects,
 		requests:         newRequestRegistry(),
 		inFlight:         newInFlightRequests(),
+		callerConns:      newCallerConns(),
 		buffers:          newBufferBudget(s.BufferBytes),
 		answerLengths:    placement.NewAnswerLengths(),
 		random:           func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) },
@@ -182,7 +185,7 @@
 	g.connections.OnDial = func() { g.metrics.count("dialled") }
 	g.server = &http.Server{
 		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil, ConnContext: limitConnBuffers,
+		ErrorLog: nil, ConnContext: limitConnBuffers, ConnState: g.callerConns.setState,
 	}
 	return g
 }
@@ -195,13 +198,14 @@
 
 // Run serves callers until the context ends.
 func (g *Gateway) Run(ctx context.Context) error {
-	defer context.AfterFunc(ctx, g.closeConnections)()
+	stop := context.AfterFunc(ctx, g.closeConnections)
+	defer stop()
 	go g.watchSuspensions(ctx)
 	err := g.server.Serve(g.listener)
 	if ctx.Err() == nil && !g.isLeaving() {
 		return trace.Wrap(err)
 	}
-	// Serve returns when a shutdown closes the listener, while requests are still in flight.
+	// A shutdown closes the listener while requests are still in flight.
 	<-ctx.Done()
 	g.closeConnections()
 	return nil
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -114,11 +114,11 @@
 	defer f.cancel(nil)
 	g.inFlight.add(f)
 	defer g.inFlight.remove(f)
-	if !f.admit() || !f.takeWhileLeaving() || !f.readBody() {
+	if !f.admit() || f.refuseIfLeaving() || !f.readBody() {
 		return
 	}
 	f.progress.noteReceived(g.now())
-	if !f.takeWhileLeaving() {
+	if f.refuseIfLeaving() {
 		return
 	}
 	f.identify()
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -15,6 +15,10 @@
 	// acceptPeriod is the time after the start of a shutdown in which requests are taken that may outlast the process. A
 	// load balancer that probes readiness once a second removes the process after two failed probes.
 	acceptPeriod = 2500 * time.Millisecond
+	// listenPeriod is the time after that in which new connections are still accepted, and newConnPeriod the time after
+	// that in which an accepted connection may send its first request.
+	listenPeriod  = 500 * time.Millisecond
+	newConnPeriod = 300 * time.Millisecond
 	// answerReserve is what is left of the time for a shutdown when the requests without an answer are ended, at most a
 	// share of that time. Answers that have begun may take until half of it is left. The other parts of the process stop after
 	// that.
@@ -28,6 +32,8 @@
 	// shutdownPollInterval is how often a shutdown checks the time and the requests in flight. A timer would be late by the
 	// length of a suspension.
 	shutdownPollInterval = 20 * time.Millisecond
+	// defaultShutdownTime is the time for a shutdown whose context has no deadline.
+	defaultShutdownTime = 30 * time.Second
 	// leavingRetryAfter is the Retry-After of a request that another gateway is to take.
 	leavingRetryAfter = minRetryAfter
 	// reasonLeaving is the reason of a refusal because of the shutdown.
@@ -40,50 +46,50 @@
 // shutdown holds the times of a graceful shutdown.
 type shutdown struct {
 	beganAt time.Time
-	// acceptUntil is when the gateway stops taking requests whose deadline is after answersDue.
-	acceptUntil time.Time
+	// acceptUntil is when the gateway stops taking requests whose deadline is after answersDue, and listenUntil when it
+	// stops accepting connections.
+	acceptUntil, listenUntil time.Time
 	// answersDue is when requests without an answer are ended, and exitDue when answers that have begun are.
 	answersDue, exitDue time.Time
 }
 
 func newShutdown(now time.Time, within time.Duration) *shutdown {
 	reserve := min(answerReserve, time.Duration(answerReserveShare*float64(within)))
+	accept := min(acceptPeriod, within-reserve)
 	return &shutdown{
-		beganAt: now, acceptUntil: now.Add(min(acceptPeriod, within-reserve)),
+		beganAt: now, acceptUntil: now.Add(accept), listenUntil: now.Add(min(accept+listenPeriod, within-reserve)),
 		answersDue: now.Add(within - reserve), exitDue: now.Add(within - reserve/2),
 	}
 }
 
-// noShutdownLimit is the time for a shutdown whose context has no deadline.
-const noShutdownLimit = 30 * time.Second
-
 // Drain implements kernel.Drainer: callers are sent to other gateways while requests in flight are completed. Those that
 // are not complete in time are ended with an answer, or broken off if their answer has begun.
 func (g *Gateway) Drain(ctx context.Context) {
-	within := noShutdownLimit
+	within := defaultShutdownTime
 	if deadline, ok := ctx.Deadline(); ok {
 		within = clock.Until(deadline)
 	}
 	s := newShutdown(g.now(), within)
 	g.shutdown.Store(s)
-	g.pauseUntil(ctx, s.acceptUntil, func() bool { return false })
+	g.pauseUntil(ctx, s.acceptUntil, nil)
 	g.inFlight.each((*callerRequest).stopReceiving)
+	g.pauseUntil(ctx, s.listenUntil, nil)
+	if g.listener != nil {
+		g.listener.Close()
+	}
+	g.pauseUntil(ctx, s.listenUntil.Add(newConnPeriod), g.isQuiet)
 	g.pauseUntil(ctx, s.answersDue, g.isIdle)
 	g.endRequests(stageSent)
 	g.pauseUntil(ctx, latest(s.exitDue, g.now().Add(minAnswerTime)), g.isIdle)
 	g.endRequests(stageAnswering)
 	g.pauseUntil(ctx, g.now().Add(closeTime), g.isIdle)
-	ctx, stop := context.WithTimeout(ctx, closeTime)
-	defer stop()
-	// Shutdown closes idle connections and waits for those on which a request has started to arrive.
-	if err := g.server.Shutdown(ctx); err != nil && !g.isIdle() {
-		g.logUnfinished()
-	}
+	g.pauseUntil(ctx, g.now().Add(closeTime), g.callerConns.endIdle)
+	g.logUnfinished()
 }
 
 // pauseUntil returns at the given time, or as soon as the condition holds or the context has ended.
 func (g *Gateway) pauseUntil(ctx context.Context, t time.Time, done func() bool) {
-	for ctx.Err() == nil && !done() {
+	for ctx.Err() == nil && (done == nil || !done()) {
 		left := t.Sub(g.now())
 		if left <= 0 {
 			return
@@ -99,10 +105,16 @@
 	return b
 }
 
+// isIdle reports whether no request is in flight.
 func (g *Gateway) isIdle() bool {
 	return g.inFlight.count() == 0
 }
 
+// isQuiet reports whether no request is in flight and none is expected on a new connection.
+func (g *Gateway) isQuiet() bool {
+	return g.isIdle() && g.callerConns.count(http.StateNew) == 0
+}
+
 // endRequests ends the requests in flight up to a stage: those that were not run are refused, and others fail.
 func (g *Gateway) endRequests(last stage) {
 	ended := 0
@@ -145,49 +157,47 @@
 	}
 }
 
-// outlastsShutdown reports whether the request may still run when the time for a shutdown is over.
-func (f *callerRequest) outlastsShutdown() bool {
-	s := f.gateway.shutdown.Load()
-	return s != nil && f.deadline.After(s.answersDue)
-}
-
-// takeWhileLeaving refuses the request if the gateway is leaving and may not be able to complete it.
-func (f *callerRequest) takeWhileLeaving() bool {
-	g := f.gateway
-	if !f.outlastsShutdown() || g.now().Before(g.shutdown.Load().acceptUntil) {
-		return true
+// outlasted returns the shutdown that is over before the request's deadline; nil if there is none.
+func (f *callerRequest) outlasted() *shutdown {
+	if s := f.gateway.shutdown.Load(); s != nil && f.deadline.After(s.answersDue) {
+		return s
 	}
-	f.refuseLeaving()
-	return false
+	return nil
 }
 
-// refuseLeaving refuses the request, whose body may be incomplete, for another gateway to take it.
-func (f *callerRequest) refuseLeaving() {
+// refuseIfLeaving refuses the request if the gateway stopped taking requests that may outlast it. It reports whether it did.
+func (f *callerRequest) refuseIfLeaving() bool {
+	s := f.outlasted()
+	if s == nil || f.gateway.now().Before(s.acceptUntil) {
+		return false
+	}
 	f.refuse(reasonLeaving, leavingRetryAfter)
 	f.boundUnreadBody()
+	return true
 }
 
 // completesInTime reports whether the answer is expected to be complete before a shutdown ends it, if the request is sent
 // now.
 func (f *callerRequest) completesInTime(c placement.Choice) bool {
-	if !f.outlastsShutdown() {
+	s := f.outlasted()
+	if s == nil {
 		return true
 	}
 	expected := c.Predicted
-	if s := f.catalog.Services[f.pool]; s != nil && s.Engine != nil {
-		expected += placement.NewLatencyModel(s.Engine).Generation(&c.Candidate, f.expectedAnswerTokens())
+	if p := f.catalog.Services[f.pool]; p != nil && p.Engine != nil {
+		expected += placement.NewLatencyModel(p.Engine).Generation(&c.Candidate, f.expectedAnswerTokens())
 	}
-	return !f.gateway.now().Add(waitSafetyFactor * expected).After(f.gateway.shutdown.Load().answersDue)
+	return !f.gateway.now().Add(waitSafetyFactor * expected).After(s.answersDue)
 }
 
 // startReceiving bounds the wait for the body.
 func (f *callerRequest) startReceiving() {
-	p, g := &f.progress, f.gateway
+	p := &f.progress
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.stage = stageReceiving
 	wait := f.remaining()
-	if f.outlastsShutdown() && !g.now().Before(g.shutdown.Load().acceptUntil) {
+	if s := f.outlasted(); s != nil && !f.gateway.now().Before(s.acceptUntil) {
 		// stopReceiving may have been called before.
 		wait = 0
 	}
@@ -199,7 +209,7 @@
 	p := &f.progress
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.stage == stageReceiving && f.outlastsShutdown() {
+	if p.stage == stageReceiving && f.outlasted() != nil {
 		_ = http.NewResponseController(f.writer).SetReadDeadline(clock.DeadlineAfter(0))
 	}
 }
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -86,14 +86,18 @@
 	time.Sleep(time.Until(p.termAt.Add(afterTerm)))
 }
 
+// lastDial is when connections are opened at the latest, after SIGTERM.
+const lastDial = acceptPeriod
+
 // send sends the header and the first byte of a body of two at one time after SIGTERM, and the second byte at another.
 func (p *process) send(request string, deadline, work, headerAt, bodyAt time.Duration) (status int, body string, err error) {
-	p.sleepUntil(headerAt)
+	p.sleepUntil(min(headerAt, lastDial))
 	c, err := net.Dial("tcp", p.address)
 	if err != nil {
 		return 0, "", err
 	}
 	defer c.Close()
+	p.sleepUntil(headerAt)
 	_, _ = fmt.Fprintf(c, "POST /p/ HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\n%s: %d\r\nContent-Length: 2\r\n\r\nx",
 		xRequest, request, xTimeout, deadline.Milliseconds(), xWork, work.Milliseconds())
 	go func() {
