Gateway: plain services and hedges in a shutdown

Cause: the expected end of a request was twice a prediction that, for plain services, only orders upstreams: a request of 5 s passed 0.2 s before answers were due, and with 40 in flight at an upstream one of 60 ms did not. A hedge that the shutdown denied had taken the retry budget, and its send was missing from sent_ms. Nothing is predicted for plain services; what may outlast the process is sent there only while requests are taken. A hedge is asked before it takes the budget.

--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -168,7 +168,7 @@
 		g.metrics.count("stalled_without_other_upstream")
 		return false
 	}
-	if !g.retryBudget.TakeRetry(f.pool) {
+	if !f.completesInTime(c) || !g.retryBudget.TakeRetry(f.pool) {
 		return false
 	}
 	g.metrics.count("hedged")
@@ -281,6 +281,7 @@
 	f, hedged, won := t.request, h.request, h.attempt
 	defer hedged.cancel(nil)
 	defer hedged.buffers.release()
+	f.progress.noteSent(hedged.progress.sentAt)
 	f.reservation = hedged.reservation
 	f.permit, f.permitWait, f.permitExpiry, f.responseLimit, f.knownLimit, f.decision = hedged.permit, hedged.permitWait, hedged.permitExpiry, hedged.responseLimit, hedged.knownLimit, hedged.decision
 	f.upstreamAddress, f.revision = hedged.upstreamAddress, hedged.revision
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -177,17 +177,19 @@
 }
 
 // completesInTime reports whether the answer is expected to be complete before a shutdown ends it, if the request is sent
-// now.
+// now. Of services that are not engines nothing is known; their requests are sent as long as new ones are taken.
 func (f *callerRequest) completesInTime(c placement.Choice) bool {
 	s := f.outlasted()
 	if s == nil {
 		return true
 	}
-	expected := c.Predicted
-	if p := f.catalog.Services[f.pool]; p != nil && p.Engine != nil {
-		expected += placement.NewLatencyModel(p.Engine).Generation(&c.Candidate, f.expectedAnswerTokens())
+	now := f.gateway.now()
+	pool := f.catalog.Services[f.pool]
+	if pool == nil || pool.Engine == nil {
+		return now.Before(s.acceptUntil)
 	}
-	return !f.gateway.now().Add(waitSafetyFactor * expected).After(s.answersDue)
+	expected := c.Predicted + placement.NewLatencyModel(pool.Engine).Generation(&c.Candidate, f.expectedAnswerTokens())
+	return !now.Add(waitSafetyFactor * expected).After(s.answersDue)
 }
 
 // startReceiving bounds the wait for the body.
