Own interface: a request whose body is complete after SIGTERM is taken only if it can't outlast the entry

Callers whose body was still arriving at SIGTERM were served by an entry that might end first, and one whose body never came was cut off with the process. Cause: an entry decided at the header alone; the wait for a body had no bound, and a request's deadline was counted only from its complete body. While leaving, a request whose deadline is after the answers are due ends its wait at once and is refused as not run, with Connection: close; others are served. Before, with a shutdown of 2 s (internal/fleet): a body that never came had "unexpected EOF" where 503 was expected; one completed 0.5 s after SIGTERM ran (1 run, 0 expected); without a shutdown, a request of 0.3 s had no answer within 40 s.

--- a/internal/callerapi/handle.go
+++ b/internal/callerapi/handle.go
@@ -108,13 +108,27 @@
 }
 
 func (p *Part) readBody(ctx iris.Context) ([]byte, bool) {
-	body, err := io.ReadAll(io.LimitReader(ctx.Request().Body, int64(p.settings.BodyBytes)+1))
+	r, w := ctx.Request(), ctx.ResponseWriter()
+	f := requestOf(r.Context())
+	p.inFlight.startReceiving(f)
+	body, err := io.ReadAll(io.LimitReader(r.Body, int64(p.settings.BodyBytes)+1))
+	taken := p.inFlight.endReceiving(f)
 	if err != nil {
-		refuse(ctx.ResponseWriter(), "", badRequest("the body broke off"))
+		// Without this the server would wait for the rest of the body before it answers.
+		w.Header().Set("Connection", "close")
+		f.setReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+	if !taken {
+		w.Header().Set("Connection", "close")
+		refuse(w, r.Header.Get(headerRequestID), problemLeaving)
+		return nil, false
+	}
+	if err != nil {
+		refuse(w, "", badRequest("the body broke off, or was not complete by the request's deadline"))
 		return nil, false
 	}
 	if len(body) > p.settings.BodyBytes {
-		refuse(ctx.ResponseWriter(), "", badRequest("the body is larger than "+strconv.Itoa(p.settings.BodyBytes)+" bytes"))
+		refuse(w, "", badRequest("the body is larger than "+strconv.Itoa(p.settings.BodyBytes)+" bytes"))
 		return nil, false
 	}
 	return body, true
@@ -143,7 +157,7 @@
 	}
 	defer release()
 	r.Message.RequestId, r.Message.Organisation = requestID, o.GetId()
-	r.Deadline = time.Now().Add(p.timeout(ctx.Request()))
+	r.Deadline = requestOf(ctx.Request().Context()).deadline
 	p.host.Events.Add(kernel.Event{
 		Kind: kernel.EventRequestReceived, Organisation: id.Organisation(o.GetId()), Request: id.Request(requestID),
 	})
--- a/internal/callerapi/part.go
+++ b/internal/callerapi/part.go
@@ -90,14 +90,15 @@
 	counters := newMetrics()
 	h.Metric("requests", counters.outcomes)
 	h.Metric("request_ms", expvar.Func(counters.quantiles))
-	return &Part{
+	p := &Part{
 		metrics:  counters,
 		settings: s, listener: l, host: h, state: c.State, ready: c.Ready,
 		router:   h.Part(router.PartName).(*router.Router),
 		limits:   h.Part(limits.PartName).(*limits.Limiter),
 		dispatch: h.Part(dispatch.PartName).(*dispatch.Dispatcher),
-		inFlight: newInFlightRequests(h.Log),
-	}, nil
+	}
+	p.inFlight = newInFlightRequests(h.Log, p.timeout)
+	return p, nil
 }
 
 // Address returns the address that the server listens on.
--- a/internal/fleet/shutdown_test.go
+++ b/internal/fleet/shutdown_test.go
@@ -61,6 +61,10 @@
 	defer a.Body.Close()
 	b, err := io.ReadAll(a.Body)
 	Expect(err).NotTo(HaveOccurred())
+	if a.Close {
+		// ReadResponse removes the header.
+		a.Header.Set("Connection", "close")
+	}
 	return answer{status: a.StatusCode, header: a.Header, body: string(b)}
 }
 
@@ -96,4 +100,50 @@
 		Expect(a.body).To(ContainSubstring(`"outcome":"unknown"`))
 		Eventually(ended, "5s").Should(BeClosed())
 	})
+
+	It("refuses a request at once that may outlast it and whose body is not complete", func() {
+		f, e := leavingFleet()
+		c := beginSlowCall(e, "k2", "60")
+		time.Sleep(50 * time.Millisecond)
+		began := time.Now()
+		leave(e)
+		a := c.response()
+		Expect(a.status).To(Equal(http.StatusServiceUnavailable), a.body)
+		Expect(time.Since(began)).To(BeNumerically("<", drain/4))
+		Expect(a.header.Get("Springrail-Outcome")).To(Equal("not-run"))
+		Expect(a.header.Get("Connection")).To(Equal("close"))
+		Expect(service(f).Service.Runs("k2")).To(BeZero())
+	})
+
+	It("does not send a request that may outlast it, whose body is complete only now", func() {
+		f, e := leavingFleet()
+		c := beginSlowCall(e, "k3", "60")
+		time.Sleep(50 * time.Millisecond)
+		leave(e)
+		time.Sleep(drain / 4)
+		c.completeBody()
+		a := c.response()
+		Expect(service(f).Service.Runs("k3")).To(BeZero())
+		Expect(a.status).To(Equal(http.StatusServiceUnavailable), a.body)
+	})
+
+	It("serves a request whose body is complete only now, if its deadline is before the end", func() {
+		f, e := leavingFleet()
+		c := beginSlowCall(e, "k4", "1")
+		time.Sleep(50 * time.Millisecond)
+		leave(e)
+		time.Sleep(drain / 4)
+		c.completeBody()
+		a := c.response()
+		Expect(a.status).To(Equal(http.StatusOK), a.body)
+		Expect(service(f).Service.Runs("k4")).To(Equal(1))
+	})
+
+	It("answers a request whose body is not complete by its deadline", func() {
+		_, e := leavingFleet()
+		c := beginSlowCall(e, "k6", "0.3")
+		a := c.response()
+		Expect(a.status).To(Equal(http.StatusBadRequest), a.body)
+		Expect(a.header.Get("Connection")).To(Equal("close"))
+	})
 })
