Own interface: answers of a leaving entry close their connections

Callers whose request was answered after SIGTERM kept their connection, sent their next request on it and were refused, or crossed the close at the end of the process. Cause: only refusals at the header had Connection: close. Before (internal/fleet): the header Connection was empty where "close" was expected, without and with the race detector.

--- a/internal/callerapi/handle.go
+++ b/internal/callerapi/handle.go
@@ -179,6 +179,13 @@
 	return min(p.settings.Timeout, time.Duration(seconds*float64(time.Second)))
 }
 
+// closeIfLeaving makes the caller open its next connection to another entry.
+func (p *Part) closeIfLeaving(w http.ResponseWriter) {
+	if p.inFlight.isLeaving() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func writeHead(w http.ResponseWriter, requestID string, h *pb.RunHead) {
 	w.Header().Set("Content-Type", h.GetContentType())
 	w.Header().Set(headerRequestID, requestID)
@@ -200,6 +207,7 @@
 		Data: func(b []byte) error { body = append(body, b...); return nil },
 	})
 	w := ctx.ResponseWriter()
+	p.closeIfLeaving(w)
 	if err != nil {
 		refuse(w, r.Message.GetRequestId(), problemOf(err))
 		return problemOf(err).outcome
@@ -217,6 +225,7 @@
 	err := p.dispatch.Run(ctx.Request().Context(), r, dispatch.Sink{
 		Head: func(h *pb.RunHead) error {
 			headSent = true
+			p.closeIfLeaving(w)
 			writeHead(w, r.Message.GetRequestId(), h)
 			return nil
 		},
@@ -234,6 +243,7 @@
 	case errors.Is(err, dispatch.ErrCallerGone):
 		return outcomeCallerGone
 	case !headSent:
+		p.closeIfLeaving(w)
 		refuse(w, r.Message.GetRequestId(), problemOf(err))
 	default:
 		_, _ = w.Write([]byte("event: error\ndata: " + string(problemOf(err).body()) + "\n\n"))
--- a/internal/fleet/shutdown_test.go
+++ b/internal/fleet/shutdown_test.go
@@ -146,4 +146,16 @@
 		Expect(a.status).To(Equal(http.StatusBadRequest), a.body)
 		Expect(a.header.Get("Connection")).To(Equal("close"))
 	})
+
+	It("closes the connection of each request in flight after its response", func() {
+		f, e := leavingFleet()
+		service(f).Service.SetFaults(standin.ServiceFaults{DelayMs: 500})
+		c := beginSlowCall(e, "k5", "60")
+		c.completeBody()
+		Eventually(func() int { return service(f).Service.Runs("k5") }, "2s", "10ms").Should(Equal(1))
+		leave(e)
+		a := c.response()
+		Expect(a.status).To(Equal(http.StatusOK), a.body)
+		Expect(a.header.Get("Connection")).To(Equal("close"))
+	})
 })
