Own interface: an agent reports requests that its shutdown ends

Entries saw the connection to a leaving agent break when a request ran longer than process.drain; their event said "the connection to the upstream's VM broke", as after a failure of the VM. Cause: Drain returned at the end of its time and the server closed its connections under the handlers. A request with an idempotency key, which continues without its caller, could not be ended at all.

--- a/internal/upstream/part.go
+++ b/internal/upstream/part.go
@@ -75,7 +75,7 @@
 	p := &Part{settings: s, client: client, follower: f, manager: m, local: l}
 	p.RequestHandler = &RequestHandler{
 		vm: h.Identity.VM, hasEngine: f.Self().GetEngine(), capacity: s.Capacity, live: live, idempotency: NewIdempotencyCache(time.Now),
-		events: h.Events, send: client.Send, url: client.URL, drained: make(chan struct{}),
+		events: h.Events, send: client.Send, url: client.URL, running: map[*responseStream]context.CancelFunc{}, drained: make(chan struct{}),
 	}
 	a := NewActivator(live, h.Log, h.Events)
 	a.engineState, a.load, a.replicas, a.config = client.State, client.Load, m.Replicas, f.State
--- a/internal/upstream/request_handler.go
+++ b/internal/upstream/request_handler.go
@@ -40,8 +40,9 @@
 	send        func(r *http.Request, repeatable bool) (*http.Response, error)
 	url         func(path string) string
 
-	mu      sync.Mutex
-	running int
+	mu sync.Mutex
+	// running holds the requests in flight, with the functions that end them.
+	running map[*responseStream]context.CancelFunc
 	leaving bool
 	drained chan struct{}
 }
@@ -58,10 +59,10 @@
 	remaining := time.Duration(r.GetRemainingMs()) * time.Millisecond
 	ctx, stop := context.WithTimeout(ctx, remaining)
 	defer stop()
-	if f := d.admit(remaining); f != nil {
+	if f := d.admit(a, stop, remaining); f != nil {
 		return d.refuse(a, f)
 	}
-	defer d.finishRequest()
+	defer d.finishRequest(a)
 	if d.hasEngine {
 		k := modelKey{organisation: id.Organisation(r.GetOrganisation()), model: id.Model(r.GetModel())}
 		v, release, ok := d.live.Acquire(k, id.Rollout(r.GetRollout()))
@@ -77,7 +78,7 @@
 	return d.run(ctx, a)
 }
 
-func (d *RequestHandler) admit(remaining time.Duration) *refusal {
+func (d *RequestHandler) admit(a *responseStream, stop context.CancelFunc, remaining time.Duration) *refusal {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
@@ -85,18 +86,18 @@
 		return &refusal{reason: pb.RefusalReason_REFUSAL_REASON_LEAVING, detail: "the VM is leaving"}
 	case remaining < minRemaining:
 		return &refusal{reason: pb.RefusalReason_REFUSAL_REASON_DEADLINE, detail: "no time left to start"}
-	case d.running >= d.capacity:
+	case len(d.running) >= d.capacity:
 		return &refusal{reason: pb.RefusalReason_REFUSAL_REASON_FULL, detail: "the VM has no room"}
 	}
-	d.running++
+	d.running[a] = stop
 	return nil
 }
 
-func (d *RequestHandler) finishRequest() {
+func (d *RequestHandler) finishRequest(a *responseStream) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.running--
-	if d.running == 0 {
+	delete(d.running, a)
+	if len(d.running) == 0 {
 		close(d.drained)
 		d.drained = make(chan struct{})
 	}
@@ -105,29 +106,49 @@
 func (d *RequestHandler) load() *pb.Load {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return &pb.Load{Running: uint32(d.running), Capacity: uint32(d.capacity)}
+	return &pb.Load{Running: uint32(len(d.running)), Capacity: uint32(d.capacity)}
 }
 
-// Drain stops admission of requests and waits until those in flight have ended.
+// Drain stops admission of requests and waits until those in flight have ended. When answers are due it ends the others,
+// whose entries then learn that they may have run.
 func (d *RequestHandler) Drain(ctx context.Context) {
+	t := kernel.NewDrainTimes(ctx)
 	d.mu.Lock()
 	d.leaving = true
 	d.mu.Unlock()
+	if !d.waitIdle(ctx, t.AnswersDue) {
+		d.endAll()
+		d.waitIdle(ctx, t.ExitDue)
+	}
+}
+
+// waitIdle reports whether no request is in flight, as soon as that is so and at the given time at the latest.
+func (d *RequestHandler) waitIdle(ctx context.Context, until time.Time) bool {
+	ctx, stop := context.WithDeadline(ctx, until)
+	defer stop()
 	for {
 		d.mu.Lock()
-		running, drained := d.running, d.drained
+		running, drained := len(d.running), d.drained
 		d.mu.Unlock()
 		if running == 0 {
-			return
+			return true
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return false
 		case <-drained:
 		}
 	}
 }
 
+func (d *RequestHandler) endAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, stop := range d.running {
+		stop()
+	}
+}
+
 func (d *RequestHandler) refuse(a *responseStream, f *refusal) error {
 	d.addEvent(kernel.EventRequestRefused, a.request, f.detail)
 	return a.send(&pb.RunResponse{Part: &pb.RunResponse_Refused{Refused: &pb.RunRefused{
@@ -154,11 +175,19 @@
 	deadline, _ := ctx.Deadline()
 	ctx, stop := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer stop()
+	d.continueUntil(a, stop)
 	err := d.run(ctx, a)
 	d.idempotency.removeIfNotRun(k, e)
 	return err
 }
 
+// continueUntil replaces the function that ends a request in flight.
+func (d *RequestHandler) continueUntil(a *responseStream, stop context.CancelFunc) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running[a] = stop
+}
+
 func (d *RequestHandler) replay(a *responseStream, e *idempotencyRecord) error {
 	switch state, responses := e.snapshot(); state {
 	case recordDone:
