Own interface: a request that ends before there is a connection to a VM is reported as not run

Callers got 502 with outcome unknown, and did not repeat, where an entry's shutdown or the request's deadline came while the connection to the VM was being opened. Cause: a context that ends during a dial is not a dial error, so that the attempt counted as one that may have run. Change: an attempt counts as sent once it has a connection (httptrace.GotConn, also for kept connections of HTTP/2). Before, it is not run: 503. Before (internal/dispatch): "the connection to the upstream's VM broke; the request may have run; its outcome is unknown" where ErrNotRun was expected. After: passes under the race detector (2 runs); beside it a spec that what was sent is never reported as not run, on a new and on a kept connection. The suites of internal/fleet and internal/rpc pass (1 run). Over TLS GotConn was seen in a trial outside the repository's specs, on new and kept connections.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -22,6 +24,8 @@
 	sink       Sink
 	// answerStarted is true once the caller has received a part of the response.
 	answerStarted bool
+	// connected is true once there is a connection to the upstream's VM. Nothing is sent before.
+	connected     atomic.Bool
 	bytesReceived uint64
 }
 
@@ -34,6 +38,7 @@
 	defer func() { endRequest(load) }()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) }})
 	stream, err := t.dispatcher.upstream(t.candidate.Address).Run(ctx, m)
 	if err != nil {
 		return t.connectionError(err)
@@ -99,6 +104,9 @@
 		t.dispatcher.router.MarkUnreachable(t.candidate.VM)
 		return &NotRun{RetryAfter: defaultRetryAfter, Detail: "the upstream's VM takes no connection"}
 	}
+	if !t.connected.Load() {
+		return &NotRun{RetryAfter: defaultRetryAfter, Detail: "it ended before there was a connection to the upstream's VM"}
+	}
 	return t.unknownOutcome("the connection to the upstream's VM broke")
 }
 
