Gateway: a body that is being sent on keeps arriving when the gateway stops taking requests

Callers whose body is longer than the buffer (256 KiB) and was still arriving 2.5 s after SIGTERM saw their connection close without an answer, although the request was at an upstream already. Cause: the bound on the wait for the body, the end of the time for taking requests, stayed on the connection when the body was no longer awaited but sent on. Beside it, the end of that wait could come between the last check and the note that the body is complete, and the server would have taken it for a caller that has gone (by reading; no run shows it). Change: once a body is sent on while it arrives, the wait is bounded by the request's own deadline; and that the body has been received is noted before the last check. Before (internal/gateway, shutdown of 5 s, deadline 6 s): "unexpected EOF" 2.5 s after SIGTERM. After: 200 with the whole body. A second spec, a body that still arrives when answers are due has an answer, passes too.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -77,6 +77,8 @@
 	f.buffers.add(uploadBufferBytes)
 	f.upload = &streamedBody{body: body}
 	f.unreadBody = f.upload
+	// A shutdown bounds the wait for what is buffered; the rest is received while the request runs.
+	_ = http.NewResponseController(f.writer).SetReadDeadline(clock.DeadlineAfter(f.remaining()))
 	return true
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -114,10 +114,14 @@
 	defer f.cancel(nil)
 	g.inFlight.add(f)
 	defer g.inFlight.remove(f)
-	if !f.admit() || !f.takeWhileLeaving() || !f.readBody() || !f.takeWhileLeaving() {
+	if !f.admit() || !f.takeWhileLeaving() || !f.readBody() {
 		return
 	}
+	// In this order the end of the wait for incomplete bodies can't end a request that is taken.
 	f.progress.noteReceived(g.now())
+	if !f.takeWhileLeaving() {
+		return
+	}
 	f.identify()
 	if !f.checkQuarantine() {
 		return
