--- a/internal/callerapi/part.go
+++ b/internal/callerapi/part.go
@@ -90,14 +90,15 @@
 	counters := newMetrics()
 	h.Metric("requests", counters.outcomes)
 	h.Metric("request_ms", expvar.Func(counters.quantiles))
-	return &Part{
+	p := &Part{
 		metrics:  counters,
 		settings: s, listener: l, host: h, state: c.State, ready: c.Ready,
 		router:   h.Part(router.PartName).(*router.Router),
 		limits:   h.Part(limits.PartName).(*limits.Limiter),
 		dispatch: h.Part(dispatch.PartName).(*dispatch.Dispatcher),
-		inFlight: newInFlightRequests(),
-	}, nil
+	}
+	p.inFlight = newInFlightRequests(h.Log, p.timeout)
+	return p, nil
 }
 
 // Address returns the address that the server listens on.
@@ -119,7 +120,8 @@
 	return rpc.Serve(ctx, server, p.listener, nil)
 }
 
-// Drain refuses new requests, so that the load balancer uses other entries, and waits for the requests in flight.
+// Drain refuses new requests, so that the load balancer uses other entries, and waits for the requests in flight. Each of
+// them has an answer before the context ends.
 func (p *Part) Drain(ctx context.Context) {
 	p.inFlight.drain(ctx)
 }
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -19,11 +19,6 @@
 	// that in which an accepted connection may send its first request.
 	listenPeriod  = 500 * time.Millisecond
 	newConnPeriod = 300 * time.Millisecond
-	// answerReserve is what is left of the time for a shutdown when the requests without an answer are ended, at most a
-	// share of that time. Answers that have begun may take until half of it is left. The other parts of the process stop after
-	// that.
-	answerReserve      = 800 * time.Millisecond
-	answerReserveShare = 0.25
 	// minAnswerTime is the least time in which requests that are ended may write their answers, if a suspension has used
 	// up the reserve.
 	minAnswerTime = 200 * time.Millisecond
@@ -32,8 +27,6 @@
 	// shutdownPollInterval is how often a shutdown checks the time and the requests in flight. A timer would be late by the
 	// length of a suspension.
 	shutdownPollInterval = 20 * time.Millisecond
-	// defaultShutdownTime is the time for a shutdown whose context has no deadline.
-	defaultShutdownTime = 30 * time.Second
 	// leavingRetryAfter is the Retry-After of a request that another gateway is to take.
 	leavingRetryAfter = minRetryAfter
 	// reasonLeaving is the reason of a refusal because of the shutdown.
@@ -54,7 +47,7 @@
 }
 
 func newShutdown(now time.Time, within time.Duration) *shutdown {
-	reserve := min(answerReserve, time.Duration(answerReserveShare*float64(within)))
+	reserve := kernel.AnswerReserve(within)
 	accept := min(acceptPeriod, within-reserve)
 	return &shutdown{
 		beganAt: now, acceptUntil: now.Add(accept), listenUntil: now.Add(min(accept+listenPeriod, within-reserve)),
@@ -65,11 +58,7 @@
 // Drain implements kernel.Drainer: callers are sent to other gateways while requests in flight are completed. Those that
 // are not complete in time are ended with an answer, or broken off if their answer has begun.
 func (g *Gateway) Drain(ctx context.Context) {
-	within := defaultShutdownTime
-	if deadline, ok := ctx.Deadline(); ok {
-		within = clock.Until(deadline)
-	}
-	s := newShutdown(g.now(), within)
+	s := newShutdown(g.now(), kernel.DrainTime(ctx))
 	g.shutdown.Store(s)
 	g.pauseUntil(ctx, s.acceptUntil, nil)
 	g.inFlight.each((*callerRequest).stopReceiving)
