Soak: requests that may outlast the stop of their gateway, and checks of what a stop does to them

Callers of a deployment saw requests taken during a shutdown and given up; the soak could not. Cause: its callers' deadline was 3 s, its answers took 2 s at most, bodies came with their headers, and 3 s + 3 s is less than the 7.2 s after which a stop of 8 s ends. 24 callers more send requests with deadlines of 4 to 12 s on routes with a timeout of 12 s: answers of 3 to 6 s, bodies that are complete up to 4 s after the header (in pieces, with a length or in chunks), answers of 100 to 450 KB that are read slowly. They keep connections until the gateway closes them, and open new ones to all gateways while fewer than half are ready. Their draws have random streams of their own: the other callers and all plans stay as they were. Checks: given-up is new. lost allows only what operators allow: a stream that has begun, complete 3 s after SIGTERM at the latest, upstream at work in the last sixth of the time. It asks more than before: requests that reached an upstream and have not run, cuts up to 1 s after the time for a stop (they were passed over from its end on, though the process is only killed 1 s later), deadlines of each request instead of 3 s, faults counted from 4 s before the request. 502 of a stopping gateway was not checked at all, and answers that the next process ended were excused by the stop; both now count as in ended-early. late-refusal counts from the last byte.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -23,10 +23,10 @@
 	// maxThinkTime between two.
 	callerCount  = 40
 	maxThinkTime = 250 * time.Millisecond
-	// callerDeadline is the deadline that requests announce, and callerTimeout the time after which the caller closes its
-	// connection.
+	// callerDeadline is the time that usual requests announce, and callerSlack the time after it after which the caller
+	// closes its connection.
 	callerDeadline = 3 * time.Second
-	callerTimeout  = 5 * time.Second
+	callerSlack    = 2 * time.Second
 	// earlyCloseShare is the share of requests whose caller disconnects early, within maxEarlyClose.
 	earlyCloseShare = 0.04
 	maxEarlyClose   = 150 * time.Millisecond
@@ -40,6 +40,8 @@
 	history  *History
 	random   *rand.Rand
 	gateways []*Process
+	// isPatient is true of a caller that sends requests which take long.
+	isPatient bool
 
 	gateway   *Process
 	conn      net.Conn
@@ -57,28 +59,32 @@
 	key, ownPriority string
 	// configVersion is the configuration that contains the path's route; 0 means that every configuration does.
 	configVersion int
+	// timeout is the time that the caller states; pace is how it sends and reads.
+	timeout time.Duration
+	pace    pace
+	// answerTime is how long an upstream takes for its answer; 0 selects the upstream's default.
+	answerTime time.Duration
 }
 
 // Run sends requests until the context ends.
 func (c *Caller) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		kernel.Pause(ctx, time.Duration(c.random.Int64N(int64(maxThinkTime))))
+		kernel.Pause(ctx, time.Duration(c.random.Int64N(int64(c.maxThinkTime()))))
 		if c.conn == nil && !c.connect() {
 			continue
 		}
-		c.sendOne(ctx, c.nextRequest())
+		a := c.nextRequest()
+		if c.isPatient {
+			c.makeLong(&a)
+		}
+		c.sendOne(ctx, &a)
 	}
 	c.closeConn()
 }
 
 // connect opens a connection to a random gateway among those that are ready.
 func (c *Caller) connect() bool {
-	var l []*Process
-	for _, g := range c.gateways {
-		if g.isReady.Load() {
-			l = append(l, g)
-		}
-	}
+	l := c.candidates()
 	if len(l) == 0 {
 		c.history.Count("no gateway is ready")
 		return false
@@ -89,6 +95,9 @@
 		c.history.Count("no connection to a gateway")
 		return false
 	}
+	if c.isPatient {
+		_ = n.(*net.TCPConn).SetReadBuffer(patientReadBuffer)
+	}
 	c.gateway, c.conn, c.reader = g, n, bufio.NewReader(n)
 	return true
 }
@@ -103,7 +112,7 @@
 // nextRequest draws the next request.
 func (c *Caller) nextRequest() callerRequest {
 	c.sentCount++
-	a := callerRequest{id: fmt.Sprintf("%s-%d", c.name, c.sentCount), path: "/look/"}
+	a := callerRequest{id: fmt.Sprintf("%s-%d", c.name, c.sentCount), path: lookPath, timeout: callerDeadline}
 	a.key, a.ownPriority = [...]string{gymKey, labKey}[c.sentCount%2], ownPriorities[c.sentCount%len(ownPriorities)]
 	a.body = a.id + strings.Repeat("x", c.random.IntN(maxBodyBytes))
 	switch n := c.random.IntN(100); {
@@ -111,7 +120,7 @@
 		a.path, a.stream = [...]string{chatPath, bulkPath}[c.sentCount/2%2], true
 		a.prompt = []string{firstPart(c.sentCount), secondPart(c.sentCount)}
 	case n < 60:
-		a.path, a.unsafe = "/desk/", true
+		a.path, a.unsafe = deskPath, true
 	case n < 75:
 		if a.configVersion = c.history.configDue(); a.configVersion > 0 {
 			a.path = configPath(a.configVersion)
@@ -126,8 +135,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if a.pace.chunked {
+		q.ContentLength, q.Body = -1, io.NopCloser(chunkReader{strings.NewReader(a.body)})
+	}
 	q.Header.Set("Request-Id", a.id)
-	q.Header.Set("Deadline-Ms", strconv.FormatInt(callerDeadline.Milliseconds(), 10))
+	q.Header.Set("Deadline-Ms", strconv.FormatInt(a.timeout.Milliseconds(), 10))
 	q.Header.Set("Authorization", "Bearer "+a.key)
 	if a.ownPriority != "" {
 		q.Header.Set("Priority", a.ownPriority)
@@ -145,14 +157,17 @@
 }
 
 // sendOne sends a request and checks its answer.
-func (c *Caller) sendOne(ctx context.Context, a callerRequest) {
+func (c *Caller) sendOne(ctx context.Context, a *callerRequest) {
 	q, err := a.newHTTPRequest()
 	if err != nil {
 		c.history.RecordEvent("%s: %v", a.id, err)
 		return
 	}
-	c.history.RecordSent(a.id, &request{gateway: c.gateway, unsafe: a.unsafe, priority: queuePriorities[a.key+a.path], ownPriority: a.ownPriority})
-	timeout := callerTimeout
+	c.history.RecordSent(a.id, &request{
+		gateway: c.gateway, unsafe: a.unsafe, priority: queuePriorities[a.key+a.path], ownPriority: a.ownPriority,
+		long: c.isPatient, deadline: time.Now().Add(a.timeout), arrivesSlowly: a.pace.isSlow(), answerTime: a.answerTime,
+	})
+	timeout := a.timeout + callerSlack
 	if closesEarly := c.random.Float64() < earlyCloseShare; closesEarly {
 		timeout = time.Duration(c.random.Int64N(int64(maxEarlyClose)))
 		c.history.Count("callers that leave early")
@@ -161,16 +176,7 @@
 	conn := c.conn
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	err = q.Write(c.conn)
-	var r *http.Response
-	if err == nil {
-		r, err = http.ReadResponse(c.reader, q) //nolint:bodyclose // the connection is closed where the body is not read
-	}
-	var body []byte
-	if err == nil {
-		c.recordLeavingNotice(&a, r)
-		body, err = io.ReadAll(r.Body)
-	}
+	r, body, isWhole, err := c.exchange(ctx, a, q) //nolint:bodyclose // exchange has read the body
 	if err != nil {
 		c.closeConn()
 		c.history.RecordClosed(a.id)
@@ -179,12 +185,32 @@
 		}
 		return
 	}
-	c.checkAnswer(&a, r, string(body))
-	if r.Close {
+	c.checkAnswer(a, r, body)
+	if r.Close || !isWhole {
 		c.closeConn()
 	}
 }
 
+// exchange sends a request and receives its answer, which may come before the request is whole.
+func (c *Caller) exchange(ctx context.Context, a *callerRequest, q *http.Request) (r *http.Response, body string, isWhole bool, err error) {
+	sending, stop := context.WithCancel(ctx)
+	defer stop()
+	sent := make(chan error, 1)
+	if a.pace.isSlow() {
+		go func() { sent <- c.sendSlowly(sending, a, q) }()
+	} else {
+		sent <- q.Write(c.conn)
+	}
+	r, err = http.ReadResponse(c.reader, q) //nolint:bodyclose // the connection is closed where the body is not read
+	var b []byte
+	if err == nil {
+		c.recordLeavingNotice(a, r)
+		b, err = io.ReadAll(&slowReader{Reader: r.Body, ctx: ctx, pause: a.pace.readPause})
+	}
+	stop()
+	return r, string(b), <-sent == nil, err
+}
+
 // recordLeavingNotice records an answer in which an upstream announces that it is draining.
 func (c *Caller) recordLeavingNotice(a *callerRequest, r *http.Response) {
 	instance, sealed := strings.CutSuffix(r.Header.Get("Response-Seal"), "."+a.id)
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -81,6 +81,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r.sent = b.now()
+	if !r.arrivesSlowly {
+		r.whole = r.sent
+	}
+	if r.deadline.IsZero() {
+		r.deadline = r.sent.Add(callerDeadline)
+	}
 	b.requests[id] = r
 	b.counts["sent"]++
 	b.countRank(r)
@@ -147,6 +153,7 @@
 	}
 	now := b.now()
 	r.reached = append(r.reached, address)
+	r.atUpstreams++
 	faultFree := b.faultFree(r) && b.noFault(now.Add(-settleTime), now, address)
 	b.checkLimit(r, id, instance, faultFree)
 	b.checkAnnouncements(r, id, instance)
@@ -282,49 +289,6 @@
 	return len(b.configs) > 0 && b.configs[len(b.configs)-1].number > config+keptRoutes
 }
 
-// RecordTruncated checks an answer that was not received completely; headReceived is true if its header was.
-func (b *History) RecordTruncated(id string, headReceived bool, cause error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	r := b.requests[id]
-	b.counts["cut"]++
-	now := b.now()
-	if now.Sub(r.sent) >= callerDeadline {
-		b.counts["cut at the caller's deadline"]++
-		return
-	}
-	ns := r.gateway.termAt.Load()
-	if ns == 0 {
-		b.checkEarlyEnd(r, id, headReceived, fmt.Sprintf("aborted: %v", cause))
-		return
-	}
-	term := time.Unix(0, ns)
-	if now.Sub(term) >= drainTime || now.Before(term) {
-		return
-	}
-	mustComplete := headReceived || r.runs > 0 || now.Sub(r.sent) > sendRaceTime
-	if !mustComplete {
-		b.counts["closed under a request that had not begun"]++
-		return
-	}
-	before := term.Add(-settleTime)
-	faulted := !b.noFault(before, now, append(r.reached, machineTarget)...) || !b.noFault(before, term.Add(-time.Millisecond), r.gateway.name)
-	b.violateUnless(faulted, "lost", r.gateway.name, id, "", "aborted %.2f s after SIGTERM, %.2f s after it was sent, header received %t: %v",
-		now.Sub(term).Seconds(), now.Sub(r.sent).Seconds(), headReceived, cause)
-}
-
-// RecordFailed checks a request that the gateway answers as failed: a request that an upstream has started must be
-// completed.
-func (b *History) RecordFailed(id string, status int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	r := b.requests[id]
-	b.counts[fmt.Sprint("status ", status)]++
-	if r.gateway.termAt.Load() == 0 {
-		b.checkEarlyEnd(r, id, false, fmt.Sprint("answered with status ", status))
-	}
-}
-
 // checkEarlyEnd checks an answer that ended early. Neither a planned operation nor an upstream that pauses may cause
 // that. The caller holds the lock.
 func (b *History) checkEarlyEnd(r *request, id string, headReceived bool, how string) {
@@ -341,8 +305,7 @@
 		b.counts["failed at its version's end with nothing of its answer there"]++
 		return
 	}
-	faulted := !b.noFault(r.sent.Add(-settleTime), now, append([]string{r.gateway.name, machineTarget}, r.reached...)...)
-	b.violateUnless(faulted, "ended-early", r.gateway.name, id, "", "%s, %.2f s after it was sent, header received %t, at %s", how, now.Sub(r.sent).Seconds(), headReceived, strings.Join(r.reached, ", "))
+	b.violateUnless(b.wasHurt(r), "ended-early", r.gateway.name, id, "", "%s, %.2f s after it was sent, header received %t, at %s", how, now.Sub(r.sent).Seconds(), headReceived, strings.Join(r.reached, ", "))
 }
 
 // giveUpMargin is how long before a version's deadline a gateway may give up a request that has not begun as far as it
--- a/internal/soak/crasher.go
+++ b/internal/soak/crasher.go
@@ -53,7 +53,7 @@
 // as all others of the step, in the middle or in the first place.
 func crashingRequest(s Step, n int) callerRequest {
 	kind := fmt.Sprint(crashMark, s.Selector)
-	a := callerRequest{id: fmt.Sprintf("%s.%d", kind, n), path: chatPath, body: kind, stream: true, key: gymKey}
+	a := callerRequest{id: fmt.Sprintf("%s.%d", kind, n), path: chatPath, body: kind, stream: true, key: gymKey, timeout: callerDeadline}
 	if s.Selector%3 == 0 {
 		return a
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -259,9 +259,9 @@
 	ctx, stop := context.WithDeadline(ctx, w.history.end)
 	defer stop()
 	var running sync.WaitGroup
-	for i := range callerCount {
+	for i := range callerCount + patientCallers {
 		c := &Caller{
-			name: fmt.Sprintf("s%d-%d", w.settings.Seed, i), history: w.history, gateways: w.gateways,
+			name: fmt.Sprintf("s%d-%d", w.settings.Seed, i), history: w.history, gateways: w.gateways, isPatient: i >= callerCount,
 			random: rand.New(rand.NewPCG(w.settings.Seed, uint64(i))),
 		}
 		running.Go(func() { c.Run(ctx) })
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -74,14 +74,24 @@
 	unsafe  bool
 	// crashesUpstreams marks a request that crashes the upstreams which run it.
 	crashesUpstreams bool
-	sent             time.Time
-	closed           time.Time
-	refused          int
+	// long marks a request with a long deadline, which is not compared by rank.
+	long bool
+	// sent is when its header was sent, whole when its last byte was, zero before, and deadline when its caller's and its
+	// route's time ends. A request arrives slowly if its body is sent some time after its header.
+	sent, whole, deadline time.Time
+	arrivesSlowly         bool
+	closed                time.Time
+	// answerTime is how long an upstream takes for its answer; 0 selects the upstream's default.
+	answerTime time.Duration
+	refused    int
 	// reached lists the addresses of the upstreams that the request reached, runs counts its executions, and version is
 	// that of the last one; 0 means none.
 	reached []string
 	runs    int
 	version int
+	// atUpstreams counts the upstreams that are at work on it, and workedUntil is when the last one stopped.
+	atUpstreams int
+	workedUntil time.Time
 	// priority is the Priority header that the request must have at upstreams, and ownPriority the one of its caller.
 	priority, ownPriority string
 	// offered is true once a faulty link to an upstream has received it, and countsInRank if it is sent to a healthy fleet.
--- a/internal/soak/ranks.go
+++ b/internal/soak/ranks.go
@@ -22,7 +22,10 @@
 )
 
 // queuePriorities are the Priority headers of requests at engines, by key and path. The organisation takes precedence.
-var queuePriorities = map[string]string{gymKey + chatPath: mostUrgent, gymKey + bulkPath: "1", labKey + chatPath: "2", labKey + bulkPath: leastUrgent}
+var queuePriorities = map[string]string{
+	gymKey + chatPath: mostUrgent, gymKey + bulkPath: "1", labKey + chatPath: "2", labKey + bulkPath: leastUrgent,
+	gymKey + longChatPath: mostUrgent, labKey + longChatPath: "2",
+}
 
 // ownPriorities are the Priority headers that callers send: one that is valid at upstreams, one that is not, and none.
 var ownPriorities = [...]string{"0", "77", ""}
@@ -34,7 +37,7 @@
 // a fault within settleTime. The caller holds the lock.
 func (b *History) countRank(r *request) {
 	now := b.now()
-	if r.priority == "" || r.crashesUpstreams || b.isStalled(now) || !b.noFault(now.Add(-settleTime), now, b.streamTargets...) {
+	if r.priority == "" || r.crashesUpstreams || r.long || b.isStalled(now) || !b.noFault(now.Add(-settleTime), now, b.streamTargets...) {
 		return
 	}
 	if r.refused == 0 {
@@ -61,15 +64,16 @@
 	}
 }
 
-// checkRefusalTime checks that a request which reached no upstream was refused at once. The caller holds the lock.
+// checkRefusalTime checks that a request which reached no upstream was refused as soon as it was complete. The caller holds
+// the lock.
 func (b *History) checkRefusalTime(r *request, id string, status int) {
 	now := b.now()
-	late := now.Sub(r.sent)
-	if status != http.StatusServiceUnavailable || len(r.reached) > 0 || r.offered || late <= maxRefusalDelay {
+	late := now.Sub(r.whole)
+	if status != http.StatusServiceUnavailable || r.whole.IsZero() || len(r.reached) > 0 || r.offered || late <= maxRefusalDelay {
 		return
 	}
 	excused := b.isStalled(now) || !b.noFault(r.sent.Add(-settleTime), now, r.gateway.name, machineTarget)
-	b.violateUnless(excused, "late-refusal", r.gateway.name, id, "", "refused %.3f s after it was sent, without an attempt at an upstream", late.Seconds())
+	b.violateUnless(excused, "late-refusal", r.gateway.name, id, "", "refused %.3f s after it was complete, without an attempt at an upstream", late.Seconds())
 }
 
 // RecordOffered records the request whose header a faulty link to an upstream has received and delays or discards.
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -26,8 +26,10 @@
 	// swapTime is the time after its publication from which a version must be the only one in use; it is short so that a
 	// run has several.
 	swapTime = 8 * time.Second
-	// drainTime is the time for a planned stop; the quiet period of a leaving gateway takes 3 s of it.
+	// drainTime is the time for a planned stop.
 	drainTime = 8 * time.Second
+	// routeTimeout is the timeout of a route, and longRouteTimeout that of the routes for long requests.
+	routeTimeout, longRouteTimeout = 6 * time.Second, 12 * time.Second
 	// plainUpstreams is the number of plain upstreams. They are cheap, as they need no process, and suffice for two
 	// departures a second.
 	plainUpstreams = 40
@@ -85,14 +87,18 @@
 listen = "%[5]s:7701"
 port = 7700
 `
-	routeFormat  = `{"name":%q,"host":"h.example","pathPrefix":%q,"kind":%q,"timeoutMs":6000,"targetLatencyMs":2000,"service":%q,"maxAttempts":%d%s}`
+	routeFormat  = `{"name":%q,"host":"h.example","pathPrefix":%q,"kind":%q,"timeoutMs":%d,"targetLatencyMs":2000,"service":%q,"maxAttempts":%d%s}`
 	configFormat = `{"version":%d,"routes":[%s],"services":[{"name":"engines","engine":{"slots":16,"stride":5,"step_ms":9,
 "read_per_s":20000,"chunk":2048,"layers":1,"chunks":%d,"chunk_bytes":%d,"usual":{"prompt":100,"answer":60},
 "models":[{"name":"m","warmS":0.1}]}},{"name":"desk"},{"name":"origin","origin":%q}],
-"tenants":[{"name":"gym","apiKeys":[%q]},{"name":"lab","apiKeys":[%q],"priority":%d}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536}}`
-	// chatPath and bulkPath are the prefixes of the routes to engines.
+"tenants":[{"name":"gym","apiKeys":[%q]},{"name":"lab","apiKeys":[%q],"priority":%d}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":524288}}`
+	// chatPath and bulkPath are the prefixes of the routes to engines, deskPath and lookPath of those to plain upstreams.
 	chatPath, bulkPath = "/chat/", "/bulk/"
+	deskPath, lookPath = "/desk/", "/look/"
 	streamOptions      = `,"streamResume":true,"gap_aim_ms":400`
+	// longChatPath, longDeskPath and longLookPath are the prefixes of the routes whose timeout exceeds the time for a stop.
+	longChatPath, longDeskPath, longLookPath = "/long-chat/", "/long-desk/", "/long-look/"
+	longStreamOptions                        = `,"streamResume":true,"gap_aim_ms":2000`
 	// bigRoutes makes a configuration of about 400 KB.
 	bigRoutes = 2500
 	// keptRoutes is the number of newer configurations that still contain a configuration's route.
@@ -101,17 +107,26 @@
 
 // configOf returns a configuration. Each contains a new route, by which callers detect that it is in force.
 func configOf(version int, big bool, origin string) []byte {
+	route := func(name, path, kind, service string, attempts int, options string) string {
+		return fmt.Sprintf(routeFormat, name, path, kind, routeTimeout.Milliseconds(), service, attempts, options)
+	}
+	longRoute := func(name, path, kind, service string, attempts int, options string) string {
+		return fmt.Sprintf(routeFormat, name, path, kind, longRouteTimeout.Milliseconds(), service, attempts, options)
+	}
 	l := []string{
-		fmt.Sprintf(routeFormat, "chat", chatPath, "streaming", "engines", 3, streamOptions),
-		fmt.Sprintf(routeFormat, "bulk", bulkPath, "streaming", "engines", 3, streamOptions+fmt.Sprintf(`,"priority":%d`, bulkPriority)),
-		fmt.Sprintf(routeFormat, "desk", "/desk/", "unsafe", "desk", 1, ""),
-		fmt.Sprintf(routeFormat, "look", "/look/", "safe", "desk", 3, ""),
+		route("chat", chatPath, "streaming", "engines", 3, streamOptions),
+		route("bulk", bulkPath, "streaming", "engines", 3, streamOptions+fmt.Sprintf(`,"priority":%d`, bulkPriority)),
+		route("desk", deskPath, "unsafe", "desk", 1, ""),
+		route("look", lookPath, "safe", "desk", 3, ""),
+		longRoute("long-chat", longChatPath, "streaming", "engines", 3, longStreamOptions),
+		longRoute("long-desk", longDeskPath, "unsafe", "desk", 1, ""),
+		longRoute("long-look", longLookPath, "safe", "desk", 3, ""),
 	}
 	for n := max(1, version-keptRoutes); n <= version; n++ {
-		l = append(l, fmt.Sprintf(routeFormat, fmt.Sprint("own", n), configPath(n), "safe", "desk", 3, ""))
+		l = append(l, route(fmt.Sprint("own", n), configPath(n), "safe", "desk", 3, ""))
 	}
 	for n := 0; big && n < bigRoutes; n++ {
-		l = append(l, fmt.Sprintf(routeFormat, fmt.Sprint("f", n), fmt.Sprintf("/f%d/", n), "safe", "desk", 1, ""))
+		l = append(l, route(fmt.Sprint("f", n), fmt.Sprintf("/f%d/", n), "safe", "desk", 1, ""))
 	}
 	return fmt.Appendf(nil, configFormat, version, strings.Join(l, ","), chunks, chunkBytes, origin, gymKey, labKey, labPriority)
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -242,7 +242,6 @@
 			h.advance(finalPhase)
 			h.CheckFinalPhase()
 		}, "well-again"),
-		Entry("an answer may be aborted after the drain time", func(h *history) { h.send(); h.terminate(); h.advance(drainTime); h.truncate(true) }),
 	)
 
 	DescribeTable("accepts only a complete answer that belongs to the request", func(body, seal string, want ...string) {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -69,6 +69,7 @@
 		Weights:     standin.ModelOrigin{Model: model, Chunks: chunks, ChunkBytes: chunkBytes},
 		OnViolation: func(what string) { s.history.RecordViolation("weights", s.address, "", "%s", what) },
 	}
+	server.AnswerTime = s.history.answerTimeOf
 	server.OnRetryAfter = func(request, retryAfter string) { s.history.RecordRestRequest(request, server.Instance, retryAfter) }
 	s.setCrashHandlers(ctx, server)
 	s.server, s.link, s.state, s.listed, s.startedAt = server, l, stateReady, true, time.Now()
@@ -88,6 +89,7 @@
 func (h *recorder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !strings.HasPrefix(r.URL.Path, "/v1/") {
 		h.history.RecordArrival(r.Header.Get("Request-Id"), r.Header.Get("Target-Instance"), h.slot)
+		defer h.history.RecordWorkEnd(r.Header.Get("Request-Id"))
 		h.history.RecordPriority(r.Header.Get("Request-Id"), r.Header.Values("Priority"))
 	}
 	h.server.ServeHTTP(w, r)
--- a/internal/standin/modelserver.go
+++ b/internal/standin/modelserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -13,6 +14,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/springrail/springrail/internal/kernel"
 )
 
 // ModelOrigin simulates the origin of the platform: it serves versions of one model, whose content is generated from the
@@ -88,6 +91,8 @@
 	// Unframed decides by the body whether a stream is sent without a length, so that it ends with its connection. It may be
 	// nil.
 	Unframed func(body string) bool
+	// AnswerTime returns how long the complete answer to a request takes; 0 selects the default. It may be nil.
+	AnswerTime func(request string) time.Duration
 	// OnRetryAfter is called for each request that is answered 503 with a Retry-After header; it may be nil.
 	OnRetryAfter func(request, retryAfter string)
 	// OnRequest is called for each request that reaches the server, executed or refused; it may be nil.
@@ -308,8 +313,9 @@
 		s.endProcess(string(body))
 	}
 	w.Header().Set("Response-Seal", s.Instance+"."+r.Header.Get("Request-Id"))
+	took := s.answerTime(r.Header.Get("Request-Id"))
 	if r.Header.Get("Model") == "" {
-		time.Sleep(defaultEventInterval)
+		kernel.Pause(r.Context(), cmp.Or(took, defaultEventInterval))
 		_, _ = fmt.Fprintf(w, "%s %s", r.Header.Get("Request-Id"), body)
 		return
 	}
@@ -318,10 +324,7 @@
 	if s.Unframed != nil && s.Unframed(string(body)) {
 		w.Header().Set("Transfer-Encoding", "identity")
 	}
-	interval := defaultEventInterval
-	if s.EventInterval > 0 {
-		interval = s.EventInterval
-	}
+	interval := cmp.Or(took/eventsPerStream, s.EventInterval, defaultEventInterval)
 	_ = http.NewResponseController(w).Flush()
 	for n := after + 1; n <= eventsPerStream && r.Context().Err() == nil; n++ {
 		select {
@@ -337,6 +340,13 @@
 	}
 }
 
+func (s *ModelServer) answerTime(request string) time.Duration {
+	if s.AnswerTime == nil {
+		return 0
+	}
+	return s.AnswerTime(request)
+}
+
 // StreamOf returns the complete body of a stream that a version generates for a request.
 func StreamOf(request string, version int) string {
 	var b strings.Builder
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -162,3 +162,19 @@
 		Expect(w.BytesSent()).To(Equal(n))
 	})
 })
+
+var _ = Describe("the model server", func() {
+	It("takes the configured time for an answer", func() {
+		m := &ModelServer{Instance: "u", Slots: 1, OnRun: func(RequestRun) {}}
+		m.AnswerTime = func(request string) time.Duration {
+			return map[string]time.Duration{"slow": 120 * time.Millisecond}[request]
+		}
+		m.SetVersion(1)
+		for _, l := range [][]string{{}, {"Model", "m"}} {
+			start := time.Now()
+			a := serveRequest(m, "POST", "/p/", "x", append(l, "Request-Id", "slow", "Target-Instance", "u")...)
+			Expect(a.Code).To(Equal(200))
+			Expect(time.Since(start)).To(BeNumerically(">=", 120*time.Millisecond))
+		}
+	})
+})
