Soak: stops of half of the gateways or more, in series that overlap

The soak stopped one gateway at a time, so that no two stops overlapped but by chance, and none came right after a start. A new step stops half of the gateways or more, at once or one after the other within 4 s, and starts them again 0.2 to 3 s after their end; three in ten are stopped again up to 1.5 s after that start, ready or not. Changes of versions, configurations and upstreams, and in three of ten series an outage of the store, are drawn beside it. Found by its own specs before the commit: a plan that drew outages of the store although the list of faults leaves them out.

--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -64,6 +64,8 @@
 		w.faultAtReservation(ctx, s)
 	case doOriginOutage:
 		w.faultOrigin(ctx, s)
+	case doStopSeries:
+		w.stopSeries(ctx, s)
 	}
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -42,6 +42,7 @@
 	doStagerKillReserved   = "stager-kill-reserved"
 	doGatewayPauseReserved = "gateway-pause-reserved"
 	doOriginOutage         = "origin-outage"
+	doStopSeries           = "stop-series"
 )
 
 // reservationFaults lists the faults of reservations, which are drawn at a mean interval of meanReservationInterval each.
@@ -128,6 +129,7 @@
 		p.drawRecurring(allowed, do, meanReservationInterval, minReservationFault, maxReservationFault)
 	}
 	p.drawRecurring(allowed, doOriginOutage, meanOutageInterval, minOutage, maxOutage)
+	p.drawStopSeries(allowed)
 	slices.SortStableFunc(p.steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p.steps
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -132,30 +132,38 @@
 func (p *Process) Terminate(ctx context.Context, d time.Duration) {
 	end := p.history.BeginFault(p.name, spanTerminated)
 	defer end()
+	p.terminate(ctx)
+	p.restart(ctx, d)
+}
+
+// terminate sends SIGTERM and waits until the process has ended.
+func (p *Process) terminate(ctx context.Context) {
 	p.endExpected.Store(true)
 	p.termAt.Store(time.Now().UnixNano())
 	ended := p.signal(syscall.SIGTERM)
 	select {
 	case <-ended:
 	case <-ctx.Done():
-		return
 	case <-time.After(drainTime + exitSlack):
 		p.history.RecordOverdueExit(p.name, time.Unix(0, p.termAt.Load()))
 		<-p.signal(syscall.SIGKILL)
 	}
-	p.restart(ctx, d)
 }
 
 func (p *Process) restart(ctx context.Context, d time.Duration) {
 	kernel.Pause(ctx, d)
-	if ctx.Err() != nil {
-		return
+	if ctx.Err() == nil && p.startAgain() {
+		p.waitReady(ctx)
 	}
-	if err := p.Start(); err != nil {
+}
+
+// startAgain starts the process and reports whether that succeeded.
+func (p *Process) startAgain() bool {
+	err := p.Start()
+	if err != nil {
 		p.history.RecordViolation("start", p.name, "", "%v", err)
-		return
 	}
-	p.waitReady(ctx)
+	return err == nil
 }
 
 // waitReady waits until a gateway is ready, or for the assumed start time of a stager.
