Soak: a kept case of requests that a leaving gateway took and gave up

Cause of what the seed finds: the gateway decided at a request's header, and only by the time since SIGTERM, whether it could complete it. A spec states what its plan relies on: a series has the time for its stops before the quiet end of a run, and most runs have one.

--- a/internal/soak/cases.go
+++ b/internal/soak/cases.go
@@ -30,4 +30,10 @@
 		},
 		Cause: "an engine that restarts between the check of its staged chunks and the load order is ordered to load chunks that it does not have",
 	},
+	{
+		Settings: Settings{
+			Seed: 9228, Seconds: 45, Gateways: 6, Stagers: 4, Domains: 2, EngineShare: 0.15, Faults: []string{doStopSeries, doVersion, doConfig},
+		},
+		Cause: "a leaving gateway decided at the header whether to take a request: those with a slow body or answer were sent to an upstream and given up",
+	},
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -328,6 +328,24 @@
 	})
 })
 
+var _ = Describe("a series of stops", func() {
+	It("has the time for its stops before the quiet tail, and is drawn in most runs", func() {
+		const length = 25 * time.Second
+		runs := 0
+		for seed := range uint64(100) {
+			l := Plan(seed, length, []string{doStopSeries})
+			if len(l) > 0 {
+				runs++
+			}
+			for _, s := range l {
+				Expect(s.Duration).To(BeNumerically(">=", drainTime+minSeriesDowntime))
+				Expect(s.At + s.Duration).To(BeNumerically("<=", length-quietTail))
+			}
+		}
+		Expect(runs).To(BeNumerically(">", 50))
+	})
+})
+
 var _ = Describe("an endpoint of the store", func() {
 	It("loses answers after the call took effect", func() {
 		d := &StoreEndpoint{KeyedEndpoint: standin.NewKeyedStore().NewEndpoint()}
