Soak: an upstream's pause ends with its process

Trace: the engine asks for 2.96 s of rest, crashes 1.3 s later and is replaced at once at its address under another name, while the store is silent, then down. Gateways learn of the new process from its reports, and know only the old name; the new process, which has asked for nothing, turns those requests away with 421. The check counted by the name that a request carries, and so took the new process for the one that rests. A pause now ends when the upstream that asked for it has ended; everything else counts as before. Specs: the end of the same upstream, and that of another one. Not settled here: why a gateway sends that many requests to a process that answers them with 421.

--- a/internal/soak/rest.go
+++ b/internal/soak/rest.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/springrail/springrail/internal/kernel"
@@ -91,6 +92,18 @@
 	t.rests = append(t.rests, rest{from: now, until: now.Add(time.Duration(seconds * float64(time.Second)))})
 }
 
+// RecordUpstreamEnd records that an upstream's process has ended, and with it the pauses that it asked for. Requests that
+// name it reach the next process at its address, which turns them away.
+func (b *History) RecordUpstreamEnd(instance string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key, t := range b.announced {
+		if strings.HasSuffix(key, " "+instance) {
+			t.rests = nil
+		}
+	}
+}
+
 // checkAnnouncements checks a request that reaches an upstream against what the upstream has announced to the request's
 // gateway. The caller holds the lock.
 func (b *History) checkAnnouncements(r *request, id, instance string) {
--- a/internal/soak/rest_test.go
+++ b/internal/soak/rest_test.go
@@ -42,6 +42,16 @@
 		Entry("that kills its process", spanKilled, true), Entry("that suspends it", spanPaused, true), Entry("that terminates and restarts it", spanTerminated, true),
 		Entry("that cuts it off from the store", doStoreCutOne, false))
 
+	DescribeTable("end a Retry-After period with the upstream that has asked for it", func(ended string, want ...string) {
+		h.RecordRestRequest("1", "u", "3")
+		h.advance(restSlack + 1)
+		h.RecordUpstreamEnd(ended)
+		for range maxRestRequests + 1 {
+			h.arrive()
+		}
+		Expect(h.brokenChecks()).To(Equal(append([]string{}, want...)))
+	}, Entry("the same upstream", "u"), Entry("another one", "v", "rest"))
+
 	It("report the third request of a gateway in a Retry-After period, and ignore requests in flight at its start and after its end", func() {
 		h.RecordRestRequest("1", "u", "3")
 		for range 5 {
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -169,6 +169,9 @@
 func (s *Slot) replace(ctx context.Context, away time.Duration) {
 	defer s.history.BeginFault(s.address, "renewed")()
 	s.link.Close()
+	s.mu.Lock()
+	s.history.RecordUpstreamEnd(s.id)
+	s.mu.Unlock()
 	kernel.Pause(ctx, away)
 	if ctx.Err() != nil {
 		return
