Gateway: connections end before the time for answers, not after it

A request that was read just as the last connections were ended, in the microseconds before its handler counts as in flight, had 0.1 s for its answer however much of the shutdown was left. Found by reading; the window is too short for a spec without a seam in net/http. Connections without a request are ended as soon as nothing is in flight, and what still arrives on one of them has the time until answers are due. Specs of shutdowns pass.

--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -8,7 +8,7 @@
 )
 
 // stage is how far a request in flight has come.
-type stage int32
+type stage int
 
 const (
 	// stageArriving is a request that is not admitted yet, and stageReceiving one whose body is not complete.
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -68,10 +68,10 @@
 	}
 	g.pauseUntil(ctx, s.listenUntil.Add(newConnPeriod), g.isQuiet)
 	g.pauseUntil(ctx, s.answersDue, g.isIdle)
+	g.pauseUntil(ctx, s.answersDue, g.callerConns.endIdle)
 	g.endRequests(stageSent)
 	g.pauseUntil(ctx, latest(s.exitDue, g.now().Add(minAnswerTime)), g.isIdle)
 	g.endRequests(stageAnswering)
-	g.pauseUntil(ctx, g.now().Add(closeTime), g.isIdle)
 	g.pauseUntil(ctx, g.now().Add(closeTime), g.callerConns.endIdle)
 	g.logUnfinished()
 }
