Gateway: a shutdown accepts connections as long as earlier requests are in flight

Requests that could have been served, or refused with a promise, failed. The listener stays open for 3 s and as long as a request from before the end of the time for taking requests is in flight. Later ones, all of them with short deadlines, do not keep it open, so that the shutdown ends however many come. New spec: 160 requests of 0.3 s, one each 50 ms on new connections, do not prolong a shutdown of 10 s.

--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -105,6 +105,19 @@
 	return len(l.requests)
 }
 
+// countBefore returns the number of requests that arrived before a time.
+func (l *inFlightRequests) countBefore(t time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for f := range l.requests {
+		if f.arrived.Before(t) {
+			n++
+		}
+	}
+	return n
+}
+
 // each calls a function for each request while holding the mutex.
 func (l *inFlightRequests) each(visit func(f *callerRequest)) {
 	l.mu.Lock()
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -15,8 +15,9 @@
 	// acceptPeriod is the time after the start of a shutdown in which requests are taken that may outlast the process. A
 	// load balancer that probes readiness once a second removes the process after two failed probes.
 	acceptPeriod = 2500 * time.Millisecond
-	// listenPeriod is the time after that in which new connections are still accepted, and newConnPeriod the time after
-	// that in which an accepted connection may send its first request.
+	// listenPeriod is the time after that in which new connections are accepted at least. They are accepted longer while a
+	// request that was taken before is in flight. newConnPeriod is the time after that in which an accepted connection may
+	// send its first request.
 	listenPeriod  = 500 * time.Millisecond
 	newConnPeriod = 300 * time.Millisecond
 	// minAnswerTime is the least time in which requests that are ended may write their answers, if a suspension has used
@@ -39,8 +40,8 @@
 // shutdown holds the times of a graceful shutdown.
 type shutdown struct {
 	beganAt time.Time
-	// acceptUntil is when the gateway stops taking requests whose deadline is after answersDue, and listenUntil when it
-	// stops accepting connections.
+	// acceptUntil is when the gateway stops taking requests whose deadline is after answersDue, and listenUntil is until
+	// when it accepts connections at least.
 	acceptUntil, listenUntil time.Time
 	// answersDue is when requests without an answer are ended, and exitDue when answers that have begun are.
 	answersDue, exitDue time.Time
@@ -63,10 +64,12 @@
 	g.pauseUntil(ctx, s.acceptUntil, nil)
 	g.inFlight.each((*callerRequest).stopReceiving)
 	g.pauseUntil(ctx, s.listenUntil, nil)
+	// Requests that arrive later do not keep the process running.
+	g.pauseUntil(ctx, s.answersDue, func() bool { return g.inFlight.countBefore(s.acceptUntil) == 0 })
 	if g.listener != nil {
 		g.listener.Close()
 	}
-	g.pauseUntil(ctx, s.listenUntil.Add(newConnPeriod), g.isQuiet)
+	g.pauseUntil(ctx, g.now().Add(newConnPeriod), g.isQuiet)
 	g.pauseUntil(ctx, s.answersDue, g.isIdle)
 	g.pauseUntil(ctx, s.answersDue, g.callerConns.endIdle)
 	g.endRequests(stageSent)
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -54,7 +54,9 @@
 	listener *closingListener
 	stopRun  context.CancelFunc
 	termAt   time.Time
-	ended    chan struct{}
+	// ended is closed when the process has ended, after took.
+	ended chan struct{}
+	took  time.Duration
 }
 
 func startProcess(b *testbed) *process {
@@ -79,6 +81,7 @@
 		p.gateway.Drain(ctx)
 		p.stopRun()
 		p.listener.closeAll()
+		p.took = time.Since(p.termAt)
 	}()
 }
 
@@ -86,18 +89,14 @@
 	time.Sleep(time.Until(p.termAt.Add(afterTerm)))
 }
 
-// lastDial is when connections are opened at the latest, after SIGTERM.
-const lastDial = acceptPeriod
-
 // send sends the header and the first byte of a body of two at one time after SIGTERM, and the second byte at another.
 func (p *process) send(request string, deadline, work, headerAt, bodyAt time.Duration) (status int, body string, err error) {
-	p.sleepUntil(min(headerAt, lastDial))
+	p.sleepUntil(headerAt)
 	c, err := net.Dial("tcp", p.address)
 	if err != nil {
 		return 0, "", err
 	}
 	defer c.Close()
-	p.sleepUntil(headerAt)
 	_, _ = fmt.Fprintf(c, "POST /p/ HTTP/1.1\r\nHost: h.example\r\n%s: %s\r\n%s: %d\r\n%s: %d\r\nContent-Length: 2\r\n\r\nx",
 		xRequest, request, xTimeout, deadline.Milliseconds(), xWork, work.Milliseconds())
 	go func() {
@@ -186,6 +185,30 @@
 		Eventually(lines.String).Should(ContainSubstring(`"reason":"gateway_shutdown"`))
 	})
 
+	It("is not prolonged by short requests that keep coming on new connections", func() {
+		r := route(catalog.Unsafe, "plain")
+		p := startProcess(newTestbed(r))
+		p.addWorkingUpstream("u")
+		p.terminate(10 * time.Second)
+		var wg sync.WaitGroup
+		for n := range 160 {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				at := time.Duration(n) * 50 * time.Millisecond
+				request := strconv.Itoa(n)
+				status, _, err := p.send(request, time.Second, 300*time.Millisecond, at, at)
+				if err != nil {
+					Expect(p.upstreamCount(request)).To(BeZero())
+					return
+				}
+				Expect(status).To(Equal(200))
+			})
+		}
+		wg.Wait()
+		Eventually(p.ended, 2*within).Should(BeClosed())
+		Expect(p.took).To(BeNumerically("<", acceptPeriod+listenPeriod+newConnPeriod+2*time.Second))
+	})
+
 	DescribeTable("does not send a request to an engine that is not expected to complete it in time", func(tokens float64, sent int) {
 		r := route(catalog.Streaming, "engines")
 		r.Timeout = deadline
