Gateway: the wait for new connections ends when answers are due

Callers in flight at the end of a shutdown had their failure up to 0.3 s after answers were due, in the time kept for writing answers, as the wait for new connections came in between. It ends when answers are due. The spec of checks when answers come: 301 ms late before, in time now. Specs of shutdowns pass.

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -69,7 +69,7 @@
 	if g.listener != nil {
 		g.listener.Close()
 	}
-	g.pauseUntil(ctx, g.now().Add(newConnPeriod), g.isQuiet)
+	g.pauseUntil(ctx, earliest(s.answersDue, g.now().Add(newConnPeriod)), g.isQuiet)
 	g.pauseUntil(ctx, s.answersDue, g.isIdle)
 	g.pauseUntil(ctx, s.answersDue, g.callerConns.endIdle)
 	g.endRequests(stageSent)
@@ -90,6 +90,13 @@
 	}
 }
 
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/kernel"
 )
 
 // xWork is how long an upstream takes to answer a request.
@@ -154,6 +156,9 @@
 				request := strconv.Itoa(n)
 				status, _, err := p.send(request, k.deadline, k.work, k.headerAt, k.bodyAt)
 				ran := p.upstreamCount(request)
+				if late := time.Since(p.termAt) - (within - kernel.AnswerReserve(within)); late > newConnPeriod/2 {
+					err = errors.Join(err, fmt.Errorf("answered %v after answers were due", late))
+				}
 				if err != nil || !slices.Contains(k.statuses, status) || (status == http.StatusServiceUnavailable && ran > 0) {
 					mu.Lock()
 					defer mu.Unlock()
