Gateway: the set of callers' connections moves to a package of its own

internal/httpconn holds the open connections of an HTTP/1 server and ends those without a request, for other servers than the gateway's. No change of behaviour.

--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -16,6 +16,7 @@
 	"github.com/springrail/springrail/internal/clock"
 	"github.com/springrail/springrail/internal/dial"
 	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/httpconn"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/placement"
@@ -116,7 +117,7 @@
 	server   *http.Server
 	inFlight *inFlightRequests
 	// callerConns are the open connections of callers.
-	callerConns *callerConns
+	callerConns *httpconn.Set
 	// shutdown is nil until a graceful shutdown begins.
 	shutdown atomic.Pointer[shutdown]
 	// connectionsClosed is true once the callers' connections have been closed.
@@ -175,7 +176,7 @@
 		suspects:         q.Suspects,
 		requests:         newRequestRegistry(),
 		inFlight:         newInFlightRequests(),
-		callerConns:      newCallerConns(),
+		callerConns:      httpconn.New(),
 		buffers:          newBufferBudget(s.BufferBytes),
 		answerLengths:    placement.NewAnswerLengths(),
 		random:           func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) },
@@ -185,7 +186,7 @@
 	g.connections.OnDial = func() { g.metrics.count("dialled") }
 	g.server = &http.Server{
 		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: nil, ConnContext: limitConnBuffers, ConnState: g.callerConns.setState,
+		ErrorLog: nil, ConnContext: limitConnBuffers, ConnState: g.callerConns.SetState,
 	}
 	return g
 }
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -71,11 +71,11 @@
 	}
 	g.pauseUntil(ctx, earliest(s.answersDue, g.now().Add(newConnPeriod)), g.isQuiet)
 	g.pauseUntil(ctx, s.answersDue, g.isIdle)
-	g.pauseUntil(ctx, s.answersDue, g.callerConns.endIdle)
+	g.pauseUntil(ctx, s.answersDue, g.callerConns.EndIdle)
 	g.endRequests(stageSent)
 	g.pauseUntil(ctx, latest(s.exitDue, g.now().Add(minAnswerTime)), g.isIdle)
 	g.endRequests(stageAnswering)
-	g.pauseUntil(ctx, g.now().Add(closeTime), g.callerConns.endIdle)
+	g.pauseUntil(ctx, g.now().Add(closeTime), g.callerConns.EndIdle)
 	g.logUnfinished()
 }
 
@@ -111,7 +111,7 @@
 
 // isQuiet reports whether no request is in flight and none is expected on a new connection.
 func (g *Gateway) isQuiet() bool {
-	return g.isIdle() && g.callerConns.count(http.StateNew) == 0
+	return g.isIdle() && g.callerConns.Count(http.StateNew) == 0
 }
 
 // endRequests ends the requests in flight up to a stage: those that were not run are refused, and others fail.
