Own interface: a server that stops answers requests on connections that it had accepted

Callers of an entry, and anything else that speaks HTTP/1 to a process (metrics, readiness, an engine that reads a version), sent a request on a connection that the process had accepted before, and got no answer: the connection closed.

Cause: http.Server.Shutdown. It keeps new connections for up to 5 s, but the server drops every request that it reads after the call.

--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/gravitational/trace"
 
@@ -114,40 +112,6 @@
 	return Serve(ctx, server, s.listener, s.certs)
 }
 
-// flushTimeout is how long a stopping server writes the responses that its handlers have finished. HTTP/2 buffers them, so
-// that closing a connection immediately would cut off their ends. Long polls are ended after this time.
-const flushTimeout = 250 * time.Millisecond
-
-// Serve runs an HTTP server until the context ends, with TLS if k is not nil. It then flushes finished responses for up to
-// flushTimeout and closes the remaining connections.
-func Serve(ctx context.Context, server *http.Server, l net.Listener, k *certStore) error {
-	closed := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(closed)
-		flushContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
-		defer cancel()
-		if server.Shutdown(flushContext) != nil {
-			server.Close()
-		}
-	})
-	defer func() {
-		if !stop() {
-			<-closed
-		}
-	}()
-	var err error
-	if k != nil {
-		server.TLSConfig = k.serverConfig()
-		err = server.ServeTLS(l, "", "")
-	} else {
-		err = server.Serve(l)
-	}
-	if errors.Is(err, http.ErrServerClosed) && ctx.Err() != nil {
-		return nil
-	}
-	return trace.Wrap(err)
-}
-
 // exchangeTime wraps a handler: it advances the clock past the sender's time and adds the process's time to the response.
 func (s *Server) exchangeTime(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
