Records: a lease request that nobody answers is dropped once others have the records

Cause: a process without records waits up to 1 s for the first answer to its lease request, and takes silence for agreement. Meanwhile it follows others.

Change: silence is agreement only if the records have not become fresh during the request, and the source does not read the topic with progress. A process that asks with fresh records, as it takes over, is granted the lease as before. A start without any seed takes as long as before.

--- a/internal/records/lease_request.go
+++ b/internal/records/lease_request.go
@@ -11,8 +11,10 @@
 )
 
 // requestLease asks the other processes of the failure domain for the lease to read a topic's snapshot from the store.
-// If it is refused, the process that reads the topic, or holds it, becomes the hinted source.
+// If it is refused, the process that reads the topic, or holds it, becomes the hinted source. Silence counts as agreement
+// only if no other process has provided the topic meanwhile, or is about to.
 func (f *Follower) requestLease(ctx context.Context, l *Log, failed bool) bool {
+	wasFresh := l.fresh()
 	targets := append(f.leasePeers(), l.lease.request(failed)...)
 	contacted := map[string]bool{f.self: true}
 	c := &pb.Claim{Topic: l.topic.Name, Claimant: f.self, Domain: string(f.domain), Failed: failed}
@@ -37,6 +39,11 @@
 		}
 		targets = others
 	}
+	if !wasFresh && l.providedByOthers() {
+		l.lease.release()
+		f.metrics.Add("claims_needless", 1)
+		return false
+	}
 	return l.lease.acquire()
 }
 
--- a/internal/records/source_reading.go
+++ b/internal/records/source_reading.go
@@ -20,3 +20,9 @@
 	}
 	return &pb.Reading{Bytes: l.firstReading.GetBytes(), QuietMs: l.firstReading.GetQuietMs() + elapsed.Milliseconds(), First: true}
 }
+
+// providedByOthers reports whether the records are fresh, or the source reads the topic and makes progress.
+func (l *Log) providedByOthers() bool {
+	r := l.sourceReading()
+	return l.fresh() || (r != nil && r.GetQuietMs() < maxReadStall.Milliseconds())
+}
