Records: processes that start together learn of the reader from each other

Cause: each process asks the seed for the lease of the list, and then once more for that of the configuration, so that the seed is asked 200 times by 100 processes. Those whose second request is not answered in time know nobody that reads, though the reader of the list has refused them a moment before, and all others know it too.

Change: a process that knows fewer than two gateways also asks the one that has refused it last. A process without records that doesn't refuse a request names who has refused it, as the one asked may just be another follower.

--- a/internal/records/lease_request.go
+++ b/internal/records/lease_request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,11 +52,12 @@
 // order of sources, and the configured seeds while fewer than two gateways are known. As all requests go to the same few,
 // these know a process that reads, and the number of requests in a large domain grows with its processes only. Processes
 // that start together share the seeds and learn of each other from them. Without seeds, all processes of a domain read a
-// configuration of 358 KB at once after a power failure, in 1.3 to 2.1 s each.
+// configuration of 358 KB at once after a power failure, in 1.3 to 2.1 s each. Those that a reader of one topic has refused
+// share that one as well, so that a seed that answers late does not delay the other topic.
 func (f *Follower) leasePeers() []string {
 	l, _ := Sources(f.domain, f.gateways(), "")
 	if len(l) < 2 {
-		l = append(l, f.seeds...)
+		l = slices.Concat(l, f.hint.lastReader(), f.seeds)
 	}
 	return l[:min(len(l), maxRequesters)]
 }
@@ -121,6 +123,9 @@
 			return &pb.FollowResponse{Claim: &pb.ClaimAnswer{Refused: true, Follow: l.lease.self}}
 		}
 		a := l.lease.answerRequest(c.GetClaimant(), c.GetFailed())
+		if _, started := l.Position(); !started && !a.GetRefused() {
+			a.Rivals = append(a.Rivals, s.hint.lastReader()...)
+		}
 		if !a.GetRefused() {
 			s.hint.set(c.GetClaimant())
 		}
@@ -180,6 +185,9 @@
 	// isNew is true until get has returned the hint once. reads is true if the process has refused this one's
 	// lease request.
 	isNew, reads bool
+	// reader is the last process that has refused this one's lease request, and readerUntil when it is forgotten.
+	reader      string
+	readerUntil time.Time
 	// updated closes at the next hint.
 	updated chan struct{}
 }
@@ -199,10 +207,23 @@
 	h.replace(address, true)
 }
 
+// lastReader returns the last process that has refused this one's lease request; none if none has recently.
+func (h *sourceHint) lastReader() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.now().Before(h.readerUntil) {
+		return nil
+	}
+	return []string{h.reader}
+}
+
 func (h *sourceHint) replace(address string, reads bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.address, h.until, h.isNew, h.reads = address, h.now().Add(hintTTL), true, reads
+	if reads {
+		h.reader, h.readerUntil = address, h.until
+	}
 	close(h.updated)
 	h.updated = make(chan struct{})
 }
--- a/internal/records/silent_seed_test.go
+++ b/internal/records/silent_seed_test.go
@@ -66,4 +66,42 @@
 			Expect(granted).To(BeTrue())
 		}
 	})
+
+	// Guards against a configuration that many read, as the seed was still busy with the requests for the list.
+	It("is refused at once by the reader of the other topic that reads this one too", func() {
+		granted, tookFor := true, time.Duration(0)
+		synctest.Test(suite, func(*testing.T) {
+			var reader *Records
+			r := startingProcess(func(ctx context.Context, address string, q *pb.FollowRequest) (*pb.FollowResponse, error) {
+				if address == "reader:1" {
+					return reader.service.Follow(ctx, q)
+				}
+				return silent(ctx, address, q)
+			})
+			reader = startingProcess(silent)
+			for _, l := range reader.service.logs {
+				l.lease.self = "reader:1"
+				l.lease.request(false)
+				l.lease.acquire()
+			}
+			r.follower.hint.setReader("reader:1")
+			r.follower.hint.set("other:1")
+			began := time.Now()
+			granted, tookFor = r.follower.requestLease(context.Background(), r.service.logs[0], false), time.Since(began)
+		})
+		Expect(granted).To(BeFalse())
+		Expect(tookFor).To(Equal(leaseRequestTimeout))
+	})
+
+	It("learns of the reader from a process that this one has refused, while that has no records itself", func() {
+		r := startingProcess(silent)
+		r.follower.hint.setReader("reader:1")
+		l := r.service.logs[0]
+		rivals := func() []string {
+			return r.service.answerLeaseRequest(&pb.Claim{Topic: "op", Claimant: "other:1", Domain: "d"}).GetClaim().GetRivals()
+		}
+		Expect(rivals()).To(Equal([]string{"reader:1"}))
+		l.Merge(Batch{Snapshot: true, Next: 1, ConfirmedAt: time.Now()})
+		Expect(rivals()).To(BeEmpty())
+	})
 })
