Gateway: the spec of an unread answer does not wait for TCP repeats

"a caller that reads slowly is the cause if its upstream cuts off the unread answer, by closing its connection" failed beside load: the upstream was silent for 1.2 s after the caller had begun to read, and a hedge was sent.

Cause: the system, not the gateway. While nobody reads, the receive buffer of the gateway fills up and the system drops a segment that the window had allowed. The upstream repeats it after 0.2, 0.4, 0.8 and 1.6 s. It closes its connection after 2 s; its end comes behind that segment, so up to 1.2 s after the gateway reads again. The gateway did what it does with an upstream that is silent for so long.

The upstreams of this entry are now connected in memory (net.Pipe), where the end follows the data. The entry that resets its connection stays on TCP: a reset does not wait. Times, bounds and expectations are the same.

Both entries still fail where the reason "unread" is taken out, where a hedge may start while a write to the caller is blocked, where blocked writes are not counted, and where any read counts as caught up.

Not changed: a caller that pauses on such a connection may cost a hedge in operation too, as the gateway takes the silence for that of the upstream.

--- a/internal/gateway/slow_reader_test.go
+++ b/internal/gateway/slow_reader_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/springrail/springrail/internal/catalog"
 	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/upconn"
 )
 
 const (
@@ -77,7 +78,9 @@
 
 // endlessEvents streams events until a write fails or stays blocked for the timeout, and then closes the connection.
 func endlessEvents(q *http.Request, c net.Conn, timeout time.Duration, sent *atomic.Int64) {
-	_ = c.(*net.TCPConn).SetWriteBuffer(smallSocketBuffer)
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetWriteBuffer(smallSocketBuffer)
+	}
 	stream(c, q, xRevision+": 1\r\n")
 	for i := 1; ; i++ {
 		event := fmt.Sprintf("id: %d\ndata: ", i)
@@ -91,6 +94,20 @@
 	}
 }
 
+// connectInMemory makes the gateway's connections to its upstreams ones in memory, whose end is read right after their data.
+// Over TCP it waits for segments that a full receive buffer dropped, and the system repeats those ever more rarely.
+func (b *testbed) connectInMemory(play func(q *http.Request, body string, c net.Conn)) {
+	b.gateway.connections = upconn.New(func(_ context.Context, _, address string) (net.Conn, error) {
+		near, far := net.Pipe()
+		for _, i := range b.facts.Instances() {
+			if i.Address == address {
+				go b.serveConn(string(i.ID), far, play)
+			}
+		}
+		return near, nil
+	}, time.Now, testDialect().ResponseMatches)
+}
+
 // sendBacklog streams more events than the sockets between the upstream and a caller that reads nothing hold.
 func sendBacklog(q *http.Request, c net.Conn) {
 	const events = 200
@@ -178,14 +195,17 @@
 		b := newSlowTestbed(longRoute(catalog.Streaming, "engines"), defaultBufferBytes)
 		var sent atomic.Int64
 		cut := make(chan struct{}, 2)
-		for _, n := range []string{"u", "v"} {
-			b.addUpstream(n, "engines", func(q *http.Request, _ string, c net.Conn) {
-				if reset {
-					_ = c.(*net.TCPConn).SetLinger(0)
-				}
-				endlessEvents(q, c, 2*unreadPause, &sent)
-				cut <- struct{}{}
-			})
+		play := func(q *http.Request, _ string, c net.Conn) {
+			if reset {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			endlessEvents(q, c, 2*unreadPause, &sent)
+			cut <- struct{}{}
+		}
+		b.addUpstream("u", "engines", play)
+		b.addUpstream("v", "engines", play)
+		if !reset {
+			b.connectInMemory(play)
 		}
 		c := b.dialSlowly("slow", 1, "x")
 		Eventually(cut).WithTimeout(10 * time.Second).Should(Receive())
