Gateway: in a shutdown, requests of plain services that may have run are repeated until answers are due

Callers of plain services got 502 "leaving", or a cut stream, where an upstream broke off later than 2.5 s after the gateway's SIGTERM, even with 26 s of 30 left: the question whether a request may still be sent, which is for first attempts, was also asked for repeats, continuations and hedges. Refusing does not help there, as no other gateway may be told that the request was not run.

Requests that an upstream may have run are now sent on until answers are due. Those proven not to have run are refused as before, and the caller's next gateway takes them.

--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -176,7 +176,8 @@
 }
 
 // completesInTime reports whether the answer is expected to be complete before a shutdown ends it, if the request is sent
-// now. Of services that are not engines nothing is known; their requests are sent as long as new ones are taken.
+// now. Of services that are not engines nothing is known: their requests are first sent as long as new ones are taken. What
+// may have run already can't be refused, so that another upstream is tried until answers are due.
 func (f *callerRequest) completesInTime(c placement.Choice) bool {
 	s := f.outlasted()
 	if s == nil {
@@ -185,12 +186,20 @@
 	now := f.gateway.now()
 	pool := f.catalog.Services[f.pool]
 	if pool == nil || pool.Engine == nil {
+		if f.mayHaveRun() {
+			return now.Before(s.answersDue)
+		}
 		return now.Before(s.acceptUntil)
 	}
 	expected := c.Predicted + placement.NewLatencyModel(pool.Engine).Generation(&c.Candidate, f.expectedAnswerTokens())
 	return !now.Add(waitSafetyFactor * expected).After(s.answersDue)
 }
 
+// mayHaveRun reports whether an upstream may have run the request.
+func (f *callerRequest) mayHaveRun() bool {
+	return f.hedged || !f.allNotRun
+}
+
 // startReceiving bounds the wait for the body.
 func (f *callerRequest) startReceiving() {
 	p := &f.progress
