Gateway: hedges of a stream expect the rest of the answer, not all of it

A hedge that continues a stream counted no event as forwarded, so that the expected length of its answer was that of a whole one: reservations and predictions were too long, and in a shutdown a hedge was denied that would have been over in time; the caller's stream stalled until its upstream went on.

The position of a stream, which a hedge starts from, now has the number of events forwarded.

--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -17,12 +17,14 @@
 	headSent    bool
 	revision    id.Revision
 	lastEventID string
+	// forwarded is the number of events that were forwarded whole.
+	forwarded int
 	// unsplit is true if no other upstream can continue it.
 	unsplit bool
 }
 
 func (f *callerRequest) currentPosition() streamPosition {
-	return streamPosition{headSent: f.headSent, revision: f.revision, lastEventID: f.events.lastID, unsplit: f.events.unsplit}
+	return streamPosition{headSent: f.headSent, revision: f.revision, lastEventID: f.events.lastID, forwarded: f.events.forwarded, unsplit: f.events.unsplit}
 }
 
 // hedge is a hedged attempt at another upstream while the first one is silent. Neither attempt is given up before
@@ -144,7 +146,7 @@
 		gateway: f.gateway, meta: f.meta, route: f.route, catalog: f.catalog, pool: f.pool, organisation: f.organisation, rank: f.rank, regions: f.regions, hedged: true, httpRequest: f.httpRequest,
 		arrived: f.arrived, elapsedBefore: f.elapsedBefore, deadline: f.deadline, callerDeadline: f.callerDeadline, body: f.body, unreadBody: f.unreadBody,
 		tried: maps.Clone(f.tried), attempts: t.attemptNumber, allNotRun: true, fingerprint: f.fingerprint, parts: f.parts, exclusive: f.exclusive, buffers: newBufferAccount(f.gateway.buffers),
-		headSent: t.position.headSent, revision: t.position.revision, events: eventSplitter{lastID: t.position.lastEventID},
+		headSent: t.position.headSent, revision: t.position.revision, events: eventSplitter{lastID: t.position.lastEventID, forwarded: t.position.forwarded},
 	}
 	for _, h := range t.failedHedges {
 		copied.attempts += h.attemptsUsed()
