Gateway: a request whose body is arriving at the end of a shutdown is refused, not dropped

A caller whose deadline is before answers are due may send its body until then. If the VM was suspended past the end meanwhile, the request's wait for the body did not notice that the shutdown had ended it, as reading a body knows nothing of contexts: the connection closed without an answer.

Ending a request now also ends its wait for the body, and the caller gets 503, not run.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -70,6 +71,10 @@
 		return false
 	case errors.Is(err, os.ErrDeadlineExceeded) && f.refuseIfLeaving():
 		return false
+	case errors.Is(context.Cause(f.ctx), errShutdown):
+		f.refuse(reasonLeaving, leavingRetryAfter)
+		f.boundUnreadBody()
+		return false
 	case err != nil:
 		f.fail(http.StatusBadRequest, "the body did not come whole")
 		return false
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -125,6 +125,7 @@
 		ended++
 		g.metrics.count("ended_by_shutdown")
 		f.cancel(errShutdown)
+		f.endReceiving()
 		if s == stageAnswering {
 			// A caller that does not read would block the handler.
 			_ = http.NewResponseController(f.writer).SetWriteDeadline(clock.DeadlineAfter(closeTime))
@@ -207,8 +208,8 @@
 	defer p.mu.Unlock()
 	p.stage = stageReceiving
 	wait := f.remaining()
-	if s := f.outlasted(); s != nil && !f.gateway.now().Before(s.acceptUntil) {
-		// stopReceiving may have been called before.
+	if s := f.outlasted(); f.ctx.Err() != nil || s != nil && !f.gateway.now().Before(s.acceptUntil) {
+		// endReceiving may have been called before.
 		wait = 0
 	}
 	_ = http.NewResponseController(f.writer).SetReadDeadline(clock.DeadlineAfter(wait))
@@ -216,10 +217,17 @@
 
 // stopReceiving ends the wait for a body that is not complete when the gateway stops taking requests.
 func (f *callerRequest) stopReceiving() {
+	if f.outlasted() != nil {
+		f.endReceiving()
+	}
+}
+
+// endReceiving ends the wait for a body that is not complete.
+func (f *callerRequest) endReceiving() {
 	p := &f.progress
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.stage == stageReceiving && f.outlasted() != nil {
+	if p.stage == stageReceiving {
 		_ = http.NewResponseController(f.writer).SetReadDeadline(clock.DeadlineAfter(0))
 	}
 }
--- a/internal/gateway/shutdown_resume_test.go
+++ b/internal/gateway/shutdown_resume_test.go
@@ -38,4 +38,18 @@
 		wg.Wait()
 		Expect(answered.Load()).To(BeEquivalentTo(inFlight))
 	})
+
+	It("answers a request whose body was still arriving", func() {
+		r := route(catalog.Unsafe, "plain")
+		r.Timeout = 3 * time.Second
+		p := startProcess(newTestbed(r))
+		p.addWorkingUpstream("u")
+		var suspended atomic.Int64
+		p.gateway.now = func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
+		p.terminate(5 * time.Second)
+		time.AfterFunc(time.Second, func() { suspended.Store(int64(10 * time.Second)) })
+		status, _, err := p.send("1", time.Minute, 0, 0, time.Minute)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+	})
 })
