Agent: a swap whose requests outlast its wait orders the load

A request may run for 2 minutes; a swap waits for 30 s for those on the version that it replaces. The order to load was then sent with the context that bounds the wait, which had ended: the engine got no order, while the version was out of service already.

--- a/internal/upstream/activator.go
+++ b/internal/upstream/activator.go
@@ -198,9 +198,9 @@
 		a.addEvent(kernel.EventVersionLost, a.config().Rollout(old), "swap to "+r.GetVersion().GetName())
 	}
 	a.reportStatus(s, true, all)
-	ctx, stop := context.WithTimeout(ctx, swapDrainTimeout)
+	waitContext, stop := context.WithTimeout(ctx, swapDrainTimeout)
 	defer stop()
-	a.live.WaitIdle(ctx, k)
+	a.live.WaitIdle(waitContext, k)
 	a.orderLoad(ctx, r)
 }
 
--- a/internal/upstream/live_test.go
+++ b/internal/upstream/live_test.go
@@ -12,7 +12,11 @@
 	"github.com/springrail/springrail/internal/spec"
 )
 
+// suite is the test that runs all specs; those in virtual time need it.
+var suite *testing.T
+
 func TestUpstream(t *testing.T) {
+	suite = t
 	spec.Run(t, "An upstream")
 }
 
