Agent: requests that run on a version count also after it was announced again

A swap takes the old version out of service and waits for its requests. If the load failed, or the engine had the version still, the next look at the engine announced it again, and the requests that ran were forgotten: the next swap did not wait for them, and the engine loaded under them.

Announcing a version keeps the count of the model's requests. The spec failed before and passes.

--- a/internal/upstream/live.go
+++ b/internal/upstream/live.go
@@ -42,10 +42,16 @@
 func (l *LiveVersions) Announce(k modelKey, v id.Version, r id.Rollout) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if m := l.models[k]; m != nil && m.rollout == r {
+	m := l.models[k]
+	if m == nil {
+		m = &liveModel{}
+		l.models[k] = m
+	}
+	if m.rollout == r {
 		return false
 	}
-	l.models[k] = &liveModel{version: v, rollout: r}
+	// Requests on an earlier version of the model may still run.
+	m.version, m.rollout = v, r
 	return true
 }
 
--- a/internal/upstream/live_test.go
+++ b/internal/upstream/live_test.go
@@ -46,6 +46,20 @@
 		wait.Wait()
 	})
 
+	It("still counts the requests on it after it was withdrawn and announced again", func() {
+		l := NewLiveVersions()
+		l.Announce(k, "v1", "r1")
+		_, release, ok := l.Acquire(k, "r1")
+		Expect(ok).To(BeTrue())
+		Expect(l.Withdraw(k)).To(BeTrue())
+		Expect(l.Announce(k, "v1", "r1")).To(BeTrue())
+		shortCtx, stop := context.WithTimeout(context.Background(), time.Millisecond)
+		defer stop()
+		Expect(l.WaitIdle(shortCtx, k)).To(BeFalse())
+		release()
+		Expect(l.WaitIdle(context.Background(), k)).To(BeTrue())
+	})
+
 	It("is not acquired for another rollout", func() {
 		l := NewLiveVersions()
 		l.Announce(k, "v2", "r2")
