Agent: the end of a shutdown does not miss a request that detaches from its caller

A request with an idempotency key continues without its caller: the function that ends it is replaced as it starts. If all requests were ended between its admission and that, the end was lost, and the request was cut off in silence when the process ended.

A request that starts to run after that is ended at once.

--- a/internal/upstream/request_handler.go
+++ b/internal/upstream/request_handler.go
@@ -44,6 +44,8 @@
 	// running holds the requests in flight, with the functions that end them.
 	running map[*responseStream]context.CancelFunc
 	leaving bool
+	// ended is true once the requests in flight have been ended.
+	ended   bool
 	drained chan struct{}
 }
 
@@ -144,6 +146,7 @@
 func (d *RequestHandler) endAll() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.ended = true
 	for _, stop := range d.running {
 		stop()
 	}
@@ -186,6 +189,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.running[a] = stop
+	if d.ended {
+		stop()
+	}
 }
 
 func (d *RequestHandler) replay(a *responseStream, e *idempotencyRecord) error {
--- a/internal/upstream/shutdown_test.go
+++ b/internal/upstream/shutdown_test.go
@@ -73,4 +73,12 @@
 	},
 		Entry("without a key", ""),
 		Entry("with an idempotency key, which continues without its caller", "k"))
+
+	It("also ends a request with an idempotency key that detaches from its caller at that moment", func() {
+		d := &RequestHandler{running: map[*responseStream]context.CancelFunc{}}
+		d.endAll()
+		ctx, stop := context.WithCancel(context.Background())
+		d.continueUntil(&responseStream{}, stop)
+		Expect(ctx.Err()).To(HaveOccurred())
+	})
 })
