--- a/internal/quarantine/prompt_part_simulation_test.go
+++ b/internal/quarantine/prompt_part_simulation_test.go
@@ -57,6 +57,15 @@
 	return append(sharedPrompt(random), "rare", bad)
 }
 
+// frequentPrompt draws two parts of ten, so that each is in many requests.
+func frequentPrompt(random *rand.Rand) []string {
+	return []string{fmt.Sprint("a", random.IntN(3)), fmt.Sprint("c", random.IntN(7))}
+}
+
+func badAmongFrequent(random *rand.Rand, bad string) []string {
+	return slices.Insert(frequentPrompt(random), 1, bad)
+}
+
 // promptDeployment returns a deployment whose requests state the parts of their prompts.
 func promptDeployment() simulationConfig {
 	m := typicalDeployment()
@@ -146,4 +155,15 @@
 		Expect(held).To(BeZero())
 		Expect(refused).To(BeNumerically("<", proper/1000))
 	})
+
+	It("hold no harmless part if two parts crash the only four upstreams from the start on", func() {
+		for seed := range uint64(10) {
+			m := promptDeployment()
+			m.gateways, m.upstreams, m.proper, m.warmUp = 4, 4, 60, 0
+			m.prompt, m.badPrompt, m.bad, m.badRate = frequentPrompt, badAmongFrequent, 2, 4
+			t := simulate(m, seed)
+			Expect(t.heldHarmless()).To(BeZero(), fmt.Sprint("seed ", seed))
+			Expect(t.lateParts()).To(BeNumerically("<=", maxLatePartSends), fmt.Sprint("seed ", seed))
+		}
+	})
 })
