Records: a gateway leaves a named process as soon as any other source

What callers saw: nothing in the fleet yet; in a domain whose reader the store turns away, a change was known to all only after up to 4 s instead of 2 s.

Cause: a process with 16 followers names others in its own place, and records of a named process were accepted until they were 3 s old, while those of any other source are left at 1.1 s. A gateway whose turn to take over comes first thus stayed for 3 s with a stager whose turn comes last, and nobody read.

Change: the longer age no longer applies to gateways, which take over by their order. Stagers are as before. The service measures how long it holds a request with the clock that New is given, so that specs can play it in virtual time.

--- a/internal/records/answer.go
+++ b/internal/records/answer.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -109,9 +110,10 @@
 }
 
 // maxAge returns the maximum age of records accepted from the current source. A peer or a process named in a redirect
-// follows another one itself, so its records are older by up to the wait of a request.
+// follows another one itself, so its records are older by up to the wait of a request. A gateway does not wait longer for
+// a named process than for any other: its turn to take over may come first, and that of a stager comes last.
 func (f *Follower) maxAge(l *Log) time.Duration {
-	if f.viaPeer || f.viaRedirect {
+	if f.viaPeer || (f.viaRedirect && !slices.Contains(f.gateways(), f.self)) {
 		return maxOperatorsAge
 	}
 	return l.maxAge()
--- a/internal/records/domain_test.go
+++ b/internal/records/domain_test.go
@@ -17,13 +17,20 @@
 
 // link simulates the network link to the store that the processes of one failure domain share.
 type link struct {
-	mu sync.Mutex
 	// perSecond is its rate in bytes.
 	perSecond int
+	// busy is held while the link sends; a mutex would stop virtual time.
+	busy chan struct{}
+
+	mu sync.Mutex
 	// largeAnswers counts the large answers.
 	largeAnswers int
 }
 
+func newLink(perSecond int) *link {
+	return &link{perSecond: perSecond, busy: make(chan struct{}, 1)}
+}
+
 // largeAnswerBytes is the size from which on an answer counts as large.
 const largeAnswerBytes = 100 << 10
 
@@ -39,9 +46,9 @@
 	}
 	for bytes > 0 && ctx.Err() == nil {
 		n := min(bytes, linkChunk)
-		l.mu.Lock()
+		l.busy <- struct{}{}
 		time.Sleep(time.Duration(n) * time.Second / time.Duration(l.perSecond))
-		l.mu.Unlock()
+		<-l.busy
 		bytes -= n
 		progress(n)
 	}
@@ -70,13 +77,23 @@
 	rejected map[string]bool
 	// requests counts the requests between processes.
 	requests int
+	// roundTrip is the time that a request between processes takes beside the answer's own.
+	roundTrip time.Duration
+	// stops end the processes.
+	stops []context.CancelFunc
 }
 
 // newDomain starts the processes of a domain. The link transfers a configuration of the given size in the given time.
 func newDomain(gateways, stagers, size int, transferTime time.Duration) *domain {
+	return newDomainWith(gateways, stagers, size, transferTime, 0)
+}
+
+// newDomainWith is newDomain with a round-trip time between processes.
+func newDomainWith(gateways, stagers, size int, transferTime, roundTrip time.Duration) *domain {
 	d := &domain{
-		store: &fakeStore{logs: map[string][]Record{}}, byName: map[string]*process{}, frozen: map[string]chan struct{}{}, rejected: map[string]bool{},
-		link: &link{perSecond: int(float64(size) / transferTime.Seconds())},
+		roundTrip: roundTrip,
+		store:     &fakeStore{logs: map[string][]Record{}}, byName: map[string]*process{}, frozen: map[string]chan struct{}{}, rejected: map[string]bool{},
+		link: newLink(int(float64(size) / transferTime.Seconds())),
 	}
 	inner := d.store.store()
 	d.linkedStore = Store{
@@ -165,7 +182,7 @@
 			}
 		})
 	}
-	p := newProcessWith(name, wait, storeCalls, func(ctx context.Context, address string, q *pb.FollowRequest) (*pb.FollowResponse, error) {
+	p, stop := startProcess(name, wait, storeCalls, func(ctx context.Context, address string, q *pb.FollowRequest) (*pb.FollowResponse, error) {
 		d.mu.Lock()
 		d.requests++
 		to := d.byName[address]
@@ -176,6 +193,7 @@
 		if err := d.waitWhileFrozen(ctx, address); err != nil {
 			return nil, err
 		}
+		kernel.Pause(ctx, d.roundTrip)
 		a, err := to.service.Follow(ctx, q)
 		if frozenErr := d.waitWhileFrozen(ctx, address); frozenErr != nil {
 			return nil, frozenErr
@@ -193,6 +211,14 @@
 	defer d.mu.Unlock()
 	d.byName[name] = p
 	d.processes = append(d.processes, p)
+	d.stops = append(d.stops, stop)
+}
+
+// stop ends the processes.
+func (d *domain) stop() {
+	for _, stop := range d.stops {
+		stop()
+	}
 }
 
 // waitWhileFrozen returns once a process is not frozen.
--- a/internal/records/joint_start_test.go
+++ b/internal/records/joint_start_test.go
@@ -28,7 +28,7 @@
 		s := &fakeStore{logs: map[string][]Record{}}
 		s.write("op", "config", "1 "+strings.Repeat("x", configBytes))
 		s.write("up", "u", "here")
-		l := &link{perSecond: int(configBytes / configTransfer.Seconds())}
+		l := newLink(int(configBytes / configTransfer.Seconds()))
 		storeCalls := s.store()
 		storeCalls.Snapshot = func(ctx context.Context, topic string, progress Progress) ([]Record, id.Position, error) {
 			r, next, err := s.store().Snapshot(ctx, topic, progress)
--- a/internal/records/lease_test.go
+++ b/internal/records/lease_test.go
@@ -283,7 +283,7 @@
 			}
 			return l
 		}
-		source = &Service{logs: logs("source"), origin: newOrigin("source", clock), hint: newSourceHint(clock), domain: "d"}
+		source = &Service{logs: logs("source"), origin: newOrigin("source", clock), hint: newSourceHint(clock), domain: "d", now: clock}
 		f = &Follower{
 			logs: logs("self"), upstreamsGate: &gate{}, operatorsGate: &gate{}, origin: newOrigin("self", clock), self: "self", domain: "d", now: clock, log: silentLogger,
 			metrics: new(expvar.Map), hint: newSourceHint(clock), avoidUntil: map[string]time.Time{}, followsThisUntil: map[string]time.Time{}, withoutStoreUntil: map[string]time.Time{}, nextSnapshotAt: map[string]time.Time{},
--- a/internal/records/part.go
+++ b/internal/records/part.go
@@ -127,7 +127,7 @@
 		},
 		follower: w,
 		service: &Service{
-			logs: logs, origin: o, hint: t, domain: d, remoteRequests: &remoteRequests{now: now, byTopic: map[remoteTopic]requesters{}}, followers: followers,
+			logs: logs, origin: o, hint: t, domain: d, now: now, remoteRequests: &remoteRequests{now: now, byTopic: map[remoteTopic]requesters{}}, followers: followers,
 		},
 	}
 }
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -17,7 +17,11 @@
 	"github.com/springrail/springrail/internal/spec"
 )
 
+// suite is the test that runs the specs; those in virtual time need it.
+var suite *testing.T
+
 func TestRecords(t *testing.T) {
+	suite = t
 	spec.Run(t, "Records")
 }
 
--- a/internal/records/redirect_test.go
+++ b/internal/records/redirect_test.go
@@ -32,7 +32,7 @@
 	It("are redirected only while there are as many others, and by a source with fresh records", func() {
 		now := time.Now()
 		l := NewLog(Topic{Name: "op"}, facts.New(time.Now), func() time.Time { return now }, silentLogger)
-		s := &Service{logs: []*Log{l}, origin: newOrigin("s", time.Now), followers: newFollowerSet(func() time.Time { return now })}
+		s := &Service{logs: []*Log{l}, origin: newOrigin("s", time.Now), followers: newFollowerSet(func() time.Time { return now }), now: time.Now}
 		redirects := func(name string) []string { return s.redirects(&pb.FollowRequest{Follower: name}) }
 		l.Merge(Batch{Snapshot: true, Next: 1, ConfirmedAt: now})
 		for n := range maxFollowers {
--- a/internal/records/service.go
+++ b/internal/records/service.go
@@ -9,7 +9,6 @@
 	"connectrpc.com/connect"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
-	"github.com/springrail/springrail/internal/clock"
 	"github.com/springrail/springrail/internal/id"
 )
 
@@ -22,6 +21,7 @@
 	origin *origin
 	hint   *sourceHint
 	domain id.Domain
+	now    func() time.Time
 	// remoteRequests holds the lease requests of other failure domains.
 	remoteRequests *remoteRequests
 	followers      *followerSet
@@ -44,10 +44,10 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	receivedAt := clock.Now()
+	receivedAt := s.now()
 	for timedOut := false; ; {
 		// Measured before the ages in the answer are computed, so that the time this takes is never counted as transfer time.
-		held := clock.Now().Sub(receivedAt)
+		held := s.now().Sub(receivedAt)
 		a, changed, err := s.collectChanges(q)
 		if err != nil {
 			return nil, err
--- a/internal/records/wire_test.go
+++ b/internal/records/wire_test.go
@@ -53,7 +53,7 @@
 		p.emptyLog = NewLog(Topic{Name: "u", Apply: func(Record) error { return nil }}, facts.New(clock), clock, silentLogger)
 		p.emptyLog.epoch = p.log.epoch
 		logs := []*Log{p.log, p.emptyLog}
-		p.service = &Service{logs: logs, origin: newOrigin(p.name, clock), hint: newSourceHint(clock), domain: "d"}
+		p.service = &Service{logs: logs, origin: newOrigin(p.name, clock), hint: newSourceHint(clock), domain: "d", now: clock}
 		p.follower = &Follower{
 			logs: logs, upstreamsGate: &gate{}, operatorsGate: &gate{}, origin: p.service.origin, self: p.name, domain: "d", now: clock, log: silentLogger,
 			metrics: new(expvar.Map), avoidUntil: map[string]time.Time{}, followsThisUntil: map[string]time.Time{}, withoutStoreUntil: map[string]time.Time{}, nextSnapshotAt: map[string]time.Time{}, hint: p.service.hint,
