Show that proper requests that arrive slowly are denied with 400

Looked for: the rule DENIED, at bodies that come later than the timeout of their route and within their client's deadline.

How: a script sends 40 requests whose bodies come in two halves, 1 s apart, among 380 others, to two gateways.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -30,6 +30,7 @@
 var scenarios = map[string]scenario{
 	"whole":    playWhole,
 	"manifest": playManifest,
+	"denied":   playDenied,
 }
 
 func main() {
