Show that a harmless part of prompts is held beside two that crash servers

How: a script sends requests with two such parts to two gateways with four model servers, beside sound requests with the same first part.

It takes the place of the case of proper requests that arrive slowly, which stays in the rig.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -13,6 +13,9 @@
 	"time"
 )
 
+// firstPart is the ID of the part with which all prompts begin.
+const firstPart = "5c1e07a2"
+
 // clients send requests in the site's proportions, each on a new connection, to the gateways that are ready.
 type clients struct {
 	world     *world
@@ -33,6 +36,8 @@
 	served  bool
 	version int
 	weights string
+	// firstID is the Request-Id of the first attempt.
+	firstID string
 }
 
 func newClients(w *world, perSecond float64) *clients {
@@ -114,6 +119,9 @@
 		to = c.ready[rand.IntN(len(c.ready))].ip + ":8005"
 	}
 	c.mu.Unlock()
+	if o.firstID == "" {
+		o.firstID = id
+	}
 	if to == "" {
 		return 0, errNotRun
 	}
@@ -132,7 +140,7 @@
 	}
 	defer a.Body.Close()
 	body, err := io.ReadAll(a.Body)
-	c.world.record.add("client: %s gets %d, %d bytes, version %s, whole=%v", id, a.StatusCode, len(body), a.Header.Get("Versions"), err == nil)
+	c.world.record.add("client: %s gets %d, %d bytes, version %s, whole=%v%s", id, a.StatusCode, len(body), a.Header.Get("Versions"), err == nil, reasonOf(a, body))
 	switch {
 	case err != nil:
 		return 0, err
@@ -149,6 +157,14 @@
 	}
 }
 
+// reasonOf returns the text of a refusal.
+func reasonOf(a *http.Response, body []byte) string {
+	if a.StatusCode == http.StatusOK {
+		return ""
+	}
+	return fmt.Sprintf(": %.60q, Retry-After %s", body, a.Header.Get("Retry-After"))
+}
+
 // weightsInBody returns the weights that the last event of a stream names.
 func weightsInBody(body string) string {
 	f := strings.Fields(body)
@@ -174,7 +190,7 @@
 	if r.kind == "streaming" {
 		q.Header.Set("Model", modelName)
 		q.Header.Set("Token-Usage", fmt.Sprintf("%d,100", r.prompt))
-		q.Header.Set("Prompt-Prefix", fmt.Sprintf("5c1e07a2:40,%s:%d", id, r.prompt-40))
+		q.Header.Set("Prompt-Prefix", fmt.Sprintf("%s:40,%s:%d", firstPart, id, r.prompt-40))
 	}
 	return q, nil
 }
--- a/review/rig/config.go
+++ b/review/rig/config.go
@@ -29,7 +29,8 @@
 )
 
 // putConfig writes the configuration to the store.
-func (w *world) putConfig(version int) {
+func (w *world) putConfig() {
+	const version = 1
 	list := ""
 	for i, r := range routes {
 		if i > 0 {
--- a/review/rig/denied.go
+++ b/review/rig/denied.go
@@ -37,7 +37,7 @@
 
 // playDenied sends proper requests to a service without a model, some of which arrive slowly.
 func playDenied(ctx context.Context, w *world, trouble bool) (string, error) {
-	w.putConfig(1)
+	w.putConfig()
 	if err := errors.Join(w.addEngines(0, 1), w.addPlainServers(0, 1), w.addProcesses(0, 1)); err != nil {
 		return "", err
 	}
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -11,10 +11,12 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/springrail/springrail/internal/standin"
 )
 
 const (
-	// eventInterval is the time between two events of a stream, and eventsPerStream the number of events in one.
+	// eventInterval is the usual time between two events of a stream, and eventsPerStream the number of events in one.
 	eventInterval   = 50 * time.Millisecond
 	eventsPerStream = 20
 	// badLongEnough is the time before an order within which a piece may turn bad without breaking the rule WHOLE.
@@ -23,10 +25,15 @@
 
 // engine is a model server of the platform.
 type engine struct {
-	id, address, domain string
-	record              *record
+	name, address, domain string
+	record                *record
+	store                 *standin.KeyedStore
+	// interval is the time between two events of a stream.
+	interval time.Duration
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// id identifies the current start.
+	id     string
 	staged map[int][]byte
 	// badSince is when a staged piece turned bad.
 	badSince map[int]time.Time
@@ -37,12 +44,19 @@
 	orders  int
 	busy    bool
 	// pending is the version that is loaded once nothing runs, with its weights.
-	pending                       int
-	pendingWeights, pendingWrong  string
-	running                       int
-	lastRead                      int
-	onVerified, onOrder, onBadRun func()
-	badRuns                       int
+	pending                      int
+	pendingWeights, pendingWrong string
+	running                      int
+	lastRead                     int
+	onVerified, onOrder          func()
+	badRuns                      int
+	// life counts the starts; down is true from a crash to the next start, and server serves the current life.
+	life   int
+	down   bool
+	server *http.Server
+	// onRun is called for each request that begins, and onCrash for each crash.
+	onRun   func(id string)
+	onCrash func()
 }
 
 // weightsOf names the content of a version's pieces.
@@ -55,12 +69,12 @@
 }
 
 func newEngine(id, address, domain string, r *record) *engine {
-	e := &engine{id: id, address: address, domain: domain, record: r, staged: map[int][]byte{}, badSince: map[int]time.Time{}, version: firstVersion, lastRead: -1}
+	e := &engine{name: id, id: id, interval: eventInterval, address: address, domain: domain, record: r, staged: map[int][]byte{}, badSince: map[int]time.Time{}, version: firstVersion, lastRead: -1}
 	for n := range chunkCount {
 		e.staged[n] = chunkOf(firstVersion, n)
 	}
 	e.weights = weightsOf(func(n int) []byte { return e.staged[n] })
-	e.onVerified, e.onOrder, e.onBadRun = func() {}, func() {}, func() {}
+	e.onVerified, e.onOrder, e.onRun, e.onCrash = func() {}, func() {}, func(string) {}, func() {}
 	return e
 }
 
@@ -215,9 +229,13 @@
 	}
 	version, weights, wrong := e.pending, e.pendingWeights, e.pendingWrong
 	e.pending = 0
+	life := e.life
 	time.AfterFunc(loadTime, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
+		if e.life != life {
+			return
+		}
 		e.busy, e.version, e.weights, e.wrong = false, version, weights, wrong
 		e.record.add("%s: serves version %d", e.id, version)
 	})
@@ -227,6 +245,9 @@
 func (e *engine) begin(r *http.Request) (version int, weights, wrong string, refused int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.down {
+		return 0, "", "", http.StatusServiceUnavailable
+	}
 	expected := r.Header.Get("Expect-Version")
 	switch {
 	case r.Header.Get("Target-Instance") != e.id, e.version == 0, expected != "" && expected != strconv.Itoa(e.version):
@@ -251,13 +272,9 @@
 		e.record.add("%s: %s not run, %d", e.id, id, refused)
 		return
 	}
-	defer func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.running--
-		e.loadIfIdle()
-	}()
+	defer e.end(e.currentLife())
 	e.record.add("%s: runs %s on version %d", e.id, id, version)
+	e.onRun(id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Versions", strconv.Itoa(version))
 	w.Header().Set("Response-Seal", sealOf(e.id, id))
@@ -269,12 +286,32 @@
 		e.record.add("%s: %s gets tokens made with wrong weights: %s", e.id, id, wrong)
 	}
 	for n := after + 1; n <= eventsPerStream && r.Context().Err() == nil; n++ {
-		pause(r.Context(), eventInterval)
+		pause(r.Context(), e.interval)
+		if n > after+1 && strings.Contains(r.Header.Get("Prompt-Prefix"), crashPart) {
+			e.crash(id)
+			return
+		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d %s\n\n", n, id, version, weights)
 		_ = http.NewResponseController(w).Flush()
 	}
 }
 
+func (e *engine) currentLife() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.life
+}
+
+// end ends a request of a life.
+func (e *engine) end(life int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.life == life && !e.down {
+		e.running--
+		e.loadIfIdle()
+	}
+}
+
 // badRunCount returns the number of requests whose tokens were made with weights that the rule WHOLE forbids.
 func (e *engine) badRunCount() int {
 	e.mu.Lock()
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -31,6 +31,7 @@
 	"whole":    playWhole,
 	"manifest": playManifest,
 	"denied":   playDenied,
+	"harmless": playHarmless,
 }
 
 func main() {
--- a/review/rig/manifest.go
+++ b/review/rig/manifest.go
@@ -20,7 +20,7 @@
 // playManifest names a version, kills all processes right after its acknowledgement, and spoils one digit in the first
 // manifest that each stager gets of the origin.
 func playManifest(ctx context.Context, w *world, trouble bool) (string, error) {
-	w.putConfig(1)
+	w.putConfig()
 	if err := errors.Join(w.addEngines(0, 1), w.addPlainServers(0, 1), w.addProcesses(0, 1)); err != nil {
 		return "", err
 	}
--- a/review/rig/whole.go
+++ b/review/rig/whole.go
@@ -22,7 +22,7 @@
 // playWhole names a version, turns pieces bad at a server whose stager has just compared them, and stops that stager
 // before it sends the order to load.
 func playWhole(ctx context.Context, w *world, trouble bool) (string, error) {
-	w.putConfig(1)
+	w.putConfig()
 	if err := errors.Join(w.addEngines(0, 0, 1, 1), w.addPlainServers(0, 1), w.addProcesses(0, 1)); err != nil {
 		return "", err
 	}
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -91,6 +91,9 @@
 	for _, p := range w.processes() {
 		p.kill()
 	}
+	for _, e := range w.engines {
+		e.close()
+	}
 	w.lock.Close()
 }
 
@@ -107,11 +110,12 @@
 func (w *world) addEngines(domains ...int) error {
 	for i, d := range domains {
 		e := newEngine(fmt.Sprintf("engine-%d", i+1), fmt.Sprintf("%s.2.%d:8001", w.net, i+1), domainName(d), w.record)
-		if err := w.serve(e.address, e); err != nil {
+		e.store = w.store
+		if err := e.listen(); err != nil {
 			return err
 		}
 		w.engines = append(w.engines, e)
-		go w.beat(e.id, e.entry)
+		go e.beat(w.ctx)
 	}
 	return nil
 }
