--- a/review/rig/config.go
+++ b/review/rig/config.go
@@ -28,10 +28,24 @@
 	tenant    = "bozi300"
 )
 
-// putConfig writes the configuration to the store.
+// addedPath is the path of the route that only the given version of the configuration has.
+func addedPath(version int) string {
+	return fmt.Sprintf("/added-%d/", version)
+}
+
+// putConfig writes the first version of the configuration to the store.
 func (w *world) putConfig() {
-	const version = 1
+	w.putVersion(1)
+}
+
+// putVersion writes a version of the configuration to the store; the store's acknowledgement is its return. Each version but
+// the first has a route of its own beside the others.
+func (w *world) putVersion(version int) {
 	list := ""
+	if version > 1 {
+		list = fmt.Sprintf(`{"name":"added-%d","host":%q,"pathPrefix":%q,"kind":"safe","timeoutMs":800,"targetLatencyMs":300,"priority":1,"service":%q,"maxAttempts":2,"public":true},`,
+			version, routeHost, addedPath(version), plainService)
+	}
 	for i, r := range routes {
 		if i > 0 {
 			list += ","
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -32,6 +32,7 @@
 	"manifest": playManifest,
 	"denied":   playDenied,
 	"harmless": playHarmless,
+	"stale":    playStale,
 }
 
 func main() {
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -44,6 +44,7 @@
 	net      string
 	lock     net.Listener
 	store    *standin.KeyedStore
+	outage   *partialOutage
 	origin   *origin
 	engines  []*engine
 	plain    []*plainServer
@@ -63,7 +64,8 @@
 		return nil, fmt.Errorf("no free network of loopback addresses")
 	}
 	w.origin = newOrigin(r)
-	if err := w.serve(w.storeAddress(), w.store.NewEndpoint()); err != nil {
+	w.outage = &partialOutage{next: w.store.NewEndpoint()}
+	if err := w.serve(w.storeAddress(), w.outage); err != nil {
 		return nil, err
 	}
 	return w, w.serve(w.originAddress(), w.origin)
