--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -102,7 +102,18 @@
 // upstreamEnded reports whether an upstream's process has ended, that is, whether its VM refuses connections. An
 // upstream that does not respond may be partitioned, frozen or without power, which no request causes.
 func (g *Gateway) upstreamEnded(ctx context.Context, s quarantine.Incarnation) (ended, known bool) {
-	return g.connections.ProbeRefused(ctx, s.Address, s.Born)
+	ended, known = g.connections.ProbeRefused(ctx, s.Address, s.Born)
+	result := "accepted"
+	switch {
+	case ended:
+		result = "refused"
+	case !known:
+		result = "unanswered"
+	}
+	g.metrics.count("crash_checks_" + result)
+	g.log.Info().Str("instance", string(s.Instance)).Str("upstream", s.Address).Str("connection", result).
+		Msg("checked whether the upstream process has ended under requests that broke off")
+	return ended, known
 }
 
 // requestRegistry holds the requests in flight by fingerprint.
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -170,7 +170,7 @@
 		g.metrics.count("stalled_without_other_upstream")
 		return false
 	}
-	if !f.completesInTime(c) || !g.retryBudget.TakeRetry(f.pool) {
+	if !f.completesInTime(c) || !g.takeRetry(f.pool) {
 		return false
 	}
 	g.metrics.count("hedged")
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -227,7 +227,17 @@
 	if ctx.Err() != nil || p.final || f.checkSuspects() != quarantine.Pass || !f.hasAttemptsLeft() || !Retryable(f.route, len(f.tried), p.notRun, f.headSent) || f.events.unsplit {
 		return false
 	}
-	return f.attempts == 0 || f.gateway.retryBudget.TakeRetry(f.pool)
+	return f.attempts == 0 || f.gateway.takeRetry(f.pool)
+}
+
+// takeRetry consumes one retry of the budget, or returns false if that is exhausted.
+func (g *Gateway) takeRetry(p id.Pool) bool {
+	if !g.retryBudget.TakeRetry(p) {
+		g.metrics.count("retries_denied")
+		return false
+	}
+	g.metrics.count("retries")
+	return true
 }
 
 // Retryable reports whether a request that failed at an upstream may be sent to another one, judged by its route
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -94,14 +94,38 @@
 }
 
 func (b *RetryBudget) hasRetry(w *window, i int) bool {
-	requests, retries := 0, 0
+	u := b.usage(w, i)
+	return float64(u.Retries+1) <= u.Allowed
+}
+
+// RetryUsage is the state of the budget for one pool: the requests and retries of this process in the window, the number
+// of retries that it may make in it, and the number of processes that the slack is divided by.
+type RetryUsage struct {
+	Requests, Retries int
+	Allowed           float64
+	Gateways          int
+}
+
+// Usage returns the state of the budget by pool.
+func (b *RetryBudget) Usage() map[id.Pool]RetryUsage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := map[id.Pool]RetryUsage{}
+	for p := range b.pools {
+		all[p] = b.usage(b.window(p))
+	}
+	return all
+}
+
+func (b *RetryBudget) usage(w *window, i int) RetryUsage {
+	u := RetryUsage{Gateways: max(1, b.gateways())}
 	for age := range keptBuckets {
 		k := (i + keptBuckets - age) % keptBuckets
-		retries += w.retries[k]
+		u.Retries += w.retries[k]
 		if age < budgetBuckets-1 {
-			requests += w.requests[k]
+			u.Requests += w.requests[k]
 		}
 	}
-	slack := b.rule.Slack / float64(max(1, b.gateways()))
-	return float64(retries+1) <= budgetUtilisation*(b.rule.Ratio*float64(requests)+slack)
+	u.Allowed = budgetUtilisation * (b.rule.Ratio*float64(u.Requests) + b.rule.Slack/float64(u.Gateways))
+	return u
 }
