Find crashes of upstreams whose listeners close after their connections

What callers saw: upstreams crashed one after the other, with all that ran there, as the request that crashes them was sent on without end.

Cause: 20 ms after requests had broken off, the gateway dialled the upstream once and took a connection that was accepted for proof that its process runs. The crash was never counted, and an answer without a length looked whole and cleared its request. Class: the absence of proof at one moment taken as proof of the opposite.

The detector goes on looking until the process proves to run (an answer to a later request, its stager) or to have ended (refused, down, a new instance, connections that are closed at once).

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -7,8 +7,12 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/springrail/springrail/internal/catalog"
+	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/placement"
+	"github.com/springrail/springrail/internal/upconn"
 )
 
 const (
@@ -90,8 +94,8 @@
 		}
 	}
 	t.answerComplete = true
-	if e.StatusCode < http.StatusMultipleChoices && t.endProven {
-		f.gateway.suspects.Served(f.fingerprint, f.parts...)
+	if e.StatusCode < http.StatusMultipleChoices {
+		t.noteServed()
 	}
 	f.complete(strconv.Itoa(e.StatusCode))
 	return nil
@@ -285,13 +289,42 @@
 		return false
 	}
 	g := t.request.gateway
-	ended, known := g.connections.ProbeRefused(t.ctx, t.choice.Address, t.choice.Incarnation)
-	t.endProven = known && !ended
-	i := g.facts.Instance(t.choice.Instance)
-	left := i == nil || i.Leaving || g.facts.AnnouncedLeaving(t.choice.Instance, t.choice.Incarnation)
-	return ended && !left
+	s, endedAt := t.upstreamIncarnation(), g.now()
+	w := g.connections.Watch(s.Address, s.Born)
+	defer w.Keep()
+	for _, d := range endLookPauses {
+		kernel.Pause(t.ctx, d)
+		p := w.Look(t.ctx)
+		ended := p == upconn.Refused || g.loadSources.Tracker.ProcessSince(s.Address, s.Born, endedAt) == placement.ProcessEnded
+		if ended || p == upconn.Unanswered {
+			return ended && !t.upstreamLeft()
+		}
+	}
+	return false
+}
+
+// upstreamLeft reports whether the upstream leaves or is no longer listed.
+func (t *attempt) upstreamLeft() bool {
+	f := t.request.gateway.facts
+	i := f.Instance(t.choice.Instance)
+	return i == nil || i.Leaving || f.AnnouncedLeaving(t.choice.Instance, t.choice.Incarnation)
 }
 
+// noteServed clears the request of suspicions once it is known that its upstream has not crashed in the answer.
+func (t *attempt) noteServed() {
+	f := t.request
+	served := func() { f.gateway.suspects.Served(f.fingerprint, f.parts...) }
+	switch {
+	case t.endProven:
+		served()
+	case !t.upstreamLeft():
+		f.gateway.crashDetector.EndUnproven(t.upstreamIncarnation(), t.inFlightRequest(), served)
+	}
+}
+// endLookPauses are the pauses before the looks at an upstream whose answer ended with its connection.
+var endLookPauses = [...]time.Duration{0, 40 * time.Millisecond, 80 * time.Millisecond}
+
+
 // isEventStream reports whether a response has no other content than server-sent events, as far as its header says.
 func isEventStream(h http.Header) bool {
 	kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
@@ -306,9 +339,7 @@
 	}
 	t.sendHead(false, 0)
 	t.answerComplete = true
-	if t.endProven {
-		f.gateway.suspects.Served(f.fingerprint, f.parts...)
-	}
+	t.noteServed()
 	f.recordAnswerLength()
 	f.complete("stream")
 	return nil
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,7 +57,7 @@
 	f.attempts++
 	t := &attempt{
 		request: f, choice: c, tracked: g.loadSources.Tracker.Begin(c.Address, f.meta.PromptTokens), permit: f.permit, parentCtx: ctx,
-		attemptNumber: f.attempts, eventsBefore: f.events.forwarded, lastByteAt: g.now(), position: f.currentPosition(),
+		attemptNumber: f.attempts, eventsBefore: f.events.forwarded, lastByteAt: g.now(), startedAt: g.now(), position: f.currentPosition(),
 	}
 	t.ctx, t.cancel = context.WithCancelCause(ctx)
 	if c.Revision > 0 && f.meta.Model != "" {
@@ -201,6 +201,8 @@
 	// answerComplete is true once the response has been read to its end, so that the connection can be reused.
 	answerComplete bool
 	startRecorded  bool
+	// startedAt is when the attempt was about to be sent.
+	startedAt time.Time
 	// endProven is true once the end of the answer proves that it is complete and that the upstream has not crashed under it.
 	endProven bool
 	// answerStarted is true once the upstream has sent any part of its response.
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/placement"
 	"github.com/springrail/springrail/internal/quarantine"
+	"github.com/springrail/springrail/internal/upconn"
 )
 
 const (
@@ -99,21 +103,65 @@
 	t.request.gateway.crashDetector.RequestAbandoned(t.upstreamIncarnation(), t.inFlightRequest())
 }
 
-// upstreamEnded reports whether an upstream's process has ended, that is, whether its VM refuses connections. An
-// upstream that does not respond may be partitioned, frozen or without power, which no request causes.
-func (g *Gateway) upstreamEnded(ctx context.Context, s quarantine.Incarnation) (ended, known bool) {
-	ended, known = g.connections.ProbeRefused(ctx, s.Address, s.Born)
-	result := "accepted"
-	switch {
-	case ended:
-		result = "refused"
-	case !known:
-		result = "unanswered"
-	}
-	g.metrics.count("crash_checks_" + result)
-	g.log.Info().Str("instance", string(s.Instance)).Str("upstream", s.Address).Str("connection", result).
-		Msg("checked whether the upstream process has ended under requests that broke off")
-	return ended, known
+// observeProcess returns an observer of an upstream's process. An upstream that does not respond may be partitioned, frozen or
+// without power, which no request causes; one that refuses connections has ended.
+func (g *Gateway) observeProcess(s quarantine.Incarnation) quarantine.Observer {
+	w := g.connections.Watch(s.Address, s.Born)
+	known := g.instancesAt(s.Address)
+	look := func(ctx context.Context, since time.Time, connect bool) quarantine.Sign {
+		if sign := g.processSign(s, known, since); sign != quarantine.NoSign || !connect {
+			return sign
+		}
+		return g.connectionSign(ctx, w)
+	}
+	return quarantine.Observer{Look: look, Close: w.Close}
+}
+
+// processSign returns what the stager beside an upstream and the list of upstreams show of its process. Known are the
+// instances that were listed at its address before.
+func (g *Gateway) processSign(s quarantine.Incarnation, known []id.Instance, since time.Time) quarantine.Sign {
+	switch g.loadSources.Tracker.ProcessSince(s.Address, s.Born, since) {
+	case placement.ProcessEnded:
+		g.metrics.count("crashes_found_by_report")
+		return quarantine.Ended
+	case placement.ProcessRuns:
+		return quarantine.Runs
+	}
+	if g.facts.AnnouncedLeaving(s.Instance, s.Born) {
+		return quarantine.NoSign
+	}
+	for _, n := range g.instancesAt(s.Address) {
+		if n != s.Instance && !slices.Contains(known, n) {
+			g.metrics.count("crashes_found_by_list")
+			return quarantine.Ended
+		}
+	}
+	return quarantine.NoSign
+}
+
+// instancesAt returns the instances that are listed at an address.
+func (g *Gateway) instancesAt(address string) (l []id.Instance) {
+	for _, i := range g.facts.Instances() {
+		if i.Address == address {
+			l = append(l, i.ID)
+		}
+	}
+	return l
+}
+
+// connectionSign returns what a connection to an upstream shows of its process.
+func (g *Gateway) connectionSign(ctx context.Context, w *upconn.Watch) quarantine.Sign {
+	p := w.Look(ctx)
+	g.metrics.count("crash_checks_" + p.String())
+	switch p {
+	case upconn.Refused:
+		g.metrics.count("crashes_found_by_connection")
+		return quarantine.Ended
+	case upconn.TurnedAway:
+		return quarantine.TurnedAway
+	default:
+		return quarantine.NoSign
+	}
 }
 
 // requestRegistry holds the requests in flight by fingerprint.
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -293,7 +293,7 @@
 	}
 	adopted := &attempt{
 		request: f, choice: won.choice, tracked: won.tracked, permit: won.permit, exchange: won.exchange, versionTimer: won.versionTimer,
-		parentCtx: t.parentCtx, ctx: won.ctx, cancel: won.cancel, attemptNumber: f.attempts, eventsBefore: f.events.forwarded, lastByteAt: won.lastByteAt, firstDataAt: won.firstDataAt, position: f.currentPosition(),
+		parentCtx: t.parentCtx, ctx: won.ctx, cancel: won.cancel, attemptNumber: f.attempts, eventsBefore: f.events.forwarded, lastByteAt: won.lastByteAt, startedAt: won.startedAt, firstDataAt: won.firstDataAt, position: f.currentPosition(),
 	}
 	defer adopted.release()
 	adopted.noteAnswerStart()
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -182,7 +182,7 @@
 		answerLengths:    placement.NewAnswerLengths(),
 		random:           func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) },
 	}
-	g.crashDetector = quarantine.NewCrashDetector(g.upstreamEnded, q.ReportCrash, clock.Now)
+	g.crashDetector = quarantine.NewCrashDetector(g.observeProcess, q.ReportCrash, clock.Now)
 	q.Suspects.OnHeld = append(q.Suspects.OnHeld, g.requests.cancelUnbegun)
 	g.connections.OnDial = func() { g.metrics.count("dialled") }
 	g.server = &http.Server{
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/phuslu/log"
@@ -11,6 +12,9 @@
 // noteResponse records what a response states about its upstream.
 func (t *attempt) noteResponse(v ResponseMeta) {
 	f := t.request
+	if t.exchange.StatusCode != http.StatusMisdirectedRequest {
+		f.gateway.crashDetector.Answered(t.upstreamIncarnation(), t.startedAt)
+	}
 	t.noteLimit(v.Limit)
 	f.upstreamLeaving, f.upstreamRest = v.Leaving, v.Rest
 	if v.Leaving {
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -29,6 +29,8 @@
 type LoadReport struct {
 	// Incarnation is the process lifetime of the upstream that the figures belong to; 0 if unknown.
 	Incarnation id.Incarnation
+	// Life stays the same while the upstream's process does; it may also change without a restart, and is 0 if unknown.
+	Life uint64
 	// Running and Waiting are the numbers of requests at the upstream, and Slowdown is the factor by which it currently
 	// works slower than usual.
 	Running, Waiting int
@@ -65,12 +67,15 @@
 
 // upstream is the tracker's state for one process lifetime of the upstream at an address.
 type upstream struct {
-	incarnation  id.Incarnation
-	report       LoadReport
-	inFlight     map[*sentRequest]struct{}
-	failures     int
-	suspectUntil time.Time
-	path         Path
+	incarnation id.Incarnation
+	report      LoadReport
+	// lifeSince is when the first of the successive reports with the newest one's Life was received, and downAt when the
+	// newest report that the upstream is down was.
+	lifeSince, downAt time.Time
+	inFlight          map[*sentRequest]struct{}
+	failures          int
+	suspectUntil      time.Time
+	path              Path
 	// limit is nil while the upstream is not known to have a rate limit.
 	limit *throttle.KnownLimit
 	// limitedInstance is the instance that the rate limit applies to; nil before the first lookup.
@@ -140,6 +145,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if u := t.entryOf(address, r.Incarnation); u != nil {
+		if u.lifeSince.IsZero() || u.report.Life != r.Life {
+			u.lifeSince = r.ReceivedAt
+		}
+		if r.Down {
+			u.downAt = r.ReceivedAt
+		}
 		u.report = r
 		u.applyLimit(r.Limit, r.ReceivedAt)
 		u.path.RecordEcho(r.EchoedStamp, r.StampHeldFor, r.Interval, t.now())
--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -11,12 +12,23 @@
 	// gatherTime is how long the detector collects further broken requests after the first one at an incarnation; those
 	// of a process that ends break within a few ms.
 	gatherTime = 20 * time.Millisecond
-	// probeTimeout limits one check whether a process has ended, and probeRetryDelay is the delay before the next check
-	// if no answer came. On a link with a queueing delay of 1 s, the longest unless two faults slow the link at
-	// once, the third check receives its answer 1 s after the process has ended.
-	probeTimeout    = 500 * time.Millisecond
-	probeRetryDelay = 400 * time.Millisecond
-	maxProbes       = 3
+	// lookTimeout limits one look at an upstream.
+	lookTimeout = 500 * time.Millisecond
+	// lateLookInterval is the time between two looks after the first ones, and questionTTL is when the last one is due: by then
+	// an upstream that has crashed is back, and the list of upstreams shows that.
+	lateLookInterval = 500 * time.Millisecond
+	questionTTL      = 15 * time.Second
+	// maxQuestions limits the incarnations that are looked at.
+	maxQuestions = 1024
+	// minTurnedAway is how often in succession new connections must be closed by the peer, over minTurnedAwayTime at least, to
+	// prove that nobody serves at the address although it accepts connections.
+	minTurnedAway     = 3
+	minTurnedAwayTime = 400 * time.Millisecond
+	// establishedAfter is how long after a request was sent its connection counts as one that the upstream had accepted: an
+	// upstream that is at its limit closes new connections at once.
+	establishedAfter = 30 * time.Millisecond
+	// unprovenTTL is how long after an answer the end of its upstream's process still counts as a crash in that answer.
+	unprovenTTL = 1500 * time.Millisecond
 	// abandonedTTL is how long a request that was abandoned at an upstream counts as in flight there: the upstream may
 	// start it before it sees that its caller has gone, which it should see within half a second.
 	abandonedTTL = time.Second
@@ -24,21 +36,71 @@
 	maxAbandoned = 256
 )
 
-// CrashDetector collects the requests that break off together at an upstream, and checks whether its process has ended.
-// A connection may also be reset while the upstream lives, which is no evidence against its requests.
+// lookTimes are the times after a request has broken off at which its upstream is looked at by a connection.
+var lookTimes = [...]time.Duration{
+	gatherTime, 60 * time.Millisecond, 120 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond, 900 * time.Millisecond, 1500 * time.Millisecond,
+}
+
+// Sign is what one look at an upstream process shows.
+type Sign int
+
+const (
+	// NoSign means that the look shows neither that the process runs nor that it has ended.
+	NoSign Sign = iota
+	// Runs means that the process still ran after the moment in question.
+	Runs
+	// Ended means that it has ended.
+	Ended
+	// TurnedAway means that the address accepted a connection and closed it without an answer.
+	TurnedAway
+)
+
+// Observer looks at one upstream process.
+type Observer struct {
+	// Look returns what the process shows now, of which it is not known whether it has run since a moment. It opens a connection
+	// only if connect is true.
+	Look  func(ctx context.Context, since time.Time, connect bool) Sign
+	Close func()
+}
+
+// CrashDetector collects the requests that break off together at an upstream, and finds out whether its process has ended.
+// A connection may also be reset while the upstream lives, which is no evidence against its requests. A connection that is
+// accepted proves neither, so the detector goes on looking until there is proof.
 type CrashDetector struct {
-	// hasEnded reports whether the process of an incarnation has ended, and whether that is known.
-	hasEnded func(ctx context.Context, s Incarnation) (ended, known bool)
+	// observe returns an observer of an incarnation.
+	observe func(s Incarnation) Observer
 	// report is called for each crash.
 	report func(e Crash)
 	now    func() time.Time
 	after  func(d time.Duration, f func())
 
 	mu        sync.Mutex
-	broken    map[Incarnation][]InFlightRequest
+	questions map[Incarnation]*question
+	// open is the number of questions.
+	open      atomic.Int32
 	abandoned []abandonedRequest
 }
 
+// question is whether the process of an incarnation has ended.
+type question struct {
+	observer Observer
+	// openedAt is when the question arose, and since when a request last broke off; the process is not known to run since.
+	openedAt, since time.Time
+	// broken is true if a request broke off; otherwise there are only answers whose end does not prove that they are complete.
+	broken   bool
+	requests []InFlightRequest
+	// established is true if one of the requests had been sent some time before.
+	established bool
+	// served are called once the process is known to run.
+	served []func()
+	// turnedAway counts connections that were closed in succession, the first of them at turnedAwayAt.
+	turnedAway   int
+	turnedAwayAt time.Time
+	looks        int
+	// looking is true during a look, after which the observer of a closed question is closed.
+	looking bool
+}
+
 // abandonedRequest is a request that was abandoned at an upstream.
 type abandonedRequest struct {
 	incarnation Incarnation
@@ -47,21 +109,96 @@
 }
 
 // NewCrashDetector creates a detector that calls report for each crash.
-func NewCrashDetector(hasEnded func(ctx context.Context, s Incarnation) (ended, known bool), report func(e Crash), now func() time.Time) *CrashDetector {
+func NewCrashDetector(observe func(s Incarnation) Observer, report func(e Crash), now func() time.Time) *CrashDetector {
 	return &CrashDetector{
-		hasEnded: hasEnded, report: report, now: now, broken: map[Incarnation][]InFlightRequest{},
+		observe: observe, report: report, now: now, questions: map[Incarnation]*question{},
 		after: func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 	}
 }
 
-// RequestBroken notes that an upstream broke a request off.
-func (w *CrashDetector) RequestBroken(s Incarnation, p InFlightRequest) {
+// RequestBroken notes that an upstream broke off a request that was sent to it at a given time.
+func (w *CrashDetector) RequestBroken(s Incarnation, p InFlightRequest, sentAt time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	q := w.questionAbout(s)
+	if q == nil {
+		return
+	}
+	now := w.now()
+	if !q.broken {
+		// The looks at an answer whose end proves nothing are few and without connections.
+		if now.Sub(q.since) > unprovenTTL {
+			q.requests = nil
+		}
+		q.broken, q.openedAt, q.looks = true, now, 0
+		w.after(gatherTime, func() { w.look(s, q, 0) })
+	}
+	q.since = now
+	q.requests = append(q.requests, p)
+	q.established = q.established || now.Sub(sentAt) >= establishedAfter
+}
+
+// EndUnproven notes that an answer ended in a way that its upstream's crash would not differ from. Served is called if the
+// process proves to have run on.
+func (w *CrashDetector) EndUnproven(s Incarnation, p InFlightRequest, served func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.broken[s] == nil {
-		w.after(gatherTime, func() { w.startProbing(s) })
+	q := w.questionAbout(s)
+	if q == nil {
+		return
+	}
+	if !q.broken && len(q.served) == 0 {
+		w.after(lateLookInterval, func() { w.look(s, q, 0) })
+	}
+	q.since = w.now()
+	if !q.broken {
+		q.openedAt = q.since
+	}
+	q.served = append(q.served, served)
+	q.requests = append(q.requests, p)
+}
+
+// questionAbout returns the question about an incarnation, or nil if there are too many; the caller holds the lock.
+func (w *CrashDetector) questionAbout(s Incarnation) *question {
+	q := w.questions[s]
+	if q == nil && len(w.questions) < maxQuestions {
+		now := w.now()
+		q = &question{observer: w.observe(s), openedAt: now, since: now}
+		w.questions[s] = q
+		w.open.Add(1)
+	}
+	return q
+}
+
+// Answered notes that an incarnation has begun to answer a request that was sent to it at a given time.
+func (w *CrashDetector) Answered(s Incarnation, sentAt time.Time) {
+	if w.open.Load() == 0 {
+		return
+	}
+	w.mu.Lock()
+	q := w.questions[s]
+	if q == nil || !sentAt.After(q.since) {
+		w.mu.Unlock()
+		return
+	}
+	w.closeQuestion(s, q)
+	w.mu.Unlock()
+	q.callServed()
+}
+
+// closeQuestion removes a question that is answered; the caller holds the lock.
+func (w *CrashDetector) closeQuestion(s Incarnation, q *question) {
+	delete(w.questions, s)
+	w.open.Add(-1)
+	if !q.looking {
+		q.observer.Close()
+	}
+}
+
+func (q *question) callServed() {
+	for _, f := range q.served {
+		f()
 	}
-	w.broken[s] = append(w.broken[s], p)
 }
 
 // RequestAbandoned notes that a request was abandoned at an upstream.
@@ -74,6 +211,100 @@
 	w.abandoned = append(w.abandoned, abandonedRequest{incarnation: s, request: p, expiresAt: w.now().Add(abandonedTTL)})
 }
 
+// addAbandoned adds the requests that were abandoned shortly before to a question; the caller holds the lock.
+func (w *CrashDetector) addAbandoned(s Incarnation, q *question) {
+	now := w.now()
+	w.abandoned = slices.DeleteFunc(w.abandoned, func(l abandonedRequest) bool { return !now.Before(l.expiresAt) })
+	for _, l := range w.abandoned {
+		if l.incarnation == s {
+			q.requests = append(q.requests, l.request)
+		}
+	}
+}
+
+// look looks at the upstream once, and schedules the next look unless the question is answered. The number of the look is
+// compared, as the looks begin anew when a request breaks off.
+func (w *CrashDetector) look(s Incarnation, q *question, number int) {
+	w.mu.Lock()
+	if w.questions[s] != q || q.looks != number {
+		w.mu.Unlock()
+		return
+	}
+	if q.looking {
+		w.after(gatherTime, func() { w.look(s, q, number) })
+		w.mu.Unlock()
+		return
+	}
+	if q.broken && number == 0 {
+		w.addAbandoned(s, q)
+	}
+	since, connect := q.since, q.broken && number < len(lookTimes)
+	q.looks++
+	q.looking = true
+	w.mu.Unlock()
+
+	ctx, stop := context.WithTimeout(context.Background(), lookTimeout)
+	defer stop()
+	sign := q.observer.Look(ctx, since, connect)
+
+	w.mu.Lock()
+	q.looking = false
+	if w.questions[s] != q {
+		q.observer.Close()
+	}
+	if w.questions[s] != q || q.looks != number+1 {
+		w.mu.Unlock()
+		return
+	}
+	now := w.now()
+	if q.weigh(sign, now) {
+		sign = Ended
+	}
+	if sign == Runs && q.since.After(since) {
+		sign = NoSign
+	}
+	age := now.Sub(q.openedAt)
+	if sign != Ended && sign != Runs && age < questionTTL {
+		w.after(q.nextLook(age), func() { w.look(s, q, number+1) })
+		w.mu.Unlock()
+		return
+	}
+	w.closeQuestion(s, q)
+	w.mu.Unlock()
+	w.answer(s, q, sign, age)
+}
+
+// answer reports a crash, or clears the requests that were served, once a question is closed.
+func (w *CrashDetector) answer(s Incarnation, q *question, sign Sign, age time.Duration) {
+	switch {
+	case sign == Runs:
+		q.callServed()
+	case sign == Ended && (q.broken || age < unprovenTTL):
+		w.report(Crash{Incarnation: s, Requests: q.requests})
+	}
+}
+
+// weigh counts connections that were closed at once, and reports whether there are enough of them to prove that the process
+// has ended.
+func (q *question) weigh(sign Sign, now time.Time) bool {
+	if sign != TurnedAway {
+		return false
+	}
+	if q.turnedAway == 0 {
+		q.turnedAwayAt = now
+	}
+	q.turnedAway++
+	return q.established && q.turnedAway >= minTurnedAway && now.Sub(q.turnedAwayAt) >= minTurnedAwayTime
+}
+
+// nextLook returns the time until the next look.
+func (q *question) nextLook(age time.Duration) time.Duration {
+	if q.broken && q.looks < len(lookTimes) {
+		return max(0, lookTimes[q.looks]-age)
+	}
+	return lateLookInterval
+}
+
 // logCrash logs how far the answers to this gateway's requests had come, which tells the requests that the upstream was about
 // to answer from those that waited or had been answered for some time.
 func (l *SuspectTracker) logCrash(e Crash) {
@@ -88,32 +319,3 @@
 	l.log.Info().Str("instance", string(e.Incarnation.Instance)).Int("waiting", counts[Waiting]).Int("beginning", counts[Beginning]).
 		Int("writing", counts[Writing]).Strs("beginning_fingerprints", beginning).Msg("requests of this gateway ended with an upstream process")
 }
-
-// startProbing collects the requests of an incarnation and starts to check whether its process has ended.
-func (w *CrashDetector) startProbing(s Incarnation) {
-	w.mu.Lock()
-	e := Crash{Incarnation: s, Requests: w.broken[s]}
-	delete(w.broken, s)
-	now := w.now()
-	w.abandoned = slices.DeleteFunc(w.abandoned, func(l abandonedRequest) bool { return !now.Before(l.expiresAt) })
-	for _, l := range w.abandoned {
-		if l.incarnation == s {
-			e.Requests = append(e.Requests, l.request)
-		}
-	}
-	w.mu.Unlock()
-	w.probe(e, maxProbes)
-}
-
-// probe reports a crash if the process has ended. If that is not known, it checks again a few times.
-func (w *CrashDetector) probe(e Crash, attempts int) {
-	ctx, stop := context.WithTimeout(context.Background(), probeTimeout)
-	defer stop()
-	ended, known := w.hasEnded(ctx, e.Incarnation)
-	switch {
-	case ended:
-		w.report(e)
-	case !known && attempts > 1:
-		w.after(probeRetryDelay, func() { w.probe(e, attempts-1) })
-	}
-}
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -249,8 +249,8 @@
 		s.applyAnnouncement(&r, w)
 	}
 	p := placement.LoadReport{
-		Incarnation: id.Incarnation(r.GetBorn()),
-		Running:     int(r.GetRunning()), Waiting: int(r.GetWaiting()), Slowdown: r.GetPace(),
+		Incarnation: id.Incarnation(r.GetBorn()), Life: r.GetLife(),
+		Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), Slowdown: r.GetPace(),
 		Closed: r.GetClosed(), Down: r.GetDown(), Congested: r.GetNarrow(), Leaving: r.GetLeaving(), ReceivedAt: s.now(), EchoedStamp: madeAfter,
 		StampHeldFor: time.Duration(r.GetEchoHeldMs()) * time.Millisecond, Interval: localReportInterval, ConfigVersion: r.GetConfig(),
 		Limit: limitFromReport(&r),
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -175,19 +174,6 @@
 	}
 }
 
-// ProbeRefused dials an address and reports whether the connection is refused: then the process there has ended although its
-// VM is running. The result is not known if the dial fails in another way, for example by a timeout. A successful connection
-// is kept for the next request.
-func (p *Pool) ProbeRefused(ctx context.Context, address string, incarnation id.Incarnation) (refused, known bool) {
-	c, err := p.connect(ctx, address, incarnation)
-	if err != nil {
-		refused = errors.Is(err, syscall.ECONNREFUSED)
-		return refused, refused
-	}
-	p.idle.put(c, p.now())
-	return false, true
-}
-
 // CloseIdle closes the idle connections to an address.
 func (p *Pool) CloseIdle(address string) {
 	p.idle.closeAll(address)
