Keep retries within the fleet's bound across starts and cuts

What callers' upstreams saw: more arrivals beyond the first of each request in a window than the ratio and the slack allow, where gateways start anew within it, and where failure domains are cut off from each other.

Cause: the budget lies in memory. A process that starts has its whole share again, and one that knows fewer gateways divides the slack by fewer. Class: a bound over a window kept by a state that lives shorter than the window.

Change: in the first window after its start a process uses what the utilisation of 0.7 leaves: 0.3 of the ratio and a tenth of its slack, so that three starts in a window stay within the bound whatever the processes before had used. The largest number of gateways known counts for ten minutes. Weighed: handing the use over by way of stagers, which is a second late, and in a second a process can use its whole share.

--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -16,6 +16,14 @@
 	// budgetUtilisation is the share of the fleet's allowance that is used: requests are spread unevenly over gateways,
 	// and the number of gateways is known only with a lag.
 	budgetUtilisation = 0.7
+	// startUtilisation and startSlackShare replace budgetUtilisation for the ratio and for the slack in the first window after a
+	// process's start, as its predecessor may just have used its share. Requests count for one process only, but each start
+	// has its slack: the rest of it suffices for three starts in a window.
+	startUtilisation = 1 - budgetUtilisation
+	startSlackShare  = startUtilisation / 3
+	// gatewayMemory is how long the largest number of known gateways is used after fewer are known: a process that is cut off
+	// from others can't tell that from their end.
+	gatewayMemory = 10 * time.Minute
 )
 
 // RetryBudgetRule is the fleet-wide limit on retries: what all gateways together may send beyond the first attempt of
@@ -37,6 +45,10 @@
 	origin time.Time
 	mu     sync.Mutex
 	pools  map[id.Pool]*window
+	// gatewayCount is the number that the slack is divided by, and countedAt when so many were last known.
+	gatewayCount int
+	countedAt    time.Time
+	countBucket  int64
 }
 
 // window counts requests and retries of one pool in a ring of buckets.
@@ -57,7 +69,9 @@
 		w = &window{}
 		b.pools[p] = w
 	}
-	bucket := keptBuckets + int64(b.now().Sub(b.origin)/(b.rule.Window/budgetBuckets))
+	now := b.now()
+	bucket := keptBuckets + int64(now.Sub(b.origin)/(b.rule.Window/budgetBuckets))
+	b.countGateways(bucket, now)
 	for w.newestBucket < bucket {
 		w.newestBucket = max(w.newestBucket+1, bucket-keptBuckets)
 		i := w.newestBucket % keptBuckets
@@ -66,6 +80,23 @@
 	return w, int(bucket % keptBuckets)
 }
 
+// countGateways updates the number of gateways once in each bucket. The caller holds the lock.
+func (b *RetryBudget) countGateways(bucket int64, now time.Time) {
+	if b.countBucket == bucket {
+		return
+	}
+	b.countBucket = bucket
+	n := max(1, b.gateways())
+	if n >= b.gatewayCount || now.Sub(b.countedAt) > gatewayMemory || b.justStarted(now) {
+		b.gatewayCount, b.countedAt = n, now
+	}
+}
+
+// justStarted reports whether the window reaches back to a predecessor of this process.
+func (b *RetryBudget) justStarted(now time.Time) bool {
+	return now.Sub(b.origin) < b.rule.Window
+}
+
 // RecordRequest counts a first attempt for a pool.
 func (b *RetryBudget) RecordRequest(p id.Pool) {
 	b.mu.Lock()
@@ -118,7 +149,7 @@
 }
 
 func (b *RetryBudget) usage(w *window, i int) RetryUsage {
-	u := RetryUsage{Gateways: max(1, b.gateways())}
+	u := RetryUsage{Gateways: b.gatewayCount}
 	for age := range keptBuckets {
 		k := (i + keptBuckets - age) % keptBuckets
 		u.Retries += w.retries[k]
@@ -126,6 +157,10 @@
 			u.Requests += w.requests[k]
 		}
 	}
-	u.Allowed = budgetUtilisation * (b.rule.Ratio*float64(u.Requests) + b.rule.Slack/float64(u.Gateways))
+	share, slackShare := budgetUtilisation, budgetUtilisation
+	if b.justStarted(b.now()) {
+		share, slackShare = startUtilisation, startSlackShare
+	}
+	u.Allowed = share*b.rule.Ratio*float64(u.Requests) + slackShare*b.rule.Slack/float64(u.Gateways)
 	return u
 }
