Bound the skipping of responses to other requests

What callers saw: a request waited until its deadline, and no other upstream was tried, while its upstream sent bytes without end in the body of a response to another request, which was read to its end.

Change: at most 64 KiB and 0.5 s of such a body are read.

--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -50,6 +50,16 @@
 // maxResponseHeads bounds the response headers that are read on a connection until one belongs to the request.
 const maxResponseHeads = 4
 
+// maxSkippedBody and maxSkipTime bound the body of a response to another request, which is read to its end to come to the next
+// response. Late responses that were complete when they were sent arrive at once.
+const (
+	maxSkippedBody = 64 << 10
+	maxSkipTime    = 500 * time.Millisecond
+)
+
+// errSkippedTooLong reports a response to another request whose body does not end within the bounds.
+var errSkippedTooLong = errors.New("the response to another request does not end")
+
 // Send sends a request to an address and returns the header of its response. When the context ends, the connection is aborted,
 // and with it the upstream's processing. The error is ErrNotSent, ErrSendDenied or ErrOutcomeUnknown.
 func (p *Pool) Send(ctx context.Context, address string, r *Request) (*Exchange, error) {
@@ -130,13 +140,31 @@
 			e.Response = a
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, a.Body); err != nil {
+		if err := e.skip(a.Body); err != nil {
 			return err
 		}
 	}
 	return errors.New("received only responses to other requests")
 }
 
+// skip reads the body of a response to another request to its end.
+func (e *Exchange) skip(body io.Reader) error {
+	start, skipped := e.pool.now(), 0
+	buffer := make([]byte, bufferBytes)
+	for {
+		n, err := body.Read(buffer)
+		skipped += n
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		case skipped > maxSkippedBody, e.pool.now().Sub(start) > maxSkipTime:
+			return errSkippedTooLong
+		}
+	}
+}
+
 // Framed reports whether the response states its own length, so that its end shows that it is complete. Any other response
 // ends with its connection, also where the upstream's process ends in the middle.
 func (e *Exchange) Framed() bool {
