Do not wait for the end of a refusal

What callers saw: a request that an upstream had refused as not run waited for the rest of that answer, until its deadline where it had no end, instead of going to another upstream. And a refusal of over 64 KiB counted as read to its end, so that its rest could be taken for the answer to the next request on the connection.

Change: the rest is awaited for 20 ms, and only an answer that ended is complete. Specs: internal/gateway, endless_test.go (two of three entries, and the one of the long body, failed before).

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -30,8 +30,7 @@
 	v := d.ReadResponse(e.StatusCode, e.Header)
 	t.noteResponse(v)
 	if v.NotRun {
-		_, err := io.Copy(io.Discard, io.LimitReader(e.Body, maxBufferedAnswer))
-		t.answerComplete = err == nil
+		t.drainRefusal()
 		retry := refusedRetryAfter
 		if v.Leaving || v.Rest > 0 {
 			retry = f.retryAfterElsewhere()
@@ -56,6 +55,16 @@
 	return t.forwardPlain()
 }
 
+// drainTimeout bounds the wait for the rest of a refusal, whose connection is only reused if it is read to its end.
+const drainTimeout = 20 * time.Millisecond
+
+// drainRefusal reads the body of a refusal if it is short and arrives soon.
+func (t *attempt) drainRefusal() {
+	stop := time.AfterFunc(drainTimeout, func() { t.cancel(errDrained) })
+	n, err := io.CopyN(io.Discard, t.exchange.Body, maxBufferedAnswer)
+	t.answerComplete = stop.Stop() && n < maxBufferedAnswer && errors.Is(err, io.EOF)
+}
+
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -184,8 +184,7 @@
 	v := f.gateway.dialect.ReadResponse(e.StatusCode, e.Header)
 	t.noteResponse(v)
 	if v.NotRun {
-		_, err := io.Copy(io.Discard, io.LimitReader(e.Body, maxBufferedAnswer))
-		t.answerComplete = err == nil
+		t.drainRefusal()
 		return false
 	}
 	f.allNotRun = false
