Bound answers that state no length

What callers saw: bytes without end in an answer without a length, or in chunks, were passed on until the caller's deadline, at the speed of the link.

Change: gateway.answer_bytes, 16 MiB; a longer answer is broken off.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -205,6 +205,8 @@
 	startedAt time.Time
 	// endProven is true once the end of the answer proves that it is complete and that the upstream has not crashed under it.
 	endProven bool
+	// received is the number of bytes of the response's body that were read.
+	received int64
 	// answerStarted is true once the upstream has sent any part of its response.
 	answerStarted atomic.Bool
 	// firstDataAt is when the first data after the header was received; zero before.
--- a/internal/gateway/attempt_end.go
+++ b/internal/gateway/attempt_end.go
@@ -11,6 +11,8 @@
 )
 
 var (
+	// errAnswerTooLong is returned for an answer that states no length and exceeds the bound.
+	errAnswerTooLong = errors.New("the answer is longer than answer_bytes")
 	// errStalled cancels an attempt whose upstream has been silent for too long.
 	errStalled = errors.New("the upstream stalled")
 	// errOvertaken cancels an attempt when the concurrent attempt at another upstream has made progress first.
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -46,16 +46,21 @@
 	ReservationMinGateways int `toml:"reservation_min_gateways"`
 	// BufferBytes bounds what requests hold in buffers beyond the fixed buffers of each request.
 	BufferBytes int64 `toml:"buffer_bytes"`
+	// AnswerBytes bounds an answer that states no length.
+	AnswerBytes int64 `toml:"answer_bytes"`
 }
 
 // NewSettings returns the default settings.
 func NewSettings() *Settings {
-	return &Settings{SwapWithin: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, BufferBytes: defaultBufferBytes}
+	return &Settings{SwapWithin: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, BufferBytes: defaultBufferBytes, AnswerBytes: defaultAnswerBytes}
 }
 
 // defaultBufferBytes holds 1024 of the longest bodies that are buffered, or 4096 of the longest answers.
 const defaultBufferBytes = 256 << 20
 
+// defaultAnswerBytes is far above usual answers of some KB.
+const defaultAnswerBytes = 16 << 20
+
 // Check implements kernel.Section.
 func (s *Settings) Check(c *kernel.Checker) {
 	_, _, err := net.SplitHostPort(s.Listen)
@@ -65,6 +70,7 @@
 	c.Require(s.RetrySlack >= 0, "repeat_slack", "a number of 0 or more")
 	c.Require(s.ReservationMinGateways >= 0, "reservation_min_gateways", "a whole number of 0 or more")
 	c.Require(s.BufferBytes >= maxBufferedBody, "buffer_bytes", "a number of at least 262144, the longest body that is buffered")
+	c.Require(s.AnswerBytes > 0, "answer_bytes", "a number above 0")
 	c.Require(s.RetryWindow >= time.Second, "repeat_window", "a time of at least 1s")
 }
 
--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -45,10 +45,15 @@
 
 // readUpstream reads from the response of the upstream.
 func (t *attempt) readUpstream(b []byte) (int, error) {
-	now := t.request.gateway.now
-	start := now()
+	g := t.request.gateway
+	start := g.now()
 	n, err := t.exchange.Body.Read(b)
-	t.pace.recordRead(now().Sub(start))
+	t.pace.recordRead(g.now().Sub(start))
+	t.received += int64(n)
+	if t.exchange.ContentLength < 0 && t.received > g.settings.AnswerBytes {
+		g.metrics.count("answers_too_long")
+		return 0, errAnswerTooLong
+	}
 	return n, err
 }
 
