Count only whole events as progress of a stream

What callers saw: nothing until their deadline, where an upstream sent an event without end slowly. Each byte counted as progress, so that no other upstream was asked to continue.

Change: only events that are passed on reset the time of silence. Spec: internal/gateway, endless_test.go (failed before).

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -225,15 +225,20 @@
 	buffer := make([]byte, streamReadSize)
 	for {
 		n, err := t.readUpstream(buffer)
-		if (n > 0 || errors.Is(err, io.EOF)) && !t.noteProgress() {
-			return t.handleBreak("another upstream continued the stream")
-		}
+		var events []byte
+		before := f.events
 		if n > 0 {
 			t.noteAnswerStart()
 			t.lastByteAt = f.gateway.now()
-			if !t.writeEvents(t.boundPartial(f.events.feed(buffer[:n], f.route.Resumable))) {
-				return t.callerGoneError()
-			}
+			events = t.boundPartial(f.events.feed(buffer[:n], f.route.Resumable))
+		}
+		// An event that never ends is no progress.
+		if (len(events) > 0 || errors.Is(err, io.EOF)) && !t.noteProgress() {
+			f.events = before
+			return t.handleBreak("another upstream continued the stream")
+		}
+		if len(events) > 0 && !t.writeEvents(events) {
+			return t.callerGoneError()
 		}
 		if err != nil {
 			return t.finishStream(err)
@@ -290,6 +295,9 @@
 
 const textCrashed = "the upstream crashed in its answer"
 
+// endLookPauses are the pauses before the looks at an upstream whose answer ended with its connection.
+var endLookPauses = [...]time.Duration{0, 40 * time.Millisecond, 80 * time.Millisecond}
+
 // upstreamCrashed reports, at the end of an answer, whether the upstream's process has ended and with it an answer without
 // a length, which may then be incomplete. One that leaves may end after its last complete answer. It also sets endProven.
 func (t *attempt) upstreamCrashed() bool {
@@ -330,9 +338,6 @@
 		f.gateway.crashDetector.EndUnproven(t.upstreamIncarnation(), t.inFlightRequest(), served)
 	}
 }
-// endLookPauses are the pauses before the looks at an upstream whose answer ended with its connection.
-var endLookPauses = [...]time.Duration{0, 40 * time.Millisecond, 80 * time.Millisecond}
-
 
 // isEventStream reports whether a response has no other content than server-sent events, as far as its header says.
 func isEventStream(h http.Header) bool {
