Do not let bytes without a whole event win over a silent upstream

What callers saw: 256 KiB of bytes that are no event, in a stream that its own upstream would have continued, as a hedged request had received them.

Change: a hedged request that receives no whole event within the bound has failed.

--- a/internal/gateway/attempt_end.go
+++ b/internal/gateway/attempt_end.go
@@ -15,10 +15,10 @@
 	errAnswerTooLong = errors.New("the answer is longer than answer_bytes")
 	// errStalled cancels an attempt whose upstream has been silent for too long.
 	errStalled = errors.New("the upstream stalled")
-	// errOvertaken cancels an attempt when the concurrent attempt at another upstream has made progress first.
-	errOvertaken = errors.New("another upstream made progress first")
 	// errDrained ends the wait for the rest of a refusal.
 	errDrained = errors.New("the refusal does not end")
+	// errOvertaken cancels an attempt when the concurrent attempt at another upstream has made progress first.
+	errOvertaken = errors.New("another upstream made progress first")
 	// errVersionOver cancels an attempt that has not begun when the grace period of its upstream's version ends.
 	errVersionOver = errors.New("the grace period of the version has ended")
 )
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"maps"
 	"slices"
 	"time"
@@ -208,6 +207,10 @@
 			}
 			h.pendingEvents = append(h.pendingEvents, t.boundPartial(f.events.feed(buffer[:n], true))...)
 		}
+		if f.events.unsplit && len(h.pendingEvents) > 0 && !h.hasWholeEvent() {
+			t.handleBreak("the upstream sent no whole event")
+			return false
+		}
 		if err != nil {
 			if text := t.streamBreak(err); text != "" {
 				t.handleBreak(text)
@@ -222,6 +225,11 @@
 	}
 }
 
+// hasWholeEvent reports whether the pending events begin with a whole one.
+func (h *hedge) hasWholeEvent() bool {
+	return eventLength(h.pendingEvents) > 0
+}
+
 // discard releases what the hedge holds.
 func (h *hedge) discard() {
 	if h.attempt != nil {
