--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -101,13 +101,19 @@
 func New(baseURL string, maxIdleConns int) *Engine {
 	return &Engine{
 		baseURL: baseURL,
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, DisableCompression: true}},
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true}},
 		// Go's transport resends a request with an Idempotency-Key if a reused connection breaks, even if the upstream
 		// has already run it. It never does so on a new connection.
-		noReuse: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}},
+		noReuse: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true}},
 	}
 }
 
+const (
+	// maxHeaderBytes bounds the header of an answer of the engine, and maxStateBytes its state.
+	maxHeaderBytes = 256 << 10
+	maxStateBytes  = 4 << 20
+)
+
 // adminTimeout bounds calls that read state or send orders; forwarded requests have the caller's deadline.
 const adminTimeout = 3 * time.Second
 
@@ -153,7 +159,7 @@
 	case result == nil:
 		return nil
 	}
-	return trace.Wrap(json.NewDecoder(a.Body).Decode(result))
+	return trace.Wrap(json.NewDecoder(io.LimitReader(a.Body, maxStateBytes)).Decode(result))
 }
 
 // Send forwards a request to the engine, at most once unless it is retryable.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -67,8 +67,9 @@
 		Settings: func() kernel.Section { return &Settings{} },
 		New: func(h *kernel.Host) (any, error) {
 			return New(h.Section("platform").(*Settings), &http.Client{Transport: &http.Transport{
-				MaxIdleConnsPerHost: 8,
-				DisableCompression:  true,
+				MaxIdleConnsPerHost:    8,
+				MaxResponseHeaderBytes: maxHeaderBytes,
+				DisableCompression:     true,
 			}}), nil
 		},
 	})
@@ -174,6 +175,12 @@
 	return l, nil
 }
 
+const (
+	// maxHeaderBytes bounds the header of an answer of the platform, and maxAnswerBytes its body.
+	maxHeaderBytes = 64 << 10
+	maxAnswerBytes = 64 << 20
+)
+
 func (p *Client) call(ctx context.Context, method, url string, body []byte, result any) error {
 	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
@@ -187,7 +194,7 @@
 	if err := statusError(a.StatusCode); err != nil {
 		return trace.Wrap(err, "%s", url)
 	}
-	if err := json.NewDecoder(a.Body).Decode(result); err != nil {
+	if err := json.NewDecoder(io.LimitReader(a.Body, maxAnswerBytes)).Decode(result); err != nil {
 		return trace.Wrap(errors.Join(ErrUnavailable, err))
 	}
 	return nil
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -54,6 +54,8 @@
 		DisableCompression:  true,
 		ReadBufferSize:      64 << 10,
 		WriteBufferSize:     64 << 10,
+		// A peer may send bytes without end.
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	t.Protocols.SetHTTP1(!http2)
 	t.Protocols.SetHTTP2(http2 && s.certs != nil)
@@ -109,6 +111,13 @@
 // maxPeers is the maximum number of cached peers. When it is reached, the whole cache is cleared.
 const maxPeers = 8192
 
+const (
+	// maxMessageBytes bounds an answer of a peer; the longest are of records, among them a configuration of up to 4 MB.
+	maxMessageBytes = 16 << 20
+	// maxHeaderBytes bounds the header of an answer of a peer.
+	maxHeaderBytes = 64 << 10
+)
+
 // clientsOf returns the cached service clients of an address. Compression is disabled, as messages are small and compressing
 // them took an eighth of an agent's processor time.
 func (s *Server) clientsOf(address string) *peerClients {
@@ -120,7 +129,7 @@
 	if s.peers == nil || len(s.peers) >= maxPeers {
 		s.peers = map[string]*peerClients{}
 	}
-	plain := connect.WithAcceptCompression("gzip", nil, nil)
+	plain := connect.WithClientOptions(connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessageBytes))
 	url := s.URL(address)
 	p := &peerClients{
 		config:   springrailv1connect.NewConfigServiceClient(s.messageClient, url, plain),
