Tell several parts of prompts that crash upstreams at once apart

What callers saw: where two or more parts crash upstreams at once, each was sent on after its fifth crash, and harmless parts that they have in common were held.

Cause: a frequent harmless part was present at more crashes than each of the bad ones, so that it blocked them; the crashes of one were unrelated events to the others and raised what each must show; what one hold explained no longer counted against the others; and parts with the same crashes were held only together, also where no request had both. Class: evidence weighed one suspect at a time.

A gateway notes parts on which an upstream has written an answer for half a second, and tells the others of suspected ones. Such parts are unlikely: they need as many crashes as before and more, and neither block nor beat others. The only likely cause at four crashes is held whatever else crashed in between.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -230,6 +230,7 @@
 		if n > 0 {
 			t.noteAnswerStart()
 			t.lastByteAt = f.gateway.now()
+			t.noteWritten()
 			events = t.boundPartial(f.events.feed(buffer[:n], f.route.Resumable))
 		}
 		// An event that never ends is no progress.
@@ -327,6 +328,15 @@
 	return i == nil || i.Leaving || f.AnnouncedLeaving(t.choice.Instance, t.choice.Incarnation)
 }
 
+// noteWritten records once that the upstream has written its answer beyond the beginning.
+func (t *attempt) noteWritten() {
+	f := t.request
+	if !t.writtenRecorded && len(f.parts) > 0 && t.lastByteAt.Sub(t.firstDataAt) >= beginningTime {
+		t.writtenRecorded = true
+		f.gateway.suspects.Written(f.parts...)
+	}
+}
+
 // noteServed clears the request of suspicions once it is known that its upstream has not crashed in the answer.
 func (t *attempt) noteServed() {
 	f := t.request
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -201,6 +201,8 @@
 	// answerComplete is true once the response has been read to its end, so that the connection can be reused.
 	answerComplete bool
 	startRecorded  bool
+	// writtenRecorded is true once an answer was recorded that has been written for some time.
+	writtenRecorded bool
 	// startedAt is when the attempt was about to be sent.
 	startedAt time.Time
 	// endProven is true once the end of the answer proves that it is complete and that the upstream has not crashed under it.
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -138,6 +138,26 @@
 		Eventually(verdict(b)).Should(Equal(quarantine.Held))
 	})
 
+	It("does not make a part of its prompt suspect on which an upstream has written an answer for some time", func() {
+		b := newTestbed(route(catalog.Streaming, "engines"))
+		b.addUpstream("u", "engines", func(q *http.Request, _ string, c net.Conn) {
+			stream(c, q, xRevision+": 1\r\n", "id: 1\ndata: a\n\n")
+			time.Sleep(beginningTime)
+			_, _ = io.WriteString(c, "10\r\nid: 2\ndata: bbb\n\n\r\n")
+		})
+		part := quarantine.OfPart("m", "", "1a")
+		told := make(chan []quarantine.Fingerprint, 1)
+		b.list.OnUnlikely = func(parts []quarantine.Fingerprint) { told <- parts }
+		for n := range 2 {
+			b.list.RecordCrash(quarantine.Crash{
+				Incarnation: quarantine.Incarnation{Instance: id.Instance(strconv.Itoa(n)), Address: "a"},
+				Requests:    []quarantine.InFlightRequest{{Fingerprint: crashing, Parts: []quarantine.Fingerprint{part}, Progress: quarantine.Beginning}},
+			})
+		}
+		_, _, _ = b.sendRequest("POST", "/p/", "x", xModel, "m", xParts, "1a", "X-Hang-Up", "1")
+		Eventually(told).Should(Receive(Equal([]quarantine.Fingerprint{part})))
+	})
+
 	It("is not suspected if connections break and the upstream is alive", func() {
 		b := newTestbed(route(catalog.Streaming, "engines"))
 		for _, n := range []string{"u", "v"} {
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -96,6 +96,8 @@
 	Served []Fingerprint
 	// Held are requests that the sender holds from now on.
 	Held []HeldRequest
+	// Written are suspected parts on which answers were recently written for some time, or complete several times.
+	Written []Fingerprint
 }
 
 // Verdict is what a gateway may do with a request.
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -26,14 +26,20 @@
 type candidate struct {
 	held    HeldRequest
 	crashes []*recordedCrash
+	// unlikely is true for parts on which answers were recently written.
+	unlikely bool
 }
 
 // losesTo reports whether another candidate explains the same crashes better. A request outranks the parts of its
 // prompt, as fewer requests are held by it, and of different parts with equally many crashes neither is held yet: the next
-// crash distinguishes them.
+// crash distinguishes them, unless there were so many that both are held.
 func (c *candidate) losesTo(o *candidate) bool {
+	if c.unlikely != o.unlikely && len(c.held.Parts) > 0 && len(o.held.Parts) > 0 {
+		return c.unlikely
+	}
 	overlap := slices.ContainsFunc(c.crashes, func(e *recordedCrash) bool { return slices.Contains(o.crashes, e) })
-	return overlap && (len(o.crashes) > len(c.crashes) || len(o.crashes) == len(c.crashes) && len(c.held.Parts) > 0)
+	tied := len(o.crashes) == len(c.crashes) && len(c.held.Parts) > 0 && (len(c.crashes) < minCertainCrashes || len(o.held.Parts) == 0)
+	return overlap && (len(o.crashes) > len(c.crashes) || tied)
 }
 
 // topSuspects lists the candidates that explain their crashes best; the caller holds the lock.
@@ -47,7 +53,7 @@
 		c := &candidate{held: l.heldRequestOf(f, s), crashes: slices.Collect(maps.Keys(s.crashes))}
 		if s.part {
 			c.held.Parts = l.sameEvidence(f)
-			c.held.Fingerprint, c.crashes = ofTogether(c.held.Parts), s.countedCrashes(f)
+			c.held.Fingerprint, c.crashes, c.unlikely = ofTogether(c.held.Parts), s.countedCrashes(f), l.isUnlikely(f)
 		}
 		if !listed[c.held.Fingerprint] && l.held.get(c.held.Fingerprint) == nil {
 			listed[c.held.Fingerprint] = true
@@ -71,7 +77,7 @@
 	}
 	for f, p := range c.crashes[0].present {
 		s := l.suspects[f]
-		if !p.part || s == nil || len(s.crashes) <= len(c.crashes) || !s.hasAll(c.crashes) {
+		if !p.part || s == nil || len(s.crashes) <= len(c.crashes) || !s.hasAll(c.crashes) || l.isUnlikely(f) && !c.unlikely {
 			continue
 		}
 		counted := s.countedCrashes(f)
--- a/internal/quarantine/news.go
+++ b/internal/quarantine/news.go
@@ -31,6 +31,11 @@
 		}
 		l = append(l, m)
 	}
+	for rest := n.Written; len(rest) > 0; {
+		n := min(maxRequestsPerMessage, len(rest))
+		l = append(l, &pb.CrashNews{Written: fingerprintsToProto(rest[:n])})
+		rest = rest[n:]
+	}
 	for _, h := range n.Held {
 		l = append(l, &pb.CrashNews{Held: []*pb.HeldNews{{Fingerprint: h.Fingerprint[:], Request: h.toProto()}}})
 	}
@@ -108,6 +113,14 @@
 		}
 		l.ClearSuspicion(f)
 	}
+	for _, b := range m.GetWritten() {
+		f, err := FromBytes(b)
+		if err != nil {
+			l.vars.Add("malformed", 1)
+			continue
+		}
+		l.ApplyWritten(f)
+	}
 	for _, h := range m.GetHeld() {
 		f, err := FromBytes(h.GetFingerprint())
 		if err != nil {
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -46,6 +46,7 @@
 	l.OnHeld = append(l.OnHeld, q.Persist, q.broadcastHeld)
 	l.OnServed = func(f Fingerprint) { q.Broadcast(CrashNews{Served: []Fingerprint{f}}) }
 	l.OnReleased = q.release
+	l.OnUnlikely = func(parts []Fingerprint) { q.Broadcast(CrashNews{Written: parts}) }
 	return q
 }
 
--- a/internal/quarantine/prompt_part.go
+++ b/internal/quarantine/prompt_part.go
@@ -14,6 +14,9 @@
 	// minPartCrashes is the number of crashes that must count against a part before it is held. Many more requests share a
 	// part than repeat a request, and a part can't be tried alone.
 	minPartCrashes = 4
+	// minCrashesBeside is the number of crashes that must count against a part, as the only likely cause, if other crashes at which
+	// it was present are explained by what is held.
+	minCrashesBeside = 2
 	// minUnbegunCrashes is the number of crashes that must count against a part of which no two crashes happened as an answer
 	// began.
 	minUnbegunCrashes = 5
@@ -76,26 +79,85 @@
 
 // partProven reports whether the evidence suffices to hold requests because of a part; the caller holds the lock.
 func (l *SuspectTracker) partProven(f Fingerprint, s *suspect) bool {
-	if len(s.crashes) < minPartCrashes {
+	if len(s.crashes) < minCrashesBeside {
 		return false
 	}
 	crashes := s.countedCrashes(f)
+	if l.isUnlikely(f) {
+		crashes = slices.DeleteFunc(crashes, func(e *recordedCrash) bool { return l.hasLikelierCause(e) })
+	}
+	if len(crashes) == 0 {
+		return false
+	}
 	events := independentEvents(crashes, f)
 	needed := minPartCrashes
 	if countBegun(crashes, f) < minCrashes-1 {
 		needed = minUnbegunCrashes
 	}
-	if len(events) < needed || len(events) < min(minCertainCrashes, needed+l.unrelatedEvents(f, crashes)/unrelatedPerCrash) {
+	certain := len(events) >= minCertainCrashes || l.onlyLikelyCause(f, crashes)
+	if len(events) < minPartCrashes && !certain {
+		return false
+	}
+	if !certain && (len(events) < needed || len(events) < needed+l.unrelatedEvents(f, crashes)/unrelatedPerCrash) {
 		return false
 	}
 	weight, requests := l.weigh(f, events)
-	certain := len(events) >= minCertainCrashes
-	if len(requests) < minRequests || weight < minWeight && (!certain || l.served.has(f)) || l.served.has(f) && !certain {
+	writable := l.served.has(f) || l.isUnlikely(f)
+	if len(requests) < minRequests || weight < minWeight && (!certain || writable) || writable && !certain {
 		return false
 	}
 	return !oneRequestExplains(crashes)
 }
 
+// onlyLikelyCause reports whether a part was present at enough independent crashes at which answers on all other parts that may
+// be the cause had recently been written. The caller holds the lock.
+func (l *SuspectTracker) onlyLikelyCause(f Fingerprint, crashes []*recordedCrash) bool {
+	if l.isUnlikely(f) || l.served.has(f) {
+		return false
+	}
+	alone := slices.DeleteFunc(slices.Clone(crashes), func(e *recordedCrash) bool {
+		return slices.ContainsFunc(e.findCauses().requests, func(r unwrittenRequest) bool {
+			return l.isRival(r.fingerprint, e) || slices.ContainsFunc(r.parts, func(o Fingerprint) bool { return o != f && l.isRival(o, e) })
+		})
+	})
+	n := len(independentEvents(alone, f))
+	if countBegun(alone, f) < minCrashes-1 || n < minCrashesBeside {
+		return false
+	}
+	return n >= minPartCrashes || n+l.explainedEvents(f) >= minUnbegunCrashes
+}
+
+// isRival reports whether a crash is evidence against a request or part that was present at others as well, and that is not
+// unlikely to be the cause. The caller holds the lock.
+func (l *SuspectTracker) isRival(f Fingerprint, e *recordedCrash) bool {
+	s := l.suspects[f]
+	return s != nil && len(s.crashes) >= minCrashesBeside && e.isEvidence(f) && !l.isUnlikely(f)
+}
+
+// explainedEvents counts the independent crashes at which an upstream was beginning an answer on a part, and that something else
+// which is held explains. The caller holds the lock.
+func (l *SuspectTracker) explainedEvents(f Fingerprint) int {
+	var crashes []*recordedCrash
+	for _, e := range l.crashes {
+		_, cleared := e.cleared[f]
+		if p := e.present[f]; p != nil && p.beginning && e.explained && !cleared {
+			crashes = append(crashes, e)
+		}
+	}
+	return len(independentEvents(crashes, f))
+}
+
+// hasLikelierCause reports whether a part that is not unlikely to be the cause, and was present at several crashes, was present
+// at a crash. The caller holds the lock.
+func (l *SuspectTracker) hasLikelierCause(e *recordedCrash) bool {
+	for f, p := range e.present {
+		if s := l.suspects[f]; p.part && s != nil && len(s.crashes) >= minCrashes && e.isEvidence(f) && e.counts(f) && !l.isUnlikely(f) {
+			return true
+		}
+	}
+	return false
+}
+
 // oneRequestExplains reports whether one request that is suspected by itself was present at all of the crashes, or all but
 // one. Until it is held or cleared it is the likelier cause.
 func oneRequestExplains(crashes []*recordedCrash) bool {
@@ -159,12 +221,12 @@
 	return n
 }
 
-// sameEvidence lists the parts, in order, against which exactly the same crashes count as against a part, including
-// itself. These parts can't be distinguished; the caller holds the lock.
+// sameEvidence lists the parts, in order, against which exactly the same crashes count as against a part, and that were in the
+// same requests there, including itself. These parts can't be distinguished; the caller holds the lock.
 func (l *SuspectTracker) sameEvidence(f Fingerprint) (parts []Fingerprint) {
 	crashes := l.suspects[f].countedCrashes(f)
 	for o, p := range crashes[0].present {
-		if s := l.suspects[o]; p.part && s != nil && s.hasAll(crashes) && slices.Equal(crashes, s.countedCrashes(o)) {
+		if s := l.suspects[o]; p.part && s != nil && s.hasAll(crashes) && slices.Equal(crashes, s.countedCrashes(o)) && inSameRequests(crashes, f, o) {
 			parts = append(parts, o)
 		}
 	}
@@ -172,6 +234,13 @@
 	return parts
 }
 
+// inSameRequests reports whether a request with both parts was present at each crash.
+func inSameRequests(crashes []*recordedCrash, a, b Fingerprint) bool {
+	return !slices.ContainsFunc(crashes, func(e *recordedCrash) bool {
+		return !slices.ContainsFunc(e.unwritten, func(r unwrittenRequest) bool { return slices.Contains(r.parts, a) && slices.Contains(r.parts, b) })
+	})
+}
+
 // checkParts returns the verdict on a request by the parts of its prompt; the caller holds the lock.
 func (l *SuspectTracker) checkParts(parts []Fingerprint) Verdict {
 	v := Pass
--- a/internal/quarantine/prompt_part_simulation_test.go
+++ b/internal/quarantine/prompt_part_simulation_test.go
@@ -166,4 +166,45 @@
 			Expect(t.lateParts()).To(BeNumerically("<=", maxLatePartSends), fmt.Sprint("seed ", seed))
 		}
 	})
+
+	// Guards against several parts, or requests, that hide each other's crashes.
+	DescribeTable("hold all that crash upstreams at once, in time, and nothing harmless", func(configure func(m *simulationConfig)) {
+		late, harmless := 0, 0
+		const seeds = 20
+		for seed := range uint64(seeds) {
+			m := promptDeployment()
+			m.gateways, m.upstreams, m.proper, m.warmUp = 6, 12, 150, 3*time.Second
+			m.bad, m.badRate = 2, 4
+			configure(&m)
+			t := simulate(m, seed)
+			n := t.lateParts()
+			if m.badPrompt == nil {
+				n = t.maxLateSends()
+			}
+			if n > maxLatePartSends {
+				late++
+			}
+			if m.badPrompt != nil && t.heldHarmless() > 0 {
+				harmless++
+			}
+		}
+		AddReportEntry("result", fmt.Sprintf("%d of %d runs with late sends, %d with harmless parts held", late, seeds, harmless))
+		Expect([]int{late, harmless}).To(Equal([]int{0, 0}))
+	},
+		Entry("two parts", func(*simulationConfig) {}),
+		Entry("two parts, at two gateways and four upstreams", func(m *simulationConfig) { m.gateways, m.upstreams, m.proper = 2, 4, 60 }),
+		Entry("two frequent parts, at two gateways and four upstreams", func(m *simulationConfig) { m.gateways, m.upstreams, m.proper, m.badRate = 2, 4, 60, 16 }),
+		Entry("two parts beside frequent ones", func(m *simulationConfig) { m.prompt, m.badPrompt = frequentPrompt, badAmongFrequent }),
+		Entry("two frequent parts beside frequent ones", func(m *simulationConfig) { m.prompt, m.badPrompt, m.badRate = frequentPrompt, badAmongFrequent, 12 }),
+		Entry("two parts beside frequent ones, from the start on", func(m *simulationConfig) { m.prompt, m.badPrompt, m.warmUp = frequentPrompt, badAmongFrequent, 0 }),
+		Entry("three parts", func(m *simulationConfig) { m.bad = 3 }),
+		Entry("three parts beside frequent ones", func(m *simulationConfig) { m.bad, m.prompt, m.badPrompt = 3, frequentPrompt, badAmongFrequent }),
+		Entry("four parts", func(m *simulationConfig) { m.bad = 4 }),
+		Entry("four parts beside frequent ones", func(m *simulationConfig) { m.bad, m.prompt, m.badPrompt = 4, frequentPrompt, badAmongFrequent }),
+		Entry("four parts beside frequent ones, from the start on", func(m *simulationConfig) {
+			m.bad, m.prompt, m.badPrompt, m.warmUp = 4, frequentPrompt, badAmongFrequent, 0
+		}),
+		Entry("two requests", func(m *simulationConfig) { m.badPrompt = nil }),
+		Entry("four requests", func(m *simulationConfig) { m.bad, m.badPrompt = 4, nil }),
+	)
 })
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -27,6 +27,8 @@
 	maxInFlight = 24
 	// beginningTime is how long an answer counts as beginning: the time to the first event and half a second.
 	beginningTime = 600 * time.Millisecond
+	// writtenTime is how long an answer must have been written to count as such.
+	writtenTime = 500 * time.Millisecond
 )
 
 // simulationConfig configures a simulation.
@@ -98,6 +100,17 @@
 				t.schedule(newsDelay, func() { o.ClearSuspicion(f) })
 			}
 		}
+		l.OnUnlikely = func(parts []Fingerprint) {
+			for _, o := range t.trackers {
+				if o != l && t.shared {
+					t.schedule(newsDelay, func() {
+						for _, f := range parts {
+							o.ApplyWritten(f)
+						}
+					})
+				}
+			}
+		}
 		l.OnHeld = append(l.OnHeld, func(h HeldRequest) {
 			for _, o := range t.trackers {
 				if o != l && h.HeldBy == l.vm && t.shared {
@@ -217,6 +230,11 @@
 		})
 		return
 	}
+	t.schedule(wait+writtenTime, func() {
+		if p.restarts == incarnation && p.has(r) {
+			t.trackers[r.gateway].Written(r.parts...)
+		}
+	})
 	t.schedule(wait+time.Duration(t.random.ExpFloat64()*1.5*float64(time.Second)), func() {
 		if p.restarts == incarnation && p.has(r) {
 			p.remove(r)
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -30,6 +30,8 @@
 	// one of them was sent alone.
 	attempts   map[CallerAttempt]struct{}
 	triedAlone bool
+	// toldUnlikely is true once all gateways have been told that a part is unlikely to be the cause.
+	toldUnlikely bool
 }
 
 // requestProven reports whether the evidence suffices to hold a request: enough crashes, under as many attempts of its
@@ -66,6 +68,8 @@
 	OnHeld     []func(h HeldRequest)
 	OnServed   func(f Fingerprint)
 	OnReleased func(f Fingerprint, here bool)
+	// OnUnlikely is called for parts that are suspected, and on which answers were recently written here.
+	OnUnlikely func(parts []Fingerprint)
 
 	// watching is false while no request is suspected or held.
 	watching atomic.Bool
@@ -76,7 +80,9 @@
 	suspects   map[Fingerprint]*suspect
 	held       *heldSet
 	served     *recentlyServed
-	settling   bool
+	// written are the parts on which an upstream has recently written an answer for some time, though it may not be complete.
+	written  *recentlyServed
+	settling bool
 	// undecided is true if evidence against parts has changed since the last decision on what to hold.
 	undecided bool
 }
@@ -84,9 +90,9 @@
 // NewSuspectTracker creates an empty tracker for the gateway on a VM.
 func NewSuspectTracker(vm id.VM, now func() time.Time, l *log.Logger) *SuspectTracker {
 	g := &SuspectTracker{
-		vm: vm, now: now, log: l, vars: new(expvar.Map), OnServed: func(Fingerprint) {}, OnReleased: func(Fingerprint, bool) {},
+		vm: vm, now: now, log: l, vars: new(expvar.Map), OnServed: func(Fingerprint) {}, OnReleased: func(Fingerprint, bool) {}, OnUnlikely: func([]Fingerprint) {},
 		after:      func(d time.Duration, f func()) { time.AfterFunc(d, f) },
-		byInstance: map[id.Instance][]*recordedCrash{}, suspects: map[Fingerprint]*suspect{}, held: newHeldSet(), served: newRecentlyServed(now),
+		byInstance: map[id.Instance][]*recordedCrash{}, suspects: map[Fingerprint]*suspect{}, held: newHeldSet(), served: newRecentlyServed(now), written: newRecentlyServed(now),
 	}
 	g.vars.Set("held", expvar.Func(func() any { return len(g.HeldRequests()) }))
 	return g
@@ -133,8 +139,10 @@
 
 // changes are what callbacks have to be called for once the lock is released.
 type changes struct {
-	held   []HeldRequest
-	served []Fingerprint
+	// unlikely are suspected parts on which answers were recently written here.
+	unlikely []Fingerprint
+	held     []HeldRequest
+	served   []Fingerprint
 	// released are no longer held, as this gateway found out if here is true.
 	released []Fingerprint
 	here     bool
@@ -145,6 +153,9 @@
 	for _, f := range c.released {
 		l.OnReleased(f, c.here)
 	}
+	if len(c.unlikely) > 0 {
+		l.OnUnlikely(c.unlikely)
+	}
 	for _, f := range c.served {
 		l.OnServed(f)
 	}
@@ -174,8 +185,8 @@
 			c.served = append(c.served, p.Fingerprint)
 		}
 		for _, f := range p.Parts {
-			if n.isEvidence(f) && l.held.get(f) == nil {
-				l.addPartEvidence(f, p.Organisation, n)
+			if n.isEvidence(f) && l.held.get(f) == nil && l.addPartEvidence(f, p.Organisation, n) {
+				c.unlikely = append(c.unlikely, f)
 			}
 		}
 	}
@@ -214,8 +225,9 @@
 	return false
 }
 
-// addPartEvidence counts a crash against a part of prompts; the caller holds the lock.
-func (l *SuspectTracker) addPartEvidence(f Fingerprint, o id.Organisation, e *recordedCrash) {
+// addPartEvidence counts a crash against a part of prompts. It reports whether other gateways should know that the part is
+// unlikely to be the cause. The caller holds the lock.
+func (l *SuspectTracker) addPartEvidence(f Fingerprint, o id.Organisation, e *recordedCrash) (unlikely bool) {
 	s := l.suspects[f]
 	if s == nil {
 		s = &suspect{organisation: o, part: true, crashes: map[*recordedCrash]struct{}{}}
@@ -224,15 +236,19 @@
 	_, known := s.crashes[e]
 	s.crashes[e] = struct{}{}
 	l.undecided = true
-	if len(s.crashes) >= minPartCrashes {
+	if len(s.crashes) >= minPartCrashes || len(s.crashes) >= minCrashesBeside && l.held.size() > 0 {
 		l.scheduleSettle()
 	}
+	if !s.toldUnlikely && len(s.crashes) >= minCrashes-1 && l.isUnlikely(f) {
+		s.toldUnlikely, unlikely = true, true
+	}
 	if known || len(s.crashes) < minCrashes-1 || !e.present[f].beginning {
-		return
+		return unlikely
 	}
 	l.vars.Add("suspected_parts", 1)
 	l.log.Info().Stringer("fingerprint", f).Str("organisation", string(o)).Int("ends", len(s.crashes)).
 		Str("instance", string(e.incarnation.Instance)).Msg("upstream processes ended with the same part of prompts in flight")
+	return unlikely
 }
 
 // scheduleSettle schedules the decision on what to hold; the caller holds the lock.
@@ -265,6 +281,38 @@
 	l.notify(c)
 }
 
+// Written notes that an upstream has written an answer on the given parts for some time without a crash. It tells other gateways
+// of those that are suspected.
+func (l *SuspectTracker) Written(parts ...Fingerprint) {
+	var c changes
+	l.mu.Lock()
+	for _, f := range parts {
+		l.written.add(f)
+		if s := l.suspects[f]; s != nil && len(s.crashes) >= minCrashes-1 && l.isUnlikely(f) && !s.toldUnlikely {
+			s.toldUnlikely = true
+			c.unlikely = append(c.unlikely, f)
+		}
+	}
+	l.mu.Unlock()
+	l.notify(c)
+}
+
+// ApplyWritten notes that an upstream has written an answer on a part that is suspected, at another gateway.
+func (l *SuspectTracker) ApplyWritten(f Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.written.add(f)
+	if s := l.suspects[f]; s != nil {
+		s.toldUnlikely = true
+	}
+}
+
+// isUnlikely reports whether a part is unlikely to crash upstreams, as answers on it were recently written for some time, or
+// complete several times. The caller holds the lock.
+func (l *SuspectTracker) isUnlikely(f Fingerprint) bool {
+	return l.written.has(f) || l.served.count(f) >= minUsualAnswers
+}
+
 // ClearSuspicion notes that another gateway has served a request or part.
 func (l *SuspectTracker) ClearSuspicion(f Fingerprint) {
 	var c changes
