Soak: check retries, attempts and deadlines, and close listeners late

The soak saw none of the first three BUDGET rules, and its upstreams closed their listeners with their connections, as no process does.

New draws: crashing upstreams close their listeners 0 to 1 s after their connections, some behind a proxy; plain upstreams lose most of their answers while all gateways are killed in series. Two kept cases.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -116,6 +116,8 @@
 	a.key, a.ownPriority = [...]string{gymKey, labKey}[c.sentCount%2], ownPriorities[c.sentCount%len(ownPriorities)]
 	a.body = a.id + strings.Repeat("x", c.random.IntN(maxBodyBytes))
 	switch n := c.random.IntN(100); {
+	case c.history.isLosingAnswers():
+		// All requests may be retried, so that the budget of retries is used up.
 	case n < 30:
 		a.path, a.stream = [...]string{chatPath, bulkPath}[c.sentCount/2%2], true
 		a.prompt = []string{firstPart(c.sentCount), secondPart(c.sentCount)}
@@ -164,7 +166,7 @@
 		return
 	}
 	c.history.RecordSent(a.id, &request{
-		gateway: c.gateway, unsafe: a.unsafe, priority: queuePriorities[a.key+a.path], ownPriority: a.ownPriority,
+		gateway: c.gateway, path: a.path, unsafe: a.unsafe, priority: queuePriorities[a.key+a.path], ownPriority: a.ownPriority,
 		long: c.isPatient, deadline: time.Now().Add(a.timeout), arrivesSlowly: a.pace.isSlow(), answerTime: a.answerTime,
 	})
 	timeout := a.timeout + callerSlack
--- a/internal/soak/cases.go
+++ b/internal/soak/cases.go
@@ -36,4 +36,16 @@
 		},
 		Cause: "a leaving gateway decided at the header whether to take a request: those with a slow body or answer were sent to an upstream and given up",
 	},
+	{
+		Settings: Settings{
+			Seed: 8711, Seconds: 30, Gateways: 6, Stagers: 12, Domains: 3, EngineShare: 0.15, Faults: []string{doCrasher},
+		},
+		Cause: "a connection that was accepted counted as proof that an upstream's process runs, so crashes were missed whose listeners closed later",
+	},
+	{
+		Settings: Settings{
+			Seed: 8731, Seconds: 40, Gateways: 6, Stagers: 3, Domains: 3, EngineShare: 0.15, Faults: []string{doAnswersLost, doHerdKill},
+		},
+		Cause: "a gateway that started anew had its whole share of the retries again, although its predecessor had just used it",
+	},
 }
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -88,6 +88,10 @@
 		r.deadline = r.sent.Add(callerDeadline)
 	}
 	b.requests[id] = r
+	if pool := poolOf(r.path); pool != "" {
+		l := b.loadOf(pool)
+		l.requests = append(l.requests, r.sent)
+	}
 	b.counts["sent"]++
 	b.countRank(r)
 	if b.inFinalPhase() && !r.crashesUpstreams {
@@ -157,6 +161,7 @@
 	faultFree := b.faultFree(r) && b.noFault(now.Add(-settleTime), now, address)
 	b.checkLimit(r, id, instance, faultFree)
 	b.checkAnnouncements(r, id, instance)
+	b.checkRetries(r, id)
 	if d, ok := b.departed[instance]; ok {
 		late := now.Sub(d.at)
 		b.counts["reached an upstream after it left"]++
@@ -182,6 +187,7 @@
 	}
 	r.runs++
 	b.counts["runs"]++
+	b.checkAttempts(r, x)
 	if r.crashesUpstreams {
 		b.checkCrashingRun(r, x.Request)
 	}
--- a/internal/soak/crasher.go
+++ b/internal/soak/crasher.go
@@ -90,7 +90,7 @@
 		w.history.RecordEvent("%s: %v", a.id, err)
 		return
 	}
-	w.history.RecordSent(a.id, &request{gateway: g, crashesUpstreams: true, priority: queuePriorities[a.key+a.path]})
+	w.history.RecordSent(a.id, &request{gateway: g, path: a.path, crashesUpstreams: true, priority: queuePriorities[a.key+a.path]})
 	ctx, stop := context.WithTimeout(ctx, callerDeadline)
 	defer stop()
 	q = q.WithContext(ctx)
@@ -122,7 +122,7 @@
 		}
 		s.history.RecordCrash(crashKind(body))
 		end := s.history.BeginFault(s.address, "crashed under a request")
-		l.Close()
+		l.CloseLater(closings[s.startCount%len(closings)])
 		go func() {
 			defer s.busy.Unlock()
 			defer end()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -85,7 +85,7 @@
 	w.version = firstVersion
 	w.publishConfig(0)
 	for i := range plainUpstreams {
-		if err := w.addSlot(ctx, &w.plain, "desk", fmt.Sprintf("%s.5.%d:8001", n, i+1), i); err != nil {
+		if err := w.addSlot(ctx, &w.plain, plainPool, fmt.Sprintf("%s.5.%d:8001", n, i+1), i); err != nil {
 			return w, err
 		}
 	}
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -24,6 +24,20 @@
 	held  chan struct{}
 	// silent makes new connections silent too.
 	silent bool
+	// closing is true once no connections are accepted any more.
+	closing bool
+}
+
+// closing is how the listener of an upstream closes that has crashed: some time after its connections, while new ones are
+// silent or are closed at once as a proxy does.
+type closing struct {
+	after     time.Duration
+	turnsAway bool
+}
+
+// closings are the ways in which upstreams that crash close their listeners, in turn.
+var closings = [...]closing{
+	{}, {after: 30 * time.Millisecond}, {after: 100 * time.Millisecond}, {}, {after: 400 * time.Millisecond}, {after: time.Second}, {after: time.Second, turnsAway: true},
 }
 
 // listenLink listens on an address.
@@ -38,11 +52,17 @@
 // Accept implements net.Listener.
 func (l *Link) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	switch {
+	case l.closing && err == nil:
+		c.Close()
+		return nil, net.ErrClosed
+	case l.closing:
+		return nil, net.ErrClosed
+	case err != nil:
+		return nil, err
+	}
 	k := &linkConn{Conn: c, link: l, silent: l.silent}
 	l.conns[k] = struct{}{}
 	return k, nil
@@ -90,14 +110,57 @@
 	}
 }
 
-// Close closes the listener and resets its connections, as the end of the serving process does.
+// Close closes the listener and resets its connections, as the end of the serving process does. A listener that closes later
+// already is left to that.
 func (l *Link) Close() error {
+	if !l.stopAccepting() {
+		return nil
+	}
 	err := l.Listener.Close()
 	l.HoldAnswers(false)
 	l.Reset()
 	return err
 }
 
+// CloseLater resets the connections, and closes the listener some time later.
+func (l *Link) CloseLater(c closing) {
+	if c.after == 0 {
+		l.Close()
+		return
+	}
+	if !l.stopAccepting() {
+		return
+	}
+	t := l.Listener.(*net.TCPListener)
+	_ = t.SetDeadline(time.Unix(1, 0))
+	l.HoldAnswers(false)
+	l.Reset()
+	go func() {
+		defer t.Close()
+		if !c.turnsAway {
+			time.Sleep(c.after)
+			return
+		}
+		_ = t.SetDeadline(time.Now().Add(c.after))
+		for {
+			n, err := t.Accept()
+			if err != nil {
+				return
+			}
+			n.Close()
+		}
+	}()
+}
+
+// stopAccepting reports whether connections were accepted until now.
+func (l *Link) stopAccepting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	accepted := !l.closing
+	l.closing = true
+	return accepted
+}
+
 // linkConn is a connection on a link.
 type linkConn struct {
 	net.Conn
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -43,6 +43,8 @@
 	doGatewayPauseReserved = "gateway-pause-reserved"
 	doOriginOutage         = "origin-outage"
 	doStopSeries           = "stop-series"
+	doAnswersLost          = "answers-lost"
+	doHerdKill             = "herd-kill"
 )
 
 // reservationFaults lists the faults of reservations, which are drawn at a mean interval of meanReservationInterval each.
@@ -130,6 +132,7 @@
 	}
 	p.drawRecurring(allowed, doOriginOutage, meanOutageInterval, minOutage, maxOutage)
 	p.drawStopSeries(allowed)
+	p.drawStorms(allowed)
 	slices.SortStableFunc(p.steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p.steps
 }
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -33,6 +33,8 @@
 	// plainUpstreams is the number of plain upstreams. They are cheap, as they need no process, and suffice for two
 	// departures a second.
 	plainUpstreams = 40
+	// plainPool and enginePool are the pools of the plain upstreams and of the model engines.
+	plainPool, enginePool = "desk", "engines"
 	// chunks and chunkBytes are the size of a version's weights, small because the transfer is not under test.
 	chunks, chunkBytes = 8, 1024
 )
@@ -114,16 +116,16 @@
 		return fmt.Sprintf(routeFormat, name, path, kind, longRouteTimeout.Milliseconds(), service, attempts, options)
 	}
 	l := []string{
-		route("chat", chatPath, "streaming", "engines", 3, streamOptions),
-		route("bulk", bulkPath, "streaming", "engines", 3, streamOptions+fmt.Sprintf(`,"priority":%d`, bulkPriority)),
+		route("chat", chatPath, "streaming", "engines", maxAttempts, streamOptions),
+		route("bulk", bulkPath, "streaming", "engines", maxAttempts, streamOptions+fmt.Sprintf(`,"priority":%d`, bulkPriority)),
 		route("desk", deskPath, "unsafe", "desk", 1, ""),
-		route("look", lookPath, "safe", "desk", 3, ""),
-		longRoute("long-chat", longChatPath, "streaming", "engines", 3, longStreamOptions),
+		route("look", lookPath, "safe", "desk", maxAttempts, ""),
+		longRoute("long-chat", longChatPath, "streaming", "engines", maxAttempts, longStreamOptions),
 		longRoute("long-desk", longDeskPath, "unsafe", "desk", 1, ""),
-		longRoute("long-look", longLookPath, "safe", "desk", 3, ""),
+		longRoute("long-look", longLookPath, "safe", "desk", maxAttempts, ""),
 	}
 	for n := max(1, version-keptRoutes); n <= version; n++ {
-		l = append(l, route(fmt.Sprint("own", n), configPath(n), "safe", "desk", 3, ""))
+		l = append(l, route(fmt.Sprint("own", n), configPath(n), "safe", "desk", maxAttempts, ""))
 	}
 	for n := 0; big && n < bigRoutes; n++ {
 		l = append(l, route(fmt.Sprint("f", n), fmt.Sprintf("/f%d/", n), "safe", "desk", 1, ""))
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -73,7 +73,9 @@
 	server.OnRetryAfter = func(request, retryAfter string) { s.history.RecordRestRequest(request, server.Instance, retryAfter) }
 	s.setCrashHandlers(ctx, server)
 	s.server, s.link, s.state, s.listed, s.startedAt = server, l, stateReady, true, time.Now()
-	go func() { _ = standin.ServeOn(ctx, l, &recorder{slot: s.address, server: server, history: s.history}) }()
+	go func() {
+		_ = standin.ServeOn(ctx, l, &recorder{slot: s.address, pool: s.pool, server: server, history: s.history})
+	}()
 	s.writeRecord()
 	return nil
 }
@@ -81,6 +83,7 @@
 // recorder records each request that reaches an upstream.
 type recorder struct {
 	slot    string
+	pool    string
 	server  *standin.ModelServer
 	history *History
 }
@@ -90,7 +93,12 @@
 	if !strings.HasPrefix(r.URL.Path, "/v1/") {
 		h.history.RecordArrival(r.Header.Get("Request-Id"), r.Header.Get("Target-Instance"), h.slot)
 		defer h.history.RecordWorkEnd(r.Header.Get("Request-Id"))
+		h.history.RecordDeadline(r.Header.Get("Request-Id"), r.Header.Get("Target-Instance"), h.slot, r.Header.Get("Deadline-Ms"))
 		h.history.RecordPriority(r.Header.Get("Request-Id"), r.Header.Values("Priority"))
+		if h.pool == plainPool && h.history.losesAnswer() {
+			h.server.ServeHTTP(lostAnswer{header: http.Header{}}, r)
+			panic(http.ErrAbortHandler)
+		}
 	}
 	h.server.ServeHTTP(w, r)
 }
