--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -146,8 +146,8 @@
 			_, _ = io.WriteString(c, "10\r\nid: 2\ndata: bbb\n\n\r\n")
 		})
 		part := quarantine.OfPart("m", "", "1a")
-		told := make(chan []quarantine.Fingerprint, 1)
-		b.list.OnUnlikely = func(parts []quarantine.Fingerprint) { told <- parts }
+		announced := make(chan []quarantine.Fingerprint, 1)
+		b.list.OnUnlikely = func(parts []quarantine.Fingerprint) { announced <- parts }
 		for n := range 2 {
 			b.list.RecordCrash(quarantine.Crash{
 				Incarnation: quarantine.Incarnation{Instance: id.Instance(strconv.Itoa(n)), Address: "a"},
@@ -155,7 +155,7 @@
 			})
 		}
 		_, _, _ = b.sendRequest("POST", "/p/", "x", xModel, "m", xParts, "1a", "X-Hang-Up", "1")
-		Eventually(told).Should(Receive(Equal([]quarantine.Fingerprint{part})))
+		Eventually(announced).Should(Receive(Equal([]quarantine.Fingerprint{part})))
 	})
 
 	It("is not suspected if connections break and the upstream is alive", func() {
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -30,8 +30,8 @@
 	// one of them was sent alone.
 	attempts   map[CallerAttempt]struct{}
 	triedAlone bool
-	// toldUnlikely is true once all gateways have been told that a part is unlikely to be the cause.
-	toldUnlikely bool
+	// sharedUnlikely is true once all gateways know, from this one or another, that a part is unlikely to be the cause.
+	sharedUnlikely bool
 }
 
 // requestProven reports whether the evidence suffices to hold a request: enough crashes, under as many attempts of its
@@ -239,8 +239,8 @@
 	if len(s.crashes) >= minPartCrashes || len(s.crashes) >= minCrashesBeside && l.held.size() > 0 {
 		l.scheduleSettle()
 	}
-	if !s.toldUnlikely && len(s.crashes) >= minCrashes-1 && l.isUnlikely(f) {
-		s.toldUnlikely, unlikely = true, true
+	if !s.sharedUnlikely && len(s.crashes) >= minCrashes-1 && l.isUnlikely(f) {
+		s.sharedUnlikely, unlikely = true, true
 	}
 	if known || len(s.crashes) < minCrashes-1 || !e.present[f].beginning {
 		return unlikely
@@ -288,8 +288,8 @@
 	l.mu.Lock()
 	for _, f := range parts {
 		l.written.add(f)
-		if s := l.suspects[f]; s != nil && len(s.crashes) >= minCrashes-1 && l.isUnlikely(f) && !s.toldUnlikely {
-			s.toldUnlikely = true
+		if s := l.suspects[f]; s != nil && len(s.crashes) >= minCrashes-1 && l.isUnlikely(f) && !s.sharedUnlikely {
+			s.sharedUnlikely = true
 			c.unlikely = append(c.unlikely, f)
 		}
 	}
@@ -303,7 +303,7 @@
 	defer l.mu.Unlock()
 	l.written.add(f)
 	if s := l.suspects[f]; s != nil {
-		s.toldUnlikely = true
+		s.sharedUnlikely = true
 	}
 }
 
--- a/internal/quarantine/written_test.go
+++ b/internal/quarantine/written_test.go
@@ -35,19 +35,19 @@
 		}),
 	)
 
-	It("is told to other gateways once, when it is suspected", func() {
+	It("is announced to other gateways once, when it is suspected", func() {
 		d := newManualTracker()
-		var told []Fingerprint
-		d.OnUnlikely = func(parts []Fingerprint) { told = append(told, parts...) }
+		var announced []Fingerprint
+		d.OnUnlikely = func(parts []Fingerprint) { announced = append(announced, parts...) }
 		d.Written(partNamed("a"), partNamed("b"))
 		crash(d, 0, []string{"a", "c"}, []string{"b"})
-		Expect(told).To(BeEmpty())
+		Expect(announced).To(BeEmpty())
 		crash(d, 1, []string{"a", "c"})
 		crash(d, 2, []string{"a", "c"})
-		Expect(told).To(Equal(partsNamed([]string{"a"})))
+		Expect(announced).To(Equal(partsNamed([]string{"a"})))
 		d.Written(partNamed("c"))
 		d.Written(partNamed("c"))
-		Expect(told).To(Equal(partsNamed([]string{"a", "c"})))
+		Expect(announced).To(Equal(partsNamed([]string{"a", "c"})))
 	})
 
 	It("is held in the end if nothing else explains the crashes", func() {
