--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -112,7 +112,7 @@
 		if sign := g.processSign(s, known, since); sign != quarantine.NoSign || !connect {
 			return sign
 		}
-		return g.connectionSign(ctx, w)
+		return g.connectionSign(ctx, s, w)
 	}
 	return quarantine.Observer{Look: look, Close: w.Close}
 }
@@ -122,8 +122,7 @@
 func (g *Gateway) processSign(s quarantine.Incarnation, known []id.Instance, since time.Time) quarantine.Sign {
 	switch g.loadSources.Tracker.ProcessSince(s.Address, s.Born, since) {
 	case placement.ProcessEnded:
-		g.metrics.count("crashes_found_by_report")
-		return quarantine.Ended
+		return g.processEnded(s, "report")
 	case placement.ProcessRuns:
 		return quarantine.Runs
 	}
@@ -132,8 +131,7 @@
 	}
 	for _, n := range g.instancesAt(s.Address) {
 		if n != s.Instance && !slices.Contains(known, n) {
-			g.metrics.count("crashes_found_by_list")
-			return quarantine.Ended
+			return g.processEnded(s, "list")
 		}
 	}
 	return quarantine.NoSign
@@ -150,13 +148,12 @@
 }
 
 // connectionSign returns what a connection to an upstream shows of its process.
-func (g *Gateway) connectionSign(ctx context.Context, w *upconn.Watch) quarantine.Sign {
+func (g *Gateway) connectionSign(ctx context.Context, s quarantine.Incarnation, w *upconn.Watch) quarantine.Sign {
 	p := w.Look(ctx)
 	g.metrics.count("crash_checks_" + p.String())
 	switch p {
 	case upconn.Refused:
-		g.metrics.count("crashes_found_by_connection")
-		return quarantine.Ended
+		return g.processEnded(s, "connection")
 	case upconn.TurnedAway:
 		return quarantine.TurnedAway
 	default:
@@ -164,6 +161,14 @@
 	}
 }
 
+// processEnded records by what it was found that an upstream's process has ended.
+func (g *Gateway) processEnded(s quarantine.Incarnation, by string) quarantine.Sign {
+	g.metrics.count("ends_found_by_" + by)
+	g.log.Info().Str("instance", string(s.Instance)).Str("upstream", s.Address).Str("by", by).
+		Msg("the upstream process has ended under requests that broke off")
+	return quarantine.Ended
+}
+
 // requestRegistry holds the requests in flight by fingerprint.
 type requestRegistry struct {
 	mu            sync.Mutex
--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -76,9 +76,10 @@
 
 	mu        sync.Mutex
 	questions map[Incarnation]*question
-	// open is the number of questions.
-	open      atomic.Int32
-	abandoned []abandonedRequest
+	// open is the number of questions, and unresolved how many were given up.
+	open       atomic.Int32
+	unresolved atomic.Int64
+	abandoned  []abandonedRequest
 }
 
 // question is whether the process of an incarnation has ended.
@@ -201,6 +202,12 @@
 	}
 }
 
+// Questions returns the number of upstream processes of which it is not known whether they have ended, and how often that was
+// never found out.
+func (w *CrashDetector) Questions() (open, unresolved int64) {
+	return int64(w.open.Load()), w.unresolved.Load()
+}
+
 // RequestAbandoned notes that a request was abandoned at an upstream.
 func (w *CrashDetector) RequestAbandoned(s Incarnation, p InFlightRequest) {
 	w.mu.Lock()
@@ -279,6 +286,8 @@
 	switch {
 	case sign == Runs:
 		q.callServed()
+	case sign != Ended:
+		w.unresolved.Add(1)
 	case sign == Ended && (q.broken || age < unprovenTTL):
 		w.report(Crash{Incarnation: s, Requests: q.requests})
 	}
--- a/internal/quarantine/crash_detector_test.go
+++ b/internal/quarantine/crash_detector_test.go
@@ -96,7 +96,8 @@
 		Expect(reported).To(BeEmpty())
 		Expect(timers).To(BeEmpty())
 		Expect(closed).To(Equal(1))
-		Expect(detector.open.Load()).To(BeZero())
+		open, unresolved := detector.Questions()
+		Expect([]int64{open, unresolved}).To(Equal([]int64{0, 1}))
 	})
 
 	It("asks no more once a request is answered that was sent after the break, but not by an earlier one", func() {
