--- a/internal/soak/storm.go
+++ b/internal/soak/storm.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"bytes"
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -98,20 +100,34 @@
 		return false
 	}
 	b.lostSum--
-	b.counts["answers lost"]++
 	return true
 }
 
-// lostAnswer discards an answer.
+// lostAnswer is an answer that is lost if the request ran. A refusal is kept.
 type lostAnswer struct {
 	header http.Header
+	status int
+	body   bytes.Buffer
 }
 
 // Header implements http.ResponseWriter.
-func (l lostAnswer) Header() http.Header { return l.header }
+func (l *lostAnswer) Header() http.Header { return l.header }
 
 // Write implements http.ResponseWriter.
-func (l lostAnswer) Write(b []byte) (int, error) { return len(b), nil }
+func (l *lostAnswer) Write(b []byte) (int, error) { return l.body.Write(b) }
 
 // WriteHeader implements http.ResponseWriter.
-func (l lostAnswer) WriteHeader(int) {}
+func (l *lostAnswer) WriteHeader(status int) { l.status = status }
+
+// serveLost serves a request and loses the answer if it ran.
+func (h *recorder) serveLost(w http.ResponseWriter, r *http.Request) {
+	l := &lostAnswer{header: http.Header{}, status: http.StatusOK}
+	h.server.ServeHTTP(l, r)
+	if l.header.Get("Not-Executed") == "" {
+		h.history.Count("answers lost")
+		panic(http.ErrAbortHandler)
+	}
+	maps.Copy(w.Header(), l.header)
+	w.WriteHeader(l.status)
+	_, _ = w.Write(l.body.Bytes())
+}
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -96,8 +96,8 @@
 		h.history.RecordDeadline(r.Header.Get("Request-Id"), r.Header.Get("Target-Instance"), h.slot, r.Header.Get("Deadline-Ms"))
 		h.history.RecordPriority(r.Header.Get("Request-Id"), r.Header.Values("Priority"))
 		if h.pool == plainPool && h.history.losesAnswer() {
-			h.server.ServeHTTP(lostAnswer{header: http.Header{}}, r)
-			panic(http.ErrAbortHandler)
+			h.serveLost(w, r)
+			return
 		}
 	}
 	h.server.ServeHTTP(w, r)
