Soak: let a link behind a proxy close only once its listener is free

Trace: the deadline that stops the accepting goroutine was replaced before that goroutine ran, which then waited until the listener closed. The goroutine is awaited now. A variable of the quarantine is named for what it holds.

--- a/internal/quarantine/prompt_part.go
+++ b/internal/quarantine/prompt_part.go
@@ -102,8 +102,8 @@
 		return false
 	}
 	weight, requests := l.weigh(f, events)
-	writable := l.served.has(f) || l.isUnlikely(f)
-	if len(requests) < minRequests || weight < minWeight && (!certain || writable) || writable && !certain {
+	answered := l.served.has(f) || l.isUnlikely(f)
+	if len(requests) < minRequests || weight < minWeight && (!certain || answered) || answered && !certain {
 		return false
 	}
 	return !oneRequestExplains(crashes)
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -24,8 +24,9 @@
 	held  chan struct{}
 	// silent makes new connections silent too.
 	silent bool
-	// closing is true once no connections are accepted any more.
+	// closing is true once no connections are accepted any more, and stopped is closed once the accepting goroutine knows.
 	closing bool
+	stopped chan struct{}
 }
 
 // closing is how the listener of an upstream closes that has crashed: some time after its connections, while new ones are
@@ -46,7 +47,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &Link{Listener: l, conns: map[*linkConn]struct{}{}, onFaultyRead: func([]byte) {}}, nil
+	return &Link{Listener: l, conns: map[*linkConn]struct{}{}, stopped: make(chan struct{}), onFaultyRead: func([]byte) {}}, nil
 }
 
 // Accept implements net.Listener.
@@ -54,13 +55,14 @@
 	c, err := l.Listener.Accept()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch {
-	case l.closing && err == nil:
-		c.Close()
-		return nil, net.ErrClosed
-	case l.closing:
+	if l.closing {
+		if err == nil {
+			c.Close()
+		}
+		l.noteStopped()
 		return nil, net.ErrClosed
-	case err != nil:
+	}
+	if err != nil {
 		return nil, err
 	}
 	k := &linkConn{Conn: c, link: l, silent: l.silent}
@@ -68,6 +70,15 @@
 	return k, nil
 }
 
+// noteStopped records that Accept has returned net.ErrClosed. The caller holds the lock.
+func (l *Link) noteStopped() {
+	select {
+	case <-l.stopped:
+	default:
+		close(l.stopped)
+	}
+}
+
 // SetDelay delays all incoming data; 0 ends the delay.
 func (l *Link) SetDelay(d time.Duration) {
 	l.mu.Lock()
@@ -141,6 +152,8 @@
 			time.Sleep(c.after)
 			return
 		}
+		// A deadline that is set anew before the accepting goroutine has seen the old one would leave it waiting.
+		<-l.stopped
 		_ = t.SetDeadline(time.Now().Add(c.after))
 		for {
 			n, err := t.Accept()
