Take only states that a stager read after a break for proof of life

Cause: in the form of a report that came over 1 s after an end counted as read after it. Trace: gateway-3 took an answer without a length for complete, as the listener closed 1 s later; 1.5 s after that a report of the stager there, short of processor time, still said up, the request counted as served, and what was served clears its crashes for a minute.

Change: a report states how old the state is, and counts only if the time that it echoes, less that age, is after the break: both are the gateway's own clock. Down counts from the first such report only.

--- a/internal/placement/life.go
+++ b/internal/placement/life.go
@@ -18,12 +18,8 @@
 	ProcessEnded
 )
 
-// maxReportLag is how much older than its arrival the state in a report may be: the stager polls the upstream every 100 ms and
-// waits up to 700 ms for the answer.
-const maxReportLag = time.Second
-
-// ProcessSince returns what the reports that were received after a point in time show of the process at an address that had
-// been sent requests before.
+// ProcessSince returns what the reports on the process at an address show that was sent requests until a point in time. A report
+// shows that the process ran later only if the stager read the state later, which the newest time that the report echoes proves.
 func (t *Tracker) ProcessSince(address string, incarnation id.Incarnation, since time.Time) ProcessState {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -31,9 +27,9 @@
 	switch {
 	case u == nil:
 		return ProcessUnknown
-	case incarnation.Before(u.incarnation), u.downAt.After(since):
+	case incarnation.Before(u.incarnation), u.downSince.After(since):
 		return ProcessEnded
-	case u.report.Life > 0 && u.lifeSince.Before(since) && u.report.ReceivedAt.Sub(since) > maxReportLag:
+	case u.report.Life > 0 && !u.report.Down && u.lifeSince.Before(since) && u.report.EchoedStamp.Add(-u.report.StateAge).After(since):
 		return ProcessRuns
 	default:
 		return ProcessUnknown
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -31,6 +31,8 @@
 	Incarnation id.Incarnation
 	// Life stays the same while the upstream's process does; it may also change without a restart, and is 0 if unknown.
 	Life uint64
+	// StateAge is how old the state was when the report was made.
+	StateAge time.Duration
 	// Running and Waiting are the numbers of requests at the upstream, and Slowdown is the factor by which it currently
 	// works slower than usual.
 	Running, Waiting int
@@ -69,13 +71,13 @@
 type upstream struct {
 	incarnation id.Incarnation
 	report      LoadReport
-	// lifeSince is when the first of the successive reports with the newest one's Life was received, and downAt when the
-	// newest report that the upstream is down was.
-	lifeSince, downAt time.Time
-	inFlight          map[*sentRequest]struct{}
-	failures          int
-	suspectUntil      time.Time
-	path              Path
+	// lifeSince is when the first of the successive reports with the newest one's Life was received, and downSince when the first
+	// of the newest ones that the upstream is down was.
+	lifeSince, downSince time.Time
+	inFlight             map[*sentRequest]struct{}
+	failures             int
+	suspectUntil         time.Time
+	path                 Path
 	// limit is nil while the upstream is not known to have a rate limit.
 	limit *throttle.KnownLimit
 	// limitedInstance is the instance that the rate limit applies to; nil before the first lookup.
@@ -148,8 +150,8 @@
 		if u.lifeSince.IsZero() || u.report.Life != r.Life {
 			u.lifeSince = r.ReceivedAt
 		}
-		if r.Down {
-			u.downAt = r.ReceivedAt
+		if r.Down && !u.report.Down {
+			u.downSince = r.ReceivedAt
 		}
 		u.report = r
 		u.applyLimit(r.Limit, r.ReceivedAt)
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -249,7 +249,7 @@
 		s.applyAnnouncement(&r, w)
 	}
 	p := placement.LoadReport{
-		Incarnation: id.Incarnation(r.GetBorn()), Life: r.GetLife(),
+		Incarnation: id.Incarnation(r.GetBorn()), Life: r.GetLife(), StateAge: time.Duration(r.GetReadMs()) * time.Millisecond,
 		Running: int(r.GetRunning()), Waiting: int(r.GetWaiting()), Slowdown: r.GetPace(),
 		Closed: r.GetClosed(), Down: r.GetDown(), Congested: r.GetNarrow(), Leaving: r.GetLeaving(), ReceivedAt: s.now(), EchoedStamp: madeAfter,
 		StampHeldFor: time.Duration(r.GetEchoHeldMs()) * time.Millisecond, Interval: localReportInterval, ConfigVersion: r.GetConfig(),
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -305,7 +305,7 @@
 	r := &pb.UpstreamReport{
 		Named: newest, Born: uint64(s.state.Born),
 		Address: s.ports.Address, Running: uint32(s.state.Running), Waiting: uint32(s.state.Waiting),
-		KvUsed: s.state.KVUsed, KvTotal: s.state.KVTotal, Pace: s.state.Pace, Closed: s.closed, Down: s.down, Leaving: s.state.Leaving, Life: s.state.Incarnation,
+		KvUsed: s.state.KVUsed, KvTotal: s.state.KVTotal, Pace: s.state.Pace, Closed: s.closed, Down: s.down, Leaving: s.state.Leaving, Life: s.state.Incarnation, ReadMs: uint32(max(0, takenAt.Sub(s.readAt).Milliseconds())),
 		Narrow: s.currentDownload != nil && s.currentDownload.LinkTooSlow(),
 	}
 	for _, h := range s.state.Held {
