Bound the requests of one question whether an upstream has ended

An upstream that breaks off requests and never answers collected them for 15 s without a limit. 256 are kept, as at a crash. Spec of the detector.

--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -135,7 +135,7 @@
 		w.after(gatherTime, func() { w.look(s, q, 0) })
 	}
 	q.since = now
-	q.requests = append(q.requests, p)
+	q.add(p)
 	q.established = q.established || now.Sub(sentAt) >= establishedAfter
 }
 
@@ -155,8 +155,17 @@
 	if !q.broken {
 		q.openedAt = q.since
 	}
-	q.served = append(q.served, served)
-	q.requests = append(q.requests, p)
+	if len(q.served) < maxPresent {
+		q.served = append(q.served, served)
+	}
+	q.add(p)
+}
+
+// add adds a request; those beyond maxPresent are not kept.
+func (q *question) add(p InFlightRequest) {
+	if len(q.requests) < maxPresent {
+		q.requests = append(q.requests, p)
+	}
 }
 
 // questionAbout returns the question about an incarnation, or nil if there are too many; the caller holds the lock.
@@ -224,7 +233,7 @@
 	w.abandoned = slices.DeleteFunc(w.abandoned, func(l abandonedRequest) bool { return !now.Before(l.expiresAt) })
 	for _, l := range w.abandoned {
 		if l.incarnation == s {
-			q.requests = append(q.requests, l.request)
+			q.add(l.request)
 		}
 	}
 }
--- a/internal/quarantine/crash_detector_test.go
+++ b/internal/quarantine/crash_detector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -100,6 +101,16 @@
 		Expect([]int64{open, unresolved}).To(Equal([]int64{0, 1}))
 	})
 
+	It("keeps no more requests than a crash may have", func() {
+		sign = NoSign
+		for n := range 2 * maxPresent {
+			detector.RequestBroken(start, inFlight(fmt.Sprint(n)), now)
+			detector.EndUnproven(start, inFlight(fmt.Sprint("whole", n)), func() {})
+		}
+		q := detector.questions[start]
+		Expect([]int{len(q.requests), len(q.served)}).To(Equal([]int{maxPresent, maxPresent}))
+	})
+
 	It("asks no more once a request is answered that was sent after the break, but not by an earlier one", func() {
 		sign = NoSign
 		detector.RequestBroken(start, inFlight("a"), now)
