--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -340,7 +340,9 @@
 // noteServed clears the request of suspicions once it is known that its upstream has not crashed in the answer.
 func (t *attempt) noteServed() {
 	f := t.request
-	served := func() { f.gateway.suspects.Served(f.fingerprint, f.parts...) }
+	// The question may stay open for seconds, in which the request's body need not be kept.
+	suspects, fingerprint, parts := f.gateway.suspects, f.fingerprint, f.parts
+	served := func() { suspects.Served(fingerprint, parts...) }
 	switch {
 	case t.endProven:
 		served()
