--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -1,7 +1,6 @@
 package stager
 
 import (
-	"bytes"
 	"context"
 	"time"
 
@@ -118,54 +117,6 @@
 	return s.now().Sub(g.wanted.LearntAt).Milliseconds()
 }
 
-// verifyWithinIncarnation compares all staged chunks with the verified ones during a single incarnation of the upstream,
-// and returns that incarnation. It starts over if the upstream restarts in between.
-func (s *Stager) verifyWithinIncarnation(ctx context.Context, g *targetVersion) (uint64, error) {
-	for range maxVerifyRounds {
-		before, err := s.ports.Upstream.State(ctx)
-		if err != nil {
-			return 0, trace.Wrap(err)
-		}
-		if err := s.verifyStagedChunks(ctx, g); err != nil {
-			return 0, err
-		}
-		after, err := s.ports.Upstream.State(ctx)
-		if err != nil {
-			return 0, trace.Wrap(err)
-		}
-		if after.Incarnation == before.Incarnation {
-			return after.Incarnation, nil
-		}
-		s.log.Info().Str("version", g.rolloutID()).Uint64("life", after.Incarnation).Msg("the upstream may have restarted; verifying its staged chunks again")
-	}
-	return 0, trace.Wrap(ErrOrderRefused, "the upstream restarted during each verification of its staged chunks")
-}
-
-// maxVerifyRounds bounds the verification rounds for one order. An upstream that has not restarted may still close a
-// connection, but rarely twice while a hundred chunks are read.
-const maxVerifyRounds = 3
-
-// verifyStagedChunks compares the staged chunks with the verified ones and replaces those that differ.
-func (s *Stager) verifyStagedChunks(ctx context.Context, g *targetVersion) error {
-	repaired := 0
-	for n := range g.engine.Chunks {
-		c := id.Chunk(n)
-		want := g.holding.Chunk(c)
-		got, err := s.ports.Upstream.ReadChunk(ctx, g.model, c)
-		if err == nil && bytes.Equal(got, want) {
-			continue
-		}
-		repaired++
-		if err := s.ports.Upstream.StageChunk(ctx, g.model, c, want); err != nil {
-			return trace.Wrap(err)
-		}
-	}
-	if repaired > 0 {
-		s.log.Warn().Str("version", g.rolloutID()).Int("chunks", repaired).Msg("staged chunks were corrupt and have been replaced")
-	}
-	return nil
-}
-
 // loadTimeout bounds a load order from the moment when no request runs at the upstream.
 const loadTimeout = 9 * time.Second
 
@@ -196,7 +147,7 @@
 	if ctx.Err() != nil {
 		return trace.Wrap(ctx.Err())
 	}
-	life, err := s.verifyWithinIncarnation(ctx, g)
+	v, err := s.verify(ctx, g)
 	if err != nil {
 		return err
 	}
@@ -211,16 +162,17 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if state.Incarnation != life {
+	if state.Incarnation != v.incarnation {
 		// The upstream has restarted during the drain and may have lost the verified chunks.
-		if life, err = s.verifyWithinIncarnation(ctx, g); err != nil {
+		if v, err = s.verify(ctx, g); err != nil {
 			return err
 		}
 		if state, err = s.ports.Upstream.State(ctx); err != nil {
 			return trace.Wrap(err)
 		}
 	}
-	o := Order{Model: g.model, Revision: g.wanted.Revision, OrdersBefore: state.Orders, Incarnation: life}
+	o := Order{Model: g.model, Revision: g.wanted.Revision, OrdersBefore: state.Orders, Incarnation: v.incarnation}
+	sentAt := s.now()
 	if err := s.ports.Upstream.Load(ctx, o); err != nil {
 		s.orders.Add("failed", 1)
 		if !s.orderTaken(ctx, state.Orders) {
@@ -229,8 +181,8 @@
 	}
 	s.orders.Add("taken", 1)
 	s.log.Info().Str("version", g.rolloutID()).Uint64("after", state.Orders).Int("running", state.Running).
-		Int64("since_named_ms", s.millisSinceLearnt(g)).
-		Msg("load ordered")
+		Int64("since_named_ms", s.millisSinceLearnt(g)).Int64("verified_ms", sentAt.Sub(v.began).Milliseconds()).
+		Int64("answer_ms", s.now().Sub(sentAt).Milliseconds()).Msg("load ordered")
 	if err := s.waitUntilServed(ctx, g, state.Orders+1); err != nil {
 		return err
 	}
