Do not load chunks that were verified too long before the order

Cause: the comparison of the staged chunks and the order that relies on it were apart in time without a bound. load compared, closed the upstream, drained its queue for up to 0.9 s and then asked only whether the upstream had restarted. A process that was stopped in between, in the middle of the comparison, or in the one after a restart, sent its order as soon as it ran again.

The result of a comparison now has a deadline, 1.5 s after its first read was sent, and load asks it last: an outdated comparison is repeated, and one that takes longer than that is none. The order itself carries the deadline to the client that writes it.

Evidence: on the code before, the new specs failed with the stop within the verification, between it and the order, and within the one that follows a restart (3 of 4 entries; the fourth guards against repeating the comparison once and relying on it whatever it took). With the change all four pass.

--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -162,16 +162,14 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if state.Incarnation != v.incarnation {
-		// The upstream has restarted during the drain and may have lost the verified chunks.
+	if !v.covers(state, s.now()) {
+		// The upstream has restarted and may have lost chunks, or this process did not run for a while.
 		if v, err = s.verify(ctx, g); err != nil {
 			return err
 		}
-		if state, err = s.ports.Upstream.State(ctx); err != nil {
-			return trace.Wrap(err)
-		}
+		state = v.state
 	}
-	o := Order{Model: g.model, Revision: g.wanted.Revision, OrdersBefore: state.Orders, Incarnation: v.incarnation}
+	o := Order{Model: g.model, Revision: g.wanted.Revision, OrdersBefore: state.Orders, Incarnation: state.Incarnation, ValidUntil: v.validUntil}
 	sentAt := s.now()
 	if err := s.ports.Upstream.Load(ctx, o); err != nil {
 		s.orders.Add("failed", 1)
--- a/internal/stager/ports.go
+++ b/internal/stager/ports.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/facts"
@@ -16,6 +17,8 @@
 var (
 	// ErrChunkNotStaged means that a chunk is not staged at the upstream.
 	ErrChunkNotStaged = errors.New("the chunk is not staged")
+	// ErrNotVerified means that the staged chunks could not be verified shortly before an order.
+	ErrNotVerified = errors.New("could not verify the staged chunks shortly before the order to load them")
 	// ErrOrderRefused means that the upstream refused an order or cannot carry it out.
 	ErrOrderRefused = errors.New("the upstream refused the order")
 )
@@ -52,6 +55,9 @@
 	// refuses the order: it may have lost its chunks, and the order count alone does not tell the first orders of two
 	// incarnations apart.
 	Incarnation uint64
+	// ValidUntil is when the order may no longer be sent, by package clock: the chunks may have turned corrupt since they were
+	// verified.
+	ValidUntil time.Time
 }
 
 // Upstream is the client of the upstream beside the stager, as functions that tests can replace one by one.
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -62,9 +62,10 @@
 	orderedAt time.Time
 	// refuseCount is how many of the next orders are refused.
 	refuseCount int
-	// corruptOrigin damages chunks that the origin returns; corruptStaged damages chunks when they are staged.
-	corruptOrigin, corruptStaged map[id.Chunk]bool
-	down                         bool
+	// corruptOrigin damages chunks that the origin returns; corruptStaged is how often a chunk is damaged when it is staged.
+	corruptOrigin map[id.Chunk]bool
+	corruptStaged map[id.Chunk]int
+	down          bool
 	// unavailable holds the versions that the origin does not return. If releaseSecondHalf is set, the origin returns
 	// the second half of the chunks only once it is closed.
 	unavailable       map[id.Revision]bool
@@ -78,10 +79,18 @@
 	onLastChunkRead func()
 	// onPoll runs before each read of the state.
 	onPoll func()
+	// onRead runs after each read of a staged chunk and holds the lock.
+	onRead func(c id.Chunk)
+	// badSince is when staged chunks turned corrupt, and takenBadFor for how long each chunk had been corrupt that an order
+	// took.
+	badSince    map[id.Chunk]time.Time
+	takenBadFor []time.Duration
+	// now is the clock of the stager and of the upstream.
+	now func() time.Time
 }
 
 func newFakeUpstream(held ...facts.Held) *fakeUpstream {
-	return &fakeUpstream{staged: map[id.Chunk][]byte{}, state: State{Held: held}, corruptOrigin: map[id.Chunk]bool{}, corruptStaged: map[id.Chunk]bool{}, fetching: map[id.Revision]int{}}
+	return &fakeUpstream{staged: map[id.Chunk][]byte{}, state: State{Held: held}, corruptOrigin: map[id.Chunk]bool{}, corruptStaged: map[id.Chunk]int{}, fetching: map[id.Revision]int{}, badSince: map[id.Chunk]time.Time{}, now: time.Now}
 }
 
 func (e *fakeUpstream) withLock(f func()) {
@@ -122,6 +131,9 @@
 				e.onLastChunkRead = nil
 				defer f()
 			}
+			if e.onRead != nil {
+				defer e.onRead(c)
+			}
 			if e.staged[c] == nil {
 				return nil, ErrChunkNotStaged
 			}
@@ -131,9 +143,10 @@
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.staged[c] = bytes.Clone(data)
-			if e.corruptStaged[c] {
-				e.staged[c][0] ^= 1
-				delete(e.corruptStaged, c)
+			delete(e.badSince, c)
+			if e.corruptStaged[c] > 0 {
+				e.spoil(c)
+				e.corruptStaged[c]--
 			}
 			return nil
 		},
@@ -186,6 +199,9 @@
 	for c := range id.Chunk(chunks) {
 		all = append(all, e.staged[c]...)
 	}
+	for _, t := range e.badSince {
+		e.takenBadFor = append(e.takenBadFor, e.now().Sub(t))
+	}
 	e.loaded = append(e.loaded, all)
 	e.state.Busy = true
 	time.AfterFunc(30*time.Millisecond, func() {
@@ -201,6 +217,13 @@
 	return nil
 }
 
+// spoil makes a staged chunk corrupt; the caller holds the lock.
+func (e *fakeUpstream) spoil(c id.Chunk) {
+	e.staged[c] = bytes.Clone(e.staged[c])
+	e.staged[c][0] ^= 1
+	e.badSince[c] = e.now()
+}
+
 func (e *fakeUpstream) servedRevision() id.Revision {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -215,7 +238,7 @@
 
 // startReporting also returns the address at which gateways may subscribe to the stager's reports.
 func startReporting(e *fakeUpstream, within time.Duration) (*Stager, *facts.Facts, *net.UDPAddr) {
-	f := facts.New(time.Now)
+	f := facts.New(e.now)
 	f.SetCatalog(catalog.New(1, nil, []*catalog.Service{{Name: "p", Engine: &catalog.Engine{
 		Models: []id.Model{"m"}, Chunks: chunks, ChunkBytes: chunkBytes,
 	}}, {Name: "o", Origin: "origin"}}, nil, catalog.Limits{}))
@@ -226,6 +249,7 @@
 		FetchManifest: func(context.Context, string, id.Rollout) ([]byte, error) { return nil, errUnavailable },
 		Have:          func(context.Context, string, *pb.HaveRequest) (*pb.HaveResponse, error) { return nil, errUnavailable },
 	}, swarm.Member{Domain: "d"}, events, quiet)
+	s.now = e.now
 	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { _ = c.Close() })
@@ -243,7 +267,7 @@
 var _ = Describe("a stager", func() {
 	It("loads an empty upstream, only with complete and verified chunks", func() {
 		e := newFakeUpstream()
-		e.corruptOrigin[3], e.corruptStaged[5] = true, true
+		e.corruptOrigin[3], e.corruptStaged[5] = true, 1
 		startStager(e, time.Second)
 		Eventually(e.servedRevision).WithTimeout(waitTimeout).Should(Equal(id.Revision(1)))
 		e.withLock(func() {
--- /dev/null
+++ b/internal/stager/stale_verification_test.go
@@ -0,0 +1,95 @@
+package stager
+
+import (
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/swapplan"
+)
+
+const (
+	// maxTakenBad is how long a chunk may have been corrupt when the upstream takes it, as required by the users.
+	maxTakenBad = 3 * time.Second
+	// stopTime is how long a process is stopped.
+	stopTime = 3500 * time.Millisecond
+	// lastChunk is the chunk that a verification reads last.
+	lastChunk = id.Chunk(chunks - 1)
+)
+
+// stopClock is a clock that skips time, as it seems to a process that is stopped.
+type stopClock struct{ skipped atomic.Int64 }
+
+func (c *stopClock) now() time.Time { return time.Now().Add(time.Duration(c.skipped.Load())) }
+func (c *stopClock) stop()          { c.skipped.Add(int64(stopTime)) }
+
+// Guards against an order that the upstream takes with chunks that turned corrupt since they were read.
+var _ = Describe("an order to load whose verification is outdated", func() {
+	DescribeTable("is not sent if chunks turn corrupt and the process is stopped", func(prepare func(e *fakeUpstream, c *stopClock)) {
+		c := new(stopClock)
+		e := newFakeUpstream(facts.Held{Model: "m", Revision: 1})
+		e.now = c.now
+		prepare(e, c)
+		s, f := startStager(e, time.Minute)
+		Eventually(func() bool { _, up := s.upstreamState(); return up }).Should(BeTrue())
+		f.SetWanted("m", publishedNow(2))
+		Eventually(e.servedRevision).WithTimeout(2 * waitTimeout).Should(Equal(id.Revision(2)))
+		e.withLock(func() {
+			for _, d := range e.takenBadFor {
+				Expect(d).To(BeNumerically("<=", maxTakenBad))
+			}
+		})
+	},
+		Entry("within the verification", func(e *fakeUpstream, c *stopClock) {
+			e.onRead = func(n id.Chunk) {
+				if n == lastChunk/2 {
+					e.onRead = nil
+					e.spoil(0)
+					c.stop()
+				}
+			}
+		}),
+		Entry("between the verification and the order", func(e *fakeUpstream, c *stopClock) {
+			e.onRead = func(n id.Chunk) {
+				if n == lastChunk {
+					e.onRead = nil
+					time.AfterFunc(swapplan.LateArrivalWait/2, func() { e.withLock(func() { e.spoil(0) }); c.stop() })
+				}
+			}
+		}),
+		Entry("within the verification that follows a restart of the upstream", func(e *fakeUpstream, c *stopClock) {
+			reads := 0
+			e.onRead = func(n id.Chunk) {
+				if n != lastChunk {
+					return
+				}
+				if reads++; reads == 1 {
+					time.AfterFunc(swapplan.LateArrivalWait/2, func() { e.withLock(func() { e.state.Incarnation++ }) })
+					return
+				}
+				e.onRead = nil
+				e.spoil(0)
+				c.stop()
+			}
+		}),
+		Entry("after a verification that followed an earlier stop", func(e *fakeUpstream, c *stopClock) {
+			reads := 0
+			e.onRead = func(n id.Chunk) {
+				if n != lastChunk {
+					return
+				}
+				if reads++; reads == 1 {
+					time.AfterFunc(swapplan.LateArrivalWait/2, c.stop)
+					return
+				}
+				e.onRead = nil
+				e.spoil(0)
+				c.stop()
+			}
+		}),
+	)
+})
--- a/internal/stager/verify.go
+++ b/internal/stager/verify.go
@@ -11,15 +11,24 @@
 )
 
 // verification is the result of comparing all staged chunks with the verified ones during a single incarnation of the
-// upstream.
+// upstream. Staged chunks may turn corrupt at any time after they were read, so it is valid only for a short time.
 type verification struct {
-	incarnation uint64
-	// began is when the first chunk was read. Any chunk may have changed since.
-	began time.Time
+	// state is the state of the upstream after the last read.
+	state State
+	// began is when the first chunk was read, and validUntil when a load order may no longer be sent that relies on it.
+	began, validUntil time.Time
+}
+
+// verificationLifetime is how long after its first read a verification is valid.
+const verificationLifetime = 1500 * time.Millisecond
+
+// covers reports whether an order to the upstream in the given state may rely on the verification.
+func (v *verification) covers(state State, now time.Time) bool {
+	return state.Incarnation == v.state.Incarnation && now.Before(v.validUntil)
 }
 
 // verify compares all staged chunks with the verified ones and replaces those that differ. It starts over if the upstream
-// restarts in between.
+// restarts in between, or if it takes so long that its result is no longer valid.
 func (s *Stager) verify(ctx context.Context, g *targetVersion) (verification, error) {
 	for range maxVerifyRounds {
 		began := s.now()
@@ -35,18 +44,20 @@
 		if err != nil {
 			return verification{}, trace.Wrap(err)
 		}
-		l := s.log.Info().Str("version", g.rolloutID()).Int64("took_ms", s.now().Sub(began).Milliseconds()).Int("replaced", replaced)
-		if after.Incarnation == before.Incarnation {
+		v := verification{state: after, began: began, validUntil: began.Add(verificationLifetime)}
+		now := s.now()
+		l := s.log.Info().Str("version", g.rolloutID()).Int64("took_ms", now.Sub(began).Milliseconds()).Int("replaced", replaced)
+		if v.covers(before, now) {
 			l.Msg("staged chunks verified")
-			return verification{incarnation: after.Incarnation, began: began}, nil
+			return v, nil
 		}
-		l.Uint64("life", after.Incarnation).Msg("the upstream may have restarted; verifying its staged chunks again")
+		l.Bool("restarted", after.Incarnation != before.Incarnation).Uint64("life", after.Incarnation).Msg("verifying the staged chunks again")
 	}
-	return verification{}, trace.Wrap(ErrOrderRefused, "the upstream restarted during each verification of its staged chunks")
+	return verification{}, trace.Wrap(ErrNotVerified)
 }
 
-// maxVerifyRounds bounds the verification rounds for one order. An upstream that has not restarted may still close a
-// connection, but rarely twice while a hundred chunks are read.
+// maxVerifyRounds bounds the rounds of one verification. An upstream that has not restarted may still close a connection, but
+// rarely twice while a hundred chunks are read.
 const maxVerifyRounds = 3
 
 // replaceCorruptChunks compares the staged chunks with the verified ones, replaces those that differ and returns their
