Read back staged chunks that a verification has replaced

The upstream does not check what is staged, so a chunk that was replaced during the comparison rested on nothing but the write: if it was corrupt again, the order was sent all the same.

A comparison that has replaced a chunk is now repeated, up to three times, and the order relies on one that found nothing.

Evidence: the new spec damages a chunk when it is staged and again when it is replaced; before, the order took it.

--- a/internal/stager/stale_verification_test.go
+++ b/internal/stager/stale_verification_test.go
@@ -92,4 +92,14 @@
 			}
 		}),
 	)
+
+	It("is not sent if a chunk is corrupt again after it was replaced", func() {
+		e := newFakeUpstream(facts.Held{Model: "m", Revision: 1})
+		s, f := startStager(e, time.Minute)
+		Eventually(func() bool { _, up := s.upstreamState(); return up }).Should(BeTrue())
+		e.withLock(func() { e.corruptStaged[lastChunk] = 2 })
+		f.SetWanted("m", publishedNow(2))
+		Eventually(e.servedRevision).WithTimeout(waitTimeout).Should(Equal(id.Revision(2)))
+		e.withLock(func() { Expect(e.loaded).To(Equal([][]byte{content(2)})) })
+	})
 })
--- a/internal/stager/verify.go
+++ b/internal/stager/verify.go
@@ -27,8 +27,9 @@
 	return state.Incarnation == v.state.Incarnation && now.Before(v.validUntil)
 }
 
-// verify compares all staged chunks with the verified ones and replaces those that differ. It starts over if the upstream
-// restarts in between, or if it takes so long that its result is no longer valid.
+// verify compares all staged chunks with the verified ones and replaces those that differ. It starts over if it has replaced
+// any, as the upstream does not check what it stages, if the upstream restarts in between, or if it takes so long that its
+// result is no longer valid.
 func (s *Stager) verify(ctx context.Context, g *targetVersion) (verification, error) {
 	for range maxVerifyRounds {
 		began := s.now()
@@ -47,7 +48,7 @@
 		v := verification{state: after, began: began, validUntil: began.Add(verificationLifetime)}
 		now := s.now()
 		l := s.log.Info().Str("version", g.rolloutID()).Int64("took_ms", now.Sub(began).Milliseconds()).Int("replaced", replaced)
-		if v.covers(before, now) {
+		if replaced == 0 && v.covers(before, now) {
 			l.Msg("staged chunks verified")
 			return v, nil
 		}
@@ -57,7 +58,7 @@
 }
 
 // maxVerifyRounds bounds the rounds of one verification. An upstream that has not restarted may still close a connection, but
-// rarely twice while a hundred chunks are read.
+// rarely twice while a hundred chunks are read; the same holds for chunks that turn corrupt.
 const maxVerifyRounds = 3
 
 // replaceCorruptChunks compares the staged chunks with the verified ones, replaces those that differ and returns their
