--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -56,6 +56,12 @@
 	return systemClock.Now()
 }
 
+// ReadNow returns the time like Now, from a new reading of the system's clocks. It is for decisions that may not be late even
+// right after a resume.
+func ReadNow() time.Time {
+	return systemClock.ReadNow()
+}
+
 // DeadlineAfter returns the time of the standard library's clock after a duration. Connections take their deadlines by
 // that clock only.
 func DeadlineAfter(d time.Duration) time.Time {
@@ -97,6 +103,12 @@
 	return now.Add(time.Duration(c.suspended.Load()))
 }
 
+// ReadNow returns the monotonic time including all suspensions, from a new reading of both clocks.
+func (c *Clock) ReadNow() time.Time {
+	c.readClocks()
+	return c.monotonic().Add(c.Suspended())
+}
+
 // Suspended returns how long the VM has been suspended, as of the last reading.
 func (c *Clock) Suspended() time.Duration {
 	return time.Duration(c.suspended.Load())
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -48,6 +48,16 @@
 		Expect(c.Now().Sub(startTime)).To(Equal(67*time.Second + readInterval))
 	})
 
+	It("includes a suspension at once in a time from a new reading", func() {
+		v := &vm{boot: time.Hour}
+		c := v.clock()
+		v.run(time.Second)
+		Expect(c.Now()).To(Equal(startTime.Add(time.Second)))
+		v.boot += time.Minute
+		Expect(c.Now()).To(Equal(startTime.Add(time.Second)))
+		Expect(c.ReadNow()).To(Equal(startTime.Add(time.Second + time.Minute)))
+	})
+
 	It("follows the monotonic clock if the boot-time clock can't be read", func() {
 		v := &vm{err: errors.New("none")}
 		c := v.clock()
