Report upstreams that may have loaded corrupt chunks

Chunks that turn corrupt between the last comparison and the moment when the upstream takes the order are loaded, and callers get answers made with them until the next version.

The stager now compares the staged chunks once more after an order was taken, beside the load, and logs and counts (`orders`, corrupt) those that differ. It can't tell whether they changed before or after the order, and does not load them again: the upstream answers an order for the version that it holds as done. Restarting the upstream does.

--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -181,6 +181,7 @@
 	s.log.Info().Str("version", g.rolloutID()).Uint64("after", state.Orders).Int("running", state.Running).
 		Int64("since_named_ms", s.millisSinceLearnt(g)).Int64("verified_ms", sentAt.Sub(v.began).Milliseconds()).
 		Int64("answer_ms", s.now().Sub(sentAt).Milliseconds()).Msg("load ordered")
+	go s.checkTakenChunks(ctx, g)
 	if err := s.waitUntilServed(ctx, g, state.Orders+1); err != nil {
 		return err
 	}
--- a/internal/stager/stale_verification_test.go
+++ b/internal/stager/stale_verification_test.go
@@ -102,4 +102,19 @@
 		Eventually(e.servedRevision).WithTimeout(waitTimeout).Should(Equal(id.Revision(2)))
 		e.withLock(func() { Expect(e.loaded).To(Equal([][]byte{content(2)})) })
 	})
+
+	It("is reported if the upstream may have taken corrupt chunks", func() {
+		e := newFakeUpstream(facts.Held{Model: "m", Revision: 1})
+		e.onRead = func(n id.Chunk) {
+			if n == lastChunk {
+				e.onRead = nil
+				time.AfterFunc(swapplan.LateArrivalWait/2, func() { e.withLock(func() { e.spoil(0) }) })
+			}
+		}
+		s, f := startStager(e, time.Minute)
+		Eventually(func() bool { _, up := s.upstreamState(); return up }).Should(BeTrue())
+		f.SetWanted("m", publishedNow(2))
+		Eventually(e.servedRevision).WithTimeout(waitTimeout).Should(Equal(id.Revision(2)))
+		Eventually(func() string { return s.orders.String() }).Should(ContainSubstring(`"corrupt": 1`))
+	})
 })
--- a/internal/stager/verify.go
+++ b/internal/stager/verify.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -82,3 +83,25 @@
 	}
 	return replaced, nil
 }
+
+// checkTakenChunks compares the staged chunks once more after the upstream has taken an order, and reports those that are
+// corrupt: they may have been so when the upstream took them, which nothing else shows.
+func (s *Stager) checkTakenChunks(ctx context.Context, g *targetVersion) {
+	corrupt := 0
+	for n := range g.engine.Chunks {
+		c := id.Chunk(n)
+		got, err := s.ports.Upstream.ReadChunk(ctx, g.model, c)
+		if err != nil && !errors.Is(err, ErrChunkNotStaged) {
+			return
+		}
+		if !bytes.Equal(got, g.holding.Chunk(c)) {
+			corrupt++
+		}
+	}
+	if corrupt == 0 || ctx.Err() != nil {
+		return
+	}
+	s.orders.Add("corrupt", 1)
+	s.log.Warn().Str("version", g.rolloutID()).Int("chunks", corrupt).
+		Msg("the upstream may have loaded corrupt chunks; restart it to load them again")
+}
