Announce and drain again before a load order that was held up

While a stager is stopped, its report that the upstream takes no new requests expires at the gateways after it, and they send requests by the list again. A stager that ran on after its announcement ordered the load at once: the requests that had come meanwhile were refused by the upstream.

Where the comparison before an order is outdated, so is the announcement. The stager now announces again, waits for the queue as before, and compares the chunks last, so that the order relies on a fresh result.

Evidence: a spec with a request that waits at the upstream when the stager runs on: one refused before, none now.

--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -163,7 +163,12 @@
 		return trace.Wrap(err)
 	}
 	if !v.covers(state, s.now()) {
-		// The upstream has restarted and may have lost chunks, or this process did not run for a while.
+		// The upstream has restarted and may have lost chunks, or this process did not run for a while: gateways may have sent
+		// requests since, and chunks may have turned corrupt.
+		s.announceClosedAgain()
+		if isSwap {
+			s.drainQueue(ctx)
+		}
 		if v, err = s.verify(ctx, g); err != nil {
 			return err
 		}
--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -295,6 +295,16 @@
 	}
 }
 
+// announceClosedAgain tells the gateways once more that the upstream accepts no new requests, as reports that they got before
+// may have expired.
+func (s *Stager) announceClosedAgain() {
+	s.mu.Lock()
+	s.closed, s.closedAt = true, s.now()
+	s.updateLedger()
+	s.mu.Unlock()
+	s.publish()
+}
+
 // publish sends a report to the gateways. Reports are made and numbered one at a time: an older state with a higher
 // number would reopen a closed upstream for gateways until the next report.
 func (s *Stager) publish() {
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -85,6 +85,8 @@
 	// took.
 	badSince    map[id.Chunk]time.Time
 	takenBadFor []time.Duration
+	// refusedAtOrder counts the waiting requests that orders have made the upstream refuse.
+	refusedAtOrder int
 	// now is the clock of the stager and of the upstream.
 	now func() time.Time
 }
@@ -195,6 +197,7 @@
 	}
 	e.orders, e.orderedAt = append(e.orders, o), time.Now()
 	e.state.Orders++
+	e.refusedAtOrder += e.state.Waiting
 	var all []byte
 	for c := range id.Chunk(chunks) {
 		all = append(all, e.staged[c]...)
--- a/internal/stager/stale_verification_test.go
+++ b/internal/stager/stale_verification_test.go
@@ -117,4 +117,26 @@
 		Eventually(e.servedRevision).WithTimeout(waitTimeout).Should(Equal(id.Revision(2)))
 		Eventually(func() string { return s.orders.String() }).Should(ContainSubstring(`"corrupt": 1`))
 	})
+
+	It("is not sent while requests wait that came while the process was stopped", func() {
+		c := new(stopClock)
+		e := newFakeUpstream(facts.Held{Model: "m", Revision: 1})
+		e.now = c.now
+		e.onRead = func(n id.Chunk) {
+			if n != lastChunk {
+				return
+			}
+			e.onRead = nil
+			time.AfterFunc(swapplan.LateArrivalWait/2, func() {
+				e.withLock(func() { e.state.Waiting = 1 })
+				c.stop()
+				time.AfterFunc(swapplan.MaxDrain/2, func() { e.withLock(func() { e.state.Waiting = 0 }) })
+			})
+		}
+		s, f := startStager(e, time.Minute)
+		Eventually(func() bool { _, up := s.upstreamState(); return up }).Should(BeTrue())
+		f.SetWanted("m", publishedNow(2))
+		Eventually(e.servedRevision).WithTimeout(waitTimeout).Should(Equal(id.Revision(2)))
+		e.withLock(func() { Expect(e.refusedAtOrder).To(BeZero()) })
+	})
 })
