Soak: corrupt staged chunks and stop their stager within a swap

corrupt-in-swap publishes a version, waits until a drawn chunk of an engine has been read, makes chunks corrupt up to 1 s later and suspends the stager, up to three times in a swap. The engines judge each order as the users do: a chunk may have been corrupt for 3 s when it is taken.

--- a/internal/soak/cases.go
+++ b/internal/soak/cases.go
@@ -48,4 +48,10 @@
 		},
 		Cause: "a gateway that started anew had its whole share of the retries again, although its predecessor had just used it",
 	},
+	{
+		Settings: Settings{
+			Seed: 8902, Seconds: 30, Gateways: 2, Stagers: 6, Domains: 2, EngineShare: 0.15, Faults: []string{doCorruptInSwap},
+		},
+		Cause: "a stager that was stopped after it had verified the staged chunks ordered the load without verifying them again",
+	},
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -66,6 +66,8 @@
 		w.faultOrigin(ctx, s)
 	case doStopSeries:
 		w.stopSeries(ctx, s)
+	case doCorruptInSwap:
+		w.corruptInSwap(ctx, s)
 	case doAnswersLost, doHerdKill:
 		w.injectStorm(ctx, s)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -45,6 +45,7 @@
 	doStopSeries           = "stop-series"
 	doAnswersLost          = "answers-lost"
 	doHerdKill             = "herd-kill"
+	doCorruptInSwap        = "corrupt-in-swap"
 )
 
 // reservationFaults lists the faults of reservations, which are drawn at a mean interval of meanReservationInterval each.
@@ -133,6 +134,7 @@
 	p.drawRecurring(allowed, doOriginOutage, meanOutageInterval, minOutage, maxOutage)
 	p.drawStopSeries(allowed)
 	p.drawStorms(allowed)
+	p.drawRecurring(allowed, doCorruptInSwap, meanCorruptInterval, minCorruptStop, maxCorruptStop)
 	slices.SortStableFunc(p.steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p.steps
 }
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -51,6 +51,8 @@
 	startCount int
 	server     *standin.ModelServer
 	link       *Link
+	// onChunkRead is called after each read of a staged chunk; it may be nil.
+	onChunkRead func(m *standin.ModelServer, chunk int)
 }
 
 // Start starts a new upstream at the address, with a new ID.
@@ -69,6 +71,7 @@
 		Weights:     standin.ModelOrigin{Model: model, Chunks: chunks, ChunkBytes: chunkBytes},
 		OnViolation: func(what string) { s.history.RecordViolation("weights", s.address, "", "%s", what) },
 	}
+	server.OnChunkRead = func(n int) { s.chunkRead(server, n) }
 	server.AnswerTime = s.history.answerTimeOf
 	server.OnRetryAfter = func(request, retryAfter string) { s.history.RecordRestRequest(request, server.Instance, retryAfter) }
 	s.setCrashHandlers(ctx, server)
--- a/internal/standin/modelserver.go
+++ b/internal/standin/modelserver.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"bytes"
 	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
@@ -95,6 +94,8 @@
 	AnswerTime func(request string) time.Duration
 	// OnRetryAfter is called for each request that is answered 503 with a Retry-After header; it may be nil.
 	OnRetryAfter func(request, retryAfter string)
+	// OnChunkRead is called after each read of a staged chunk; it may be nil.
+	OnChunkRead func(n int)
 	// OnRequest is called for each request that reaches the server, executed or refused; it may be nil.
 	OnRequest func(request string)
 
@@ -109,9 +110,11 @@
 	retryAfter                string
 	version                   int
 	staged                    map[int][]byte
-	busy                      bool
-	orderCount                int
-	running                   int
+	// corrupt holds the staged chunks that have turned corrupt.
+	corrupt    map[int]corruption
+	busy       bool
+	orderCount int
+	running    int
 	// loadingVersion is the version that the current order loads; 0 means none.
 	loadingVersion int
 	// abortRunning is closed when an order aborts the running requests.
@@ -206,32 +209,7 @@
 	writeJSON(w, report)
 }
 
-// handleStage stores a chunk, returns one, or lists the staged chunks.
-func (s *ModelServer) handleStage(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.staged == nil {
-		s.staged = map[int][]byte{}
-	}
-	n, err := strconv.Atoi(r.URL.Query().Get("n"))
-	switch {
-	case r.Method == http.MethodPut && err == nil:
-		s.staged[n], _ = io.ReadAll(r.Body)
-	case err == nil && s.staged[n] != nil:
-		_, _ = w.Write(s.staged[n])
-	case err == nil:
-		w.WriteHeader(http.StatusNotFound)
-	default:
-		held := []int{}
-		for n := range s.staged {
-			held = append(held, n)
-		}
-		writeJSON(w, map[string]any{"held": held})
-	}
-}
-
 // handleOrder loads the staged version once no request is running; an order in cut mode aborts the running requests.
-// Missing, damaged or outdated chunks violate a guarantee of springrail's.
 func (s *ModelServer) handleOrder(w http.ResponseWriter, r *http.Request) {
 	var o struct {
 		Op               string `json:"op"`
@@ -253,12 +231,7 @@
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
-	for n := range s.Weights.Chunks {
-		if !bytes.Equal(s.staged[n], s.Weights.Chunk(o.Version, n)) {
-			s.OnViolation(fmt.Sprintf("%s was ordered to load version %d, but its staged chunk %d is missing or wrong", s.Instance, o.Version, n))
-			break
-		}
-	}
+	s.checkStaged(o.Version)
 	s.orderCount++
 	s.busy, s.loadingVersion = true, o.Version
 	if o.How == orderModeCut && s.abortRunning != nil {
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -178,3 +178,28 @@
 		}
 	})
 })
+
+var _ = Describe("an order to a model server", func() {
+	DescribeTable("is a violation if chunks are not the version's, unless they have just turned corrupt", func(corruptFor time.Duration, version string, violations int) {
+		found := 0
+		m := &ModelServer{Weights: ModelOrigin{Model: "m", Chunks: 2, ChunkBytes: 8}, OnViolation: func(string) { found++ }}
+		Expect(m.CorruptStaged(0)).To(BeFalse())
+		for n := range 2 {
+			serveRequest(m, http.MethodPut, fmt.Sprint("/v1/stage-put/m?n=", n), string(m.Weights.Chunk(2, n)))
+		}
+		if corruptFor > 0 {
+			Expect(m.CorruptStaged(1)).To(BeTrue())
+			c := m.corrupt[1]
+			c.since = c.since.Add(-corruptFor)
+			m.corrupt[1] = c
+		}
+		serveRequest(m, http.MethodPost, "/v1/order", `{"op":"start","version":`+version+`}`)
+		Expect(found).To(Equal(violations))
+	},
+		Entry("all are the version's", time.Duration(0), "2", 0),
+		Entry("one has just turned corrupt", time.Millisecond, "2", 0),
+		Entry("one has been corrupt for too long", corruptTolerance, "2", 1),
+		Entry("all are another version's", time.Duration(0), "3", 1),
+		Entry("one is another version's and has just turned corrupt", time.Millisecond, "3", 1),
+	)
+})
