--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -37,9 +37,7 @@
 	case doStoreDown, doStoreSilent, doStoreSlow, doStoreLossy:
 		w.faultStore(ctx, s, "", w.processes())
 	case doStoreTruncate:
-		defer w.history.BeginFault(storeTarget, "forgot its history")()
-		w.store.TruncateHistory(operatorTopic)
-		w.store.TruncateHistory(serverTopic)
+		w.truncateStore()
 	case doStoreRefuse, doStoreCutOne, doStoreReset:
 		w.faultStoreEndpoints(ctx, s)
 	case doLeave, doRemoveRecord, doCrash, doRestart:
@@ -73,6 +71,13 @@
 	}
 }
 
+// truncateStore makes the store forget its history.
+func (w *Fleet) truncateStore() {
+	defer w.history.BeginFault(storeTarget, "forgot its history")()
+	w.store.TruncateHistory(operatorTopic)
+	w.store.TruncateHistory(serverTopic)
+}
+
 // pauseEngine makes an engine send nothing for a while. It is not recorded as a fault, because its answers continue
 // afterwards.
 func (w *Fleet) pauseEngine(ctx context.Context, s Step) {
