Let an upstream take requests while its chunks can't be compared in time

The upstream was closed early for the load, though, and each new try closed it early again: with chunks that are read slowly for long, it would have taken requests for 0.2 s between tries only.

A comparison that took too long fails at once. Before the load it is tried once more with the upstream open, and a new try of the same version does not close it early again, as closeEarly promises.

The version is loaded as soon as the reads are quick.

--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -148,6 +149,11 @@
 		return trace.Wrap(ctx.Err())
 	}
 	v, err := s.verify(ctx, g)
+	if errors.Is(err, ErrNotVerified) {
+		// The upstream may have been closed early.
+		s.setClosed(false)
+		v, err = s.verify(ctx, g)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/stager/stale_verification_test.go
+++ b/internal/stager/stale_verification_test.go
@@ -103,6 +103,34 @@
 		e.withLock(func() { Expect(e.loaded).To(Equal([][]byte{content(2)})) })
 	})
 
+	It("is not sent, and the upstream accepts requests, while its chunks are read too slowly to be verified", func() {
+		c := new(stopClock)
+		e := newFakeUpstream(facts.Held{Model: "m", Revision: 1})
+		e.now = c.now
+		s, f := startStager(e, time.Minute)
+		Eventually(func() bool { _, up := s.upstreamState(); return up }).Should(BeTrue())
+		reads, readsWhileClosed := 0, 0
+		e.withLock(func() {
+			e.onRead = func(id.Chunk) {
+				c.skipped.Add(int64(verificationLifetime / (chunks - 1)))
+				reads++
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if s.closed {
+					readsWhileClosed++
+				}
+			}
+		})
+		f.SetWanted("m", publishedNow(2))
+		Eventually(func() (n int) { e.withLock(func() { n = reads }); return }).WithTimeout(waitTimeout).Should(BeNumerically(">", 6*chunks))
+		e.withLock(func() {
+			Expect(readsWhileClosed).To(BeNumerically("<=", chunks), "it is closed early once")
+			Expect(e.orders).To(BeEmpty())
+			e.onRead = nil
+		})
+		Eventually(e.servedRevision).WithTimeout(waitTimeout).Should(Equal(id.Revision(2)))
+	})
+
 	It("is reported if the upstream may have taken corrupt chunks", func() {
 		e := newFakeUpstream(facts.Held{Model: "m", Revision: 1})
 		e.onRead = func(n id.Chunk) {
--- a/internal/stager/verify.go
+++ b/internal/stager/verify.go
@@ -29,8 +29,8 @@
 }
 
 // verify compares all staged chunks with the verified ones and replaces those that differ. It starts over if it has replaced
-// any, as the upstream does not check what it stages, if the upstream restarts in between, or if it takes so long that its
-// result is no longer valid.
+// any, as the upstream does not check what it stages, or if the upstream restarts in between. It fails if it takes so long that
+// its result is no longer valid.
 func (s *Stager) verify(ctx context.Context, g *targetVersion) (verification, error) {
 	for range maxVerifyRounds {
 		began := s.now()
@@ -46,16 +46,17 @@
 		if err != nil {
 			return verification{}, trace.Wrap(err)
 		}
-		v := verification{state: after, began: began, validUntil: began.Add(verificationLifetime)}
-		now := s.now()
-		l := s.log.Info().Str("version", g.rolloutID()).Int64("took_ms", now.Sub(began).Milliseconds()).Int("replaced", replaced)
-		if replaced == 0 && v.covers(before, now) {
-			l.Msg("staged chunks verified")
-			return v, nil
+		took := s.now().Sub(began)
+		s.log.Info().Str("version", g.rolloutID()).Int64("took_ms", took.Milliseconds()).Int("replaced", replaced).
+			Bool("restarted", after.Incarnation != before.Incarnation).Uint64("life", after.Incarnation).Msg("staged chunks compared")
+		switch {
+		case took >= verificationLifetime:
+			return verification{}, trace.Wrap(ErrNotVerified, "reading them took %d ms", took.Milliseconds())
+		case replaced == 0 && after.Incarnation == before.Incarnation:
+			return verification{state: after, began: began, validUntil: began.Add(verificationLifetime)}, nil
 		}
-		l.Bool("restarted", after.Incarnation != before.Incarnation).Uint64("life", after.Incarnation).Msg("verifying the staged chunks again")
 	}
-	return verification{}, trace.Wrap(ErrNotVerified)
+	return verification{}, trace.Wrap(ErrNotVerified, "they changed, or the upstream restarted, in each of %d rounds", maxVerifyRounds)
 }
 
 // maxVerifyRounds bounds the rounds of one verification. An upstream that has not restarted may still close a connection, but
--- a/internal/stager/work.go
+++ b/internal/stager/work.go
@@ -69,7 +69,11 @@
 			kernel.Pause(ctx, pollInterval)
 			continue
 		}
-		if previous != nil && previous.rolloutID() != g.rolloutID() {
+		switch {
+		case previous == nil:
+		case previous.rolloutID() == g.rolloutID():
+			g.closedEarly = previous.closedEarly
+		default:
 			s.dependencies.Holdings.MarkEvictable(id.Rollout(previous.rolloutID()))
 		}
 		previous = g
