--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -161,44 +161,59 @@
 	s.setClosed(true)
 	before, _ := s.upstreamState()
 	isSwap := facts.HeldRevision(before.Held, g.model) > 0
+	if v, err = s.drainAndVerify(ctx, g, v, isSwap); err != nil {
+		return err
+	}
+	if err := s.order(ctx, g, v); err != nil {
+		return err
+	}
+	go s.checkTakenChunks(ctx, g)
+	if err := s.waitUntilServed(ctx, g, v.state.Orders+1); err != nil {
+		return err
+	}
+	if isSwap {
+		s.recordSwapDuration()
+	}
+	return nil
+}
+
+// drainAndVerify waits until no request is queued at an upstream that serves another version, and returns a verification that
+// an order may rely on: the given one, or a new one if that is outdated.
+func (s *Stager) drainAndVerify(ctx context.Context, g *targetVersion, v verification, isSwap bool) (verification, error) {
 	if isSwap {
 		s.drainQueue(ctx)
 	}
 	state, err := s.ports.Upstream.State(ctx)
 	if err != nil {
-		return trace.Wrap(err)
+		return verification{}, trace.Wrap(err)
 	}
-	if !v.covers(state, s.now()) {
-		// The upstream has restarted and may have lost chunks, or this process did not run for a while: gateways may have sent
-		// requests since, and chunks may have turned corrupt.
-		s.announceClosedAgain()
-		if isSwap {
-			s.drainQueue(ctx)
-		}
-		if v, err = s.verify(ctx, g); err != nil {
-			return err
-		}
-		state = v.state
+	if v.covers(state, s.now()) {
+		v.state = state
+		return v, nil
 	}
-	o := Order{Model: g.model, Revision: g.wanted.Revision, OrdersBefore: state.Orders, Incarnation: state.Incarnation, ValidUntil: v.validUntil}
+	// The upstream has restarted and may have lost chunks, or this process did not run for a while: gateways may have sent
+	// requests since, and chunks may have turned corrupt.
+	s.announceClosedAgain()
+	if isSwap {
+		s.drainQueue(ctx)
+	}
+	return s.verify(ctx, g)
+}
+
+// order orders the upstream to load the verified chunks.
+func (s *Stager) order(ctx context.Context, g *targetVersion, v verification) error {
+	o := Order{Model: g.model, Revision: g.wanted.Revision, OrdersBefore: v.state.Orders, Incarnation: v.state.Incarnation, ValidUntil: v.validUntil}
 	sentAt := s.now()
 	if err := s.ports.Upstream.Load(ctx, o); err != nil {
 		s.orders.Add("failed", 1)
-		if !s.orderTaken(ctx, state.Orders) {
+		if !s.orderTaken(ctx, o.OrdersBefore) {
 			return trace.Wrap(err)
 		}
 	}
 	s.orders.Add("taken", 1)
-	s.log.Info().Str("version", g.rolloutID()).Uint64("after", state.Orders).Int("running", state.Running).
+	s.log.Info().Str("version", g.rolloutID()).Uint64("after", o.OrdersBefore).Int("running", v.state.Running).
 		Int64("since_named_ms", s.millisSinceLearnt(g)).Int64("verified_ms", sentAt.Sub(v.began).Milliseconds()).
 		Int64("answer_ms", s.now().Sub(sentAt).Milliseconds()).Msg("load ordered")
-	go s.checkTakenChunks(ctx, g)
-	if err := s.waitUntilServed(ctx, g, state.Orders+1); err != nil {
-		return err
-	}
-	if isSwap {
-		s.recordSwapDuration()
-	}
 	return nil
 }
 
--- a/internal/stager/verify.go
+++ b/internal/stager/verify.go
@@ -14,7 +14,7 @@
 // verification is the result of comparing all staged chunks with the verified ones during a single incarnation of the
 // upstream. Staged chunks may turn corrupt at any time after they were read, so it is valid only for a short time.
 type verification struct {
-	// state is the state of the upstream after the last read.
+	// state is the newest state of the upstream, in the incarnation whose chunks were read.
 	state State
 	// began is when the first chunk was read, and validUntil when a load order may no longer be sent that relies on it.
 	began, validUntil time.Time
