Do not swap with a permit that has expired

An entry counts a swap permit for 5 s; by then the VM's status is to show that it loads. The agent used it whenever it came to it: an agent that was stopped, or whose engine answered late, began its swap after the entry had granted the permit to another VM, so that more VMs of a failure domain could be out of service than a wave has.

The answer says how long the permit is valid, counted from when the request was sent; the agent compares that after it has read the engine's state, and asks again otherwise. Entries of older releases set nothing, and their permits are used as before.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -254,10 +254,11 @@
 // permitWait is how long one request for a swap permit waits at the entry.
 const permitWait = 5 * time.Second
 
-// RequestSwapPermit asks for a permit to swap to a rollout, and returns whether it was granted. The entry that issues a
+// RequestSwapPermit asks for a permit to swap to a rollout, and returns whether it was granted and until when it is valid; zero
+// if the entry does not say. The entry that issues a
 // rollout's permits in this failure domain is the first in the rollout's rendezvous order that answers. If none answers
 // there is no permit, as it is then unknown how many other VMs are swapping.
-func (f *Follower) RequestSwapPermit(ctx context.Context, r id.Rollout) bool {
+func (f *Follower) RequestSwapPermit(ctx context.Context, r id.Rollout) (granted bool, validUntil time.Time) {
 	var local []id.VM
 	address := map[id.VM]string{}
 	for _, v := range f.List.Entries(id.Domain(f.self.GetDomain())) {
@@ -267,12 +268,16 @@
 	ctx, stop := context.WithTimeout(ctx, permitWait+callMargin)
 	defer stop()
 	for _, v := range rendezvous.Order("turns/"+string(r), local) {
+		sentAt := time.Now()
 		a, err := f.rpc.Config(address[v]).AskTurn(ctx, &pb.AskTurnRequest{
 			Rollout: string(r), Status: f.Status(), WaitMs: permitWait.Milliseconds(),
 		})
 		if err == nil {
-			return a.GetGranted()
+			if ms := a.GetValidMs(); ms > 0 {
+				validUntil = sentAt.Add(time.Duration(ms) * time.Millisecond)
+			}
+			return a.GetGranted(), validUntil
 		}
 	}
-	return false
+	return false, time.Time{}
 }
--- a/internal/spread/turn.go
+++ b/internal/spread/turn.go
@@ -107,6 +107,7 @@
 func (p *Part) AskTurn(ctx context.Context, r *pb.AskTurnRequest) (*pb.AskTurnResponse, error) {
 	ctx, stop := context.WithTimeout(ctx, min(time.Duration(r.GetWaitMs())*time.Millisecond, maxPollWait))
 	defer stop()
+	arrived := p.permits.now()
 	for {
 		changed := p.members.Table.Changed()
 		m := p.config.State().Rollout(id.Rollout(r.GetRollout()))
@@ -115,7 +116,7 @@
 				Kind: kernel.EventSwapPermitGranted, Rollout: id.Rollout(r.GetRollout()),
 				Organisation: id.Organisation(m.GetOrganisation()), Detail: r.GetStatus().GetVm().GetId(),
 			})
-			return &pb.AskTurnResponse{Granted: true}, nil
+			return &pb.AskTurnResponse{Granted: true, ValidMs: (p.permits.now().Sub(arrived) + grantLifetime).Milliseconds()}, nil
 		}
 		if ctx.Err() != nil {
 			return &pb.AskTurnResponse{}, nil
--- a/internal/upstream/activator.go
+++ b/internal/upstream/activator.go
@@ -35,7 +35,7 @@
 	load          func(ctx context.Context, o engine.Order) error
 	replicas      func() []transfer.Replica
 	config        func() *config.State
-	requestPermit func(ctx context.Context, r id.Rollout) bool
+	requestPermit func(ctx context.Context, r id.Rollout) (granted bool, validUntil time.Time)
 	report        func(change func(s *pb.VMStatus))
 	localURL      string
 
@@ -52,10 +52,12 @@
 	retryAt     map[id.Rollout]time.Time
 }
 
-// permitResult tells whether the permit to swap to a rollout's version on this VM was granted.
+// permitResult tells whether the permit to swap to a rollout's version on this VM was granted. It may be used until validUntil;
+// zero means that the entry did not say.
 type permitResult struct {
-	rollout id.Rollout
-	granted bool
+	rollout    id.Rollout
+	granted    bool
+	validUntil time.Time
 }
 
 // NewActivator returns an activator. Its function fields have to be set before use.
@@ -138,15 +140,15 @@
 	}
 	a.pendingPermits[r] = true
 	go func() {
-		ok := a.requestPermit(ctx, r)
+		granted, validUntil := a.requestPermit(ctx, r)
 		select {
-		case a.permitResults <- permitResult{rollout: r, granted: ok}:
+		case a.permitResults <- permitResult{rollout: r, granted: granted, validUntil: validUntil}:
 		case <-ctx.Done():
 		}
 	}()
 }
 
-// HandleTurn swaps to a rollout's version if its swap permit was granted and the load is still due.
+// HandleTurn swaps to a rollout's version if its swap permit was granted and is valid, and the load is still due.
 func (a *Activator) HandleTurn(ctx context.Context, t permitResult) {
 	delete(a.pendingPermits, t.rollout)
 	state, err := a.engineState(ctx)
@@ -154,6 +156,10 @@
 		return
 	}
 	replicas := a.replicas()
+	if !t.validUntil.IsZero() && !time.Now().Before(t.validUntil) {
+		a.log.Info().Str("rollout", string(t.rollout)).Msg("the swap permit has expired; asking again")
+		return
+	}
 	for _, p := range replicas {
 		if id.Rollout(p.Rollout.GetId()) == t.rollout && a.isLoadDue(state, p) {
 			a.swap(ctx, state, p, replicas)
--- a/internal/upstream/swap_test.go
+++ b/internal/upstream/swap_test.go
@@ -47,4 +47,27 @@
 		Expect(waited).To(Equal(swapDrainTimeout))
 		Expect(orderErr).NotTo(HaveOccurred())
 	})
+
+	It("is not begun with a permit that expired while the engine's state was read", func() {
+		for _, expired := range []bool{false, true} {
+			ordered := false
+			synctest.Test(suite, func(*testing.T) {
+				r := &pb.Rollout{Id: "r2", Organisation: "gym", Fence: 2, Version: &pb.Version{Model: "desk", Name: "v2"}}
+				a := NewActivator(NewLiveVersions(), &log.Logger{Level: log.PanicLevel}, kernel.NewEventRing(kernel.NewClock(time.Now), 64))
+				t := permitResult{rollout: "r2", granted: true, validUntil: time.Now().Add(2 * time.Second)}
+				a.engineState = func(context.Context) (engine.State, error) {
+					if expired {
+						time.Sleep(2 * time.Second)
+					}
+					return engine.State{}, nil
+				}
+				a.config = config.NewState
+				a.report = func(func(s *pb.VMStatus)) {}
+				a.replicas = func() []transfer.Replica { return []transfer.Replica{{Rollout: r, Complete: true}} }
+				a.load = func(context.Context, engine.Order) error { ordered = true; return nil }
+				a.HandleTurn(context.Background(), t)
+			})
+			Expect(ordered).To(Equal(!expired))
+		}
+	})
 })
