Stager: corrupt a chunk at the order itself in the spec of its report

The spec corrupted a chunk by a timer 0.12 s before the order, which on a starved machine could fire after the chunk had been read for the last time. It now does so when the order is accepted. As strict as before: with the comparison after the order left out it fails, with it it passes.

--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -81,6 +81,8 @@
 	onPoll func()
 	// onRead runs after each read of a staged chunk and holds the lock.
 	onRead func(c id.Chunk)
+	// onOrder runs when an order is accepted, before its chunks are taken, and holds the lock.
+	onOrder func()
 	// badSince is when staged chunks turned corrupt, and takenBadFor for how long each chunk had been corrupt that an order
 	// took.
 	badSince    map[id.Chunk]time.Time
@@ -198,6 +200,9 @@
 	e.orders, e.orderedAt = append(e.orders, o), time.Now()
 	e.state.Orders++
 	e.refusedAtOrder += e.state.Waiting
+	if e.onOrder != nil {
+		e.onOrder()
+	}
 	var all []byte
 	for c := range id.Chunk(chunks) {
 		all = append(all, e.staged[c]...)
--- a/internal/stager/stale_verification_test.go
+++ b/internal/stager/stale_verification_test.go
@@ -133,12 +133,7 @@
 
 	It("is reported if the upstream may have taken corrupt chunks", func() {
 		e := newFakeUpstream(facts.Held{Model: "m", Revision: 1})
-		e.onRead = func(n id.Chunk) {
-			if n == lastChunk {
-				e.onRead = nil
-				time.AfterFunc(swapplan.LateArrivalWait/2, func() { e.withLock(func() { e.spoil(0) }) })
-			}
-		}
+		e.onOrder = func() { e.spoil(0) }
 		s, f := startStager(e, time.Minute)
 		Eventually(func() bool { _, up := s.upstreamState(); return up }).Should(BeTrue())
 		f.SetWanted("m", publishedNow(2))
