--- a/internal/gateway/suspension.go
+++ b/internal/gateway/suspension.go
@@ -13,6 +13,8 @@
 	suspensionPollInterval = 100 * time.Millisecond
 	// minSuspension is the shortest suspension that is acted upon: timers on a busy VM are late by as much anyway.
 	minSuspension = 20 * time.Millisecond
+	// minStop is the shortest time for which a process without suspension of its VM counts as stopped.
+	minStop = 500 * time.Millisecond
 	// wakeGracePeriod is how long after a suspension a request past its deadline may still receive a response that
 	// arrived meanwhile.
 	wakeGracePeriod = 200 * time.Millisecond
@@ -21,7 +23,11 @@
 // watchSuspensions detects suspensions of the VM until the context ends. Timers stop during a suspension, so that a
 // request would otherwise outlive its deadline by the length of the suspension.
 func (g *Gateway) watchSuspensions(ctx context.Context) {
-	for known := g.suspended(); ctx.Err() == nil; kernel.Pause(ctx, suspensionPollInterval) {
+	for known, ranAt := g.suspended(), time.Now(); ctx.Err() == nil; kernel.Pause(ctx, suspensionPollInterval) {
+		if stopped := time.Since(ranAt) - suspensionPollInterval; stopped >= minStop {
+			g.log.Warn().Int64("stopped_ms", stopped.Milliseconds()).Msg("this process did not run for a time")
+		}
+		ranAt = time.Now()
 		if now := g.suspended(); now-known >= minSuspension {
 			g.resetDeadlines(now - known)
 			known = now
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -76,6 +76,27 @@
 	refused uint64
 }
 
+// Origin is how a process came to hold a request.
+type Origin uint8
+
+const (
+	// Decided means that the process held the request by the crashes that it knows.
+	Decided Origin = iota
+	// Told means that another gateway sent it in crash news.
+	Told
+	// Recorded means that it was read from the platform's store.
+	Recorded
+	// Reduced means that parts of what was held have been served, and the rest is held.
+	Reduced
+)
+
+var originNames = [...]string{Decided: "decided", Told: "news", Recorded: "store", Reduced: "reduced"}
+
+// String returns the name of the origin.
+func (o Origin) String() string {
+	return originNames[o]
+}
+
 // Holds reports whether requests with the given parts in their prompts are held because of parts.
 func (h *HeldRequest) Holds(parts []Fingerprint) bool {
 	return len(h.Parts) > 0 && containsAll(parts, h.Parts)
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -13,7 +13,7 @@
 	l.settling, l.undecided = false, false
 	for next := l.topSuspects(); len(next) > 0; next = l.topSuspects() {
 		for _, h := range next {
-			c.released = append(c.released, l.hold(h)...)
+			c.released = append(c.released, l.hold(h, Decided)...)
 		}
 		c.held = append(c.held, next...)
 	}
@@ -101,8 +101,11 @@
 
 // hold adds what is held and marks the crashes that it explains. It returns what is no longer held because this explains
 // more. The caller holds the lock.
-func (l *SuspectTracker) hold(e HeldRequest) (released []Fingerprint) {
+func (l *SuspectTracker) hold(e HeldRequest, o Origin) (released []Fingerprint) {
 	released = l.held.dropWeaker(e)
+	for _, f := range released {
+		l.logReleased(f, "a hold explains its crashes and more")
+	}
 	if evicted := l.held.put(e); evicted != nil {
 		l.vars.Add("dropped", 1)
 		l.log.Warn().Stringer("fingerprint", evicted.Fingerprint).Str("organisation", string(evicted.Organisation)).
@@ -116,7 +119,7 @@
 	delete(l.suspects, e.Fingerprint)
 	l.vars.Add("held_in_all", 1)
 	c := l.log.Warn().Stringer("fingerprint", e.Fingerprint).Str("organisation", string(e.Organisation)).Str("by", string(e.HeldBy)).
-		Int("parts", len(e.Parts))
+		Stringer("origin", o).Int("parts", len(e.Parts))
 	var crashed []string
 	for _, s := range e.Incarnations {
 		crashed = append(crashed, string(s.Instance)+" at "+s.Address)
@@ -125,8 +128,18 @@
 	return released
 }
 
+// logReleased logs that something is no longer held, or is not held although another gateway does; the caller holds the lock.
+func (l *SuspectTracker) logReleased(f Fingerprint, why string) {
+	l.vars.Add("released", 1)
+	l.log.Warn().Stringer("fingerprint", f).Str("why", why).Msg("request no longer held")
+}
+
 // AddHeld holds what another gateway holds, except parts that were served here since the first of its crashes.
 func (l *SuspectTracker) AddHeld(e HeldRequest) {
+	l.addHeld(e, Told)
+}
+
+func (l *SuspectTracker) addHeld(e HeldRequest, o Origin) {
 	l.mu.Lock()
 	if l.held.covers(e) {
 		l.mu.Unlock()
@@ -135,11 +148,12 @@
 	c := changes{served: l.servedSince(e)}
 	if len(c.served) > 0 {
 		c.here, c.released = true, append(c.released, e.Fingerprint)
+		l.logReleased(e.Fingerprint, "parts of it were served here since its first crash")
 		e.Parts = slices.DeleteFunc(slices.Clone(e.Parts), func(p Fingerprint) bool { return slices.Contains(c.served, p) })
 		e.Fingerprint = ofTogether(e.Parts)
 	}
 	if len(c.served) == 0 || len(e.Parts) > 0 && !l.held.covers(e) {
-		c.released = append(c.released, l.hold(e)...)
+		c.released = append(c.released, l.hold(e, o)...)
 		c.held = append(c.held, e)
 	}
 	l.updateWatching()
--- a/internal/quarantine/persister.go
+++ b/internal/quarantine/persister.go
@@ -205,6 +205,7 @@
 // follow applies all records of the topic, and then each new one.
 func (k *Persister) follow(ctx context.Context) {
 	next, started := id.Position(0), false
+	begunAt, failing := k.now(), false
 	for ctx.Err() == nil {
 		var err error
 		if started {
@@ -216,11 +217,20 @@
 		case ctx.Err() != nil:
 			return
 		case err == nil:
-			started = true
+			if !started || failing {
+				k.log.Info().Int64("after_ms", k.now().Sub(begunAt).Milliseconds()).Int("held", len(k.suspects.HeldRequests())).
+					Msg("held requests read from the store")
+			}
+			started, failing = true, false
+			k.suspects.recordsRead.Store(true)
 			continue
 		case errors.Is(err, platform.ErrOffsetExpired):
 			started = false
 		}
+		if !failing {
+			k.log.Warn().Err(err).Msg("held requests can't be read from the store")
+		}
+		failing = true
 		kernel.Pause(ctx, retryPause())
 	}
 }
@@ -250,6 +260,7 @@
 		return next, nil
 	}
 	for _, f := range k.takeVanished(present) {
+		k.log.Info().Stringer("fingerprint", f).Msg("the record of a held request is no longer in the store")
 		k.suspects.Lift(f)
 	}
 	return next, nil
@@ -333,6 +344,7 @@
 		return f, false
 	}
 	if r.Value == nil {
+		k.log.Info().Stringer("fingerprint", f).Uint64("offset", r.Position.Offset()).Msg("the record of a held request was deleted")
 		k.noteStored(f, false)
 		k.suspects.Lift(f)
 		return f, false
@@ -343,7 +355,7 @@
 		return f, false
 	}
 	k.noteStored(f, true)
-	k.suspects.AddHeld(h)
+	k.suspects.addHeld(h, Recorded)
 	return f, true
 }
 
--- a/internal/quarantine/prompt_part.go
+++ b/internal/quarantine/prompt_part.go
@@ -266,13 +266,14 @@
 
 // reduceHeld replaces each held combination that has a part, which was served, by the rest of its parts. It returns what
 // is no longer held and what is held instead. The caller holds the lock.
-func (l *SuspectTracker) reduceHeld(part Fingerprint) (released []Fingerprint, fresh []HeldRequest) {
+func (l *SuspectTracker) reduceHeld(part Fingerprint, why string) (released []Fingerprint, fresh []HeldRequest) {
 	for _, f := range slices.Clone(l.held.byPart[part]) {
 		dropped := l.held.drop(f)
 		if dropped == nil {
 			continue
 		}
 		released = append(released, f)
+		l.logReleased(f, why)
 		h := *dropped
 		h.Parts = slices.DeleteFunc(slices.Clone(h.Parts), func(o Fingerprint) bool { return o == part })
 		if len(h.Parts) == 0 {
@@ -280,7 +281,7 @@
 		}
 		h.Fingerprint = ofTogether(h.Parts)
 		if !l.held.covers(h) {
-			released = append(released, l.hold(h)...)
+			released = append(released, l.hold(h, Reduced)...)
 			fresh = append(fresh, h)
 		}
 	}
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -28,6 +28,7 @@
 	if !q.Suspects.Lift(f) {
 		return nil, connect.NewError(connect.CodeNotFound, ErrNotHeld)
 	}
+	q.Suspects.log.Info().Stringer("fingerprint", f).Msg("an operator has lifted a held request here")
 	// The other gateways release the request when its record is deleted.
 	q.Remove(f)
 	return &pb.LiftHeldResponse{}, nil
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -71,6 +71,8 @@
 	// OnUnlikely is called for parts that are suspected, and on which answers were recently written here.
 	OnUnlikely func(parts []Fingerprint)
 
+	// recordsRead is true once the records of held requests have been read.
+	recordsRead atomic.Bool
 	// watching is false while no request is suspected or held.
 	watching atomic.Bool
 
@@ -101,6 +103,9 @@
 // Check returns what may be done with a request with the given parts in its prompt. It takes no lock while nothing is
 // suspected or held.
 func (l *SuspectTracker) Check(f Fingerprint, parts ...Fingerprint) Verdict {
+	if !l.recordsRead.Load() {
+		l.vars.Add("checked_before_read", 1)
+	}
 	if !l.watching.Load() {
 		return Pass
 	}
@@ -148,6 +153,14 @@
 	here     bool
 }
 
+// servedWhere returns where something was served.
+func (c *changes) servedWhere() string {
+	if c.here {
+		return "it was served here"
+	}
+	return "it was served at another gateway"
+}
+
 // notify calls the callbacks; the caller does not hold the lock.
 func (l *SuspectTracker) notify(c changes) {
 	for _, f := range c.released {
@@ -335,9 +348,10 @@
 	if h := l.held.get(f); h != nil && len(h.Parts) == 0 {
 		crashes = len(h.Incarnations)
 		l.held.drop(f)
+		l.logReleased(f, c.servedWhere())
 		c.released = append(c.released, f)
 	}
-	released, held := l.reduceHeld(f)
+	released, held := l.reduceHeld(f, c.servedWhere())
 	if len(released) > 0 {
 		crashes = minCrashes
 		c.released, c.held = append(c.released, released...), append(c.held, held...)
