--- a/internal/gateway/suspension.go
+++ b/internal/gateway/suspension.go
@@ -23,14 +23,16 @@
 // watchSuspensions detects suspensions of the VM until the context ends. Timers stop during a suspension, so that a
 // request would otherwise outlive its deadline by the length of the suspension.
 func (g *Gateway) watchSuspensions(ctx context.Context) {
-	for known, ranAt := g.suspended(), time.Now(); ctx.Err() == nil; kernel.Pause(ctx, suspensionPollInterval) {
-		if stopped := time.Since(ranAt) - suspensionPollInterval; stopped >= minStop {
+	known, ranAt := g.suspended(), g.now()
+	for ; ctx.Err() == nil; kernel.Pause(ctx, suspensionPollInterval) {
+		now, suspended := g.now(), g.suspended()
+		if stopped := now.Sub(ranAt) - (suspended - known) - suspensionPollInterval; stopped >= minStop {
 			g.log.Warn().Int64("stopped_ms", stopped.Milliseconds()).Msg("this process did not run for a time")
 		}
-		ranAt = time.Now()
-		if now := g.suspended(); now-known >= minSuspension {
-			g.resetDeadlines(now - known)
-			known = now
+		ranAt = now
+		if suspended-known >= minSuspension {
+			g.resetDeadlines(suspended - known)
+			known = suspended
 		}
 	}
 }
