Do not forward requests before the records of held requests are read

Callers' requests with a part that crashes upstreams were forwarded by gateways that had just started: configuration and list come from other processes within some 10 ms, the held records only from the store, and nothing waited for them. No record read yet counted as no record.

A gateway is not ready, and lets a request wait 200 ms and then refuses it as not run, until the records were read or a read has failed, for 3 s at most from when it could serve.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -20,6 +20,8 @@
 	// suspectRetryAfter is the Retry-After while upstreams have crashed under a request and it is not known yet
 	// whether it was the cause. It exceeds the time in which an upstream begins a request that runs alone.
 	suspectRetryAfter = time.Second
+	// maxKnowledgeWait is how long a request waits until the gateway knows what is held.
+	maxKnowledgeWait = 200 * time.Millisecond
 )
 
 // errQuarantined cancels a request that is queued at an upstream when the request is quarantined.
@@ -44,6 +46,10 @@
 // with retries, one such request crashed 40 upstreams in 34 s, along with all other requests running there.
 func (f *callerRequest) checkQuarantine() bool {
 	g := f.gateway
+	if !g.knowledge.Wait(f.ctx, maxKnowledgeWait) {
+		f.refuse("what is held is not known yet", min(suspectRetryAfter, g.knowledge.Remaining()))
+		return false
+	}
 	v := f.checkSuspects()
 	f.exclusive = v == quarantine.Alone
 	switch {
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -107,6 +107,7 @@
 	elapsedEstimator *placement.PatienceTracker
 	connections      *upconn.Pool
 	suspects         *quarantine.SuspectTracker
+	knowledge        *quarantine.Knowledge
 	crashDetector    *quarantine.CrashDetector
 	requests         *requestRegistry
 	buffers          *bufferBudget
@@ -185,6 +186,7 @@
 		elapsedEstimator: placement.NewPatienceTracker(clock.Now),
 		connections:      upconn.New(connect, clock.Now, d.ResponseMatches),
 		suspects:         q.Suspects,
+		knowledge:        &q.Knowledge,
 		requests:         newRequestRegistry(),
 		inFlight:         newInFlightRequests(),
 		callerConns:      httpconn.New(),
@@ -235,6 +237,8 @@
 		return "leaving"
 	case g.facts.Catalog() == nil:
 		return "no configuration yet"
+	case !g.knowledge.Known():
+		return "what is held is not known yet"
 	default:
 		return ""
 	}
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -32,11 +32,15 @@
 	Suspects *SuspectTracker
 	// Broadcast sends crash news to all gateways.
 	Broadcast func(n CrashNews)
+	// Knowledge is whether this gateway knows what is held.
+	Knowledge Knowledge
 }
 
 // New connects a suspect tracker with the other gateways, by way of stagers, and with the platform's store.
 func New(l *SuspectTracker, s *reports.Subscriber, p *records.Platform) *Quarantine {
 	q := &Quarantine{Suspects: l, Persister: NewPersister(p.Store, p.HeldTopic, l, l.now, l.log)}
+	q.Knowledge.begin(l.now, l.log)
+	q.onRead = q.Knowledge.noteStore
 	q.Broadcast = func(n CrashNews) {
 		for _, m := range n.Messages() {
 			s.BroadcastCrashNews(m)
--- a/internal/quarantine/persister.go
+++ b/internal/quarantine/persister.go
@@ -49,6 +49,8 @@
 	// snapshotPosition is the end position of the newest snapshot that was read.
 	snapshotPosition id.Position
 	wake             chan struct{}
+	// onRead is called after each read of the records; it must be set before Run.
+	onRead func(err error)
 }
 
 // pendingWrite is a record to be written.
@@ -61,6 +63,7 @@
 func NewPersister(s records.Store, topic string, l *SuspectTracker, now func() time.Time, g *log.Logger) *Persister {
 	return &Persister{
 		store: s, topic: topic, suspects: l, now: now, log: g, pending: map[Fingerprint]pendingWrite{}, stored: map[Fingerprint]bool{}, lifted: map[Fingerprint]bool{}, wake: make(chan struct{}, 1),
+		onRead: func(error) {},
 	}
 }
 
@@ -213,6 +216,9 @@
 		} else {
 			next, err = k.readSnapshot(ctx)
 		}
+		if ctx.Err() == nil {
+			k.onRead(err)
+		}
 		switch {
 		case ctx.Err() != nil:
 			return
