Tell gateways that start what stagers remember of holds

Crash news are sent once, to the gateways that subscribe at that moment. A gateway that starts later knows a hold from the store only, and where the store is away, or the hold's record could not be written yet, from nobody: it forwarded requests with a part that crashes upstreams again.

A gateway asks for them at its start and counts as knowing what is held once the records are read, or can't be, and the stagers have answered or had 250 ms. News of holds go through the same stagers each time, and releases too. A hold that is said to be recorded and whose record isn't read within 3 s is looked for in the store, and released if that lacks it, so that a lift is not undone.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -117,6 +117,10 @@
 	Served []Fingerprint
 	// Held are requests that the sender holds from now on.
 	Held []HeldRequest
+	// Recorded is true if the store has the records of Held.
+	Recorded bool
+	// Released are what the sender no longer holds.
+	Released []Fingerprint
 	// Written are suspected parts on which answers were recently written for some time, or complete several times.
 	Written []Fingerprint
 }
--- a/internal/quarantine/knowledge.go
+++ b/internal/quarantine/knowledge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,19 +10,36 @@
 	"github.com/phuslu/log"
 )
 
-// maxLearningTime is how long after it could first serve a gateway goes on without knowing what is held. It bounds how long a
-// store that doesn't answer keeps a gateway from serving; another 3 s later all rules apply to the gateway.
-const maxLearningTime = 3 * time.Second
+const (
+	// maxLearningTime is how long after it could first serve a gateway goes on without knowing what is held. It bounds how long
+	// a store that doesn't answer keeps a gateway from serving.
+	maxLearningTime = 3 * time.Second
+	// maxAnswerTime is how long a gateway waits for the answers of stagers. One in another region takes 20 ms.
+	maxAnswerTime = 250 * time.Millisecond
+	// answerCheckInterval is how often a request that waits checks whether that time is over.
+	answerCheckInterval = 20 * time.Millisecond
+)
 
-// Knowledge is whether a gateway knows what is held. From its start on it doesn't, until the records have been read, or can't be.
-// After maxLearningTime it goes on without. The zero value knows. It is safe for concurrent use.
+// Knowledge is whether a gateway knows what is held. From its start on it doesn't, until the records in the store have been read,
+// or can't be, and the stagers have said what they remember: the store may lack what was held in an outage. After maxLearningTime
+// it goes on without. The zero value knows. It is safe for concurrent use.
 type Knowledge struct {
 	now func() time.Time
 	log *log.Logger
+	// ask makes the gateway ask stagers a question, until it is called with 0.
+	ask func(question uint64)
 
 	// learning is true while the gateway doesn't know.
 	learning atomic.Bool
 	mu       sync.Mutex
+	// question is the number of the question to stagers, and asked those that were asked and have not answered. It was first
+	// asked at askedAt, and answered is true if no more answers are awaited.
+	question uint64
+	asked    map[string]bool
+	askedAt  time.Time
+	answered bool
+	// storeBy is how the records are known; empty while they are not.
+	storeBy string
 	// begunAt is when that began, and deadline when it ends at the latest; zero until the gateway could serve.
 	begunAt, deadline time.Time
 	// changed is closed when the gateway knows.
@@ -29,12 +47,64 @@
 }
 
 // begin notes that the gateway doesn't know what is held.
-func (k *Knowledge) begin(now func() time.Time, g *log.Logger) {
+func (k *Knowledge) begin(now func() time.Time, ask func(question uint64), g *log.Logger) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.now, k.log = now, g
+	k.now, k.ask, k.log = now, ask, g
 	k.begunAt, k.changed = now(), make(chan struct{})
+	k.question, k.asked = rand.Uint64()|1, map[string]bool{}
 	k.learning.Store(true)
+	k.ask(k.question)
+}
+
+// noteAsked notes that stagers, by the addresses of their upstreams, have been asked a question. Where none is to be expected no
+// answer is awaited.
+func (k *Knowledge) noteAsked(question uint64, stagers []string, expected bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if question != k.question || k.answered || expected && len(stagers) == 0 {
+		return
+	}
+	if k.askedAt.IsZero() {
+		k.askedAt = k.now()
+	}
+	for _, a := range stagers {
+		if _, known := k.asked[a]; !known {
+			k.asked[a] = false
+		}
+	}
+	k.checkAnswers()
+}
+
+// noteAnswer notes the answer of a stager to a question.
+func (k *Knowledge) noteAnswer(question uint64, stager string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if question == k.question && !k.answered {
+		k.asked[stager] = true
+		k.checkAnswers()
+	}
+}
+
+// checkAnswers ends the question once all stagers have answered, or had time to; the caller holds the lock.
+func (k *Knowledge) checkAnswers() {
+	if k.answered || k.askedAt.IsZero() {
+		return
+	}
+	missing := 0
+	for _, has := range k.asked {
+		if !has {
+			missing++
+		}
+	}
+	if missing > 0 && k.now().Sub(k.askedAt) < maxAnswerTime {
+		return
+	}
+	k.answered = true
+	k.ask(0)
+	if k.storeBy != "" {
+		k.end(k.storeBy)
+	}
 }
 
 // noteStore notes a read of the records: that they were read, or can't be.
@@ -44,11 +114,13 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	how := "store"
+	k.storeBy = "store"
 	if err != nil {
-		how = "the store can't be read"
+		k.storeBy = "stagers"
+	}
+	if k.answered {
+		k.end(k.storeBy)
 	}
-	k.end(how)
 }
 
 // end notes that the gateway knows, or goes on without; the caller holds the lock.
@@ -57,6 +129,8 @@
 		return
 	}
 	k.learning.Store(false)
+	k.answered = true
+	k.ask(0)
 	close(k.changed)
 	k.log.Info().Str("by", how).Int64("after_ms", k.now().Sub(k.begunAt).Milliseconds()).Msg("what is held is known")
 }
@@ -72,6 +146,7 @@
 	if k.deadline.IsZero() {
 		k.deadline = now.Add(maxLearningTime)
 	}
+	k.checkAnswers()
 	if !now.Before(k.deadline) {
 		k.end("deadline")
 	}
@@ -86,14 +161,20 @@
 	k.mu.Lock()
 	changed := k.changed
 	k.mu.Unlock()
-	t := time.NewTimer(most)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-changed:
-	}
-	return k.Known()
+	ctx, stop := context.WithTimeout(ctx, most)
+	defer stop()
+	for t := time.NewTicker(answerCheckInterval); ; {
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return k.Known()
+		case <-changed:
+			t.Stop()
+			return true
+		case <-t.C:
+			k.Known()
+		}
+	}
 }
 
 // Remaining returns how long it takes at most until the gateway knows what is held, or goes on without.
--- a/internal/quarantine/knowledge_test.go
+++ b/internal/quarantine/knowledge_test.go
@@ -12,20 +12,50 @@
 var _ = Describe("what a gateway knows of held requests", func() {
 	var now time.Time
 	var k *Knowledge
+	var asking uint64
 	BeforeEach(func() {
 		now = time.Unix(1000, 0)
 		k = &Knowledge{}
-		k.begin(func() time.Time { return now }, discardLog)
+		k.begin(func() time.Time { return now }, func(q uint64) { asking = q }, discardLog)
 	})
 
+	answerAll := func() {
+		k.noteAsked(asking, []string{"a", "b"}, true)
+		question := asking
+		k.noteAnswer(question, "a")
+		k.noteAnswer(question, "b")
+	}
+
 	It("is not taken for complete before the records have been read", func() {
+		answerAll()
 		Expect(k.Known()).To(BeFalse())
 		Expect(k.Wait(context.Background(), time.Millisecond)).To(BeFalse())
 		k.noteStore(nil)
 		Expect(k.Known()).To(BeTrue())
 	})
 
+	It("is not taken for complete before the stagers have answered, or had time to", func() {
+		k.noteStore(nil)
+		k.noteAsked(asking, nil, true)
+		now = now.Add(maxAnswerTime)
+		Expect(k.Known()).To(BeFalse(), "the list of upstreams has not been read")
+		k.noteAsked(asking, []string{"a", "b"}, true)
+		k.noteAnswer(asking, "a")
+		k.noteAnswer(asking+1, "b")
+		Expect(k.Known()).To(BeFalse())
+		now = now.Add(maxAnswerTime)
+		Expect(k.Known()).To(BeTrue())
+		Expect(asking).To(BeZero())
+	})
+
+	It("is known without stagers where there are none", func() {
+		k.noteStore(nil)
+		k.noteAsked(asking, nil, false)
+		Expect(k.Known()).To(BeTrue())
+	})
+
 	It("does not keep a gateway from serving while the store is away", func() {
+		answerAll()
 		k.noteStore(errors.New("unavailable"))
 		Expect(k.Known()).To(BeTrue())
 	})
--- a/internal/quarantine/news.go
+++ b/internal/quarantine/news.go
@@ -37,7 +37,10 @@
 		rest = rest[n:]
 	}
 	for _, h := range n.Held {
-		l = append(l, &pb.CrashNews{Held: []*pb.HeldNews{{Fingerprint: h.Fingerprint[:], Request: h.toProto()}}})
+		l = append(l, &pb.CrashNews{Held: []*pb.HeldNews{{Fingerprint: h.Fingerprint[:], Request: h.toProto(), Recorded: n.Recorded}}})
+	}
+	for _, f := range n.Released {
+		l = append(l, &pb.CrashNews{Released: [][]byte{f[:]}})
 	}
 	return l
 }
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -1,6 +1,9 @@
 package quarantine
 
 import (
+	"slices"
+
+	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/gen/springrail/v1/springrailv1connect"
 	"github.com/springrail/springrail/internal/clock"
 	"github.com/springrail/springrail/internal/kernel"
@@ -39,14 +42,16 @@
 // New connects a suspect tracker with the other gateways, by way of stagers, and with the platform's store.
 func New(l *SuspectTracker, s *reports.Subscriber, p *records.Platform) *Quarantine {
 	q := &Quarantine{Suspects: l, Persister: NewPersister(p.Store, p.HeldTopic, l, l.now, l.log)}
-	q.Knowledge.begin(l.now, l.log)
+	q.Knowledge.begin(l.now, s.AskHeld, l.log)
 	q.onRead = q.Knowledge.noteStore
+	q.onRecorded = q.broadcastRecorded
 	q.Broadcast = func(n CrashNews) {
 		for _, m := range n.Messages() {
 			s.BroadcastCrashNews(m)
 		}
 	}
-	s.OnCrashNews = l.ApplyNews
+	s.OnCrashNews = q.applyNews
+	s.OnHeldAsked = q.Knowledge.noteAsked
 	l.OnHeld = append(l.OnHeld, q.Persist, q.broadcastHeld)
 	l.OnServed = func(f Fingerprint) { q.Broadcast(CrashNews{Served: []Fingerprint{f}}) }
 	l.OnReleased = q.release
@@ -58,6 +63,7 @@
 func (q *Quarantine) release(f Fingerprint, here bool) {
 	if here {
 		q.Remove(f)
+		q.Broadcast(CrashNews{Released: []Fingerprint{f}})
 	} else {
 		q.CancelWrite(f)
 	}
@@ -71,6 +77,27 @@
 	}
 }
 
+// broadcastRecorded sends a held request whose record this process has written, so that stagers know that the store has it.
+func (q *Quarantine) broadcastRecorded(f Fingerprint) {
+	for _, h := range q.Suspects.HeldRequests() {
+		if h.Fingerprint == f {
+			q.Broadcast(CrashNews{Held: []HeldRequest{h}, Recorded: true})
+		}
+	}
+}
+
+// applyNews applies the crash news of another gateway, or the answer of a stager.
+func (q *Quarantine) applyNews(m *pb.CrashNews) {
+	m.Held = slices.DeleteFunc(m.GetHeld(), func(h *pb.HeldNews) bool {
+		f, err := FromBytes(h.GetFingerprint())
+		return err == nil && !q.accepts(f, h.GetRecorded())
+	})
+	q.Suspects.ApplyNews(m)
+	if n := m.GetAnswers(); n != 0 {
+		q.Knowledge.noteAnswer(n, m.GetSender())
+	}
+}
+
 // ReportCrash adds a crash that this gateway has seen, and sends it to the other gateways.
 func (q *Quarantine) ReportCrash(e Crash) {
 	q.Suspects.logCrash(e)
--- a/internal/quarantine/persister.go
+++ b/internal/quarantine/persister.go
@@ -51,6 +51,12 @@
 	wake             chan struct{}
 	// onRead is called after each read of the records; it must be set before Run.
 	onRead func(err error)
+	// onRecorded is called once this process has written the record of a held request; it must be set before Run.
+	onRecorded func(f Fingerprint)
+	// unread are the requests whose records another process has written or read, and this one has not read yet.
+	unread map[Fingerprint]struct{}
+	// stopPoll ends the long poll that is under way; nil while there is none.
+	stopPoll context.CancelFunc
 }
 
 // pendingWrite is a record to be written.
@@ -63,7 +69,7 @@
 func NewPersister(s records.Store, topic string, l *SuspectTracker, now func() time.Time, g *log.Logger) *Persister {
 	return &Persister{
 		store: s, topic: topic, suspects: l, now: now, log: g, pending: map[Fingerprint]pendingWrite{}, stored: map[Fingerprint]bool{}, lifted: map[Fingerprint]bool{}, wake: make(chan struct{}, 1),
-		onRead: func(error) {},
+		onRead: func(error) {}, onRecorded: func(Fingerprint) {}, unread: map[Fingerprint]struct{}{},
 	}
 }
 
@@ -127,8 +133,11 @@
 			continue
 		}
 		at, err := k.store.Append(ctx, k.topic, records.Record{Key: f.String(), Value: w.value})
-		if err != nil || !k.confirm(f, w, at) {
+		switch {
+		case err != nil || !k.confirm(f, w, at):
 			k.postpone(f, w)
+		case w.value != nil:
+			k.onRecorded(f)
 		}
 	}
 }
@@ -212,16 +221,19 @@
 	for ctx.Err() == nil {
 		var err error
 		if started {
-			next, err = k.read(ctx, next)
+			next, err = k.poll(ctx, next)
 		} else {
 			next, err = k.readSnapshot(ctx)
 		}
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !errors.Is(err, errReadAgain) {
 			k.onRead(err)
 		}
 		switch {
 		case ctx.Err() != nil:
 			return
+		case errors.Is(err, errReadAgain):
+			started = false
+			continue
 		case err == nil:
 			if !started || failing {
 				k.log.Info().Int64("after_ms", k.now().Sub(begunAt).Milliseconds()).Int("held", len(k.suspects.HeldRequests())).
@@ -241,6 +253,65 @@
 	}
 }
 
+// errReadAgain reports that a long poll was ended, so that all records are read again.
+var errReadAgain = errors.New("the records are to be read again")
+
+// poll is like read, and can be ended by ReadAgain.
+func (k *Persister) poll(ctx context.Context, from id.Position) (next id.Position, err error) {
+	polling, stop := context.WithCancel(ctx)
+	defer stop()
+	k.mu.Lock()
+	k.stopPoll = stop
+	k.mu.Unlock()
+	next, err = k.read(polling, from)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stopPoll = nil
+	if err != nil && polling.Err() != nil {
+		return from, errReadAgain
+	}
+	return next, err
+}
+
+// ReadAgain ends a long poll and makes all records be read again.
+func (k *Persister) ReadAgain() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.stopPoll != nil {
+		k.stopPoll()
+	}
+}
+
+// recordReadTime is the time within which the record of a hold is read that another process has written or read.
+const recordReadTime = 3 * time.Second
+
+// accepts reports whether to hold what another process says that it holds, and whose record the store has if recorded is true:
+// not what this process is about to release everywhere. If the record is not read soon, it may have been deleted, and all records
+// are read again.
+func (k *Persister) accepts(f Fingerprint, recorded bool) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	w, due := k.pending[f]
+	if due && w.value == nil {
+		return false
+	}
+	if !recorded || k.stored[f] {
+		return true
+	}
+	delete(k.pending, f)
+	k.markStored(f, true)
+	k.unread[f] = struct{}{}
+	time.AfterFunc(recordReadTime, func() {
+		k.mu.Lock()
+		_, missing := k.unread[f]
+		k.mu.Unlock()
+		if missing {
+			k.ReadAgain()
+		}
+	})
+	return true
+}
+
 // readSnapshot applies the newest record of each key and lifts requests whose record has been deleted. If the store was
 // restored from an older copy since the last snapshot, it repairs the store's records instead.
 func (k *Persister) readSnapshot(ctx context.Context) (next id.Position, err error) {
@@ -318,6 +389,7 @@
 func (k *Persister) takeVanished(present map[Fingerprint]bool) (l []Fingerprint) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	clear(k.unread)
 	for f := range k.stored {
 		if !present[f] {
 			delete(k.stored, f)
@@ -369,6 +441,7 @@
 func (k *Persister) noteStored(f Fingerprint, stored bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	delete(k.unread, f)
 	w, due := k.pending[f]
 	if due && (w.value != nil) == stored {
 		delete(k.pending, f)
--- a/internal/quarantine/persister_test.go
+++ b/internal/quarantine/persister_test.go
@@ -145,7 +145,7 @@
 		l := NewSuspectTracker("vm", time.Now, discardLog)
 		k := NewPersister(s.store(), "t", l, time.Now, discardLog)
 		l.OnHeld = append(l.OnHeld, k.Persist)
-		l.OnReleased = (&Quarantine{Persister: k}).release
+		l.OnReleased = (&Quarantine{Persister: k, Broadcast: func(CrashNews) {}}).release
 		ctx, stop := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() {
@@ -288,6 +288,29 @@
 		Eventually(held(l)).WithTimeout(time.Second).Should(BeFalse())
 	})
 
+	It("are released again if another process says that they are recorded and the store lacks them", func() {
+		s := newFakeTopic()
+		l, k, _ := start(s)
+		Eventually(l.recordsRead.Load).Should(BeTrue())
+		Expect(k.accepts(bad, true)).To(BeTrue())
+		l.AddHeld(HeldRequest{Fingerprint: bad})
+		Consistently(held(l)).WithTimeout(recordReadTime / 2).Should(BeTrue())
+		Eventually(held(l)).WithTimeout(recordReadTime).Should(BeFalse())
+		Expect(s.writeCount()).To(BeZero())
+	})
+
+	It("are not held again by what another process says while they are being lifted", func() {
+		s := newFakeTopic()
+		l, k, _ := start(s)
+		crash(l)
+		Eventually(func() bool { return s.has(bad.String()) }).WithTimeout(3 * time.Second).Should(BeTrue())
+		s.update(func() { s.unavailable = true })
+		l.Lift(bad)
+		k.Remove(bad)
+		Expect(k.accepts(bad, false)).To(BeFalse())
+		Expect(k.accepts(bad, true)).To(BeFalse())
+	})
+
 	It("are read from valid records; invalid ones are counted and skipped", func() {
 		s := newFakeTopic()
 		for _, r := range []records.Record{
--- a/internal/quarantine/prompt_part.go
+++ b/internal/quarantine/prompt_part.go
@@ -266,20 +266,23 @@
 
 // reduceHeld replaces each held combination that has a part, which was served, by the rest of its parts. It returns what
 // is no longer held and what is held instead. The caller holds the lock.
-func (l *SuspectTracker) reduceHeld(part Fingerprint, why string) (released []Fingerprint, fresh []HeldRequest) {
+func (l *SuspectTracker) reduceHeld(part Fingerprint, c *changes) (released []Fingerprint, fresh []HeldRequest) {
 	for _, f := range slices.Clone(l.held.byPart[part]) {
 		dropped := l.held.drop(f)
 		if dropped == nil {
 			continue
 		}
 		released = append(released, f)
-		l.logReleased(f, why)
+		l.logReleased(f, c.servedWhere())
 		h := *dropped
 		h.Parts = slices.DeleteFunc(slices.Clone(h.Parts), func(o Fingerprint) bool { return o == part })
 		if len(h.Parts) == 0 {
 			continue
 		}
 		h.Fingerprint = ofTogether(h.Parts)
+		if c.here {
+			h.HeldBy = l.vm
+		}
 		if !l.held.covers(h) {
 			released = append(released, l.hold(h, Reduced)...)
 			fresh = append(fresh, h)
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -31,6 +31,7 @@
 	q.Suspects.log.Info().Stringer("fingerprint", f).Msg("an operator has lifted a held request here")
 	// The other gateways release the request when its record is deleted.
 	q.Remove(f)
+	q.Broadcast(CrashNews{Released: []Fingerprint{f}})
 	return &pb.LiftHeldResponse{}, nil
 }
 
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -351,7 +351,7 @@
 		l.logReleased(f, c.servedWhere())
 		c.released = append(c.released, f)
 	}
-	released, held := l.reduceHeld(f, c.servedWhere())
+	released, held := l.reduceHeld(f, c)
 	if len(released) > 0 {
 		crashes = minCrashes
 		c.released, c.held = append(c.released, released...), append(c.held, held...)
--- a/internal/reports/news.go
+++ b/internal/reports/news.go
@@ -1,15 +1,18 @@
 package reports
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"net"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/rendezvous"
 )
 
 const (
@@ -29,6 +32,7 @@
 
 // BroadcastCrashNews sends crash news to all gateways that subscribe to reports. It goes through a few stagers, because
 // a gateway doesn't know the other gateways and a stager knows all of its subscribers.
+// News of what is held goes through the same stagers each time, which remember it.
 func (s *Subscriber) BroadcastCrashNews(n *pb.CrashNews) {
 	if !s.newsLimit.AllowN(s.now(), 1) {
 		s.vars.Add("news_over_rate", 1)
@@ -40,7 +44,7 @@
 		s.log.Error().Err(err).Msg("failed to encode crash news")
 		return
 	}
-	for _, i := range s.pickRelays() {
+	for _, i := range s.pickRelays(heldKey(n)) {
 		host, _, err := net.SplitHostPort(i.Address)
 		if err != nil {
 			continue
@@ -53,9 +57,32 @@
 	}
 }
 
-// pickRelays picks random stagers. Where gateways subscribe to subsets, it picks enough in each failure domain that the
-// gateways there are covered.
-func (s *Subscriber) pickRelays() []*facts.Instance {
+// heldKey returns the fingerprint of what crash news say is held, or no longer held; empty if they say neither.
+func heldKey(n *pb.CrashNews) string {
+	switch {
+	case len(n.GetHeld()) > 0:
+		return string(n.GetHeld()[0].GetFingerprint())
+	case len(n.GetReleased()) > 0:
+		return string(n.GetReleased()[0])
+	default:
+		return ""
+	}
+}
+
+// orderRelays puts stagers in random order, or in the order that all gateways compute for a key.
+func orderRelays(l []*facts.Instance, key string) {
+	if key == "" {
+		rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+		return
+	}
+	slices.SortFunc(l, func(a, b *facts.Instance) int {
+		return cmp.Compare(rendezvous.Weight(key, id.VM(b.Address)), rendezvous.Weight(key, id.VM(a.Address)))
+	})
+}
+
+// pickRelays picks stagers at random, or by a key. Where gateways subscribe to subsets, it picks enough in each failure domain
+// that the gateways there are covered.
+func (s *Subscriber) pickRelays(key string) []*facts.Instance {
 	var l []*facts.Instance
 	by := s.groupStagers()
 	for g, stagers := range by {
@@ -65,11 +92,11 @@
 		}
 		// The gateways of each domain choose the size of their subset as this one does for its own.
 		n := relaysPerDomain(len(stagers), sizes.local)
-		rand.Shuffle(len(stagers), func(i, j int) { stagers[i], stagers[j] = stagers[j], stagers[i] })
+		orderRelays(stagers, key)
 		l = append(l, stagers[:n]...)
 	}
 	if len(l) == 0 {
-		return s.pickRecentRelays()
+		return s.pickRecentRelays(key)
 	}
 	return l
 }
@@ -87,12 +114,12 @@
 	return min(stagers, max(newsRelays, int(math.Ceil(math.Log(maxUncoveredShare)/missed))))
 }
 
-// pickRecentRelays picks random stagers that have reported recently, one in each failure domain before a second one in any.
-func (s *Subscriber) pickRecentRelays() (l []*facts.Instance) {
+// pickRecentRelays picks stagers, at random or by a key, that have reported recently, one in each failure domain before a second one in any.
+func (s *Subscriber) pickRecentRelays(key string) (l []*facts.Instance) {
 	var rest []*facts.Instance
 	covered := map[id.Domain]bool{}
 	all := s.relayCandidates()
-	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	orderRelays(all, key)
 	for _, i := range all {
 		if covered[i.Domain] {
 			rest = append(rest, i)
@@ -134,6 +161,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
+	r.heldMemory.note(n, now)
 	if !r.newsLimit.AllowN(now, 1) {
 		r.vars.Add("news_over_rate", 1)
 		return
--- a/internal/reports/news_test.go
+++ b/internal/reports/news_test.go
@@ -55,6 +55,66 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	it("of what is held reaches gateways that subscribe later, until it is released or served", func() {
+		ctx, stop := context.WithCancel(context.Background())
+		ginkgo.DeferCleanup(stop)
+		r := NewReporter(newSocket(), "d", facts.New(time.Now), time.Now, discardLog)
+		r.upstreamAddress = "127.0.0.1:9"
+		go func() { _ = r.Run(ctx) }()
+		f := facts.New(time.Now)
+		f.SetCatalog(catalog.New(1, nil, engines, nil, catalog.Limits{}))
+		f.SetInstance(&facts.Instance{ID: "i", Pool: "p", Address: "127.0.0.1:9"})
+		join := func(question uint64) chan *pb.CrashNews {
+			s := NewSubscriber(newSocket(), portOf(r.conn), "d", f, time.Now, discardLog)
+			got := make(chan *pb.CrashNews, 10)
+			s.OnCrashNews = func(m *pb.CrashNews) { got <- m }
+			s.AskHeld(question)
+			go func() { _ = s.Run(ctx) }()
+			return got
+		}
+		first := NewSubscriber(newSocket(), portOf(r.conn), "d", f, time.Now, discardLog)
+		hold := func(name, part byte, recorded bool) {
+			first.BroadcastCrashNews(&pb.CrashNews{Held: []*pb.HeldNews{{Fingerprint: []byte{name}, Recorded: recorded, Request: &pb.HeldRequest{Parts: [][]byte{{part}}}}}})
+		}
+		hold(1, 11, false)
+		hold(2, 12, true)
+		hold(2, 12, false)
+		hold(3, 13, false)
+		first.BroadcastCrashNews(&pb.CrashNews{Released: [][]byte{{1}}})
+		first.BroadcastCrashNews(&pb.CrashNews{Served: [][]byte{{13}}})
+		Eventually(func() int { return len(remembered(r)) }).Should(Equal(1))
+		var m *pb.CrashNews
+		Eventually(join(7)).Should(Receive(&m))
+		Expect(m.GetAnswers()).To(BeEquivalentTo(7))
+		Expect(m.GetSender()).To(Equal("127.0.0.1:9"))
+		Expect(m.GetHeld()).To(HaveLen(1))
+		Expect(m.GetHeld()[0].GetFingerprint()).To(Equal([]byte{2}))
+		Expect(m.GetHeld()[0].GetRecorded()).To(BeTrue())
+		Eventually(join(0)).Should(Receive(&m), "a gateway that does not ask")
+		Expect(m.GetAnswers()).To(BeZero())
+	})
+
+	it("of what is held is remembered up to a bound, for a time", func() {
+		now := time.Now()
+		m := &heldMemory{}
+		for n := range maxHeldRemembered + 1 {
+			m.note(&pb.CrashNews{Held: []*pb.HeldNews{{Fingerprint: []byte{byte(n), byte(n >> 8)}}}}, now)
+		}
+		Expect(m.list(now)).To(HaveLen(maxHeldRemembered))
+		Expect(m.list(now)[0].GetFingerprint()).To(Equal([]byte{1, 0}))
+		Expect(m.list(now.Add(heldMemoryTTL))).To(BeEmpty())
+	})
+
+	it("of what is held goes through the same stagers from each gateway", func() {
+		f := facts.New(time.Now)
+		f.SetCatalog(catalog.New(1, nil, engines, nil, catalog.Limits{}))
+		for n := range 12 {
+			f.SetInstance(&facts.Instance{ID: id.Instance(fmt.Sprint(n)), Pool: "p", Address: fmt.Sprintf("127.0.0.%d:9", n+1), Domain: id.Domain(fmt.Sprint("d", n%4))})
+		}
+		a, b := NewSubscriber(newSocket(), 1, "d0", f, time.Now, discardLog), NewSubscriber(newSocket(), 1, "d1", f, time.Now, discardLog)
+		Expect(a.pickRelays("key")).To(Equal(b.pickRelays("key")))
+	})
+
 	it("goes through stagers in different failure domains that have reported recently", func() {
 		f := facts.New(time.Now)
 		f.SetCatalog(catalog.New(1, nil, engines, nil, catalog.Limits{}))
@@ -64,13 +124,13 @@
 			f.SetInstance(i)
 		}
 		f.SetInstance(&facts.Instance{ID: "plain", Pool: "plain", Address: "127.0.0.99:9", Domain: "d9"})
-		Expect(s.pickRelays()).To(HaveLen(newsRelays), "any stager is used while none has reported")
+		Expect(s.pickRelays("")).To(HaveLen(newsRelays), "any stager is used while none has reported")
 		for n := range 8 {
 			s.Tracker().SetReport(fmt.Sprintf("127.0.0.%d:9", n+1), placement.LoadReport{ReceivedAt: time.Now()})
 		}
 		for range 50 {
 			domains := map[id.Domain]bool{}
-			for _, i := range s.pickRelays() {
+			for _, i := range s.pickRelays("") {
 				domains[i.Domain] = true
 				_, fresh := s.Tracker().FreshReport(i.Address)
 				Expect(fresh).To(BeTrue())
@@ -94,3 +154,10 @@
 		Expect(r.vars.Get("news_over_rate").String()).To(Equal("5"))
 	})
 })
+
+// remembered returns what a stager remembers of what gateways hold.
+func remembered(r *Reporter) []*pb.HeldNews {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.heldMemory.list(r.now())
+}
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -84,6 +84,8 @@
 	nextListed string
 	// newsLimit limits the rate of crash news that this process forwards.
 	newsLimit *rate.Limiter
+	// heldMemory is what gateways hold, by the news that this process has forwarded.
+	heldMemory heldMemory
 	// upstreamAddress is the address of the stager's upstream, as in the last report.
 	upstreamAddress string
 
@@ -176,12 +178,17 @@
 		r.vars.Add("refused", 1)
 		return
 	}
-	old := r.subscribers[s.GetSender()]
+	old, known := r.subscribers[s.GetSender()]
+	known = known && !r.now().After(old.expiresAt)
 	r.demandChanged = r.demandChanged || math.Abs(old.offered-s.GetOffered()) > minLoadChange+loadChangeShare*old.offered
-	r.subscribers[s.GetSender()] = subscriber{
+	fresh := subscriber{
 		addr: addr, expiresAt: r.now().Add(subscriptionTTL), local: local, domain: id.Domain(s.GetDomain()), everyReport: s.GetEach(),
 		offered: max(0, s.GetOffered()), offeredLate: max(0, s.GetOfferedLate()), gateways: int(s.GetGateways()), stamp: s.GetStamp(), stampedAt: r.now(),
 	}
+	r.subscribers[s.GetSender()] = fresh
+	if !known || s.GetHeldQuestion() != 0 {
+		r.tellHeld(&fresh, s.GetHeldQuestion())
+	}
 }
 
 // urgentReports is how many consecutive reports go to all subscribers after anything but the load has changed. The first
--- a/internal/reports/subscribe.go
+++ b/internal/reports/subscribe.go
@@ -46,7 +46,13 @@
 		case <-changed:
 			t.Stop()
 			return
+		case <-s.askNow:
+			t.Stop()
+			return
 		case <-t.C:
+			if s.heldQuestion.Load() != 0 {
+				return
+			}
 			s.renewOutdated()
 		}
 		if math.Abs(s.demandMeter.Total()-sentTotal) > minLoadChange+loadChangeShare*sentTotal || s.wantsEveryReport() != sentEvery {
@@ -74,6 +80,7 @@
 		Sender: s.self(), ConfigOffset: uint64(offset), Domain: string(s.domain),
 		Offered: s.demandMeter.OnTime.PerSecond(g.pool), OfferedLate: s.demandMeter.Late.PerSecond(g.pool), Each: g.everyReport,
 		Stamp: stamp, Proved: s.unrecordedVersions(g.pool), Gateways: uint32(max(1, len(s.facts.Gateways()))),
+		HeldQuestion: s.heldQuestion.Load(),
 	})
 	if err != nil {
 		s.log.Error().Err(err).Msg("failed to encode a subscription")
@@ -101,8 +108,14 @@
 		return
 	}
 	encoded := map[subscriptionGroup]encodedSubscription{}
+	question := s.heldQuestion.Load()
+	var asked []string
 	for _, i := range s.subset() {
 		s.subscribeTo(i, encoded)
+		asked = append(asked, i.Address)
+	}
+	if question != 0 {
+		s.OnHeldAsked(question, asked, s.hasEnginePools())
 	}
 	listed := map[string]bool{}
 	for _, i := range s.facts.Instances() {
@@ -111,6 +124,28 @@
 	s.forgetUnlisted(listed)
 }
 
+// AskHeld makes subscriptions ask stagers what they remember of holds, at once and until it is called with 0.
+func (s *Subscriber) AskHeld(question uint64) {
+	s.heldQuestion.Store(question)
+	if question == 0 {
+		return
+	}
+	select {
+	case s.askNow <- struct{}{}:
+	default:
+	}
+}
+
+// hasEnginePools reports whether there may be stagers.
+func (s *Subscriber) hasEnginePools() bool {
+	for _, p := range s.facts.Catalog().Services {
+		if p.Engine != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // renewOutdated renews the subscriptions at the stagers of upstreams that serve an outdated version. Which of them may
 // get requests in the last seconds of their version depends on how recently their connection was confirmed, and the
 // regular renewals confirm it only every 1.2 s.
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -8,6 +8,7 @@
 	"expvar"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -101,6 +102,12 @@
 
 	// OnCrashNews is called with crash news from other gateways; it must be set before Run.
 	OnCrashNews func(n *pb.CrashNews)
+	// OnHeldAsked is called with the number of a question about what is held and the addresses of the upstreams whose stagers
+	// were asked, and whether there may be such stagers; it must be set before Run.
+	OnHeldAsked func(question uint64, stagers []string, expected bool)
+	// heldQuestion is the question that subscriptions ask; 0 for none. askNow is sent to when it changes.
+	heldQuestion atomic.Uint64
+	askNow       chan struct{}
 
 	// refusedTimeLogs limits the rate of log lines about refused publish times.
 	refusedTimeLogs *rate.Limiter
@@ -122,6 +129,8 @@
 		stagers: map[string]*stagerState{}, stamps: newStamps(now()),
 		refusedTimeLogs: rate.NewLimiter(refusedTimeLogsPerSecond, 1), newsLimit: rate.NewLimiter(newsPerSecond, newsBurst),
 		OnCrashNews:    func(*pb.CrashNews) {},
+		OnHeldAsked:    func(uint64, []string, bool) {},
+		askNow:         make(chan struct{}, 1),
 		demandMeter:    placement.NewDemandMeter(now),
 		onSent:         func(id.Domain, int) {},
 		permitRequests: newPendingPermits(),
--- a/internal/reports/subset_test.go
+++ b/internal/reports/subset_test.go
@@ -185,7 +185,7 @@
 		}
 		missed := 0
 		for range broadcasts {
-			relays := l[0].pickRelays()
+			relays := l[0].pickRelays("")
 			byDomain := map[id.Domain]int{}
 			for _, i := range relays {
 				byDomain[i.Domain]++
