Tell a hold again to gateways that still forward what it holds

A hold is told once. A gateway that missed the three datagrams, as it was cut off or stood still, learned it from the store only, by a long poll of up to 25 s that a silent connection draws out to 26.5 s, while the others heard of each crash under its requests and said nothing.

A gateway that hears from another one of a crash which a hold explains tells the hold again, at most once a second, after a random delay that grows with the number of gateways; those that hear it in time don't.

Not reproduced with real processes: the platform's specs have no way to drop datagrams at one gateway.

--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -111,6 +111,7 @@
 		l.log.Warn().Stringer("fingerprint", evicted.Fingerprint).Str("organisation", string(evicted.Organisation)).
 			Msg("held request evicted: too many requests are held")
 	}
+	l.held.toldAt[e.Fingerprint] = l.now()
 	for _, n := range l.crashes {
 		if n.explainedBy(&e) {
 			l.explain(n, &e)
@@ -142,6 +143,9 @@
 func (l *SuspectTracker) addHeld(e HeldRequest, o Origin) {
 	l.mu.Lock()
 	if l.held.covers(e) {
+		if l.held.get(e.Fingerprint) != nil {
+			l.held.toldAt[e.Fingerprint] = l.now()
+		}
 		l.mu.Unlock()
 		return
 	}
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"math/rand/v2"
 	"slices"
+	"time"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/gen/springrail/v1/springrailv1connect"
@@ -55,6 +57,12 @@
 	l.OnHeld = append(l.OnHeld, q.Persist, q.broadcastHeld)
 	l.OnServed = func(f Fingerprint) { q.Broadcast(CrashNews{Served: []Fingerprint{f}}) }
 	l.OnReleased = q.release
+	l.OnMissed = func(h HeldRequest) {
+		q.Broadcast(CrashNews{Held: []HeldRequest{h}, Recorded: q.isStored(h.Fingerprint)})
+	}
+	l.RetellDelay = func() time.Duration {
+		return rand.N(minRetellSpread + time.Duration(s.GatewayCount())*retellSpreadPerGateway)
+	}
 	l.OnUnlikely = func(parts []Fingerprint) { q.Broadcast(CrashNews{Written: parts}) }
 	return q
 }
--- a/internal/quarantine/persister.go
+++ b/internal/quarantine/persister.go
@@ -385,6 +385,13 @@
 	}
 }
 
+// isStored reports whether the store has the record of a request, as far as known.
+func (k *Persister) isStored(f Fingerprint) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.stored[f]
+}
+
 // takeVanished removes and returns the requests whose records were stored and no longer are.
 func (k *Persister) takeVanished(present map[Fingerprint]bool) (l []Fingerprint) {
 	k.mu.Lock()
