Ask stagers what is held after the process stood still

After a stop of 0.5 s or more, of the VM or of the process alone, requests that waited in sockets were read beside the news that was sent meanwhile, and forwarded before it. News that was lost came from the store, by a long poll from before the stop.

A gateway then doesn't count as knowing what is held until the stagers have answered, which it reads after the news that waits, or had 250 ms; it neither retries nor hedges meanwhile, and reads the records again.

Spec: new; the first request after a stop passed on the code before, as nothing there knows of a stop of the process.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -38,7 +38,11 @@
 
 // checkSuspects returns what may be done with the request by the crashes that are known.
 func (f *callerRequest) checkSuspects() quarantine.Verdict {
-	return f.gateway.suspects.Check(f.fingerprint, f.parts...)
+	v := f.gateway.suspects.Check(f.fingerprint, f.parts...)
+	if !f.gateway.knowledge.Known() {
+		v = max(v, quarantine.Once)
+	}
+	return v
 }
 
 // checkQuarantine admits the request unless upstreams have crashed under it. A suspected request is admitted only
--- a/internal/gateway/suspension.go
+++ b/internal/gateway/suspension.go
@@ -25,6 +25,7 @@
 func (g *Gateway) watchSuspensions(ctx context.Context) {
 	known, ranAt := g.suspended(), g.now()
 	for ; ctx.Err() == nil; kernel.Pause(ctx, suspensionPollInterval) {
+		g.knowledge.Tick()
 		now, suspended := g.now(), g.suspended()
 		if stopped := now.Sub(ranAt) - (suspended - known) - suspensionPollInterval; stopped >= minStop {
 			g.log.Warn().Int64("stopped_ms", stopped.Milliseconds()).Msg("this process did not run for a time")
--- a/internal/quarantine/knowledge.go
+++ b/internal/quarantine/knowledge.go
@@ -18,9 +18,11 @@
 	maxAnswerTime = 250 * time.Millisecond
 	// answerCheckInterval is how often a request that waits checks whether that time is over.
 	answerCheckInterval = 20 * time.Millisecond
+	// minStop is the time without a tick from which on the process counts as having stood still.
+	minStop = 500 * time.Millisecond
 )
 
-// Knowledge is whether a gateway knows what is held. From its start on it doesn't, until the records in the store have been read,
+// Knowledge is whether a gateway knows what is held. From its start on, and after it stood still, it doesn't, until the records in the store have been read,
 // or can't be, and the stagers have said what they remember: the store may lack what was held in an outage. After maxLearningTime
 // it goes on without. The zero value knows. It is safe for concurrent use.
 type Knowledge struct {
@@ -29,6 +31,12 @@
 	// ask makes the gateway ask stagers a question, until it is called with 0.
 	ask func(question uint64)
 
+	// OnStopped is called once the process runs again after it stood still; it must be set before the first tick.
+	OnStopped func()
+
+	// ranAt is when the process was last known to run, in ns since base; 0 before the first tick.
+	ranAt atomic.Int64
+	base  time.Time
 	// learning is true while the gateway doesn't know.
 	learning atomic.Bool
 	mu       sync.Mutex
@@ -50,13 +58,45 @@
 func (k *Knowledge) begin(now func() time.Time, ask func(question uint64), g *log.Logger) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.now, k.ask, k.log = now, ask, g
-	k.begunAt, k.changed = now(), make(chan struct{})
+	k.now, k.ask, k.log, k.OnStopped = now, ask, g, func() {}
+	k.base = now().Add(-1)
+	k.start()
+}
+
+// start begins to learn; the caller holds the lock.
+func (k *Knowledge) start() {
+	k.begunAt, k.changed = k.now(), make(chan struct{})
 	k.question, k.asked = rand.Uint64()|1, map[string]bool{}
+	k.askedAt, k.answered, k.storeBy, k.deadline = time.Time{}, false, "", time.Time{}
 	k.learning.Store(true)
 	k.ask(k.question)
 }
 
+// Tick notes that the process runs. It is called several times within minStop.
+func (k *Knowledge) Tick() {
+	if k.now == nil {
+		return
+	}
+	k.checkStop()
+	k.ranAt.Store(int64(k.now().Sub(k.base)))
+}
+
+// checkStop begins to learn again if the process stood still. Requests that came meanwhile may be read before the news that did;
+// the answers of stagers are read after these. The store is not waited for.
+func (k *Knowledge) checkStop() {
+	ran := k.ranAt.Load()
+	if ran == 0 || int64(k.now().Sub(k.base))-ran < int64(minStop) || !k.ranAt.CompareAndSwap(ran, int64(k.now().Sub(k.base))) {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.learning.Load() {
+		k.start()
+		k.storeBy = "stagers"
+		go k.OnStopped()
+	}
+}
+
 // noteAsked notes that stagers, by the addresses of their upstreams, have been asked a question. Where none is to be expected no
 // answer is awaited.
 func (k *Knowledge) noteAsked(question uint64, stagers []string, expected bool) {
@@ -137,6 +177,7 @@
 
 // Known reports whether the gateway knows what is held, or goes on without. It is called once the gateway could serve.
 func (k *Knowledge) Known() bool {
+	k.checkStop()
 	if !k.learning.Load() {
 		return true
 	}
--- a/internal/quarantine/knowledge_test.go
+++ b/internal/quarantine/knowledge_test.go
@@ -69,4 +69,22 @@
 		now = now.Add(1)
 		Expect(k.Known()).To(BeTrue())
 	})
+
+	It("is not taken for complete after the process stood still, until the stagers have answered", func() {
+		stopped := make(chan bool)
+		k.OnStopped = func() { close(stopped) }
+		k.Tick()
+		k.noteStore(nil)
+		answerAll()
+		Expect(k.Known()).To(BeTrue())
+		now = now.Add(minStop)
+		Expect(k.Known()).To(BeFalse(), "a request is read before anything else")
+		Eventually(stopped).Should(BeClosed())
+		k.Tick()
+		Expect(asking).NotTo(BeZero())
+		answerAll()
+		Expect(k.Known()).To(BeTrue())
+		now = now.Add(minStop - 1)
+		Expect(k.Known()).To(BeTrue())
+	})
 })
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -45,6 +45,7 @@
 func New(l *SuspectTracker, s *reports.Subscriber, p *records.Platform) *Quarantine {
 	q := &Quarantine{Suspects: l, Persister: NewPersister(p.Store, p.HeldTopic, l, l.now, l.log)}
 	q.Knowledge.begin(l.now, s.AskHeld, l.log)
+	q.Knowledge.OnStopped = q.ReadAgain
 	q.onRead = q.Knowledge.noteStore
 	q.onRecorded = q.broadcastRecorded
 	q.Broadcast = func(n CrashNews) {
