Do not drop news of what is held for the rate of crash reports

A gateway sends 20 crash news a second and a stager forwards 100, whatever they say. When many upstreams crash, which is when holds are decided, news of a hold were dropped as over the rate, and other gateways went on forwarding until they read the store.

News of holds and releases have limits of their own.

Spec: failed before (news_over_rate 1 at the sender).

--- a/internal/reports/news.go
+++ b/internal/reports/news.go
@@ -20,11 +20,12 @@
 	// stager, in different failure domains where possible. On links that lose 3 % of the packets, a gateway misses all
 	// three copies once in 5,000 times.
 	newsRelays = 3
-	// newsPerSecond and newsBurst limit the rate of crash news that a gateway sends. The crash of one upstream takes one
-	// message. If all upstreams of a failure domain crash at once, that says nothing about the requests there.
+	// newsPerSecond and newsBurst limit the rate of crash news that a gateway sends, and apart from that the rate of its news
+	// of what is held. The crash of one upstream takes one message. If all upstreams of a failure domain crash at once, that says nothing about the requests there.
 	newsPerSecond = 20
 	newsBurst     = 40
-	// forwardedPerSecond and forwardedBurst limit the rate of crash news that a stager forwards: enough for 10 crashed
+	// forwardedPerSecond and forwardedBurst limit the rate of crash news that a stager forwards, and apart from that the rate of
+	// news of what is held: enough for 10 crashed
 	// upstreams with requests of all gateways at each.
 	forwardedPerSecond = 100
 	forwardedBurst     = 200
@@ -34,7 +35,11 @@
 // a gateway doesn't know the other gateways and a stager knows all of its subscribers.
 // News of what is held goes through the same stagers each time, which remember it.
 func (s *Subscriber) BroadcastCrashNews(n *pb.CrashNews) {
-	if !s.newsLimit.AllowN(s.now(), 1) {
+	limit := s.newsLimit
+	if heldKey(n) != "" {
+		limit = s.heldNewsLimit
+	}
+	if !limit.AllowN(s.now(), 1) {
 		s.vars.Add("news_over_rate", 1)
 		return
 	}
@@ -162,7 +167,11 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	r.heldMemory.note(n, now)
-	if !r.newsLimit.AllowN(now, 1) {
+	limit := r.newsLimit
+	if heldKey(n) != "" {
+		limit = r.heldNewsLimit
+	}
+	if !limit.AllowN(now, 1) {
 		r.vars.Add("news_over_rate", 1)
 		return
 	}
--- a/internal/reports/news_test.go
+++ b/internal/reports/news_test.go
@@ -153,6 +153,24 @@
 		}
 		Expect(r.vars.Get("news_over_rate").String()).To(Equal("5"))
 	})
+
+	it("of what is held is not dropped for many reports of crashes", func() {
+		now := time.Now()
+		f := facts.New(time.Now)
+		s := NewSubscriber(newSocket(), 1, "d", f, func() time.Time { return now }, discardLog)
+		r := NewReporter(newSocket(), "d", f, func() time.Time { return now }, discardLog)
+		for range newsBurst {
+			s.BroadcastCrashNews(&pb.CrashNews{})
+		}
+		for range forwardedBurst {
+			r.forwardNews(&pb.CrashNews{})
+		}
+		held := &pb.CrashNews{Held: []*pb.HeldNews{{Fingerprint: []byte{1}}}}
+		s.BroadcastCrashNews(held)
+		r.forwardNews(held)
+		Expect(s.vars.Get("news_over_rate")).To(BeNil())
+		Expect(r.vars.Get("news_over_rate")).To(BeNil())
+	})
 })
 
 // remembered returns what a stager remembers of what gateways hold.
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -84,6 +84,8 @@
 	nextListed string
 	// newsLimit limits the rate of crash news that this process forwards.
 	newsLimit *rate.Limiter
+	// heldNewsLimit limits the rate of news of what is held, which must not get lost among reports of crashes.
+	heldNewsLimit *rate.Limiter
 	// heldMemory is what gateways hold, by the news that this process has forwarded.
 	heldMemory heldMemory
 	// upstreamAddress is the address of the stager's upstream, as in the last report.
@@ -126,7 +128,8 @@
 	return &Reporter{
 		conn: c, domain: d, facts: f, now: now, log: l, vars: new(expvar.Map), incarnation: rand.Uint64() | 1,
 		subscribers: map[string]subscriber{}, onSent: func(id.Domain, int) {}, newsLimit: rate.NewLimiter(forwardedPerSecond, forwardedBurst),
-		limiter: limiter, ledger: reservation.New(now, limiter, admitted), admission: admitted, OnReservation: func() {},
+		heldNewsLimit: rate.NewLimiter(forwardedPerSecond, forwardedBurst),
+		limiter:       limiter, ledger: reservation.New(now, limiter, admitted), admission: admitted, OnReservation: func() {},
 	}
 }
 
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -113,6 +113,8 @@
 	refusedTimeLogs *rate.Limiter
 	// newsLimit limits the rate of crash news that this process sends.
 	newsLimit *rate.Limiter
+	// heldNewsLimit limits the rate of news of what is held.
+	heldNewsLimit *rate.Limiter
 
 	permitRequests pendingPermits
 
@@ -128,6 +130,7 @@
 		conn: c, port: port, domain: d, facts: f, tracker: placement.NewTracker(now), now: now, log: l, vars: new(expvar.Map),
 		stagers: map[string]*stagerState{}, stamps: newStamps(now()),
 		refusedTimeLogs: rate.NewLimiter(refusedTimeLogsPerSecond, 1), newsLimit: rate.NewLimiter(newsPerSecond, newsBurst),
+		heldNewsLimit:  rate.NewLimiter(newsPerSecond, newsBurst),
 		OnCrashNews:    func(*pb.CrashNews) {},
 		OnHeldAsked:    func(uint64, []string, bool) {},
 		askNow:         make(chan struct{}, 1),
