Soak: hurt gateways after a hold, and excuse no late request for that

The check of requests that crash upstreams left out all that a gateway sent within 4 s of a fault of its own or of the store, which is when gateways do not know what is held. The step hurt-after-hold kills, stops or suspends gateways once requests are held, beside an outage of the store or not, and goes on sending. Processes get seeds, as the users' settings have them.

--- a/internal/soak/cases.go
+++ b/internal/soak/cases.go
@@ -54,4 +54,10 @@
 		},
 		Cause: "a stager that was stopped after it had verified the staged chunks ordered the load without verifying them again",
 	},
+	{
+		Settings: Settings{
+			Seed: 6203, Seconds: 35, Gateways: 6, Stagers: 12, Domains: 3, EngineShare: 0.15, Faults: []string{doHurtAfterHold},
+		},
+		Cause: "gateways that started during an outage of the store forwarded requests that others held, as only the store would have told them",
+	},
 }
--- a/internal/soak/crasher.go
+++ b/internal/soak/crasher.go
@@ -73,8 +73,11 @@
 // sendCrashingRequests sends requests that crash upstreams for the same reason, to each gateway in turn, until the context
 // ends.
 func (w *Fleet) sendCrashingRequests(ctx context.Context, s Step) {
+	w.sendCrashingRequestsEvery(ctx, s, minCrashRetryInterval+time.Duration(s.Magnitude*float64(time.Second)))
+}
+
+func (w *Fleet) sendCrashingRequestsEvery(ctx context.Context, s Step, every time.Duration) {
 	w.history.RecordEvent("requests that crash upstreams are sent repeatedly: %s", crashingRequest(s, 0).body)
-	every := minCrashRetryInterval + time.Duration(s.Magnitude*float64(time.Second))
 	for n := 0; ctx.Err() == nil; n++ {
 		a := crashingRequest(s, n)
 		g := w.gateways[n%len(w.gateways)]
@@ -154,10 +157,12 @@
 	if c == nil || c.count < thresholdOf(kind) || b.now().Sub(c.thresholdAt) < settleTime {
 		return
 	}
-	if !b.faultFree(r) {
+	now := b.now()
+	if b.isStalled(now) || !b.noFault(now.Add(-settleTime), now, machineTarget) {
 		b.counts["excused by a fault: crashing"]++
 		return
 	}
+	b.counts["late requests that crash upstreams"]++
 	if c.sendsAfter++; c.sendsAfter > maxSendsAfterThreshold {
 		b.recordViolation("crashing", r.gateway.name, id, kind, "forwarded %d times later than %v after it had crashed %d upstreams", c.sendsAfter, settleTime, thresholdOf(kind))
 	}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -156,7 +156,7 @@
 		return nil, err
 	}
 	file := filepath.Join(w.settings.LogDir, name+".toml")
-	all := fmt.Sprintf(text, name, w.domain(i), drainTime, endpoint, ip, swapTime)
+	all := fmt.Sprintf(text, name, w.domain(i), drainTime, endpoint, ip, swapTime, w.net)
 	if err := os.WriteFile(file, []byte(all), 0o600); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -62,10 +62,20 @@
 		w.faultAtReservation(ctx, s)
 	case doOriginOutage:
 		w.faultOrigin(ctx, s)
+	default:
+		w.injectCombined(ctx, s)
+	}
+}
+
+// injectCombined carries out a planned step that consists of several faults.
+func (w *Fleet) injectCombined(ctx context.Context, s Step) {
+	switch s.Action {
 	case doStopSeries:
 		w.stopSeries(ctx, s)
 	case doCorruptInSwap:
 		w.corruptInSwap(ctx, s)
+	case doHurtAfterHold:
+		w.hurtAfterHold(ctx, s)
 	case doAnswersLost, doHerdKill:
 		w.injectStorm(ctx, s)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -46,6 +46,7 @@
 	doAnswersLost          = "answers-lost"
 	doHerdKill             = "herd-kill"
 	doCorruptInSwap        = "corrupt-in-swap"
+	doHurtAfterHold        = "hurt-after-hold"
 )
 
 // reservationFaults lists the faults of reservations, which are drawn at a mean interval of meanReservationInterval each.
@@ -135,6 +136,7 @@
 	p.drawStopSeries(allowed)
 	p.drawStorms(allowed)
 	p.drawRecurring(allowed, doCorruptInSwap, meanCorruptInterval, minCorruptStop, maxCorruptStop)
+	p.drawAfterHold(allowed)
 	slices.SortStableFunc(p.steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p.steps
 }
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -50,7 +50,7 @@
 
 const (
 	// commonSettings begins the settings of each program; the arguments are name, domain, drain time, store address, IP
-	// address and swap time.
+	// address, swap time and network.
 	commonSettings = `[process]
 vm = %[1]q
 domain = %[2]q
@@ -65,6 +65,7 @@
 [records]
 config_wait = "700ms"
 list_every = "700ms"
+seeds = ["%[7]s.1.1:7700", "%[7]s.2.1:7700", "%[7]s.2.2:7700"]
 `
 	// gatewaySettings switch reservations on where a failure domain has two gateways, and let datagrams pass the relay.
 	gatewaySettings = commonSettings + `[gateway]
