Count the time without what is held from when upstreams are listed

The time counts from when any upstream is listed; until then requests are refused at once for want of upstreams, and the gateway is ready 3 s after its configuration as before.

Spec "does not keep a gateway from serving for ever": failed before ("no upstream is listed").

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -50,7 +50,8 @@
 // with retries, one such request crashed 40 upstreams in 34 s, along with all other requests running there.
 func (f *callerRequest) checkQuarantine() bool {
 	g := f.gateway
-	if !g.knowledge.Wait(f.ctx, maxKnowledgeWait) {
+	// Without upstreams the request is refused at once, later on.
+	if len(g.facts.Instances()) > 0 && !g.knowledge.Wait(f.ctx, maxKnowledgeWait) {
 		f.refuse("what is held is not known yet", min(suspectRetryAfter, g.knowledge.Remaining()))
 		return false
 	}
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -237,7 +237,7 @@
 		return "leaving"
 	case g.facts.Catalog() == nil:
 		return "no configuration yet"
-	case !g.knowledge.Known():
+	case !g.knowledge.Ready():
 		return "what is held is not known yet"
 	default:
 		return ""
--- a/internal/quarantine/knowledge.go
+++ b/internal/quarantine/knowledge.go
@@ -48,8 +48,9 @@
 	answered bool
 	// storeBy is how the records are known; empty while they are not.
 	storeBy string
-	// begunAt is when that began, and deadline when it ends at the latest; zero until the gateway could serve.
-	begunAt, deadline time.Time
+	// begunAt is when that began, deadline when it ends at the latest, zero until upstreams are listed, and readyAt when the
+	// gateway is ready at the latest, zero until it has a configuration.
+	begunAt, deadline, readyAt time.Time
 	// changed is closed when the gateway knows.
 	changed chan struct{}
 }
@@ -97,23 +98,23 @@
 	}
 }
 
-// noteAsked notes that stagers, by the addresses of their upstreams, have been asked a question. Where none is to be expected no
-// answer is awaited.
-func (k *Knowledge) noteAsked(question uint64, stagers []string, expected bool) {
+// noteAsked notes that stagers, by the addresses of their upstreams, have been asked a question, and whether any upstream is listed:
+// before, the gateway could not serve.
+func (k *Knowledge) noteAsked(question uint64, stagers []string, listed bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if question != k.question || k.answered || expected && len(stagers) == 0 {
+	if question != k.question || k.answered || !listed {
 		return
 	}
 	if k.askedAt.IsZero() {
 		k.askedAt = k.now()
+		k.deadline = k.askedAt.Add(maxLearningTime)
 	}
 	for _, a := range stagers {
 		if _, known := k.asked[a]; !known {
 			k.asked[a] = false
 		}
 	}
-	k.checkAnswers()
 }
 
 // noteAnswer notes the answer of a stager to a question.
@@ -137,7 +138,7 @@
 			missing++
 		}
 	}
-	if missing > 0 && k.now().Sub(k.askedAt) < maxAnswerTime {
+	if (missing > 0 || len(k.asked) == 0) && k.now().Sub(k.askedAt) < maxAnswerTime {
 		return
 	}
 	k.answered = true
@@ -175,7 +176,7 @@
 	k.log.Info().Str("by", how).Int64("after_ms", k.now().Sub(k.begunAt).Milliseconds()).Msg("what is held is known")
 }
 
-// Known reports whether the gateway knows what is held, or goes on without. It is called once the gateway could serve.
+// Known reports whether the gateway knows what is held, or goes on without.
 func (k *Knowledge) Known() bool {
 	k.checkStop()
 	if !k.learning.Load() {
@@ -183,17 +184,27 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now := k.now()
-	if k.deadline.IsZero() {
-		k.deadline = now.Add(maxLearningTime)
-	}
 	k.checkAnswers()
-	if !now.Before(k.deadline) {
+	if !k.deadline.IsZero() && !k.now().Before(k.deadline) {
 		k.end("deadline")
 	}
 	return !k.learning.Load()
 }
 
+// Ready reports whether the gateway should get requests: it knows what is held, or has had a configuration for maxLearningTime. It is
+// called once the gateway has a configuration.
+func (k *Knowledge) Ready() bool {
+	if k.Known() {
+		return true
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.readyAt.IsZero() {
+		k.readyAt = k.now().Add(maxLearningTime)
+	}
+	return !k.now().Before(k.readyAt)
+}
+
 // Wait waits until the gateway knows what is held, for a time at most, and reports whether it does.
 func (k *Knowledge) Wait(ctx context.Context, most time.Duration) bool {
 	if k.Known() {
@@ -225,5 +236,8 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.deadline.IsZero() {
+		return maxLearningTime
+	}
 	return k.deadline.Sub(k.now())
 }
--- a/internal/reports/subscribe.go
+++ b/internal/reports/subscribe.go
@@ -115,7 +115,7 @@
 		asked = append(asked, i.Address)
 	}
 	if question != 0 {
-		s.OnHeldAsked(question, asked, s.hasEnginePools())
+		s.OnHeldAsked(question, asked, len(s.facts.Instances()) > 0)
 	}
 	listed := map[string]bool{}
 	for _, i := range s.facts.Instances() {
@@ -136,16 +136,6 @@
 	}
 }
 
-// hasEnginePools reports whether there may be stagers.
-func (s *Subscriber) hasEnginePools() bool {
-	for _, p := range s.facts.Catalog().Services {
-		if p.Engine != nil {
-			return true
-		}
-	}
-	return false
-}
-
 // renewOutdated renews the subscriptions at the stagers of upstreams that serve an outdated version. Which of them may
 // get requests in the last seconds of their version depends on how recently their connection was confirmed, and the
 // regular renewals confirm it only every 1.2 s.
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -102,9 +102,9 @@
 
 	// OnCrashNews is called with crash news from other gateways; it must be set before Run.
 	OnCrashNews func(n *pb.CrashNews)
-	// OnHeldAsked is called with the number of a question about what is held and the addresses of the upstreams whose stagers
-	// were asked, and whether there may be such stagers; it must be set before Run.
-	OnHeldAsked func(question uint64, stagers []string, expected bool)
+	// OnHeldAsked is called with the number of a question about what is held, the addresses of the upstreams whose stagers were
+	// asked, and whether any upstream is listed; it must be set before Run.
+	OnHeldAsked func(question uint64, stagers []string, listed bool)
 	// heldQuestion is the question that subscriptions ask; 0 for none. askNow is sent to when it changes.
 	heldQuestion atomic.Uint64
 	askNow       chan struct{}
