Say in news of a hold that it was read from the store

A gateway that starts and reads a hold that it had decided itself tells the others. If an operator lifts it at that moment, those that had read the deletion held it again and wrote its record again. The news now say that the store had the record, so that they look for it and release the hold.

Found by reading; the check of recorded holds has a spec.

--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -82,7 +82,7 @@
 // report of a crash can't decide so itself.
 func (q *Quarantine) broadcastHeld(h HeldRequest) {
 	if h.HeldBy == q.Suspects.vm {
-		q.Broadcast(CrashNews{Held: []HeldRequest{h}})
+		q.Broadcast(CrashNews{Held: []HeldRequest{h}, Recorded: q.isStored(h.Fingerprint)})
 	}
 }
 
