Keep a lift in mind when another process says that the record exists

What was lifted is remembered for a store that is restored from an older copy. Word of another process that its record exists made a gateway forget that before the record itself was read. Found by reading.

--- a/internal/quarantine/persister.go
+++ b/internal/quarantine/persister.go
@@ -299,7 +299,7 @@
 		return true
 	}
 	delete(k.pending, f)
-	k.markStored(f, true)
+	k.stored[f] = true
 	k.unread[f] = struct{}{}
 	time.AfterFunc(recordReadTime, func() {
 		k.mu.Lock()
