Do not forward releases of holds to all gateways

Releases are for what stagers remember. When one hold explains another, all gateways release the latter at once; with 350 gateways and three stagers for each, forwarding would have been some 370,000 datagrams, against the rate limit only.

--- a/internal/reports/news.go
+++ b/internal/reports/news.go
@@ -167,6 +167,10 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	r.heldMemory.note(n, now)
+	if len(n.GetReleased()) > 0 {
+		// All gateways that release the same hold say so.
+		return
+	}
 	limit := r.newsLimit
 	if heldKey(n) != "" {
 		limit = r.heldNewsLimit
--- a/internal/reports/news_test.go
+++ b/internal/reports/news_test.go
@@ -81,6 +81,8 @@
 		hold(2, 12, false)
 		hold(3, 13, false)
 		first.BroadcastCrashNews(&pb.CrashNews{Released: [][]byte{{1}}})
+		Eventually(func() int { return len(remembered(r)) }).Should(Equal(2))
+		Expect(r.vars.Get("news").String()).To(Equal("4"), "releases are not forwarded")
 		first.BroadcastCrashNews(&pb.CrashNews{Served: [][]byte{{13}}})
 		Eventually(func() int { return len(remembered(r)) }).Should(Equal(1))
 		var m *pb.CrashNews
