Ask stagers anew if the process stands still within its start

The 250 ms for the answers passed during the stop, and requests were forwarded while the answers waited in the socket. Found by reading the diff; spec: failed before.

--- a/internal/quarantine/knowledge.go
+++ b/internal/quarantine/knowledge.go
@@ -91,11 +91,13 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	by := k.storeBy
 	if !k.learning.Load() {
-		k.start()
-		k.storeBy = "stagers"
+		by = "stagers"
 		go k.OnStopped()
 	}
+	k.start()
+	k.storeBy = by
 }
 
 // noteAsked notes that stagers, by the addresses of their upstreams, have been asked a question, and whether any upstream is listed:
--- a/internal/quarantine/knowledge_test.go
+++ b/internal/quarantine/knowledge_test.go
@@ -81,6 +81,16 @@
 		Expect(k.Known()).To(BeFalse())
 	})
 
+	It("is not taken for complete after the process stood still within its start", func() {
+		k.Tick()
+		k.noteStore(nil)
+		k.noteAsked(asking, []string{"a"}, true)
+		now = now.Add(minStop)
+		Expect(k.Known()).To(BeFalse(), "the answer may wait in the socket")
+		answerAll()
+		Expect(k.Known()).To(BeTrue())
+	})
+
 	It("is not taken for complete after the process stood still, until the stagers have answered", func() {
 		stopped := make(chan bool)
 		k.OnStopped = func() { close(stopped) }
