--- a/internal/gateway/suspension.go
+++ b/internal/gateway/suspension.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/springrail/springrail/internal/kernel"
+	"github.com/springrail/springrail/internal/quarantine"
 )
 
 const (
@@ -13,8 +14,6 @@
 	suspensionPollInterval = 100 * time.Millisecond
 	// minSuspension is the shortest suspension that is acted upon: timers on a busy VM are late by as much anyway.
 	minSuspension = 20 * time.Millisecond
-	// minStop is the shortest time for which a process without suspension of its VM counts as stopped.
-	minStop = 500 * time.Millisecond
 	// wakeGracePeriod is how long after a suspension a request past its deadline may still receive a response that
 	// arrived meanwhile.
 	wakeGracePeriod = 200 * time.Millisecond
@@ -27,7 +26,7 @@
 	for ; ctx.Err() == nil; kernel.Pause(ctx, suspensionPollInterval) {
 		g.knowledge.Tick()
 		now, suspended := g.now(), g.suspended()
-		if stopped := now.Sub(ranAt) - (suspended - known) - suspensionPollInterval; stopped >= minStop {
+		if stopped := now.Sub(ranAt) - (suspended - known) - suspensionPollInterval; stopped >= quarantine.MinStop {
 			g.log.Warn().Int64("stopped_ms", stopped.Milliseconds()).Msg("this process did not run for a time")
 		}
 		ranAt = now
--- a/internal/quarantine/knowledge.go
+++ b/internal/quarantine/knowledge.go
@@ -18,13 +18,13 @@
 	maxAnswerTime = 250 * time.Millisecond
 	// answerCheckInterval is how often a request that waits checks whether that time is over.
 	answerCheckInterval = 20 * time.Millisecond
-	// minStop is the time without a tick from which on the process counts as having stood still.
-	minStop = 500 * time.Millisecond
+	// MinStop is the time without a tick from which on the process counts as having stood still.
+	MinStop = 500 * time.Millisecond
 )
 
-// Knowledge is whether a gateway knows what is held. From its start on, and after it stood still, it doesn't, until the records in the store have been read,
-// or can't be, and the stagers have said what they remember: the store may lack what was held in an outage. After maxLearningTime
-// it goes on without. The zero value knows. It is safe for concurrent use.
+// Knowledge is whether a gateway knows what is held. From its start on, and after it stood still, it doesn't, until the records in
+// the store have been read, or can't be, and the stagers have said what they remember: the store may lack what was held in an
+// outage. After maxLearningTime it goes on without. The zero value knows. It is safe for concurrent use.
 type Knowledge struct {
 	now func() time.Time
 	log *log.Logger
@@ -73,7 +73,7 @@
 	k.ask(k.question)
 }
 
-// Tick notes that the process runs. It is called several times within minStop.
+// Tick notes that the process runs. It is called several times within MinStop.
 func (k *Knowledge) Tick() {
 	if k.now == nil {
 		return
@@ -86,7 +86,7 @@
 // the answers of stagers are read after these. The store is not waited for.
 func (k *Knowledge) checkStop() {
 	ran := k.ranAt.Load()
-	if ran == 0 || int64(k.now().Sub(k.base))-ran < int64(minStop) || !k.ranAt.CompareAndSwap(ran, int64(k.now().Sub(k.base))) {
+	if ran == 0 || int64(k.now().Sub(k.base))-ran < int64(MinStop) || !k.ranAt.CompareAndSwap(ran, int64(k.now().Sub(k.base))) {
 		return
 	}
 	k.mu.Lock()
