--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -82,15 +82,15 @@
 const (
 	// Decided means that the process held the request by the crashes that it knows.
 	Decided Origin = iota
-	// Told means that another gateway sent it in crash news.
-	Told
+	// Announced means that another gateway sent it in crash news.
+	Announced
 	// Recorded means that it was read from the platform's store.
 	Recorded
 	// Reduced means that parts of what was held have been served, and the rest is held.
 	Reduced
 )
 
-var originNames = [...]string{Decided: "decided", Told: "news", Recorded: "store", Reduced: "reduced"}
+var originNames = [...]string{Decided: "decided", Announced: "news", Recorded: "store", Reduced: "reduced"}
 
 // String returns the name of the origin.
 func (o Origin) String() string {
--- a/internal/quarantine/held.go
+++ b/internal/quarantine/held.go
@@ -22,12 +22,12 @@
 	byPart map[Fingerprint][]Fingerprint
 	// byOrganisation lists the entries of each organisation, oldest first.
 	byOrganisation map[id.Organisation][]Fingerprint
-	// toldAt is when an entry was added, or last told by any gateway.
-	toldAt map[Fingerprint]time.Time
+	// announcedAt is when an entry was added, or last announced by any gateway.
+	announcedAt map[Fingerprint]time.Time
 }
 
 func newHeldSet() *heldSet {
-	return &heldSet{entries: map[Fingerprint]*HeldRequest{}, byPart: map[Fingerprint][]Fingerprint{}, byOrganisation: map[id.Organisation][]Fingerprint{}, toldAt: map[Fingerprint]time.Time{}}
+	return &heldSet{entries: map[Fingerprint]*HeldRequest{}, byPart: map[Fingerprint][]Fingerprint{}, byOrganisation: map[id.Organisation][]Fingerprint{}, announcedAt: map[Fingerprint]time.Time{}}
 }
 
 func (h *heldSet) get(f Fingerprint) *HeldRequest {
@@ -114,7 +114,7 @@
 		return nil
 	}
 	delete(h.entries, f)
-	delete(h.toldAt, f)
+	delete(h.announcedAt, f)
 	for _, p := range e.Parts {
 		h.byPart[p] = slices.DeleteFunc(h.byPart[p], func(o Fingerprint) bool { return o == f })
 		if len(h.byPart[p]) == 0 {
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -111,7 +111,7 @@
 		l.log.Warn().Stringer("fingerprint", evicted.Fingerprint).Str("organisation", string(evicted.Organisation)).
 			Msg("held request evicted: too many requests are held")
 	}
-	l.held.toldAt[e.Fingerprint] = l.now()
+	l.held.announcedAt[e.Fingerprint] = l.now()
 	for _, n := range l.crashes {
 		if n.explainedBy(&e) {
 			l.explain(n, &e)
@@ -137,14 +137,14 @@
 
 // AddHeld holds what another gateway holds, except parts that were served here since the first of its crashes.
 func (l *SuspectTracker) AddHeld(e HeldRequest) {
-	l.addHeld(e, Told)
+	l.addHeld(e, Announced)
 }
 
 func (l *SuspectTracker) addHeld(e HeldRequest, o Origin) {
 	l.mu.Lock()
 	if l.held.covers(e) {
 		if l.held.get(e.Fingerprint) != nil {
-			l.held.toldAt[e.Fingerprint] = l.now()
+			l.held.announcedAt[e.Fingerprint] = l.now()
 		}
 		l.mu.Unlock()
 		return
--- a/internal/quarantine/knowledge.go
+++ b/internal/quarantine/knowledge.go
@@ -22,9 +22,10 @@
 	MinStop = 500 * time.Millisecond
 )
 
-// Knowledge is whether a gateway knows what is held. From its start on, and after it stood still, it doesn't, until the records in
-// the store have been read, or can't be, and the stagers have said what they remember: the store may lack what was held in an
-// outage. After maxLearningTime it goes on without. The zero value knows. It is safe for concurrent use.
+// Knowledge is whether a gateway knows what is held. From its start on, and after it stood still, it doesn't, until the
+// records in the store have been read, or can't be, and the stagers have said what they remember: the store may lack
+// what was held in an outage. After maxLearningTime it goes on without. The zero value knows. It is safe for concurrent
+// use.
 type Knowledge struct {
 	now func() time.Time
 	log *log.Logger
@@ -82,8 +83,8 @@
 	k.ranAt.Store(int64(k.now().Sub(k.base)))
 }
 
-// checkStop begins to learn again if the process stood still. Requests that came meanwhile may be read before the news that did;
-// the answers of stagers are read after these. The store is not waited for.
+// checkStop begins to learn again if the process stood still. Requests that came meanwhile may be read before the news
+// that did; the answers of stagers are read after these. The store is not waited for.
 func (k *Knowledge) checkStop() {
 	ran := k.ranAt.Load()
 	if ran == 0 || int64(k.now().Sub(k.base))-ran < int64(MinStop) || !k.ranAt.CompareAndSwap(ran, int64(k.now().Sub(k.base))) {
@@ -100,8 +101,8 @@
 	k.storeBy = by
 }
 
-// noteAsked notes that stagers, by the addresses of their upstreams, have been asked a question, and whether any upstream is listed:
-// before, the gateway could not serve.
+// noteAsked notes that stagers, by the addresses of their upstreams, have been asked a question, and whether any
+// upstream is listed: before, the gateway could not serve.
 func (k *Knowledge) noteAsked(question uint64, stagers []string, listed bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -193,8 +194,8 @@
 	return !k.learning.Load()
 }
 
-// Ready reports whether the gateway should get requests: it knows what is held, or has had a configuration for maxLearningTime. It is
-// called once the gateway has a configuration.
+// Ready reports whether the gateway should get requests: it knows what is held, or has had a configuration for
+// maxLearningTime. It is called once the gateway has a configuration.
 func (k *Knowledge) Ready() bool {
 	if k.Known() {
 		return true
--- a/internal/quarantine/news.go
+++ b/internal/quarantine/news.go
@@ -107,7 +107,7 @@
 			e.Requests = append(e.Requests, r)
 		}
 		l.RecordCrash(e)
-		l.tellAgain(e)
+		l.announceAgain(e)
 	}
 	for _, b := range m.GetServed() {
 		f, err := FromBytes(b)
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -61,8 +61,8 @@
 	l.OnMissed = func(h HeldRequest) {
 		q.Broadcast(CrashNews{Held: []HeldRequest{h}, Recorded: q.isStored(h.Fingerprint)})
 	}
-	l.RetellDelay = func() time.Duration {
-		return rand.N(minRetellSpread + time.Duration(s.GatewayCount())*retellSpreadPerGateway)
+	l.AnnounceDelay = func() time.Duration {
+		return rand.N(minAnnounceSpread + time.Duration(s.GatewayCount())*announceSpreadPerGateway)
 	}
 	l.OnUnlikely = func(parts []Fingerprint) { q.Broadcast(CrashNews{Written: parts}) }
 	return q
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -69,9 +69,9 @@
 	OnHeld     []func(h HeldRequest)
 	OnServed   func(f Fingerprint)
 	OnReleased func(f Fingerprint, here bool)
-	// OnMissed is called for what is held and another gateway seems not to know, after RetellDelay, which is random.
-	OnMissed    func(h HeldRequest)
-	RetellDelay func() time.Duration
+	// OnMissed is called for what is held and another gateway seems not to know, after AnnounceDelay, which is random.
+	OnMissed      func(h HeldRequest)
+	AnnounceDelay func() time.Duration
 	// OnUnlikely is called for parts that are suspected, and on which answers were recently written here.
 	OnUnlikely func(parts []Fingerprint)
 
@@ -97,7 +97,7 @@
 func NewSuspectTracker(vm id.VM, now func() time.Time, l *log.Logger) *SuspectTracker {
 	g := &SuspectTracker{
 		vm: vm, now: now, log: l, vars: new(expvar.Map), OnServed: func(Fingerprint) {}, OnReleased: func(Fingerprint, bool) {}, OnUnlikely: func([]Fingerprint) {},
-		OnMissed: func(HeldRequest) {}, RetellDelay: func() time.Duration { return rand.N(minRetellSpread) },
+		OnMissed: func(HeldRequest) {}, AnnounceDelay: func() time.Duration { return rand.N(minAnnounceSpread) },
 		after:      func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 		byInstance: map[id.Instance][]*recordedCrash{}, suspects: map[Fingerprint]*suspect{}, held: newHeldSet(), served: newRecentlyServed(now), written: newRecentlyServed(now),
 	}
--- a/internal/reports/held_memory.go
+++ b/internal/reports/held_memory.go
@@ -13,23 +13,23 @@
 const (
 	// maxHeldRemembered limits the holds that a stager remembers; an entry takes 0.3 KB.
 	maxHeldRemembered = 128
-	// heldMemoryTTL is how long a hold is remembered after it was last told. By then the platform's store has its record.
+	// heldMemoryTTL is how long a hold is remembered after it was last announced. By then the platform's store has its record.
 	heldMemoryTTL = 10 * time.Minute
 	// maxHeldPerAnswer is the number of holds in one datagram of an answer.
 	maxHeldPerAnswer = 3
 )
 
-// heldMemory holds what gateways have recently told each other by way of a stager that they hold. It is for gateways that start, or
+// heldMemory holds what gateways have recently announced by way of a stager that they hold. It is for gateways that start, or
 // miss news, while the platform's store lacks the records; it may be lost at any time.
 type heldMemory struct {
-	// entries are in the order in which they were last told.
+	// entries are in the order in which they were last announced.
 	entries []rememberedHold
 }
 
-// rememberedHold is a hold and when it was last told.
+// rememberedHold is a hold and when it was last announced.
 type rememberedHold struct {
-	news   *pb.HeldNews
-	toldAt time.Time
+	news        *pb.HeldNews
+	announcedAt time.Time
 }
 
 // note applies crash news.
@@ -43,7 +43,7 @@
 		})
 		e := proto.CloneOf(h)
 		e.Recorded = recorded
-		m.entries = append(m.entries, rememberedHold{news: e, toldAt: now})
+		m.entries = append(m.entries, rememberedHold{news: e, announcedAt: now})
 	}
 	if len(m.entries) > maxHeldRemembered {
 		m.entries = slices.Clone(m.entries[len(m.entries)-maxHeldRemembered:])
@@ -61,15 +61,16 @@
 
 // list returns what is remembered, oldest first.
 func (m *heldMemory) list(now time.Time) (l []*pb.HeldNews) {
-	m.entries = slices.DeleteFunc(m.entries, func(e rememberedHold) bool { return now.Sub(e.toldAt) >= heldMemoryTTL })
+	m.entries = slices.DeleteFunc(m.entries, func(e rememberedHold) bool { return now.Sub(e.announcedAt) >= heldMemoryTTL })
 	for _, e := range m.entries {
 		l = append(l, e.news)
 	}
 	return l
 }
 
-// tellHeld sends a gateway what is remembered. The last datagram answers its question, if it asked one; the caller holds the lock.
-func (r *Reporter) tellHeld(s *subscriber, question uint64) {
+// sendHeld sends a gateway what is remembered. The last datagram answers its question, if it asked one; the caller holds
+// the lock.
+func (r *Reporter) sendHeld(s *subscriber, question uint64) {
 	l := r.heldMemory.list(r.now())
 	if len(l) == 0 && question == 0 {
 		return
@@ -90,7 +91,7 @@
 			r.vars.Add("send_failed", 1)
 			return
 		}
-		r.vars.Add("held_told", 1)
+		r.vars.Add("held_sent", 1)
 		r.onSent(s.domain, len(b))
 		if len(l) == 0 {
 			return
--- a/internal/reports/news.go
+++ b/internal/reports/news.go
@@ -20,13 +20,13 @@
 	// stager, in different failure domains where possible. On links that lose 3 % of the packets, a gateway misses all
 	// three copies once in 5,000 times.
 	newsRelays = 3
-	// newsPerSecond and newsBurst limit the rate of crash news that a gateway sends, and apart from that the rate of its news
-	// of what is held. The crash of one upstream takes one message. If all upstreams of a failure domain crash at once, that says nothing about the requests there.
+	// newsPerSecond and newsBurst limit the rate of crash news that a gateway sends, and apart from that the rate of its
+	// news of what is held. The crash of one upstream takes one message. If all upstreams of a failure domain crash at
+	// once, that says nothing about the requests there.
 	newsPerSecond = 20
 	newsBurst     = 40
-	// forwardedPerSecond and forwardedBurst limit the rate of crash news that a stager forwards, and apart from that the rate of
-	// news of what is held: enough for 10 crashed
-	// upstreams with requests of all gateways at each.
+	// forwardedPerSecond and forwardedBurst limit the rate of crash news that a stager forwards, and apart from that the
+	// rate of news of what is held: enough for 10 crashed upstreams with requests of all gateways at each.
 	forwardedPerSecond = 100
 	forwardedBurst     = 200
 )
@@ -119,7 +119,8 @@
 	return min(stagers, max(newsRelays, int(math.Ceil(math.Log(maxUncoveredShare)/missed))))
 }
 
-// pickRecentRelays picks stagers, at random or by a key, that have reported recently, one in each failure domain before a second one in any.
+// pickRecentRelays picks stagers, at random or by a key, that have reported recently, one in each failure domain before
+// a second one in any.
 func (s *Subscriber) pickRecentRelays(key string) (l []*facts.Instance) {
 	var rest []*facts.Instance
 	covered := map[id.Domain]bool{}
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -190,7 +190,7 @@
 	}
 	r.subscribers[s.GetSender()] = fresh
 	if !known || s.GetHeldQuestion() != 0 {
-		r.tellHeld(&fresh, s.GetHeldQuestion())
+		r.sendHeld(&fresh, s.GetHeldQuestion())
 	}
 }
 
