Let more stagers remember a hold than forward it

Of twelve stagers in three failure domains, half at random hit all three in one of eight cases.

News of a hold and of its release also go to further stagers, twelve in all, which remember it and forward nothing.

--- a/internal/reports/news.go
+++ b/internal/reports/news.go
@@ -44,12 +44,23 @@
 		return
 	}
 	n.Sender = s.self()
+	relays := s.pickRelays(heldKey(n))
+	s.sendNews(n, relays)
+	if heldKey(n) != "" {
+		n = proto.CloneOf(n)
+		n.RememberOnly = true
+		s.sendNews(n, s.pickMoreToRemember(heldKey(n), relays))
+	}
+}
+
+// sendNews sends crash news to stagers.
+func (s *Subscriber) sendNews(n *pb.CrashNews, to []*facts.Instance) {
 	b, err := proto.Marshal(&pb.ReportSubscription{News: n})
 	if err != nil {
 		s.log.Error().Err(err).Msg("failed to encode crash news")
 		return
 	}
-	for _, i := range s.pickRelays(heldKey(n)) {
+	for _, i := range to {
 		host, _, err := net.SplitHostPort(i.Address)
 		if err != nil {
 			continue
@@ -106,6 +117,21 @@
 	return l
 }
 
+// maxHeldCopies is the number of stagers that remember a hold; only those that forward it send it to gateways at once.
+const maxHeldCopies = 12
+
+// pickMoreToRemember picks stagers by a key, beside those that forward the news, that are to remember what is held.
+func (s *Subscriber) pickMoreToRemember(key string, relays []*facts.Instance) (l []*facts.Instance) {
+	all := s.relayCandidates()
+	orderRelays(all, key)
+	for _, i := range all {
+		if len(relays)+len(l) < maxHeldCopies && !slices.Contains(relays, i) {
+			l = append(l, i)
+		}
+	}
+	return l
+}
+
 // maxUncoveredShare is the largest share of gateways that may subscribe to none of the stagers that forward crash news.
 const maxUncoveredShare = 0.001
 
@@ -168,7 +194,7 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	r.heldMemory.note(n, now)
-	if len(n.GetReleased()) > 0 {
+	if n.GetRememberOnly() || len(n.GetReleased()) > 0 {
 		// All gateways that release the same hold say so.
 		return
 	}
--- a/internal/reports/news_test.go
+++ b/internal/reports/news_test.go
@@ -107,6 +107,25 @@
 		Expect(m.list(now.Add(heldMemoryTTL))).To(BeEmpty())
 	})
 
+	it("of what is held is remembered by stagers that do not forward it", func() {
+		f := facts.New(time.Now)
+		f.SetCatalog(catalog.New(1, nil, engines, nil, catalog.Limits{}))
+		for n := range maxHeldCopies + 3 {
+			f.SetInstance(&facts.Instance{ID: id.Instance(fmt.Sprint(n)), Pool: "p", Address: fmt.Sprintf("127.0.0.%d:9", n+1), Domain: id.Domain(fmt.Sprint("d", n%4))})
+		}
+		s := NewSubscriber(newSocket(), 1, "d0", f, time.Now, discardLog)
+		relays := s.pickRelays("key")
+		more := s.pickMoreToRemember("key", relays)
+		Expect(len(relays) + len(more)).To(Equal(maxHeldCopies))
+		for _, i := range relays {
+			Expect(more).NotTo(ContainElement(i))
+		}
+		r := NewReporter(newSocket(), "d", f, time.Now, discardLog)
+		r.forwardNews(&pb.CrashNews{Held: []*pb.HeldNews{{Fingerprint: []byte{1}}}, RememberOnly: true})
+		Expect(remembered(r)).To(HaveLen(1))
+		Expect(r.vars.Get("news")).To(BeNil())
+	})
+
 	it("of what is held goes through the same stagers from each gateway", func() {
 		f := facts.New(time.Now)
 		f.SetCatalog(catalog.New(1, nil, engines, nil, catalog.Limits{}))
