--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -147,43 +147,6 @@
 	return h.Fingerprint, true
 }
 
-// changes are what callbacks have to be called for once the lock is released.
-type changes struct {
-	// unlikely are suspected parts on which answers were recently written here.
-	unlikely []Fingerprint
-	held     []HeldRequest
-	served   []Fingerprint
-	// released are no longer held, as this gateway found out if here is true.
-	released []Fingerprint
-	here     bool
-}
-
-// servedWhere returns where something was served.
-func (c *changes) servedWhere() string {
-	if c.here {
-		return "it was served here"
-	}
-	return "it was served at another gateway"
-}
-
-// notify calls the callbacks; the caller does not hold the lock.
-func (l *SuspectTracker) notify(c changes) {
-	for _, f := range c.released {
-		l.OnReleased(f, c.here)
-	}
-	if len(c.unlikely) > 0 {
-		l.OnUnlikely(c.unlikely)
-	}
-	for _, f := range c.served {
-		l.OnServed(f)
-	}
-	for _, h := range c.held {
-		for _, f := range l.OnHeld {
-			f(h)
-		}
-	}
-}
-
 // RecordCrash adds a crash that this or another gateway has seen.
 func (l *SuspectTracker) RecordCrash(e Crash) {
 	l.mu.Lock()
