Log what stagers remember of holds, and evidence that does not suffice

Added: the metric held_remembered and a line at the stager, the stagers asked and their answers in "what is held is known", and a line with the evidence against a suspected part. No decision changes.

--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -17,11 +17,29 @@
 		}
 		c.held = append(c.held, next...)
 	}
+	l.logUndecided()
 	l.updateWatching()
 	l.mu.Unlock()
 	l.notify(c)
 }
 
+// logUndecided logs the parts of prompts that were present at many crashes and are not held; the caller holds the lock.
+func (l *SuspectTracker) logUndecided() {
+	for f, s := range l.suspects {
+		if !s.part || l.isUnlikely(f) {
+			continue
+		}
+		counted, explained := s.countedCrashes(f), l.explainedEvents(f)
+		if len(counted) == 0 || len(counted)+explained < minUnbegunCrashes {
+			continue
+		}
+		events := independentEvents(counted, f)
+		weight, requests := l.weigh(f, events)
+		l.log.Info().Stringer("fingerprint", f).Int("counted", len(counted)).Int("independent", len(events)).Int("explained", explained).
+			Float64("weight", weight).Int("requests", len(requests)).Msg("a part of prompts is suspected, without enough evidence to hold it")
+	}
+}
+
 // candidate is a request, or parts of prompts, with enough evidence to be held, and the crashes that this explains.
 type candidate struct {
 	held    HeldRequest
--- a/internal/quarantine/knowledge.go
+++ b/internal/quarantine/knowledge.go
@@ -176,7 +176,14 @@
 	k.answered = true
 	k.ask(0)
 	close(k.changed)
-	k.log.Info().Str("by", how).Int64("after_ms", k.now().Sub(k.begunAt).Milliseconds()).Msg("what is held is known")
+	answers := 0
+	for _, has := range k.asked {
+		if has {
+			answers++
+		}
+	}
+	k.log.Info().Str("by", how).Int64("after_ms", k.now().Sub(k.begunAt).Milliseconds()).Int("stagers", len(k.asked)).Int("answers", answers).
+		Msg("what is held is known")
 }
 
 // Known reports whether the gateway knows what is held, or goes on without.
--- a/internal/reports/held_memory.go
+++ b/internal/reports/held_memory.go
@@ -68,6 +68,16 @@
 	return l
 }
 
+// stats describes the memory for the metrics.
+func (m *heldMemory) stats(now time.Time) map[string]int64 {
+	l := m.list(now)
+	oldest := time.Duration(0)
+	if len(l) > 0 {
+		oldest = now.Sub(m.entries[0].announcedAt)
+	}
+	return map[string]int64{"holds": int64(len(l)), "oldest_ms": oldest.Milliseconds()}
+}
+
 // sendHeld sends a gateway what is remembered. The last datagram answers its question, if it asked one; the caller holds
 // the lock.
 func (r *Reporter) sendHeld(s *subscriber, question uint64) {
@@ -75,6 +85,7 @@
 	if len(l) == 0 && question == 0 {
 		return
 	}
+	r.log.Info().Str("gateway", s.addr.String()).Int("held", len(l)).Bool("asked", question != 0).Msg("a gateway is told what is held")
 	for {
 		n := min(len(l), maxHeldPerAnswer)
 		news := &pb.CrashNews{Sender: r.upstreamAddress, Held: l[:n]}
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -125,12 +125,18 @@
 // NewReporter creates a reporter for a stager in a failure domain; it sends and receives on the given socket.
 func NewReporter(c *net.UDPConn, d id.Domain, f *facts.Facts, now func() time.Time, l *log.Logger) *Reporter {
 	limiter, admitted := throttle.NewLimiter(now), admission.New(now)
-	return &Reporter{
+	r := &Reporter{
 		conn: c, domain: d, facts: f, now: now, log: l, vars: new(expvar.Map), incarnation: rand.Uint64() | 1,
 		subscribers: map[string]subscriber{}, onSent: func(id.Domain, int) {}, newsLimit: rate.NewLimiter(forwardedPerSecond, forwardedBurst),
 		heldNewsLimit: rate.NewLimiter(forwardedPerSecond, forwardedBurst),
 		limiter:       limiter, ledger: reservation.New(now, limiter, admitted), admission: admitted, OnReservation: func() {},
 	}
+	r.vars.Set("held_remembered", expvar.Func(func() any {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.heldMemory.stats(r.now())
+	}))
+	return r
 }
 
 // Limiter returns the limiter that issues the permits of the stager's upstream.
