Close the sockets of reports before their parts have ended

Cause: the function that closes the socket ran in a goroutine of its own, and was cancelled if the receiver saw the end of the context first. The socket then stayed open for good within the process. A process that ends is not affected.

The spec failed before (a write to the socket succeeded after Run) and passes.

--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -146,7 +146,7 @@
 
 // Run receives subscriptions until the context ends.
 func (r *Reporter) Run(ctx context.Context) error {
-	defer context.AfterFunc(ctx, func() { r.conn.Close() })()
+	defer closeWith(ctx, r.conn)()
 	receive(ctx, r.conn, r.vars, r.handleDatagram)
 	return nil
 }
--- a/internal/reports/reports_test.go
+++ b/internal/reports/reports_test.go
@@ -41,6 +41,22 @@
 	return c.LocalAddr().(*net.UDPAddr).Port
 }
 
+var _ = describe("a process that stops", func() {
+	it("leaves no socket open that its successor could not bind", func() {
+		ctx, stop := context.WithCancel(context.Background())
+		stop()
+		r := NewReporter(newSocket(), "d", facts.New(time.Now), time.Now, discardLog)
+		s := NewSubscriber(newSocket(), portOf(r.conn), "d", facts.New(time.Now), time.Now, discardLog)
+		for _, run := range []func(context.Context) error{r.Run, s.Run} {
+			Expect(run(ctx)).To(Succeed())
+		}
+		for _, c := range []*net.UDPConn{r.conn, s.conn} {
+			_, err := c.WriteTo(nil, c.LocalAddr())
+			Expect(err).To(MatchError(net.ErrClosed))
+		}
+	})
+})
+
 var _ = describe("reports", func() {
 	it("reach the gateways that subscribe, until their subscriptions expire", func() {
 		now := time.Now()
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -204,12 +204,21 @@
 
 // Run renews subscriptions and receives reports until the context ends.
 func (s *Subscriber) Run(ctx context.Context) error {
-	defer context.AfterFunc(ctx, func() { s.conn.Close() })()
+	defer closeWith(ctx, s.conn)()
 	go s.subscribe(ctx)
 	receive(ctx, s.conn, s.vars, s.handleDatagram)
 	return nil
 }
 
+// closeWith closes a socket when the context ends, or when the returned function is called.
+func closeWith(ctx context.Context, c *net.UDPConn) (closed func()) {
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	return func() {
+		stop()
+		c.Close()
+	}
+}
+
 // receive passes each datagram to handle until the context ends.
 func receive(ctx context.Context, c *net.UDPConn, vars *expvar.Map, handle func(b []byte)) {
 	buffer := make([]byte, maxDatagramBytes)
