Keep what stagers remember of holds complete

A hold that the store had had for long was forgotten by all who could tell it: a stager that started remembered nothing and was told nothing again, and every stager forgot a hold ten minutes after its announcement. In the next outage of the store, gateways that started then forwarded requests with the held part, until all upstreams had crashed once more.

Cause: soft state that is written once and never refreshed.

A stager now asks, in its reports, what gateways hold: from its start until one of them that knows all records has answered completely, and again each five minutes. A gateway answers after a random delay, unless another one has, with the holds that the stager is to remember. A stager that has not been told answers a gateway's question as incomplete, and a gateway that cannot read the records goes on asking while it has only such answers, for three seconds at most. What was released stays so when an answer arrives that was sent before.

--- a/internal/quarantine/knowledge.go
+++ b/internal/quarantine/knowledge.go
@@ -47,6 +47,9 @@
 	asked    map[string]bool
 	askedAt  time.Time
 	answered bool
+	// complete is true once a stager has answered that a gateway had told it what is held, and incomplete once one has answered
+	// that none had since it started.
+	complete, incomplete bool
 	// storeBy is how the records are known; empty while they are not.
 	storeBy string
 	// begunAt is when that began, deadline when it ends at the latest, zero until upstreams are listed, and readyAt when the
@@ -70,6 +73,7 @@
 	k.begunAt, k.changed = k.now(), make(chan struct{})
 	k.question, k.asked = rand.Uint64()|1, map[string]bool{}
 	k.askedAt, k.answered, k.storeBy, k.deadline = time.Time{}, false, "", time.Time{}
+	k.complete, k.incomplete = false, false
 	k.learning.Store(true)
 	k.ask(k.question)
 }
@@ -120,19 +124,21 @@
 	}
 }
 
-// noteAnswer notes the answer of a stager to a question.
-func (k *Knowledge) noteAnswer(question uint64, stager string) {
+// noteAnswer notes the answer of a stager to a question, and whether a gateway has told the stager what is held.
+func (k *Knowledge) noteAnswer(question uint64, stager string, complete bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if question == k.question && !k.answered {
 		k.asked[stager] = true
+		k.complete, k.incomplete = k.complete || complete, k.incomplete || !complete
 		k.checkAnswers()
 	}
 }
 
-// checkAnswers ends the question once all stagers have answered, or had time to; the caller holds the lock.
+// checkAnswers ends the question once all stagers have answered, or had time to. Without the records it goes on while only stagers
+// have answered that have just started. The caller holds the lock.
 func (k *Knowledge) checkAnswers() {
-	if k.answered || k.askedAt.IsZero() {
+	if k.answered || k.askedAt.IsZero() || k.storeBy != "store" && k.incomplete && !k.complete {
 		return
 	}
 	missing := 0
@@ -164,7 +170,9 @@
 	}
 	if k.answered {
 		k.end(k.storeBy)
+		return
 	}
+	k.checkAnswers()
 }
 
 // end notes that the gateway knows, or goes on without; the caller holds the lock.
--- a/internal/quarantine/knowledge_test.go
+++ b/internal/quarantine/knowledge_test.go
@@ -22,8 +22,8 @@
 	answerAll := func() {
 		k.noteAsked(asking, []string{"a", "b"}, true)
 		question := asking
-		k.noteAnswer(question, "a")
-		k.noteAnswer(question, "b")
+		k.noteAnswer(question, "a", true)
+		k.noteAnswer(question, "b", true)
 	}
 
 	It("is not taken for complete before the records have been read", func() {
@@ -40,8 +40,8 @@
 		now = now.Add(maxLearningTime)
 		Expect(k.Known()).To(BeFalse(), "the list of upstreams has not been read")
 		k.noteAsked(asking, []string{"a", "b"}, true)
-		k.noteAnswer(asking, "a")
-		k.noteAnswer(asking+1, "b")
+		k.noteAnswer(asking, "a", true)
+		k.noteAnswer(asking+1, "b", true)
 		Expect(k.Known()).To(BeFalse())
 		now = now.Add(maxAnswerTime)
 		Expect(k.Known()).To(BeTrue())
@@ -61,6 +61,24 @@
 		Expect(k.Known()).To(BeTrue())
 	})
 
+	It("is not taken for complete by the word of stagers that have just started, while the store is away", func() {
+		k.noteAsked(asking, []string{"a", "b"}, true)
+		k.noteStore(errors.New("unavailable"))
+		k.noteAnswer(asking, "a", false)
+		now = now.Add(maxAnswerTime)
+		Expect(k.Known()).To(BeFalse())
+		k.noteAnswer(asking, "b", true)
+		Expect(k.Known()).To(BeTrue())
+	})
+
+	It("does not wait for stagers that have just started once the records have been read", func() {
+		k.noteAsked(asking, []string{"a"}, true)
+		k.noteAnswer(asking, "a", false)
+		Expect(k.Known()).To(BeFalse())
+		k.noteStore(nil)
+		Expect(k.Known()).To(BeTrue())
+	})
+
 	It("does not keep a gateway from serving for ever, counted from when upstreams are listed", func() {
 		Expect(k.Known()).To(BeFalse())
 		now = now.Add(maxLearningTime)
--- a/internal/quarantine/news.go
+++ b/internal/quarantine/news.go
@@ -37,7 +37,7 @@
 		rest = rest[n:]
 	}
 	for _, h := range n.Held {
-		l = append(l, &pb.CrashNews{Held: []*pb.HeldNews{{Fingerprint: h.Fingerprint[:], Request: h.toProto(), Recorded: n.Recorded}}})
+		l = append(l, &pb.CrashNews{Held: []*pb.HeldNews{h.news(n.Recorded)}})
 	}
 	for _, f := range n.Released {
 		l = append(l, &pb.CrashNews{Released: [][]byte{f[:]}})
@@ -45,6 +45,11 @@
 	return l
 }
 
+// news encodes a held request, and whether the platform's store has, or had, the record of it.
+func (h *HeldRequest) news(recorded bool) *pb.HeldNews {
+	return &pb.HeldNews{Fingerprint: h.Fingerprint[:], Request: h.toProto(), Recorded: recorded}
+}
+
 // requestsThatFit returns how many of the requests, at least one, fit into a message.
 func requestsThatFit(of []InFlightRequest) (n int) {
 	size := 0
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -55,6 +55,9 @@
 	}
 	s.OnCrashNews = q.applyNews
 	s.OnHeldAsked = q.Knowledge.noteAsked
+	s.Held = reports.HeldSource{
+		List: q.heldNews, Complete: func() bool { return l.recordsRead.Load() && q.Knowledge.Known() }, Delay: func() time.Duration { return l.AnnounceDelay() },
+	}
 	l.OnHeld = append(l.OnHeld, q.Persist, q.broadcastHeld)
 	l.OnServed = func(f Fingerprint) { q.Broadcast(CrashNews{Served: []Fingerprint{f}}) }
 	l.OnReleased = q.release
@@ -95,6 +98,14 @@
 	}
 }
 
+// heldNews lists what this gateway holds, oldest first.
+func (q *Quarantine) heldNews() (l []*pb.HeldNews) {
+	for _, h := range q.Suspects.HeldRequests() {
+		l = append(l, h.news(q.isStored(h.Fingerprint)))
+	}
+	return l
+}
+
 // applyNews applies the crash news of another gateway, or the answer of a stager.
 func (q *Quarantine) applyNews(m *pb.CrashNews) {
 	m.Held = slices.DeleteFunc(m.GetHeld(), func(h *pb.HeldNews) bool {
@@ -103,7 +114,7 @@
 	})
 	q.Suspects.ApplyNews(m)
 	if n := m.GetAnswers(); n != 0 {
-		q.Knowledge.noteAnswer(n, m.GetSender())
+		q.Knowledge.noteAnswer(n, m.GetSender(), !m.GetIncomplete())
 	}
 }
 
--- a/internal/reports/held_memory.go
+++ b/internal/reports/held_memory.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -13,17 +15,29 @@
 const (
 	// maxHeldRemembered limits the holds that a stager remembers; an entry takes 0.3 KB.
 	maxHeldRemembered = 128
-	// heldMemoryTTL is how long a hold is remembered after it was last announced. By then the platform's store has its record.
-	heldMemoryTTL = 10 * time.Minute
+	// heldMemoryTTL is how long a hold is remembered after it was last announced, and heldRefreshInterval the time after which a
+	// stager asks gateways again what they hold.
+	heldMemoryTTL       = 10 * time.Minute
+	heldRefreshInterval = heldMemoryTTL / 2
+	// maxTellers limits the gateways whose answers to a stager are received at the same time.
+	maxTellers = 64
 	// maxHeldPerAnswer is the number of holds in one datagram of an answer.
 	maxHeldPerAnswer = 3
 )
 
-// heldMemory holds what gateways have recently announced by way of a stager that they hold. It is for gateways that start, or
-// miss news, while the platform's store lacks the records; it may be lost at any time.
+// heldMemory is a stager's copy of what gateways hold. It is for gateways that start, or miss news, while the platform's store is
+// unavailable or lacks the records. It may be lost at any time, so a stager that has just started asks gateways for it, and later
+// asks again before entries expire.
 type heldMemory struct {
 	// entries are in the order in which they were last announced.
 	entries []rememberedHold
+	// releasedAt is when holds were released. An answer that was sent before may still contain them.
+	releasedAt map[string]time.Time
+	// question is the number of the question that gateways are asked; 0 for none. told are the holds that they have answered, by
+	// gateway, and toldAt is when one of them had told everything; zero before.
+	question uint64
+	told     map[string]map[string]struct{}
+	toldAt   time.Time
 }
 
 // rememberedHold is a hold and when it was last announced.
@@ -35,6 +49,11 @@
 // note applies crash news.
 func (m *heldMemory) note(n *pb.CrashNews, now time.Time) {
 	for _, h := range n.GetHeld() {
+		f := string(h.GetFingerprint())
+		if at, ok := m.releasedAt[f]; ok && n.GetTold() != nil && now.Sub(at) < heldMemoryTTL {
+			continue
+		}
+		delete(m.releasedAt, f)
 		recorded := h.GetRecorded()
 		m.remove(func(o *pb.HeldNews) bool {
 			same := bytes.Equal(o.GetFingerprint(), h.GetFingerprint())
@@ -48,6 +67,9 @@
 	if len(m.entries) > maxHeldRemembered {
 		m.entries = slices.Clone(m.entries[len(m.entries)-maxHeldRemembered:])
 	}
+	for _, f := range n.GetReleased() {
+		m.noteReleased(f, now)
+	}
 	for _, f := range slices.Concat(n.GetReleased(), n.GetServed()) {
 		m.remove(func(o *pb.HeldNews) bool {
 			return bytes.Equal(o.GetFingerprint(), f) || slices.ContainsFunc(o.GetRequest().GetParts(), func(p []byte) bool { return bytes.Equal(p, f) })
@@ -55,6 +77,49 @@
 	}
 }
 
+// noteReleased notes that a hold was released.
+func (m *heldMemory) noteReleased(f []byte, now time.Time) {
+	maps.DeleteFunc(m.releasedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= heldMemoryTTL })
+	if m.releasedAt == nil {
+		m.releasedAt = map[string]time.Time{}
+	}
+	if len(m.releasedAt) < maxHeldRemembered {
+		m.releasedAt[string(f)] = now
+	}
+}
+
+// ask returns the number of the question that gateways are to be asked; 0 for none.
+func (m *heldMemory) ask(now time.Time) uint64 {
+	if m.question == 0 && (m.toldAt.IsZero() || now.Sub(m.toldAt) >= heldRefreshInterval) {
+		m.question, m.told = rand.Uint64()|1, map[string]map[string]struct{}{}
+	}
+	return m.question
+}
+
+// noteTold notes a datagram of a gateway's answer. It returns true once the gateway has told everything.
+func (m *heldMemory) noteTold(n *pb.CrashNews, now time.Time) bool {
+	a := n.GetTold()
+	if a.GetQuestion() == 0 || a.GetQuestion() != m.question || !a.GetComplete() {
+		return false
+	}
+	received := m.told[n.GetSender()]
+	if received == nil {
+		if len(m.told) >= maxTellers {
+			return false
+		}
+		received = map[string]struct{}{}
+		m.told[n.GetSender()] = received
+	}
+	for _, h := range n.GetHeld() {
+		received[string(h.GetFingerprint())] = struct{}{}
+	}
+	if len(received) < int(a.GetHolds()) {
+		return false
+	}
+	m.question, m.told, m.toldAt = 0, nil, now
+	return true
+}
+
 func (m *heldMemory) remove(matches func(h *pb.HeldNews) bool) {
 	m.entries = slices.DeleteFunc(m.entries, func(e rememberedHold) bool { return matches(e.news) })
 }
@@ -91,7 +156,7 @@
 		news := &pb.CrashNews{Sender: r.upstreamAddress, Held: l[:n]}
 		l = l[n:]
 		if len(l) == 0 {
-			news.Answers = question
+			news.Answers, news.Incomplete = question, r.heldMemory.toldAt.IsZero()
 		}
 		b, err := proto.Marshal(&pb.UpstreamReport{News: news})
 		if err != nil {
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -86,7 +86,7 @@
 	newsLimit *rate.Limiter
 	// heldNewsLimit limits the rate of news of what is held, which must not get lost among reports of crashes.
 	heldNewsLimit *rate.Limiter
-	// heldMemory is what gateways hold, by the news that this process has forwarded.
+	// heldMemory is what gateways hold, by their news and answers.
 	heldMemory heldMemory
 	// upstreamAddress is the address of the stager's upstream, as in the last report.
 	upstreamAddress string
@@ -226,6 +226,7 @@
 	p.Incarnation, p.Number, p.Subscribers = r.incarnation, r.lastNumber, uint32(len(r.subscribers))
 	p.Words = r.announcements(p.GetAddress(), now)
 	p.Limit, r.upstreamAddress = r.limitMessage(), p.GetAddress()
+	p.HeldQuestion = r.heldMemory.ask(now)
 	r.detectChange(p, now)
 	toAll := r.urgentPending > 0 || r.fullReport()
 	r.urgentPending = max(0, r.urgentPending-1)
@@ -290,7 +291,7 @@
 // detectChange makes this and the next reports go to all subscribers if anything but the load has changed; the caller
 // holds the lock.
 func (r *Reporter) detectChange(p *pb.UpstreamReport, now time.Time) {
-	state := fmt.Sprint(p.GetClosed(), p.GetDown(), p.GetNarrow(), p.GetLeaving(), p.GetNamed().GetRevision(), p.GetBorn())
+	state := fmt.Sprint(p.GetClosed(), p.GetDown(), p.GetNarrow(), p.GetLeaving(), p.GetNamed().GetRevision(), p.GetBorn(), p.GetHeldQuestion())
 	if l := p.GetLimit(); l != nil {
 		state += fmt.Sprint(" ", l.GetRate(), l.GetOver())
 	}
--- a/internal/reports/stager_state.go
+++ b/internal/reports/stager_state.go
@@ -30,6 +30,12 @@
 	demand           placement.Demand
 	gatewaysByDomain map[id.Domain]int
 	demandUntil      time.Time
+	// heldQuestion is the question of the stager's newest report about what gateways hold; 0 for none.
+	heldQuestion uint64
+	// answered is the question that was last answered, at answeredAt, and toldAll is true if the answer was complete.
+	answered   uint64
+	answeredAt time.Time
+	toldAll    bool
 	// nextLimitSend is when a rate limit that the stager's reports lack may be sent to it again.
 	nextLimitSend time.Time
 }
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -105,6 +105,10 @@
 	// OnHeldAsked is called with the number of a question about what is held, the addresses of the upstreams whose stagers were
 	// asked, and whether any upstream is listed; it must be set before Run.
 	OnHeldAsked func(question uint64, stagers []string, listed bool)
+	// Held is what this gateway answers to stagers that ask what it holds.
+	Held HeldSource
+	// after calls a function after a delay.
+	after func(d time.Duration, f func())
 	// heldQuestion is the question that subscriptions ask; 0 for none. askNow is sent to when it changes.
 	heldQuestion atomic.Uint64
 	askNow       chan struct{}
@@ -133,6 +137,8 @@
 		heldNewsLimit:  rate.NewLimiter(newsPerSecond, newsBurst),
 		OnCrashNews:    func(*pb.CrashNews) {},
 		OnHeldAsked:    func(uint64, []string, bool) {},
+		Held:           HeldSource{List: func() []*pb.HeldNews { return nil }, Complete: func() bool { return false }, Delay: func() time.Duration { return 0 }},
+		after:          func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 		askNow:         make(chan struct{}, 1),
 		demandMeter:    placement.NewDemandMeter(now),
 		onSent:         func(id.Domain, int) {},
@@ -286,6 +292,7 @@
 	}
 	s.tracker.SetReport(r.GetAddress(), p)
 	s.resendLimit(&r)
+	s.noteHeldQuestion(r.GetAddress(), r.GetHeldQuestion())
 }
 
 const (
--- a/internal/standin/keyed.go
+++ b/internal/standin/keyed.go
@@ -21,6 +21,8 @@
 	Silent bool `json:"silent"`
 	// DelayMs is the delay in milliseconds that is added to every call.
 	DelayMs int `json:"delay_ms"`
+	// Topic limits the faults to calls for one topic; empty selects all calls.
+	Topic string `json:"topic"`
 }
 
 // keyedRecord is a record of a keyed topic; a nil value is a tombstone that deletes the key.
@@ -167,6 +169,9 @@
 	d.callCount++
 	f := d.faults
 	d.mu.Unlock()
+	if f.Topic != "" && f.Topic != r.URL.Query().Get("topic") {
+		f = KeyedFaults{}
+	}
 	time.Sleep(time.Duration(f.DelayMs) * time.Millisecond)
 	switch {
 	case f.Silent:
