Wait for held requests again when the store returns

A gateway that had started while the store was away, and whose first read of held requests had failed, took itself to know what is held for good. When the store returned, configuration and list were there at once, and requests with a held part went to upstreams until the next read, up to 2 s later.

Cause: a failed read ended the wait for the records, and nothing took it up again once its reason was gone.

The wait is given up only while the store answers for no topic. When it answers this process, or one that it follows, the records are read at once and the gateway waits for them again, for 3 s at most. A store that refuses this gateway or this topic only is asked again every 0.2 s within the same time; a gateway that starts in such an outage is ready up to 1.5 s later than before.

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -53,6 +53,8 @@
 	now     func() time.Time
 
 	mu sync.Mutex
+	// storeAnsweredAt is when the platform's store last answered, as far as known.
+	storeAnsweredAt time.Time
 	// wanted lists the published versions of each model, oldest first.
 	wanted    map[id.Model][]Wanted
 	instances map[id.Instance]*Instance
@@ -240,6 +242,23 @@
 	return f.configOffset, f.configOffsetChanged
 }
 
+// NoteStoreAnswered notes that the platform's store has answered this process, or one that it follows, at a time.
+func (f *Facts) NoteStoreAnswered(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.storeAnsweredAt) {
+		f.storeAnsweredAt = at
+	}
+}
+
+// StoreAnsweredAt returns when the platform's store last answered this process or one that it follows, as far as known; zero if
+// it has not.
+func (f *Facts) StoreAnsweredAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.storeAnsweredAt
+}
+
 // GatewayTTL is how long a gateway counts after it was last seen.
 const GatewayTTL = 5 * time.Second
 
--- a/internal/quarantine/knowledge.go
+++ b/internal/quarantine/knowledge.go
@@ -34,6 +34,10 @@
 
 	// OnStopped is called once the process runs again after it stood still; it must be set before the first tick.
 	OnStopped func()
+	// OnStoreBack is called when the records should be read at once, as the store answers other processes or topics.
+	OnStoreBack func()
+	// storeAnsweredAt returns when the store last answered for any topic, as far as known.
+	storeAnsweredAt func() time.Time
 
 	// ranAt is when the process was last known to run, in ns since base; 0 before the first tick.
 	ranAt atomic.Int64
@@ -52,6 +56,10 @@
 	complete, incomplete bool
 	// storeBy is how the records are known; empty while they are not.
 	storeBy string
+	// waivedAt is when the gateway ceased to wait for the records, as the store answered nobody; zero while it has not. waived is
+	// true while it is set.
+	waivedAt time.Time
+	waived   atomic.Bool
 	// begunAt is when that began, deadline when it ends at the latest, zero until upstreams are listed, and readyAt when the
 	// gateway is ready at the latest, zero until it has a configuration.
 	begunAt, deadline, readyAt time.Time
@@ -63,7 +71,8 @@
 func (k *Knowledge) begin(now func() time.Time, ask func(question uint64), g *log.Logger) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.now, k.ask, k.log, k.OnStopped = now, ask, g, func() {}
+	k.now, k.ask, k.log, k.OnStopped, k.OnStoreBack = now, ask, g, func() {}, func() {}
+	k.storeAnsweredAt = func() time.Time { return time.Time{} }
 	k.base = now().Add(-1)
 	k.start()
 }
@@ -74,6 +83,7 @@
 	k.question, k.asked = rand.Uint64()|1, map[string]bool{}
 	k.askedAt, k.answered, k.storeBy, k.deadline = time.Time{}, false, "", time.Time{}
 	k.complete, k.incomplete = false, false
+	k.setWaived(time.Time{})
 	k.learning.Store(true)
 	k.ask(k.question)
 }
@@ -157,16 +167,30 @@
 	}
 }
 
-// noteStore notes a read of the records: that they were read, or can't be.
+const (
+	// readAgainPause is the pause after a read that failed although the store answers for other topics.
+	readAgainPause = 200 * time.Millisecond
+	// storeSilence is the time without an answer for any topic after which the store counts as away. Other topics are read
+	// each 0.7 s.
+	storeSilence = 1200 * time.Millisecond
+)
+
+// noteStore notes a read of the records: that they were read, or can't be. They are waited for unless the store is away.
 func (k *Knowledge) noteStore(err error) {
-	if !k.learning.Load() {
-		return
-	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.storeBy = "store"
-	if err != nil {
+	switch {
+	case err == nil:
+		k.setWaived(time.Time{})
+		k.storeBy = "store"
+	case !k.learning.Load():
+		return
+	case k.now().Sub(k.storeAnsweredAt()) < storeSilence:
+		time.AfterFunc(readAgainPause, k.OnStoreBack)
+		return
+	default:
 		k.storeBy = "stagers"
+		k.setWaived(k.now())
 	}
 	if k.answered {
 		k.end(k.storeBy)
@@ -175,6 +199,31 @@
 	k.checkAnswers()
 }
 
+// setWaived sets when the gateway ceased to wait for the records; the caller holds the lock.
+func (k *Knowledge) setWaived(at time.Time) {
+	k.waivedAt = at
+	k.waived.Store(!at.IsZero())
+}
+
+// checkStore waits for the records again if the store has answered since the gateway ceased to wait for them.
+func (k *Knowledge) checkStore() {
+	if !k.waived.Load() {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.waivedAt.IsZero() || !k.storeAnsweredAt().After(k.waivedAt) {
+		return
+	}
+	k.setWaived(time.Time{})
+	k.storeBy = ""
+	if k.learning.CompareAndSwap(false, true) {
+		k.begunAt, k.changed = k.now(), make(chan struct{})
+		k.deadline = k.begunAt.Add(maxLearningTime)
+	}
+	go k.OnStoreBack()
+}
+
 // end notes that the gateway knows, or goes on without; the caller holds the lock.
 func (k *Knowledge) end(how string) {
 	if !k.learning.Load() {
@@ -197,6 +246,7 @@
 // Known reports whether the gateway knows what is held, or goes on without.
 func (k *Knowledge) Known() bool {
 	k.checkStop()
+	k.checkStore()
 	if !k.learning.Load() {
 		return true
 	}
--- a/internal/quarantine/knowledge_test.go
+++ b/internal/quarantine/knowledge_test.go
@@ -79,6 +79,69 @@
 		Expect(k.Known()).To(BeTrue())
 	})
 
+	Describe("without the records", func() {
+		var storeAnsweredAt time.Time
+		var reads chan bool
+		unavailable := errors.New("unavailable")
+		BeforeEach(func() {
+			storeAnsweredAt, reads = time.Time{}, make(chan bool, 1)
+			k.storeAnsweredAt = func() time.Time { return storeAnsweredAt }
+			k.OnStoreBack = func() { reads <- true }
+		})
+
+		It("is not taken for complete when the store returns, until they have been read", func() {
+			answerAll()
+			k.noteStore(unavailable)
+			Expect(k.Known()).To(BeTrue())
+			now = now.Add(time.Minute)
+			storeAnsweredAt = now
+			Expect(k.Known()).To(BeFalse())
+			Eventually(reads).Should(Receive())
+			k.noteStore(nil)
+			Expect(k.Known()).To(BeTrue())
+		})
+
+		It("is not taken for complete when upstreams are first listed as the store returns", func() {
+			k.noteStore(unavailable)
+			now = now.Add(time.Second)
+			storeAnsweredAt = now
+			answerAll()
+			Expect(k.Known()).To(BeFalse())
+			Eventually(reads).Should(Receive())
+		})
+
+		It("is not taken for complete by a read that failed as the store returned", func() {
+			answerAll()
+			storeAnsweredAt = now.Add(1 - storeSilence)
+			k.noteStore(unavailable)
+			Expect(k.Known()).To(BeFalse())
+			Eventually(reads).Should(Receive())
+		})
+
+		It("does not keep a gateway from serving for ever that the store refuses while it answers others", func() {
+			answerAll()
+			for waited := time.Duration(0); waited < maxLearningTime; waited += readAgainPause {
+				storeAnsweredAt = now
+				k.noteStore(unavailable)
+				Expect(k.Known()).To(BeFalse())
+				now = now.Add(readAgainPause)
+			}
+			Expect(k.Known()).To(BeTrue())
+			storeAnsweredAt = now.Add(time.Second)
+			k.noteStore(unavailable)
+			Expect(k.Known()).To(BeTrue())
+		})
+
+		It("does not keep a gateway from serving for ever after the store's return", func() {
+			answerAll()
+			k.noteStore(unavailable)
+			storeAnsweredAt = now.Add(1)
+			Expect(k.Known()).To(BeFalse())
+			now = now.Add(maxLearningTime)
+			Expect(k.Known()).To(BeTrue())
+		})
+	})
+
 	It("does not keep a gateway from serving for ever, counted from when upstreams are listed", func() {
 		Expect(k.Known()).To(BeFalse())
 		now = now.Add(maxLearningTime)
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -8,6 +8,7 @@
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/gen/springrail/v1/springrailv1connect"
 	"github.com/springrail/springrail/internal/clock"
+	"github.com/springrail/springrail/internal/facts"
 	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/records"
 	"github.com/springrail/springrail/internal/reports"
@@ -20,10 +21,11 @@
 func init() {
 	kernel.Register(kernel.Part{
 		Name:  PartName,
-		Needs: []string{reports.SubscriberPart, records.PlatformPartName, rpc.PartName},
+		Needs: []string{facts.PartName, reports.SubscriberPart, records.PlatformPartName, rpc.PartName},
 		New: func(h *kernel.Host) (any, error) {
 			p := h.Part(records.PlatformPartName).(*records.Platform)
 			q := New(NewSuspectTracker(h.Identity.VM, clock.Now, h.Log), h.Part(reports.SubscriberPart).(*reports.Subscriber), p)
+			q.Knowledge.storeAnsweredAt = h.Part(facts.PartName).(*facts.Facts).StoreAnsweredAt
 			h.Part(rpc.PartName).(*rpc.Server).Handle(springrailv1connect.NewQuarantineServiceHandler(q))
 			h.Metric("quarantine", q.Suspects.vars)
 			return q, nil
@@ -45,7 +47,7 @@
 func New(l *SuspectTracker, s *reports.Subscriber, p *records.Platform) *Quarantine {
 	q := &Quarantine{Suspects: l, Persister: NewPersister(p.Store, p.HeldTopic, l, l.now, l.log)}
 	q.Knowledge.begin(l.now, s.AskHeld, l.log)
-	q.Knowledge.OnStopped = q.ReadAgain
+	q.Knowledge.OnStopped, q.Knowledge.OnStoreBack = q.ReadAgain, q.RetryRead
 	q.onRead = q.Knowledge.noteStore
 	q.onRecorded = q.broadcastRecorded
 	q.Broadcast = func(n CrashNews) {
--- a/internal/quarantine/persister.go
+++ b/internal/quarantine/persister.go
@@ -52,8 +52,8 @@
 	onRecorded func(f Fingerprint)
 	// unread are the requests whose records another process has written or read, and this one has not read yet.
 	unread map[Fingerprint]struct{}
-	// stopPoll ends the long poll that is under way; nil while there is none.
-	stopPoll context.CancelFunc
+	// stopPoll ends the long poll that is under way; nil while there is none. stopPause ends the pause after a failed read.
+	stopPoll, stopPause context.CancelFunc
 }
 
 // pendingWrite is a record to be written.
--- a/internal/quarantine/record_reader.go
+++ b/internal/quarantine/record_reader.go
@@ -47,7 +47,26 @@
 			k.log.Warn().Err(err).Msg("held requests can't be read from the store")
 		}
 		failing = true
-		kernel.Pause(ctx, retryPause())
+		k.pauseReading(ctx)
+	}
+}
+
+// pauseReading waits after a failed read, until RetryRead is called at most.
+func (k *Persister) pauseReading(ctx context.Context) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	k.mu.Lock()
+	k.stopPause = stop
+	k.mu.Unlock()
+	kernel.Pause(ctx, retryPause())
+}
+
+// RetryRead ends the pause after a failed read.
+func (k *Persister) RetryRead() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.stopPause != nil {
+		k.stopPause()
 	}
 }
 
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -29,6 +29,8 @@
 	skipLogLimiter *rate.Limiter
 
 	now func() time.Time
+	// onConfirmed is called with the time of each later confirmation by the store.
+	onConfirmed func(at time.Time)
 	// epoch identifies this process lifetime, to which change numbers belong.
 	epoch uint64
 	// absences delays the removal of upstreams within a grace period; nil if the keys are not upstreams.
@@ -73,7 +75,7 @@
 // NewLog returns an empty log of a topic.
 func NewLog(t Topic, f *facts.Facts, now func() time.Time, l *log.Logger) *Log {
 	g := &Log{
-		topic: t, log: l, now: now, epoch: rand.Uint64() | 1, entries: map[string]*entry{}, changed: make(chan struct{}),
+		topic: t, onConfirmed: f.NoteStoreAnswered, log: l, now: now, epoch: rand.Uint64() | 1, entries: map[string]*entry{}, changed: make(chan struct{}),
 		skipLogLimiter: rate.NewLimiter(skipLogRate, skipLogBurst), lease: newReadLease("", "", now),
 	}
 	if t.KeysAreUpstreams {
@@ -160,6 +162,7 @@
 	}
 	if b.ConfirmedAt.After(l.confirmedAt) {
 		l.confirmedAt = b.ConfirmedAt
+		l.onConfirmed(b.ConfirmedAt)
 	}
 	if l.lastChange > before {
 		close(l.changed)
