Hold several parts of prompts that crash all upstreams at once

Two parts of prompts, each in 50 requests a second, crash all upstreams within half a second. Neither was held, or only one, until the upstreams were back and crashed once more; upstreams that are back more than 3 s later make that round too late.

Cause: crashes less than 50 ms apart count as one event, and harmless requests that were beginning lower the weight of each; of the crashes that a hold leaves over, two independent ones were wanted; and one request at one of two crashes passed for their explanation.

Six crashes in three events suffice now if as many different requests with the part were beginning there and no answer on it was recently written; two crashes at once suffice beside those that a hold explains; a request explains crashes only if it was at two.

The two specs of a part failed before. A rule of six crashes without the three events held parts of upstreams that end together, and was dropped.

--- a/internal/quarantine/prompt_part.go
+++ b/internal/quarantine/prompt_part.go
@@ -23,6 +23,9 @@
 	// minCertainCrashes is the number of crashes that must count against a part on which this gateway has recently forwarded
 	// complete answers, and that suffice, whatever their weight, against one on which it has not.
 	minCertainCrashes = 6
+	// minSpreadEvents is the number of independent events that suffice if they consist of minCertainCrashes crashes, at which as
+	// many different requests with a part were beginning on which no answer was recently written.
+	minSpreadEvents = 3
 	// sameCauseWindow is the time within which several crashes count as one against a part: upstreams that end together
 	// are ended by something else than the requests that they have in common.
 	sameCauseWindow = 50 * time.Millisecond
@@ -94,7 +97,9 @@
 	if countBegun(crashes, f) < minCrashes-1 {
 		needed = minUnbegunCrashes
 	}
-	certain := len(events) >= minCertainCrashes || l.onlyLikelyCause(f, crashes)
+	answered := l.served.has(f) || l.isUnlikely(f)
+	certain := len(events) >= minCertainCrashes || l.onlyLikelyCause(f, crashes) || !answered && len(events) >= minSpreadEvents &&
+		countBegun(crashes, f) >= minCertainCrashes && len(begunRequests(crashes, f)) >= minCertainCrashes
 	if len(events) < minPartCrashes && !certain {
 		return false
 	}
@@ -102,7 +107,6 @@
 		return false
 	}
 	weight, requests := l.weigh(f, events)
-	answered := l.served.has(f) || l.isUnlikely(f)
 	if len(requests) < minRequests || weight < minWeight && (!certain || answered) || answered && !certain {
 		return false
 	}
@@ -110,7 +114,8 @@
 }
 
 // onlyLikelyCause reports whether a part was present at enough independent crashes at which answers on all other parts that may
-// be the cause had recently been written. The caller holds the lock.
+// be the cause had recently been written. Two at once suffice if something else that is held explains others. The caller holds
+// the lock.
 func (l *SuspectTracker) onlyLikelyCause(f Fingerprint, crashes []*recordedCrash) bool {
 	if l.isUnlikely(f) || l.served.has(f) {
 		return false
@@ -121,10 +126,8 @@
 		})
 	})
 	n := len(independentEvents(alone, f))
-	if countBegun(alone, f) < minCrashes-1 || n < minCrashesBeside {
-		return false
-	}
-	return n >= minPartCrashes || n+l.explainedEvents(f) >= minUnbegunCrashes
+	begun := countBegun(alone, f)
+	return begun >= minCrashes-1 && n >= minPartCrashes || begun > 0 && n+l.explainedEvents(f) >= minUnbegunCrashes
 }
 
 // isRival reports whether a crash is evidence against a request or part that was present at others as well, and that is not
@@ -159,7 +162,7 @@
 }
 
 // oneRequestExplains reports whether one request that is suspected by itself was present at all of the crashes, or all but
-// one. Until it is held or cleared it is the likelier cause.
+// one, and at two at least. Until it is held or cleared it is the likelier cause.
 func oneRequestExplains(crashes []*recordedCrash) bool {
 	present := map[Fingerprint]int{}
 	for _, e := range crashes {
@@ -170,7 +173,7 @@
 		}
 	}
 	for _, n := range present {
-		if n >= len(crashes)-1 {
+		if n >= max(minCrashes-1, len(crashes)-1) {
 			return true
 		}
 	}
@@ -221,6 +224,19 @@
 	return n
 }
 
+// begunRequests returns the requests with a part on which upstreams were beginning answers at crashes.
+func begunRequests(crashes []*recordedCrash, f Fingerprint) map[Fingerprint]struct{} {
+	requests := map[Fingerprint]struct{}{}
+	for _, e := range crashes {
+		for _, r := range e.unwritten {
+			if r.beginning && slices.Contains(r.parts, f) {
+				requests[r.fingerprint] = struct{}{}
+			}
+		}
+	}
+	return requests
+}
+
 // sameEvidence lists the parts, in order, against which exactly the same crashes count as against a part, and that were in the
 // same requests there, including itself. These parts can't be distinguished; the caller holds the lock.
 func (l *SuspectTracker) sameEvidence(f Fingerprint) (parts []Fingerprint) {
--- a/internal/quarantine/prompt_part_test.go
+++ b/internal/quarantine/prompt_part_test.go
@@ -76,6 +76,38 @@
 		Expect(d.HeldRequests()).To(BeEmpty())
 	})
 
+	It("is held for upstreams that end shortly after each other if many different requests with it were beginning there", func() {
+		d := newManualTracker()
+		for n := range minCertainCrashes {
+			Expect(d.checkPrompt("bad")).NotTo(Equal(Held))
+			if n%2 == 0 {
+				d.clock = d.clock.Add(sameCauseWindow)
+			}
+			d.RecordCrash(promptCrash(n, []string{"bad"}, []string{fmt.Sprint("other", n)}, []string{fmt.Sprint("third", n)}))
+		}
+		d.runTimers()
+		Expect(d.checkPrompt("bad")).To(Equal(Held))
+		Expect(d.checkPrompt("other0")).To(Equal(Pass))
+	})
+
+	It("is held for two crashes of its own at once beside those that another hold explains", func() {
+		d := newManualTracker()
+		d.crashEach(0, slices.Repeat([][]string{{"known"}}, minPartCrashes)...)
+		d.runTimers()
+		Expect(d.checkPrompt("known")).To(Equal(Held))
+		for n := range minPartCrashes {
+			d.RecordCrash(promptCrash(10+n, []string{"known"}, []string{"hidden"}))
+			d.clock = d.clock.Add(sameCauseWindow)
+		}
+		d.runTimers()
+		Expect(d.checkPrompt("hidden")).NotTo(Equal(Held))
+		for n := range minCrashesBeside {
+			d.RecordCrash(promptCrash(20+n, []string{"hidden"}))
+		}
+		d.runTimers()
+		Expect(d.checkPrompt("hidden")).To(Equal(Held))
+	})
+
 	It("is held for upstreams that end shortly after each other if the same requests were sent from one to the next", func() {
 		d := newManualTracker()
 		for n := range 6 {
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -17,7 +17,8 @@
 // times, run times and message delays are those of typical deployments.
 
 const (
-	newsDelay   = 10 * time.Millisecond
+	newsDelay = 10 * time.Millisecond
+	// restartTime is how long an upstream is down after a crash, unless configured otherwise.
 	restartTime = 5 * time.Second
 	crashDelay  = 80 * time.Millisecond
 	lossRate    = 0.03
@@ -54,6 +55,8 @@
 	duration  time.Duration
 	// shared makes the gateways exchange their crashes.
 	shared bool
+	// downtime is how long an upstream is down after a crash.
+	downtime time.Duration
 }
 
 // simulatedRequest is a request of a caller.
@@ -260,7 +263,7 @@
 	}
 	p.up, p.requests = false, nil
 	p.restarts++
-	t.schedule(restartTime, func() { p.up = true })
+	t.schedule(t.downtime, func() { p.up = true })
 	for g := range t.gateways {
 		e := seen[g]
 		if e == nil {
@@ -344,7 +347,7 @@
 
 // typicalDeployment returns a deployment of 7 gateways and 20 upstreams.
 func typicalDeployment() simulationConfig {
-	return simulationConfig{gateways: 7, upstreams: 20, proper: 100, duration: 30 * time.Second, shared: true}
+	return simulationConfig{gateways: 7, upstreams: 20, proper: 100, duration: 30 * time.Second, shared: true, downtime: restartTime}
 }
 
 var _ = Describe("simulations of many gateways in virtual time", func() {
