--- a/internal/quarantine/knowledge.go
+++ b/internal/quarantine/knowledge.go
@@ -51,8 +51,7 @@
 	asked    map[string]bool
 	askedAt  time.Time
 	answered bool
-	// complete is true once a stager has answered that a gateway had told it what is held, and incomplete once one has answered
-	// that none had since it started.
+	// complete is true once a stager has answered that knows what gateways hold, and incomplete once one has that has just started.
 	complete, incomplete bool
 	// storeBy is how the records are known; empty while they are not.
 	storeBy string
@@ -134,7 +133,7 @@
 	}
 }
 
-// noteAnswer notes the answer of a stager to a question, and whether a gateway has told the stager what is held.
+// noteAnswer notes the answer of a stager to a question, and whether the stager knows what gateways hold.
 func (k *Knowledge) noteAnswer(question uint64, stager string, complete bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -145,8 +144,8 @@
 	}
 }
 
-// checkAnswers ends the question once all stagers have answered, or had time to. Without the records it goes on while only stagers
-// have answered that have just started. The caller holds the lock.
+// checkAnswers ends the question once all stagers have answered, or had time to. Without the records it goes on while only
+// stagers have answered that have just started. The caller holds the lock.
 func (k *Knowledge) checkAnswers() {
 	if k.answered || k.askedAt.IsZero() || k.storeBy != "store" && k.incomplete && !k.complete {
 		return
--- a/internal/reports/held_answer.go
+++ b/internal/reports/held_answer.go
@@ -35,11 +35,11 @@
 		return
 	}
 	h.heldQuestion = question
-	again := complete && (!h.toldAll || s.now().Sub(h.answeredAt) >= heldAnswerInterval)
+	again := complete && (!h.answeredAll || s.now().Sub(h.answeredAt) >= heldAnswerInterval)
 	if question == 0 || question == h.answered && !again {
 		return
 	}
-	h.answered, h.answeredAt, h.toldAll = question, s.now(), complete
+	h.answered, h.answeredAt, h.answeredAll = question, s.now(), complete
 	s.after(delay, func() { s.answerHeld(address, question) })
 }
 
@@ -59,10 +59,10 @@
 	if len(held) == 0 && !complete {
 		return
 	}
-	told := &pb.HeldAnswer{Question: question, Holds: uint32(len(held)), Complete: complete}
+	answer := &pb.HeldAnswer{Question: question, Holds: uint32(len(held)), Complete: complete}
 	for first := true; first || len(held) > 0; first = false {
 		n := min(len(held), maxHeldPerAnswer)
-		s.sendNews(&pb.CrashNews{Sender: s.self(), Held: held[:n], RememberOnly: true, Told: told}, []*facts.Instance{to})
+		s.sendNews(&pb.CrashNews{Sender: s.self(), Held: held[:n], RememberOnly: true, Answer: answer}, []*facts.Instance{to})
 		held = held[n:]
 	}
 }
--- a/internal/reports/held_answer_test.go
+++ b/internal/reports/held_answer_test.go
@@ -53,14 +53,14 @@
 	}
 	count := func() int { return len(remembered(r)) }
 
-	it("is told by a gateway after the stager's start, once", func() {
+	it("is sent by a gateway after the stager's start, once", func() {
 		join(numberedHolds(7), true, 0)
 		Eventually(count).Should(Equal(7))
 		_, late := join(numberedHolds(7), true, 100*time.Millisecond)
 		Consistently(late).WithTimeout(300 * time.Millisecond).ShouldNot(Receive())
 	})
 
-	it("is told by a gateway that does not know all records as well, but not taken for complete", func() {
+	it("is sent by a gateway that does not know all records as well, but not taken for complete", func() {
 		s, _ := join(numberedHolds(2), false, 0)
 		Eventually(count).Should(Equal(2))
 		answers := make(chan *pb.CrashNews, 100)
@@ -69,8 +69,8 @@
 		var n *pb.CrashNews
 		Eventually(answers).WithTimeout(3 * time.Second).Should(Receive(&n))
 		Expect(n.GetIncomplete()).To(BeTrue())
-		_, told := join(numberedHolds(2), true, 0)
-		Eventually(told).WithTimeout(3 * time.Second).Should(Receive())
+		_, complete := join(numberedHolds(2), true, 0)
+		Eventually(complete).WithTimeout(3 * time.Second).Should(Receive())
 		Eventually(func() bool {
 			for len(answers) > 0 {
 				n = <-answers
@@ -86,9 +86,9 @@
 	ginkgo.BeforeEach(func() { now, m = time.Unix(1000, 0), &heldMemory{} })
 	// tell applies an answer to the memory's question in one datagram, and returns true if it is whole.
 	tell := func(holds []*pb.HeldNews, all int) bool {
-		n := &pb.CrashNews{Sender: "g", Held: holds, RememberOnly: true, Told: &pb.HeldAnswer{Question: m.ask(now), Holds: uint32(all), Complete: true}}
+		n := &pb.CrashNews{Sender: "g", Held: holds, RememberOnly: true, Answer: &pb.HeldAnswer{Question: m.ask(now), Holds: uint32(all), Complete: true}}
 		m.note(n, now)
-		return m.noteTold(n, now)
+		return m.noteAnswer(n, now)
 	}
 
 	it("does not expire while gateways hold what it remembers", func() {
--- a/internal/reports/held_memory.go
+++ b/internal/reports/held_memory.go
@@ -19,8 +19,8 @@
 	// stager asks gateways again what they hold.
 	heldMemoryTTL       = 10 * time.Minute
 	heldRefreshInterval = heldMemoryTTL / 2
-	// maxTellers limits the gateways whose answers to a stager are received at the same time.
-	maxTellers = 64
+	// maxAnswering limits the gateways whose answers to a stager are received at the same time.
+	maxAnswering = 64
 	// maxHeldPerAnswer is the number of holds in one datagram of an answer.
 	maxHeldPerAnswer = 3
 )
@@ -33,11 +33,11 @@
 	entries []rememberedHold
 	// releasedAt is when holds were released. An answer that was sent before may still contain them.
 	releasedAt map[string]time.Time
-	// question is the number of the question that gateways are asked; 0 for none. told are the holds that they have answered, by
-	// gateway, and toldAt is when one of them had told everything; zero before.
-	question uint64
-	told     map[string]map[string]struct{}
-	toldAt   time.Time
+	// question is the number of the question that gateways are asked; 0 for none. received are the holds in their answers, by
+	// gateway, and completeAt is when a complete answer had been received; zero before.
+	question   uint64
+	received   map[string]map[string]struct{}
+	completeAt time.Time
 }
 
 // rememberedHold is a hold and when it was last announced.
@@ -50,7 +50,7 @@
 func (m *heldMemory) note(n *pb.CrashNews, now time.Time) {
 	for _, h := range n.GetHeld() {
 		f := string(h.GetFingerprint())
-		if at, ok := m.releasedAt[f]; ok && n.GetTold() != nil && now.Sub(at) < heldMemoryTTL {
+		if at, ok := m.releasedAt[f]; ok && n.GetAnswer() != nil && now.Sub(at) < heldMemoryTTL {
 			continue
 		}
 		delete(m.releasedAt, f)
@@ -90,33 +90,33 @@
 
 // ask returns the number of the question that gateways are to be asked; 0 for none.
 func (m *heldMemory) ask(now time.Time) uint64 {
-	if m.question == 0 && (m.toldAt.IsZero() || now.Sub(m.toldAt) >= heldRefreshInterval) {
-		m.question, m.told = rand.Uint64()|1, map[string]map[string]struct{}{}
+	if m.question == 0 && (m.completeAt.IsZero() || now.Sub(m.completeAt) >= heldRefreshInterval) {
+		m.question, m.received = rand.Uint64()|1, map[string]map[string]struct{}{}
 	}
 	return m.question
 }
 
-// noteTold notes a datagram of a gateway's answer. It returns true once the gateway has told everything.
-func (m *heldMemory) noteTold(n *pb.CrashNews, now time.Time) bool {
-	a := n.GetTold()
+// noteAnswer notes a datagram of a gateway's answer. It returns true once the answer is complete.
+func (m *heldMemory) noteAnswer(n *pb.CrashNews, now time.Time) bool {
+	a := n.GetAnswer()
 	if a.GetQuestion() == 0 || a.GetQuestion() != m.question || !a.GetComplete() {
 		return false
 	}
-	received := m.told[n.GetSender()]
-	if received == nil {
-		if len(m.told) >= maxTellers {
+	holds := m.received[n.GetSender()]
+	if holds == nil {
+		if len(m.received) >= maxAnswering {
 			return false
 		}
-		received = map[string]struct{}{}
-		m.told[n.GetSender()] = received
+		holds = map[string]struct{}{}
+		m.received[n.GetSender()] = holds
 	}
 	for _, h := range n.GetHeld() {
-		received[string(h.GetFingerprint())] = struct{}{}
+		holds[string(h.GetFingerprint())] = struct{}{}
 	}
-	if len(received) < int(a.GetHolds()) {
+	if len(holds) < int(a.GetHolds()) {
 		return false
 	}
-	m.question, m.told, m.toldAt = 0, nil, now
+	m.question, m.received, m.completeAt = 0, nil, now
 	return true
 }
 
@@ -150,13 +150,13 @@
 	if len(l) == 0 && question == 0 {
 		return
 	}
-	r.log.Info().Str("gateway", s.addr.String()).Int("held", len(l)).Bool("asked", question != 0).Msg("a gateway is told what is held")
+	r.log.Info().Str("gateway", s.addr.String()).Int("held", len(l)).Bool("asked", question != 0).Msg("what is held is sent to a gateway")
 	for {
 		n := min(len(l), maxHeldPerAnswer)
 		news := &pb.CrashNews{Sender: r.upstreamAddress, Held: l[:n]}
 		l = l[n:]
 		if len(l) == 0 {
-			news.Answers, news.Incomplete = question, r.heldMemory.toldAt.IsZero()
+			news.Answers, news.Incomplete = question, r.heldMemory.completeAt.IsZero()
 		}
 		b, err := proto.Marshal(&pb.UpstreamReport{News: news})
 		if err != nil {
--- a/internal/reports/news.go
+++ b/internal/reports/news.go
@@ -194,8 +194,8 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	r.heldMemory.note(n, now)
-	if r.heldMemory.noteTold(n, now) {
-		r.log.Info().Str("gateway", n.GetSender()).Uint32("held", n.GetTold().GetHolds()).Msg("a gateway has told this process what is held")
+	if r.heldMemory.noteAnswer(n, now) {
+		r.log.Info().Str("gateway", n.GetSender()).Uint32("held", n.GetAnswer().GetHolds()).Msg("a gateway has answered what is held")
 	}
 	if n.GetRememberOnly() || len(n.GetReleased()) > 0 {
 		// All gateways that release the same hold say so.
--- a/internal/reports/stager_state.go
+++ b/internal/reports/stager_state.go
@@ -32,10 +32,10 @@
 	demandUntil      time.Time
 	// heldQuestion is the question of the stager's newest report about what gateways hold; 0 for none.
 	heldQuestion uint64
-	// answered is the question that was last answered, at answeredAt, and toldAll is true if the answer was complete.
-	answered   uint64
-	answeredAt time.Time
-	toldAll    bool
+	// answered is the question that was last answered, at answeredAt, and answeredAll is true if the answer was complete.
+	answered    uint64
+	answeredAt  time.Time
+	answeredAll bool
 	// nextLimitSend is when a rate limit that the stager's reports lack may be sent to it again.
 	nextLimitSend time.Time
 }
