Refuse requests at once when what is held is not known soon

Requests wait only while the answers are due: 0.25 s from the question to stagers, or from the store's return. Later ones are refused at once with the same Retry-After.

The spec failed before (it waited for a minute) and passes.

--- a/internal/quarantine/knowledge.go
+++ b/internal/quarantine/knowledge.go
@@ -62,6 +62,8 @@
 	// begunAt is when that began, deadline when it ends at the latest, zero until upstreams are listed, and readyAt when the
 	// gateway is ready at the latest, zero until it has a configuration.
 	begunAt, deadline, readyAt time.Time
+	// waitUntil is until when requests wait, as the answers are expected by then; zero until stagers are asked.
+	waitUntil time.Time
 	// changed is closed when the gateway knows.
 	changed chan struct{}
 }
@@ -82,6 +84,7 @@
 	k.question, k.asked = rand.Uint64()|1, map[string]bool{}
 	k.askedAt, k.answered, k.storeBy, k.deadline = time.Time{}, false, "", time.Time{}
 	k.complete, k.incomplete = false, false
+	k.waitUntil = time.Time{}
 	k.setWaived(time.Time{})
 	k.learning.Store(true)
 	k.ask(k.question)
@@ -124,7 +127,7 @@
 	}
 	if k.askedAt.IsZero() {
 		k.askedAt = k.now()
-		k.deadline = k.askedAt.Add(maxLearningTime)
+		k.deadline, k.waitUntil = k.askedAt.Add(maxLearningTime), k.askedAt.Add(maxAnswerTime)
 	}
 	for _, a := range stagers {
 		if _, known := k.asked[a]; !known {
@@ -220,6 +223,7 @@
 		k.begunAt, k.changed = k.now(), make(chan struct{})
 		k.deadline = k.begunAt.Add(maxLearningTime)
 	}
+	k.waitUntil = k.now().Add(maxAnswerTime)
 	go k.OnStoreBack()
 }
 
@@ -272,13 +276,17 @@
 	return !k.now().Before(k.readyAt)
 }
 
-// Wait waits until the gateway knows what is held, for a time at most, and reports whether it does.
+// Wait waits until the gateway knows what is held, for a time at most, and reports whether it does. It does not wait once the
+// answers are overdue.
 func (k *Knowledge) Wait(ctx context.Context, most time.Duration) bool {
 	if k.Known() {
 		return true
 	}
 	k.mu.Lock()
 	changed := k.changed
+	if !k.waitUntil.IsZero() {
+		most = min(most, k.waitUntil.Sub(k.now()))
+	}
 	k.mu.Unlock()
 	ctx, stop := context.WithTimeout(ctx, most)
 	defer stop()
--- a/internal/quarantine/knowledge_test.go
+++ b/internal/quarantine/knowledge_test.go
@@ -48,6 +48,14 @@
 		Expect(asking).To(BeZero())
 	})
 
+	It("keeps no request waiting once the answers are overdue", func() {
+		k.noteAsked(asking, []string{"a"}, true)
+		now = now.Add(maxAnswerTime)
+		began := time.Now()
+		Expect(k.Wait(context.Background(), time.Minute)).To(BeFalse())
+		Expect(time.Since(began)).To(BeNumerically("<", maxAnswerTime))
+	})
+
 	It("is known without stagers where there are none", func() {
 		k.noteStore(nil)
 		k.noteAsked(asking, nil, true)
