Soak: kill stagers after a hold, and all gateways in a later outage

The soak hurt gateways once, within seconds after a hold; nothing started stagers while the store was there.

The step long-held sends requests that crash upstreams each 20 ms, kills half of the stagers or all once or twice, and then all gateways, sometimes with stagers, in an outage of the store.

--- a/internal/soak/cases.go
+++ b/internal/soak/cases.go
@@ -60,4 +60,10 @@
 		},
 		Cause: "gateways that started during an outage of the store forwarded requests that others held, as only the store would have told them",
 	},
+	{
+		Settings: Settings{
+			Seed: 9701, Seconds: 42, Gateways: 6, Stagers: 12, Domains: 3, EngineShare: 0.15, Faults: []string{doLongHeld},
+		},
+		Cause: "stagers that had started after a hold remembered nothing of it, so gateways that started in the next outage forwarded such requests",
+	},
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -76,6 +76,8 @@
 		w.corruptInSwap(ctx, s)
 	case doHurtAfterHold:
 		w.hurtAfterHold(ctx, s)
+	case doLongHeld:
+		w.hurtLongAfterHold(ctx, s)
 	case doAnswersLost, doHerdKill:
 		w.injectStorm(ctx, s)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -47,6 +47,7 @@
 	doHerdKill             = "herd-kill"
 	doCorruptInSwap        = "corrupt-in-swap"
 	doHurtAfterHold        = "hurt-after-hold"
+	doLongHeld             = "long-held"
 )
 
 // reservationFaults lists the faults of reservations, which are drawn at a mean interval of meanReservationInterval each.
@@ -137,6 +138,7 @@
 	p.drawStorms(allowed)
 	p.drawRecurring(allowed, doCorruptInSwap, meanCorruptInterval, minCorruptStop, maxCorruptStop)
 	p.drawAfterHold(allowed)
+	p.drawLongHeld(allowed)
 	slices.SortStableFunc(p.steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p.steps
 }
