Wait for held requests again also after a stop of the process

A gateway that had ceased to wait for the records, as the store was away, and then stood still, forgot that it had, so that it did not wait for them when the store returned. Found in reading the diff.

--- a/internal/quarantine/knowledge.go
+++ b/internal/quarantine/knowledge.go
@@ -51,7 +51,8 @@
 	asked    map[string]bool
 	askedAt  time.Time
 	answered bool
-	// complete is true once a stager has answered that knows what gateways hold, and incomplete once one has that has just started.
+	// complete is true once a stager has answered that knows what gateways hold, and incomplete once one has that has just
+	// started.
 	complete, incomplete bool
 	// storeBy is how the records are known; empty while they are not.
 	storeBy string
@@ -108,13 +109,14 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	by := k.storeBy
+	by, waivedAt := k.storeBy, k.waivedAt
 	if !k.learning.Load() {
 		by = "stagers"
 		go k.OnStopped()
 	}
 	k.start()
 	k.storeBy = by
+	k.setWaived(waivedAt)
 }
 
 // noteAsked notes that stagers, by the addresses of their upstreams, have been asked a question, and whether any
--- a/internal/quarantine/knowledge_test.go
+++ b/internal/quarantine/knowledge_test.go
@@ -109,6 +109,20 @@
 			Expect(k.Known()).To(BeTrue())
 		})
 
+		It("is not taken for complete when the store returns after the process stood still", func() {
+			k.Tick()
+			answerAll()
+			k.noteStore(unavailable)
+			Expect(k.Known()).To(BeTrue())
+			now = now.Add(MinStop)
+			Expect(k.Known()).To(BeFalse())
+			answerAll()
+			Expect(k.Known()).To(BeTrue())
+			k.Tick()
+			storeAnsweredAt = now.Add(1)
+			Expect(k.Known()).To(BeFalse())
+		})
+
 		It("is not taken for complete when upstreams are first listed as the store returns", func() {
 			k.noteStore(unavailable)
 			now = now.Add(time.Second)
