Bound what is kept and computed for holds

A stager that had the beginnings of 64 gateways' answers took no others, so that it asked for good if none of the 64 went on; it now drops them. Found in reading the diff.

--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -26,7 +26,7 @@
 // logUndecided logs the parts of prompts that were present at many crashes and are not held; the caller holds the lock.
 func (l *SuspectTracker) logUndecided() {
 	for f, s := range l.suspects {
-		if !s.part || l.isUnlikely(f) {
+		if !s.part || len(s.crashes) < minCrashesBeside || l.isUnlikely(f) {
 			continue
 		}
 		counted, explained := s.countedCrashes(f), l.explainedEvents(f)
--- a/internal/reports/held_answer_test.go
+++ b/internal/reports/held_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -110,6 +111,15 @@
 		Expect(tell(all[3:], 5)).To(BeTrue())
 	})
 
+	it("becomes complete although many gateways have ended before their answers had arrived", func() {
+		all := numberedHolds(4)
+		for g := range 2 * maxAnswering {
+			n := &pb.CrashNews{Sender: fmt.Sprint("g", g), Held: all[:3], Answer: &pb.HeldAnswer{Question: m.ask(now), Holds: 4, Complete: true}}
+			Expect(m.noteAnswer(n, now)).To(BeFalse())
+		}
+		Expect(tell(all, 4)).To(BeTrue())
+	})
+
 	it("does not take back what was released by an answer sent before", func() {
 		Expect(tell(numberedHolds(2), 2)).To(BeTrue())
 		m.note(&pb.CrashNews{Released: [][]byte{{1}}}, now)
--- a/internal/reports/held_memory.go
+++ b/internal/reports/held_memory.go
@@ -105,7 +105,7 @@
 	holds := m.received[n.GetSender()]
 	if holds == nil {
 		if len(m.received) >= maxAnswering {
-			return false
+			clear(m.received)
 		}
 		holds = map[string]struct{}{}
 		m.received[n.GetSender()] = holds
