--- a/internal/quarantine/knowledge_test.go
+++ b/internal/quarantine/knowledge_test.go
@@ -92,9 +92,10 @@
 		var reads chan bool
 		unavailable := errors.New("unavailable")
 		BeforeEach(func() {
-			storeAnsweredAt, reads = time.Time{}, make(chan bool, 1)
+			c := make(chan bool, 100)
+			storeAnsweredAt, reads = time.Time{}, c
 			k.storeAnsweredAt = func() time.Time { return storeAnsweredAt }
-			k.OnStoreBack = func() { reads <- true }
+			k.OnStoreBack = func() { c <- true }
 		})
 
 		It("is not taken for complete when the store returns, until they have been read", func() {
