Spec: wait until an upstream's further bytes are sent before the next request

upconn, "an upstream that sends bytes without end after a whole response gets no further request on that connection", failed once in make test of: the header of the second response was too long.

Cause, shown by a pause of 20 ms between the response and the further bytes, with which the spec fails in the same way: the second request was sent before the upstream had written them, when nothing on the connection shows them yet. The spec now waits until they are written; with the pause it passes. The check is the same.

--- a/internal/upconn/endless_test.go
+++ b/internal/upconn/endless_test.go
@@ -87,6 +87,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(string(b)).To(Equal("whole"))
 			e.Release(true)
+			Eventually(sent.Load).Should(BeNumerically(">", 0))
 		}
 		Expect(u.accepted.Load()).To(BeEquivalentTo(2))
 	})
