--- a/internal/soak/afterhold.go
+++ b/internal/soak/afterhold.go
@@ -27,12 +27,19 @@
 // drawAfterHold draws when gateways are hurt while others hold requests that crash upstreams. It is drawn after all other
 // steps, so that a seed's other steps stay the same.
 func (p *planner) drawAfterHold(allowed []string) {
-	last := p.end - afterHoldTime
-	if len(keepAllowed([]string{doHurtAfterHold}, allowed)) == 0 || last <= 0 {
+	if len(keepAllowed([]string{doHurtAfterHold}, allowed)) > 0 {
+		p.drawSuccessive(doHurtAfterHold, afterHoldTime)
+	}
+}
+
+// drawSuccessive draws steps of a duration that follow each other without an overlap.
+func (p *planner) drawSuccessive(do string, d time.Duration) {
+	last := p.end - d
+	if last <= 0 {
 		return
 	}
-	for at := p.between(0, last); at < last; at += afterHoldTime + p.between(0, maxHurt) {
-		p.add(at, doHurtAfterHold, afterHoldTime)
+	for at := p.between(0, last); at < last; at += d + p.between(0, maxHurt) {
+		p.add(at, do, d)
 	}
 }
 
--- a/internal/soak/longheld.go
+++ b/internal/soak/longheld.go
@@ -26,12 +26,8 @@
 // drawLongHeld draws when stagers and gateways are killed in series while requests are held, if that is named: with all gateways
 // killed before a hold as well, what is only suspected is lost (docs/incidents/0020).
 func (p *planner) drawLongHeld(allowed []string) {
-	last := p.end - longHeldTime
-	if !slices.Contains(allowed, doLongHeld) || last <= 0 {
-		return
-	}
-	for at := p.between(0, last); at < last; at += longHeldTime + p.between(0, maxHurt) {
-		p.add(at, doLongHeld, longHeldTime)
+	if slices.Contains(allowed, doLongHeld) {
+		p.drawSuccessive(doLongHeld, longHeldTime)
 	}
 }
 
