Order relays by weights that are worked out once

The order of stagers for a key hashed two addresses at each comparison.

The weights are worked out once for each order; the order is the same.

--- a/internal/reports/news.go
+++ b/internal/reports/news.go
@@ -91,9 +91,11 @@
 		rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
 		return
 	}
-	slices.SortFunc(l, func(a, b *facts.Instance) int {
-		return cmp.Compare(rendezvous.Weight(key, id.VM(b.Address)), rendezvous.Weight(key, id.VM(a.Address)))
-	})
+	weights := make(map[*facts.Instance]uint64, len(l))
+	for _, i := range l {
+		weights[i] = rendezvous.Weight(key, id.VM(i.Address))
+	}
+	slices.SortFunc(l, func(a, b *facts.Instance) int { return cmp.Compare(weights[b], weights[a]) })
 }
 
 // pickRelays picks stagers at random, or by a key. Where gateways subscribe to subsets, it picks enough in each failure domain
