Remember crashes at stagers, for gateways that start before a hold

Callers saw upstreams crash one after another under the same part of prompts for as long as all gateways were started again every few seconds: the part was never held, and each retry reached the next upstream.

Cause: the evidence of crashes, and what was answered although it was suspected, existed only in the memory of gateways and was announced once. A start of all gateways between the crashes and the hold began the count anew.

Change: the stagers that forward a crash keep it for five minutes, by incarnation and with its time, and send it to gateways that start, stood still or were cut off, before the holds. A stager that has started gets the same from gateways. Answers given later clear earlier crashes only, in whichever order both are learned; crashes that a hold explains are not sent, so that a lift stays. A part is not held by remembered crashes alone, since a gateway that has just started doesn't know what is usually served. docs/design/0016.

--- a/internal/quarantine/announce.go
+++ b/internal/quarantine/announce.go
@@ -17,7 +17,7 @@
 func (l *SuspectTracker) announceAgain(e Crash) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := l.findCrash(e.Incarnation)
+	n := l.findCrash(e.Incarnation, l.now())
 	if n == nil {
 		return
 	}
--- a/internal/quarantine/crash_record.go
+++ b/internal/quarantine/crash_record.go
@@ -49,6 +49,9 @@
 	part         bool
 	// beginning is true if the upstream was beginning an answer on it.
 	beginning bool
+	// For a request, attempt is the attempt that was in flight, and alone is true if it was sent alone.
+	attempt CallerAttempt
+	alone   bool
 }
 
 // unwrittenRequest is a request that was in flight at a crash and may have been the cause, by itself or by a part of its
@@ -77,7 +80,9 @@
 func (e *recordedCrash) addRequests(l []InFlightRequest) {
 	e.causes = nil
 	for _, p := range l {
-		e.add(p.Fingerprint, p.Organisation, false)
+		if o := e.add(p.Fingerprint, p.Organisation, false); o != nil && !o.alone {
+			o.attempt, o.alone = p.Attempt, p.Alone
+		}
 	}
 	for _, beginning := range []bool{true, false} {
 		for _, p := range l {
@@ -165,11 +170,11 @@
 	return !slices.ContainsFunc(h.Parts, func(p Fingerprint) bool { return e.present[p] == nil || !e.counts(p) })
 }
 
-// findCrash returns the crash of an incarnation if it is known; the caller holds the lock.
-func (l *SuspectTracker) findCrash(s Incarnation) *recordedCrash {
+// findCrash returns the crash of an incarnation at about a time if it is known; the caller holds the lock.
+func (l *SuspectTracker) findCrash(s Incarnation, at time.Time) *recordedCrash {
 	for _, e := range l.byInstance[s.Instance] {
 		sameBirth := e.incarnation.Born == s.Born
-		unknownBirth := (e.incarnation.Born == 0 || s.Born == 0) && l.now().Sub(e.recordedAt) < sameCrashWindow
+		unknownBirth := (e.incarnation.Born == 0 || s.Born == 0) && at.Sub(e.recordedAt).Abs() < sameCrashWindow
 		if sameBirth || unknownBirth {
 			return e
 		}
@@ -177,19 +182,28 @@
 	return nil
 }
 
-// addCrash adds a new crash, and evicts the oldest one if there are too many; the caller holds the lock.
-func (l *SuspectTracker) addCrash(s Incarnation) *recordedCrash {
+// addCrash adds a new crash, and evicts the oldest one if there are too many. It returns nil if the new one would be the oldest.
+// The caller holds the lock.
+func (l *SuspectTracker) addCrash(s Incarnation, at time.Time) *recordedCrash {
+	i := len(l.crashes)
+	for i > 0 && l.crashes[i-1].recordedAt.After(at) {
+		i--
+	}
 	if len(l.crashes) >= maxCrashes {
+		if i == 0 {
+			return nil
+		}
 		l.forgetCrash(l.crashes[0])
+		i--
 	}
 	e := &recordedCrash{
-		incarnation: s, recordedAt: l.now(), present: map[Fingerprint]*presence{}, cleared: map[Fingerprint]struct{}{},
+		incarnation: s, recordedAt: at, present: map[Fingerprint]*presence{}, cleared: map[Fingerprint]struct{}{},
 	}
-	l.crashes = append(l.crashes, e)
+	l.crashes = slices.Insert(l.crashes, i, e)
 	l.byInstance[s.Instance] = append(l.byInstance[s.Instance], e)
 	l.vars.Add("ends", 1)
 	l.log.Info().Str("instance", string(s.Instance)).Str("upstream", s.Address).Uint64("born", uint64(s.Born)).
-		Msg("an upstream process ended with requests in flight")
+		Int64("age_ms", l.now().Sub(at).Milliseconds()).Msg("an upstream process ended with requests in flight")
 	return e
 }
 
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"slices"
+	"time"
 
 	"github.com/springrail/springrail/internal/id"
 )
@@ -56,6 +57,8 @@
 type Crash struct {
 	Incarnation Incarnation
 	Requests    []InFlightRequest
+	// RememberedAt is when the crash happened if a process remembers it for one that may have missed the news; zero in news.
+	RememberedAt time.Time
 }
 
 // HeldRequest is a request that is held, or parts of prompts: gateways no longer send the request, or any request with all
--- a/internal/quarantine/news.go
+++ b/internal/quarantine/news.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"time"
+
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/id"
 )
@@ -102,17 +104,13 @@
 // ApplyNews applies the crash news of another gateway. Invalid fingerprints are counted and skipped.
 func (l *SuspectTracker) ApplyNews(m *pb.CrashNews) {
 	for _, crash := range m.GetEnds() {
-		e := Crash{Incarnation: incarnationFromProto(crash.GetStart())}
-		for _, p := range crash.GetRequests() {
-			r, err := inFlightFromProto(p)
-			if err != nil {
-				l.vars.Add("malformed", 1)
-				continue
-			}
-			e.Requests = append(e.Requests, r)
-		}
-		l.RecordCrash(e)
-		l.announceAgain(e)
+		l.announceAgain(l.applyCrash(crash, time.Time{}))
+	}
+	for _, crash := range m.GetRemembered() {
+		l.applyCrash(crash, l.timeOf(crash.GetAgeMs()))
+	}
+	for _, a := range m.GetAnswered() {
+		l.applyRemembered(a)
 	}
 	for _, b := range m.GetServed() {
 		f, err := FromBytes(b)
@@ -145,6 +143,21 @@
 	}
 }
 
+// applyCrash applies the crash that another gateway has reported, or that is remembered.
+func (l *SuspectTracker) applyCrash(m *pb.UpstreamEnd, rememberedAt time.Time) Crash {
+	e := Crash{Incarnation: incarnationFromProto(m.GetStart()), RememberedAt: rememberedAt}
+	for _, p := range m.GetRequests() {
+		r, err := inFlightFromProto(p)
+		if err != nil {
+			l.vars.Add("malformed", 1)
+			continue
+		}
+		e.Requests = append(e.Requests, r)
+	}
+	l.RecordCrash(e)
+	return e
+}
+
 // maxPartsPerRequest limits the parts of a prompt that are read from a message.
 const maxPartsPerRequest = 64
 
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -59,6 +59,7 @@
 	s.OnHeldAsked = q.Knowledge.noteAsked
 	s.Held = reports.HeldSource{
 		List: q.heldNews, Complete: func() bool { return l.recordsRead.Load() && q.Knowledge.Known() }, Delay: func() time.Duration { return l.AnnounceDelay() },
+		Evidence: l.evidence,
 	}
 	l.OnHeld = append(l.OnHeld, q.Persist, q.broadcastHeld)
 	l.OnServed = func(f Fingerprint) { q.Broadcast(CrashNews{Served: []Fingerprint{f}}) }
--- a/internal/quarantine/prompt_part.go
+++ b/internal/quarantine/prompt_part.go
@@ -82,7 +82,7 @@
 
 // partProven reports whether the evidence suffices to hold requests because of a part; the caller holds the lock.
 func (l *SuspectTracker) partProven(f Fingerprint, s *suspect) bool {
-	if len(s.crashes) < minCrashesBeside {
+	if len(s.crashes) < minCrashesBeside || !s.crashedHere {
 		return false
 	}
 	crashes := s.countedCrashes(f)
@@ -312,7 +312,7 @@
 func (l *SuspectTracker) servedSince(h HeldRequest) (parts []Fingerprint) {
 	var first time.Time
 	for _, s := range h.Incarnations {
-		if e := l.findCrash(s); e != nil && (first.IsZero() || e.recordedAt.Before(first)) {
+		if e := l.findCrash(s, l.now()); e != nil && (first.IsZero() || e.recordedAt.Before(first)) {
 			first = e.recordedAt
 		}
 	}
--- /dev/null
+++ b/internal/quarantine/remembered_test.go
@@ -0,0 +1,126 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	pb "github.com/springrail/springrail/gen/springrail/v1"
+)
+
+// startFrom returns the tracker of a gateway that starts now and gets what another one remembers.
+func startFrom(d *manualTracker) *manualTracker {
+	s := newManualTracker()
+	s.clock = d.clock
+	s.ApplyNews(d.evidence())
+	return s
+}
+
+var _ = Describe("crashes that another process remembers", func() {
+	It("count at a gateway that starts before a part is held", func() {
+		d := newManualTracker()
+		d.crashEach(0, []string{"first0", "bad"}, []string{"first1", "bad"}, []string{"first2", "bad"})
+		s := startFrom(d)
+		Expect(s.checkPrompt("bad")).To(Equal(Once))
+		s.crashEach(3, []string{"first3", "bad"})
+		s.runTimers()
+		Expect(s.checkPrompt("bad")).To(Equal(Held))
+		Expect(s.checkPrompt("first0")).To(Equal(Pass))
+	})
+
+	It("count at a gateway that starts before a request is held", func() {
+		d := newManualTracker()
+		for n := range minCrashes {
+			d.RecordCrash(crashOf(n, "bad"))
+		}
+		s := startFrom(d)
+		s.runTimers()
+		Expect(s.Check(request("bad"))).To(Equal(Held))
+	})
+
+	It("do not suffice to hold a part, as the gateway does not know yet what is usually served", func() {
+		d := newManualTracker()
+		for n := range 6 {
+			d.crashEach(n, []string{fmt.Sprint("first", n), "frequent"})
+		}
+		s := startFrom(d)
+		s.runTimers()
+		Expect(s.HeldRequests()).To(BeEmpty())
+		Expect(s.checkPrompt("frequent")).To(Equal(Once))
+		s.Served(request("x"), partsNamed([]string{"frequent"})...)
+		s.crashEach(6, []string{"frequent", "own"})
+		s.runTimers()
+		Expect(s.HeldRequests()).To(BeEmpty())
+	})
+
+	DescribeTable("do not count against what was served since, in whichever order both are learned",
+		func(servedFirst bool) {
+			d := newManualTracker()
+			d.crashEach(0, []string{"first0", "good"}, []string{"first1", "good"}, []string{"first2", "good"})
+			served := &pb.CrashNews{Answered: []*pb.RememberedAnswer{{Fingerprint: partsNamed([]string{"good"})[0][:], AgeMs: 500}}}
+			s := newManualTracker()
+			s.clock = d.clock
+			news := []*pb.CrashNews{d.evidence(), served}
+			if servedFirst {
+				slices.Reverse(news)
+			}
+			for _, n := range news {
+				s.ApplyNews(n)
+			}
+			Expect(s.checkPrompt("good")).To(Equal(Pass))
+			s.crashEach(3, []string{"first3", "good"})
+			s.runTimers()
+			Expect(s.HeldRequests()).To(BeEmpty())
+		},
+		Entry("the answer first", true),
+		Entry("the crashes first", false),
+	)
+
+	It("count against what was served before them", func() {
+		d := newManualTracker()
+		d.crashEach(0, []string{"first0", "bad"}, []string{"first1", "bad"}, []string{"first2", "bad"})
+		s := startFrom(d)
+		s.ApplyNews(&pb.CrashNews{Answered: []*pb.RememberedAnswer{{Fingerprint: partsNamed([]string{"bad"})[0][:], AgeMs: 60000}}})
+		s.crashEach(3, []string{"first3", "bad"})
+		s.runTimers()
+		Expect(s.checkPrompt("bad")).To(Equal(Held))
+	})
+
+	It("are not those that a hold explains, so that what an operator lifts is not held again at the next start", func() {
+		d := newManualTracker()
+		for n := range minPartCrashes {
+			d.crashEach(n, []string{fmt.Sprint("first", n), "bad"})
+		}
+		d.runTimers()
+		Expect(d.Lift(d.HeldRequests()[0].Fingerprint)).To(BeTrue())
+		Expect(startFrom(d).checkPrompt("bad")).To(Equal(Pass))
+	})
+
+	It("change nothing at a gateway that knows them", func() {
+		d := newManualTracker()
+		d.crashEach(0, []string{"first0", "bad"}, []string{"first1", "bad"}, []string{"first2", "bad"})
+		d.Served(request("x"), partsNamed([]string{"first0"})...)
+		s := startFrom(d)
+		n := s.evidence()
+		Expect(d.evidence().GetRemembered()).To(HaveLen(3))
+		d.ApplyNews(n)
+		Expect(d.evidence().GetRemembered()).To(HaveLen(3))
+		Expect(d.checkPrompt("first0")).To(Equal(Pass))
+	})
+
+	It("keep the time between them, so that crashes at once still count as one", func() {
+		d := newManualTracker()
+		for n := range 8 {
+			d.RecordCrash(promptCrash(n, []string{fmt.Sprint("first", n), "together"}))
+			d.clock = d.clock.Add(time.Millisecond)
+		}
+		d.clock = d.clock.Add(time.Second)
+		s := startFrom(d)
+		s.crashEach(8, []string{"other", "together"})
+		s.runTimers()
+		Expect(s.HeldRequests()).To(BeEmpty())
+	})
+})
--- a/internal/quarantine/served.go
+++ b/internal/quarantine/served.go
@@ -29,12 +29,20 @@
 
 // add notes an answer.
 func (s *recentlyServed) add(f Fingerprint) {
+	s.addAt(f, s.now())
+}
+
+// addAt notes an answer that was given at a time, unless a later one is known.
+func (s *recentlyServed) addAt(f Fingerprint, at time.Time) {
+	last, known := s.servedAt[f]
+	if known && at.Before(last) {
+		return
+	}
 	if !s.has(f) {
 		s.counts[f] = 0
 	}
 	s.counts[f]++
-	_, known := s.servedAt[f]
-	s.servedAt[f] = s.now()
+	s.servedAt[f] = at
 	if known {
 		return
 	}
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -33,6 +33,9 @@
 	triedAlone bool
 	// sharedUnlikely is true once all gateways know, from this one or another, that a part is unlikely to be the cause.
 	sharedUnlikely bool
+	// crashedHere is true once a part was present at a crash that is not only remembered: what was served before this process
+	// started is not known here, so a part is not held by remembered crashes alone.
+	crashedHere bool
 }
 
 // requestProven reports whether the evidence suffices to hold a request: enough crashes, under as many attempts of its
@@ -86,6 +89,8 @@
 	suspects   map[Fingerprint]*suspect
 	held       *heldSet
 	served     *recentlyServed
+	// servedElsewhere are the suspected requests and parts that other gateways have served.
+	servedElsewhere *recentlyServed
 	// written are the parts on which an upstream has recently written an answer for some time, though it may not be complete.
 	written  *recentlyServed
 	settling bool
@@ -100,6 +105,7 @@
 		OnMissed: func(HeldRequest) {}, AnnounceDelay: func() time.Duration { return rand.N(minAnnounceSpread) },
 		after:      func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 		byInstance: map[id.Instance][]*recordedCrash{}, suspects: map[Fingerprint]*suspect{}, held: newHeldSet(), served: newRecentlyServed(now), written: newRecentlyServed(now),
+		servedElsewhere: newRecentlyServed(now),
 	}
 	g.vars.Set("held", expvar.Func(func() any { return len(g.HeldRequests()) }))
 	return g
@@ -150,11 +156,22 @@
 // RecordCrash adds a crash that this or another gateway has seen.
 func (l *SuspectTracker) RecordCrash(e Crash) {
 	l.mu.Lock()
-	n := l.findCrash(e.Incarnation)
+	remembered, at := !e.RememberedAt.IsZero(), e.RememberedAt
+	if !remembered {
+		at = l.now()
+	}
+	n := l.findCrash(e.Incarnation, at)
+	if n == nil {
+		n = l.addCrash(e.Incarnation, at)
+	}
 	if n == nil {
-		n = l.addCrash(e.Incarnation)
+		l.mu.Unlock()
+		return
 	}
 	n.addRequests(e.Requests)
+	if remembered {
+		l.clearAnswered(n)
+	}
 	for _, p := range e.Requests {
 		if h := l.held.match(p.Fingerprint, p.Parts); h != nil && n.explainedBy(h) {
 			l.explain(n, h)
@@ -166,7 +183,7 @@
 			c.served = append(c.served, p.Fingerprint)
 		}
 		for _, f := range p.Parts {
-			if n.isEvidence(f) && l.held.get(f) == nil && l.addPartEvidence(f, p.Organisation, n) {
+			if n.isEvidence(f) && l.held.get(f) == nil && l.addPartEvidence(f, p.Organisation, n, !remembered) {
 				c.unlikely = append(c.unlikely, f)
 			}
 		}
@@ -208,7 +225,7 @@
 
 // addPartEvidence counts a crash against a part of prompts. It reports whether other gateways should know that the part is
 // unlikely to be the cause. The caller holds the lock.
-func (l *SuspectTracker) addPartEvidence(f Fingerprint, o id.Organisation, e *recordedCrash) (unlikely bool) {
+func (l *SuspectTracker) addPartEvidence(f Fingerprint, o id.Organisation, e *recordedCrash, here bool) (unlikely bool) {
 	s := l.suspects[f]
 	if s == nil {
 		s = &suspect{organisation: o, part: true, crashes: map[*recordedCrash]struct{}{}}
@@ -216,6 +233,7 @@
 	}
 	_, known := s.crashes[e]
 	s.crashes[e] = struct{}{}
+	s.crashedHere = s.crashedHere || here
 	l.undecided = true
 	if len(s.crashes) >= minPartCrashes || len(s.crashes) >= minCrashesBeside && l.held.size() > 0 {
 		l.scheduleSettle()
@@ -282,8 +300,13 @@
 func (l *SuspectTracker) ApplyWritten(f Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.written.add(f)
-	if s := l.suspects[f]; s != nil {
+	l.noteWritten(f, l.now())
+}
+
+// noteWritten notes that an upstream had written an answer on a part at another gateway; the caller holds the lock.
+func (l *SuspectTracker) noteWritten(f Fingerprint, at time.Time) {
+	l.written.addAt(f, at)
+	if s := l.suspects[f]; s != nil && l.written.has(f) {
 		s.sharedUnlikely = true
 	}
 }
@@ -298,6 +321,7 @@
 func (l *SuspectTracker) ClearSuspicion(f Fingerprint) {
 	var c changes
 	l.mu.Lock()
+	l.servedElsewhere.add(f)
 	l.clear(f, &c)
 	l.mu.Unlock()
 	l.notify(c)
--- a/internal/reports/held_answer.go
+++ b/internal/reports/held_answer.go
@@ -15,12 +15,22 @@
 type HeldSource struct {
 	// List returns what the gateway holds, oldest first.
 	List func() []*pb.HeldNews
+	// Evidence returns the crashes that nothing held explains, and what was answered although it was suspected.
+	Evidence func() *pb.CrashNews
 	// Complete reports whether the gateway knows all records of held requests.
 	Complete func() bool
 	// Delay returns a random time by which an answer is delayed, so that one gateway answers before most others.
 	Delay func() time.Duration
 }
 
+// emptyHeldSource returns the source of a gateway that holds and suspects nothing.
+func emptyHeldSource() HeldSource {
+	return HeldSource{
+		List: func() []*pb.HeldNews { return nil }, Evidence: func() *pb.CrashNews { return nil }, Complete: func() bool { return false },
+		Delay: func() time.Duration { return 0 },
+	}
+}
+
 // noteHeldQuestion notes the question of a stager's report, and answers it after a delay unless another gateway has done so by
 // then. An incomplete answer is given only once, as all gateways give theirs.
 func (s *Subscriber) noteHeldQuestion(address string, question uint64) {
@@ -55,6 +65,10 @@
 		return
 	}
 	to, complete := all[n], s.Held.Complete()
+	for _, n := range splitEvidence(s.Held.Evidence()) {
+		n.Sender, n.RememberOnly = s.self(), true
+		s.sendNews(n, []*facts.Instance{to})
+	}
 	held := s.rememberedBy(to, s.Held.List())
 	if len(held) == 0 && !complete {
 		return
--- a/internal/reports/held_answer_test.go
+++ b/internal/reports/held_answer_test.go
@@ -26,7 +26,9 @@
 	const address = "127.0.0.1:9"
 	var ctx context.Context
 	var r *Reporter
+	var evidence *pb.CrashNews
 	ginkgo.BeforeEach(func() {
+		evidence = nil
 		c, stop := context.WithCancel(context.Background())
 		ginkgo.DeferCleanup(stop)
 		p := NewReporter(newSocket(), "d", facts.New(time.Now), time.Now, discardLog)
@@ -47,6 +49,7 @@
 		s, answers = NewSubscriber(newSocket(), portOf(r.conn), id.Domain("d"), f, time.Now, discardLog), make(chan bool, 100)
 		s.Held = HeldSource{
 			List:     func() []*pb.HeldNews { answers <- true; return append([]*pb.HeldNews(nil), h...) },
+			Evidence: func() *pb.CrashNews { return evidence },
 			Complete: func() bool { return complete }, Delay: func() time.Duration { return delay },
 		}
 		running := ctx
@@ -62,6 +65,28 @@
 		Consistently(late).WithTimeout(300 * time.Millisecond).ShouldNot(Receive())
 	})
 
+	it("is sent by a gateway with the crashes that nothing held explains, and passed on to gateways that start", func() {
+		evidence = &pb.CrashNews{Remembered: []*pb.UpstreamEnd{numberedCrash(1, time.Minute, 40)}}
+		join(nil, true, 0)
+		Eventually(func() int { return len(suspected(r)) }).Should(Equal(1))
+		s, _ := join(nil, true, 0)
+		requests, known := make(chan *pb.PresentRequest, 1000), map[uint32]bool{}
+		s.OnCrashNews = func(n *pb.CrashNews) {
+			for _, e := range n.GetRemembered() {
+				for _, p := range e.GetRequests() {
+					requests <- p
+				}
+			}
+		}
+		s.AskHeld(5)
+		Eventually(func() int {
+			for len(requests) > 0 {
+				known[(<-requests).GetTry()] = true
+			}
+			return len(known)
+		}).WithTimeout(3 * time.Second).Should(Equal(40))
+	})
+
 	it("is sent by a gateway that does not know all records as well, but not taken for complete", func() {
 		s, _ := join(numberedHolds(2), false, 0)
 		Eventually(count).Should(Equal(2))
--- a/internal/reports/held_memory.go
+++ b/internal/reports/held_memory.go
@@ -146,31 +146,44 @@
 // sendHeld sends a gateway what is remembered. The last datagram answers its question, if it asked one; the caller holds
 // the lock.
 func (r *Reporter) sendHeld(s *subscriber, question uint64) {
-	l := r.heldMemory.list(r.now())
-	if len(l) == 0 && question == 0 {
+	now := r.now()
+	l, evidence := r.heldMemory.list(now), splitEvidence(r.crashMemory.list(now))
+	if len(l) == 0 && len(evidence) == 0 && question == 0 {
 		return
 	}
-	r.log.Info().Str("gateway", s.addr.String()).Int("held", len(l)).Bool("asked", question != 0).Msg("what is held is sent to a gateway")
-	for {
+	r.log.Info().Str("gateway", s.addr.String()).Int("held", len(l)).Int("crashes", len(r.crashMemory.crashes)).Bool("asked", question != 0).
+		Msg("what is held and suspected is sent to a gateway")
+	for _, n := range evidence {
+		if !r.sendRemembered(s, n) {
+			return
+		}
+	}
+	for first := true; first || len(l) > 0; first = false {
 		n := min(len(l), maxHeldPerAnswer)
-		news := &pb.CrashNews{Sender: r.upstreamAddress, Held: l[:n]}
+		news := &pb.CrashNews{Held: l[:n]}
 		l = l[n:]
 		if len(l) == 0 {
 			news.Answers, news.Incomplete = question, r.heldMemory.completeAt.IsZero()
 		}
-		b, err := proto.Marshal(&pb.UpstreamReport{News: news})
-		if err != nil {
-			r.log.Error().Err(err).Msg("failed to encode what is held")
-			return
-		}
-		if _, err := r.conn.WriteToUDP(b, s.addr); err != nil {
-			r.vars.Add("send_failed", 1)
-			return
-		}
-		r.vars.Add("held_sent", 1)
-		r.onSent(s.domain, len(b))
-		if len(l) == 0 {
+		if !r.sendRemembered(s, news) {
 			return
 		}
 	}
 }
+
+// sendRemembered sends a gateway a datagram of what is remembered, and reports whether it was sent. The caller holds the lock.
+func (r *Reporter) sendRemembered(s *subscriber, n *pb.CrashNews) bool {
+	n.Sender = r.upstreamAddress
+	b, err := proto.Marshal(&pb.UpstreamReport{News: n})
+	if err != nil {
+		r.log.Error().Err(err).Msg("failed to encode what is held or suspected")
+		return false
+	}
+	if _, err := r.conn.WriteToUDP(b, s.addr); err != nil {
+		r.vars.Add("send_failed", 1)
+		return false
+	}
+	r.vars.Add("held_sent", 1)
+	r.onSent(s.domain, len(b))
+	return true
+}
--- a/internal/reports/news.go
+++ b/internal/reports/news.go
@@ -196,6 +196,7 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	r.heldMemory.note(n, now)
+	r.crashMemory.note(n, r.heldMemory.list(now), now)
 	if r.heldMemory.noteAnswer(n, now) {
 		r.log.Info().Str("gateway", n.GetSender()).Uint32("held", n.GetAnswer().GetHolds()).Msg("a gateway has answered what is held")
 	}
--- a/internal/reports/reporter.go
+++ b/internal/reports/reporter.go
@@ -88,6 +88,8 @@
 	heldNewsLimit *rate.Limiter
 	// heldMemory is what gateways hold, by their news and answers.
 	heldMemory heldMemory
+	// crashMemory is what gateways have reported of crashes.
+	crashMemory crashMemory
 	// upstreamAddress is the address of the stager's upstream, as in the last report.
 	upstreamAddress string
 
--- a/internal/reports/subscriber.go
+++ b/internal/reports/subscriber.go
@@ -105,7 +105,7 @@
 	// OnHeldAsked is called with the number of a question about what is held, the addresses of the upstreams whose stagers were
 	// asked, and whether any upstream is listed; it must be set before Run.
 	OnHeldAsked func(question uint64, stagers []string, listed bool)
-	// Held is what this gateway answers to stagers that ask what it holds.
+	// Held is what this gateway answers to stagers that ask what it holds and suspects.
 	Held HeldSource
 	// after calls a function after a delay.
 	after func(d time.Duration, f func())
@@ -137,7 +137,7 @@
 		heldNewsLimit:  rate.NewLimiter(newsPerSecond, newsBurst),
 		OnCrashNews:    func(*pb.CrashNews) {},
 		OnHeldAsked:    func(uint64, []string, bool) {},
-		Held:           HeldSource{List: func() []*pb.HeldNews { return nil }, Complete: func() bool { return false }, Delay: func() time.Duration { return 0 }},
+		Held:           emptyHeldSource(),
 		after:          func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 		askNow:         make(chan struct{}, 1),
 		demandMeter:    placement.NewDemandMeter(now),
