--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 # The newest version that the Go release in go.mod can build.
 GOPLS_VERSION := v0.23.0
 # The packages that `make race` tests, chosen for the concurrency of their code.
-RACED := ./internal/clock/... ./internal/fleet/... ./internal/kernel/... ./internal/records/... ./internal/transfer/... ./internal/upstream/... ./internal/quarantine/...
+RACED := ./internal/clock/... ./internal/fleet/... ./internal/kernel/... ./internal/records/... ./internal/reports/... ./internal/transfer/... ./internal/upstream/... ./internal/quarantine/...
 PREFIX ?= /usr/local
 
 .PHONY: build demo examples test race soak lint generate stale install clean
