Send what was answered also from stagers that remember no crash

News of a crash and of an answer on what it made suspect go through different stagers. One that had the answer and no crash kept it to itself, so that a gateway that starts could count crashes against a part that had been served since. Seen by reading; the spec of the memory now asks for answers without a crash and failed before the change. A spec of holds took the first datagram for the answer to its question and now picks the one with the hold; what it asks of that one is the same.

--- a/internal/reports/crash_memory.go
+++ b/internal/reports/crash_memory.go
@@ -126,7 +126,8 @@
 	})
 }
 
-// list returns what is remembered and not explained; nothing if there is no such crash.
+// list returns what is remembered, without crashes that are explained. Answers count without a crash here, as the news of both go
+// through different stagers.
 func (m *crashMemory) list(now time.Time) *pb.CrashNews {
 	m.crashes = slices.DeleteFunc(m.crashes, func(c *rememberedCrash) bool { return now.Sub(c.at) >= CrashMemoryTTL })
 	m.answered = slices.DeleteFunc(m.answered, func(a rememberedAnswer) bool { return now.Sub(a.at) >= CrashMemoryTTL })
@@ -136,9 +137,6 @@
 			n.Remembered = append(n.Remembered, &pb.UpstreamEnd{Start: c.start, Requests: c.requests, AgeMs: ageSince(c.at, now)})
 		}
 	}
-	if len(n.GetRemembered()) == 0 {
-		return n
-	}
 	for _, a := range m.answered {
 		n.Answered = append(n.Answered, &pb.RememberedAnswer{Fingerprint: a.fingerprint, Written: a.written, AgeMs: ageSince(a.at, now)})
 	}
