Answer 408 when a body does not come in time

Cause: the body's read deadline was treated like a body that breaks off. The request was never sent to an upstream.

Change: after the read deadline the answer is 408, which promises that the request has not run and may be sent again, and the connection closes, so that the rest of the body is not read as a request. A shutdown still comes first. A body that breaks off is answered 400 as before.

Not changed: the route's timeout counts from the header on, as operators set it for the longest time that a request is held.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -75,6 +75,12 @@
 		f.refuse(reasonLeaving, leavingRetryAfter)
 		f.boundUnreadBody()
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		// Unlike after status 400, the caller may send the request again.
+		f.writer.Header().Set("Connection", "close")
+		f.fail(http.StatusRequestTimeout, "the body did not come in time")
+		f.boundUnreadBody()
+		return false
 	case err != nil:
 		f.fail(http.StatusBadRequest, "the body did not come whole")
 		return false
