Compare an unpinned manifest again when a chunk does not match it

Cause: where a rollout pins no manifest hash, the first manifest of the right sizes was used for good, and each chunk that did not match it was taken for corrupt. Class: the first answer is believed for good, and evidence against it counts against the next ones.

Change: a chunk that does not match makes the download fetch the manifest from the source again, at once and then at doubling intervals. Where the two differ, a chunk is accepted by either hash, since no bytes match a corrupt one, and the manifest that neighbours get is corrected by it. Pinned manifests are as before.

--- a/internal/transfer/download.go
+++ b/internal/transfer/download.go
@@ -118,6 +118,10 @@
 	// originAnswers is the time during which the origin is known to answer; originCheckAt is when the next check is allowed.
 	originAnswers swarm.OriginAnswers
 	originCheckAt time.Time
+	// recheckAt is when the manifest may be compared again, after manifestRechecks comparisons; rechecking is true during one.
+	recheckAt        time.Time
+	manifestRechecks int
+	rechecking       bool
 	// progressAt is when a chunk was last fetched from a source by this VM or a neighbour, and fetchedTotal the number of
 	// such chunks. laneProgressTotal is its value at each lane's laneProgressAt.
 	progressAt        time.Time
--- a/internal/transfer/fetch.go
+++ b/internal/transfer/fetch.go
@@ -158,7 +158,7 @@
 		d.stats.broken.Add(int64(len(data)))
 	default:
 		d.stats.received.Add(int64(len(data)))
-		if !d.storeChunk(c, data, string(n.VM)) {
+		if !d.storeChunk(ctx, c, data, string(n.VM)) {
 			o = swarm.Corrupt
 		}
 	}
@@ -215,9 +215,10 @@
 )
 
 // storeChunk verifies and stores a chunk, and reports whether it was valid.
-func (d *Download) storeChunk(c id.Chunk, data []byte, from string) bool {
+func (d *Download) storeChunk(ctx context.Context, c id.Chunk, data []byte, from string) bool {
 	_, err := d.holding.Add(c, data)
 	if err != nil {
+		d.recheckManifest(ctx)
 		d.stats.corrupt.Add(1)
 		d.addEvent(kernel.EventChunkRejected, fmt.Sprintf("chunk %d from %s", c, from))
 		d.log.Warn().Err(err).Str("from", from).Msg("discarded a corrupt chunk")
--- a/internal/transfer/holding.go
+++ b/internal/transfer/holding.go
@@ -2,13 +2,16 @@
 package transfer
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/id"
@@ -30,11 +33,13 @@
 	mu       sync.Mutex
 	manifest *pb.Manifest
 	// raw is the encoded manifest whose hash is pinned.
-	raw      []byte
-	chunks   [][]byte
-	have     *swarm.Set
-	arrivals []uint32
-	changed  chan struct{}
+	raw []byte
+	// alternatives are the hashes of chunks in further manifests, where the rollout pins none.
+	alternatives map[id.Chunk][][]byte
+	chunks       [][]byte
+	have         *swarm.Set
+	arrivals     []uint32
+	changed      chan struct{}
 }
 
 // NewHolding returns an empty holding. The epoch distinguishes it from earlier holdings of the same rollout.
@@ -43,7 +48,7 @@
 }
 
 // SetManifest stores the manifest if it has the hash that the rollout pins and matches its sizes. If the rollout pins no
-// hash, the first manifest of the right sizes is pinned.
+// hash, the first manifest of the right sizes is used; see AddAlternative.
 func (h *Holding) SetManifest(raw []byte) error {
 	m, err := manifest.Decode(raw, h.rollout.GetVersion())
 	if err != nil {
@@ -61,6 +66,55 @@
 	return nil
 }
 
+// maxAlternatives limits the hashes of one chunk that differ from the manifest's.
+const maxAlternatives = 4
+
+// IsPinned reports whether the rollout pins the manifest's hash.
+func (h *Holding) IsPinned() bool {
+	return len(h.rollout.GetVersion().GetManifestSha256()) > 0
+}
+
+// AddAlternative notes the hashes in another manifest of the source that differ, where the rollout pins no hash: either may be
+// corrupt. Bytes decide which, as none match a corrupt hash.
+func (h *Holding) AddAlternative(raw []byte) error {
+	m, err := manifest.Decode(raw, h.rollout.GetVersion())
+	if err != nil {
+		return trace.Wrap(errors.Join(ErrCorrupt, err))
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.manifest == nil || h.IsPinned() {
+		return nil
+	}
+	if h.alternatives == nil {
+		h.alternatives = map[id.Chunk][][]byte{}
+	}
+	for n, sum := range m.GetChunkSha256() {
+		c := id.Chunk(n)
+		if h.chunks[c] == nil && !h.expects(c, sum) && len(h.alternatives[c]) < maxAlternatives {
+			h.alternatives[c] = append(h.alternatives[c], sum)
+		}
+	}
+	return nil
+}
+
+// expects reports whether a chunk may have a hash. The caller holds the lock.
+func (h *Holding) expects(c id.Chunk, sum []byte) bool {
+	return bytes.Equal(sum, h.chunkHash(c)) || slices.ContainsFunc(h.alternatives[c], func(o []byte) bool { return bytes.Equal(sum, o) })
+}
+
+// correct replaces the hash of a chunk in the manifest by the one that its bytes have. The caller holds the lock.
+func (h *Holding) correct(c id.Chunk, sum []byte) error {
+	m := proto.CloneOf(h.manifest)
+	m.ChunkSha256[c] = bytes.Clone(sum)
+	raw, err := manifest.Encode(m)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	h.manifest, h.raw = m, raw
+	return nil
+}
+
 func (h *Holding) notify() {
 	close(h.changed)
 	h.changed = make(chan struct{})
@@ -92,12 +146,17 @@
 	sum := sha256.Sum256(data)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if int(c) >= len(h.chunks) || string(sum[:]) != string(h.manifest.GetChunkSha256()[c]) {
+	if int(c) >= len(h.chunks) || !h.expects(c, sum[:]) {
 		return false, trace.Wrap(ErrCorrupt, "chunk %d", c)
 	}
 	if !h.have.Add(c) {
 		return false, nil
 	}
+	if !bytes.Equal(sum[:], h.chunkHash(c)) {
+		if err := h.correct(c, sum[:]); err != nil {
+			return false, err
+		}
+	}
 	h.chunks[c] = data
 	h.arrivals = append(h.arrivals, uint32(c))
 	h.notify()
@@ -114,7 +173,14 @@
 	return h.chunks[c]
 }
 
-// chunkHash returns the pinned hash of a chunk.
+// hashOf returns the hash of a chunk in the manifest.
+func (h *Holding) hashOf(c id.Chunk) []byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.chunkHash(c)
+}
+
+// chunkHash is hashOf for a caller that holds the lock.
 func (h *Holding) chunkHash(c id.Chunk) []byte {
 	return h.manifest.GetChunkSha256()[c]
 }
--- a/internal/transfer/holding_store.go
+++ b/internal/transfer/holding_store.go
@@ -119,7 +119,7 @@
 	s.mu.Unlock()
 	found := 0
 	for c := range h.chunks {
-		data := known[string(h.chunkHash(id.Chunk(c)))]
+		data := known[string(h.hashOf(id.Chunk(c)))]
 		if data == nil {
 			continue
 		}
--- a/internal/transfer/source_budget.go
+++ b/internal/transfer/source_budget.go
@@ -102,7 +102,7 @@
 	defer stop()
 	got, err := d.transport.FetchFromSource(fetchCtx, d.rollout, objectContent, from, size)
 	d.originBytes.Add(got.OriginBytes)
-	valid := err == nil && d.storeChunk(c, got.Data, "the origin")
+	valid := err == nil && d.storeChunk(ctx, c, got.Data, "the origin")
 	if valid {
 		d.addEvent(kernel.EventOriginFetched, fmt.Sprintf("chunk %d", c))
 	}
