Ask twice before a stated newest version is believed

A stager that has only the record of an older version asks the origin for its newest one. One corrupt number in that answer was taken for published: the stager waited for a version that does not exist, and gateways refused the published one once its grace period was over.

Change: a version beyond the published one counts if a second answer states the same; otherwise the stager asks again and orders nothing meanwhile, so that no older version is loaded by the corrupt answer.

--- a/internal/stager/observed_version_test.go
+++ b/internal/stager/observed_version_test.go
@@ -33,4 +33,13 @@
 			Expect(o.Revision).To(Equal(id.Revision(3)))
 		}
 	})
+
+	It("does not wait for a version that only one corrupt answer of the origin states", func() {
+		e := newFakeUpstream()
+		e.newest, e.misstated, e.unpublished = 2, 7, 3
+		_, f := startStager(e, time.Second)
+		f.SetWanted("m", facts.Publication{Revision: 2})
+		Eventually(e.servedRevision).WithTimeout(waitTimeout).Should(Equal(id.Revision(2)))
+		Expect(f.Wanted("m").Revision).To(Equal(id.Revision(2)))
+	})
 })
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -75,6 +75,9 @@
 	fetching   map[id.Revision]int
 	// newest is the newest version of the origin; 0 if it does not report one.
 	newest id.Revision
+	// misstated is what the next answer about the newest version states instead, and unpublished the first version without a
+	// manifest; 0 for none.
+	misstated, unpublished id.Revision
 	// onLastChunkRead runs once, when the last staged chunk has been read.
 	onLastChunkRead func()
 	// onPoll runs before each read of the state.
@@ -157,11 +160,20 @@
 		Load: e.load,
 	}, Origin: Origin{
 		Manifest: func(_ context.Context, _ string, _ id.Model, r id.Revision) (*pb.Manifest, id.Revision, error) {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			stated := r
 			if r == 0 {
-				r = e.newest
+				r, stated = e.newest, e.newest
+				if e.misstated > 0 {
+					stated, e.misstated = e.misstated, 0
+				}
+			}
+			if e.unpublished > 0 && r >= e.unpublished {
+				return nil, 0, errUnavailable
 			}
 			m, err := manifest.New(bytes.NewReader(content(r)), chunkBytes)
-			return m, r, err
+			return m, stated, err
 		},
 		Chunk: func(ctx context.Context, _ string, _ id.Model, r id.Revision, c id.Chunk) ([]byte, error) {
 			e.withLock(func() { e.fetching[r]++ })
--- a/internal/stager/work.go
+++ b/internal/stager/work.go
@@ -263,6 +263,9 @@
 	case err != nil:
 		return nil, err
 	case r == 0 && is > g.wanted.Revision:
+		if err := s.confirmNewest(ctx, g, is); err != nil {
+			return nil, err
+		}
 		s.observeRevision(g.model, is, "origin")
 		return nil, trace.Wrap(errSuperseded)
 	case r == 0 && is != g.wanted.Revision:
@@ -271,6 +274,22 @@
 	return m, err
 }
 
+// errUnconfirmed means that the origin did not state the same newest version twice.
+var errUnconfirmed = errors.New("the origin states another newest version than before")
+
+// confirmNewest asks the origin for its newest version again, as the first answer may be corrupt.
+func (s *Stager) confirmNewest(ctx context.Context, g *targetVersion, r id.Revision) error {
+	_, is, err := s.ports.Origin.Manifest(ctx, g.origin, g.model, 0)
+	if err != nil {
+		return err
+	}
+	if is != r {
+		s.log.Warn().Str("model", string(g.model)).Uint64("first", uint64(r)).Uint64("then", uint64(is)).Msg("the origin states two newest versions")
+		return trace.Wrap(errUnconfirmed)
+	}
+	return nil
+}
+
 // fetchFromOrigin fetches a chunk from the origin, or the manifest if the length is negative.
 func (s *Stager) fetchFromOrigin(ctx context.Context, g *targetVersion, from, length int64) (transfer.SourceData, error) {
 	if length < 0 {
