Remember answers on parts that were present at one crash

Cause: a gateway that serves a part clears it, but said so only if the part had been present at two crashes. Each gateway that was killed took its answers along while the crash was remembered, so that one crash a start added up. Class: evidence was kept and what refutes it was not.

Stagers keep 512 of these.

Result: the new spec, a part that six gateways one after the other serve between two crashes, was held at the fourth without the change.

--- a/internal/quarantine/changes.go
+++ b/internal/quarantine/changes.go
@@ -6,6 +6,8 @@
 	unlikely []Fingerprint
 	held     []HeldRequest
 	served   []Fingerprint
+	// answered were present at a crash and have been served here since, and written are parts on which answers were written.
+	answered, written []Fingerprint
 	// released are no longer held, as this gateway found out if here is true.
 	released []Fingerprint
 	here     bool
@@ -27,6 +29,9 @@
 	if len(c.unlikely) > 0 {
 		l.OnUnlikely(c.unlikely)
 	}
+	if len(c.answered)+len(c.written) > 0 {
+		l.OnAnswered(c.answered, c.written)
+	}
 	for _, f := range c.served {
 		l.OnServed(f)
 	}
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -70,6 +70,7 @@
 	l.AnnounceDelay = func() time.Duration {
 		return rand.N(minAnnounceSpread + time.Duration(s.GatewayCount())*announceSpreadPerGateway)
 	}
+	l.OnAnswered = newAnswerBatch(s.BroadcastCrashNews, l.after).add
 	l.OnUnlikely = func(parts []Fingerprint) { q.Broadcast(CrashNews{Written: parts}) }
 	return q
 }
--- a/internal/quarantine/remembered_test.go
+++ b/internal/quarantine/remembered_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 )
@@ -123,4 +124,63 @@
 		s.runTimers()
 		Expect(s.HeldRequests()).To(BeEmpty())
 	})
+
+	It("do not add up against a part that each gateway has served between two crashes, before it ended", func() {
+		memory, clock := &pb.CrashNews{}, time.Unix(1000, 0)
+		for n := range 6 {
+			d := newManualTracker()
+			d.clock = clock
+			d.OnAnswered = func(served, _ []Fingerprint) {
+				for _, f := range served {
+					memory.Answered = append(memory.Answered, &pb.RememberedAnswer{Fingerprint: f[:]})
+				}
+			}
+			d.ApplyNews(memory)
+			d.crashEach(n, []string{fmt.Sprint("first", n), "frequent"})
+			d.runTimers()
+			Expect(d.HeldRequests()).To(BeEmpty(), fmt.Sprint(n+1, " crashes"))
+			for _, e := range memory.GetRemembered() {
+				e.AgeMs += 1000
+			}
+			memory.Remembered = append(memory.Remembered, d.evidence().GetRemembered()[0])
+			d.Served(request("x"), partsNamed([]string{"frequent"})...)
+			clock = d.clock.Add(time.Second)
+			for _, e := range memory.GetRemembered() {
+				e.AgeMs += 1000
+			}
+			for _, o := range memory.GetAnswered() {
+				o.AgeMs += 1000
+			}
+		}
+		Expect(memory.GetAnswered()).To(HaveLen(6))
+	})
+})
+
+var _ = Describe("answers on parts that were present at a crash", func() {
+	It("are sent to stagers in one datagram, for a time and up to a bound", func() {
+		var sent []*pb.CrashNews
+		var flush []func()
+		b := newAnswerBatch(func(n *pb.CrashNews) { sent = append(sent, n) }, func(_ time.Duration, f func()) { flush = append(flush, f) })
+		b.add([]Fingerprint{request("a")}, []Fingerprint{request("b")})
+		b.add(make([]Fingerprint, maxAnswerBatch), nil)
+		Expect(flush).To(HaveLen(1))
+		flush[0]()
+		Expect(sent).To(HaveLen(1))
+		Expect(sent[0].GetRememberOnly()).To(BeTrue())
+		Expect(sent[0].GetAnswered()).To(HaveLen(maxAnswerBatch))
+		Expect(sent[0].GetAnswered()[1].GetWritten()).To(BeTrue())
+		Expect(proto.Size(sent[0])).To(BeNumerically("<", 1400))
+		b.add([]Fingerprint{request("a")}, nil)
+		Expect(flush).To(HaveLen(2))
+	})
+
+	It("are noted once for a part on which an answer is being written", func() {
+		d := newManualTracker()
+		var noted []Fingerprint
+		d.OnAnswered = func(_, written []Fingerprint) { noted = append(noted, written...) }
+		d.crashEach(0, []string{"first0", "frequent"})
+		d.Written(partsNamed([]string{"frequent", "other"})...)
+		d.Written(partsNamed([]string{"frequent", "other"})...)
+		Expect(noted).To(Equal(partsNamed([]string{"frequent"})))
+	})
 })
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -33,6 +33,8 @@
 	triedAlone bool
 	// sharedUnlikely is true once all gateways know, from this one or another, that a part is unlikely to be the cause.
 	sharedUnlikely bool
+	// sharedWritten is true once stagers know that an answer was written on a part after a crash.
+	sharedWritten bool
 	// crashedHere is true once a part was present at a crash that is not only remembered: what was served before this process
 	// started is not known here, so a part is not held by remembered crashes alone.
 	crashedHere bool
@@ -77,6 +79,9 @@
 	AnnounceDelay func() time.Duration
 	// OnUnlikely is called for parts that are suspected, and on which answers were recently written here.
 	OnUnlikely func(parts []Fingerprint)
+	// OnAnswered is called for parts that were present at a crash and have been served here since, or on which answers were
+	// written, for gateways that start later and are sent the crash.
+	OnAnswered func(served, written []Fingerprint)
 
 	// recordsRead is true once the records of held requests have been read.
 	recordsRead atomic.Bool
@@ -101,7 +106,7 @@
 // NewSuspectTracker creates an empty tracker for the gateway on a VM.
 func NewSuspectTracker(vm id.VM, now func() time.Time, l *log.Logger) *SuspectTracker {
 	g := &SuspectTracker{
-		vm: vm, now: now, log: l, vars: new(expvar.Map), OnServed: func(Fingerprint) {}, OnReleased: func(Fingerprint, bool) {}, OnUnlikely: func([]Fingerprint) {},
+		vm: vm, now: now, log: l, vars: new(expvar.Map), OnServed: func(Fingerprint) {}, OnReleased: func(Fingerprint, bool) {}, OnUnlikely: func([]Fingerprint) {}, OnAnswered: func(_, _ []Fingerprint) {},
 		OnMissed: func(HeldRequest) {}, AnnounceDelay: func() time.Duration { return rand.N(minAnnounceSpread) },
 		after:      func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 		byInstance: map[id.Instance][]*recordedCrash{}, suspects: map[Fingerprint]*suspect{}, held: newHeldSet(), served: newRecentlyServed(now), written: newRecentlyServed(now),
@@ -272,8 +277,11 @@
 	l.mu.Lock()
 	for _, k := range append([]Fingerprint{f}, parts...) {
 		l.served.add(k)
+		s := l.suspects[k]
 		if l.clear(k, &c) {
 			c.served = append(c.served, k)
+		} else if s != nil && s.part {
+			c.answered = append(c.answered, k)
 		}
 	}
 	l.mu.Unlock()
@@ -287,9 +295,15 @@
 	l.mu.Lock()
 	for _, f := range parts {
 		l.written.add(f)
-		if s := l.suspects[f]; s != nil && len(s.crashes) >= minCrashes-1 && l.isUnlikely(f) && !s.sharedUnlikely {
+		s := l.suspects[f]
+		switch {
+		case s == nil:
+		case len(s.crashes) >= minCrashes-1 && l.isUnlikely(f) && !s.sharedUnlikely:
 			s.sharedUnlikely = true
 			c.unlikely = append(c.unlikely, f)
+		case s.part && !s.sharedUnlikely && !s.sharedWritten:
+			s.sharedWritten = true
+			c.written = append(c.written, f)
 		}
 	}
 	l.mu.Unlock()
--- a/internal/reports/crash_memory.go
+++ b/internal/reports/crash_memory.go
@@ -17,7 +17,7 @@
 	// maxAnsweredRemembered the answers on what was suspected. Together they take 1 MB at most.
 	maxCrashesRemembered  = 32
 	maxRequestsRemembered = 64
-	maxAnsweredRemembered = 128
+	maxAnsweredRemembered = 512
 	// maxEvidenceBytes is the size of a datagram with what is remembered of crashes.
 	maxEvidenceBytes = 1200
 )
