Count remembered answers as recent ones at a gateway that starts

A gateway that has just started knew of crashes at which a part was present, and not that others had answered requests with it seconds ago, so that four new crashes sufficed to hold a part that many requests share.

Change: for a minute after it was served elsewhere, a remembered part counts as one on which answers are written.

--- a/internal/quarantine/remembered.go
+++ b/internal/quarantine/remembered.go
@@ -93,8 +93,9 @@
 	at := l.timeOf(a.GetAgeMs())
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	// Until this gateway has served the part itself, this is what it knows of its usual answers.
+	l.noteWritten(f, at)
 	if a.GetWritten() {
-		l.noteWritten(f, at)
 		return
 	}
 	l.servedElsewhere.addAt(f, at)
--- a/internal/quarantine/remembered_test.go
+++ b/internal/quarantine/remembered_test.go
@@ -90,6 +90,16 @@
 		Expect(s.checkPrompt("bad")).To(Equal(Held))
 	})
 
+	It("and new ones do not suffice to hold a part that another gateway has recently served", func() {
+		s := newManualTracker()
+		s.ApplyNews(&pb.CrashNews{Answered: []*pb.RememberedAnswer{{Fingerprint: partsNamed([]string{"frequent"})[0][:], AgeMs: 500}}})
+		for n := range minPartCrashes {
+			s.crashEach(n, []string{fmt.Sprint("first", n), "frequent"})
+		}
+		s.runTimers()
+		Expect(s.HeldRequests()).To(BeEmpty())
+	})
+
 	It("are not those that a hold explains, so that what an operator lifts is not held again at the next start", func() {
 		d := newManualTracker()
 		for n := range minPartCrashes {
