--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -182,6 +182,19 @@
 	return c.byKey[key]
 }
 
+// KeysPassedOn returns how many keys of an older configuration belong to another organisation in this one.
+func (c *Catalog) KeysPassedOn(older *Catalog) (n int) {
+	if older == nil {
+		return 0
+	}
+	for k, o := range c.byKey {
+		if before := older.byKey[k]; before != nil && before.Name != o.Name {
+			n++
+		}
+	}
+	return n
+}
+
 // LatencyTarget returns the shortest latency target of the routes to a pool. Admission control applies it to all
 // requests for the pool: with targets by route, the route with the longest one would fill the queue and leave no room
 // for the others.
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -71,4 +71,17 @@
 		Expect((&Route{Kind: k, Resumable: resumable}).Idempotent()).To(Equal(want))
 	}, Entry("unsafe", Unsafe, false, false), Entry("safe", Safe, false, true),
 		Entry("stream", Streaming, false, false), Entry("resumable stream", Streaming, true, true))
+
+	It("counts the keys that have passed to another organisation", func() {
+		owners := func(names map[string][]string) *Catalog {
+			var l []*Organisation
+			for n, keys := range names {
+				l = append(l, &Organisation{Name: id.Organisation(n), Keys: keys})
+			}
+			return New(1, nil, nil, l, Limits{})
+		}
+		older := owners(map[string][]string{"gym": {"a", "b"}, "lab": {"c", "d"}})
+		Expect(older.KeysPassedOn(nil)).To(BeZero())
+		Expect(owners(map[string][]string{"gym": {"a", "c", "new"}, "lab": {"b"}}).KeysPassedOn(older)).To(Equal(2))
+	})
 })
--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -327,13 +327,15 @@
 // to answer from those that waited or had been answered for some time.
 func (l *SuspectTracker) logCrash(e Crash) {
 	counts := map[Progress]int{}
-	var beginning []string
+	var beginning, organisations []string
 	for _, r := range e.Requests {
 		counts[r.Progress]++
 		if r.Progress == Beginning {
 			beginning = append(beginning, r.Fingerprint.String())
+			organisations = append(organisations, string(r.Organisation))
 		}
 	}
 	l.log.Info().Str("instance", string(e.Incarnation.Instance)).Int("waiting", counts[Waiting]).Int("beginning", counts[Beginning]).
-		Int("writing", counts[Writing]).Strs("beginning_fingerprints", beginning).Msg("requests of this gateway ended with an upstream process")
+		Int("writing", counts[Writing]).Strs("beginning_fingerprints", beginning).Strs("beginning_organisations", organisations).
+		Msg("requests of this gateway ended with an upstream process")
 }
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -113,6 +113,11 @@
 		servedElsewhere: newRecentlyServed(now),
 	}
 	g.vars.Set("held", expvar.Func(func() any { return len(g.HeldRequests()) }))
+	g.vars.Set("held_organisations", expvar.Func(func() any {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return len(g.held.byOrganisation)
+	}))
 	return g
 }
 
