--- a/internal/cmd/cmd_quarantine.go
+++ b/internal/cmd/cmd_quarantine.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -59,7 +61,27 @@
 	for _, p := range r.GetParts() {
 		fmt.Fprintf(w, "  prompt part %x\n", p)
 	}
-	for _, s := range r.GetStarts() {
+	printHeldUses(w, r)
+	for _, s := range append(r.GetStarts(), r.GetEnded()...) {
 		fmt.Fprintf(w, "  ended %s at %s\n", s.GetInstance(), s.GetAddress())
 	}
 }
+
+// printHeldUses prints for which organisations something is held.
+func printHeldUses(w io.Writer, r *pb.HeldRequest) {
+	var organisations []string
+	for _, u := range r.GetUses() {
+		if !slices.Contains(organisations, u.GetOrganisation()) {
+			organisations = append(organisations, u.GetOrganisation())
+		}
+	}
+	switch {
+	case len(organisations) > 1 && len(r.GetParts()) > 0:
+		fmt.Fprintf(w, "  for all organisations, after %s\n", strings.Join(organisations, ", "))
+	case len(organisations) > 0:
+		fmt.Fprintf(w, "  for %s\n", strings.Join(organisations, ", "))
+	}
+	if n := len(r.GetExempt()); n > 0 {
+		fmt.Fprintf(w, "  not for %d that were answered since\n", n)
+	}
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -331,9 +331,9 @@
 // noteWritten records once that the upstream has written its answer beyond the beginning.
 func (t *attempt) noteWritten() {
 	f := t.request
-	if !t.writtenRecorded && len(f.parts) > 0 && t.lastByteAt.Sub(t.firstDataAt) >= beginningTime {
+	if !t.writtenRecorded && len(f.identity.Parts) > 0 && t.lastByteAt.Sub(t.firstDataAt) >= beginningTime {
 		t.writtenRecorded = true
-		f.gateway.suspects.Written(f.parts...)
+		f.gateway.suspects.Written(f.identity)
 	}
 }
 
@@ -341,8 +341,8 @@
 func (t *attempt) noteServed() {
 	f := t.request
 	// The question may stay open for seconds, in which the request's body need not be kept.
-	suspects, fingerprint, parts := f.gateway.suspects, f.fingerprint, f.parts
-	served := func() { suspects.Served(fingerprint, parts...) }
+	suspects, identity := f.gateway.suspects, f.identity
+	served := func() { suspects.Served(identity) }
 	switch {
 	case t.endProven:
 		served()
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/springrail/springrail/internal/id"
@@ -30,15 +29,19 @@
 // identify sets what the detection of requests that crash upstreams recognises the request by.
 func (f *callerRequest) identify() {
 	r := f.httpRequest
-	f.fingerprint = quarantine.Of(r.Method, r.RequestURI, f.organisation, f.body)
+	f.identity = quarantine.Identity{
+		Fingerprint: quarantine.OfContent(r.Method, r.RequestURI, f.body), Use: quarantine.Of(r.Method, r.RequestURI, f.organisation, f.body),
+		Organisation: f.organisation,
+	}
 	for _, p := range f.meta.SharedParts {
-		f.parts = append(f.parts, quarantine.OfPart(f.meta.Model, f.organisation, p))
+		f.identity.Parts = append(f.identity.Parts, quarantine.OfPartContent(p))
+		f.identity.PartUses = append(f.identity.PartUses, quarantine.OfPart(f.meta.Model, f.organisation, p))
 	}
 }
 
 // checkSuspects returns what may be done with the request by the crashes that are known.
 func (f *callerRequest) checkSuspects() quarantine.Verdict {
-	v := f.gateway.suspects.Check(f.fingerprint, f.parts...)
+	v := f.gateway.suspects.Check(f.identity)
 	if !f.gateway.knowledge.Known() {
 		v = max(v, quarantine.Once)
 	}
@@ -56,14 +59,16 @@
 		return false
 	}
 	v := f.checkSuspects()
-	f.exclusive = v == quarantine.Alone
+	if f.exclusive = v == quarantine.Alone; f.exclusive {
+		f.heldForOthers, _ = g.suspects.HeldForOthers(f.identity)
+	}
 	switch {
 	case v == quarantine.Held:
-		f.heldAs, _ = g.suspects.HeldAs(f.fingerprint, f.parts...)
+		f.heldAs, _ = g.suspects.HeldAs(f.identity)
 		f.refuse("held: upstreams have crashed under this request", quarantineRetryAfter)
 	case v == quarantine.Waits:
 		f.refuse("upstreams have just crashed under this request", suspectRetryAfter)
-	case !g.requests.add(f):
+	case !g.register(f):
 		f.refuse("a repeat of this request is tried alone", suspectRetryAfter)
 	default:
 		return true
@@ -71,6 +76,19 @@
 	return false
 }
 
+// register adds a request to those in flight, unless it must run alone and another one like it is in flight, here or, of what is
+// held for others, at another gateway.
+func (g *Gateway) register(f *callerRequest) bool {
+	if !g.requests.add(f) {
+		return false
+	}
+	if f.heldForOthers == (quarantine.Fingerprint{}) || g.suspects.Try(f.heldForOthers) {
+		return true
+	}
+	g.requests.remove(f)
+	return false
+}
+
 const (
 	// beginningTime is how long after its first data an answer counts as beginning. An upstream that crashes as it begins an
 	// answer may have sent a few events of it.
@@ -83,10 +101,11 @@
 func (t *attempt) inFlightRequest() quarantine.InFlightRequest {
 	f := t.request
 	q := quarantine.InFlightRequest{
-		Fingerprint: f.fingerprint, Organisation: f.organisation, Attempt: quarantine.CallerAttemptOf(f.meta.Request), Alone: f.exclusive, Progress: t.crashProgress(),
+		Fingerprint: f.identity.Fingerprint, Use: f.identity.Use, Organisation: f.organisation, Key: f.identity.Key,
+		Attempt: quarantine.CallerAttemptOf(f.meta.Request), Alone: f.exclusive, Progress: t.crashProgress(),
 	}
 	if q.Progress != quarantine.Writing {
-		q.Parts = f.parts
+		q.Parts, q.PartUses = f.identity.Parts, f.identity.PartUses
 	}
 	return q
 }
@@ -179,70 +198,3 @@
 		Msg("the upstream process has ended under requests that broke off")
 	return quarantine.Ended
 }
-
-// requestRegistry holds the requests in flight by fingerprint.
-type requestRegistry struct {
-	mu            sync.Mutex
-	byFingerprint map[quarantine.Fingerprint]map[*callerRequest]struct{}
-}
-
-func newRequestRegistry() *requestRegistry {
-	return &requestRegistry{byFingerprint: map[quarantine.Fingerprint]map[*callerRequest]struct{}{}}
-}
-
-// add registers a request. It returns false if the request must run alone and another one with its fingerprint is
-// in flight.
-func (l *requestRegistry) add(f *callerRequest) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	same := l.byFingerprint[f.fingerprint]
-	if f.exclusive && len(same) > 0 {
-		return false
-	}
-	if same == nil {
-		same = map[*callerRequest]struct{}{}
-		l.byFingerprint[f.fingerprint] = same
-	}
-	same[f] = struct{}{}
-	return true
-}
-
-// remove removes a request that has ended.
-func (l *requestRegistry) remove(f *callerRequest) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if f.resumeTimer != nil {
-		f.resumeTimer.Stop()
-	}
-	same := l.byFingerprint[f.fingerprint]
-	delete(same, f)
-	if len(same) == 0 {
-		delete(l.byFingerprint, f.fingerprint)
-	}
-}
-
-// cancelUnbegun cancels the held requests that no upstream has started to answer: an upstream drops a queued request when
-// its caller disconnects.
-func (l *requestRegistry) cancelUnbegun(h quarantine.HeldRequest) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(h.Parts) == 0 {
-		for f := range l.byFingerprint[h.Fingerprint] {
-			f.cancelUnbegun()
-		}
-		return
-	}
-	for _, same := range l.byFingerprint {
-		for f := range same {
-			if h.Holds(f.parts) {
-				f.cancelUnbegun()
-			}
-		}
-	}
-}
-
-func (f *callerRequest) cancelUnbegun() {
-	if !f.answerBegun.Load() {
-		f.cancel(errQuarantined)
-	}
-}
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -28,7 +28,7 @@
 			b.gateway.log = &log.Logger{Level: log.InfoLevel, Writer: log.IOWriter{Writer: lines}}
 			_, _, _ = b.sendRequest("POST", "/p/", "x", xModel, "m", "X-Hang-Up", "1")
 			Eventually(lines.String).Should(And(
-				ContainSubstring(`"fingerprint":"`+quarantine.Of("POST", "/p/", "", []byte("x")).String()+`"`),
+				ContainSubstring(`"fingerprint":"`+quarantine.OfContent("POST", "/p/", []byte("x")).String()+`"`),
 				ContainSubstring(`"broken":"`+broken+`","broken_instance":"u"`),
 			))
 		},
@@ -86,19 +86,33 @@
 	})
 }
 
+// identityOf returns what a request to the route of these specs is recognised by, from a caller without a key.
+func identityOf(body string, parts ...id.PromptPart) quarantine.Identity {
+	q := quarantine.Identity{Fingerprint: quarantine.OfContent("POST", "/p/", []byte(body)), Use: quarantine.Of("POST", "/p/", "", []byte(body))}
+	for _, p := range parts {
+		q.Parts, q.PartUses = append(q.Parts, quarantine.OfPartContent(p)), append(q.PartUses, quarantine.OfPart("m", "", p))
+	}
+	return q
+}
+
+// inFlight returns a request that was in flight at an upstream when its process ended.
+func inFlight(q quarantine.Identity, g quarantine.Progress) quarantine.InFlightRequest {
+	return quarantine.InFlightRequest{Fingerprint: q.Fingerprint, Use: q.Use, Parts: q.Parts, PartUses: q.PartUses, Progress: g}
+}
+
 // reportCrashes reports to the gateway's quarantine list that the given number of upstreams crashed under a
 // request.
-func (b *testbed) reportCrashes(f quarantine.Fingerprint, crashes int) {
+func (b *testbed) reportCrashes(q quarantine.Identity, crashes int) {
 	for n := range crashes {
 		b.list.RecordCrash(quarantine.Crash{
 			Incarnation: quarantine.Incarnation{Instance: id.Instance(strconv.Itoa(n)), Address: "a"},
-			Requests:    []quarantine.InFlightRequest{{Fingerprint: f}},
+			Requests:    []quarantine.InFlightRequest{inFlight(q, quarantine.Waiting)},
 		})
 	}
 }
 
 var _ = Describe("a request that crashes upstreams", func() {
-	crashing := quarantine.Of("POST", "/p/", "", []byte("bad"))
+	crashing := identityOf("bad")
 	completeStream := func(q *http.Request, _ string, c net.Conn) {
 		stream(c, q, xRevision+": 1\r\n", "id: 1\ndata: a\n\n")
 		_, _ = io.WriteString(c, "0\r\n\r\n")
@@ -110,7 +124,7 @@
 	It("is refused with a retry time while quarantined, and others from the same caller are served", func() {
 		b := newTestbed(route(catalog.Streaming, "engines"))
 		b.addUpstream("u", "engines", completeStream)
-		b.list.AddHeld(quarantine.HeldRequest{Fingerprint: crashing})
+		b.list.AddHeld(quarantine.HeldRequest{Fingerprint: crashing.Fingerprint})
 		a, body, err := b.sendRequest("POST", "/p/", "bad", xModel, "m")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(a.StatusCode).To(Equal(http.StatusServiceUnavailable))
@@ -145,17 +159,17 @@
 			time.Sleep(beginningTime)
 			_, _ = io.WriteString(c, "10\r\nid: 2\ndata: bbb\n\n\r\n")
 		})
-		part := quarantine.OfPart("m", "", "1a")
+		suspect := identityOf("bad", "1a")
 		announced := make(chan []quarantine.Fingerprint, 1)
 		b.list.OnUnlikely = func(parts []quarantine.Fingerprint) { announced <- parts }
 		for n := range 2 {
 			b.list.RecordCrash(quarantine.Crash{
 				Incarnation: quarantine.Incarnation{Instance: id.Instance(strconv.Itoa(n)), Address: "a"},
-				Requests:    []quarantine.InFlightRequest{{Fingerprint: crashing, Parts: []quarantine.Fingerprint{part}, Progress: quarantine.Beginning}},
+				Requests:    []quarantine.InFlightRequest{inFlight(suspect, quarantine.Beginning)},
 			})
 		}
 		_, _, _ = b.sendRequest("POST", "/p/", "x", xModel, "m", xParts, "1a", "X-Hang-Up", "1")
-		Eventually(announced).Should(Receive(Equal([]quarantine.Fingerprint{part})))
+		Eventually(announced).Should(Receive(Equal(suspect.PartUses)))
 	})
 
 	It("is not suspected if connections break and the upstream is alive", func() {
@@ -219,7 +233,7 @@
 			Eventually(func() int { return b.upstreamCount(name) }).Should(Equal(1))
 		}
 		time.Sleep(50 * time.Millisecond)
-		b.list.AddHeld(quarantine.HeldRequest{Fingerprint: crashing})
+		b.list.AddHeld(quarantine.HeldRequest{Fingerprint: crashing.Fingerprint})
 		Eventually(disconnected).Should(Receive())
 		Eventually(answers).Should(Receive(HavePrefix("waits 502")))
 		close(release)
@@ -246,7 +260,7 @@
 			answered <- a.StatusCode
 		}()
 		Eventually(func() int { return b.upstreamCount("waits") }).Should(Equal(1))
-		b.list.AddHeld(quarantine.HeldRequest{Fingerprint: quarantine.OfPart("m", "", "2b"), Parts: []quarantine.Fingerprint{quarantine.OfPart("m", "", "2b")}})
+		b.list.AddHeld(quarantine.HeldRequest{Fingerprint: quarantine.OfPartContent("2b"), Parts: []quarantine.Fingerprint{quarantine.OfPartContent("2b")}})
 		Eventually(waiting).Should(Receive())
 		Eventually(answered).Should(Receive(Equal(http.StatusBadGateway)))
 		a, body, err := b.sendRequest("POST", "/p/", "two", xModel, "m", xRequest, "2", xParts, "3c 2b 1a")
@@ -268,7 +282,7 @@
 		for _, n := range []string{"u", "v"} {
 			b.addCrashingUpstream(n)
 		}
-		part := quarantine.OfPart("m", "", "2b")
+		part := quarantine.OfPartContent("2b")
 		for n := range 2 {
 			b.list.RecordCrash(quarantine.Crash{
 				Incarnation: quarantine.Incarnation{Instance: id.Instance(strconv.Itoa(n)), Address: "a"},
@@ -304,7 +318,7 @@
 		b.facts.SetCatalog(catalog.New(8, []*catalog.Route{&r}, []*catalog.Service{{Name: "plain"}}, nil, catalog.Limits{BodyBytes: 2 * maxBufferedBody}))
 		b.addUpstream("u", "plain", func(q *http.Request, _ string, c net.Conn) { reply(c, q, 200, "", "ran") })
 		longBody := strings.Repeat("x", maxBufferedBody)
-		b.list.AddHeld(quarantine.HeldRequest{Fingerprint: quarantine.Of("POST", "/p/", "", []byte(longBody))})
+		b.list.AddHeld(quarantine.HeldRequest{Fingerprint: quarantine.OfContent("POST", "/p/", []byte(longBody))})
 		a, _, err := b.sendRequest("POST", "/p/", longBody+"tail")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(a.StatusCode).To(Equal(http.StatusServiceUnavailable))
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -144,7 +144,7 @@
 	copied := &callerRequest{
 		gateway: f.gateway, meta: f.meta, route: f.route, catalog: f.catalog, pool: f.pool, organisation: f.organisation, rank: f.rank, regions: f.regions, hedged: true, httpRequest: f.httpRequest,
 		arrived: f.arrived, elapsedBefore: f.elapsedBefore, deadline: f.deadline, callerDeadline: f.callerDeadline, body: f.body, unreadBody: f.unreadBody,
-		tried: maps.Clone(f.tried), attempts: t.attemptNumber, allNotRun: true, fingerprint: f.fingerprint, parts: f.parts, exclusive: f.exclusive, buffers: newBufferAccount(f.gateway.buffers),
+		tried: maps.Clone(f.tried), attempts: t.attemptNumber, allNotRun: true, identity: f.identity, exclusive: f.exclusive, buffers: newBufferAccount(f.gateway.buffers),
 		headSent: t.position.headSent, revision: t.position.revision, events: eventSplitter{lastID: t.position.lastEventID, forwarded: t.position.forwarded},
 	}
 	for _, h := range t.failedHedges {
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -196,6 +196,7 @@
 	}
 	g.crashDetector = quarantine.NewCrashDetector(g.observeProcess, q.ReportCrash, clock.Now)
 	q.Suspects.OnHeld = append(q.Suspects.OnHeld, g.requests.cancelUnbegun)
+	q.Suspects.OnHeldChanged = append(q.Suspects.OnHeldChanged, func(h quarantine.HeldRequest, _ bool) { g.requests.cancelUnbegun(h) })
 	g.connections.OnDial = func() { g.metrics.count("dialled") }
 	g.server = &http.Server{
 		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -83,11 +83,10 @@
 	// reservation is the outcome of the newest requests for a reservation, and hedged is true of a hedged attempt.
 	reservation reservationLog
 	hedged      bool
-	// fingerprint identifies the request across its retries, once its body has been read.
-	fingerprint quarantine.Fingerprint
-	// parts identify the parts of its prompt that other requests may have too, and heldAs what it is refused for.
-	parts  []quarantine.Fingerprint
-	heldAs quarantine.Fingerprint
+	// identity is what the request is recognised by across its retries, once its body has been read.
+	identity quarantine.Identity
+	// heldAs is what it is refused for, and heldForOthers what is held for other organisations and it may try.
+	heldAs, heldForOthers quarantine.Fingerprint
 	// brokenProgress is how far the response of the last upstream that broke off had come, and brokenInstance is that
 	// upstream; empty where none did.
 	brokenProgress string
@@ -322,8 +321,8 @@
 	}
 	if outcome != outcomeAnswered {
 		f.decision.log(e)
-		if f.fingerprint != (quarantine.Fingerprint{}) {
-			e = e.Stringer("fingerprint", f.fingerprint)
+		if f.identity.Fingerprint != (quarantine.Fingerprint{}) {
+			e = e.Stringer("fingerprint", f.identity.Fingerprint)
 		}
 		if f.heldAs != (quarantine.Fingerprint{}) {
 			e = e.Stringer("held_as", f.heldAs)
--- a/internal/gateway/suspension.go
+++ b/internal/gateway/suspension.go
@@ -53,7 +53,7 @@
 func (l *requestRegistry) each(visit func(f *callerRequest)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, same := range l.byFingerprint {
+	for _, same := range l.byUse {
 		for f := range same {
 			visit(f)
 		}
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -62,7 +62,7 @@
 
 var _ = Describe("an answer without a length", func() {
 	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
-	suspect := quarantine.Of("POST", "/p/", "", []byte("x"))
+	suspect := identityOf("x")
 
 	DescribeTable("is complete and clears suspicions only once its upstream has answered a later request", func(kind catalog.Kind, resumable bool) {
 		r := route(kind, "engines")
--- a/internal/quarantine/announce.go
+++ b/internal/quarantine/announce.go
@@ -22,7 +22,7 @@
 		return
 	}
 	for _, p := range e.Requests {
-		h := l.held.match(p.Fingerprint, p.Parts)
+		h := l.held.match(p.identity())
 		if h == nil || !n.explainedBy(h) || l.now().Sub(l.held.announcedAt[h.Fingerprint]) < announceInterval {
 			continue
 		}
--- a/internal/quarantine/changes.go
+++ b/internal/quarantine/changes.go
@@ -5,7 +5,9 @@
 	// unlikely are suspected parts on which answers were recently written here.
 	unlikely []Fingerprint
 	held     []HeldRequest
-	served   []Fingerprint
+	// changed are held for other uses than before.
+	changed []HeldRequest
+	served  []Fingerprint
 	// answered were present at a crash and have been served here since, and written are parts on which answers were written.
 	answered, written []Fingerprint
 	// released are no longer held, as this gateway found out if here is true.
@@ -40,4 +42,9 @@
 			f(h)
 		}
 	}
+	for _, h := range c.changed {
+		for _, f := range l.OnHeldChanged {
+			f(h, c.here)
+		}
+	}
 }
--- a/internal/quarantine/crash_record.go
+++ b/internal/quarantine/crash_record.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/springrail/springrail/internal/id"
 )
 
 const (
@@ -28,10 +26,8 @@
 	unwritten []unwrittenRequest
 	// explained is true once a request or a part that was present is held: the crash then is no evidence against other
 	// requests, nor against parts other than those in stillSuspected, which are those held together or of the held request.
-	// It never is evidence against what is in cleared, whichever gateway reports it again.
 	explained      bool
 	stillSuspected []Fingerprint
-	cleared        map[Fingerprint]struct{}
 	// causes caches what findCauses has found, until the evidence changes.
 	causes *possibleCauses
 }
@@ -43,36 +39,24 @@
 	requests  []unwrittenRequest
 }
 
-// presence describes a request, or a part of prompts, that was present at a crash.
-type presence struct {
-	organisation id.Organisation
-	part         bool
-	// beginning is true if the upstream was beginning an answer on it.
-	beginning bool
-	// For a request, attempt is the attempt that was in flight, and alone is true if it was sent alone.
-	attempt CallerAttempt
-	alone   bool
-}
-
 // unwrittenRequest is a request that was in flight at a crash and may have been the cause, by itself or by a part of its
 // prompt.
 type unwrittenRequest struct {
-	fingerprint Fingerprint
-	parts       []Fingerprint
-	beginning   bool
+	Identity
+	beginning bool
 }
 
-// add notes that a request or part was present. It returns nil if too many are.
-func (e *recordedCrash) add(f Fingerprint, o id.Organisation, part bool) *presence {
+// add notes that an organisation's use of a request or part was present. It returns nil if too much is.
+func (e *recordedCrash) add(f, use Fingerprint, part bool, r *InFlightRequest) *presentUse {
 	p := e.present[f]
 	if p == nil {
 		if len(e.present) >= maxPresent {
 			return nil
 		}
-		p = &presence{organisation: o, part: part}
+		p = &presence{part: part}
 		e.present[f] = p
 	}
-	return p
+	return p.add(use, r)
 }
 
 // addRequests notes that requests were in flight: first the requests, then the parts of those that were beginning and of
@@ -80,8 +64,10 @@
 func (e *recordedCrash) addRequests(l []InFlightRequest) {
 	e.causes = nil
 	for _, p := range l {
-		if o := e.add(p.Fingerprint, p.Organisation, false); o != nil && !o.alone {
-			o.attempt, o.alone = p.Attempt, p.Alone
+		q := p.identity()
+		if u := e.add(p.Fingerprint, q.use(), false, &p); u != nil {
+			u.addAttempt(p.Attempt)
+			u.alone = u.alone || p.Alone
 		}
 	}
 	for _, beginning := range []bool{true, false} {
@@ -96,41 +82,55 @@
 // isEvidence reports whether the crash is evidence against a request or part that was present.
 func (e *recordedCrash) isEvidence(f Fingerprint) bool {
 	p := e.present[f]
-	if _, cleared := e.cleared[f]; cleared || p == nil {
+	if p == nil || !p.suspected() {
 		return false
 	}
 	return !e.explained || p.part && slices.Contains(e.stillSuspected, f)
 }
 
-// counts reports whether the crash counts against a part: the upstream was beginning an answer on it, or on no other part
-// that may be the cause.
-func (e *recordedCrash) counts(f Fingerprint) bool {
-	return e.present[f].beginning || !e.findCauses().beginning
+// isEvidenceOf reports whether the crash is evidence against a request or part by an organisation's use of it.
+func (e *recordedCrash) isEvidenceOf(f, use Fingerprint) bool {
+	return e.isEvidence(f) && e.present[f].suspects(use)
+}
+
+// counts reports whether the crash counts against a part by the uses for which a function is true: the upstream was beginning an
+// answer on one of them, or on no other part that may be the cause.
+func (e *recordedCrash) counts(f Fingerprint, counted func(u *presentUse) bool) bool {
+	return slices.ContainsFunc(e.present[f].uses, func(u *presentUse) bool {
+		return !u.cleared && (u.beginning || !e.findCauses().beginning) && counted(u)
+	})
 }
 
 // addUnwritten notes the parts of a request.
 func (e *recordedCrash) addUnwritten(p InFlightRequest) {
-	for _, f := range p.Parts {
-		if o := e.add(f, p.Organisation, true); o != nil {
-			o.beginning = o.beginning || p.Progress == Beginning
+	q, beginning := p.identity(), p.Progress == Beginning
+	q.eachPart(func(f, use Fingerprint) {
+		if u := e.add(f, use, true, &p); u != nil {
+			u.beginning = u.beginning || beginning
 		}
-	}
-	known := slices.IndexFunc(e.unwritten, func(o unwrittenRequest) bool { return o.fingerprint == p.Fingerprint })
+	})
+	known := slices.IndexFunc(e.unwritten, func(o unwrittenRequest) bool { return o.Fingerprint == p.Fingerprint && o.use() == q.use() })
 	switch {
 	case p.Progress == Writing:
 	case known >= 0:
-		e.unwritten[known].beginning = e.unwritten[known].beginning || p.Progress == Beginning
+		e.unwritten[known].beginning = e.unwritten[known].beginning || beginning
 	case len(e.unwritten) < maxPresent:
-		e.unwritten = append(e.unwritten, unwrittenRequest{fingerprint: p.Fingerprint, parts: p.Parts, beginning: p.Progress == Beginning})
+		e.unwritten = append(e.unwritten, unwrittenRequest{Identity: q, beginning: beginning})
 	}
 }
 
 // mayBeCause reports whether a request may have caused the crash, by itself if its prompt has no shared parts.
 func (e *recordedCrash) mayBeCause(r unwrittenRequest) bool {
-	if len(r.parts) == 0 {
-		return e.isEvidence(r.fingerprint)
+	if len(r.Parts) == 0 {
+		return e.isEvidenceOf(r.Fingerprint, r.use())
 	}
-	return slices.ContainsFunc(r.parts, e.isEvidence)
+	return slices.ContainsFunc(r.Parts, func(f Fingerprint) bool { return e.suspectedIn(r, f) })
+}
+
+// suspectedIn reports whether a request has a part, and the crash is evidence against the part by it.
+func (e *recordedCrash) suspectedIn(r unwrittenRequest, f Fingerprint) bool {
+	n := slices.Index(r.Parts, f)
+	return n >= 0 && e.isEvidenceOf(f, r.partUses()[n])
 }
 
 // findCauses lists the requests that may have caused the crash.
@@ -143,7 +143,7 @@
 	for _, r := range e.unwritten {
 		if r.beginning && e.mayBeCause(r) {
 			begun = true
-			c.beginning = c.beginning || len(r.parts) > 0
+			c.beginning = c.beginning || len(r.Parts) > 0
 		}
 	}
 	for _, r := range e.unwritten {
@@ -158,16 +158,23 @@
 // sharesRequest reports whether the same request with a part was present at both crashes.
 func (e *recordedCrash) sharesRequest(o *recordedCrash, f Fingerprint) bool {
 	return slices.ContainsFunc(e.unwritten, func(r unwrittenRequest) bool {
-		return slices.Contains(r.parts, f) && slices.ContainsFunc(o.unwritten, func(s unwrittenRequest) bool { return s.fingerprint == r.fingerprint })
+		return slices.Contains(r.Parts, f) && slices.ContainsFunc(o.unwritten, func(s unwrittenRequest) bool { return s.Fingerprint == r.Fingerprint })
 	})
 }
 
 // explainedBy reports whether a held request or held parts are a cause of the crash, as far as known.
 func (e *recordedCrash) explainedBy(h *HeldRequest) bool {
 	if len(h.Parts) == 0 {
-		return e.present[h.Fingerprint] != nil
+		p := e.present[h.Fingerprint]
+		return p != nil && slices.ContainsFunc(p.uses, func(u *presentUse) bool { return h.bindsUse(u.heldUse()) })
 	}
-	return !slices.ContainsFunc(h.Parts, func(p Fingerprint) bool { return e.present[p] == nil || !e.counts(p) })
+	for n, f := range h.Parts {
+		bound := func(u *presentUse) bool { return h.bindsPart(n, u) }
+		if e.present[f] == nil || !e.counts(f, bound) {
+			return false
+		}
+	}
+	return true
 }
 
 // findCrash returns the crash of an incarnation at about a time if it is known; the caller holds the lock.
@@ -197,7 +204,7 @@
 		i--
 	}
 	e := &recordedCrash{
-		incarnation: s, recordedAt: at, present: map[Fingerprint]*presence{}, cleared: map[Fingerprint]struct{}{},
+		incarnation: s, recordedAt: at, present: map[Fingerprint]*presence{},
 	}
 	l.crashes = slices.Insert(l.crashes, i, e)
 	l.byInstance[s.Instance] = append(l.byInstance[s.Instance], e)
@@ -212,6 +219,7 @@
 	for f := range e.present {
 		l.removeEvidence(f, e)
 	}
+	l.contents.remove(e)
 	l.crashes = slices.DeleteFunc(l.crashes, func(o *recordedCrash) bool { return o == e })
 	rest := slices.DeleteFunc(l.byInstance[e.incarnation.Instance], func(o *recordedCrash) bool { return o == e })
 	if len(rest) == 0 {
@@ -224,9 +232,12 @@
 // explain marks a crash as caused by what is held, so that it is no evidence against others; the caller holds the lock.
 func (l *SuspectTracker) explain(e *recordedCrash, by *HeldRequest) {
 	parts := by.Parts
+	if len(parts) == 1 && len(by.Uses) > 0 {
+		parts = nil
+	}
 	for _, r := range e.unwritten {
-		if len(by.Parts) == 0 && r.fingerprint == by.Fingerprint {
-			parts = r.parts
+		if len(by.Parts) == 0 && r.Fingerprint == by.Fingerprint {
+			parts = r.Parts
 		}
 	}
 	e.stillSuspected = slices.DeleteFunc(slices.Clone(parts), func(p Fingerprint) bool {
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"slices"
 	"time"
 
 	"github.com/springrail/springrail/internal/id"
@@ -41,17 +40,23 @@
 
 // InFlightRequest is a request that was in flight at an upstream when its process ended.
 type InFlightRequest struct {
-	Fingerprint  Fingerprint
-	Organisation id.Organisation
-	Attempt      CallerAttempt
+	// Fingerprint, Use, Organisation, Key, Parts and PartUses are as in Identity. Parts are empty if the answer had begun earlier.
+	Fingerprint, Use Fingerprint
+	Organisation     id.Organisation
+	Key              Fingerprint
+	Parts, PartUses  []Fingerprint
+	Attempt          CallerAttempt
 	// Alone is true of a suspected request that the gateway sent to one upstream only, with no other copy in flight.
 	Alone bool
-	// Parts are the parts of the request's prompt that other requests may have too; empty if the answer had begun earlier.
-	Parts []Fingerprint
 	// Progress of another gateway's request is Waiting unless it was Beginning.
 	Progress Progress
 }
 
+// identity returns what the request is recognised by.
+func (p *InFlightRequest) identity() Identity {
+	return Identity{Fingerprint: p.Fingerprint, Use: p.Use, Parts: p.Parts, PartUses: p.PartUses, Organisation: p.Organisation, Key: p.Key}
+}
+
 // Crash is the end of an upstream's process as one gateway saw it, with the gateway's own requests that were in flight
 // there.
 type Crash struct {
@@ -61,24 +66,6 @@
 	RememberedAt time.Time
 }
 
-// HeldRequest is a request that is held, or parts of prompts: gateways no longer send the request, or any request with all
-// of these parts, to upstreams.
-type HeldRequest struct {
-	// Fingerprint identifies the request, or the parts together.
-	Fingerprint  Fingerprint
-	Organisation id.Organisation
-	// Parts is empty for a request.
-	Parts []Fingerprint
-	// Incarnations are the upstream processes that crashed under the request.
-	Incarnations []Incarnation
-	// HeldBy is the VM whose gateway held the request first, as far as known. SinceUnixMs is when, by that VM's time of
-	// day, which may jump: it informs operators and decides nothing.
-	HeldBy      id.VM
-	SinceUnixMs int64
-	// refused is how often this process has refused the request.
-	refused uint64
-}
-
 // Origin is how a process came to hold a request.
 type Origin uint8
 
@@ -100,23 +87,10 @@
 	return originNames[o]
 }
 
-// Holds reports whether requests with the given parts in their prompts are held because of parts.
-func (h *HeldRequest) Holds(parts []Fingerprint) bool {
-	return len(h.Parts) > 0 && containsAll(parts, h.Parts)
-}
-
-// outweighs reports whether this holds parts that explain all crashes of another held request or held parts, and more.
-func (h *HeldRequest) outweighs(o *HeldRequest) bool {
-	if len(h.Parts) == 0 || len(h.Incarnations) <= len(o.Incarnations) {
-		return false
-	}
-	return !slices.ContainsFunc(o.Incarnations, func(s Incarnation) bool { return !slices.Contains(h.Incarnations, s) })
-}
-
 // CrashNews is what gateways exchange about crashes and suspected requests.
 type CrashNews struct {
 	Crashes []Crash
-	// Served are requests that were answered completely although they were suspected, and parts of such requests.
+	// Served are the uses of requests that were answered completely although they were suspected, and of parts of such requests.
 	Served []Fingerprint
 	// Held are requests that the sender holds from now on.
 	Held []HeldRequest
@@ -124,8 +98,10 @@
 	Recorded bool
 	// Released are what the sender no longer holds.
 	Released []Fingerprint
-	// Written are suspected parts on which answers were recently written for some time, or complete several times.
+	// Written are the uses of suspected parts on which answers were recently written for some time, or complete several times.
 	Written []Fingerprint
+	// Tried are held for others than an organisation whose request with them the sender sends to an upstream.
+	Tried []Fingerprint
 }
 
 // Verdict is what a gateway may do with a request.
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -18,26 +18,45 @@
 // organisation's, takes 2^64 attempts.
 const fingerprintBytes = 16
 
-// Fingerprint identifies a request across its retries: requests with the same method, path, query, organisation and body
-// have the same one. It also identifies a part of an organisation's prompts for a model, or several such parts together.
+// Fingerprint identifies what crashes upstreams: a request across its retries, whoever sends it, a part of prompts, or several
+// such parts together. It also identifies an organisation's use of each of these.
 type Fingerprint [fingerprintBytes]byte
 
-// Of returns the fingerprint of a request. Target is the path and query as the caller sent them, and body the buffered
-// part of the body. It excludes headers, because IDs and deadlines differ between retries, and the host, because routes
-// of several hosts lead to the same upstreams.
+// Labels take the place of the method, none of which has a space.
+const (
+	partLabel           = "prompt part"
+	requestContentLabel = "request content"
+	partContentLabel    = "prompt part content"
+	keyLabel            = "API key"
+)
+
+// Of returns the fingerprint of an organisation's request: that of its method, path, query, organisation and body. Target is the
+// path and query as the caller sent them, and body the buffered part of the body. It excludes headers, because IDs and deadlines
+// differ between retries, and the host, because routes of several hosts lead to the same upstreams.
 func Of(method, target string, o id.Organisation, body []byte) Fingerprint {
 	return hash(body, method, target, string(o))
 }
 
-// partLabel takes the place of the method, none of which has a space.
-const partLabel = "prompt part"
+// OfContent is like Of, for a request whoever sends it.
+func OfContent(method, target string, body []byte) Fingerprint {
+	return hash(body, requestContentLabel, method, target)
+}
 
-// OfPart returns the fingerprint of a part of an organisation's prompts for a model. Another organisation's part with the
-// same ID has another one, so that no organisation can have the parts of others held.
+// OfPart returns the fingerprint of a part of an organisation's prompts for a model.
 func OfPart(m id.Model, o id.Organisation, p id.PromptPart) Fingerprint {
 	return hash(nil, partLabel, string(m), string(o), string(p))
 }
 
+// OfPartContent returns the fingerprint of a part of prompts, whoever sends it and to whichever model.
+func OfPartContent(p id.PromptPart) Fingerprint {
+	return hash(nil, partContentLabel, string(p))
+}
+
+// OfKey returns the fingerprint of a caller's API key, for requests for a model.
+func OfKey(m id.Model, key string) Fingerprint {
+	return hash(nil, keyLabel, string(m), key)
+}
+
 // ofTogether returns the fingerprint of parts, which are in order; that of one part is its own.
 func ofTogether(parts []Fingerprint) Fingerprint {
 	if len(parts) == 1 {
--- a/internal/quarantine/held.go
+++ b/internal/quarantine/held.go
@@ -20,43 +20,88 @@
 	entries map[Fingerprint]*HeldRequest
 	// byPart lists the entries with a part.
 	byPart map[Fingerprint][]Fingerprint
-	// byOrganisation lists the entries of each organisation, oldest first.
+	// byOrganisation lists the entries of each organisation, oldest first; those that are held for all are nobody's. owners has
+	// the organisation of each entry.
 	byOrganisation map[id.Organisation][]Fingerprint
+	owners         map[Fingerprint]id.Organisation
 	// announcedAt is when an entry was added, or last announced by any gateway.
 	announcedAt map[Fingerprint]time.Time
 }
 
 func newHeldSet() *heldSet {
-	return &heldSet{entries: map[Fingerprint]*HeldRequest{}, byPart: map[Fingerprint][]Fingerprint{}, byOrganisation: map[id.Organisation][]Fingerprint{}, announcedAt: map[Fingerprint]time.Time{}}
+	return &heldSet{entries: map[Fingerprint]*HeldRequest{}, byPart: map[Fingerprint][]Fingerprint{}, byOrganisation: map[id.Organisation][]Fingerprint{}, owners: map[Fingerprint]id.Organisation{}, announcedAt: map[Fingerprint]time.Time{}}
 }
 
 func (h *heldSet) get(f Fingerprint) *HeldRequest {
 	return h.entries[f]
 }
 
-// match returns the entry for which a request with the given parts is held, or nil.
-func (h *heldSet) match(f Fingerprint, parts []Fingerprint) *HeldRequest {
-	if e := h.entries[f]; e != nil && len(e.Parts) == 0 {
-		return e
+// match returns the entry for which a request is held, or nil.
+func (h *heldSet) match(q Identity) *HeldRequest {
+	return h.find(q, func(e *HeldRequest) bool { return e.Binds(q) })
+}
+
+// others returns an entry that holds a request, or parts of its prompt, for others than its organisation, which has had no answer
+// on them since; or nil.
+func (h *heldSet) others(q Identity) *HeldRequest {
+	return h.find(q, func(e *HeldRequest) bool {
+		u, ok := q.heldUseOf(e)
+		return ok && !e.bindsUse(u) && !e.exempts(u)
+	})
+}
+
+// find returns an entry with the fingerprint of a request, of one of its parts, or of a use of these, for which a function is
+// true; or nil.
+func (h *heldSet) find(q Identity, matches func(e *HeldRequest) bool) *HeldRequest {
+	for _, f := range []Fingerprint{q.Fingerprint, q.use()} {
+		if e := h.entries[f]; e != nil && len(e.Parts) == 0 && matches(e) {
+			return e
+		}
 	}
-	for _, p := range parts {
-		for _, f := range h.byPart[p] {
-			if e := h.entries[f]; containsAll(parts, e.Parts) {
-				return e
+	for _, parts := range [][]Fingerprint{q.Parts, q.partUses()} {
+		for _, p := range parts {
+			for _, f := range h.byPart[p] {
+				if e := h.entries[f]; matches(e) {
+					return e
+				}
 			}
 		}
 	}
 	return nil
 }
 
+// with lists the entries for a request or with a part.
+func (h *heldSet) with(f Fingerprint) (l []*HeldRequest) {
+	if e := h.entries[f]; e != nil && len(e.Parts) == 0 {
+		l = append(l, e)
+	}
+	for _, o := range h.byPart[f] {
+		l = append(l, h.entries[o])
+	}
+	return l
+}
+
+// binds reports whether a request or part by itself is held for an organisation's use of it.
+func (h *heldSet) binds(f, use, key Fingerprint) bool {
+	e := h.entries[f]
+	return e != nil && (len(e.Uses) == 0 || e.bindsUse(HeldUse{Fingerprints: []Fingerprint{use}, Key: key}))
+}
+
 // covers reports whether an entry is of no use: all requests that it would hold are held already, or an entry for parts
 // explains its crashes and others.
 func (h *heldSet) covers(e HeldRequest) bool {
-	if len(e.Parts) > 0 && h.match(Fingerprint{}, e.Parts) != nil || h.entries[e.Fingerprint] != nil {
+	for _, p := range e.Parts {
+		for _, f := range h.byPart[p] {
+			if o := h.entries[f]; containsAll(e.Parts, o.Parts) && o.holdsAllOf(e) {
+				return true
+			}
+		}
+	}
+	if o := h.entries[e.Fingerprint]; o != nil && o.holdsAllOf(e) {
 		return true
 	}
 	for _, o := range h.entries {
-		if o.outweighs(&e) {
+		if o.outweighs(&e) && o.Fingerprint != e.Fingerprint {
 			return true
 		}
 	}
@@ -66,7 +111,7 @@
 // dropWeaker removes the entries that an entry for parts makes unnecessary, and returns their fingerprints.
 func (h *heldSet) dropWeaker(e HeldRequest) (dropped []Fingerprint) {
 	for f, o := range h.entries {
-		if e.outweighs(o) || len(e.Parts) > 0 && len(o.Parts) > len(e.Parts) && containsAll(o.Parts, e.Parts) {
+		if f != e.Fingerprint && (e.outweighs(o) || len(e.Parts) > 0 && len(o.Parts) > len(e.Parts) && containsAll(o.Parts, e.Parts) && e.holdsAllOf(*o)) {
 			dropped = append(dropped, f)
 		}
 	}
@@ -83,9 +128,9 @@
 // put adds an entry and returns the one that it evicted, or nil.
 func (h *heldSet) put(e HeldRequest) (evicted *HeldRequest) {
 	h.drop(e.Fingerprint)
-	switch {
-	case len(h.byOrganisation[e.Organisation]) >= maxHeldPerOrganisation:
-		evicted = h.drop(h.byOrganisation[e.Organisation][0])
+	switch owner := e.owner(); {
+	case len(h.byOrganisation[owner]) >= maxHeldPerOrganisation:
+		evicted = h.drop(h.byOrganisation[owner][0])
 	case len(h.entries) >= maxHeld:
 		evicted = h.drop(h.byOrganisation[h.largest()][0])
 	}
@@ -93,10 +138,34 @@
 	for _, p := range e.Parts {
 		h.byPart[p] = append(h.byPart[p], e.Fingerprint)
 	}
-	h.byOrganisation[e.Organisation] = append(h.byOrganisation[e.Organisation], e.Fingerprint)
+	h.setOwner(&e)
 	return evicted
 }
 
+// setOwner lists an entry under its organisation, which changes once it is held for all.
+func (h *heldSet) setOwner(e *HeldRequest) {
+	f, owner := e.Fingerprint, e.owner()
+	if before, known := h.owners[f]; known && before != owner {
+		h.disown(f)
+	} else if known {
+		return
+	}
+	h.owners[f] = owner
+	h.byOrganisation[owner] = append(h.byOrganisation[owner], f)
+}
+
+// disown removes an entry from those of its organisation.
+func (h *heldSet) disown(f Fingerprint) {
+	owner := h.owners[f]
+	delete(h.owners, f)
+	l := slices.DeleteFunc(h.byOrganisation[owner], func(o Fingerprint) bool { return o == f })
+	if len(l) == 0 {
+		delete(h.byOrganisation, owner)
+	} else {
+		h.byOrganisation[owner] = l
+	}
+}
+
 // largest returns the organisation with the most entries.
 func (h *heldSet) largest() (largest id.Organisation) {
 	for o, l := range h.byOrganisation {
@@ -121,12 +190,7 @@
 			delete(h.byPart, p)
 		}
 	}
-	l := slices.DeleteFunc(h.byOrganisation[e.Organisation], func(o Fingerprint) bool { return o == f })
-	if len(l) == 0 {
-		delete(h.byOrganisation, e.Organisation)
-	} else {
-		h.byOrganisation[e.Organisation] = l
-	}
+	h.disown(f)
 	return e
 }
 
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"bytes"
+	"cmp"
 	"maps"
 	"slices"
 )
@@ -14,6 +16,7 @@
 	for next := l.topSuspects(); len(next) > 0; next = l.topSuspects() {
 		for _, h := range next {
 			c.released = append(c.released, l.hold(h, Decided)...)
+			l.exemptAnswered(h.Fingerprint)
 		}
 		c.held = append(c.held, next...)
 	}
@@ -29,7 +32,7 @@
 		if !s.part || len(s.crashes) < minCrashesBeside || l.isUnlikely(f) {
 			continue
 		}
-		counted, explained := s.countedCrashes(f), l.explainedEvents(f)
+		counted, explained := l.countedCrashes(f, s), l.explainedEvents(f)
 		if len(counted) == 0 || len(counted)+explained < minUnbegunCrashes {
 			continue
 		}
@@ -71,9 +74,14 @@
 		c := &candidate{held: l.heldRequestOf(f, s), crashes: slices.Collect(maps.Keys(s.crashes))}
 		if s.part {
 			c.held.Parts = l.sameEvidence(f)
-			c.held.Fingerprint, c.crashes, c.unlikely = ofTogether(c.held.Parts), s.countedCrashes(f), l.isUnlikely(f)
+			c.held.Fingerprint, c.crashes, c.unlikely = ofTogether(c.held.Parts), l.countedCrashes(f, s), l.isUnlikely(f)
 		}
-		if !listed[c.held.Fingerprint] && l.held.get(c.held.Fingerprint) == nil {
+		c.held.Uses = l.suspectedUses(&c.held, c.crashes)
+		if len(c.held.Uses) == 0 {
+			continue
+		}
+		c.held.Organisation = c.held.Uses[0].Organisation
+		if h := l.held.get(c.held.Fingerprint); !listed[c.held.Fingerprint] && (h == nil || slices.ContainsFunc(c.held.Uses, func(u HeldUse) bool { return !h.bindsUse(u) })) {
 			listed[c.held.Fingerprint] = true
 			all = append(all, c)
 		}
@@ -98,7 +106,7 @@
 		if !p.part || s == nil || len(s.crashes) <= len(c.crashes) || !s.hasAll(c.crashes) || l.isUnlikely(f) && !c.unlikely {
 			continue
 		}
-		counted := s.countedCrashes(f)
+		counted := l.countedCrashes(f, s)
 		if len(counted) > len(c.crashes) && !slices.ContainsFunc(c.crashes, func(e *recordedCrash) bool { return !slices.Contains(counted, e) }) {
 			return true
 		}
@@ -107,9 +115,9 @@
 }
 
 func (l *SuspectTracker) heldRequestOf(f Fingerprint, s *suspect) HeldRequest {
-	e := HeldRequest{Fingerprint: f, Organisation: s.organisation, HeldBy: l.vm, SinceUnixMs: l.now().UnixMilli()}
+	e := HeldRequest{Fingerprint: f, HeldBy: l.vm, SinceUnixMs: l.now().UnixMilli()}
 	for n := range s.crashes {
-		if !s.part || n.counts(f) {
+		if !s.part || l.countsAgainst(n, f) {
 			e.Incarnations = append(e.Incarnations, n.incarnation)
 		}
 	}
@@ -117,9 +125,63 @@
 	return e
 }
 
+// suspectedUses lists the uses for which something is to be held: those that were present at its crashes and have not been
+// answered since, and of parts those on which no answer was recently written if there are any. The caller holds the lock.
+func (l *SuspectTracker) suspectedUses(h *HeldRequest, crashes []*recordedCrash) (uses []HeldUse) {
+	var unlikely []HeldUse
+	for _, e := range crashes {
+		for _, u := range e.usesOf(h) {
+			list := &uses
+			if len(h.Parts) > 0 && slices.ContainsFunc(u.Fingerprints, l.isUnlikelyUse) {
+				list = &unlikely
+			}
+			if !slices.ContainsFunc(*list, func(o HeldUse) bool { return slices.Equal(o.Fingerprints, u.Fingerprints) && o.Key == u.Key }) {
+				*list = append(*list, u)
+			}
+		}
+	}
+	if len(uses) == 0 {
+		uses = unlikely
+	}
+	slices.SortFunc(uses, func(a, b HeldUse) int {
+		return cmp.Or(bytes.Compare(a.Fingerprints[0][:], b.Fingerprints[0][:]), bytes.Compare(a.Key[:], b.Key[:]))
+	})
+	return uses[:min(len(uses), maxHeldUses)]
+}
+
+// usesOf lists the uses of a request, or of parts together, that were present at a crash and have not been answered since.
+func (e *recordedCrash) usesOf(h *HeldRequest) (uses []HeldUse) {
+	if len(h.Parts) == 0 {
+		for _, u := range e.present[h.Fingerprint].uses {
+			if !u.cleared {
+				uses = append(uses, u.heldUse())
+			}
+		}
+		return uses
+	}
+	for _, r := range e.unwritten {
+		u, ok := r.heldUseOf(h)
+		if ok && !slices.ContainsFunc(h.Parts, func(p Fingerprint) bool { return !e.suspectedIn(r, p) }) {
+			uses = append(uses, u)
+		}
+	}
+	return uses
+}
+
 // hold adds what is held and marks the crashes that it explains. It returns what is no longer held because this explains
 // more. The caller holds the lock.
 func (l *SuspectTracker) hold(e HeldRequest, o Origin) (released []Fingerprint) {
+	if h := l.held.get(e.Fingerprint); h != nil {
+		e.Incarnations = h.Incarnations
+		for _, u := range h.Uses {
+			e.addUse(u)
+		}
+		for _, f := range h.Exempt {
+			if !e.listsAny(f) {
+				e.exempt(f)
+			}
+		}
+	}
 	released = l.held.dropWeaker(e)
 	for _, f := range released {
 		l.logReleased(f, "a hold explains its crashes and more")
@@ -130,6 +192,7 @@
 			Msg("held request evicted: too many requests are held")
 	}
 	l.held.announcedAt[e.Fingerprint] = l.now()
+	l.changeCount++
 	for _, n := range l.crashes {
 		if n.explainedBy(&e) {
 			l.explain(n, &e)
@@ -138,7 +201,7 @@
 	delete(l.suspects, e.Fingerprint)
 	l.vars.Add("held_in_all", 1)
 	c := l.log.Warn().Stringer("fingerprint", e.Fingerprint).Str("organisation", string(e.Organisation)).Str("by", string(e.HeldBy)).
-		Stringer("origin", o).Int("parts", len(e.Parts))
+		Stringer("origin", o).Int("parts", len(e.Parts)).Int("uses", len(e.Uses)).Bool("for_all", e.forAll())
 	var crashed []string
 	for _, s := range e.Incarnations {
 		crashed = append(crashed, string(s.Instance)+" at "+s.Address)
@@ -160,25 +223,66 @@
 
 func (l *SuspectTracker) addHeld(e HeldRequest, o Origin) {
 	l.mu.Lock()
+	if h := l.held.get(e.Fingerprint); h != nil {
+		c := l.mergeHeld(h, e)
+		l.mu.Unlock()
+		l.notify(c)
+		return
+	}
 	if l.held.covers(e) {
-		if l.held.get(e.Fingerprint) != nil {
-			l.held.announcedAt[e.Fingerprint] = l.now()
-		}
 		l.mu.Unlock()
 		return
 	}
-	c := changes{served: l.servedSince(e)}
-	if len(c.served) > 0 {
-		c.here, c.released = true, append(c.released, e.Fingerprint)
-		l.logReleased(e.Fingerprint, "parts of it were served here since its first crash")
-		e.Parts = slices.DeleteFunc(slices.Clone(e.Parts), func(p Fingerprint) bool { return slices.Contains(c.served, p) })
-		e.Fingerprint = ofTogether(e.Parts)
+	c := changes{}
+	name := e.Fingerprint
+	served, held := l.servedSince(&e)
+	c.served = served
+	if len(served) > 0 {
+		c.here = true
+		if !held || e.Fingerprint != name {
+			c.released = append(c.released, name)
+			l.logReleased(name, "parts of it were served here since its first crash")
+		}
 	}
-	if len(c.served) == 0 || len(e.Parts) > 0 && !l.held.covers(e) {
+	if held && (len(served) == 0 || !l.held.covers(e)) {
 		c.released = append(c.released, l.hold(e, o)...)
 		c.held = append(c.held, e)
+		l.exemptAnswered(e.Fingerprint)
 	}
 	l.updateWatching()
 	l.mu.Unlock()
 	l.notify(c)
 }
+
+// mergeHeld adds the uses of another copy of what is held; the caller holds the lock.
+func (l *SuspectTracker) mergeHeld(h *HeldRequest, e HeldRequest) (c changes) {
+	l.held.announcedAt[h.Fingerprint] = l.now()
+	for _, use := range e.Exempt {
+		delete(l.unshared[h.Fingerprint], use)
+	}
+	if !h.merge(e) {
+		return c
+	}
+	l.held.setOwner(h)
+	l.changeCount++
+	for _, n := range l.crashes {
+		if n.explainedBy(h) {
+			l.explain(n, h)
+		}
+	}
+	c.changed = append(c.changed, *h)
+	return c
+}
+
+// exemptAnswered exempts the organisations whose use of a held part was answered here recently; the caller holds the lock.
+func (l *SuspectTracker) exemptAnswered(f Fingerprint) {
+	h := l.held.get(f)
+	if h == nil || len(h.Parts) != 1 || len(h.Uses) == 0 {
+		return
+	}
+	for _, use := range l.answeredUses(h.Parts[0], h) {
+		if h.exempt(use) {
+			l.shareExempt(h, use)
+		}
+	}
+}
--- a/internal/quarantine/news.go
+++ b/internal/quarantine/news.go
@@ -41,6 +41,9 @@
 	for _, h := range n.Held {
 		l = append(l, &pb.CrashNews{Held: []*pb.HeldNews{h.news(n.Recorded)}})
 	}
+	if len(n.Tried) > 0 {
+		l = append(l, &pb.CrashNews{Tried: fingerprintsToProto(n.Tried)})
+	}
 	for _, f := range n.Released {
 		l = append(l, &pb.CrashNews{Released: [][]byte{f[:]}})
 	}
@@ -57,6 +60,10 @@
 	size := 0
 	for ; n < len(of); n++ {
 		size += bytesPerRequest + bytesPerPart*len(of[n].Parts)
+		if of[n].Use != (Fingerprint{}) {
+			// Its content, its key and the contents of its parts.
+			size += bytesPerPart * (2 + len(of[n].Parts))
+		}
 		if n > 0 && size > maxBytesPerMessage {
 			break
 		}
@@ -66,10 +73,19 @@
 
 func inFlightToProto(of []InFlightRequest) (l []*pb.PresentRequest) {
 	for _, p := range of {
-		l = append(l, &pb.PresentRequest{
-			Fingerprint: p.Fingerprint[:], Organisation: string(p.Organisation), Try: uint32(p.Attempt), Alone: p.Alone,
-			Parts: fingerprintsToProto(p.Parts), Beginning: p.Progress == Beginning,
-		})
+		q := p.identity()
+		use := q.use()
+		r := &pb.PresentRequest{
+			Fingerprint: use[:], Organisation: string(p.Organisation), Try: uint32(p.Attempt), Alone: p.Alone,
+			Parts: fingerprintsToProto(q.partUses()), Beginning: p.Progress == Beginning,
+		}
+		if p.Use != (Fingerprint{}) {
+			r.Content, r.Contents = p.Fingerprint[:], fingerprintsToProto(p.Parts)
+		}
+		if p.Key != (Fingerprint{}) {
+			r.Key = p.Key[:]
+		}
+		l = append(l, r)
 	}
 	return l
 }
@@ -128,6 +144,14 @@
 		}
 		l.ApplyWritten(f)
 	}
+	for _, b := range m.GetTried() {
+		f, err := FromBytes(b)
+		if err != nil {
+			l.vars.Add("malformed", 1)
+			continue
+		}
+		l.NoteTry(f)
+	}
 	for _, h := range m.GetHeld() {
 		f, err := FromBytes(h.GetFingerprint())
 		if err != nil {
@@ -172,5 +196,27 @@
 	if p.GetBeginning() {
 		r.Progress = Beginning
 	}
+	if err == nil && len(p.GetContent()) > 0 {
+		err = r.setContents(p)
+	}
 	return r, err
 }
+
+// setContents decodes what a newer gateway tells of what a request holds, whoever sends it.
+func (p *InFlightRequest) setContents(m *pb.PresentRequest) (err error) {
+	p.Use, p.PartUses = p.Fingerprint, p.Parts
+	if p.Fingerprint, err = FromBytes(m.GetContent()); err != nil {
+		return err
+	}
+	contents := m.GetContents()
+	if p.Parts, err = fingerprintsFromProto(contents[:min(len(contents), maxPartsPerRequest)]); err != nil {
+		return err
+	}
+	if len(p.Parts) != len(p.PartUses) {
+		return ErrFingerprint
+	}
+	if len(m.GetKey()) > 0 {
+		p.Key, err = FromBytes(m.GetKey())
+	}
+	return err
+}
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -62,11 +62,13 @@
 		Evidence: l.evidence,
 	}
 	l.OnHeld = append(l.OnHeld, q.Persist, q.broadcastHeld)
+	l.OnHeldChanged = append(l.OnHeldChanged, q.update)
 	l.OnServed = func(f Fingerprint) { q.Broadcast(CrashNews{Served: []Fingerprint{f}}) }
 	l.OnReleased = q.release
 	l.OnMissed = func(h HeldRequest) {
 		q.Broadcast(CrashNews{Held: []HeldRequest{h}, Recorded: q.isStored(h.Fingerprint)})
 	}
+	l.OnTry = func(f Fingerprint) { q.Broadcast(CrashNews{Tried: []Fingerprint{f}}) }
 	l.AnnounceDelay = func() time.Duration {
 		return rand.N(minAnnounceSpread + time.Duration(s.GatewayCount())*announceSpreadPerGateway)
 	}
@@ -85,6 +87,14 @@
 	}
 }
 
+// update writes the record of what is held for other uses than before, and tells the other gateways, if this one found it out.
+func (q *Quarantine) update(h HeldRequest, here bool) {
+	if here {
+		q.Update(h)
+		q.Broadcast(CrashNews{Held: []HeldRequest{h}, Recorded: q.isStored(h.Fingerprint)})
+	}
+}
+
 // broadcastHeld sends a request that this gateway has decided to hold to the other gateways, because one that missed the
 // report of a crash can't decide so itself.
 func (q *Quarantine) broadcastHeld(h HeldRequest) {
--- a/internal/quarantine/persister.go
+++ b/internal/quarantine/persister.go
@@ -6,11 +6,9 @@
 	"sync"
 	"time"
 
-	"github.com/gravitational/trace"
 	"github.com/phuslu/log"
 	"google.golang.org/protobuf/proto"
 
-	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/records"
 )
@@ -60,6 +58,8 @@
 type pendingWrite struct {
 	value []byte
 	dueAt time.Time
+	// rewrite is true if the store had a record already: the write is given up if that is deleted.
+	rewrite bool
 }
 
 // NewPersister creates a persister for a suspect tracker and a topic of the store.
@@ -81,16 +81,28 @@
 
 // Persist schedules the write of a held request's record, unless another process has written it.
 func (k *Persister) Persist(h HeldRequest) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.stored[h.Fingerprint] {
+		k.scheduleRecord(h, false)
+	}
+}
+
+// Update schedules the write of a held request's record, which is held for other uses than before.
+func (k *Persister) Update(h HeldRequest) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.scheduleRecord(h, k.stored[h.Fingerprint])
+}
+
+// scheduleRecord schedules the write of a held request's record; the caller holds the lock.
+func (k *Persister) scheduleRecord(h HeldRequest, rewrite bool) {
 	b, err := proto.Marshal(h.toProto())
 	if err != nil {
 		k.log.Error().Err(err).Stringer("fingerprint", h.Fingerprint).Msg("failed to encode a held request")
 		return
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if !k.stored[h.Fingerprint] {
-		k.schedule(h.Fingerprint, pendingWrite{value: b, dueAt: k.now().Add(rand.N(writeSpread))})
-	}
+	k.schedule(h.Fingerprint, pendingWrite{value: b, dueAt: k.now().Add(rand.N(writeSpread)), rewrite: rewrite})
 }
 
 // Remove schedules the deletion of the record of a request that is no longer held.
@@ -210,32 +222,3 @@
 func retryPause() time.Duration {
 	return retryDelay + rand.N(retryDelay)
 }
-
-// proto encodes a held request as its record.
-func (h *HeldRequest) toProto() *pb.HeldRequest {
-	m := &pb.HeldRequest{Organisation: string(h.Organisation), By: string(h.HeldBy), SinceUnixMs: h.SinceUnixMs, Parts: fingerprintsToProto(h.Parts)}
-	for _, s := range h.Incarnations {
-		m.Starts = append(m.Starts, s.toProto())
-	}
-	return m
-}
-
-func decodeHeld(f Fingerprint, value []byte) (HeldRequest, error) {
-	var m pb.HeldRequest
-	if err := proto.Unmarshal(value, &m); err != nil {
-		return HeldRequest{}, trace.Wrap(err)
-	}
-	return heldFromProto(f, &m)
-}
-
-func heldFromProto(f Fingerprint, m *pb.HeldRequest) (HeldRequest, error) {
-	parts, err := fingerprintsFromProto(m.GetParts())
-	if err != nil {
-		return HeldRequest{}, err
-	}
-	h := HeldRequest{Fingerprint: f, Organisation: id.Organisation(m.GetOrganisation()), HeldBy: id.VM(m.GetBy()), SinceUnixMs: m.GetSinceUnixMs(), Parts: parts}
-	for _, s := range m.GetStarts() {
-		h.Incarnations = append(h.Incarnations, incarnationFromProto(s))
-	}
-	return h, nil
-}
--- a/internal/quarantine/persister_test.go
+++ b/internal/quarantine/persister_test.go
@@ -164,7 +164,7 @@
 			l.RecordCrash(crashOf(n, "bad"))
 		}
 	}
-	held := func(l *SuspectTracker) func() bool { return func() bool { return l.Check(bad) == Held } }
+	held := func(l *SuspectTracker) func() bool { return func() bool { return l.Check(known(bad)) == Held } }
 
 	It("survive all gateways, and reach those that have seen none of the crashes", func() {
 		s := newFakeTopic()
@@ -186,17 +186,17 @@
 			l.RecordCrash(promptCrash(n, []string{"p", "bad"}))
 			time.Sleep(sameCauseWindow)
 		}
-		l.Served(request("other"), partNamed("p"))
+		l.Served(known(request("other"), partNamed("p")))
 		verdict := func(l *SuspectTracker) func() Verdict {
-			return func() Verdict { return l.Check(request("new"), partNamed("p"), partNamed("bad")) }
+			return func() Verdict { return l.Check(known(request("new"), partNamed("p"), partNamed("bad"))) }
 		}
 		Eventually(verdict(l)).Should(Equal(Held))
 		Eventually(func() bool { return s.has(partNamed("bad").String()) }).WithTimeout(3 * time.Second).Should(BeTrue())
 		shutDown()
 		later, _, _ := start(s)
 		Eventually(verdict(later)).Should(Equal(Held))
-		Expect(later.Check(request("new"), partNamed("p"))).To(Equal(Pass))
-		later.Served(request("new"), partNamed("bad"))
+		Expect(later.Check(known(request("new"), partNamed("p")))).To(Equal(Pass))
+		later.Served(known(request("new"), partNamed("bad")))
 		Expect(verdict(later)()).To(Equal(Pass))
 		Eventually(func() bool { return s.has(partNamed("bad").String()) }).Should(BeFalse())
 	})
@@ -284,7 +284,7 @@
 		remote, _, _ := start(s)
 		crash(l)
 		Eventually(held(remote)).WithTimeout(3 * time.Second).Should(BeTrue())
-		remote.Served(bad)
+		remote.Served(known(bad))
 		Eventually(held(l)).WithTimeout(time.Second).Should(BeFalse())
 	})
 
@@ -320,9 +320,9 @@
 			Expect(err).NotTo(HaveOccurred())
 		}
 		l, _, _ := start(s)
-		Eventually(func() bool { return l.Check(request("good")) == Held }).Should(BeTrue())
+		Eventually(func() bool { return l.Check(known(request("good"))) == Held }).Should(BeTrue())
 		// A snapshot has no order, so the valid record may be applied before the invalid ones.
 		Eventually(func() string { return l.vars.Get("records_skipped").String() }).Should(Equal("2"))
-		Expect(l.Check(bad)).To(Equal(Pass))
+		Expect(l.Check(known(bad))).To(Equal(Pass))
 	})
 })
--- a/internal/quarantine/prompt_part.go
+++ b/internal/quarantine/prompt_part.go
@@ -39,16 +39,16 @@
 )
 
 // countedCrashes lists the crashes that count against a part, oldest first; the caller holds the lock.
-func (s *suspect) countedCrashes(f Fingerprint) (l []*recordedCrash) {
-	l = slices.Collect(maps.Keys(s.crashes))
-	slices.SortFunc(l, func(a, b *recordedCrash) int {
+func (l *SuspectTracker) countedCrashes(f Fingerprint, s *suspect) []*recordedCrash {
+	crashes := slices.Collect(maps.Keys(s.crashes))
+	slices.SortFunc(crashes, func(a, b *recordedCrash) int {
 		if c := a.recordedAt.Compare(b.recordedAt); c != 0 {
 			return c
 		}
 		return bytes.Compare([]byte(a.incarnation.Instance), []byte(b.incarnation.Instance))
 	})
-	l = l[max(0, len(l)-maxCounted):]
-	return slices.DeleteFunc(l, func(e *recordedCrash) bool { return !e.counts(f) })
+	crashes = crashes[max(0, len(crashes)-maxCounted):]
+	return slices.DeleteFunc(crashes, func(e *recordedCrash) bool { return !l.countsAgainst(e, f) })
 }
 
 // hasAll reports whether all of the crashes are evidence against a suspect.
@@ -85,7 +85,7 @@
 	if len(s.crashes) < minCrashesBeside || !s.crashedHere {
 		return false
 	}
-	crashes := s.countedCrashes(f)
+	crashes := l.countedCrashes(f, s)
 	if l.isUnlikely(f) {
 		crashes = slices.DeleteFunc(crashes, func(e *recordedCrash) bool { return l.hasLikelierCause(e) })
 	}
@@ -97,7 +97,7 @@
 	if countBegun(crashes, f) < minCrashes-1 {
 		needed = minUnbegunCrashes
 	}
-	answered := l.served.has(f) || l.isUnlikely(f)
+	answered := l.isAnswered(f) || l.isUnlikely(f)
 	certain := len(events) >= minCertainCrashes || l.onlyLikelyCause(f, crashes) || !answered && len(events) >= minSpreadEvents &&
 		countBegun(crashes, f) >= minCertainCrashes && len(begunRequests(crashes, f)) >= minCertainCrashes
 	if len(events) < minPartCrashes && !certain {
@@ -117,12 +117,12 @@
 // be the cause had recently been written. Two at once suffice if something else that is held explains others. The caller holds
 // the lock.
 func (l *SuspectTracker) onlyLikelyCause(f Fingerprint, crashes []*recordedCrash) bool {
-	if l.isUnlikely(f) || l.served.has(f) {
+	if l.isUnlikely(f) || l.isAnswered(f) {
 		return false
 	}
 	alone := slices.DeleteFunc(slices.Clone(crashes), func(e *recordedCrash) bool {
 		return slices.ContainsFunc(e.findCauses().requests, func(r unwrittenRequest) bool {
-			return l.isRival(r.fingerprint, e) || slices.ContainsFunc(r.parts, func(o Fingerprint) bool { return o != f && l.isRival(o, e) })
+			return l.isRival(r.Fingerprint, e) || slices.ContainsFunc(r.Parts, func(o Fingerprint) bool { return o != f && l.isRival(o, e) })
 		})
 	})
 	n := len(independentEvents(alone, f))
@@ -142,8 +142,7 @@
 func (l *SuspectTracker) explainedEvents(f Fingerprint) int {
 	var crashes []*recordedCrash
 	for _, e := range l.crashes {
-		_, cleared := e.cleared[f]
-		if p := e.present[f]; p != nil && p.beginning && e.explained && !cleared {
+		if p := e.present[f]; p != nil && p.beginning() && e.explained {
 			crashes = append(crashes, e)
 		}
 	}
@@ -154,7 +153,7 @@
 // at a crash. The caller holds the lock.
 func (l *SuspectTracker) hasLikelierCause(e *recordedCrash) bool {
 	for f, p := range e.present {
-		if s := l.suspects[f]; p.part && s != nil && len(s.crashes) >= minCrashes && e.isEvidence(f) && e.counts(f) && !l.isUnlikely(f) {
+		if s := l.suspects[f]; p.part && s != nil && len(s.crashes) >= minCrashes && e.isEvidence(f) && l.countsAgainst(e, f) && !l.isUnlikely(f) {
 			return true
 		}
 	}
@@ -200,12 +199,11 @@
 			if e.explained && !slices.Contains(e.stillSuspected, f) {
 				continue
 			}
-			evidence := e.isEvidence(f)
 			for _, r := range e.findCauses().requests {
 				all++
-				if evidence && slices.Contains(r.parts, f) {
+				if e.suspectedIn(r, f) {
 					with++
-					requests[r.fingerprint] = struct{}{}
+					requests[r.Fingerprint] = struct{}{}
 				}
 			}
 		}
@@ -217,7 +215,7 @@
 // countBegun counts the crashes at which the upstream was beginning an answer on a part.
 func countBegun(crashes []*recordedCrash, f Fingerprint) (n int) {
 	for _, e := range crashes {
-		if e.present[f].beginning {
+		if e.present[f].beginning() {
 			n++
 		}
 	}
@@ -229,8 +227,8 @@
 	requests := map[Fingerprint]struct{}{}
 	for _, e := range crashes {
 		for _, r := range e.unwritten {
-			if r.beginning && slices.Contains(r.parts, f) {
-				requests[r.fingerprint] = struct{}{}
+			if r.beginning && e.suspectedIn(r, f) {
+				requests[r.Fingerprint] = struct{}{}
 			}
 		}
 	}
@@ -240,9 +238,9 @@
 // sameEvidence lists the parts, in order, against which exactly the same crashes count as against a part, and that were in the
 // same requests there, including itself. These parts can't be distinguished; the caller holds the lock.
 func (l *SuspectTracker) sameEvidence(f Fingerprint) (parts []Fingerprint) {
-	crashes := l.suspects[f].countedCrashes(f)
+	crashes := l.countedCrashes(f, l.suspects[f])
 	for o, p := range crashes[0].present {
-		if s := l.suspects[o]; p.part && s != nil && s.hasAll(crashes) && slices.Equal(crashes, s.countedCrashes(o)) && inSameRequests(crashes, f, o) {
+		if s := l.suspects[o]; p.part && s != nil && s.hasAll(crashes) && slices.Equal(crashes, l.countedCrashes(o, s)) && inSameRequests(crashes, f, o) {
 			parts = append(parts, o)
 		}
 	}
@@ -253,7 +251,7 @@
 // inSameRequests reports whether a request with both parts was present at each crash.
 func inSameRequests(crashes []*recordedCrash, a, b Fingerprint) bool {
 	return !slices.ContainsFunc(crashes, func(e *recordedCrash) bool {
-		return !slices.ContainsFunc(e.unwritten, func(r unwrittenRequest) bool { return slices.Contains(r.parts, a) && slices.Contains(r.parts, b) })
+		return !slices.ContainsFunc(e.unwritten, func(r unwrittenRequest) bool { return e.suspectedIn(r, a) && e.suspectedIn(r, b) })
 	})
 }
 
@@ -263,7 +261,7 @@
 	for _, f := range parts {
 		s := l.suspects[f]
 		switch {
-		case s == nil || !s.part || len(s.crashes) < minCrashes-1 || len(s.countedCrashes(f)) < minCrashes-1:
+		case s == nil || !s.part || len(s.crashes) < minCrashes-1 || len(l.countedCrashes(f, s)) < minCrashes-1:
 			continue
 		case l.undecided && l.partProven(f, s) && containsAll(parts, l.sameEvidence(f)):
 			l.scheduleSettle()
@@ -279,50 +277,3 @@
 func containsAll(parts, others []Fingerprint) bool {
 	return !slices.ContainsFunc(others, func(p Fingerprint) bool { return !slices.Contains(parts, p) })
 }
-
-// reduceHeld replaces each held combination that has a part, which was served, by the rest of its parts. It returns what
-// is no longer held and what is held instead. The caller holds the lock.
-func (l *SuspectTracker) reduceHeld(part Fingerprint, c *changes) (released []Fingerprint, fresh []HeldRequest) {
-	for _, f := range slices.Clone(l.held.byPart[part]) {
-		dropped := l.held.drop(f)
-		if dropped == nil {
-			continue
-		}
-		released = append(released, f)
-		l.logReleased(f, c.servedWhere())
-		h := *dropped
-		h.Parts = slices.DeleteFunc(slices.Clone(h.Parts), func(o Fingerprint) bool { return o == part })
-		if len(h.Parts) == 0 {
-			continue
-		}
-		h.Fingerprint = ofTogether(h.Parts)
-		if c.here {
-			h.HeldBy = l.vm
-		}
-		if !l.held.covers(h) {
-			released = append(released, l.hold(h, Reduced)...)
-			fresh = append(fresh, h)
-		}
-	}
-	return released, fresh
-}
-
-// servedSince lists the parts of a held request that were served here after the first of its crashes that is known here;
-// the caller holds the lock.
-func (l *SuspectTracker) servedSince(h HeldRequest) (parts []Fingerprint) {
-	var first time.Time
-	for _, s := range h.Incarnations {
-		if e := l.findCrash(s, l.now()); e != nil && (first.IsZero() || e.recordedAt.Before(first)) {
-			first = e.recordedAt
-		}
-	}
-	if first.IsZero() {
-		return nil
-	}
-	for _, p := range h.Parts {
-		if at, ok := l.served.servedAt[p]; ok && at.After(first) {
-			parts = append(parts, p)
-		}
-	}
-	return parts
-}
--- a/internal/quarantine/prompt_part_test.go
+++ b/internal/quarantine/prompt_part_test.go
@@ -34,7 +34,7 @@
 
 // checkPrompt returns the verdict on a new request with the given parts.
 func (d *manualTracker) checkPrompt(names ...string) Verdict {
-	return d.Check(request(fmt.Sprint("new", names)), partsNamed(names)...)
+	return d.Check(known(request(fmt.Sprint("new", names)), partsNamed(names)...))
 }
 
 var _ = Describe("a part of prompts under which upstreams crash", func() {
@@ -124,7 +124,7 @@
 		d := newManualTracker()
 		for n := range 20 {
 			d.crashEach(n, []string{"first"})
-			d.Served(request(fmt.Sprint("served", n)), partNamed("first"))
+			d.Served(known(request(fmt.Sprint("served", n)), partNamed("first")))
 		}
 		d.runTimers()
 		Expect(d.HeldRequests()).To(BeEmpty())
@@ -132,7 +132,7 @@
 
 	It("is held only after more crashes if answers on it came shortly before", func() {
 		d := newManualTracker()
-		d.Served(request("served"), partNamed("bad"))
+		d.Served(known(request("served"), partNamed("bad")))
 		d.crashEach(0, []string{"bad"}, []string{"bad"}, []string{"bad"}, []string{"bad"}, []string{"bad"})
 		d.runTimers()
 		Expect(d.HeldRequests()).To(BeEmpty())
@@ -180,7 +180,7 @@
 		Expect(d.checkPrompt("rare")).To(Equal(Once))
 		Expect(d.checkPrompt("bad")).To(Equal(Once))
 		By("the other one is served")
-		d.Served(request("alone"), partNamed("rare"))
+		d.Served(known(request("alone"), partNamed("rare")))
 		Expect(d.checkPrompt("rare")).To(Equal(Pass))
 		Expect(d.checkPrompt("bad")).To(Equal(Held))
 		Expect(d.HeldRequests()).To(HaveLen(1))
@@ -209,7 +209,7 @@
 		}
 		Expect(d.checkPrompt("bad")).To(Equal(Held))
 		Expect(d.HeldRequests()).To(HaveLen(1))
-		Expect(d.Check(request("repeated"))).To(Equal(Pass))
+		Expect(d.Check(known(request("repeated")))).To(Equal(Pass))
 	})
 
 	It("is released at every gateway once one has served it, and a gateway that has does not hold it", func() {
@@ -219,7 +219,7 @@
 		b.crashEach(0, crashes...)
 		a.runTimers()
 		h := a.HeldRequests()[0]
-		b.Served(request("ok"), partNamed("first"))
+		b.Served(known(request("ok"), partNamed("first")))
 		Expect(b.served).To(ContainElement(partNamed("first")))
 		b.AddHeld(h)
 		Expect(b.HeldRequests()).To(BeEmpty())
@@ -260,7 +260,7 @@
 		}
 		Expect(d.crashes).To(HaveLen(1))
 		Expect(d.crashes[0].unwritten).To(HaveLen(40))
-		Expect(d.crashes[0].unwritten[0].parts).To(Equal(partsNamed(many)))
+		Expect(d.crashes[0].unwritten[0].Parts).To(Equal(partsNamed(many)))
 		Expect(d.crashes[0].unwritten[0].beginning).To(BeTrue())
 		Expect(d.checkPrompt("x", "y")).To(Equal(Held))
 		Expect(d.checkPrompt("x")).To(Equal(Pass))
@@ -277,14 +277,14 @@
 			Expect(d.checkPrompt("first")).NotTo(BeElementOf(Waits, Held))
 			d.clock = d.clock.Add(time.Second)
 		}
-		Expect(d.Check(request("repeated"))).To(Equal(Held))
+		Expect(d.Check(known(request("repeated")))).To(Equal(Held))
 		Expect(d.HeldRequests()).To(HaveLen(1))
 		Expect(d.checkPrompt("first")).To(Equal(Pass))
 	})
 
 	It("is not held, nor refused for long, if another part that is not held yet was present at all its crashes and at more", func() {
 		d := newManualTracker()
-		d.Served(request("before"), partNamed("bad"))
+		d.Served(known(request("before"), partNamed("bad")))
 		for n := range 5 {
 			prompts := [][]string{{"bad", fmt.Sprint("own", n)}}
 			if n < 4 {
@@ -338,7 +338,7 @@
 				d.RecordCrash(e)
 				d.clock = d.clock.Add(100 * time.Millisecond)
 			}
-			d.Served(request("ok"), partNamed("p"))
+			d.Served(known(request("ok"), partNamed("p")))
 			d.runTimers()
 			if d.checkPrompt("bad") != Held || d.checkPrompt("p") != Pass || len(d.HeldRequests()) != 1 {
 				t.Fatalf("held: %v", d.HeldRequests())
--- a/internal/quarantine/record_reader.go
+++ b/internal/quarantine/record_reader.go
@@ -267,7 +267,7 @@
 	defer k.mu.Unlock()
 	delete(k.unread, f)
 	w, due := k.pending[f]
-	if due && (w.value != nil) == stored {
+	if due && (w.value != nil) == (stored != w.rewrite) {
 		delete(k.pending, f)
 	}
 	k.markStored(f, stored)
--- a/internal/quarantine/remembered.go
+++ b/internal/quarantine/remembered.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
@@ -35,9 +36,11 @@
 			n.Remembered = append(n.Remembered, &pb.UpstreamEnd{Start: e.incarnation.toProto(), Requests: inFlightToProto(r), AgeMs: l.ageOf(e.recordedAt)})
 		}
 	}
-	for f, s := range l.suspects {
-		if at, ok := l.written.servedAt[f]; ok && s.sharedUnlikely {
-			n.Answered = append(n.Answered, &pb.RememberedAnswer{Fingerprint: f[:], Written: true, AgeMs: l.ageOf(at)})
+	for _, s := range l.suspects {
+		for use := range s.sharedUnlikely {
+			if at, ok := l.written.servedAt[use]; ok {
+				n.Answered = append(n.Answered, &pb.RememberedAnswer{Fingerprint: use[:], Written: true, AgeMs: l.ageOf(at)})
+			}
 		}
 	}
 	return n
@@ -49,43 +52,57 @@
 		if p.part || !e.isEvidence(f) {
 			continue
 		}
-		r := InFlightRequest{Fingerprint: f, Organisation: p.organisation, Attempt: p.attempt, Alone: p.alone}
-		for _, u := range e.unwritten {
-			if u.fingerprint != f {
-				continue
-			}
-			if u.beginning {
-				r.Progress = Beginning
-			}
-			for _, o := range u.parts {
-				if e.isEvidence(o) {
-					r.Parts = append(r.Parts, o)
-				}
+		for _, u := range p.uses {
+			if !u.cleared {
+				l = append(l, e.suspectedRequest(f, u))
 			}
 		}
-		l = append(l, r)
 	}
 	return l
 }
 
+func (e *recordedCrash) suspectedRequest(f Fingerprint, u *presentUse) InFlightRequest {
+	r := InFlightRequest{Fingerprint: f, Use: u.fingerprint, Organisation: u.organisation, Key: u.key, Alone: u.alone}
+	if len(u.attempts) > 0 {
+		r.Attempt = u.attempts[0]
+	}
+	for _, o := range e.unwritten {
+		if o.Fingerprint != f || o.use() != u.fingerprint {
+			continue
+		}
+		if o.beginning {
+			r.Progress = Beginning
+		}
+		o.eachPart(func(p, use Fingerprint) {
+			if e.isEvidenceOf(p, use) {
+				r.Parts, r.PartUses = append(r.Parts, p), append(r.PartUses, use)
+			}
+		})
+	}
+	return r
+}
+
 // clearAnswered clears what has been answered since a crash that is remembered; the caller holds the lock.
 func (l *SuspectTracker) clearAnswered(e *recordedCrash) {
-	for f := range e.present {
-		if l.served.servedAt[f].After(e.recordedAt) || l.servedElsewhere.servedAt[f].After(e.recordedAt) {
-			l.clearCrash(f, e)
+	for use, f := range e.uses() {
+		if l.served.servedAt[use].After(e.recordedAt) || l.servedElsewhere.servedAt[use].After(e.recordedAt) {
+			l.clearCrash(f, use, e)
 		}
 	}
 }
 
-// clearCrash clears a request or part of one crash; the caller holds the lock.
-func (l *SuspectTracker) clearCrash(f Fingerprint, e *recordedCrash) {
-	e.cleared[f], e.causes = struct{}{}, nil
-	l.removeEvidence(f, e)
+// clearCrash clears an organisation's use of a request or part of one crash; the caller holds the lock.
+func (l *SuspectTracker) clearCrash(f, use Fingerprint, e *recordedCrash) {
+	e.present[f].clear(use, false)
+	e.causes = nil
+	if !e.isEvidence(f) {
+		l.removeEvidence(f, e)
+	}
 }
 
 // applyRemembered notes that another gateway has served a request or part, or that an answer was written on it, some time ago.
 func (l *SuspectTracker) applyRemembered(a *pb.RememberedAnswer) {
-	f, err := FromBytes(a.GetFingerprint())
+	use, err := FromBytes(a.GetFingerprint())
 	if err != nil {
 		l.vars.Add("malformed", 1)
 		return
@@ -94,14 +111,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	// Until this gateway has served the part itself, this is what it knows of its usual answers.
-	l.noteWritten(f, at)
+	l.noteWritten(use, at)
 	if a.GetWritten() {
 		return
 	}
-	l.servedElsewhere.addAt(f, at)
-	for _, e := range l.crashes {
-		if e.present[f] != nil && e.recordedAt.Before(at) {
-			l.clearCrash(f, e)
+	l.servedElsewhere.addAt(use, at)
+	for _, f := range slices.Compact([]Fingerprint{l.contents.contentOf(use), use}) {
+		for _, e := range l.crashes {
+			if e.present[f] != nil && e.recordedAt.Before(at) {
+				l.clearCrash(f, use, e)
+			}
 		}
 	}
 	l.undecided = true
--- a/internal/quarantine/remembered_test.go
+++ b/internal/quarantine/remembered_test.go
@@ -39,7 +39,7 @@
 		}
 		s := startFrom(d)
 		s.runTimers()
-		Expect(s.Check(request("bad"))).To(Equal(Held))
+		Expect(s.Check(known(request("bad")))).To(Equal(Held))
 	})
 
 	It("do not suffice to hold a part, as the gateway does not know yet what is usually served", func() {
@@ -51,7 +51,7 @@
 		s.runTimers()
 		Expect(s.HeldRequests()).To(BeEmpty())
 		Expect(s.checkPrompt("frequent")).To(Equal(Once))
-		s.Served(request("x"), partsNamed([]string{"frequent"})...)
+		s.Served(known(request("x"), partsNamed([]string{"frequent"})...))
 		s.crashEach(6, []string{"frequent", "own"})
 		s.runTimers()
 		Expect(s.HeldRequests()).To(BeEmpty())
@@ -113,7 +113,7 @@
 	It("change nothing at a gateway that knows them", func() {
 		d := newManualTracker()
 		d.crashEach(0, []string{"first0", "bad"}, []string{"first1", "bad"}, []string{"first2", "bad"})
-		d.Served(request("x"), partsNamed([]string{"first0"})...)
+		d.Served(known(request("x"), partsNamed([]string{"first0"})...))
 		s := startFrom(d)
 		n := s.evidence()
 		Expect(d.evidence().GetRemembered()).To(HaveLen(3))
@@ -153,7 +153,7 @@
 				e.AgeMs += 1000
 			}
 			memory.Remembered = append(memory.Remembered, d.evidence().GetRemembered()[0])
-			d.Served(request("x"), partsNamed([]string{"frequent"})...)
+			d.Served(known(request("x"), partsNamed([]string{"frequent"})...))
 			clock = d.clock.Add(time.Second)
 			for _, e := range memory.GetRemembered() {
 				e.AgeMs += 1000
@@ -189,8 +189,8 @@
 		var noted []Fingerprint
 		d.OnAnswered = func(_, written []Fingerprint) { noted = append(noted, written...) }
 		d.crashEach(0, []string{"first0", "frequent"})
-		d.Written(partsNamed([]string{"frequent", "other"})...)
-		d.Written(partsNamed([]string{"frequent", "other"})...)
+		d.Written(known(Fingerprint{}, partsNamed([]string{"frequent", "other"})...))
+		d.Written(known(Fingerprint{}, partsNamed([]string{"frequent", "other"})...))
 		Expect(noted).To(Equal(partsNamed([]string{"frequent"})))
 	})
 })
--- a/internal/quarantine/served.go
+++ b/internal/quarantine/served.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"time"
+
+	"github.com/springrail/springrail/internal/id"
+)
 
 const (
 	// servedTTL is how long an answered request is remembered. One that many callers send is answered again and again,
@@ -17,6 +21,9 @@
 	now      func() time.Time
 	servedAt map[Fingerprint]time.Time
 	counts   map[Fingerprint]int
+	// contents has what each is a use of, as far as known, and uses lists those of each content with their organisations.
+	contents map[Fingerprint]Fingerprint
+	uses     map[Fingerprint]map[Fingerprint]id.Organisation
 	// ring holds the requests in the order of their first answers; oldest is the index of the oldest one once it is
 	// full.
 	ring   []Fingerprint
@@ -24,7 +31,7 @@
 }
 
 func newRecentlyServed(now func() time.Time) *recentlyServed {
-	return &recentlyServed{now: now, servedAt: map[Fingerprint]time.Time{}, counts: map[Fingerprint]int{}}
+	return &recentlyServed{now: now, servedAt: map[Fingerprint]time.Time{}, counts: map[Fingerprint]int{}, contents: map[Fingerprint]Fingerprint{}, uses: map[Fingerprint]map[Fingerprint]id.Organisation{}}
 }
 
 // add notes an answer.
@@ -32,6 +39,28 @@
 	s.addAt(f, s.now())
 }
 
+// addOf notes an answer on an organisation's use of a request or part.
+func (s *recentlyServed) addOf(f, use Fingerprint, o id.Organisation) {
+	s.add(use)
+	s.contents[use] = f
+	if s.uses[f] == nil {
+		s.uses[f] = map[Fingerprint]id.Organisation{}
+	}
+	s.uses[f][use] = o
+}
+
+// forget removes a use.
+func (s *recentlyServed) forget(use Fingerprint) {
+	delete(s.servedAt, use)
+	delete(s.counts, use)
+	if f, ok := s.contents[use]; ok {
+		delete(s.contents, use)
+		if delete(s.uses[f], use); len(s.uses[f]) == 0 {
+			delete(s.uses, f)
+		}
+	}
+}
+
 // addAt notes an answer that was given at a time, unless a later one is known.
 func (s *recentlyServed) addAt(f Fingerprint, at time.Time) {
 	last, known := s.servedAt[f]
@@ -50,8 +79,7 @@
 		s.ring = append(s.ring, f)
 		return
 	}
-	delete(s.servedAt, s.ring[s.oldest])
-	delete(s.counts, s.ring[s.oldest])
+	s.forget(s.ring[s.oldest])
 	s.ring[s.oldest] = f
 	s.oldest = (s.oldest + 1) % maxServed
 }
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 
@@ -44,13 +45,17 @@
 	}
 	var suspects []*pb.HeldEntry
 	for f, s := range l.suspects {
-		if len(s.crashes) < minCrashes-1 || s.part && len(s.countedCrashes(f)) < minCrashes-1 {
+		if len(s.crashes) < minCrashes-1 || s.part && len(l.countedCrashes(f, s)) < minCrashes-1 {
 			continue
 		}
 		h := l.heldRequestOf(f, s)
 		if s.part {
 			h.Parts = []Fingerprint{f}
 		}
+		h.Uses = l.suspectedUses(&h, slices.Collect(maps.Keys(s.crashes)))
+		if len(h.Uses) > 0 {
+			h.Organisation = h.Uses[0].Organisation
+		}
 		suspects = append(suspects, &pb.HeldEntry{Fingerprint: f.String(), Request: h.toProto()})
 	}
 	slices.SortFunc(suspects, func(a, b *pb.HeldEntry) int { return strings.Compare(a.GetFingerprint(), b.GetFingerprint()) })
--- a/internal/quarantine/service_test.go
+++ b/internal/quarantine/service_test.go
@@ -26,7 +26,7 @@
 		d.RecordCrash(crashOf(8, "suspect"))
 		d.RecordCrash(crashOf(9, "once"))
 		for range 4 {
-			d.Check(bad)
+			d.Check(known(bad))
 		}
 		a, err := q.ListHeld(ctx, &pb.ListHeldRequest{})
 		Expect(err).NotTo(HaveOccurred())
@@ -63,7 +63,7 @@
 		for n := range 3 {
 			q.Suspects.RecordCrash(crashOf(n, "bad"))
 		}
-		held := func(q *Quarantine) func() bool { return func() bool { return q.Suspects.Check(bad) == Held } }
+		held := func(q *Quarantine) func() bool { return func() bool { return q.Suspects.Check(known(bad)) == Held } }
 		Eventually(held(remote)).WithTimeout(3 * time.Second).Should(BeTrue())
 		_, err := remote.LiftHeld(ctx, &pb.LiftHeldRequest{Fingerprint: bad.String()})
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -57,6 +57,11 @@
 	shared bool
 	// downtime is how long an upstream is down after a crash.
 	downtime time.Duration
+	// sender draws the organisation of a request; nil is one organisation that sends all.
+	sender func(random *rand.Rand, now time.Duration, bad bool) id.Organisation
+	// victimRate is the rate per second of harmless requests of one more organisation, which states the ID of the first part that
+	// crashes upstreams for others.
+	victimRate float64
 }
 
 // simulatedRequest is a request of a caller.
@@ -66,14 +71,17 @@
 	gateway int
 	// kind is the name of a harmless request, or what all bad requests have in common that crash upstreams for the same
 	// reason. parts are the fingerprints of the shared parts of its prompt.
-	kind  string
-	parts []Fingerprint
+	kind   string
+	parts  []Fingerprint
+	sender id.Organisation
 	// sent is when it was sent, and begins when its upstream begins the answer.
 	sent, begins time.Duration
 	// sends counts the upstreams that the caller's attempt was sent to, and retried is true once the caller has retried.
 	sends          int
 	attempt        CallerAttempt
 	alone, retried bool
+	// tried is what is held for others that it contains.
+	tried Fingerprint
 }
 
 // simulation is the state of one simulation.
@@ -90,6 +98,10 @@
 	sends, crashTimes map[string][]time.Duration
 	// proper counts the harmless requests, and refused the refusals of such requests.
 	proper, refused int
+	// tried are what requests in flight contain that is held for others, by gateway. victims and victimsRefused count the requests
+	// of the organisation with the ID of a part that crashes upstreams for others, once such a part is held.
+	tried                   []map[Fingerprint]*simulatedRequest
+	victims, victimsRefused int
 }
 
 func simulate(m simulationConfig, seed uint64) *simulation {
@@ -121,8 +133,16 @@
 				}
 			}
 		})
+		l.OnHeldChanged = append(l.OnHeldChanged, func(h HeldRequest, here bool) {
+			if here {
+				t.tellOthers(l, func(o *SuspectTracker) { o.AddHeld(h) })
+			}
+		})
+		l.OnMissed = func(h HeldRequest) { t.tellOthers(l, func(o *SuspectTracker) { o.AddHeld(h) }) }
+		l.OnTry = func(f Fingerprint) { t.tellOthers(l, func(o *SuspectTracker) { o.NoteTry(f) }) }
 		t.trackers = append(t.trackers, l)
 		t.inFlight = append(t.inFlight, map[string]int{})
+		t.tried = append(t.tried, map[Fingerprint]*simulatedRequest{})
 	}
 	for range m.upstreams {
 		t.fakeUpstreams = append(t.fakeUpstreams, &fakeUpstream{up: true})
@@ -169,6 +189,7 @@
 		t.proper++
 		t.arrive(r)
 	})
+	t.scheduleVictims()
 	for b := range t.bad {
 		t.scheduleAtRate(t.warmUp, t.badRate, func(n int) {
 			r := &simulatedRequest{name: fmt.Sprint("bad", b), kind: fmt.Sprint("bad", b), bad: true}
@@ -190,8 +211,12 @@
 // arrive simulates a request of a caller at one of the gateways.
 func (t *simulation) arrive(r *simulatedRequest) {
 	r.gateway = t.random.IntN(t.gateways)
-	v := t.trackers[r.gateway].Check(request(r.name), r.parts...)
-	if v == Held || v == Waits || (v == Alone && t.inFlight[r.gateway][r.name] > 0) {
+	if t.sender != nil && r.sender == "" {
+		r.sender = t.sender(t.random, t.now, r.bad)
+	}
+	v := t.trackers[r.gateway].Check(r.identity())
+	t.countVictim(r, v)
+	if v == Held || v == Waits || (v == Alone && !t.mayTry(r)) {
 		if !r.bad {
 			t.refused++
 		}
@@ -212,7 +237,7 @@
 		}
 	}
 	if len(up) == 0 {
-		t.inFlight[r.gateway][r.name]--
+		t.end(r)
 		return
 	}
 	p := up[t.random.IntN(len(up))]
@@ -235,14 +260,14 @@
 	}
 	t.schedule(wait+writtenTime, func() {
 		if p.restarts == incarnation && p.has(r) {
-			t.trackers[r.gateway].Written(r.parts...)
+			t.trackers[r.gateway].Written(r.identity())
 		}
 	})
 	t.schedule(wait+time.Duration(t.random.ExpFloat64()*1.5*float64(time.Second)), func() {
 		if p.restarts == incarnation && p.has(r) {
 			p.remove(r)
-			t.inFlight[r.gateway][r.name]--
-			t.trackers[r.gateway].Served(request(r.name), r.parts...)
+			t.end(r)
+			t.trackers[r.gateway].Served(r.identity())
 		}
 	})
 }
@@ -281,7 +306,8 @@
 
 // inFlightRequest describes a request whose upstream has crashed.
 func (t *simulation) inFlightRequest(r *simulatedRequest) InFlightRequest {
-	p := InFlightRequest{Fingerprint: request(r.name), Organisation: "gym", Attempt: r.attempt, Alone: r.alone, Progress: Writing}
+	q := r.identity()
+	p := InFlightRequest{Fingerprint: q.Fingerprint, Use: q.Use, Organisation: q.Organisation, Attempt: r.attempt, Alone: r.alone, Progress: Writing}
 	switch {
 	case t.now < r.begins && t.now >= r.sent+arrivalTime:
 		p.Progress = Waiting
@@ -289,19 +315,19 @@
 		p.Progress = Beginning
 	}
 	if p.Progress != Writing {
-		p.Parts = r.parts
+		p.Parts, p.PartUses = q.Parts, q.PartUses
 	}
 	return p
 }
 
 // retry resends a request that broke off at another upstream, or simulates its caller's retry once.
 func (t *simulation) retry(r *simulatedRequest) {
-	v := t.trackers[r.gateway].Check(request(r.name), r.parts...)
+	v := t.trackers[r.gateway].Check(r.identity())
 	if r.sends < 2 && v == Pass {
 		t.schedule(time.Millisecond, func() { t.send(r) })
 		return
 	}
-	t.inFlight[r.gateway][r.name]--
+	t.end(r)
 	if !r.retried && !r.bad {
 		r.retried, r.sends = true, 0
 		t.schedule(200*time.Millisecond, func() { t.arrive(r) })
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -12,48 +12,12 @@
 	"github.com/springrail/springrail/internal/id"
 )
 
-const (
-	// minCrashes is the number of upstream processes that must have crashed under a request before it is held: a single
-	// crash is usually not caused by the request, and losing three upstreams to one request is acceptable.
-	minCrashes = 3
-	// settleDelay is how long a request with enough crashes waits until the other gateways' reports of these crashes
-	// have arrived. A message takes two hops of 3 ms; one that is resent, or from a VM short of CPU time, is still in
-	// time, and the limit for all gateways is 3 s.
-	settleDelay = 250 * time.Millisecond
-)
-
-// suspect is a request, or a part of prompts, with the unexplained crashes at which it was present.
-type suspect struct {
-	organisation id.Organisation
-	part         bool
-	crashes      map[*recordedCrash]struct{}
-	// For a request, attempts are the callers' attempts that were in flight at these crashes, and triedAlone is true once
-	// one of them was sent alone.
-	attempts   map[CallerAttempt]struct{}
-	triedAlone bool
-	// sharedUnlikely is true once all gateways know, from this one or another, that a part is unlikely to be the cause.
-	sharedUnlikely bool
-	// sharedWritten is true once stagers know that an answer was written on a part after a crash.
-	sharedWritten bool
-	// crashedHere is true once a part was present at a crash that is not only remembered: what was served before this process
-	// started is not known here, so a part is not held by remembered crashes alone.
-	crashedHere bool
-}
-
-// requestProven reports whether the evidence suffices to hold a request: enough crashes, under as many attempts of its
-// callers, one of which was sent alone. Where upstreams crash often, a harmless request may be in flight at three crashes
-// that it did not cause: each attempt is sent to two upstreams, and its caller retries. In 200 simulations with up to one
-// crash a second among 20 upstreams, three crashes alone held 63 of 600,847 harmless requests, and this rule none.
-func (s *suspect) requestProven() bool {
-	return len(s.crashes) >= minCrashes && len(s.attempts) >= minCrashes && s.triedAlone
-}
-
 // proven reports whether the evidence suffices to hold a suspect; the caller holds the lock.
 func (l *SuspectTracker) proven(f Fingerprint, s *suspect) bool {
 	if s.part {
 		return l.partProven(f, s)
 	}
-	return s.requestProven()
+	return s.requestProven(f)
 }
 
 // SuspectTracker decides from the crashes that gateways see which requests to hold, or which parts of prompts to hold
@@ -67,19 +31,23 @@
 	after func(d time.Duration, f func())
 	log   *log.Logger
 	vars  *expvar.Map
-	// OnHeld are called for each request that is held from now on, and OnServed for a request or part that is no longer
-	// suspected because it was served here. OnReleased is called for what is no longer held because it was served, or
+	// OnHeld are called for each request that is held from now on, and OnServed for an organisation's use of a request or part that
+	// is no longer suspected because it was served here. OnReleased is called for what is no longer held because it was served, or
 	// something else explains more, and whether this gateway found that out. All are called without the lock, and must be
 	// set before any other call.
 	OnHeld     []func(h HeldRequest)
 	OnServed   func(f Fingerprint)
 	OnReleased func(f Fingerprint, here bool)
+	// OnHeldChanged are called for what is held for other uses than before, and whether this gateway found that out itself.
+	OnHeldChanged []func(h HeldRequest, here bool)
 	// OnMissed is called for what is held and another gateway seems not to know, after AnnounceDelay, which is random.
 	OnMissed      func(h HeldRequest)
 	AnnounceDelay func() time.Duration
-	// OnUnlikely is called for parts that are suspected, and on which answers were recently written here.
+	// OnTry is called before a request with what is held for others is sent to an upstream.
+	OnTry func(f Fingerprint)
+	// OnUnlikely is called for uses of parts that are suspected or held, and on which answers were recently written here.
 	OnUnlikely func(parts []Fingerprint)
-	// OnAnswered is called for parts that were present at a crash and have been served here since, or on which answers were
+	// OnAnswered is called for uses of parts that were present at a crash and have been served here since, or on which answers were
 	// written, for gateways that start later and are sent the crash.
 	OnAnswered func(served, written []Fingerprint)
 
@@ -93,7 +61,14 @@
 	byInstance map[id.Instance][]*recordedCrash
 	suspects   map[Fingerprint]*suspect
 	held       *heldSet
-	served     *recentlyServed
+	// triedUntil is until when another gateway sends a request with what is held for others, and unshared are the uses of what is
+	// held that were answered here, and of which other gateways do not know.
+	triedUntil map[Fingerprint]time.Time
+	unshared   map[Fingerprint]map[Fingerprint]struct{}
+	// contents finds what a use is of.
+	contents contentIndex
+	// served, servedElsewhere and written are by use.
+	served *recentlyServed
 	// servedElsewhere are the suspected requests and parts that other gateways have served.
 	servedElsewhere *recentlyServed
 	// written are the parts on which an upstream has recently written an answer for some time, though it may not be complete.
@@ -101,6 +76,8 @@
 	settling bool
 	// undecided is true if evidence against parts has changed since the last decision on what to hold.
 	undecided bool
+	// changeCount counts the changes of the evidence and of what was answered.
+	changeCount uint64
 }
 
 // NewSuspectTracker creates an empty tracker for the gateway on a VM.
@@ -110,7 +87,8 @@
 		OnMissed: func(HeldRequest) {}, AnnounceDelay: func() time.Duration { return rand.N(minAnnounceSpread) },
 		after:      func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 		byInstance: map[id.Instance][]*recordedCrash{}, suspects: map[Fingerprint]*suspect{}, held: newHeldSet(), served: newRecentlyServed(now), written: newRecentlyServed(now),
-		servedElsewhere: newRecentlyServed(now),
+		servedElsewhere: newRecentlyServed(now), contents: contentIndex{}, changeCount: 1, OnTry: func(Fingerprint) {},
+		triedUntil: map[Fingerprint]time.Time{}, unshared: map[Fingerprint]map[Fingerprint]struct{}{},
 	}
 	g.vars.Set("held", expvar.Func(func() any { return len(g.HeldRequests()) }))
 	g.vars.Set("held_organisations", expvar.Func(func() any {
@@ -121,9 +99,8 @@
 	return g
 }
 
-// Check returns what may be done with a request with the given parts in its prompt. It takes no lock while nothing is
-// suspected or held.
-func (l *SuspectTracker) Check(f Fingerprint, parts ...Fingerprint) Verdict {
+// Check returns what may be done with a request. It takes no lock while nothing is suspected or held.
+func (l *SuspectTracker) Check(q Identity) Verdict {
 	if !l.recordsRead.Load() {
 		l.vars.Add("checked_before_read", 1)
 	}
@@ -132,20 +109,25 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if h := l.held.match(f, parts); h != nil {
+	if h := l.held.match(q); h != nil {
 		h.refused++
 		return Held
 	}
-	return max(l.checkRequest(f), l.checkParts(parts))
+	if l.held.others(q) != nil {
+		return Alone
+	}
+	return max(l.checkRequest(q), l.checkParts(q.Parts))
 }
 
 // checkRequest returns the verdict on a request as a whole; the caller holds the lock.
-func (l *SuspectTracker) checkRequest(f Fingerprint) Verdict {
-	s := l.suspects[f]
+func (l *SuspectTracker) checkRequest(q Identity) Verdict {
+	s := l.suspects[q.Fingerprint]
 	switch {
 	case s == nil || s.part || len(s.crashes) < minCrashes-1:
 		return Pass
-	case s.requestProven():
+	case l.served.has(q.use()) && !s.suspects(q.Fingerprint, q.use()):
+		return Pass
+	case s.requestProven(q.Fingerprint):
 		return Waits
 	default:
 		return Alone
@@ -153,10 +135,10 @@
 }
 
 // HeldAs returns the fingerprint under which a request is held, or false if it isn't.
-func (l *SuspectTracker) HeldAs(f Fingerprint, parts ...Fingerprint) (Fingerprint, bool) {
+func (l *SuspectTracker) HeldAs(q Identity) (Fingerprint, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h := l.held.match(f, parts)
+	h := l.held.match(q)
 	if h == nil {
 		return Fingerprint{}, false
 	}
@@ -178,86 +160,54 @@
 		l.mu.Unlock()
 		return
 	}
+	l.changeCount++
+	before := n.uses()
 	n.addRequests(e.Requests)
+	l.contents.update(n, before)
 	if remembered {
 		l.clearAnswered(n)
 	}
+	c := changes{here: true}
 	for _, p := range e.Requests {
-		if h := l.held.match(p.Fingerprint, p.Parts); h != nil && n.explainedBy(h) {
+		q := p.identity()
+		if h := l.held.others(q); h != nil && l.widen(h, q, n, p.Progress) {
+			c.changed = append(c.changed, *h)
+		}
+		if h := l.held.match(q); h != nil && n.explainedBy(h) {
 			l.explain(n, h)
 		}
 	}
-	c := changes{here: true}
 	for _, p := range e.Requests {
-		if n.isEvidence(p.Fingerprint) && l.addEvidence(p, n) {
-			c.served = append(c.served, p.Fingerprint)
+		q := p.identity()
+		if n.isEvidenceOf(p.Fingerprint, q.use()) && l.addEvidence(q, n) {
+			c.served = append(c.served, q.use())
 		}
-		for _, f := range p.Parts {
-			if n.isEvidence(f) && l.held.get(f) == nil && l.addPartEvidence(f, p.Organisation, n, !remembered) {
-				c.unlikely = append(c.unlikely, f)
+		q.eachPart(func(f, use Fingerprint) {
+			if n.isEvidenceOf(f, use) && !l.held.binds(f, use, q.Key) {
+				c.unlikely = append(c.unlikely, l.addPartEvidence(f, q.Organisation, n, !remembered)...)
 			}
-		}
+		})
 	}
 	l.updateWatching()
 	l.mu.Unlock()
 	l.notify(c)
 }
 
-// addEvidence counts a crash against a request that was in flight there. It returns true if the request is cleared
-// instead, because it was served here recently. The caller holds the lock.
-func (l *SuspectTracker) addEvidence(p InFlightRequest, e *recordedCrash) (cleared bool) {
-	s := l.suspects[p.Fingerprint]
-	if s == nil {
-		s = &suspect{organisation: p.Organisation, crashes: map[*recordedCrash]struct{}{}, attempts: map[CallerAttempt]struct{}{}}
-		l.suspects[p.Fingerprint] = s
-	}
-	_, known := s.crashes[e]
-	s.crashes[e], s.attempts[p.Attempt] = struct{}{}, struct{}{}
-	s.triedAlone = s.triedAlone || p.Alone
-	if len(s.crashes) < minCrashes-1 {
+// widen holds what is held for others for an organisation too, after its request with it was at a crash that nothing else
+// explains. The caller holds the lock.
+func (l *SuspectTracker) widen(h *HeldRequest, q Identity, e *recordedCrash, g Progress) bool {
+	u, ok := q.heldUseOf(h)
+	if !ok || g == Writing || e.explained || !h.addUse(u) {
 		return false
 	}
-	if l.served.has(p.Fingerprint) {
-		l.clearSuspect(p.Fingerprint, s)
-		return true
-	}
-	if s.requestProven() {
-		l.scheduleSettle()
-	}
-	if known {
+	if !e.explainedBy(h) {
+		h.Uses = h.Uses[:len(h.Uses)-1]
 		return false
 	}
-	l.vars.Add("suspected", 1)
-	l.log.Info().Stringer("fingerprint", p.Fingerprint).Str("organisation", string(p.Organisation)).Int("ends", len(s.crashes)).
-		Str("instance", string(e.incarnation.Instance)).Msg("upstream processes ended with the same request in flight")
-	return false
-}
-
-// addPartEvidence counts a crash against a part of prompts. It reports whether other gateways should know that the part is
-// unlikely to be the cause. The caller holds the lock.
-func (l *SuspectTracker) addPartEvidence(f Fingerprint, o id.Organisation, e *recordedCrash, here bool) (unlikely bool) {
-	s := l.suspects[f]
-	if s == nil {
-		s = &suspect{organisation: o, part: true, crashes: map[*recordedCrash]struct{}{}}
-		l.suspects[f] = s
-	}
-	_, known := s.crashes[e]
-	s.crashes[e] = struct{}{}
-	s.crashedHere = s.crashedHere || here
-	l.undecided = true
-	if len(s.crashes) >= minPartCrashes || len(s.crashes) >= minCrashesBeside && l.held.size() > 0 {
-		l.scheduleSettle()
-	}
-	if !s.sharedUnlikely && len(s.crashes) >= minCrashes-1 && l.isUnlikely(f) {
-		s.sharedUnlikely, unlikely = true, true
-	}
-	if known || len(s.crashes) < minCrashes-1 || !e.present[f].beginning {
-		return unlikely
-	}
-	l.vars.Add("suspected_parts", 1)
-	l.log.Info().Stringer("fingerprint", f).Str("organisation", string(o)).Int("ends", len(s.crashes)).
-		Str("instance", string(e.incarnation.Instance)).Msg("upstream processes ended with the same part of prompts in flight")
-	return unlikely
+	l.log.Warn().Stringer("fingerprint", h.Fingerprint).Str("organisation", string(q.Organisation)).Bool("for_all", h.forAll()).
+		Str("instance", string(e.incarnation.Instance)).Msg("request held for another organisation: an upstream crashed under its request too")
+	l.held.setOwner(h)
+	return true
 }
 
 // scheduleSettle schedules the decision on what to hold; the caller holds the lock.
@@ -268,74 +218,6 @@
 	}
 }
 
-// clearSuspect removes a suspect and clears it of all its crashes; the caller holds the lock.
-func (l *SuspectTracker) clearSuspect(f Fingerprint, s *suspect) {
-	delete(l.suspects, f)
-	for e := range s.crashes {
-		e.cleared[f], e.causes = struct{}{}, nil
-	}
-}
-
-// Served notes that a request with the given parts in its prompt was answered completely: neither crashes upstreams.
-func (l *SuspectTracker) Served(f Fingerprint, parts ...Fingerprint) {
-	c := changes{here: true}
-	l.mu.Lock()
-	for _, k := range append([]Fingerprint{f}, parts...) {
-		l.served.add(k)
-		s := l.suspects[k]
-		if l.clear(k, &c) {
-			c.served = append(c.served, k)
-		} else if s != nil && s.part {
-			c.answered = append(c.answered, k)
-		}
-	}
-	l.mu.Unlock()
-	l.notify(c)
-}
-
-// ClearSuspicion notes that another gateway has served a request or part.
-func (l *SuspectTracker) ClearSuspicion(f Fingerprint) {
-	var c changes
-	l.mu.Lock()
-	l.servedElsewhere.add(f)
-	l.clear(f, &c)
-	l.mu.Unlock()
-	l.notify(c)
-}
-
-// clear removes the evidence against a request or part, and releases what is held because of it: it was in flight when it
-// was held, and has been served without a crash. It returns whether other gateways suspect it too, as far as known here.
-// The caller holds the lock.
-func (l *SuspectTracker) clear(f Fingerprint, c *changes) bool {
-	crashes := 0
-	if s := l.suspects[f]; s != nil {
-		crashes = len(s.crashes)
-		l.clearSuspect(f, s)
-		l.undecided = true
-	}
-	if h := l.held.get(f); h != nil && len(h.Parts) == 0 {
-		crashes = len(h.Incarnations)
-		l.held.drop(f)
-		l.logReleased(f, c.servedWhere())
-		c.released = append(c.released, f)
-	}
-	released, held := l.reduceHeld(f, c)
-	if len(released) > 0 {
-		crashes = minCrashes
-		c.released, c.held = append(c.released, released...), append(c.held, held...)
-	}
-	if crashes == 0 {
-		return false
-	}
-	l.updateWatching()
-	if crashes < minCrashes-1 {
-		return false
-	}
-	l.vars.Add("acquitted", 1)
-	l.log.Info().Stringer("fingerprint", f).Int("ends", crashes).Msg("suspicion cleared: the request was served")
-	return true
-}
-
 // Lift releases a held request, as if no upstream had crashed under it, and returns whether it was held.
 func (l *SuspectTracker) Lift(f Fingerprint) bool {
 	l.mu.Lock()
@@ -344,13 +226,14 @@
 	if e == nil {
 		return false
 	}
-	for _, p := range e.Parts {
+	for _, p := range append([]Fingerprint{f}, e.Parts...) {
 		if s := l.suspects[p]; s != nil {
 			l.clearSuspect(p, s)
 		}
 	}
 	l.vars.Add("lifted", 1)
 	l.log.Warn().Stringer("fingerprint", f).Str("organisation", string(e.Organisation)).Msg("held request lifted")
+	l.changeCount++
 	l.updateWatching()
 	return true
 }
--- a/internal/quarantine/suspects_test.go
+++ b/internal/quarantine/suspects_test.go
@@ -45,6 +45,11 @@
 	return Of("POST", "/", "gym", []byte(name))
 }
 
+// known returns what a request of the same organisation with given parts is recognised by.
+func known(f Fingerprint, parts ...Fingerprint) Identity {
+	return Identity{Fingerprint: f, Parts: parts, Organisation: "gym"}
+}
+
 // crashOf returns a crash of an instance with requests in flight, each in an attempt of its own that was sent alone.
 func crashOf(instance int, names ...string) Crash {
 	e := Crash{Incarnation: Incarnation{Instance: id.Instance(fmt.Sprint("i", instance)), Address: "a"}}
@@ -60,14 +65,14 @@
 		verdicts := []Verdict{Pass, Alone, Waits}
 		for n, v := range verdicts {
 			d.RecordCrash(crashOf(n, "bad", fmt.Sprint("other", n)))
-			Expect(d.Check(request("bad"))).To(Equal(v))
+			Expect(d.Check(known(request("bad")))).To(Equal(v))
 		}
 		d.runTimers()
-		Expect(d.Check(request("bad"))).To(Equal(Held))
+		Expect(d.Check(known(request("bad")))).To(Equal(Held))
 		Expect(d.HeldRequests()).To(HaveLen(1))
 		Expect(d.HeldRequests()[0].Incarnations).To(HaveLen(3))
 		for n := range verdicts {
-			Expect(d.Check(request(fmt.Sprint("other", n)))).To(Equal(Pass))
+			Expect(d.Check(known(request(fmt.Sprint("other", n))))).To(Equal(Pass))
 		}
 	})
 
@@ -78,7 +83,7 @@
 			d.clock = d.clock.Add(time.Hour)
 		}
 		d.runTimers()
-		Expect(d.Check(request("bad"))).To(Equal(Held))
+		Expect(d.Check(known(request("bad")))).To(Equal(Held))
 	})
 
 	It("is held for crashes of three different incarnations only, however often each is reported", func() {
@@ -88,7 +93,7 @@
 			d.RecordCrash(crashOf(2, "bad", "other"))
 		}
 		d.runTimers()
-		Expect(d.Check(request("bad"))).To(Equal(Alone))
+		Expect(d.Check(known(request("bad")))).To(Equal(Alone))
 	})
 
 	It("has one crash if only one of two reports contains the incarnation, and one for each known incarnation of an instance", func() {
@@ -98,11 +103,11 @@
 		e.Incarnation.Born = 10
 		d.RecordCrash(e)
 		d.RecordCrash(crashOf(2, "bad"))
-		Expect(d.Check(request("bad"))).To(Equal(Alone))
+		Expect(d.Check(known(request("bad")))).To(Equal(Alone))
 		d.clock = d.clock.Add(time.Minute)
 		e.Incarnation.Born, e.Requests[0].Attempt = 20, 20
 		d.RecordCrash(e)
-		Expect(d.Check(request("bad"))).To(Equal(Waits))
+		Expect(d.Check(known(request("bad")))).To(Equal(Waits))
 	})
 
 	It("explains the crashes at which others were also in flight", func() {
@@ -115,11 +120,11 @@
 			d.RecordCrash(crashOf(n, names...))
 		}
 		d.runTimers()
-		Expect(d.Check(request("bad"))).To(Equal(Held))
-		Expect(d.Check(request("beside"))).To(Equal(Pass))
+		Expect(d.Check(known(request("bad")))).To(Equal(Held))
+		Expect(d.Check(known(request("beside")))).To(Equal(Pass))
 		d.RecordCrash(crashOf(5, "bad", "beside"))
 		d.RecordCrash(crashOf(6, "beside"))
-		Expect(d.Check(request("beside"))).To(Equal(Pass), "only one crash counts, because the held request explains the others")
+		Expect(d.Check(known(request("beside")))).To(Equal(Pass), "only one crash counts, because the held request explains the others")
 	})
 
 	It("is held with those that can't be distinguished from it", func() {
@@ -128,8 +133,8 @@
 			d.RecordCrash(crashOf(n, "bad", "same"))
 		}
 		d.runTimers()
-		Expect(d.Check(request("bad"))).To(Equal(Held))
-		Expect(d.Check(request("same"))).To(Equal(Held))
+		Expect(d.Check(known(request("bad")))).To(Equal(Held))
+		Expect(d.Check(known(request("same")))).To(Equal(Held))
 	})
 
 	It("is not held for three crashes under fewer attempts of its callers, or if none was sent alone", func() {
@@ -142,13 +147,13 @@
 			d.RecordCrash(crowd)
 		}
 		d.runTimers()
-		Expect(d.Check(request("few"))).To(Equal(Alone))
-		Expect(d.Check(request("crowd"))).To(Equal(Alone))
+		Expect(d.Check(known(request("few")))).To(Equal(Alone))
+		Expect(d.Check(known(request("crowd")))).To(Equal(Alone))
 		d.RecordCrash(crashOf(5, "few"))
 		d.RecordCrash(crashOf(6, "crowd"))
 		d.runTimers()
-		Expect(d.Check(request("few"))).To(Equal(Held))
-		Expect(d.Check(request("crowd"))).To(Equal(Held))
+		Expect(d.Check(known(request("few")))).To(Equal(Held))
+		Expect(d.Check(known(request("crowd")))).To(Equal(Held))
 	})
 
 	It("is distinguished from others by reports that arrive in the settle delay", func() {
@@ -161,21 +166,21 @@
 		d.RecordCrash(crashOf(2, "bad"))
 		d.RecordCrash(crashOf(3, "bad"))
 		d.runTimers()
-		Expect(d.Check(request("bad"))).To(Equal(Held))
-		Expect(d.Check(request("beside"))).To(Equal(Pass))
+		Expect(d.Check(known(request("bad")))).To(Equal(Held))
+		Expect(d.Check(known(request("beside")))).To(Equal(Pass))
 	})
 
 	It("is no longer suspected once it was served here or elsewhere, and other gateways are notified", func() {
 		d := newManualTracker()
 		d.RecordCrash(crashOf(1, "hot"))
 		d.RecordCrash(crashOf(2, "hot"))
-		d.Served(request("hot"))
-		Expect(d.Check(request("hot"))).To(Equal(Pass))
+		d.Served(known(request("hot")))
+		Expect(d.Check(known(request("hot")))).To(Equal(Pass))
 		Expect(d.served).To(Equal([]Fingerprint{request("hot")}))
 		d.RecordCrash(crashOf(3, "far"))
 		d.RecordCrash(crashOf(4, "far"))
 		d.ClearSuspicion(request("far"))
-		Expect(d.Check(request("far"))).To(Equal(Pass))
+		Expect(d.Check(known(request("far")))).To(Equal(Pass))
 		Expect(d.served).To(HaveLen(1), "a notification is not forwarded")
 	})
 
@@ -187,30 +192,30 @@
 			d.ClearSuspicion(request("proper"))
 		}
 		d.RecordCrash(crashOf(3, "proper"))
-		Expect(d.Check(request("proper"))).To(Equal(Pass))
+		Expect(d.Check(known(request("proper")))).To(Equal(Pass))
 		Expect(d.suspects[request("proper")].crashes).To(HaveLen(1))
 	})
 
 	It("is not suspected within a minute of being served, however many upstreams crash", func() {
 		d := newManualTracker()
-		d.Served(request("hot"))
+		d.Served(known(request("hot")))
 		for n := range 4 {
 			d.RecordCrash(crashOf(n, "hot"))
-			Expect(d.Check(request("hot"))).To(Equal(Pass))
+			Expect(d.Check(known(request("hot")))).To(Equal(Pass))
 		}
 		Expect(d.served).NotTo(BeEmpty(), "other gateways are notified")
 		d.clock = d.clock.Add(servedTTL)
 		d.RecordCrash(crashOf(6, "hot"))
 		d.RecordCrash(crashOf(7, "hot"))
-		Expect(d.Check(request("hot"))).To(Equal(Alone))
+		Expect(d.Check(known(request("hot")))).To(Equal(Alone))
 	})
 
 	It("that was in flight when it was held, and is then served, is released", func() {
 		d := newManualTracker()
 		d.AddHeld(HeldRequest{Fingerprint: request("proper"), Incarnations: make([]Incarnation, 3)})
-		Expect(d.Check(request("proper"))).To(Equal(Held))
-		d.Served(request("proper"))
-		Expect(d.Check(request("proper"))).To(Equal(Pass))
+		Expect(d.Check(known(request("proper")))).To(Equal(Held))
+		d.Served(known(request("proper")))
+		Expect(d.Check(known(request("proper")))).To(Equal(Pass))
 		Expect(d.served).To(HaveLen(1))
 	})
 
@@ -219,10 +224,10 @@
 		d.AddHeld(HeldRequest{Fingerprint: request("bad")})
 		Expect(d.Lift(request("bad"))).To(BeTrue())
 		Expect(d.Lift(request("bad"))).To(BeFalse())
-		Expect(d.Check(request("bad"))).To(Equal(Pass))
+		Expect(d.Check(known(request("bad")))).To(Equal(Pass))
 		d.RecordCrash(crashOf(1, "bad"))
 		d.RecordCrash(crashOf(2, "bad"))
-		Expect(d.Check(request("bad"))).To(Equal(Alone))
+		Expect(d.Check(known(request("bad")))).To(Equal(Alone))
 	})
 
 	It("stays held whatever requests another organisation sends", func() {
@@ -231,13 +236,13 @@
 		for n := range maxHeldPerOrganisation + 5 {
 			d.AddHeld(HeldRequest{Fingerprint: request(fmt.Sprint("flood", n)), Organisation: "huts", SinceUnixMs: int64(2 + n)})
 		}
-		Expect(d.Check(request("bad"))).To(Equal(Held))
+		Expect(d.Check(known(request("bad")))).To(Equal(Held))
 		Expect(d.HeldRequests()).To(HaveLen(maxHeldPerOrganisation + 1))
-		Expect(d.Check(request("flood0"))).To(Equal(Pass), "the organisation's own oldest request is evicted")
+		Expect(d.Check(known(request("flood0")))).To(Equal(Pass), "the organisation's own oldest request is evicted")
 		for n := range maxCrashes + 5 {
 			d.RecordCrash(crashOf(n, fmt.Sprint("crowd", n)))
 		}
-		Expect(d.Check(request("bad"))).To(Equal(Held))
+		Expect(d.Check(known(request("bad")))).To(Equal(Held))
 		Expect(d.crashes).To(HaveLen(maxCrashes))
 		Expect(len(d.suspects)).To(BeNumerically("<=", maxCrashes))
 	})
@@ -260,7 +265,7 @@
 		Expect(d.watching.Load()).To(BeFalse())
 		d.RecordCrash(crashOf(1, "a"))
 		Expect(d.watching.Load()).To(BeTrue())
-		d.Served(request("a"))
+		d.Served(known(request("a")))
 		Expect(d.watching.Load()).To(BeFalse())
 	})
 })
@@ -324,7 +329,7 @@
 			}
 			for _, g := range gateways[1:] {
 				for _, h := range g.HeldRequests() {
-					if gateways[0].Check(h.Fingerprint) != Held {
+					if gateways[0].Check(known(h.Fingerprint)) != Held {
 						t.Fatalf("held by one gateway and not by all")
 					}
 				}
--- a/internal/quarantine/written_test.go
+++ b/internal/quarantine/written_test.go
@@ -26,11 +26,11 @@
 		Expect(d.checkPrompt("bad")).To(Equal(Held))
 		Expect(d.checkPrompt("frequent")).NotTo(Equal(Held))
 	},
-		Entry("here", func(d *manualTracker, f Fingerprint) { d.Written(f) }),
+		Entry("here", func(d *manualTracker, f Fingerprint) { d.Written(known(Fingerprint{}, f)) }),
 		Entry("at another gateway", func(d *manualTracker, f Fingerprint) { d.ApplyNews(CrashNews{Written: []Fingerprint{f}}.Messages()[0]) }),
 		Entry("and to its end, several times", func(d *manualTracker, f Fingerprint) {
 			for n := range minUsualAnswers {
-				d.Served(request(fmt.Sprint(n)), f)
+				d.Served(known(request(fmt.Sprint(n)), f))
 			}
 		}),
 	)
@@ -39,20 +39,20 @@
 		d := newManualTracker()
 		var announced []Fingerprint
 		d.OnUnlikely = func(parts []Fingerprint) { announced = append(announced, parts...) }
-		d.Written(partNamed("a"), partNamed("b"))
+		d.Written(known(Fingerprint{}, partNamed("a"), partNamed("b")))
 		crash(d, 0, []string{"a", "c"}, []string{"b"})
 		Expect(announced).To(BeEmpty())
 		crash(d, 1, []string{"a", "c"})
 		crash(d, 2, []string{"a", "c"})
 		Expect(announced).To(Equal(partsNamed([]string{"a"})))
-		d.Written(partNamed("c"))
-		d.Written(partNamed("c"))
+		d.Written(known(Fingerprint{}, partNamed("c")))
+		d.Written(known(Fingerprint{}, partNamed("c")))
 		Expect(announced).To(Equal(partsNamed([]string{"a", "c"})))
 	})
 
 	It("is held in the end if nothing else explains the crashes", func() {
 		d := newManualTracker()
-		d.Written(partNamed("bad"))
+		d.Written(known(Fingerprint{}, partNamed("bad")))
 		for n := range minCertainCrashes {
 			crash(d, n, []string{"bad", fmt.Sprint("own", n)})
 		}
--- a/internal/reports/crash_memory.go
+++ b/internal/reports/crash_memory.go
@@ -116,12 +116,14 @@
 func (c *rememberedCrash) explainedBy(h *pb.HeldNews) bool {
 	parts := h.GetRequest().GetParts()
 	if len(parts) == 0 {
-		return slices.ContainsFunc(c.requests, func(r *pb.PresentRequest) bool { return bytes.Equal(r.GetFingerprint(), h.GetFingerprint()) })
+		return slices.ContainsFunc(c.requests, func(r *pb.PresentRequest) bool {
+			return bytes.Equal(r.GetFingerprint(), h.GetFingerprint()) || bytes.Equal(r.GetContent(), h.GetFingerprint())
+		})
 	}
 	begun := slices.ContainsFunc(c.requests, func(r *pb.PresentRequest) bool { return r.GetBeginning() && len(r.GetParts()) > 0 })
 	return !slices.ContainsFunc(parts, func(p []byte) bool {
 		return !slices.ContainsFunc(c.requests, func(r *pb.PresentRequest) bool {
-			return r.GetBeginning() == begun && slices.ContainsFunc(r.GetParts(), func(o []byte) bool { return bytes.Equal(o, p) })
+			return r.GetBeginning() == begun && slices.ContainsFunc(slices.Concat(r.GetContents(), r.GetParts()), func(o []byte) bool { return bytes.Equal(o, p) })
 		})
 	})
 }
--- a/internal/reports/crash_memory_test.go
+++ b/internal/reports/crash_memory_test.go
@@ -57,6 +57,16 @@
 		Expect(l[maxCrashesRemembered-1].GetStart().GetInstance()).To(Equal("i0"))
 	})
 
+	it("drops a crash that a hold explains for all organisations, whoever sent what was in flight", func() {
+		e := numberedCrash(1, 0, 1)
+		e.Requests[0].Contents = [][]byte{[]byte("content of first"), []byte("content of its own")}
+		note(&pb.CrashNews{Ends: []*pb.UpstreamEnd{e}})
+		Expect(m.list(now).GetRemembered()).To(HaveLen(1))
+		h := &pb.HeldRequest{Parts: [][]byte{[]byte("content of first")}}
+		note(&pb.CrashNews{Held: []*pb.HeldNews{{Fingerprint: []byte("content of first"), Request: h}}})
+		Expect(m.list(now).GetRemembered()).To(BeEmpty())
+	})
+
 	it("has what was answered although it was suspected, even if other stagers have the crashes", func() {
 		note(&pb.CrashNews{Served: [][]byte{{1}}, Written: [][]byte{{2}}})
 		note(&pb.CrashNews{Answered: []*pb.RememberedAnswer{{Fingerprint: []byte{1}, AgeMs: 9000}}})
