Hold a request for its caller's key as well, which may pass on

What callers saw: a request that had crashed upstreams was sent again after a configuration had passed its caller's key to another organisation.

Cause: a held request was recognised by the name of its organisation, which changes with the key. With crashes counted by content the next one holds it for the new organisation too, so that each pass costs a crash.

Change: what is held lists the callers' keys, as hashes, beside the organisations. A request with such a key is held, whoever owns it now.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -33,6 +33,9 @@
 		Fingerprint: quarantine.OfContent(r.Method, r.RequestURI, f.body), Use: quarantine.Of(r.Method, r.RequestURI, f.organisation, f.body),
 		Organisation: f.organisation,
 	}
+	if f.organisation != "" {
+		f.identity.Key = quarantine.OfKey(f.meta.Model, f.meta.Key)
+	}
 	for _, p := range f.meta.SharedParts {
 		f.identity.Parts = append(f.identity.Parts, quarantine.OfPartContent(p))
 		f.identity.PartUses = append(f.identity.PartUses, quarantine.OfPart(f.meta.Model, f.organisation, p))
