--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -166,7 +166,7 @@
 		return
 	}
 	c.history.RecordSent(a.id, &request{
-		gateway: c.gateway, path: a.path, unsafe: a.unsafe, priority: queuePriorities[a.key+a.path], ownPriority: a.ownPriority,
+		gateway: c.gateway, path: a.path, unsafe: a.unsafe, priority: queuePriority(a.key, a.path), ownPriority: a.ownPriority,
 		long: c.isPatient, deadline: time.Now().Add(a.timeout), arrivesSlowly: a.pace.isSlow(), answerTime: a.answerTime,
 	})
 	timeout := a.timeout + callerSlack
--- a/internal/soak/cases.go
+++ b/internal/soak/cases.go
@@ -66,4 +66,10 @@
 		},
 		Cause: "stagers that had started after a hold remembered nothing of it, so gateways that started in the next outage forwarded such requests",
 	},
+	{
+		Settings: Settings{
+			Seed: 10001, Seconds: 35, Gateways: 6, Stagers: 12, Domains: 3, EngineShare: 0.15, Faults: []string{doManySenders},
+		},
+		Cause: "crashes were counted for each organisation by itself, so each further one that sent the same part of prompts cost upstreams",
+	},
 }
--- a/internal/soak/crasher.go
+++ b/internal/soak/crasher.go
@@ -93,7 +93,7 @@
 		w.history.RecordEvent("%s: %v", a.id, err)
 		return
 	}
-	w.history.RecordSent(a.id, &request{gateway: g, path: a.path, crashesUpstreams: true, priority: queuePriorities[a.key+a.path]})
+	w.history.RecordSent(a.id, &request{gateway: g, path: a.path, crashesUpstreams: true, priority: queuePriority(a.key, a.path)})
 	ctx, stop := context.WithTimeout(ctx, callerDeadline)
 	defer stop()
 	q = q.WithContext(ctx)
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -78,6 +78,8 @@
 		w.hurtAfterHold(ctx, s)
 	case doLongHeld:
 		w.hurtLongAfterHold(ctx, s)
+	case doManySenders:
+		w.sendFromMany(ctx, s)
 	case doAnswersLost, doHerdKill:
 		w.injectStorm(ctx, s)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -48,6 +48,7 @@
 	doCorruptInSwap        = "corrupt-in-swap"
 	doHurtAfterHold        = "hurt-after-hold"
 	doLongHeld             = "long-held"
+	doManySenders          = "many-senders"
 )
 
 // reservationFaults lists the faults of reservations, which are drawn at a mean interval of meanReservationInterval each.
@@ -139,6 +140,7 @@
 	p.drawRecurring(allowed, doCorruptInSwap, meanCorruptInterval, minCorruptStop, maxCorruptStop)
 	p.drawAfterHold(allowed)
 	p.drawLongHeld(allowed)
+	p.drawManySenders(allowed)
 	slices.SortStableFunc(p.steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p.steps
 }
--- a/internal/soak/ranks.go
+++ b/internal/soak/ranks.go
@@ -27,6 +27,14 @@
 	gymKey + longChatPath: mostUrgent, labKey + longChatPath: "2",
 }
 
+// queuePriority returns the Priority header of a request at engines, or "". Clubs have the priority of the first organisation.
+func queuePriority(key, path string) string {
+	if strings.HasPrefix(key, clubKeyPrefix) {
+		key = gymKey
+	}
+	return queuePriorities[key+path]
+}
+
 // ownPriorities are the Priority headers that callers send: one that is valid at upstreams, one that is not, and none.
 var ownPriorities = [...]string{"0", "77", ""}
 
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -94,7 +94,7 @@
 	configFormat = `{"version":%d,"routes":[%s],"services":[{"name":"engines","engine":{"slots":16,"stride":5,"step_ms":9,
 "read_per_s":20000,"chunk":2048,"layers":1,"chunks":%d,"chunk_bytes":%d,"usual":{"prompt":100,"answer":60},
 "models":[{"name":"m","warmS":0.1}]}},{"name":"desk"},{"name":"origin","origin":%q}],
-"tenants":[{"name":"gym","apiKeys":[%q]},{"name":"lab","apiKeys":[%q],"priority":%d}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":524288}}`
+"tenants":[{"name":"gym","apiKeys":[%q]},{"name":"lab","apiKeys":[%q],"priority":%d}%s],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":524288}}`
 	// chatPath and bulkPath are the prefixes of the routes to engines, deskPath and lookPath of those to plain upstreams.
 	chatPath, bulkPath = "/chat/", "/bulk/"
 	deskPath, lookPath = "/desk/", "/look/"
@@ -131,7 +131,7 @@
 	for n := 0; big && n < bigRoutes; n++ {
 		l = append(l, route(fmt.Sprint("f", n), fmt.Sprintf("/f%d/", n), "safe", "desk", 1, ""))
 	}
-	return fmt.Appendf(nil, configFormat, version, strings.Join(l, ","), chunks, chunkBytes, origin, gymKey, labKey, labPriority)
+	return fmt.Appendf(nil, configFormat, version, strings.Join(l, ","), chunks, chunkBytes, origin, gymKey, labKey, labPriority, clubOrganisations(version))
 }
 
 func configPath(version int) string {
