Hold for all after crashes of two organisations with keys; list all crashes

Requests without a key counted as an organisation of their own, so that one organisation could have had another's part held for all by sending its own on a public route as well. By reading, with a spec that failed before. A suspected request that waits is no longer tried meanwhile.

Operators' lists had lost the crashes of what is held since: they are in a new field of records and news, and older tools read the old one (spec "operators can list", red since, where I had overlooked it).

--- a/internal/cmd/cmd_quarantine.go
+++ b/internal/cmd/cmd_quarantine.go
@@ -62,7 +62,7 @@
 		fmt.Fprintf(w, "  prompt part %x\n", p)
 	}
 	printHeldUses(w, r)
-	for _, s := range append(r.GetStarts(), r.GetEnded()...) {
+	for _, s := range r.GetStarts() {
 		fmt.Fprintf(w, "  ended %s at %s\n", s.GetInstance(), s.GetAddress())
 	}
 }
--- a/internal/quarantine/held_record.go
+++ b/internal/quarantine/held_record.go
@@ -24,6 +24,13 @@
 	return m
 }
 
+// listed encodes a held request for operators, whose tools may be older.
+func (h *HeldRequest) listed() *pb.HeldRequest {
+	m := h.toProto()
+	m.Starts, m.Ended = append(m.Starts, m.Ended...), nil
+	return m
+}
+
 func decodeHeld(f Fingerprint, value []byte) (HeldRequest, error) {
 	var m pb.HeldRequest
 	if err := proto.Unmarshal(value, &m); err != nil {
--- a/internal/quarantine/held_request.go
+++ b/internal/quarantine/held_request.go
@@ -36,9 +36,20 @@
 }
 
 // forAll reports whether parts are held for all organisations, as they crashed upstreams under the requests of two: one alone
-// can't have another's part held, whichever IDs it states.
+// can't have another's part held, whichever IDs it states. Requests without a key are nobody's, as anyone may send them.
 func (h *HeldRequest) forAll() bool {
-	return len(h.Parts) > 0 && slices.ContainsFunc(h.Uses, func(u HeldUse) bool { return u.Organisation != h.Uses[0].Organisation })
+	if len(h.Parts) == 0 {
+		return false
+	}
+	var first id.Organisation
+	for _, u := range h.Uses {
+		if first == "" {
+			first = u.Organisation
+		} else if u.Organisation != "" && u.Organisation != first {
+			return true
+		}
+	}
+	return false
 }
 
 // owner returns the organisation whose limit of held requests an entry counts against; none for what is held for all.
--- a/internal/quarantine/identity_test.go
+++ b/internal/quarantine/identity_test.go
@@ -68,6 +68,14 @@
 		}
 	})
 
+	It("is not held for all after crashes of one organisation, and of callers without a key", func() {
+		d := newManualTracker()
+		d.crashAgain(0, minPartCrashes, "gym", "")
+		Expect(d.Check(sentBy("gym", "new", "1"))).To(Equal(Held))
+		Expect(d.Check(sentBy("", "new", "1"))).To(Equal(Held))
+		Expect(d.Check(sentBy("lab", "new", "1"))).To(Equal(Alone))
+	})
+
 	It("is tried by one gateway at a time for another organisation", func() {
 		d := newManualTracker()
 		tried := 0
--- a/internal/quarantine/service.go
+++ b/internal/quarantine/service.go
@@ -41,7 +41,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, h := range l.held.list() {
-		all = append(all, &pb.HeldEntry{Fingerprint: h.Fingerprint.String(), Request: h.toProto(), Refused: l.held.get(h.Fingerprint).refused, Held: true})
+		all = append(all, &pb.HeldEntry{Fingerprint: h.Fingerprint.String(), Request: h.listed(), Refused: l.held.get(h.Fingerprint).refused, Held: true})
 	}
 	var suspects []*pb.HeldEntry
 	for f, s := range l.suspects {
@@ -56,7 +56,7 @@
 		if len(h.Uses) > 0 {
 			h.Organisation = h.Uses[0].Organisation
 		}
-		suspects = append(suspects, &pb.HeldEntry{Fingerprint: f.String(), Request: h.toProto()})
+		suspects = append(suspects, &pb.HeldEntry{Fingerprint: f.String(), Request: h.listed()})
 	}
 	slices.SortFunc(suspects, func(a, b *pb.HeldEntry) int { return strings.Compare(a.GetFingerprint(), b.GetFingerprint()) })
 	return append(all, suspects...)
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -113,10 +113,11 @@
 		h.refused++
 		return Held
 	}
+	v := max(l.checkRequest(q), l.checkParts(q.Parts))
 	if l.held.others(q) != nil {
-		return Alone
+		v = max(v, Alone)
 	}
-	return max(l.checkRequest(q), l.checkParts(q.Parts))
+	return v
 }
 
 // checkRequest returns the verdict on a request as a whole; the caller holds the lock.
--- a/internal/quarantine/written.go
+++ b/internal/quarantine/written.go
@@ -99,6 +99,7 @@
 			}
 		}
 	}
+	delete(organisations, "")
 	s.unlikely = s.allUnlikely || len(organisations) >= minVouching
 }
 
