Hold for a further organisation only after a crash that nothing else explains

By reading: an organisation whose first request with a part was beginning as an upstream crashed under another organisation's held part, still in flight, became one of two for which it had crashed upstreams, if its gateway's report came first. The part was then held for all. And each gateway that learnt of such a crash announced the hold and wrote its record.

--- a/internal/quarantine/held_request.go
+++ b/internal/quarantine/held_request.go
@@ -119,6 +119,11 @@
 	return true
 }
 
+// dropLast takes back the use that was added last.
+func (h *HeldRequest) dropLast() {
+	h.Uses = h.Uses[:len(h.Uses)-1]
+}
+
 // exempt notes that a use was answered, and reports whether that changes anything.
 func (h *HeldRequest) exempt(use Fingerprint) bool {
 	if slices.Contains(h.Exempt, use) {
--- a/internal/quarantine/hold.go
+++ b/internal/quarantine/hold.go
@@ -263,13 +263,7 @@
 	if !h.merge(e) {
 		return c
 	}
-	l.held.setOwner(h)
-	l.changeCount++
-	for _, n := range l.crashes {
-		if n.explainedBy(h) {
-			l.explain(n, h)
-		}
-	}
+	l.explainCrashes(h)
 	c.changed = append(c.changed, *h)
 	return c
 }
--- a/internal/quarantine/identity_test.go
+++ b/internal/quarantine/identity_test.go
@@ -76,6 +76,15 @@
 		Expect(d.Check(sentBy("lab", "new", "1"))).To(Equal(Alone))
 	})
 
+	It("is not held for another organisation after a crash under what it is held for, whichever gateway reports that first", func() {
+		d := newManualTracker()
+		d.crashAgain(0, minPartCrashes, "gym")
+		d.RecordCrash(crashUnder(10, sentBy("lab", "beside", "1")))
+		d.RecordCrash(crashUnder(10, sentBy("gym", "in flight", "1")))
+		d.runTimers()
+		Expect(d.Check(sentBy("lab", "new", "1"))).To(Equal(Alone))
+	})
+
 	It("is tried by one gateway at a time for another organisation", func() {
 		d := newManualTracker()
 		tried := 0
@@ -84,6 +93,8 @@
 		h, ok := d.HeldForOthers(sentBy("lab", "new", "1"))
 		Expect(ok).To(BeTrue())
 		Expect(d.Try(h)).To(BeTrue())
+		Expect(d.Try(h)).To(BeFalse())
+		d.clock = d.clock.Add(tryTime)
 		d.ApplyNews(CrashNews{Tried: []Fingerprint{h}}.Messages()[0])
 		Expect(d.Try(h)).To(BeFalse())
 		d.clock = d.clock.Add(tryTime)
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -138,6 +138,7 @@
 				t.tellOthers(l, func(o *SuspectTracker) { o.AddHeld(h) })
 			}
 		})
+		l.AnnounceDelay = func() time.Duration { return time.Duration(t.random.Int64N(int64(minAnnounceSpread))) }
 		l.OnMissed = func(h HeldRequest) { t.tellOthers(l, func(o *SuspectTracker) { o.AddHeld(h) }) }
 		l.OnTry = func(f Fingerprint) { t.tellOthers(l, func(o *SuspectTracker) { o.NoteTry(f) }) }
 		t.trackers = append(t.trackers, l)
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -171,15 +171,16 @@
 	c := changes{here: true}
 	for _, p := range e.Requests {
 		q := p.identity()
-		if h := l.held.others(q); h != nil && l.widen(h, q, n, p.Progress) {
-			c.changed = append(c.changed, *h)
-		}
 		if h := l.held.match(q); h != nil && n.explainedBy(h) {
 			l.explain(n, h)
 		}
 	}
 	for _, p := range e.Requests {
 		q := p.identity()
+		if h := l.held.others(q); h != nil && p.Progress != Writing && !n.explained {
+			f := h.Fingerprint
+			l.after(settleDelay+l.AnnounceDelay(), func() { l.widen(f, q, n) })
+		}
 		if n.isEvidenceOf(p.Fingerprint, q.use()) && l.addEvidence(q, n) {
 			c.served = append(c.served, q.use())
 		}
@@ -194,23 +195,6 @@
 	l.notify(c)
 }
 
-// widen holds what is held for others for an organisation too, after its request with it was at a crash that nothing else
-// explains. The caller holds the lock.
-func (l *SuspectTracker) widen(h *HeldRequest, q Identity, e *recordedCrash, g Progress) bool {
-	u, ok := q.heldUseOf(h)
-	if !ok || g == Writing || e.explained || !h.addUse(u) {
-		return false
-	}
-	if !e.explainedBy(h) {
-		h.Uses = h.Uses[:len(h.Uses)-1]
-		return false
-	}
-	l.log.Warn().Stringer("fingerprint", h.Fingerprint).Str("organisation", string(q.Organisation)).Bool("for_all", h.forAll()).
-		Str("instance", string(e.incarnation.Instance)).Msg("request held for another organisation: an upstream crashed under its request too")
-	l.held.setOwner(h)
-	return true
-}
-
 // scheduleSettle schedules the decision on what to hold; the caller holds the lock.
 func (l *SuspectTracker) scheduleSettle() {
 	if !l.settling {
