Log how long an upstream was silent before its end, count requests given up in silence

The line has silent_ms now, and given_up_in_silence counts requests given up whose upstream had sent them nothing for 0.5 s. No decision changes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/springrail/springrail/internal/placement"
+	"github.com/springrail/springrail/internal/quarantine"
 	"github.com/springrail/springrail/internal/upconn"
 )
 
@@ -59,6 +60,7 @@
 		request: f, choice: c, tracked: g.loadSources.Tracker.Begin(c.Address, f.meta.PromptTokens), permit: f.permit, parentCtx: ctx,
 		attemptNumber: f.attempts, eventsBefore: f.events.forwarded, lastByteAt: g.now(), startedAt: g.now(), position: f.currentPosition(),
 	}
+	t.times.SentAt = t.startedAt
 	t.ctx, t.cancel = context.WithCancelCause(ctx)
 	if c.Revision > 0 && f.meta.Model != "" {
 		t.startVersionTimer()
@@ -94,6 +96,8 @@
 		return t.handleBreak("the upstream broke off before its answer")
 	}
 	t.exchange = e
+	t.times.HeadAt = f.gateway.now()
+	t.times.LastAt = t.times.HeadAt
 	return nil
 }
 
@@ -218,6 +222,8 @@
 	attemptNumber, eventsBefore int
 	// lastByteAt is when the upstream last sent data, or when the request was sent.
 	lastByteAt time.Time
+	// times are for the detection of crashes.
+	times quarantine.AnswerTimes
 	// pace tells an answer that stayed unread from a failure of the upstream.
 	pace callerPace
 
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -100,12 +100,15 @@
 	arrivalTime = 100 * time.Millisecond
 )
 
+// minSilence is how long an upstream must have sent nothing to a request for it to count as given up in silence.
+const minSilence = 500 * time.Millisecond
+
 // inFlightRequest describes the attempt for the detection of requests that crash upstreams.
 func (t *attempt) inFlightRequest() quarantine.InFlightRequest {
 	f := t.request
 	q := quarantine.InFlightRequest{
 		Fingerprint: f.identity.Fingerprint, Use: f.identity.Use, Organisation: f.organisation, Key: f.identity.Key,
-		Attempt: quarantine.CallerAttemptOf(f.meta.Request), Alone: f.exclusive, Progress: t.crashProgress(),
+		Attempt: quarantine.CallerAttemptOf(f.meta.Request), Alone: f.exclusive, Progress: t.crashProgress(), Times: t.times,
 	}
 	if q.Progress != quarantine.Writing {
 		q.Parts, q.PartUses = f.identity.Parts, f.identity.PartUses
@@ -133,6 +136,9 @@
 
 // reportAbandoned records that the request was given up at its upstream, which may begin it nevertheless.
 func (t *attempt) reportAbandoned() {
+	if g := t.request.gateway; g.now().Sub(t.lastByteAt) >= minSilence {
+		g.metrics.count("given_up_in_silence")
+	}
 	t.request.gateway.crashDetector.RequestAbandoned(t.upstreamIncarnation(), t.inFlightRequest())
 }
 
--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -328,8 +328,12 @@
 func (l *SuspectTracker) logCrash(e Crash) {
 	counts := map[Progress]int{}
 	var beginning, organisations []string
-	for _, r := range e.Requests {
+	var silence time.Duration
+	for n, r := range e.Requests {
 		counts[r.Progress]++
+		if d := r.Times.silence(l.now()); n == 0 || d < silence {
+			silence = d
+		}
 		if r.Progress == Beginning {
 			beginning = append(beginning, r.Fingerprint.String())
 			organisations = append(organisations, string(r.Organisation))
@@ -337,5 +341,5 @@
 	}
 	l.log.Info().Str("instance", string(e.Incarnation.Instance)).Int("waiting", counts[Waiting]).Int("beginning", counts[Beginning]).
 		Int("writing", counts[Writing]).Strs("beginning_fingerprints", beginning).Strs("beginning_organisations", organisations).
-		Msg("requests of this gateway ended with an upstream process")
+		Int64("silent_ms", silence.Milliseconds()).Msg("requests of this gateway ended with an upstream process")
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -50,6 +50,8 @@
 	Alone bool
 	// Progress of another gateway's request is Waiting unless it was Beginning.
 	Progress Progress
+	// Times are those of this gateway's own request.
+	Times AnswerTimes
 }
 
 // identity returns what the request is recognised by.
