Date the evidence of a crash by the last sign of its upstream

Cause: how far an answer had come was read when its end was noticed. An answer that had begun 100 ms before its upstream fell silent counted as long begun half a second later, and such requests bring no parts as evidence. Crashes were found, with nothing against the part.

Now each request in flight has the times of its header, its first and its last byte, and its progress follows from the time of the crash: that of the break, or, after half a second or more without any sign, the last byte from the process to this gateway or the newest proof of its stager. The crash itself is dated so too, here and in news (age_ms, until now only of remembered crashes), so that crashes seconds apart which are noticed together stay apart, and what was answered since clears it.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -12,6 +12,7 @@
 	"github.com/springrail/springrail/internal/catalog"
 	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/placement"
+	"github.com/springrail/springrail/internal/quarantine"
 	"github.com/springrail/springrail/internal/upconn"
 )
 
@@ -331,7 +332,7 @@
 // noteWritten records once that the upstream has written its answer beyond the beginning.
 func (t *attempt) noteWritten() {
 	f := t.request
-	if !t.writtenRecorded && len(f.identity.Parts) > 0 && t.lastByteAt.Sub(t.firstDataAt) >= beginningTime {
+	if !t.writtenRecorded && len(f.identity.Parts) > 0 && t.lastByteAt.Sub(t.firstDataAt) >= quarantine.BeginningTime {
 		t.writtenRecorded = true
 		f.gateway.suspects.Written(f.identity)
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -92,40 +92,16 @@
 	return false
 }
 
-const (
-	// beginningTime is how long after its first data an answer counts as beginning. An upstream that crashes as it begins an
-	// answer may have sent a few events of it.
-	beginningTime = 500 * time.Millisecond
-	// arrivalTime is how long after a request was sent an upstream may be beginning it although it has not sent the header.
-	arrivalTime = 100 * time.Millisecond
-)
-
 // minSilence is how long an upstream must have sent nothing to a request for it to count as given up in silence.
 const minSilence = 500 * time.Millisecond
 
 // inFlightRequest describes the attempt for the detection of requests that crash upstreams.
 func (t *attempt) inFlightRequest() quarantine.InFlightRequest {
 	f := t.request
-	q := quarantine.InFlightRequest{
+	return quarantine.InFlightRequest{
 		Fingerprint: f.identity.Fingerprint, Use: f.identity.Use, Organisation: f.organisation, Key: f.identity.Key,
-		Attempt: quarantine.CallerAttemptOf(f.meta.Request), Alone: f.exclusive, Progress: t.crashProgress(), Times: t.times,
-	}
-	if q.Progress != quarantine.Writing {
-		q.Parts, q.PartUses = f.identity.Parts, f.identity.PartUses
-	}
-	return q
-}
-
-// crashProgress returns how far the answer had come, in case that the upstream has crashed.
-func (t *attempt) crashProgress() quarantine.Progress {
-	now := t.request.gateway.now()
-	switch {
-	case t.exchange == nil && now.Sub(t.lastByteAt) >= arrivalTime:
-		return quarantine.Waiting
-	case t.firstDataAt.IsZero() || now.Sub(t.firstDataAt) < beginningTime:
-		return quarantine.Beginning
-	default:
-		return quarantine.Writing
+		Parts: f.identity.Parts, PartUses: f.identity.PartUses,
+		Attempt: quarantine.CallerAttemptOf(f.meta.Request), Alone: f.exclusive, Times: t.times,
 	}
 }
 
@@ -153,7 +129,8 @@
 		}
 		return g.connectionSign(ctx, s, w)
 	}
-	return quarantine.Observer{Look: look, Close: w.Close}
+	lastRan := func(sentAt time.Time) time.Time { return g.loadSources.Tracker.LastRan(s.Address, s.Born, sentAt) }
+	return quarantine.Observer{Look: look, LastRan: lastRan, Close: w.Close}
 }
 
 // processSign returns what the stager beside an upstream and the list of upstreams show of its process. Known are the
--- a/internal/placement/life.go
+++ b/internal/placement/life.go
@@ -35,3 +35,33 @@
 		return ProcessUnknown
 	}
 }
+
+// provenRun is when a process is known to have answered its stager, as reports with one Life say.
+type provenRun struct {
+	life uint64
+	// since is when the first of the reports was received, and last the newest time at which the process is known to have run.
+	since, last time.Time
+}
+
+// record adds a report.
+func (p *provenRun) record(r LoadReport) {
+	if r.Life == 0 || r.Down || r.EchoedStamp.IsZero() {
+		return
+	}
+	if p.life != r.Life {
+		*p = provenRun{life: r.Life, since: r.ReceivedAt}
+	}
+	p.last = r.EchoedStamp.Add(-r.StateAge)
+}
+
+// LastRan returns when the process at an address that was sent a request at a given time is last known to have answered its
+// stager; zero if the reports don't tell.
+func (t *Tracker) LastRan(address string, incarnation id.Incarnation, sentAt time.Time) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	u := t.upstreams[address]
+	if u == nil || incarnation.Before(u.incarnation) || !u.run.since.Before(sentAt) {
+		return time.Time{}
+	}
+	return u.run.last
+}
--- a/internal/placement/tracker.go
+++ b/internal/placement/tracker.go
@@ -74,6 +74,7 @@
 	// lifeSince is when the first of the successive reports with the newest one's Life was received, and downSince when the first
 	// of the newest ones that the upstream is down was.
 	lifeSince, downSince time.Time
+	run                  provenRun
 	inFlight             map[*sentRequest]struct{}
 	failures             int
 	suspectUntil         time.Time
@@ -153,6 +154,7 @@
 		if r.Down && !u.report.Down {
 			u.downSince = r.ReceivedAt
 		}
+		u.run.record(r)
 		u.report = r
 		u.applyLimit(r.Limit, r.ReceivedAt)
 		u.path.RecordEcho(r.EchoedStamp, r.StampHeldFor, r.Interval, t.now())
--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -59,8 +59,11 @@
 type Observer struct {
 	// Look returns what the process shows now, of which it is not known whether it has run since a moment. It opens a connection
 	// only if connect is true.
-	Look  func(ctx context.Context, since time.Time, connect bool) Sign
-	Close func()
+	Look func(ctx context.Context, since time.Time, connect bool) Sign
+	// LastRan returns when a process that was sent a request at a given time is last known to have run, otherwise than by its
+	// answers; zero if it isn't.
+	LastRan func(sentAt time.Time) time.Time
+	Close   func()
 }
 
 // CrashDetector collects the requests that break off together at an upstream, and finds out whether its process has ended.
@@ -89,7 +92,9 @@
 	openedAt, since time.Time
 	// broken is true if a request broke off; otherwise there are only answers whose end does not prove that they are complete.
 	broken   bool
-	requests []InFlightRequest
+	requests []noticedRequest
+	// ranAt is when the process was known to have run, otherwise than by its answers, when the question arose; zero if it wasn't.
+	ranAt time.Time
 	// established is true if one of the requests had been sent some time before.
 	established bool
 	// served are called once the process is known to run.
@@ -102,10 +107,16 @@
 	looking bool
 }
 
+// noticedRequest is a request that ended at an upstream without a complete answer, and when this was noticed.
+type noticedRequest struct {
+	InFlightRequest
+	at time.Time
+}
+
 // abandonedRequest is a request that was abandoned at an upstream.
 type abandonedRequest struct {
 	incarnation Incarnation
-	request     InFlightRequest
+	request     noticedRequest
 	expiresAt   time.Time
 }
 
@@ -121,7 +132,7 @@
 func (w *CrashDetector) RequestBroken(s Incarnation, p InFlightRequest, sentAt time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	q := w.questionAbout(s)
+	q := w.questionAbout(s, sentAt)
 	if q == nil {
 		return
 	}
@@ -135,7 +146,7 @@
 		w.after(gatherTime, func() { w.look(s, q, 0) })
 	}
 	q.since = now
-	q.add(p)
+	q.add(noticedRequest{p, now})
 	q.established = q.established || now.Sub(sentAt) >= establishedAfter
 }
 
@@ -144,7 +155,7 @@
 func (w *CrashDetector) EndUnproven(s Incarnation, p InFlightRequest, served func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	q := w.questionAbout(s)
+	q := w.questionAbout(s, p.Times.SentAt)
 	if q == nil {
 		return
 	}
@@ -158,22 +169,23 @@
 	if len(q.served) < maxPresent {
 		q.served = append(q.served, served)
 	}
-	q.add(p)
+	q.add(noticedRequest{p, q.since})
 }
 
 // add adds a request; those beyond maxPresent are not kept.
-func (q *question) add(p InFlightRequest) {
+func (q *question) add(p noticedRequest) {
 	if len(q.requests) < maxPresent {
 		q.requests = append(q.requests, p)
 	}
 }
 
 // questionAbout returns the question about an incarnation, or nil if there are too many; the caller holds the lock.
-func (w *CrashDetector) questionAbout(s Incarnation) *question {
+func (w *CrashDetector) questionAbout(s Incarnation, sentAt time.Time) *question {
 	q := w.questions[s]
 	if q == nil && len(w.questions) < maxQuestions {
 		now := w.now()
 		q = &question{observer: w.observe(s), openedAt: now, since: now}
+		q.ranAt = q.observer.LastRan(sentAt)
 		w.questions[s] = q
 		w.open.Add(1)
 	}
@@ -224,7 +236,8 @@
 	if len(w.abandoned) >= maxAbandoned {
 		w.abandoned = w.abandoned[1:]
 	}
-	w.abandoned = append(w.abandoned, abandonedRequest{incarnation: s, request: p, expiresAt: w.now().Add(abandonedTTL)})
+	now := w.now()
+	w.abandoned = append(w.abandoned, abandonedRequest{incarnation: s, request: noticedRequest{p, now}, expiresAt: now.Add(abandonedTTL)})
 }
 
 // addAbandoned adds the requests that were abandoned shortly before to a question; the caller holds the lock.
@@ -298,8 +311,52 @@
 	case sign != Ended:
 		w.unresolved.Add(1)
 	case sign == Ended && (q.broken || age < unprovenTTL):
-		w.report(Crash{Incarnation: s, Requests: q.requests})
+		w.report(q.crash(s, w.now()))
+	}
+}
+
+// minLate is how much later than it happened a crash must have been noticed for its time to be stated.
+const minLate = 50 * time.Millisecond
+
+// crash returns the crash that a question is about. A process that sends nothing any more has ended at about its last sign,
+// however late its connections close.
+func (q *question) crash(s Incarnation, now time.Time) Crash {
+	c := Crash{Incarnation: s}
+	end, silent := q.silentEnd()
+	if !silent {
+		end.from = q.openedAt
+	}
+	if now.Sub(end.from) >= minLate {
+		c.At = end.from
+	}
+	for _, r := range q.requests {
+		if !silent {
+			end = endTime{from: r.at, until: r.at}
+		}
+		c.Requests = append(c.Requests, r.asOf(end))
+	}
+	return c
+}
+
+// silentEnd returns when the process ended if it had been silent for some time when that was noticed.
+func (q *question) silentEnd() (end endTime, silent bool) {
+	var sign, sent time.Time
+	var requests []InFlightRequest
+	for _, r := range q.requests {
+		if at := r.Times.SentAt; !at.IsZero() && (sent.IsZero() || at.Before(sent)) {
+			sent = at
+		}
+		sign = latest(sign, r.Times.LastAt)
+		requests = append(requests, r.InFlightRequest)
+	}
+	if sent.IsZero() {
+		return endTime{}, false
+	}
+	sign = latest(sign, q.ranAt)
+	if sign.Before(sent) {
+		sign = sent
 	}
+	return endAfter(sign, requests), q.openedAt.Sub(sign) >= BeginningTime
 }
 
 // weigh counts connections that were closed at once, and reports whether there are enough of them to prove that the process
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -50,10 +50,22 @@
 	Alone bool
 	// Progress of another gateway's request is Waiting unless it was Beginning.
 	Progress Progress
-	// Times are those of this gateway's own request.
+	// Times are those of this gateway's own request. With them its progress follows from the time of the crash.
 	Times AnswerTimes
 }
 
+// asOf returns the request with the progress that its answer had made when the process ended. Answers that had begun earlier are
+// no evidence against parts.
+func (p InFlightRequest) asOf(end endTime) InFlightRequest {
+	if p.Times.SentAt.IsZero() {
+		return p
+	}
+	if p.Progress = p.Times.progress(end); p.Progress == Writing {
+		p.Parts, p.PartUses = nil, nil
+	}
+	return p
+}
+
 // identity returns what the request is recognised by.
 func (p *InFlightRequest) identity() Identity {
 	return Identity{Fingerprint: p.Fingerprint, Use: p.Use, Parts: p.Parts, PartUses: p.PartUses, Organisation: p.Organisation, Key: p.Key}
@@ -64,6 +76,8 @@
 type Crash struct {
 	Incarnation Incarnation
 	Requests    []InFlightRequest
+	// At is when the crash happened, if it was noticed later; zero is now.
+	At time.Time
 	// RememberedAt is when the crash happened if a process remembers it for one that may have missed the news; zero in news.
 	RememberedAt time.Time
 }
@@ -92,6 +106,8 @@
 // CrashNews is what gateways exchange about crashes and suspected requests.
 type CrashNews struct {
 	Crashes []Crash
+	// SentAt is when the news is sent.
+	SentAt time.Time
 	// Served are the uses of requests that were answered completely although they were suspected, and of parts of such requests.
 	Served []Fingerprint
 	// Held are requests that the sender holds from now on.
--- a/internal/quarantine/news.go
+++ b/internal/quarantine/news.go
@@ -1,8 +1,6 @@
 package quarantine
 
 import (
-	"time"
-
 	pb "github.com/springrail/springrail/gen/springrail/v1"
 	"github.com/springrail/springrail/internal/id"
 )
@@ -21,9 +19,13 @@
 func (n CrashNews) Messages() (l []*pb.CrashNews) {
 	for _, e := range n.Crashes {
 		for rest := e.Requests; len(rest) > 0; {
-			n := requestsThatFit(rest)
-			l = append(l, &pb.CrashNews{Ends: []*pb.UpstreamEnd{{Start: e.Incarnation.toProto(), Requests: inFlightToProto(rest[:n])}}})
-			rest = rest[n:]
+			fit := requestsThatFit(rest)
+			end := &pb.UpstreamEnd{Start: e.Incarnation.toProto(), Requests: inFlightToProto(rest[:fit])}
+			if !e.At.IsZero() {
+				end.AgeMs = uint32(n.SentAt.Sub(e.At).Milliseconds())
+			}
+			l = append(l, &pb.CrashNews{Ends: []*pb.UpstreamEnd{end}})
+			rest = rest[fit:]
 		}
 	}
 	if len(n.Served) > 0 {
@@ -120,10 +122,14 @@
 // ApplyNews applies the crash news of another gateway. Invalid fingerprints are counted and skipped.
 func (l *SuspectTracker) ApplyNews(m *pb.CrashNews) {
 	for _, crash := range m.GetEnds() {
-		l.announceAgain(l.applyCrash(crash, time.Time{}))
+		e := Crash{}
+		if crash.GetAgeMs() > 0 {
+			e.At = l.timeOf(crash.GetAgeMs())
+		}
+		l.announceAgain(l.applyCrash(crash, e))
 	}
 	for _, crash := range m.GetRemembered() {
-		l.applyCrash(crash, l.timeOf(crash.GetAgeMs()))
+		l.applyCrash(crash, Crash{RememberedAt: l.timeOf(crash.GetAgeMs())})
 	}
 	for _, a := range m.GetAnswered() {
 		l.applyRemembered(a)
@@ -167,9 +173,9 @@
 	}
 }
 
-// applyCrash applies the crash that another gateway has reported, or that is remembered.
-func (l *SuspectTracker) applyCrash(m *pb.UpstreamEnd, rememberedAt time.Time) Crash {
-	e := Crash{Incarnation: incarnationFromProto(m.GetStart()), RememberedAt: rememberedAt}
+// applyCrash applies the crash that another gateway has reported, or that is remembered; e has its time.
+func (l *SuspectTracker) applyCrash(m *pb.UpstreamEnd, e Crash) Crash {
+	e.Incarnation = incarnationFromProto(m.GetStart())
 	for _, p := range m.GetRequests() {
 		r, err := inFlightFromProto(p)
 		if err != nil {
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -51,6 +51,7 @@
 	q.onRead = q.Knowledge.noteStore
 	q.onRecorded = q.broadcastRecorded
 	q.Broadcast = func(n CrashNews) {
+		n.SentAt = l.now()
 		for _, m := range n.Messages() {
 			s.BroadcastCrashNews(m)
 		}
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -149,9 +149,13 @@
 // RecordCrash adds a crash that this or another gateway has seen.
 func (l *SuspectTracker) RecordCrash(e Crash) {
 	l.mu.Lock()
-	remembered, at := !e.RememberedAt.IsZero(), e.RememberedAt
-	if !remembered {
-		at = l.now()
+	remembered, late := !e.RememberedAt.IsZero(), !e.At.IsZero()
+	at := l.now()
+	switch {
+	case remembered:
+		at = e.RememberedAt
+	case late:
+		at = e.At
 	}
 	n := l.findCrash(e.Incarnation, at)
 	if n == nil {
@@ -165,7 +169,7 @@
 	before := n.uses()
 	n.addRequests(e.Requests)
 	l.contents.update(n, before)
-	if remembered {
+	if remembered || late {
 		l.clearAnswered(n)
 	}
 	c := changes{here: true}
