Know the successor of an upstream from when its request was sent

Cause: a gateway took the instances that were listed at an address when it began to ask whether an upstream's process had ended for known, and only a further one for proof.

Facts now remember when each instance was first listed, also for a while after it is no longer listed, so that an entry that returns from an older copy of the list is no successor. The proof is another instance at the address that was first listed after the request was sent.

It does not show by itself until silence raises the question."

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -60,6 +60,8 @@
 	instances map[id.Instance]*Instance
 	// ended is the newest incarnation of each instance that is no longer listed.
 	ended map[id.Instance]endedIncarnation
+	// firstListed is when each listed instance was first, and also instances that are no longer listed, for a while.
+	firstListed map[id.Instance]listing
 	// cachedList is the list that readers share, or nil if the entries have changed since it was built.
 	cachedList atomic.Pointer[[]*Instance]
 	changed    chan struct{}
@@ -85,7 +87,7 @@
 // New creates empty facts.
 func New(now func() time.Time) *Facts {
 	f := &Facts{
-		now: now, wanted: map[id.Model][]Wanted{}, instances: map[id.Instance]*Instance{}, ended: map[id.Instance]endedIncarnation{},
+		now: now, wanted: map[id.Model][]Wanted{}, instances: map[id.Instance]*Instance{}, ended: map[id.Instance]endedIncarnation{}, firstListed: map[id.Instance]listing{},
 		changed: make(chan struct{}), configOffsetChanged: make(chan struct{}), gateways: map[string]time.Time{},
 		watch: addressWatch{changed: make(chan struct{})}, announcements: map[id.Instance]*announcementState{},
 		leaving: map[id.Instance]leavingIncarnation{},
@@ -122,6 +124,7 @@
 		return false
 	}
 	f.instances[i.ID] = i
+	f.noteListed(i.ID)
 	f.listPosition = max(f.listPosition, i.ListPosition)
 	if old != nil && old.Leaving && !i.Leaving && !old.Born.Before(i.Born) && old.ListPosition.Era() < i.ListPosition.Era() {
 		// The store was restored from an older copy, which lacks that the instance leaves.
@@ -148,6 +151,7 @@
 	}
 	delete(f.instances, n)
 	f.rememberEnded(i)
+	f.noteUnlisted(n)
 	f.cachedList.Store(nil)
 	f.notify()
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
-	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/placement"
 	"github.com/springrail/springrail/internal/quarantine"
 	"github.com/springrail/springrail/internal/upconn"
@@ -118,24 +116,23 @@
 	t.request.gateway.crashDetector.RequestAbandoned(t.upstreamIncarnation(), t.inFlightRequest())
 }
 
-// observeProcess returns an observer of an upstream's process. An upstream that does not respond may be partitioned, frozen or
+// observeProcess returns an observer of an upstream's process that was sent a request at a given time. An upstream that does not respond may be partitioned, frozen or
 // without power, which no request causes; one that refuses connections has ended.
-func (g *Gateway) observeProcess(s quarantine.Incarnation) quarantine.Observer {
+func (g *Gateway) observeProcess(s quarantine.Incarnation, sentAt time.Time) quarantine.Observer {
 	w := g.connections.Watch(s.Address, s.Born)
-	known := g.instancesAt(s.Address)
 	look := func(ctx context.Context, since time.Time, connect bool) quarantine.Sign {
-		if sign := g.processSign(s, known, since); sign != quarantine.NoSign || !connect {
+		if sign := g.processSign(s, sentAt, since); sign != quarantine.NoSign || !connect {
 			return sign
 		}
 		return g.connectionSign(ctx, s, w)
 	}
-	lastRan := func(sentAt time.Time) time.Time { return g.loadSources.Tracker.LastRan(s.Address, s.Born, sentAt) }
+	lastRan := func() time.Time { return g.loadSources.Tracker.LastRan(s.Address, s.Born, sentAt) }
 	return quarantine.Observer{Look: look, LastRan: lastRan, Close: w.Close}
 }
 
-// processSign returns what the stager beside an upstream and the list of upstreams show of its process. Known are the
-// instances that were listed at its address before.
-func (g *Gateway) processSign(s quarantine.Incarnation, known []id.Instance, since time.Time) quarantine.Sign {
+// processSign returns what the stager beside an upstream and the list of upstreams show of its process, which was sent a request
+// at a given time.
+func (g *Gateway) processSign(s quarantine.Incarnation, sentAt, since time.Time) quarantine.Sign {
 	switch g.loadSources.Tracker.ProcessSince(s.Address, s.Born, since) {
 	case placement.ProcessEnded:
 		return g.processEnded(s, "report")
@@ -145,24 +142,12 @@
 	if g.facts.AnnouncedLeaving(s.Instance, s.Born) {
 		return quarantine.NoSign
 	}
-	for _, n := range g.instancesAt(s.Address) {
-		if n != s.Instance && !slices.Contains(known, n) {
-			return g.processEnded(s, "list")
-		}
+	if g.facts.HasSuccessor(s.Instance, s.Address, sentAt) {
+		return g.processEnded(s, "list")
 	}
 	return quarantine.NoSign
 }
 
-// instancesAt returns the instances that are listed at an address.
-func (g *Gateway) instancesAt(address string) (l []id.Instance) {
-	for _, i := range g.facts.Instances() {
-		if i.Address == address {
-			l = append(l, i.ID)
-		}
-	}
-	return l
-}
-
 // connectionSign returns what a connection to an upstream shows of its process.
 func (g *Gateway) connectionSign(ctx context.Context, s quarantine.Incarnation, w *upconn.Watch) quarantine.Sign {
 	p := w.Look(ctx)
--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -60,9 +60,8 @@
 	// Look returns what the process shows now, of which it is not known whether it has run since a moment. It opens a connection
 	// only if connect is true.
 	Look func(ctx context.Context, since time.Time, connect bool) Sign
-	// LastRan returns when a process that was sent a request at a given time is last known to have run, otherwise than by its
-	// answers; zero if it isn't.
-	LastRan func(sentAt time.Time) time.Time
+	// LastRan returns when the process is last known to have run, otherwise than by its answers; zero if it isn't.
+	LastRan func() time.Time
 	Close   func()
 }
 
@@ -70,8 +69,8 @@
 // A connection may also be reset while the upstream lives, which is no evidence against its requests. A connection that is
 // accepted proves neither, so the detector goes on looking until there is proof.
 type CrashDetector struct {
-	// observe returns an observer of an incarnation.
-	observe func(s Incarnation) Observer
+	// observe returns an observer of an incarnation that was sent a request at a given time.
+	observe func(s Incarnation, sentAt time.Time) Observer
 	// report is called for each crash.
 	report func(e Crash)
 	now    func() time.Time
@@ -121,7 +120,7 @@
 }
 
 // NewCrashDetector creates a detector that calls report for each crash.
-func NewCrashDetector(observe func(s Incarnation) Observer, report func(e Crash), now func() time.Time) *CrashDetector {
+func NewCrashDetector(observe func(s Incarnation, sentAt time.Time) Observer, report func(e Crash), now func() time.Time) *CrashDetector {
 	return &CrashDetector{
 		observe: observe, report: report, now: now, questions: map[Incarnation]*question{},
 		after: func(d time.Duration, f func()) { time.AfterFunc(d, f) },
@@ -184,8 +183,8 @@
 	q := w.questions[s]
 	if q == nil && len(w.questions) < maxQuestions {
 		now := w.now()
-		q = &question{observer: w.observe(s), openedAt: now, since: now}
-		q.ranAt = q.observer.LastRan(sentAt)
+		q = &question{observer: w.observe(s, sentAt), openedAt: now, since: now}
+		q.ranAt = q.observer.LastRan()
 		w.questions[s] = q
 		w.open.Add(1)
 	}
--- a/internal/quarantine/crash_detector_test.go
+++ b/internal/quarantine/crash_detector_test.go
@@ -45,7 +45,7 @@
 	}
 	BeforeEach(func() {
 		now, timers, reported, sign, connects, looks, closed, ranAt = time.Unix(1000, 0), nil, nil, Ended, 0, 0, 0, time.Time{}
-		observe := func(Incarnation) Observer {
+		observe := func(Incarnation, time.Time) Observer {
 			return Observer{
 				Look: func(_ context.Context, _ time.Time, connect bool) Sign {
 					looks++
@@ -54,7 +54,7 @@
 					}
 					return sign
 				},
-				LastRan: func(time.Time) time.Time { return ranAt },
+				LastRan: func() time.Time { return ranAt },
 				Close:   func() { closed++ },
 			}
 		}
