Ask whether a silent upstream has ended

Cause: only a request that breaks off made a gateway ask whether its upstream's process had ended. Under a silent one nothing breaks off: its requests are overtaken by a hedged attempt, left by their callers or given up at their deadlines, and counted as abandoned for one second.

Now the detector follows each attempt from its send to its end, and knows the last sign of each process. A request that is given up after half a second without any sign, or that waits so long, raises the question. Silence is no end: an upstream may stand still, be cut off or be slow, and its stager then says down as well. So the only proof here is another process at the address; any byte from the old one, or its stager's answer, ends the question. No connections are opened for it. What was given up, and what is still in flight, is evidence once the process proves to have ended, and the list is looked at when it changes, as the successor is sent requests from then on.

Specs of the detector for each way, and that sound ones ask nothing. ProcessDown is told apart from ProcessEnded in the reports; the spec says which."

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -314,7 +314,8 @@
 	for _, d := range endLookPauses {
 		kernel.Pause(t.ctx, d)
 		p := w.Look(t.ctx)
-		ended := p == upconn.Refused || g.loadSources.Tracker.ProcessSince(s.Address, s.Born, endedAt) == placement.ProcessEnded
+		state := g.loadSources.Tracker.ProcessSince(s.Address, s.Born, endedAt)
+		ended := p == upconn.Refused || state == placement.ProcessEnded || state == placement.ProcessDown
 		if ended || p == upconn.Unanswered {
 			return ended && !t.upstreamLeft()
 		}
@@ -348,7 +349,7 @@
 	case t.endProven:
 		served()
 	case !t.upstreamLeft():
-		f.gateway.crashDetector.EndUnproven(t.upstreamIncarnation(), t.inFlightRequest(), served)
+		f.gateway.crashDetector.EndUnproven(t.upstreamIncarnation(), t.followed.Request(), served)
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,7 +60,7 @@
 		request: f, choice: c, tracked: g.loadSources.Tracker.Begin(c.Address, f.meta.PromptTokens), permit: f.permit, parentCtx: ctx,
 		attemptNumber: f.attempts, eventsBefore: f.events.forwarded, lastByteAt: g.now(), startedAt: g.now(), position: f.currentPosition(),
 	}
-	t.times.SentAt = t.startedAt
+	t.followed = g.crashDetector.Begin(t.upstreamIncarnation(), f.inFlightRequest())
 	t.ctx, t.cancel = context.WithCancelCause(ctx)
 	if c.Revision > 0 && f.meta.Model != "" {
 		t.startVersionTimer()
@@ -78,6 +78,7 @@
 	}
 	t.cancel(nil)
 	t.tracked.End()
+	t.followed.End()
 }
 
 // send sends the request and waits for the response header.
@@ -96,8 +97,7 @@
 		return t.handleBreak("the upstream broke off before its answer")
 	}
 	t.exchange = e
-	t.times.HeadAt = f.gateway.now()
-	t.times.LastAt = t.times.HeadAt
+	t.followed.Received(false)
 	return nil
 }
 
@@ -222,8 +222,8 @@
 	attemptNumber, eventsBefore int
 	// lastByteAt is when the upstream last sent data, or when the request was sent.
 	lastByteAt time.Time
-	// times are for the detection of crashes.
-	times quarantine.AnswerTimes
+	// followed is the attempt as the detection of crashes follows it.
+	followed *quarantine.Attempt
 	// pace tells an answer that stayed unread from a failure of the upstream.
 	pace callerPace
 
--- a/internal/gateway/broken.go
+++ b/internal/gateway/broken.go
@@ -30,11 +30,11 @@
 	case endLoading:
 		// An upstream cancels its requests before it loads weights, which is no failure, unless it crashed under one of
 		// them.
-		f.gateway.crashDetector.RequestBroken(t.upstreamIncarnation(), t.inFlightRequest(), t.startedAt)
+		f.gateway.crashDetector.RequestBroken(t.upstreamIncarnation(), t.followed.Request(), t.startedAt)
 	case endBrokeOff:
 		t.tracked.RecordFailure()
 		f.gateway.connections.CloseIdle(t.choice.Address)
-		f.gateway.crashDetector.RequestBroken(t.upstreamIncarnation(), t.inFlightRequest(), t.startedAt)
+		f.gateway.crashDetector.RequestBroken(t.upstreamIncarnation(), t.followed.Request(), t.startedAt)
 	}
 	return &attemptError{text: text}
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -90,16 +90,12 @@
 	return false
 }
 
-// minSilence is how long an upstream must have sent nothing to a request for it to count as given up in silence.
-const minSilence = 500 * time.Millisecond
-
-// inFlightRequest describes the attempt for the detection of requests that crash upstreams.
-func (t *attempt) inFlightRequest() quarantine.InFlightRequest {
-	f := t.request
+// inFlightRequest describes the request for the detection of requests that crash upstreams.
+func (f *callerRequest) inFlightRequest() quarantine.InFlightRequest {
 	return quarantine.InFlightRequest{
 		Fingerprint: f.identity.Fingerprint, Use: f.identity.Use, Organisation: f.organisation, Key: f.identity.Key,
 		Parts: f.identity.Parts, PartUses: f.identity.PartUses,
-		Attempt: quarantine.CallerAttemptOf(f.meta.Request), Alone: f.exclusive, Times: t.times,
+		Attempt: quarantine.CallerAttemptOf(f.meta.Request), Alone: f.exclusive,
 	}
 }
 
@@ -110,18 +106,18 @@
 
 // reportAbandoned records that the request was given up at its upstream, which may begin it nevertheless.
 func (t *attempt) reportAbandoned() {
-	if g := t.request.gateway; g.now().Sub(t.lastByteAt) >= minSilence {
+	g := t.request.gateway
+	if g.crashDetector.RequestAbandoned(t.upstreamIncarnation(), t.followed.Request()) {
 		g.metrics.count("given_up_in_silence")
 	}
-	t.request.gateway.crashDetector.RequestAbandoned(t.upstreamIncarnation(), t.inFlightRequest())
 }
 
 // observeProcess returns an observer of an upstream's process that was sent a request at a given time. An upstream that does not respond may be partitioned, frozen or
 // without power, which no request causes; one that refuses connections has ended.
 func (g *Gateway) observeProcess(s quarantine.Incarnation, sentAt time.Time) quarantine.Observer {
 	w := g.connections.Watch(s.Address, s.Born)
-	look := func(ctx context.Context, since time.Time, connect bool) quarantine.Sign {
-		if sign := g.processSign(s, sentAt, since); sign != quarantine.NoSign || !connect {
+	look := func(ctx context.Context, since time.Time, by quarantine.Means) quarantine.Sign {
+		if sign := g.processSign(s, sentAt, since, by); sign != quarantine.NoSign || by != quarantine.ByConnection {
 			return sign
 		}
 		return g.connectionSign(ctx, s, w)
@@ -132,10 +128,14 @@
 
 // processSign returns what the stager beside an upstream and the list of upstreams show of its process, which was sent a request
 // at a given time.
-func (g *Gateway) processSign(s quarantine.Incarnation, sentAt, since time.Time) quarantine.Sign {
+func (g *Gateway) processSign(s quarantine.Incarnation, sentAt, since time.Time, by quarantine.Means) quarantine.Sign {
 	switch g.loadSources.Tracker.ProcessSince(s.Address, s.Born, since) {
 	case placement.ProcessEnded:
 		return g.processEnded(s, "report")
+	case placement.ProcessDown:
+		if by != quarantine.ByRestart {
+			return g.processEnded(s, "report")
+		}
 	case placement.ProcessRuns:
 		return quarantine.Runs
 	}
@@ -148,6 +148,19 @@
 	return quarantine.NoSign
 }
 
+// watchList looks for ended processes at each change of the list of upstreams until the context ends.
+func (g *Gateway) watchList(ctx context.Context) {
+	for {
+		changed := g.facts.Changed()
+		g.crashDetector.ListChanged()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // connectionSign returns what a connection to an upstream shows of its process.
 func (g *Gateway) connectionSign(ctx context.Context, s quarantine.Incarnation, w *upconn.Watch) quarantine.Sign {
 	p := w.Look(ctx)
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -200,8 +200,8 @@
 	f.buffers.add(streamReadSize)
 	for {
 		n, err := t.exchange.Body.Read(buffer)
-		t.noteReceived(n)
 		if n > 0 {
+			t.followed.Received(true)
 			t.lastByteAt = f.gateway.now()
 			if !t.answerStarted.Swap(true) {
 				t.firstDataAt = t.lastByteAt
@@ -301,7 +301,7 @@
 	}
 	adopted := &attempt{
 		request: f, choice: won.choice, tracked: won.tracked, permit: won.permit, exchange: won.exchange, versionTimer: won.versionTimer,
-		parentCtx: t.parentCtx, ctx: won.ctx, cancel: won.cancel, attemptNumber: f.attempts, eventsBefore: f.events.forwarded, lastByteAt: won.lastByteAt, startedAt: won.startedAt, firstDataAt: won.firstDataAt, times: won.times, position: f.currentPosition(),
+		parentCtx: t.parentCtx, ctx: won.ctx, cancel: won.cancel, attemptNumber: f.attempts, eventsBefore: f.events.forwarded, lastByteAt: won.lastByteAt, startedAt: won.startedAt, firstDataAt: won.firstDataAt, followed: won.followed, position: f.currentPosition(),
 	}
 	defer adopted.release()
 	adopted.noteAnswerStart()
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -216,6 +216,7 @@
 	stop := context.AfterFunc(ctx, g.closeConnections)
 	defer stop()
 	go g.watchSuspensions(ctx)
+	go g.watchList(ctx)
 	err := g.server.Serve(g.listener)
 	if ctx.Err() == nil && !g.isLeaving() {
 		return trace.Wrap(err)
--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -50,7 +50,9 @@
 	n, err := t.exchange.Body.Read(b)
 	t.pace.recordRead(g.now().Sub(start))
 	t.received += int64(n)
-	t.noteReceived(n)
+	if n > 0 {
+		t.followed.Received(true)
+	}
 	if t.exchange.ContentLength < 0 && t.received > g.settings.AnswerBytes {
 		g.metrics.count("answers_too_long")
 		return 0, errAnswerTooLong
@@ -58,17 +60,6 @@
 	return n, err
 }
 
-// noteReceived notes that data after the header of the response was received.
-func (t *attempt) noteReceived(n int) {
-	if n == 0 {
-		return
-	}
-	t.times.LastAt = t.request.gateway.now()
-	if t.times.FirstDataAt.IsZero() {
-		t.times.FirstDataAt = t.times.LastAt
-	}
-}
-
 // writeCaller writes to the caller.
 func (t *attempt) writeCaller(b []byte) error {
 	now := t.request.gateway.now
--- a/internal/placement/life.go
+++ b/internal/placement/life.go
@@ -14,7 +14,9 @@
 	ProcessUnknown ProcessState = iota
 	// ProcessRuns means that the process still ran after the given time.
 	ProcessRuns
-	// ProcessEnded means that the process did not answer its stager after the given time, or that a later one has started.
+	// ProcessDown means that the process did not answer its stager after the given time.
+	ProcessDown
+	// ProcessEnded means that a later one has started.
 	ProcessEnded
 )
 
@@ -27,8 +29,10 @@
 	switch {
 	case u == nil:
 		return ProcessUnknown
-	case incarnation.Before(u.incarnation), u.downSince.After(since):
+	case incarnation.Before(u.incarnation):
 		return ProcessEnded
+	case u.downSince.After(since):
+		return ProcessDown
 	case u.report.Life > 0 && !u.report.Down && u.lifeSince.Before(since) && u.report.EchoedStamp.Add(-u.report.StateAge).After(since):
 		return ProcessRuns
 	default:
--- a/internal/placement/life_test.go
+++ b/internal/placement/life_test.go
@@ -32,7 +32,7 @@
 			report(-time.Second, -2*time.Second, LoadReport{Life: 1}), report(time.Second, 500*time.Millisecond, LoadReport{Life: 2})),
 		Entry("nothing from a stager that does not state it", ProcessUnknown,
 			report(-time.Second, -2*time.Second, LoadReport{}), report(time.Second, 500*time.Millisecond, LoadReport{})),
-		Entry("it has ended, from the first report that it is down", ProcessEnded,
+		Entry("it has ended, from the first report that it is down", ProcessDown,
 			report(-time.Second, -2*time.Second, LoadReport{Life: 1}), report(time.Millisecond, -time.Second, LoadReport{Life: 1, Down: true})),
 		Entry("nothing if it was down before", ProcessUnknown,
 			report(-time.Second, -2*time.Second, LoadReport{Life: 1, Down: true}), report(time.Millisecond, -time.Second, LoadReport{Life: 1, Down: true})),
--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -55,11 +55,23 @@
 	TurnedAway
 )
 
+// Means limits what a look may take for proof of an end, and how it looks.
+type Means int
+
+const (
+	// ByRestart takes only another process at the address for proof: what was given up in silence may be at an upstream that
+	// stands still.
+	ByRestart Means = iota
+	// ByReport also takes a process for ended that does not answer its stager.
+	ByReport
+	// ByConnection also opens a connection.
+	ByConnection
+)
+
 // Observer looks at one upstream process.
 type Observer struct {
-	// Look returns what the process shows now, of which it is not known whether it has run since a moment. It opens a connection
-	// only if connect is true.
-	Look func(ctx context.Context, since time.Time, connect bool) Sign
+	// Look returns what the process shows now, of which it is not known whether it has run since a moment.
+	Look func(ctx context.Context, since time.Time, by Means) Sign
 	// LastRan returns when the process is last known to have run, otherwise than by its answers; zero if it isn't.
 	LastRan func() time.Time
 	Close   func()
@@ -78,6 +90,9 @@
 
 	mu        sync.Mutex
 	questions map[Incarnation]*question
+	processes map[Incarnation]*upstreamProcess
+	// sweeping is true while a sweep is scheduled.
+	sweeping bool
 	// open is the number of questions, and unresolved how many were given up.
 	open       atomic.Int32
 	unresolved atomic.Int64
@@ -92,8 +107,15 @@
 	// broken is true if a request broke off; otherwise there are only answers whose end does not prove that they are complete.
 	broken   bool
 	requests []noticedRequest
+	// silent is true if requests were given up while the upstream was silent, which givenUp lists.
+	silent  bool
+	givenUp []noticedRequest
+	// watched is true once a look is scheduled.
+	watched bool
 	// ranAt is when the process was known to have run, otherwise than by its answers, when the question arose; zero if it wasn't.
 	ranAt time.Time
+	// sign is when the process last sent anything to this gateway.
+	sign time.Time
 	// established is true if one of the requests had been sent some time before.
 	established bool
 	// served are called once the process is known to run.
@@ -122,7 +144,7 @@
 // NewCrashDetector creates a detector that calls report for each crash.
 func NewCrashDetector(observe func(s Incarnation, sentAt time.Time) Observer, report func(e Crash), now func() time.Time) *CrashDetector {
 	return &CrashDetector{
-		observe: observe, report: report, now: now, questions: map[Incarnation]*question{},
+		observe: observe, report: report, now: now, questions: map[Incarnation]*question{}, processes: map[Incarnation]*upstreamProcess{},
 		after: func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 	}
 }
@@ -141,7 +163,7 @@
 		if now.Sub(q.since) > unprovenTTL {
 			q.requests = nil
 		}
-		q.broken, q.openedAt, q.looks = true, now, 0
+		q.broken, q.openedAt, q.looks, q.watched = true, now, 0, true
 		w.after(gatherTime, func() { w.look(s, q, 0) })
 	}
 	q.since = now
@@ -158,9 +180,7 @@
 	if q == nil {
 		return
 	}
-	if !q.broken && len(q.served) == 0 {
-		w.after(lateLookInterval, func() { w.look(s, q, 0) })
-	}
+	w.watch(s, q)
 	q.since = w.now()
 	if !q.broken {
 		q.openedAt = q.since
@@ -171,6 +191,14 @@
 	q.add(noticedRequest{p, q.since})
 }
 
+// watch schedules the first look about a question that none broke off for, unless it is scheduled; the caller holds the lock.
+func (w *CrashDetector) watch(s Incarnation, q *question) {
+	if !q.watched {
+		q.watched = true
+		w.after(lateLookInterval, func() { w.look(s, q, 0) })
+	}
+}
+
 // add adds a request; those beyond maxPresent are not kept.
 func (q *question) add(p noticedRequest) {
 	if len(q.requests) < maxPresent {
@@ -228,8 +256,9 @@
 	return int64(w.open.Load()), w.unresolved.Load()
 }
 
-// RequestAbandoned notes that a request was abandoned at an upstream.
-func (w *CrashDetector) RequestAbandoned(s Incarnation, p InFlightRequest) {
+// RequestAbandoned notes that a request was abandoned at an upstream. If that was silent, its process may have ended,
+// and the result is true.
+func (w *CrashDetector) RequestAbandoned(s Incarnation, p InFlightRequest) (silent bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.abandoned) >= maxAbandoned {
@@ -237,6 +266,19 @@
 	}
 	now := w.now()
 	w.abandoned = append(w.abandoned, abandonedRequest{incarnation: s, request: noticedRequest{p, now}, expiresAt: now.Add(abandonedTTL)})
+	sign, ended := w.signOf(s)
+	if ended || p.Times.SentAt.IsZero() || now.Sub(latest(sign, p.Times.SentAt)) < minSilence {
+		return false
+	}
+	if q := w.questionAbout(s, p.Times.SentAt); q != nil {
+		q.silent = true
+		if len(q.givenUp) < maxPresent {
+			q.givenUp = append(q.givenUp, noticedRequest{p, now})
+		}
+		q.since = now
+		w.watch(s, q)
+	}
+	return true
 }
 
 // addAbandoned adds the requests that were abandoned shortly before to a question; the caller holds the lock.
@@ -266,14 +308,19 @@
 	if q.broken && number == 0 {
 		w.addAbandoned(s, q)
 	}
-	since, connect := q.since, q.broken && number < len(lookTimes)
+	since, by := q.since, q.means()
+	lastSign, _ := w.signOf(s)
+	ran := !q.broken && lastSign.After(since)
 	q.looks++
 	q.looking = true
 	w.mu.Unlock()
 
 	ctx, stop := context.WithTimeout(context.Background(), lookTimeout)
 	defer stop()
-	sign := q.observer.Look(ctx, since, connect)
+	sign := Runs
+	if !ran {
+		sign = q.observer.Look(ctx, since, by)
+	}
 
 	w.mu.Lock()
 	q.looking = false
@@ -298,18 +345,79 @@
 		return
 	}
 	w.closeQuestion(s, q)
+	if sign == Ended {
+		lastSign, _ = w.signOf(s)
+		q.collect(lastSign, w.processes[s], now)
+	}
 	w.mu.Unlock()
 	w.answer(s, q, sign, age)
 }
 
+// ListChanged looks at once where only the list of upstreams, or a report, may still show that a process has ended: its successor
+// is sent requests as soon as it is listed.
+func (w *CrashDetector) ListChanged() {
+	w.mu.Lock()
+	type due struct {
+		s Incarnation
+		q *question
+		n int
+	}
+	var l []due
+	for s, q := range w.questions {
+		if q.means() != ByConnection {
+			l = append(l, due{s, q, q.looks})
+		}
+	}
+	w.mu.Unlock()
+	for _, d := range l {
+		w.look(d.s, d.q, d.n)
+	}
+}
+
+// means returns by what the next look may find out about a question.
+func (q *question) means() Means {
+	switch {
+	case q.broken && q.looks < len(lookTimes):
+		return ByConnection
+	case q.broken || len(q.served) > 0:
+		return ByReport
+	default:
+		return ByRestart
+	}
+}
+
+// collect adds what was given up in the silence before the process ended, whose last sign is known, and what is still in flight
+// there.
+func (q *question) collect(lastSign time.Time, p *upstreamProcess, now time.Time) {
+	q.sign = lastSign
+	for _, r := range q.givenUp {
+		if !lastSign.After(r.at) {
+			q.add(r)
+		}
+	}
+	if p == nil {
+		return
+	}
+	for _, r := range p.end() {
+		if !slices.ContainsFunc(q.requests, func(o noticedRequest) bool { return o.sameAttempt(r) }) {
+			q.add(noticedRequest{r, now})
+		}
+	}
+}
+
+// sameAttempt reports whether two descriptions are of the same attempt at the upstream.
+func (p *InFlightRequest) sameAttempt(o InFlightRequest) bool {
+	return p.Fingerprint == o.Fingerprint && p.Attempt == o.Attempt && p.Times.SentAt.Equal(o.Times.SentAt)
+}
+
 // answer reports a crash, or clears the requests that were served, once a question is closed.
 func (w *CrashDetector) answer(s Incarnation, q *question, sign Sign, age time.Duration) {
 	switch {
 	case sign == Runs:
 		q.callServed()
-	case sign != Ended:
+	case sign != Ended && q.broken:
 		w.unresolved.Add(1)
-	case sign == Ended && (q.broken || age < unprovenTTL):
+	case sign == Ended && (q.broken || q.silent || age < unprovenTTL):
 		w.report(q.crash(s, w.now()))
 	}
 }
@@ -351,7 +459,7 @@
 	if sent.IsZero() {
 		return endTime{}, false
 	}
-	sign = latest(sign, q.ranAt)
+	sign = latest(latest(sign, q.sign), q.ranAt)
 	if sign.Before(sent) {
 		sign = sent
 	}
--- a/internal/quarantine/crash_detector_test.go
+++ b/internal/quarantine/crash_detector_test.go
@@ -19,6 +19,7 @@
 		looks    int
 		closed   int
 		ranAt    time.Time
+		means    Means
 		detector *CrashDetector
 	)
 	start := Incarnation{Instance: "i"}
@@ -47,11 +48,12 @@
 		now, timers, reported, sign, connects, looks, closed, ranAt = time.Unix(1000, 0), nil, nil, Ended, 0, 0, 0, time.Time{}
 		observe := func(Incarnation, time.Time) Observer {
 			return Observer{
-				Look: func(_ context.Context, _ time.Time, connect bool) Sign {
+				Look: func(_ context.Context, _ time.Time, by Means) Sign {
 					looks++
-					if connect {
+					if by == ByConnection {
 						connects++
 					}
+					means = by
 					return sign
 				},
 				LastRan: func() time.Time { return ranAt },
@@ -125,6 +127,83 @@
 		Expect(reported[1].Requests[0].Progress).To(Equal(Writing))
 	})
 
+	Describe("of a request that is given up", func() {
+		var a *Attempt
+		BeforeEach(func() { a, sign = detector.Begin(start, inFlight("a")), NoSign })
+		giveUp := func() bool {
+			defer a.End()
+			return detector.RequestAbandoned(start, a.Request())
+		}
+
+		// Guards against crashes that close no connection and are never looked for.
+		It("reports it once the process of an upstream that was silent is known to have ended", func() {
+			a.Received(true)
+			last := now
+			pass(2 * time.Second)
+			Expect(giveUp()).To(BeTrue())
+			pass(4 * time.Second)
+			Expect([]int{connects, int(means)}).To(Equal([]int{0, int(ByRestart)}))
+			sign = Ended
+			pass(lateLookInterval)
+			Expect(reported).To(HaveLen(1))
+			Expect(reported[0].At).To(Equal(last))
+			Expect(reported[0].Requests).To(HaveLen(1))
+			Expect(reported[0].Requests[0].Progress).To(Equal(Beginning))
+		})
+
+		It("asks nothing if the upstream was not silent", func() {
+			other := detector.Begin(start, inFlight("b"))
+			for range 8 {
+				pass(sweepInterval)
+				other.Received(true)
+			}
+			Expect(giveUp()).To(BeFalse())
+			Expect(detector.questions).To(BeEmpty())
+		})
+
+		It("asks no more once the upstream sends anything", func() {
+			other := detector.Begin(start, inFlight("b"))
+			pass(2 * time.Second)
+			Expect(giveUp()).To(BeTrue())
+			pass(time.Millisecond)
+			other.Received(true)
+			pass(lateLookInterval)
+			Expect(detector.questions).To(BeEmpty())
+			Expect(reported).To(BeEmpty())
+		})
+
+		It("reports it with one that breaks off later", func() {
+			other := detector.Begin(start, inFlight("b"))
+			pass(2 * time.Second)
+			giveUp()
+			pass(3 * time.Second)
+			sign = Ended
+			detector.RequestBroken(start, other.Request(), now.Add(-5*time.Second))
+			pass(gatherTime)
+			Expect(reported).To(HaveLen(1))
+			Expect(reported[0].At).To(Equal(now.Add(-gatherTime - 5*time.Second)))
+			Expect(reported[0].Requests).To(HaveLen(2))
+		})
+	})
+
+	// Guards against a crash that is found only after the deadlines of the requests there.
+	It("reports the requests in flight at a silent upstream as soon as its successor is listed, and once", func() {
+		a := detector.Begin(start, inFlight("a"))
+		sign = NoSign
+		pass(3 * time.Second)
+		sign = Ended
+		detector.ListChanged()
+		Expect(reported).To(HaveLen(1))
+		Expect(reported[0].Requests).To(HaveLen(1))
+		Expect(connects).To(BeZero())
+		pass(2 * time.Second)
+		detector.RequestAbandoned(start, a.Request())
+		a.End()
+		pass(2 * questionTTL)
+		Expect(reported).To(HaveLen(1))
+		Expect([]int{len(detector.processes), len(timers)}).To(Equal([]int{0, 0}))
+	})
+
 	It("gives up in the end", func() {
 		sign = NoSign
 		detector.RequestBroken(start, inFlight("a"), now)
