Send a suspected request alone at one gateway at a time, until its outcome is known

Cause: a request at two crashes is sent alone, but each gateway did so by itself, and again as soon as its caller had left the silent upstream, seconds before that proves to have ended. Whether the first try crashed its upstream was not known to the second.

A crash under the try, wherever it is seen, or an answer ends the wait at once, so that upstreams which close their connections are as before.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -77,13 +77,17 @@
 	return false
 }
 
-// register adds a request to those in flight, unless it must run alone and another one like it is in flight, here or, of what is
-// held for others, at another gateway.
+// register adds a request to those in flight, unless it must run alone and another one like it is in flight, here or at another
+// gateway.
 func (g *Gateway) register(f *callerRequest) bool {
 	if !g.requests.add(f) {
 		return false
 	}
-	if f.heldForOthers == (quarantine.Fingerprint{}) || g.suspects.Try(f.heldForOthers) {
+	tried := f.heldForOthers
+	if tried == (quarantine.Fingerprint{}) {
+		tried = f.identity.Fingerprint
+	}
+	if !f.exclusive || g.suspects.Try(tried) {
 		return true
 	}
 	g.requests.remove(f)
--- a/internal/quarantine/presence.go
+++ b/internal/quarantine/presence.go
@@ -57,6 +57,11 @@
 	return HeldUse{Organisation: u.organisation, Fingerprints: []Fingerprint{u.fingerprint}, Key: u.key}
 }
 
+// triedAlone reports whether a request was sent alone.
+func (p *presence) triedAlone() bool {
+	return slices.ContainsFunc(p.uses, func(u *presentUse) bool { return u.alone })
+}
+
 // suspected reports whether a use has not been answered since.
 func (p *presence) suspected() bool {
 	return slices.ContainsFunc(p.uses, func(u *presentUse) bool { return !u.cleared })
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -43,7 +43,7 @@
 	// OnMissed is called for what is held and another gateway seems not to know, after AnnounceDelay, which is random.
 	OnMissed      func(h HeldRequest)
 	AnnounceDelay func() time.Duration
-	// OnTry is called before a request with what is held for others is sent to an upstream.
+	// OnTry is called before a request with what is held for others, or that is sent alone, is sent to an upstream.
 	OnTry func(f Fingerprint)
 	// OnUnlikely is called for uses of parts that are suspected or held, and on which answers were recently written here.
 	OnUnlikely func(parts []Fingerprint)
@@ -61,10 +61,10 @@
 	byInstance map[id.Instance][]*recordedCrash
 	suspects   map[Fingerprint]*suspect
 	held       *heldSet
-	// triedUntil is until when another gateway sends a request with what is held for others, and unshared are the uses of what is
-	// held that were answered here, and of which other gateways do not know.
-	triedUntil map[Fingerprint]time.Time
-	unshared   map[Fingerprint]map[Fingerprint]struct{}
+	// tries are the requests with what is held for others, or sent alone, that gateways have sent, and unshared are the uses of what
+	// is held that were answered here, and of which other gateways do not know.
+	tries    map[Fingerprint]tried
+	unshared map[Fingerprint]map[Fingerprint]struct{}
 	// contents finds what a use is of.
 	contents contentIndex
 	// served, servedElsewhere and written are by use.
@@ -88,7 +88,7 @@
 		after:      func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 		byInstance: map[id.Instance][]*recordedCrash{}, suspects: map[Fingerprint]*suspect{}, held: newHeldSet(), served: newRecentlyServed(now), written: newRecentlyServed(now),
 		servedElsewhere: newRecentlyServed(now), contents: contentIndex{}, changeCount: 1, OnTry: func(Fingerprint) {},
-		triedUntil: map[Fingerprint]time.Time{}, unshared: map[Fingerprint]map[Fingerprint]struct{}{},
+		tries: map[Fingerprint]tried{}, unshared: map[Fingerprint]map[Fingerprint]struct{}{},
 	}
 	g.vars.Set("held", expvar.Func(func() any { return len(g.HeldRequests()) }))
 	g.vars.Set("held_organisations", expvar.Func(func() any {
@@ -167,6 +167,7 @@
 	}
 	l.changeCount++
 	before := n.uses()
+	l.endTries(n, e.Requests)
 	n.addRequests(e.Requests)
 	l.contents.update(n, before)
 	if remembered || late {
--- a/internal/quarantine/try.go
+++ b/internal/quarantine/try.go
@@ -9,6 +9,9 @@
 // learn whether that crashed its upstream.
 const tryTime = 3 * time.Second
 
+// maxTryDoublings limits how often tryTime is doubled.
+const maxTryDoublings = 3
+
 // HeldForOthers returns the fingerprint under which a request, or parts of its prompt, are held for others than its organisation,
 // which has had no answer on them yet. All gateways together send one request with these at a time.
 func (l *SuspectTracker) HeldForOthers(q Identity) (Fingerprint, bool) {
@@ -21,11 +24,19 @@
 	return h.Fingerprint, true
 }
 
-// Try reports whether a request with what is held for others may be sent to an upstream, and if so keeps all gateways from
-// sending another one for tryTime.
+// tried is when gateways may send the next request with what is held for others, or that is suspected and must be sent alone, after
+// one has.
+type tried struct {
+	until, forgetAt time.Time
+	// count is the number of such requests without an outcome so far.
+	count int
+}
+
+// Try reports whether a request with what is held for others, or that must be sent alone, may be sent to an upstream, and if so
+// keeps all gateways from sending another one for a while.
 func (l *SuspectTracker) Try(f Fingerprint) bool {
 	l.mu.Lock()
-	busy := l.now().Before(l.triedUntil[f])
+	busy := l.now().Before(l.tries[f].until)
 	if !busy {
 		l.noteTry(f)
 	}
@@ -37,18 +48,39 @@
 	return !busy
 }
 
-// NoteTry notes that another gateway sends a request with what is held for others.
+// NoteTry notes that another gateway sends such a request.
 func (l *SuspectTracker) NoteTry(f Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.noteTry(f)
 }
 
-// noteTry notes that a request with what is held for others is sent; the caller holds the lock.
+// noteTry notes that such a request is sent; the caller holds the lock. An upstream that falls silent under a suspected request
+// may be away for longer than tryTime, so each further one waits twice as long.
 func (l *SuspectTracker) noteTry(f Fingerprint) {
-	maps.DeleteFunc(l.triedUntil, func(_ Fingerprint, until time.Time) bool { return !l.now().Before(until) })
-	if l.held.get(f) != nil {
-		l.triedUntil[f] = l.now().Add(tryTime)
+	now := l.now()
+	maps.DeleteFunc(l.tries, func(_ Fingerprint, t tried) bool { return !now.Before(t.forgetAt) })
+	t := l.tries[f]
+	switch {
+	case l.held.get(f) != nil:
+		t.until = now.Add(tryTime)
+	case l.suspects[f] != nil:
+		t.until = now.Add(tryTime << min(t.count, maxTryDoublings))
+	default:
+		return
+	}
+	t.count++
+	t.forgetAt = t.until.Add(questionTTL)
+	l.tries[f] = t
+}
+
+// endTries notes the outcome of requests that were sent alone: the crash of their upstream, before they are added to it. The caller
+// holds the lock.
+func (l *SuspectTracker) endTries(e *recordedCrash, requests []InFlightRequest) {
+	for _, r := range requests {
+		if p := e.present[r.Fingerprint]; r.Alone && (p == nil || !p.triedAlone()) && l.held.get(r.Fingerprint) == nil {
+			delete(l.tries, r.Fingerprint)
+		}
 	}
 }
 
