--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -32,6 +32,11 @@
 	writtenTime = 500 * time.Millisecond
 )
 
+// simulationStart is the time at which simulations begin, and patience how long callers wait for a silent upstream.
+var simulationStart = time.Unix(1000, 0)
+
+const patience = 2 * time.Second
+
 // simulationConfig configures a simulation.
 type simulationConfig struct {
 	gateways, upstreams int
@@ -57,6 +62,8 @@
 	shared bool
 	// downtime is how long an upstream is down after a crash.
 	downtime time.Duration
+	// maxNoticedLate is how late a crash is noticed at most; until then the upstream is silent, and then it is back. Zero is at once.
+	maxNoticedLate time.Duration
 	// sender draws the organisation of a request; nil is one organisation that sends all.
 	sender func(random *rand.Rand, now time.Duration, bad bool) id.Organisation
 	// victimRate is the rate per second of harmless requests of one more organisation, which states the ID of the first part that
@@ -106,9 +113,8 @@
 
 func simulate(m simulationConfig, seed uint64) *simulation {
 	t := &simulation{simulationConfig: m, random: rand.New(rand.NewPCG(seed, 1)), sends: map[string][]time.Duration{}, crashTimes: map[string][]time.Duration{}}
-	base := time.Unix(1000, 0)
 	for g := range m.gateways {
-		l := NewSuspectTracker(id.VM(fmt.Sprint("vm", g)), func() time.Time { return base.Add(t.now) }, discardLog)
+		l := NewSuspectTracker(id.VM(fmt.Sprint("vm", g)), func() time.Time { return simulationStart.Add(t.now) }, discardLog)
 		l.after = func(d time.Duration, f func()) { t.schedule(d, f) }
 		l.OnServed = func(f Fingerprint) {
 			for _, o := range t.trackers {
@@ -279,27 +285,39 @@
 		return
 	}
 	seen := map[int]*Crash{}
+	crashedAt, away, late, left := t.now, t.downtime, time.Duration(0), time.Duration(0)
+	if t.maxNoticedLate > 0 {
+		late = time.Duration(t.random.Int64N(int64(t.maxNoticedLate)))
+		away, left = late, min(late, patience)
+	}
 	s := Incarnation{Instance: id.Instance(fmt.Sprintf("%d-%d", slices.Index(t.fakeUpstreams, p), p.restarts))}
 	for _, r := range p.requests {
 		if seen[r.gateway] == nil {
 			seen[r.gateway] = &Crash{Incarnation: s}
 		}
 		seen[r.gateway].Requests = append(seen[r.gateway].Requests, t.inFlightRequest(r))
-		t.retry(r)
+		if left == 0 {
+			t.retry(r)
+		} else {
+			t.schedule(left, func() { t.retry(r) })
+		}
 	}
 	p.up, p.requests = false, nil
 	p.restarts++
-	t.schedule(t.downtime, func() { p.up = true })
+	t.schedule(away, func() { p.up = true })
 	for g := range t.gateways {
 		e := seen[g]
 		if e == nil {
 			continue
 		}
-		t.schedule(gatherTime, func() { t.trackers[g].RecordCrash(*e) })
+		if late >= minLate {
+			e.At = simulationStart.Add(crashedAt)
+		}
+		t.schedule(gatherTime+late, func() { t.trackers[g].RecordCrash(*e) })
 		for o, l := range t.trackers {
 			// Three stagers forward the news, so it is rarely lost.
 			if lost := t.random.Float64() < lossRate*lossRate; o != g && t.shared && !lost {
-				t.schedule(gatherTime+newsDelay, func() { l.RecordCrash(*e) })
+				t.schedule(gatherTime+late+newsDelay, func() { l.RecordCrash(*e) })
 			}
 		}
 	}
