--- a/internal/soak/cases.go
+++ b/internal/soak/cases.go
@@ -71,5 +71,10 @@
 			Seed: 10001, Seconds: 35, Gateways: 6, Stagers: 12, Domains: 3, EngineShare: 0.15, Faults: []string{doManySenders},
 		},
 		Cause: "crashes were counted for each organisation by itself, so each further one that sent the same part of prompts cost upstreams",
+	}, {
+		Settings: Settings{
+			Seed: 11001, Seconds: 40, Gateways: 6, Stagers: 12, Domains: 3, EngineShare: 0.15, Faults: []string{doSilentCrash},
+		},
+		Cause: "a crash that closes no connection was never looked for, so requests that crash upstreams in silence were sent on and on",
 	},
 }
--- a/internal/soak/crasher.go
+++ b/internal/soak/crasher.go
@@ -124,6 +124,13 @@
 			return
 		}
 		s.history.RecordCrash(crashKind(body))
+		if q, ok := s.history.silenceOf(crashKind(body)); ok {
+			go func() {
+				defer s.busy.Unlock()
+				s.crashSilently(ctx, l, q)
+			}()
+			return
+		}
 		end := s.history.BeginFault(s.address, "crashed under a request")
 		l.CloseLater(closings[s.startCount%len(closings)])
 		go func() {
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -126,6 +126,8 @@
 	configs  []publication
 	requests map[string]*request
 	crashes  map[string]*crashRecord
+	// silences are how upstreams crash that keep their connections open, by the kind of requests.
+	silences map[string]silence
 	limits   map[string]*limit
 	// loads are the requests and retries of each pool.
 	loads map[string]*poolLoad
@@ -143,7 +145,7 @@
 func NewHistory(seed uint64, now func() time.Time) *History {
 	return &History{
 		seed: seed, start: now(), now: now, spans: map[string][]*faultSpan{}, departed: map[string]departure{},
-		requests: map[string]*request{}, crashes: map[string]*crashRecord{}, limits: map[string]*limit{}, announced: map[string]*announcements{}, loads: map[string]*poolLoad{}, counts: map[string]int{},
+		requests: map[string]*request{}, crashes: map[string]*crashRecord{}, silences: map[string]silence{}, limits: map[string]*limit{}, announced: map[string]*announcements{}, loads: map[string]*poolLoad{}, counts: map[string]int{},
 		streamTargets: []string{storeTarget, machineTarget, datagramTarget},
 	}
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -80,6 +80,8 @@
 		w.hurtLongAfterHold(ctx, s)
 	case doManySenders:
 		w.sendFromMany(ctx, s)
+	case doSilentCrash:
+		w.crashInSilence(ctx, s)
 	case doAnswersLost, doHerdKill:
 		w.injectStorm(ctx, s)
 	}
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -24,6 +24,8 @@
 	held  chan struct{}
 	// silent makes new connections silent too.
 	silent bool
+	// fallen is true once the process has ended in silence: connections stay open and silent.
+	fallen bool
 	// closing is true once no connections are accepted any more, and stopped is closed once the accepting goroutine knows.
 	closing bool
 	stopped chan struct{}
@@ -110,6 +112,27 @@
 	}
 }
 
+// FallSilent makes all connections, and new ones, silent, as the end of a VM does.
+func (l *Link) FallSilent() {
+	l.mu.Lock()
+	l.fallen = true
+	l.mu.Unlock()
+	l.SetSilent(true)
+	l.HoldAnswers(false)
+}
+
+// EndSilence closes the listener of a process that has ended in silence, and resets its connections or leaves them open.
+func (l *Link) EndSilence(closes bool) {
+	l.stopAccepting()
+	_ = l.Listener.Close()
+	if closes {
+		l.mu.Lock()
+		l.fallen = false
+		l.mu.Unlock()
+		l.Reset()
+	}
+}
+
 // Reset resets the present connections.
 func (l *Link) Reset() {
 	l.mu.Lock()
@@ -221,6 +244,10 @@
 // Close implements net.Conn.
 func (c *linkConn) Close() error {
 	c.link.mu.Lock()
+	if c.link.fallen {
+		c.link.mu.Unlock()
+		return nil
+	}
 	delete(c.link.conns, c)
 	c.link.mu.Unlock()
 	return c.Conn.Close()
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -64,6 +64,23 @@
 		Expect(echo(dial())).To(Succeed())
 	})
 
+	It("stays open and silent once its process has ended in silence, until the next one starts", func() {
+		c := dial()
+		l.FallSilent()
+		l.mu.Lock()
+		served := l.conns
+		l.mu.Unlock()
+		for k := range served {
+			k.Close()
+		}
+		Expect(echo(c)).To(MatchError(ContainSubstring("timeout")))
+		Expect(echo(dial())).To(MatchError(ContainSubstring("timeout")))
+		l.EndSilence(false)
+		Expect(echo(c)).To(MatchError(ContainSubstring("timeout")))
+		l.EndSilence(true)
+		Expect(echo(c)).To(MatchError(Not(ContainSubstring("timeout"))))
+	})
+
 	It("holds answers and releases them afterwards", func() {
 		c := dial()
 		l.HoldAnswers(true)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -49,6 +49,7 @@
 	doHurtAfterHold        = "hurt-after-hold"
 	doLongHeld             = "long-held"
 	doManySenders          = "many-senders"
+	doSilentCrash          = "crash-in-silence"
 )
 
 // reservationFaults lists the faults of reservations, which are drawn at a mean interval of meanReservationInterval each.
@@ -141,6 +142,7 @@
 	p.drawAfterHold(allowed)
 	p.drawLongHeld(allowed)
 	p.drawManySenders(allowed)
+	p.drawSilentCrashes(allowed)
 	slices.SortStableFunc(p.steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p.steps
 }
--- a/internal/soak/upstream.go
+++ b/internal/soak/upstream.go
@@ -163,6 +163,12 @@
 func (s *Slot) Crash(ctx context.Context, away time.Duration) {
 	defer s.history.BeginFault(s.address, "crashed")()
 	s.link.Close()
+	s.unlist(ctx)
+	s.replace(ctx, away)
+}
+
+// unlist deletes the record of an upstream that has ended, after recordLapse.
+func (s *Slot) unlist(ctx context.Context) {
 	s.mu.Lock()
 	s.listed = false
 	id := s.id
@@ -173,7 +179,6 @@
 			s.history.RecordDeparture(id, "record lapsed")
 		}
 	})
-	s.replace(ctx, away)
 }
 
 // replace ends the upstream at the address and starts a new one after a while.
@@ -184,6 +189,11 @@
 	s.history.RecordUpstreamEnd(s.id)
 	s.mu.Unlock()
 	kernel.Pause(ctx, away)
+	s.startAgain(ctx)
+}
+
+// startAgain starts a new upstream at the address.
+func (s *Slot) startAgain(ctx context.Context) {
 	if ctx.Err() != nil {
 		return
 	}
