Date a silent crash not before a request that its upstream never began

Now the first request after the last sign moves the time only if no answer was in progress then, and requests still in flight are dated as those that broke off.

--- a/internal/quarantine/answer_times.go
+++ b/internal/quarantine/answer_times.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// endTime is when a process ended, as far as known: after its last sign, and not long after a request that was the first to get
-// none, if any was sent later.
+// endTime is when a process ended, as far as known: after its last sign, but if it was sending no answer then, not before the first
+// request that it was sent later.
 type endTime struct {
 	from, until time.Time
 }
@@ -46,8 +46,9 @@
 func endAfter(lastSign time.Time, requests []InFlightRequest) endTime {
 	end := endTime{from: lastSign, until: lastSign}
 	for _, r := range requests {
-		at := r.Times.SentAt
-		if at.After(lastSign) && (end.until.Equal(lastSign) || at.Before(end.until)) {
+		if at := r.Times.SentAt; !at.After(lastSign) && !r.Times.LastAt.IsZero() {
+			return endTime{from: lastSign, until: lastSign}
+		} else if at.After(lastSign) && (end.until.Equal(lastSign) || at.Before(end.until)) {
 			end.until = at
 		}
 	}
--- a/internal/quarantine/answer_times_test.go
+++ b/internal/quarantine/answer_times_test.go
@@ -34,5 +34,8 @@
 		e := endAfter(end, requests)
 		Expect(e).To(Equal(endTime{from: end, until: end.Add(time.Second)}))
 		Expect([]Progress{requests[0].asOf(e).Progress, requests[1].asOf(e).Progress}).To(Equal([]Progress{Beginning, Waiting}))
+		By("but not if the upstream was sending an answer when it fell silent")
+		answered := InFlightRequest{Times: AnswerTimes{SentAt: end.Add(-time.Second), HeadAt: end, LastAt: end}}
+		Expect(endAfter(end, append(requests, answered))).To(Equal(endTime{from: end, until: end}))
 	})
 })
--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -347,7 +347,7 @@
 	w.closeQuestion(s, q)
 	if sign == Ended {
 		lastSign, _ = w.signOf(s)
-		q.collect(lastSign, w.processes[s], now)
+		q.collect(lastSign, w.processes[s])
 	}
 	w.mu.Unlock()
 	w.answer(s, q, sign, age)
@@ -388,7 +388,7 @@
 
 // collect adds what was given up in the silence before the process ended, whose last sign is known, and what is still in flight
 // there.
-func (q *question) collect(lastSign time.Time, p *upstreamProcess, now time.Time) {
+func (q *question) collect(lastSign time.Time, p *upstreamProcess) {
 	q.sign = lastSign
 	for _, r := range q.givenUp {
 		if !lastSign.After(r.at) {
@@ -400,7 +400,7 @@
 	}
 	for _, r := range p.end() {
 		if !slices.ContainsFunc(q.requests, func(o noticedRequest) bool { return o.sameAttempt(r) }) {
-			q.add(noticedRequest{r, now})
+			q.add(noticedRequest{r, q.openedAt})
 		}
 	}
 }
@@ -431,10 +431,10 @@
 	c := Crash{Incarnation: s}
 	end, silent := q.silentEnd()
 	if !silent {
-		end.from = q.openedAt
+		end.until = q.openedAt
 	}
-	if now.Sub(end.from) >= minLate {
-		c.At = end.from
+	if now.Sub(end.until) >= minLate {
+		c.At = end.until
 	}
 	for _, r := range q.requests {
 		if !silent {
--- a/internal/quarantine/crash_detector_test.go
+++ b/internal/quarantine/crash_detector_test.go
@@ -118,6 +118,7 @@
 		Expect(reported[0].Requests[0].Parts).To(Equal(r.Parts))
 		Expect(reported[0].Requests[1].Progress).To(Equal(Writing))
 		Expect(reported[0].Requests[1].Parts).To(BeEmpty())
+		Expect(reported[0].Requests[2].Progress).To(Equal(Waiting))
 
 		By("the stager beside it proves that the process ran later")
 		ranAt = now.Add(-100 * time.Millisecond)
