Notice silence also while the end of an answer without a length is in question

Spec: "reports it also if an answer whose end proves nothing ended there before"; without the change nothing is reported."

--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -347,6 +347,10 @@
 	w.closeQuestion(s, q)
 	if sign == Ended {
 		lastSign, _ = w.signOf(s)
+		if !q.broken && age >= unprovenTTL {
+			// The answers whose end proves nothing were complete.
+			q.requests = nil
+		}
 		q.collect(lastSign, w.processes[s])
 	}
 	w.mu.Unlock()
--- a/internal/quarantine/crash_detector_test.go
+++ b/internal/quarantine/crash_detector_test.go
@@ -173,6 +173,16 @@
 			Expect(reported).To(BeEmpty())
 		})
 
+		It("reports it also if an answer whose end proves nothing ended there before", func() {
+			detector.EndUnproven(start, inFlight("complete"), func() {})
+			pass(4 * time.Second)
+			sign = Ended
+			pass(lateLookInterval)
+			Expect(reported).To(HaveLen(1))
+			Expect(reported[0].Requests).To(HaveLen(1))
+			Expect(reported[0].Requests[0].Fingerprint).To(Equal(request("a")))
+		})
+
 		It("reports it with one that breaks off later", func() {
 			other := detector.Begin(start, inFlight("b"))
 			pass(2 * time.Second)
--- a/internal/quarantine/upstream_process.go
+++ b/internal/quarantine/upstream_process.go
@@ -55,10 +55,10 @@
 	now := w.now()
 	for s, p := range w.processes {
 		sentAt, silent := p.silentUnder(now)
-		if !silent || w.questions[s] != nil {
+		if !silent {
 			continue
 		}
-		if q := w.questionAbout(s, sentAt); q != nil {
+		if q := w.questionAbout(s, sentAt); q != nil && !q.silent {
 			q.silent = true
 			w.watch(s, q)
 		}
