Try a suspected request again at once after an upstream has refused it

A harmless one that many callers send is suspected now and then. The gateway that tried it now tries again as soon as no attempt may be at an upstream.

--- a/internal/gateway/broken.go
+++ b/internal/gateway/broken.go
@@ -4,7 +4,7 @@
 // timeout caused it.
 func (t *attempt) handleBreak(text string) *attemptError {
 	f := t.request
-	f.allNotRun = false
+	f.allNotRun, f.outcomeUnknown = false, true
 	f.brokenProgress, f.brokenInstance = t.answerProgress(), t.choice.Instance
 	r := t.findEndReason()
 	t.recordEnd(r)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -94,6 +94,14 @@
 	return false
 }
 
+// unregister removes a request from those in flight. A try that was at no upstream, or was refused, has had no outcome.
+func (g *Gateway) unregister(f *callerRequest) {
+	g.requests.remove(f)
+	if f.exclusive && f.heldForOthers == (quarantine.Fingerprint{}) && !f.outcomeUnknown {
+		g.suspects.EndTry(f.identity.Fingerprint)
+	}
+}
+
 // inFlightRequest describes the request for the detection of requests that crash upstreams.
 func (f *callerRequest) inFlightRequest() quarantine.InFlightRequest {
 	return quarantine.InFlightRequest{
@@ -110,14 +118,15 @@
 
 // reportAbandoned records that the request was given up at its upstream, which may begin it nevertheless.
 func (t *attempt) reportAbandoned() {
+	t.request.outcomeUnknown = true
 	g := t.request.gateway
 	if g.crashDetector.RequestAbandoned(t.upstreamIncarnation(), t.followed.Request()) {
 		g.metrics.count("given_up_in_silence")
 	}
 }
 
-// observeProcess returns an observer of an upstream's process that was sent a request at a given time. An upstream that does not respond may be partitioned, frozen or
-// without power, which no request causes; one that refuses connections has ended.
+// observeProcess returns an observer of an upstream's process that was sent a request at a given time. An upstream that does not
+// respond may be partitioned, frozen or without power, which no request causes; one that refuses connections has ended.
 func (g *Gateway) observeProcess(s quarantine.Incarnation, sentAt time.Time) quarantine.Observer {
 	w := g.connections.Watch(s.Address, s.Born)
 	look := func(ctx context.Context, since time.Time, by quarantine.Means) quarantine.Sign {
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -211,6 +211,19 @@
 		Expect(b.list.Check(crashing)).To(Equal(quarantine.Pass))
 	})
 
+	// Guards against a suspected request being refused for seconds because an upstream was full.
+	It("is tried again at once after an upstream has refused it", func() {
+		b := newTestbed(route(catalog.Streaming, "engines"))
+		b.addUpstream("u", "engines", func(q *http.Request, _ string, c net.Conn) { reply(c, q, 503, xNotRun+": 1\r\n", "") })
+		b.reportCrashes(crashing, 2)
+		Eventually(verdict(b)).Should(Equal(quarantine.Alone))
+		for n := range 3 {
+			_, _, err := b.sendRequest("POST", "/p/", "bad", xModel, "m", xRequest, strconv.Itoa(n))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(b.upstreamCount(strconv.Itoa(n))).To(Equal(1))
+		}
+	})
+
 	It("is cancelled at an upstream that has not begun it when it is quarantined, and completed at one that has", func() {
 		b := newTestbed(route(catalog.Streaming, "engines"))
 		release, disconnected := make(chan struct{}), make(chan struct{}, 1)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -96,6 +96,8 @@
 	// exclusive is true of a request that is suspected of crashing upstreams: it runs only while no retry of it is in
 	// flight in this process.
 	exclusive bool
+	// outcomeUnknown is true once an attempt has ended without an answer at an upstream that it was sent to.
+	outcomeUnknown bool
 	// answerBegun is true once an upstream has started to answer, and cancel ends the request while none has.
 	answerBegun atomic.Bool
 	cancel      context.CancelCauseFunc
@@ -124,7 +126,7 @@
 	if !f.checkQuarantine() {
 		return
 	}
-	defer g.requests.remove(f)
+	defer g.unregister(f)
 	f.run()
 	f.endUpload()
 }
--- a/internal/quarantine/answer_times.go
+++ b/internal/quarantine/answer_times.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// endTime is when a process ended, as far as known: after its last sign, but if it was sending no answer then, not before the first
-// request that it was sent later.
+// endTime is when a process ended, as far as known: after its last sign, but if it was sending no answer then, not before the
+// first request that it was sent later.
 type endTime struct {
 	from, until time.Time
 }
--- a/internal/quarantine/try.go
+++ b/internal/quarantine/try.go
@@ -24,8 +24,8 @@
 	return h.Fingerprint, true
 }
 
-// tried is when gateways may send the next request with what is held for others, or that is suspected and must be sent alone, after
-// one has.
+// tried is when gateways may send the next request with what is held for others, or that is suspected and must be sent alone,
+// after one has.
 type tried struct {
 	until, forgetAt time.Time
 	// count is the number of such requests without an outcome so far.
@@ -48,6 +48,16 @@
 	return !busy
 }
 
+// EndTry notes that a suspected request that this gateway tried is at no upstream any more and has crashed none: it was refused,
+// or never sent.
+func (l *SuspectTracker) EndTry(f Fingerprint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held.get(f) == nil {
+		delete(l.tries, f)
+	}
+}
+
 // NoteTry notes that another gateway sends such a request.
 func (l *SuspectTracker) NoteTry(f Fingerprint) {
 	l.mu.Lock()
@@ -74,8 +84,8 @@
 	l.tries[f] = t
 }
 
-// endTries notes the outcome of requests that were sent alone: the crash of their upstream, before they are added to it. The caller
-// holds the lock.
+// endTries notes the outcome of requests that were sent alone: the crash of their upstream, before they are added to it. The
+// caller holds the lock.
 func (l *SuspectTracker) endTries(e *recordedCrash, requests []InFlightRequest) {
 	for _, r := range requests {
 		if p := e.present[r.Fingerprint]; r.Alone && (p == nil || !p.triedAlone()) && l.held.get(r.Fingerprint) == nil {
--- a/internal/quarantine/try_test.go
+++ b/internal/quarantine/try_test.go
@@ -28,6 +28,12 @@
 		}
 	})
 
+	It("is sent again at once by the same gateway if it has reached no upstream", func() {
+		Expect(d.Try(request("a"))).To(BeTrue())
+		d.EndTry(request("a"))
+		Expect(d.Try(request("a"))).To(BeTrue())
+	})
+
 	It("is sent again at once when its outcome is known", func() {
 		Expect(d.Try(request("a"))).To(BeTrue())
 		By("not by another report of an earlier crash")
