--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -99,41 +99,6 @@
 	abandoned  []abandonedRequest
 }
 
-// question is whether the process of an incarnation has ended.
-type question struct {
-	observer Observer
-	// openedAt is when the question arose, and since when a request last broke off; the process is not known to run since.
-	openedAt, since time.Time
-	// broken is true if a request broke off; otherwise there are only answers whose end does not prove that they are complete.
-	broken   bool
-	requests []noticedRequest
-	// silent is true if requests were given up while the upstream was silent, which givenUp lists.
-	silent  bool
-	givenUp []noticedRequest
-	// watched is true once a look is scheduled.
-	watched bool
-	// ranAt is when the process was known to have run, otherwise than by its answers, when the question arose; zero if it wasn't.
-	ranAt time.Time
-	// sign is when the process last sent anything to this gateway.
-	sign time.Time
-	// established is true if one of the requests had been sent some time before.
-	established bool
-	// served are called once the process is known to run.
-	served []func()
-	// turnedAway counts connections that were closed in succession, the first of them at turnedAwayAt.
-	turnedAway   int
-	turnedAwayAt time.Time
-	looks        int
-	// looking is true during a look, after which the observer of a closed question is closed.
-	looking bool
-}
-
-// noticedRequest is a request that ended at an upstream without a complete answer, and when this was noticed.
-type noticedRequest struct {
-	InFlightRequest
-	at time.Time
-}
-
 // abandonedRequest is a request that was abandoned at an upstream.
 type abandonedRequest struct {
 	incarnation Incarnation
@@ -199,13 +164,6 @@
 	}
 }
 
-// add adds a request; those beyond maxPresent are not kept.
-func (q *question) add(p noticedRequest) {
-	if len(q.requests) < maxPresent {
-		q.requests = append(q.requests, p)
-	}
-}
-
 // questionAbout returns the question about an incarnation, or nil if there are too many; the caller holds the lock.
 func (w *CrashDetector) questionAbout(s Incarnation, sentAt time.Time) *question {
 	q := w.questions[s]
@@ -244,12 +202,6 @@
 	}
 }
 
-func (q *question) callServed() {
-	for _, f := range q.served {
-		f()
-	}
-}
-
 // Questions returns the number of upstream processes of which it is not known whether they have ended, and how often that was
 // never found out.
 func (w *CrashDetector) Questions() (open, unresolved int64) {
@@ -295,33 +247,42 @@
 // look looks at the upstream once, and schedules the next look unless the question is answered. The number of the look is
 // compared, as the looks begin anew when a request breaks off.
 func (w *CrashDetector) look(s Incarnation, q *question, number int) {
+	since, by, ok := w.beginLook(s, q, number)
+	if !ok {
+		return
+	}
+	ctx, stop := context.WithTimeout(context.Background(), lookTimeout)
+	defer stop()
+	w.endLook(s, q, number, since, q.observer.Look(ctx, since, by))
+}
+
+// beginLook returns since when the process is not known to run, and how to look; false if there is nothing to look for now.
+func (w *CrashDetector) beginLook(s Incarnation, q *question, number int) (since time.Time, by Means, ok bool) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.questions[s] != q || q.looks != number {
-		w.mu.Unlock()
-		return
+		return since, by, false
 	}
 	if q.looking {
 		w.after(gatherTime, func() { w.look(s, q, number) })
-		w.mu.Unlock()
-		return
+		return since, by, false
+	}
+	if lastSign, _ := w.signOf(s); !q.broken && lastSign.After(q.since) {
+		w.closeQuestion(s, q)
+		w.after(0, q.callServed)
+		return since, by, false
 	}
 	if q.broken && number == 0 {
 		w.addAbandoned(s, q)
 	}
-	since, by := q.since, q.means()
-	lastSign, _ := w.signOf(s)
-	ran := !q.broken && lastSign.After(since)
+	since, by = q.since, q.means()
 	q.looks++
 	q.looking = true
-	w.mu.Unlock()
-
-	ctx, stop := context.WithTimeout(context.Background(), lookTimeout)
-	defer stop()
-	sign := Runs
-	if !ran {
-		sign = q.observer.Look(ctx, since, by)
-	}
+	return since, by, true
+}
 
+// endLook notes what a look has shown.
+func (w *CrashDetector) endLook(s Incarnation, q *question, number int, since time.Time, sign Sign) {
 	w.mu.Lock()
 	q.looking = false
 	if w.questions[s] != q {
@@ -346,17 +307,22 @@
 	}
 	w.closeQuestion(s, q)
 	if sign == Ended {
-		lastSign, _ = w.signOf(s)
-		if !q.broken && age >= unprovenTTL {
-			// The answers whose end proves nothing were complete.
-			q.requests = nil
-		}
-		q.collect(lastSign, w.processes[s])
+		w.collect(s, q, age)
 	}
 	w.mu.Unlock()
 	w.answer(s, q, sign, age)
 }
 
+// collect completes the requests that were at a process which has ended; the caller holds the lock.
+func (w *CrashDetector) collect(s Incarnation, q *question, age time.Duration) {
+	if !q.broken && age >= unprovenTTL {
+		// The answers whose end proves nothing were complete.
+		q.requests = nil
+	}
+	q.sign, _ = w.signOf(s)
+	q.collect(w.processes[s])
+}
+
 // ListChanged looks at once where only the list of upstreams, or a report, may still show that a process has ended: its successor
 // is sent requests as soon as it is listed.
 func (w *CrashDetector) ListChanged() {
@@ -378,42 +344,6 @@
 	}
 }
 
-// means returns by what the next look may find out about a question.
-func (q *question) means() Means {
-	switch {
-	case q.broken && q.looks < len(lookTimes):
-		return ByConnection
-	case q.broken || len(q.served) > 0:
-		return ByReport
-	default:
-		return ByRestart
-	}
-}
-
-// collect adds what was given up in the silence before the process ended, whose last sign is known, and what is still in flight
-// there.
-func (q *question) collect(lastSign time.Time, p *upstreamProcess) {
-	q.sign = lastSign
-	for _, r := range q.givenUp {
-		if !lastSign.After(r.at) {
-			q.add(r)
-		}
-	}
-	if p == nil {
-		return
-	}
-	for _, r := range p.end() {
-		if !slices.ContainsFunc(q.requests, func(o noticedRequest) bool { return o.sameAttempt(r) }) {
-			q.add(noticedRequest{r, q.openedAt})
-		}
-	}
-}
-
-// sameAttempt reports whether two descriptions are of the same attempt at the upstream.
-func (p *InFlightRequest) sameAttempt(o InFlightRequest) bool {
-	return p.Fingerprint == o.Fingerprint && p.Attempt == o.Attempt && p.Times.SentAt.Equal(o.Times.SentAt)
-}
-
 // answer reports a crash, or clears the requests that were served, once a question is closed.
 func (w *CrashDetector) answer(s Incarnation, q *question, sign Sign, age time.Duration) {
 	switch {
@@ -426,71 +356,6 @@
 	}
 }
 
-// minLate is how much later than it happened a crash must have been noticed for its time to be stated.
-const minLate = 50 * time.Millisecond
-
-// crash returns the crash that a question is about. A process that sends nothing any more has ended at about its last sign,
-// however late its connections close.
-func (q *question) crash(s Incarnation, now time.Time) Crash {
-	c := Crash{Incarnation: s}
-	end, silent := q.silentEnd()
-	if !silent {
-		end.until = q.openedAt
-	}
-	if now.Sub(end.until) >= minLate {
-		c.At = end.until
-	}
-	for _, r := range q.requests {
-		if !silent {
-			end = endTime{from: r.at, until: r.at}
-		}
-		c.Requests = append(c.Requests, r.asOf(end))
-	}
-	return c
-}
-
-// silentEnd returns when the process ended if it had been silent for some time when that was noticed.
-func (q *question) silentEnd() (end endTime, silent bool) {
-	var sign, sent time.Time
-	var requests []InFlightRequest
-	for _, r := range q.requests {
-		if at := r.Times.SentAt; !at.IsZero() && (sent.IsZero() || at.Before(sent)) {
-			sent = at
-		}
-		sign = latest(sign, r.Times.LastAt)
-		requests = append(requests, r.InFlightRequest)
-	}
-	if sent.IsZero() {
-		return endTime{}, false
-	}
-	sign = latest(latest(sign, q.sign), q.ranAt)
-	if sign.Before(sent) {
-		sign = sent
-	}
-	return endAfter(sign, requests), q.openedAt.Sub(sign) >= BeginningTime
-}
-
-// weigh counts connections that were closed at once, and reports whether there are enough of them to prove that the process
-// has ended.
-func (q *question) weigh(sign Sign, now time.Time) bool {
-	if sign != TurnedAway {
-		return false
-	}
-	if q.turnedAway == 0 {
-		q.turnedAwayAt = now
-	}
-	q.turnedAway++
-	return q.established && q.turnedAway >= minTurnedAway && now.Sub(q.turnedAwayAt) >= minTurnedAwayTime
-}
-
-// nextLook returns the time until the next look.
-func (q *question) nextLook(age time.Duration) time.Duration {
-	if q.broken && q.looks < len(lookTimes) {
-		return max(0, lookTimes[q.looks]-age)
-	}
-	return lateLookInterval
-}
-
 // logCrash logs how far the answers to this gateway's requests had come, which tells the requests that the upstream was about
 // to answer from those that waited or had been answered for some time.
 func (l *SuspectTracker) logCrash(e Crash) {
--- a/internal/quarantine/upstream_process.go
+++ b/internal/quarantine/upstream_process.go
@@ -37,7 +37,7 @@
 	defer w.mu.Unlock()
 	now := w.now()
 	r.Times = AnswerTimes{SentAt: now}
-	a := &Attempt{detector: w, incarnation: s, process: w.processOf(s, now), request: r}
+	a := &Attempt{detector: w, incarnation: s, process: w.processOf(s), request: r}
 	a.process.mu.Lock()
 	defer a.process.mu.Unlock()
 	a.process.attempts[a] = struct{}{}
@@ -94,7 +94,7 @@
 }
 
 // processOf returns a process; the caller holds the lock.
-func (w *CrashDetector) processOf(s Incarnation, now time.Time) *upstreamProcess {
+func (w *CrashDetector) processOf(s Incarnation) *upstreamProcess {
 	p := w.processes[s]
 	if p == nil {
 		p = &upstreamProcess{attempts: map[*Attempt]struct{}{}}
