Clear an answer without a length only by a later answer, as before

Bytes that were sent to another request before the crash arrive just after it. Only questions about silence are ended by any byte.

--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -267,9 +267,8 @@
 		w.after(gatherTime, func() { w.look(s, q, number) })
 		return since, by, false
 	}
-	if lastSign, _ := w.signOf(s); !q.broken && lastSign.After(q.since) {
+	if lastSign, _ := w.signOf(s); q.means() == ByRestart && lastSign.After(q.since) {
 		w.closeQuestion(s, q)
-		w.after(0, q.callServed)
 		return since, by, false
 	}
 	if q.broken && number == 0 {
--- a/internal/quarantine/crash_detector_test.go
+++ b/internal/quarantine/crash_detector_test.go
@@ -293,6 +293,19 @@
 			Expect(reported).To(BeEmpty())
 		})
 
+		It("is not cleared by what the upstream may have sent to another request before", func() {
+			other := detector.Begin(start, inFlight("b"))
+			endUnproven("a")
+			pass(time.Millisecond)
+			other.Received(true)
+			pass(lateLookInterval)
+			Expect(served).To(BeZero())
+			sign = Ended
+			pass(lateLookInterval)
+			Expect(reported).To(HaveLen(1))
+			other.End()
+		})
+
 		It("reports the request if the process ends soon, and not if it ends late", func() {
 			endUnproven("a")
 			endedAt := now
