Count questions about silent upstreams that were never answered

Operators could not tell an upstream that fell silent and never came back from callers that left: crash_questions counted only questions after a request had broken off. One new spec; internal/quarantine's crash detector specs are green.

--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -153,8 +153,8 @@
 	h.Metric("in_flight", expvar.Func(func() any { return g.inFlight.count() }))
 	h.Metric("buffered_bytes", expvar.Func(func() any { return g.buffers.stats() }))
 	h.Metric("crash_questions", expvar.Func(func() any {
-		open, unresolved := g.crashDetector.Questions()
-		return map[string]int64{"open": open, "unresolved": unresolved}
+		open, unresolved, silent := g.crashDetector.Questions()
+		return map[string]int64{"open": open, "unresolved": unresolved, "silent": silent}
 	}))
 	h.Metric("retry_budget", expvar.Func(func() any { return g.retryBudget.Usage() }))
 	h.Metric("evacuations", expvar.Func(func() any { return f.Evacuations() }))
--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -93,9 +93,10 @@
 	processes map[Incarnation]*upstreamProcess
 	// sweeping is true while a sweep is scheduled.
 	sweeping bool
-	// open is the number of questions, and unresolved how many were given up.
-	open       atomic.Int32
-	unresolved atomic.Int64
+	// open is the number of questions. unresolved is how many were given up after a request broke off, and silent after requests
+	// were given up in silence.
+	open               atomic.Int32
+	unresolved, silent atomic.Int64
 	abandoned  []abandonedRequest
 }
 
@@ -203,9 +204,9 @@
 }
 
 // Questions returns the number of upstream processes of which it is not known whether they have ended, and how often that was
-// never found out.
-func (w *CrashDetector) Questions() (open, unresolved int64) {
-	return int64(w.open.Load()), w.unresolved.Load()
+// never found out: after requests broke off, and after they were given up in silence.
+func (w *CrashDetector) Questions() (open, unresolved, silent int64) {
+	return int64(w.open.Load()), w.unresolved.Load(), w.silent.Load()
 }
 
 // RequestAbandoned notes that a request was abandoned at an upstream. If that was silent, its process may have ended,
@@ -350,6 +351,8 @@
 		q.callServed()
 	case sign != Ended && q.broken:
 		w.unresolved.Add(1)
+	case sign != Ended && q.silent:
+		w.silent.Add(1)
 	case sign == Ended && (q.broken || q.silent || age < unprovenTTL):
 		w.report(q.crash(s, w.now()))
 	}
--- a/internal/quarantine/crash_detector_test.go
+++ b/internal/quarantine/crash_detector_test.go
@@ -152,6 +152,15 @@
 			Expect(reported[0].Requests[0].Progress).To(Equal(Beginning))
 		})
 
+		It("counts it if nothing shows in the end whether the process has ended", func() {
+			pass(2 * time.Second)
+			giveUp()
+			pass(questionTTL + time.Second)
+			_, unresolved, silent := detector.Questions()
+			Expect([]int64{unresolved, silent}).To(Equal([]int64{0, 1}))
+			Expect(reported).To(BeEmpty())
+		})
+
 		It("asks nothing if the upstream was not silent", func() {
 			other := detector.Begin(start, inFlight("b"))
 			for range 8 {
@@ -222,7 +231,7 @@
 		Expect(reported).To(BeEmpty())
 		Expect(timers).To(BeEmpty())
 		Expect(closed).To(Equal(1))
-		open, unresolved := detector.Questions()
+		open, unresolved, _ := detector.Questions()
 		Expect([]int64{open, unresolved}).To(Equal([]int64{0, 1}))
 	})
 
