Count an upstream as crashed once it is silent and its entry has lapsed

Cause: a silent crash was proved by a successor at the address only. What is lost for good has none, so nothing counted against what it was beginning.

Change: a process that has sent nothing for 0.5 s under requests, and whose entry has gone since although it had not said that it leaves, counts as crashed, dated by its last sign as before. Each gateway withdraws that once the entry is listed again, and releases what then has too few crashes. The news, and what stagers remember, say that a crash is presumed.

Why it works: the lapse is the one sign that does not need a successor, and the list, which all gateways read, takes it back where the upstream lives. What others have answered since its last sign is cleared at once, so that upstreams that are cut off hold nothing.

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -151,7 +151,7 @@
 	}
 	delete(f.instances, n)
 	f.rememberEnded(i)
-	f.noteUnlisted(n)
+	f.noteUnlisted(i)
 	f.cachedList.Store(nil)
 	f.notify()
 }
--- a/internal/facts/successor_test.go
+++ b/internal/facts/successor_test.go
@@ -47,6 +47,25 @@
 		Expect(f.HasSuccessor("b", "10.0.0.1:8001", sentAt)).To(BeFalse())
 	})
 
+	It("is not needed for an entry to have lapsed, without a word and after the request was sent", func() {
+		sentAt := now
+		Expect(f.IsListed("a", 0)).To(BeTrue())
+		now = now.Add(time.Second)
+		f.DropInstance("a", 2)
+		Expect(f.IsListed("a", 0)).To(BeFalse())
+		Expect(f.HasLapsed("a", sentAt)).To(BeTrue())
+		Expect(f.HasLapsed("a", now)).To(BeFalse())
+		Expect(f.HasLapsed("never listed", sentAt)).To(BeFalse())
+		By("the entry is back")
+		list("a", 3)
+		Expect(f.HasLapsed("a", sentAt)).To(BeFalse())
+		Expect(f.IsListed("a", 0)).To(BeTrue())
+		By("the instance leaves")
+		f.MarkLeaving("a", 0)
+		f.DropInstance("a", 4)
+		Expect(f.HasLapsed("a", sentAt)).To(BeFalse())
+	})
+
 	It("forgets instances that are not listed any more after a while", func() {
 		f.DropInstance("a", 3)
 		now = now.Add(2 * announcementTTL)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -130,10 +130,14 @@
 func (g *Gateway) observeProcess(s quarantine.Incarnation, sentAt time.Time) quarantine.Observer {
 	w := g.connections.Watch(s.Address, s.Born)
 	look := func(ctx context.Context, since time.Time, by quarantine.Means) quarantine.Sign {
-		if sign := g.processSign(s, sentAt, since, by); sign != quarantine.NoSign || by != quarantine.ByConnection {
+		sign := g.processSign(s, sentAt, since, by)
+		if by != quarantine.ByConnection || sign == quarantine.Ended || sign == quarantine.Runs {
 			return sign
 		}
-		return g.connectionSign(ctx, s, w)
+		if c := g.connectionSign(ctx, s, w); c != quarantine.NoSign {
+			return c
+		}
+		return sign
 	}
 	lastRan := func() time.Time { return g.loadSources.Tracker.LastRan(s.Address, s.Born, sentAt) }
 	return quarantine.Observer{Look: look, LastRan: lastRan, Close: w.Close}
@@ -158,6 +162,9 @@
 	if g.facts.HasSuccessor(s.Instance, s.Address, sentAt) {
 		return g.processEnded(s, "list")
 	}
+	if g.facts.HasLapsed(s.Instance, sentAt) {
+		return quarantine.Lapsed
+	}
 	return quarantine.NoSign
 }
 
--- a/internal/gateway/part.go
+++ b/internal/gateway/part.go
@@ -195,6 +195,7 @@
 		random:           func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) },
 	}
 	g.crashDetector = quarantine.NewCrashDetector(g.observeProcess, q.ReportCrash, clock.Now)
+	q.Suspects.IsListed = func(s quarantine.Incarnation) bool { return f.IsListed(s.Instance, s.Born) }
 	q.Suspects.OnHeld = append(q.Suspects.OnHeld, g.requests.cancelUnbegun)
 	q.Suspects.OnHeldChanged = append(q.Suspects.OnHeldChanged, func(h quarantine.HeldRequest, _ bool) { g.requests.cancelUnbegun(h) })
 	g.connections.OnDial = func() { g.metrics.count("dialled") }
--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -53,6 +53,9 @@
 	Ended
 	// TurnedAway means that the address accepted a connection and closed it without an answer.
 	TurnedAway
+	// Lapsed means that the look shows only that the upstream's entry in the list has gone without a word. An upstream that is lost
+	// for good has no successor that would prove its end.
+	Lapsed
 )
 
 // Means limits what a look may take for proof of an end, and how it looks.
@@ -97,7 +100,7 @@
 	// were given up in silence.
 	open               atomic.Int32
 	unresolved, silent atomic.Int64
-	abandoned  []abandonedRequest
+	abandoned          []abandonedRequest
 }
 
 // abandonedRequest is a request that was abandoned at an upstream.
@@ -302,7 +305,11 @@
 	age := now.Sub(q.openedAt)
 	if sign != Ended && sign != Runs && age < questionTTL {
 		w.after(q.nextLook(age), func() { w.look(s, q, number+1) })
+		presumed, ok := w.presume(s, q, sign)
 		w.mu.Unlock()
+		if ok {
+			w.report(presumed)
+		}
 		return
 	}
 	w.closeQuestion(s, q)
@@ -320,7 +327,9 @@
 		q.requests = nil
 	}
 	q.sign, _ = w.signOf(s)
-	q.collect(w.processes[s])
+	if p := w.processes[s]; p != nil {
+		q.collect(p.end())
+	}
 }
 
 // ListChanged looks at once where only the list of upstreams, or a report, may still show that a process has ended: its successor
--- a/internal/quarantine/crash_detector_test.go
+++ b/internal/quarantine/crash_detector_test.go
@@ -206,6 +206,43 @@
 		})
 	})
 
+	Describe("of an upstream that is lost for good", func() {
+		var a *Attempt
+		BeforeEach(func() {
+			a, sign = detector.Begin(start, inFlight("a")), Lapsed
+			a.Received(true)
+		})
+
+		// Guards against crashes that count only once a successor is seen.
+		It("reports once that its process is presumed to have ended, and later any proof", func() {
+			last := now
+			pass(questionTTL / 2)
+			Expect(reported).To(HaveLen(1))
+			Expect([]any{reported[0].Presumed, reported[0].At, reported[0].Requests[0].Progress}).To(Equal([]any{true, last, Beginning}))
+			sign = Ended
+			pass(lateLookInterval)
+			Expect(reported).To(HaveLen(2))
+			Expect([]any{reported[1].Presumed, reported[1].At}).To(Equal([]any{false, last}))
+		})
+
+		It("presumes nothing while it sends anything", func() {
+			for range 20 {
+				pass(sweepInterval)
+				a.Received(true)
+			}
+			Expect(reported).To(BeEmpty())
+		})
+
+		It("presumes nothing if a request breaks off under an upstream that was not silent", func() {
+			pass(minSilence / 2)
+			a.Received(true)
+			detector.RequestBroken(start, a.Request(), now)
+			a.End()
+			pass(questionTTL)
+			Expect(reported).To(BeEmpty())
+		})
+	})
+
 	// Guards against a crash that is found only after the deadlines of the requests there.
 	It("reports the requests in flight at a silent upstream as soon as its successor is listed, and once", func() {
 		a := detector.Begin(start, inFlight("a"))
--- a/internal/quarantine/crash_record.go
+++ b/internal/quarantine/crash_record.go
@@ -21,7 +21,9 @@
 type recordedCrash struct {
 	incarnation Incarnation
 	recordedAt  time.Time
-	present     map[Fingerprint]*presence
+	// presumedAt is when a crash became known that is only presumed; zero if it is proved.
+	presumedAt time.Time
+	present    map[Fingerprint]*presence
 	// unwritten are the requests whose answers had not begun, or only just.
 	unwritten []unwrittenRequest
 	// explained is true once a request or a part that was present is held: the crash then is no evidence against other
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -78,6 +78,8 @@
 	Requests    []InFlightRequest
 	// At is when the crash happened, if it was noticed later; zero is now.
 	At time.Time
+	// Presumed is true of an upstream that fell silent and whose entry in the list lapsed. It may live on.
+	Presumed bool
 	// RememberedAt is when the crash happened if a process remembers it for one that may have missed the news; zero in news.
 	RememberedAt time.Time
 }
--- a/internal/quarantine/late_simulation_test.go
+++ b/internal/quarantine/late_simulation_test.go
@@ -8,6 +8,9 @@
 	. "github.com/onsi/gomega"
 )
 
+// lapseTime is how long after its last heartbeat the entry of an upstream lapses.
+const lapseTime = 2 * time.Second
+
 var _ = Describe("simulations of crashes that are noticed up to 8 s late", func() {
 	// lateDeployment returns a deployment whose upstreams are silent after a crash until they are back.
 	lateDeployment := func() simulationConfig {
@@ -46,8 +49,25 @@
 		Entry("a request", func(m *simulationConfig) { m.badPrompt = nil }),
 		Entry("a request, once a second", func(m *simulationConfig) { m.badPrompt, m.badRate = nil, 1 }),
 		Entry("a part, noticed up to 3 s late", func(m *simulationConfig) { m.maxNoticedLate = 3 * time.Second }),
+		Entry("a part, at upstreams that are lost", func(m *simulationConfig) { m.lapse = lapseTime }),
+		Entry("a part, once a second, at upstreams that are lost", func(m *simulationConfig) { m.lapse, m.badRate = lapseTime, 1 }),
+		Entry("a request, at upstreams that are lost", func(m *simulationConfig) { m.lapse, m.badPrompt = lapseTime, nil }),
+		Entry("a part, at upstreams that are lost while others are cut off", func(m *simulationConfig) { m.lapse, m.cutRate, m.cut = lapseTime, 0.2, 4 }),
 	)
 
+	It("hold nothing harmless where upstreams are cut off, presumed to have ended, and live on", func() {
+		held, proper, refused := 0, 0, 0
+		for seed := range uint64(40) {
+			m := lateDeployment()
+			m.bad, m.lapse, m.cutRate, m.cut = 0, lapseTime, 0.3, int(seed)%m.upstreams
+			t := simulate(m, seed)
+			held, proper, refused = held+t.heldHarmless()+t.heldProper(), proper+t.proper, refused+t.refused
+		}
+		AddReportEntry("refused", fmt.Sprint(refused, " of ", proper))
+		Expect(held).To(BeZero())
+		Expect(refused).To(BeNumerically("<", proper/1000))
+	})
+
 	It("hold nothing harmless where upstreams crash by themselves", func() {
 		held, proper, refused := 0, 0, 0
 		for seed := range uint64(40) {
--- a/internal/quarantine/news.go
+++ b/internal/quarantine/news.go
@@ -20,7 +20,7 @@
 	for _, e := range n.Crashes {
 		for rest := e.Requests; len(rest) > 0; {
 			fit := requestsThatFit(rest)
-			end := &pb.UpstreamEnd{Start: e.Incarnation.toProto(), Requests: inFlightToProto(rest[:fit])}
+			end := &pb.UpstreamEnd{Start: e.Incarnation.toProto(), Requests: inFlightToProto(rest[:fit]), Presumed: e.Presumed}
 			if !e.At.IsZero() {
 				end.AgeMs = uint32(n.SentAt.Sub(e.At).Milliseconds())
 			}
@@ -175,7 +175,7 @@
 
 // applyCrash applies the crash that another gateway has reported, or that is remembered; e has its time.
 func (l *SuspectTracker) applyCrash(m *pb.UpstreamEnd, e Crash) Crash {
-	e.Incarnation = incarnationFromProto(m.GetStart())
+	e.Incarnation, e.Presumed = incarnationFromProto(m.GetStart()), m.GetPresumed()
 	for _, p := range m.GetRequests() {
 		r, err := inFlightFromProto(p)
 		if err != nil {
--- a/internal/quarantine/question.go
+++ b/internal/quarantine/question.go
@@ -16,6 +16,8 @@
 	// silent is true if requests were given up while the upstream was silent, which givenUp lists.
 	silent  bool
 	givenUp []noticedRequest
+	// presumed is true once the process was reported as presumed to have ended.
+	presumed bool
 	// watched is true once a look is scheduled.
 	watched bool
 	// ranAt is when the process was known to have run, otherwise than by its answers, when the question arose; zero if it wasn't.
@@ -66,16 +68,13 @@
 }
 
 // collect adds what was given up in the silence before the process ended, and what is still in flight there.
-func (q *question) collect(p *upstreamProcess) {
+func (q *question) collect(inFlight []InFlightRequest) {
 	for _, r := range q.givenUp {
 		if !q.sign.After(r.at) {
 			q.add(r)
 		}
 	}
-	if p == nil {
-		return
-	}
-	for _, r := range p.end() {
+	for _, r := range inFlight {
 		if !slices.ContainsFunc(q.requests, func(o noticedRequest) bool { return o.sameAttempt(r) }) {
 			q.add(noticedRequest{r, q.openedAt})
 		}
--- a/internal/quarantine/remembered.go
+++ b/internal/quarantine/remembered.go
@@ -33,7 +33,9 @@
 			break
 		}
 		if r := e.suspectedRequests(); !e.explained && len(r) > 0 {
-			n.Remembered = append(n.Remembered, &pb.UpstreamEnd{Start: e.incarnation.toProto(), Requests: inFlightToProto(r), AgeMs: l.ageOf(e.recordedAt)})
+			n.Remembered = append(n.Remembered, &pb.UpstreamEnd{
+				Start: e.incarnation.toProto(), Requests: inFlightToProto(r), AgeMs: l.ageOf(e.recordedAt), Presumed: !e.presumedAt.IsZero(),
+			})
 		}
 	}
 	for _, s := range l.suspects {
--- a/internal/quarantine/simulation_config_test.go
+++ b/internal/quarantine/simulation_config_test.go
@@ -12,6 +12,9 @@
 
 const patience = 2 * time.Second
 
+// maxCutTime is the longest time for which upstreams are cut off.
+const maxCutTime = 10 * time.Second
+
 // simulationConfig configures a simulation.
 type simulationConfig struct {
 	gateways, upstreams int
@@ -39,6 +42,11 @@
 	downtime time.Duration
 	// maxNoticedLate is how late a crash is noticed at most; until then the upstream is silent, and then it is back. Zero is at once.
 	maxNoticedLate time.Duration
+	// lapse is after which time an upstream that is lost in a crash is presumed to have ended; another one replaces it. Zero is never
+	// lost. cutRate is the rate per second at which cut upstreams fall silent at once for up to maxCutTime, and live on.
+	lapse   time.Duration
+	cutRate float64
+	cut     int
 	// sender draws the organisation of a request; nil is one organisation that sends all.
 	sender func(random *rand.Rand, now time.Duration, bad bool) id.Organisation
 	// victimRate is the rate per second of harmless requests of one more organisation, which states the ID of the first part that
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -88,6 +87,7 @@
 		l.AnnounceDelay = func() time.Duration { return time.Duration(t.random.Int64N(int64(minAnnounceSpread))) }
 		l.OnMissed = func(h HeldRequest) { t.tellOthers(l, func(o *SuspectTracker) { o.AddHeld(h) }) }
 		l.OnTry = func(f Fingerprint) { t.tellOthers(l, func(o *SuspectTracker) { o.NoteTry(f) }) }
+		l.IsListed = t.isListed
 		t.trackers = append(t.trackers, l)
 		t.inFlight = append(t.inFlight, map[string]int{})
 		t.tried = append(t.tried, map[Fingerprint]*simulatedRequest{})
@@ -153,6 +153,11 @@
 			t.crash(t.fakeUpstreams[n])
 		}
 	})
+	t.scheduleAtRate(t.warmUp, t.cutRate, func(int) {
+		for _, n := range t.random.Perm(len(t.fakeUpstreams))[:t.cut] {
+			t.cutOff(t.fakeUpstreams[n])
+		}
+	})
 	t.scheduleAtRate(t.warmUp, t.crashRate, func(int) { t.crash(t.fakeUpstreams[t.random.IntN(len(t.fakeUpstreams))]) })
 }
 
@@ -225,16 +230,27 @@
 	if !p.up {
 		return
 	}
-	seen := map[int]*Crash{}
-	crashedAt, away, late, left := t.now, t.downtime, time.Duration(0), time.Duration(0)
-	if t.maxNoticedLate > 0 {
+	away, late, left := t.downtime, time.Duration(0), time.Duration(0)
+	switch {
+	case t.lapse > 0:
+		late, left = t.lapse, min(t.lapse, patience)
+	case t.maxNoticedLate > 0:
 		late = time.Duration(t.random.Int64N(int64(t.maxNoticedLate)))
 		away, left = late, min(late, patience)
 	}
-	s := Incarnation{Instance: id.Instance(fmt.Sprintf("%d-%d", slices.Index(t.fakeUpstreams, p), p.restarts))}
+	t.report(p, left, late, t.lapse > 0)
+	p.up, p.requests = false, nil
+	p.restarts++
+	t.schedule(away, func() { p.up = true })
+}
+
+// report schedules the reports of a crash, late or not, and the retries of the requests there once they are given up.
+func (t *simulation) report(p *fakeUpstream, left, late time.Duration, presumed bool) {
+	seen := map[int]*Crash{}
+	crashedAt, s := t.now, Incarnation{Instance: p.instance(t)}
 	for _, r := range p.requests {
 		if seen[r.gateway] == nil {
-			seen[r.gateway] = &Crash{Incarnation: s}
+			seen[r.gateway] = &Crash{Incarnation: s, Presumed: presumed}
 		}
 		seen[r.gateway].Requests = append(seen[r.gateway].Requests, t.inFlightRequest(r))
 		if left == 0 {
@@ -243,9 +259,6 @@
 			t.schedule(left, func() { t.retry(r) })
 		}
 	}
-	p.up, p.requests = false, nil
-	p.restarts++
-	t.schedule(away, func() { p.up = true })
 	for g := range t.gateways {
 		e := seen[g]
 		if e == nil {
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -45,6 +45,8 @@
 	AnnounceDelay func() time.Duration
 	// OnTry is called before a request with what is held for others, or that is sent alone, is sent to an upstream.
 	OnTry func(f Fingerprint)
+	// IsListed reports whether an upstream's process is in the list of upstreams. It is called with the lock.
+	IsListed func(s Incarnation) bool
 	// OnUnlikely is called for uses of parts that are suspected or held, and on which answers were recently written here.
 	OnUnlikely func(parts []Fingerprint)
 	// OnAnswered is called for uses of parts that were present at a crash and have been served here since, or on which answers were
@@ -74,6 +76,8 @@
 	// written are the parts on which an upstream has recently written an answer for some time, though it may not be complete.
 	written  *recentlyServed
 	settling bool
+	// watchingPresumed is true while a search for presumed crashes that did not happen is scheduled.
+	watchingPresumed bool
 	// undecided is true if evidence against parts has changed since the last decision on what to hold.
 	undecided bool
 	// changeCount counts the changes of the evidence and of what was answered.
@@ -88,7 +92,8 @@
 		after:      func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 		byInstance: map[id.Instance][]*recordedCrash{}, suspects: map[Fingerprint]*suspect{}, held: newHeldSet(), served: newRecentlyServed(now), written: newRecentlyServed(now),
 		servedElsewhere: newRecentlyServed(now), contents: contentIndex{}, changeCount: 1, OnTry: func(Fingerprint) {},
-		tries: map[Fingerprint]tried{}, unshared: map[Fingerprint]map[Fingerprint]struct{}{},
+		IsListed: func(Incarnation) bool { return false },
+		tries:    map[Fingerprint]tried{}, unshared: map[Fingerprint]map[Fingerprint]struct{}{},
 	}
 	g.vars.Set("held", expvar.Func(func() any { return len(g.HeldRequests()) }))
 	g.vars.Set("held_organisations", expvar.Func(func() any {
@@ -158,13 +163,15 @@
 		at = e.At
 	}
 	n := l.findCrash(e.Incarnation, at)
-	if n == nil {
+	known := n != nil
+	if !known {
 		n = l.addCrash(e.Incarnation, at)
 	}
 	if n == nil {
 		l.mu.Unlock()
 		return
 	}
+	l.notePresumed(n, e.Presumed, known)
 	l.changeCount++
 	before := n.uses()
 	l.endTries(n, e.Requests)
--- a/internal/quarantine/upstream_process.go
+++ b/internal/quarantine/upstream_process.go
@@ -83,10 +83,17 @@
 }
 
 // end notes that the end of the process is reported, and lists the requests in flight.
-func (p *upstreamProcess) end() (l []InFlightRequest) {
+func (p *upstreamProcess) end() []InFlightRequest {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.ended = true
+	p.mu.Unlock()
+	return p.inFlight()
+}
+
+// inFlight lists the requests in flight.
+func (p *upstreamProcess) inFlight() (l []InFlightRequest) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for a := range p.attempts {
 		l = append(l, a.request)
 	}
--- a/internal/reports/crash_memory.go
+++ b/internal/reports/crash_memory.go
@@ -36,6 +36,8 @@
 	start    *pb.UpstreamStart
 	requests []*pb.PresentRequest
 	at       time.Time
+	// presumed is true while no gateway has proved the crash.
+	presumed bool
 	// explained is true once something that was present is held, which also ends what the crash says about the rest.
 	explained bool
 }
@@ -82,9 +84,10 @@
 		for n > 0 && m.crashes[n-1].at.After(at) {
 			n--
 		}
-		m.crashes = slices.Insert(m.crashes, n, &rememberedCrash{start: proto.CloneOf(e.GetStart()), at: at})
+		m.crashes = slices.Insert(m.crashes, n, &rememberedCrash{start: proto.CloneOf(e.GetStart()), at: at, presumed: true})
 	}
 	c := m.crashes[n]
+	c.presumed = c.presumed && e.GetPresumed()
 	for _, r := range e.GetRequests() {
 		known := slices.ContainsFunc(c.requests, func(o *pb.PresentRequest) bool {
 			return o.GetTry() == r.GetTry() && bytes.Equal(o.GetFingerprint(), r.GetFingerprint())
@@ -136,7 +139,7 @@
 	n := &pb.CrashNews{}
 	for _, c := range m.crashes {
 		if !c.explained {
-			n.Remembered = append(n.Remembered, &pb.UpstreamEnd{Start: c.start, Requests: c.requests, AgeMs: ageSince(c.at, now)})
+			n.Remembered = append(n.Remembered, &pb.UpstreamEnd{Start: c.start, Requests: c.requests, AgeMs: ageSince(c.at, now), Presumed: c.presumed})
 		}
 	}
 	for _, a := range m.answered {
@@ -170,7 +173,7 @@
 		var piece *pb.UpstreamEnd
 		for _, r := range e.GetRequests() {
 			if piece == nil || !fits(r) {
-				piece = &pb.UpstreamEnd{Start: e.GetStart(), AgeMs: e.GetAgeMs()}
+				piece = &pb.UpstreamEnd{Start: e.GetStart(), AgeMs: e.GetAgeMs(), Presumed: e.GetPresumed()}
 				if size += proto.Size(piece); !fits(r) {
 					d = next()
 					size = proto.Size(piece)
--- a/internal/reports/crash_memory_test.go
+++ b/internal/reports/crash_memory_test.go
@@ -47,6 +47,16 @@
 		Expect(m.list(now.Add(CrashMemoryTTL)).GetRemembered()).To(BeEmpty())
 	})
 
+	it("has a crash as presumed until a gateway has proved it", func() {
+		e := numberedCrash(1, 0, 1)
+		e.Presumed = true
+		note(&pb.CrashNews{Ends: []*pb.UpstreamEnd{e}})
+		Expect(m.list(now).GetRemembered()[0].GetPresumed()).To(BeTrue())
+		note(&pb.CrashNews{Ends: []*pb.UpstreamEnd{numberedCrash(1, 0, 1)}})
+		note(&pb.CrashNews{Ends: []*pb.UpstreamEnd{e}})
+		Expect(m.list(now).GetRemembered()[0].GetPresumed()).To(BeFalse())
+	})
+
 	it("keeps the newest crashes, in whichever order it learns of them", func() {
 		for n := range maxCrashesRemembered + 5 {
 			note(&pb.CrashNews{Remembered: []*pb.UpstreamEnd{numberedCrash(n, time.Duration(n+1)*time.Second, 1)}})
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -80,7 +80,7 @@
 		w.hurtLongAfterHold(ctx, s)
 	case doManySenders:
 		w.sendFromMany(ctx, s)
-	case doSilentCrash:
+	case doSilentCrash, doSilentLoss:
 		w.crashInSilence(ctx, s)
 	case doAnswersLost, doHerdKill:
 		w.injectStorm(ctx, s)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -50,6 +50,7 @@
 	doLongHeld             = "long-held"
 	doManySenders          = "many-senders"
 	doSilentCrash          = "crash-in-silence"
+	doSilentLoss           = "lost-in-silence"
 )
 
 // reservationFaults lists the faults of reservations, which are drawn at a mean interval of meanReservationInterval each.
--- a/internal/soak/silentcrash.go
+++ b/internal/soak/silentcrash.go
@@ -14,6 +14,9 @@
 	silentCrashTime, silentCrashInterval = 14 * time.Second, 200 * time.Millisecond
 	// minSilence and maxSilence bound how long such an upstream is silent until the next process starts at its address.
 	minSilence, maxSilence = 700 * time.Millisecond, 6 * time.Second
+	// lossTime is how long an upstream is silent that is lost: nobody waits for its successor any more. Where upstreams are lost,
+	// the requests are sent at the mean interval lossInterval, as nothing is known of a loss until its record has lapsed.
+	lossTime, lossInterval = 20 * time.Second, time.Second
 )
 
 // silence is how upstreams crash that keep their connections open.
@@ -23,11 +26,13 @@
 	closes bool
 }
 
-// drawSilentCrashes draws when requests crash upstreams that fall silent, if that is named, so that the steps of other seeds stay
-// the same.
+// drawSilentCrashes draws when requests crash upstreams that fall silent, or are lost, if that is named, so that the steps of
+// other seeds stay the same.
 func (p *planner) drawSilentCrashes(allowed []string) {
-	if slices.Contains(allowed, doSilentCrash) {
-		p.drawSuccessive(doSilentCrash, silentCrashTime)
+	for _, do := range []string{doSilentCrash, doSilentLoss} {
+		if slices.Contains(allowed, do) {
+			p.drawSuccessive(do, silentCrashTime)
+		}
 	}
 }
 
@@ -36,9 +41,13 @@
 	ctx, stop := context.WithTimeout(ctx, s.Duration)
 	defer stop()
 	q := silence{length: minSilence + time.Duration(s.Magnitude*float64(maxSilence-minSilence)), closes: s.Selector>>8%3 == 0}
+	interval := silentCrashInterval
+	if s.Action == doSilentLoss {
+		q, interval = silence{length: lossTime}, lossInterval
+	}
 	w.history.setSilence(crashKind(crashingRequest(s, 0).body), q)
 	w.history.RecordEvent("upstreams that crash are silent for %v, closes %t", q.length.Round(time.Millisecond), q.closes)
-	w.sendCrashingRequestsEvery(ctx, s, time.Duration((0.3+1.4*float64(s.Selector>>16%16)/16)*float64(silentCrashInterval)))
+	w.sendCrashingRequestsEvery(ctx, s, time.Duration((0.3+1.4*float64(s.Selector>>16%16)/16)*float64(interval)))
 }
 
 // setSilence notes how upstreams crash under requests of a kind.
