Send a request alone while two upstreams are silent under it

Cause: a silent crash counts once a successor is listed or the entry lapses, three heartbeats after the crash. With heartbeats of 1.2 s that is later than gateways have to know of it, and until then nothing slowed the repeats down.

Change: a request under which two processes are silent, before its answer or as that began, is sent alone, one at a time at all gateways, as one under which two have crashed. Each gateway looks at its own attempts; nothing is held, and what was answered in the last minute is exempt.

Why it works: the limit on tries needs no proof, as all that a harmless request loses is its copies and its hedges until it is answered.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -42,8 +42,9 @@
 
 // checkSuspects returns what may be done with the request by the crashes that are known.
 func (f *callerRequest) checkSuspects() quarantine.Verdict {
-	v := f.gateway.suspects.Check(f.identity)
-	if !f.gateway.knowledge.Known() {
+	g := f.gateway
+	v := max(g.suspects.Check(f.identity), g.suspects.CheckSilent(f.identity, g.crashDetector.SilentUnder(f.identity.Fingerprint)))
+	if !g.knowledge.Known() {
 		v = max(v, quarantine.Once)
 	}
 	return v
--- a/internal/quarantine/crash_detector.go
+++ b/internal/quarantine/crash_detector.go
@@ -94,8 +94,9 @@
 	mu        sync.Mutex
 	questions map[Incarnation]*question
 	processes map[Incarnation]*upstreamProcess
-	// sweeping is true while a sweep is scheduled.
-	sweeping bool
+	// sweeping is true while a sweep is scheduled. silentRequests is what the last one counted.
+	sweeping       bool
+	silentRequests atomic.Pointer[map[Fingerprint]int]
 	// open is the number of questions. unresolved is how many were given up after a request broke off, and silent after requests
 	// were given up in silence.
 	open               atomic.Int32
--- a/internal/quarantine/crash_detector_test.go
+++ b/internal/quarantine/crash_detector_test.go
@@ -225,6 +225,26 @@
 			Expect([]any{reported[1].Presumed, reported[1].At}).To(Equal([]any{false, last}))
 		})
 
+		It("counts the processes that are silent under a request, in flight or given up, until there is a sign of them", func() {
+			other := Incarnation{Instance: "j"}
+			b := detector.Begin(other, inFlight("a"))
+			sign = NoSign
+			Expect(detector.SilentUnder(request("a"))).To(BeZero())
+			pass(minSilence + 2*sweepInterval)
+			Expect(detector.SilentUnder(request("a"))).To(Equal(2))
+			detector.RequestAbandoned(other, b.Request())
+			b.End()
+			pass(2 * time.Second)
+			Expect(detector.SilentUnder(request("a"))).To(Equal(2))
+			a.Received(true)
+			pass(sweepInterval)
+			Expect(detector.SilentUnder(request("a"))).To(Equal(1))
+			sign = Ended
+			pass(lateLookInterval)
+			Expect(detector.SilentUnder(request("a"))).To(BeZero())
+			Expect(reported).NotTo(BeEmpty())
+		})
+
 		It("presumes nothing while it sends anything", func() {
 			for range 20 {
 				pass(sweepInterval)
--- a/internal/quarantine/presumed_test.go
+++ b/internal/quarantine/presumed_test.go
@@ -89,6 +89,17 @@
 		Expect(d.checkPrompt("bad")).To(Equal(Once))
 	})
 
+	It("are not awaited to send alone what several upstreams are silent under, unless it was answered recently", func() {
+		q := known(request("bad"))
+		Expect(d.CheckSilent(q, minCrashes-2)).To(Equal(Pass))
+		Expect(d.CheckSilent(q, minCrashes-1)).To(Equal(Alone))
+		Expect(d.Try(q.Fingerprint)).To(BeTrue())
+		d.clock = d.clock.Add(tryTime - 1)
+		Expect(d.Try(q.Fingerprint)).To(BeFalse())
+		d.Served(q)
+		Expect(d.CheckSilent(q, minCrashes-1)).To(Equal(Pass))
+	})
+
 	It("are presumed at other gateways as well, and at one that starts later", func() {
 		presume(0, 1)
 		other := newManualTracker()
--- a/internal/quarantine/suspects.go
+++ b/internal/quarantine/suspects.go
@@ -140,6 +140,22 @@
 	}
 }
 
+// CheckSilent returns what may be done with a request while upstreams are silent under it: until it is known whether they have
+// ended, a request that was not answered here recently is sent alone once there are as many of them as crashes that suffice for
+// that.
+func (l *SuspectTracker) CheckSilent(q Identity, silent int) Verdict {
+	if silent < minCrashes-1 {
+		return Pass
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.served.has(q.use()) {
+		return Pass
+	}
+	l.vars.Add("suspected_in_silence", 1)
+	return Alone
+}
+
 // HeldAs returns the fingerprint under which a request is held, or false if it isn't.
 func (l *SuspectTracker) HeldAs(q Identity) (Fingerprint, bool) {
 	l.mu.Lock()
--- a/internal/quarantine/try.go
+++ b/internal/quarantine/try.go
@@ -71,13 +71,10 @@
 	now := l.now()
 	maps.DeleteFunc(l.tries, func(_ Fingerprint, t tried) bool { return !now.Before(t.forgetAt) })
 	t := l.tries[f]
-	switch {
-	case l.held.get(f) != nil:
+	if l.held.get(f) != nil {
 		t.until = now.Add(tryTime)
-	case l.suspects[f] != nil:
+	} else {
 		t.until = now.Add(tryTime << min(t.count, maxTryDoublings))
-	default:
-		return
 	}
 	t.count++
 	t.forgetAt = t.until.Add(questionTTL)
--- a/internal/quarantine/upstream_process.go
+++ b/internal/quarantine/upstream_process.go
@@ -48,7 +48,8 @@
 	return a
 }
 
-// sweep opens a question about each process that has become silent under requests, and goes on until there are no processes.
+// sweep opens a question about each process that has become silent under requests, and counts these. It goes on until there
+// are no processes.
 func (w *CrashDetector) sweep() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -63,6 +64,7 @@
 			w.watch(s, q)
 		}
 	}
+	w.countSilent(now)
 	w.forgetIdle(now)
 	if w.sweeping = len(w.processes) > 0; w.sweeping {
 		w.after(sweepInterval, w.sweep)
@@ -82,6 +84,50 @@
 	return sentAt, !p.ended && len(p.attempts) > 0 && now.Sub(latest(p.lastSign, sentAt)) >= minSilence
 }
 
+// countSilent counts the silent processes at which each request is in flight, or was given up; the caller holds the lock.
+func (w *CrashDetector) countSilent(now time.Time) {
+	counts := map[Fingerprint]int{}
+	for s, p := range w.processes {
+		for f := range p.silentRequests(now, w.questions[s]) {
+			counts[f]++
+		}
+	}
+	w.silentRequests.Store(&counts)
+}
+
+// silentRequests returns the requests whose answers a process was beginning, or had not begun, when it fell silent, with those
+// that were given up since. The question about it may be nil.
+func (p *upstreamProcess) silentRequests(now time.Time, q *question) map[Fingerprint]struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended || now.Sub(p.lastSign) < minSilence {
+		return nil
+	}
+	l := map[Fingerprint]struct{}{}
+	end := endTime{from: p.lastSign, until: p.lastSign}
+	for a := range p.attempts {
+		if t := a.request.Times; now.Sub(t.SentAt) >= minSilence && t.progress(end) != Writing {
+			l[a.request.Fingerprint] = struct{}{}
+		}
+	}
+	if q != nil {
+		for _, r := range q.givenUp {
+			if !p.lastSign.After(r.at) && r.Times.progress(end) != Writing {
+				l[r.Fingerprint] = struct{}{}
+			}
+		}
+	}
+	return l
+}
+
+// SilentUnder returns the number of upstream processes that are silent under a request at this gateway.
+func (w *CrashDetector) SilentUnder(f Fingerprint) int {
+	if l := w.silentRequests.Load(); l != nil {
+		return (*l)[f]
+	}
+	return 0
+}
+
 // end notes that the end of the process is reported, and lists the requests in flight.
 func (p *upstreamProcess) end() []InFlightRequest {
 	p.mu.Lock()
