--- a/internal/quarantine/crash_detector_test.go
+++ b/internal/quarantine/crash_detector_test.go
@@ -25,25 +25,7 @@
 	start := Incarnation{Instance: "i"}
 	inFlight := func(name string) InFlightRequest { return InFlightRequest{Fingerprint: request(name)} }
 	// pass lets time pass and calls what is due.
-	pass := func(d time.Duration) {
-		end := now.Add(d)
-		for {
-			next := -1
-			for i, t := range timers {
-				if !t.at.After(end) && (next < 0 || t.at.Before(timers[next].at)) {
-					next = i
-				}
-			}
-			if next < 0 {
-				now = end
-				return
-			}
-			t := timers[next]
-			timers = append(timers[:next:next], timers[next+1:]...)
-			now = t.at
-			t.do()
-		}
-	}
+	pass := func(d time.Duration) { passTime(&now, &timers, d) }
 	BeforeEach(func() {
 		now, timers, reported, sign, connects, looks, closed, ranAt = time.Unix(1000, 0), nil, nil, Ended, 0, 0, 0, time.Time{}
 		observe := func(Incarnation, time.Time) Observer {
@@ -397,9 +379,3 @@
 		})
 	})
 })
-
-// timer is a function that is due at a time.
-type timer struct {
-	at time.Time
-	do func()
-}
