review: one wrong byte in one report stops all service for a model (case 5)

Question: does the service come back after the final fault if a server hands out wrong bytes meanwhile?

Done: a script with six engines, their stagers and three gateways. All processes are killed and started again; then one of fifty reports of one engine has one wrong byte, a version 9 in place of 1.

--- a/review/rig2/caller.go
+++ b/review/rig2/caller.go
@@ -37,12 +37,17 @@
 type Call struct {
 	id, method, path, body string
 	deadline               time.Duration
+	// prompt is the Prompt-Prefix of a request to a model; empty for another one.
+	prompt string
 }
 
 // text returns the request as it is sent.
 func (c *Call) text() string {
 	t := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
 		c.method, c.path, host, c.id, c.deadline.Milliseconds(), tenantText)
+	if c.prompt != "" {
+		t += fmt.Sprintf("Model: %s\r\nToken-Usage: 200,60\r\nPrompt-Prefix: %s\r\n", engineModel, c.prompt)
+	}
 	if c.method == http.MethodPost {
 		t += fmt.Sprintf("Content-Length: %d\r\n", len(c.body))
 	}
--- a/review/rig2/case4.go
+++ b/review/rig2/case4.go
@@ -43,10 +43,10 @@
 		w.Header().Set("Response-Seal", "seal."+r.Header.Get("Request-Id"))
 		_, _ = fmt.Fprintf(w, "booked %s", r.Header.Get("Request-Id"))
 	})
-	if _, err := f.addServer(0, server); err != nil {
+	if err := f.addServer(0, server); err != nil {
 		return err
 	}
-	f.putConfig([]route{{Name: "hold", Host: host, PathPrefix: "/hold/", Kind: "unsafe", TimeoutMs: 6000, TargetLatencyMs: 4000, Priority: 1, Service: service, MaxAttempts: 1}}, 1<<22)
+	f.putConfig([]route{{Name: "hold", Host: host, PathPrefix: "/hold/", Kind: "unsafe", TimeoutMs: 6000, TargetLatencyMs: 4000, Priority: 1, Service: service, MaxAttempts: 1}})
 	if err := f.addGateways(1); err != nil {
 		return err
 	}
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -35,6 +35,7 @@
 	storeAddr  string
 	config     int
 	gateways   []*Process
+	stagers    []*Process
 	stopServer context.CancelFunc
 	ctx        context.Context
 }
@@ -68,15 +69,18 @@
 	Service         string `json:"service"`
 	MaxAttempts     int    `json:"maxAttempts"`
 	Public          bool   `json:"public"`
+	StreamResume    bool   `json:"streamResume"`
+	GapAimMs        int    `json:"gap_aim_ms"`
 }
 
 // putConfig writes the next configuration.
-func (f *Fleet) putConfig(routes []route, maxBodyBytes int) {
+func (f *Fleet) putConfig(routes []route, services ...map[string]any) {
 	f.config++
+	services = append(services, map[string]any{"name": service, "healthPath": "/health", "maxConnections": 96, "protocol": "h1", "tls": false})
 	b, _ := json.Marshal(map[string]any{
 		"version": f.config, "routes": routes,
-		"services": []map[string]any{{"name": service, "healthPath": "/health", "maxConnections": 96, "protocol": "h1", "tls": false}},
-		"limits":   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"services": services,
+		"limits":   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 22, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []map[string]any{{"name": "bozi300", "apiKeys": []string{tenantText}, "priority": 1}},
 	})
 	f.store.Put(operatorTopic, configKey, b)
@@ -84,15 +88,15 @@
 }
 
 // addServer starts a server of the service and lists it in the store.
-func (f *Fleet) addServer(n int, h http.Handler) (*Server, error) {
+func (f *Fleet) addServer(n int, h http.Handler) error {
 	s := &Server{id: fmt.Sprintf("i-%s-%d", strings.ReplaceAll(f.network, ".", ""), n), address: fmt.Sprintf("%s.%d:8001", f.network, 100+n), fleet: f, zone: fmt.Sprintf("zone-%d", 1+n%3)}
 	l, err := net.Listen("tcp", s.address)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	go func() { _ = standin.ServeOn(f.ctx, l, h) }()
 	go s.heartbeat()
-	return s, nil
+	return nil
 }
 
 // Server is a listed server of the service.
@@ -114,10 +118,7 @@
 
 // addGateways starts gateways, spread over three failure domains, and waits until all are ready.
 func (f *Fleet) addGateways(n int) error {
-	var seeds []string
-	for i := range min(n, 3) {
-		seeds = append(seeds, fmt.Sprintf("%s.%d", f.network, 1+i))
-	}
+	seeds := f.seeds(n)
 	for i := range n {
 		ip := fmt.Sprintf("%s.%d", f.network, 1+i)
 		p, err := newGateway(f.record, f.root, f.dir, ip, fmt.Sprintf("zone-%d", 1+i%3), f.storeAddr, seeds, graceTime)
@@ -137,9 +138,18 @@
 	return nil
 }
 
+// seeds returns the addresses of up to three of n gateways.
+func (f *Fleet) seeds(n int) []string {
+	var seeds []string
+	for i := range min(n, 3) {
+		seeds = append(seeds, fmt.Sprintf("%s.%d", f.network, 1+i))
+	}
+	return seeds
+}
+
 // Close ends all that the fleet has started.
 func (f *Fleet) Close() {
-	for _, p := range f.gateways {
+	for _, p := range append(f.gateways, f.stagers...) {
 		p.Stop()
 	}
 	f.stopServer()
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -35,7 +35,7 @@
 	root := flag.String("root", ".", "the repository's root")
 	record := flag.String("record", "record.txt", "the file for the record")
 	flag.Parse()
-	cases := map[string]func(c *Case) error{"4": stopAndReload}
+	cases := map[string]func(c *Case) error{"4": stopAndReload, "5": wrongReport, "6": slowUpload}
 	play := cases[*name]
 	if play == nil {
 		fmt.Fprintf(os.Stderr, "rig2: no case %q\n", *name)
--- a/review/rig2/process.go
+++ b/review/rig2/process.go
@@ -71,12 +71,8 @@
 // newGateway writes the settings of a gateway.
 func newGateway(r *Record, root, dir, ip, domain, store string, seeds []string, grace time.Duration) (*Process, error) {
 	name := "front-" + domain + "-" + ip[strings.LastIndexByte(ip, '.')+1:]
-	quoted := make([]string, len(seeds))
-	for i, s := range seeds {
-		quoted[i] = fmt.Sprintf("%q", fmt.Sprintf("%s:%d", s, internalPort))
-	}
 	settings := filepath.Join(dir, name+".toml")
-	text := fmt.Sprintf(gatewaySettings, name, domain, store, ip, strings.Join(quoted, ","), grace)
+	text := fmt.Sprintf(gatewaySettings, name, domain, store, ip, quoteSeeds(seeds), grace)
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -86,6 +82,15 @@
 	}, nil
 }
 
+// quoteSeeds returns the addresses of seeds as a list in the settings.
+func quoteSeeds(seeds []string) string {
+	quoted := make([]string, len(seeds))
+	for i, s := range seeds {
+		quoted[i] = fmt.Sprintf("%q", fmt.Sprintf("%s:%d", s, internalPort))
+	}
+	return strings.Join(quoted, ",")
+}
+
 // Start starts the program. The kernel ends it if this process ends.
 func (p *Process) Start() error {
 	f, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
