--- a/review/rig2/case4.go
+++ b/review/rig2/case4.go
@@ -25,7 +25,7 @@
 // settings file has changed. All requests were sent before SIGTERM, and the server answers long before the last sixth of the
 // grace time.
 func stopAndReload(c *Case) error {
-	f, err := newFleet(c.record, c.root, c.dir)
+	f, err := c.newFleet()
 	if err != nil {
 		return err
 	}
--- a/review/rig2/case5.go
+++ b/review/rig2/case5.go
@@ -40,7 +40,7 @@
 // wrongReport kills all processes, as at the end of a day, and lets one engine hand out wrong bytes after their return: one
 // byte in one of fifty of its reports.
 func wrongReport(c *Case) error {
-	f, err := newFleet(c.record, c.root, c.dir)
+	f, err := c.newFleet()
 	if err != nil {
 		return err
 	}
--- a/review/rig2/case6.go
+++ b/review/rig2/case6.go
@@ -28,7 +28,7 @@
 // slowUpload lets callers send long bodies steadily over kept connections, while the operator has set the route's timeout to less
 // than a body takes.
 func slowUpload(c *Case) error {
-	f, err := newFleet(c.record, c.root, c.dir)
+	f, err := c.newFleet()
 	if err != nil {
 		return err
 	}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -3,11 +3,16 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
 )
 
 // The exit codes of a case.
@@ -15,6 +20,9 @@
 	exitHeld, exitBroken, exitNotRun = 0, 1, 2
 )
 
+// maxRunTime bounds one case.
+const maxRunTime = 115 * time.Second
+
 // errBroken reports that the rule of a case was broken.
 var errBroken = errors.New("the rule was broken")
 
@@ -24,6 +32,27 @@
 	root, dir string
 	// trouble is false if the disruption is left out.
 	trouble bool
+
+	mu    sync.Mutex
+	fleet *Fleet
+}
+
+// newFleet starts the stand-in of the store for the case.
+func (c *Case) newFleet() (*Fleet, error) {
+	f, err := newFleet(c.record, c.root, c.dir)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fleet = f
+	return f, err
+}
+
+// endProcesses ends the processes that the case has started.
+func (c *Case) endProcesses() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fleet != nil {
+		c.fleet.Close()
+	}
 }
 
 func main() {
@@ -57,7 +86,7 @@
 		return exitNotRun
 	}
 	c := &Case{record: r, root: absolute, dir: dir, trouble: os.Getenv("TROUBLE") != "0"}
-	err = play(c)
+	err = c.play(play)
 	switch {
 	case err == nil:
 		r.Addf("the rule held")
@@ -72,3 +101,21 @@
 		return exitNotRun
 	}
 }
+
+// play plays the case, and gives it up after maxRunTime or at a signal.
+func (c *Case) play(play func(c *Case) error) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, maxRunTime)
+	defer cancel()
+	played := make(chan error, 1)
+	go func() { played <- play(c) }()
+	select {
+	case err := <-played:
+		return err
+	case <-ctx.Done():
+		// A process that is just starting ends with this one.
+		c.endProcesses()
+		return ctx.Err()
+	}
+}
