Log each signal, and write the last log lines before a process ends

The log of a process that ended could not tell a killed process from one that had stopped: "stopped" is written by a queue, which the end of the process cut off, and signals left no line.

Each signal has the line "signal received" and counts in the metric signals. The log sink is flushed for up to 0.1 s before the process ends, and "stopped" is logged after a failure as well.

--- a/internal/cmd/daemon.go
+++ b/internal/cmd/daemon.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -32,6 +30,9 @@
 // Version is the release that --version prints and the startup log line holds.
 const Version = "0.1.0"
 
+// flushTimeout bounds how long an ending process waits for the reader of its log.
+const flushTimeout = 100 * time.Millisecond
+
 // newApp returns a command line parser that writes usage to out and errors to errorOutput.
 func newApp(name, help string, out, errorOutput io.Writer) *kingpin.Application {
 	a := kingpin.New(name, help)
@@ -79,18 +80,31 @@
 		return ExitFailed
 	}
 	h.Metric("log_lines_dropped", sink.Dropped)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	signals := NewSignals()
+	h.Metric("signals", signals.Received)
+	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	go watchReload(ctx, l, file, parts, sections)
+	stopping := signals.WatchStops(ctx, l)
+	go signals.WatchReloads(stopping, l, func() { reloadSettings(l, file, parts, sections) })
 	l.Info().Str("program", name).Str("release", Version).Msg("started")
-	if err := h.Run(ctx); err != nil {
+	if err := h.Run(stopping); err != nil {
+		l.Error().Err(err).Msg("stopped")
+		flushLog(sink)
 		fmt.Fprintf(os.Stderr, "%s: stopped: %v\n", name, err)
 		return ExitFailed
 	}
 	l.Info().Msg("stopped")
+	flushLog(sink)
 	return ExitDone
 }
 
+// flushLog writes the log lines that are queued, as the process is about to end.
+func flushLog(s *logsink.Sink) {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	s.Flush(ctx)
+}
+
 func newLogger(p *kernel.ProcessSettings, w io.Writer) *log.Logger {
 	return &log.Logger{
 		Level:   log.ParseLevel(p.LogLevel),
@@ -99,32 +113,22 @@
 	}
 }
 
-// watchReload reads the settings file again at each SIGHUP and logs which sections changed. Only the log level takes
-// effect at once; all other settings take effect at the next start. An invalid file changes nothing.
-func watchReload(ctx context.Context, l *log.Logger, file string, parts []kernel.Part, current map[string]kernel.Section) {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGHUP)
-	defer signal.Stop(c)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-c:
-		}
-		fresh := kernel.DefaultSections(parts)
-		problems := kernel.LoadSettings(file, fresh)
-		for _, p := range problems {
-			l.Warn().Str("problem", p.String()).Msg("settings not reloaded")
-		}
-		if len(problems) > 0 {
-			continue
-		}
-		for name, s := range fresh {
-			if !reflect.DeepEqual(s, current[name]) {
-				l.Warn().Str("section", name).Msg("settings changed; they take effect at the next start")
-			}
+// reloadSettings reads the settings file again and logs which sections changed. Only the log level takes effect at once;
+// all other settings take effect at the next start. An invalid file changes nothing.
+func reloadSettings(l *log.Logger, file string, parts []kernel.Part, current map[string]kernel.Section) {
+	fresh := kernel.DefaultSections(parts)
+	problems := kernel.LoadSettings(file, fresh)
+	for _, p := range problems {
+		l.Warn().Str("problem", p.String()).Msg("settings not reloaded")
+	}
+	if len(problems) > 0 {
+		return
+	}
+	for name, s := range fresh {
+		if !reflect.DeepEqual(s, current[name]) {
+			l.Warn().Str("section", name).Msg("settings changed; they take effect at the next start")
 		}
-		l.Level = log.ParseLevel(fresh["process"].(*kernel.ProcessSettings).LogLevel)
-		l.Info().Msg("settings reloaded")
 	}
+	l.Level = log.ParseLevel(fresh["process"].(*kernel.ProcessSettings).LogLevel)
+	l.Info().Msg("settings reloaded")
 }
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -3,6 +3,7 @@
 package logsink
 
 import (
+	"context"
 	"expvar"
 	"io"
 	"slices"
@@ -25,8 +26,9 @@
 
 // Sink is a non-blocking io.Writer that queues lines for a writer goroutine. Each call to Write takes one line.
 type Sink struct {
-	lines chan []byte
-	limit *rate.Limiter
+	lines   chan []byte
+	flushes chan chan<- struct{}
+	limit   *rate.Limiter
 	// Dropped counts dropped lines by reason: over_rate or queue_full. write_failed counts failed writes, each of which may
 	// hold several lines.
 	Dropped *expvar.Map
@@ -38,7 +40,8 @@
 // New returns a sink for a writer that may block, and starts the goroutine that writes to it.
 func New(w io.Writer) *Sink {
 	s := &Sink{
-		lines: make(chan []byte, queueLines), limit: rate.NewLimiter(linesPerSecond, burst), Dropped: new(expvar.Map),
+		lines: make(chan []byte, queueLines), flushes: make(chan chan<- struct{}),
+		limit: rate.NewLimiter(linesPerSecond, burst), Dropped: new(expvar.Map),
 	}
 	go s.drain(w)
 	return s
@@ -67,15 +70,42 @@
 	s.mu.Unlock()
 }
 
+// Flush returns once the lines that are queued have been written or the context has ended.
+func (s *Sink) Flush(ctx context.Context) {
+	written := make(chan struct{})
+	select {
+	case s.flushes <- written:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-written:
+	case <-ctx.Done():
+	}
+}
+
 // drain writes the queued lines, several in one write where more than one is queued.
 func (s *Sink) drain(w io.Writer) {
-	for line := range s.lines {
-		if _, err := w.Write(s.batch(line)); err != nil {
-			s.Dropped.Add("write_failed", 1)
+	for {
+		select {
+		case line := <-s.lines:
+			s.write(w, line)
+		case written := <-s.flushes:
+			for len(s.lines) > 0 {
+				s.write(w, <-s.lines)
+			}
+			close(written)
 		}
 	}
 }
 
+// write writes a line and those that are queued after it.
+func (s *Sink) write(w io.Writer, line []byte) {
+	if _, err := w.Write(s.batch(line)); err != nil {
+		s.Dropped.Add("write_failed", 1)
+	}
+}
+
 // batch appends the queued lines to a line, and then the notice of dropped lines. The notice comes last because a line
 // is dropped while the lines before it are still queued. If the notice came first, lines dropped at the end of a burst
 // that is written as one batch would not be reported until the next line was logged.
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"expvar"
 	"strings"
 	"sync"
@@ -72,6 +73,24 @@
 		Expect(string(s.batch([]byte("first\n")))).To(MatchRegexp(`^first\na\nb\n\{.*"lines":2,.*\}\n$`))
 	})
 
+	It("writes all queued lines before a process ends, and does not wait longer than allowed for a reader", func() {
+		p := &blockableWriter{}
+		s := New(p)
+		for range burst {
+			_, _ = s.Write([]byte("line\n"))
+		}
+		s.Flush(context.Background())
+		Expect(strings.Count(p.String(), "line\n")).To(Equal(burst))
+		p.readerLock.Lock()
+		defer p.readerLock.Unlock()
+		s.limit.SetLimit(rate.Inf)
+		_, _ = s.Write([]byte("line\n"))
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		s.Flush(ctx)
+		Expect(ctx.Err()).To(HaveOccurred())
+	})
+
 	It("limits the rate of lines under load", func() {
 		p := &blockableWriter{}
 		s := New(p)
