Receive SIGHUP until the process ends, not until its planned stop begins

The goroutine that reloads the settings ended with the context that SIGTERM ends, and called signal.Stop. SIGHUP then had its default action, which ends the process, for the rest of the stop.

The goroutine now ends with the process's own context, after the last request, and the signal is never given back its default action. A reload during a stop does what it does at any time: the log level changes, all else is logged as taking effect at the next start.

--- a/internal/cmd/daemon.go
+++ b/internal/cmd/daemon.go
@@ -85,7 +85,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	stopping := signals.WatchStops(ctx, l)
-	go signals.WatchReloads(stopping, l, func() { reloadSettings(l, file, parts, sections) })
+	go signals.WatchReloads(ctx, l, func() { reloadSettings(l, file, parts, sections) })
 	l.Info().Str("program", name).Str("release", Version).Msg("started")
 	if err := h.Run(stopping); err != nil {
 		l.Error().Err(err).Msg("stopped")
--- a/internal/cmd/signals.go
+++ b/internal/cmd/signals.go
@@ -31,9 +31,9 @@
 }
 
 // WatchReloads calls reload after each SIGHUP until the context ends. Signals that arrive during a call cause one more.
+// SIGHUP is never given back its default action, which ends the process.
 func (s *Signals) WatchReloads(ctx context.Context, l *log.Logger, reload func()) {
 	signal.Notify(s.reloads, syscall.SIGHUP)
-	defer signal.Stop(s.reloads)
 	s.watch(ctx, l, s.reloads, reload)
 }
 
