Serve on when the reader of the log has exited

Callers lost all requests that a process held as soon as the collector of its standard output or standard error ended, for example to be started again: the next log line ended the process by SIGPIPE, at any time and without a line.

The Go runtime turns a failed write to descriptor 1 or 2 into that signal unless it is handled or ignored. It is now ignored, so that the write fails, and the log sink counts it as write_failed, as it always meant to.

The spec closes both read ends under a request in flight, then logs until the failed write is counted, and stops the process as planned. Before: the process is gone (connection refused at its next request).

--- a/internal/cmd/daemon_test.go
+++ b/internal/cmd/daemon_test.go
@@ -251,3 +251,21 @@
 		}),
 	)
 })
+
+var _ = Describe("a daemon whose log nobody reads any more", func() {
+	// Guards against SIGPIPE, which ends a process that writes to a standard output or standard error without a reader.
+	It("serves on, counts the failed writes and stops as planned", func() {
+		d, answer := startHolding()
+		Expect(d.out.Close()).To(Succeed())
+		Expect(d.errorOutput.Close()).To(Succeed())
+		for range 3 {
+			Eventually(func() (string, error) { return d.get("/log") }).Should(ContainSubstring("write_failed"))
+		}
+		d.signal(syscall.SIGTERM)
+		d.signal(syscall.SIGHUP)
+		_, err := d.get("/release")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer()).To(Equal("begun complete"))
+		Expect(d.wait()).To(Equal("exit status 0"))
+	})
+})
--- a/internal/cmd/signals.go
+++ b/internal/cmd/signals.go
@@ -17,8 +17,10 @@
 	Received *expvar.Map
 }
 
-// NewSignals returns a receiver that does not receive anything yet.
+// NewSignals returns a receiver that does not receive anything yet. From then on a write to a standard output or standard
+// error that nobody reads fails, as on any other file, instead of ending the process with SIGPIPE.
 func NewSignals() *Signals {
+	signal.Ignore(syscall.SIGPIPE)
 	return &Signals{stops: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1), Received: new(expvar.Map)}
 }
 
