Receive SIGHUP from the start of main on

A process that got SIGHUP while it started, before its reload goroutine had run, was ended by it. No request is in flight then, but the process is missing until somebody starts it again, and a platform that announces changed settings to a process that it has just started does this.

The signal is received before the command line and the settings are read. One that arrives meanwhile is queued, and the settings are read again once the process runs, as the file may have changed after it was read. What is left is the start of the Go runtime, before any code of this program.

The spec gives the daemon a named pipe as its settings file, so that the signals arrive while it reads.

--- a/internal/cmd/daemon.go
+++ b/internal/cmd/daemon.go
@@ -46,6 +46,7 @@
 // Daemon runs a server process until SIGTERM or SIGINT and returns its exit code. The process runs all registered
 // parts, or only those in partNames and their dependencies if partNames is given.
 func Daemon(name, help string, partNames ...string) int {
+	signals := NewSignals()
 	a := newApp(name, help, os.Stdout, os.Stderr)
 	file := a.Flag("settings", "The settings file (TOML); docs/SETTINGS.md lists the keys.").Required().String()
 	check := a.Flag("check", "Only check the settings, and say each wrong line.").Bool()
@@ -68,10 +69,10 @@
 		fmt.Printf("%s: %s is good\n", name, *file)
 		return ExitDone
 	}
-	return runDaemon(name, *file, parts, sections)
+	return runDaemon(name, *file, parts, sections, signals)
 }
 
-func runDaemon(name, file string, parts []kernel.Part, sections map[string]kernel.Section) int {
+func runDaemon(name, file string, parts []kernel.Part, sections map[string]kernel.Section, signals *Signals) int {
 	sink := logsink.New(os.Stdout)
 	l := newLogger(sections["process"].(*kernel.ProcessSettings), sink)
 	h, err := kernel.NewHost(parts, sections, l, kernel.NewClock(time.Now))
@@ -80,7 +81,6 @@
 		return ExitFailed
 	}
 	h.Metric("log_lines_dropped", sink.Dropped)
-	signals := NewSignals()
 	h.Metric("signals", signals.Received)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/internal/cmd/daemon_test.go
+++ b/internal/cmd/daemon_test.go
@@ -210,6 +210,19 @@
 	return s.String()
 }
 
+// openForRead waits until a process reads a named pipe, and returns the function that gives it a text.
+func openForRead(file string) func(text string) {
+	GinkgoHelper()
+	w, err := os.OpenFile(file, os.O_WRONLY, 0)
+	Expect(err).NotTo(HaveOccurred())
+	return func(text string) {
+		GinkgoHelper()
+		_, err := w.WriteString(text)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.Close()).To(Succeed())
+	}
+}
+
 var _ = Describe("a daemon in its planned stop", func() {
 	// Guards against a signal whose default action ends the process before the last request is answered.
 	DescribeTable("finishes the requests in flight whatever signals follow", func(disturb func(d *daemon)) {
@@ -269,3 +282,23 @@
 		Expect(d.wait()).To(Equal("exit status 0"))
 	})
 })
+
+var _ = Describe("a daemon that starts", func() {
+	// Guards against a SIGHUP that arrives before its handler and ends the process.
+	It("is not ended by SIGHUP while it reads its settings, and reads them again", func() {
+		file := filepath.Join(GinkgoT().TempDir(), "s.toml")
+		Expect(syscall.Mkfifo(file, 0o600)).To(Succeed())
+		d := start(file)
+		settings := openForRead(file)
+		for range 3 {
+			d.signal(syscall.SIGHUP)
+		}
+		settings(settingsText)
+		d.waitFor("signal received")
+		openForRead(file)(settingsText)
+		d.waitFor("settings reloaded")
+		d.signal(syscall.SIGTERM)
+		d.waitFor("stopped")
+		Expect(d.wait()).To(Equal("exit status 0"))
+	})
+})
--- a/internal/cmd/signals.go
+++ b/internal/cmd/signals.go
@@ -17,11 +17,13 @@
 	Received *expvar.Map
 }
 
-// NewSignals returns a receiver that does not receive anything yet. From then on a write to a standard output or standard
-// error that nobody reads fails, as on any other file, instead of ending the process with SIGPIPE.
+// NewSignals takes the default action, which ends the process, from SIGHUP and SIGPIPE until the process has ended. SIGHUP is
+// queued for WatchReloads. A write to a standard output or standard error that nobody reads fails, as on any other file.
 func NewSignals() *Signals {
+	s := &Signals{stops: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1), Received: new(expvar.Map)}
+	signal.Notify(s.reloads, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGPIPE)
-	return &Signals{stops: make(chan os.Signal, 1), reloads: make(chan os.Signal, 1), Received: new(expvar.Map)}
+	return s
 }
 
 // WatchStops returns a context that ends with the given one or at the first SIGTERM or SIGINT. Later ones change nothing.
@@ -32,10 +34,9 @@
 	return stopping
 }
 
-// WatchReloads calls reload after each SIGHUP until the context ends. Signals that arrive during a call cause one more.
-// SIGHUP is never given back its default action, which ends the process.
+// WatchReloads calls reload after each SIGHUP until the context ends, also for one that has arrived before. Signals that
+// arrive during a call cause one more.
 func (s *Signals) WatchReloads(ctx context.Context, l *log.Logger, reload func()) {
-	signal.Notify(s.reloads, syscall.SIGHUP)
 	s.watch(ctx, l, s.reloads, reload)
 }
 
