Finish the requests in flight when a part of the process fails

A part that failed, such as a listener that the system does not let accept any more, ended the process at once: all other parts were stopped without being drained, so that callers lost every request in flight. In a planned stop the failure of any part cut that stop short as well.

The first error now begins the same shutdown as SIGTERM, and one during a shutdown changes nothing in it. The error is logged when it occurs, and still decides the exit code. A process whose part fails at its start ends after the time of an idle shutdown instead of at once.

The spec lets a part fail beside one with a request in flight, while the host runs and during a stop.

--- a/internal/kernel/host.go
+++ b/internal/kernel/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"fmt"
 	"net/http"
@@ -159,15 +158,16 @@
 	h.shutdown()
 }
 
-// Run runs all parts until the context ends or a part fails. After the end of the context it drains the parts, in the reverse
-// order of their creation, and then stops them.
+// Run runs all parts until the context ends or a part fails. Then it drains the parts, in the reverse order of their
+// creation, stops them, and returns the error of the first part that failed.
 func (h *Host) Run(ctx context.Context) error {
 	shuttingDown, beginShutdown := context.WithCancel(ctx)
 	defer beginShutdown()
 	h.shutdown = beginShutdown
-	runContext, stop := context.WithCancelCause(context.WithoutCancel(ctx))
-	defer stop(nil)
+	runContext, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
 	h.Events.Add(Event{Kind: EventProcessStarted})
+	failures := make(chan error, len(h.parts))
 	var wg sync.WaitGroup
 	for _, p := range h.parts {
 		r, ok := p.(Runner)
@@ -175,22 +175,24 @@
 			continue
 		}
 		wg.Go(func() {
-			if err := r.Run(runContext); err != nil {
-				stop(err)
+			if err := r.Run(runContext); err != nil && runContext.Err() == nil {
+				h.Log.Error().Err(err).Msg("a part of the process failed")
+				failures <- err
+				// The other parts still have requests in flight.
+				beginShutdown()
 			}
 		})
 	}
-	select {
-	case <-shuttingDown.Done():
-		h.drainAll(runContext)
-	case <-runContext.Done():
-	}
-	stop(context.Canceled)
+	<-shuttingDown.Done()
+	h.drainAll(runContext)
+	stop()
 	wg.Wait()
-	if err := context.Cause(runContext); !errors.Is(err, context.Canceled) {
+	select {
+	case err := <-failures:
 		return err
+	default:
+		return nil
 	}
-	return nil
 }
 
 func (h *Host) drainAll(ctx context.Context) {
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -1,6 +1,9 @@
 package kernel
 
 import (
+	"context"
+	"errors"
+	"io"
 	"os"
 	"path/filepath"
 	"testing"
@@ -8,6 +11,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/phuslu/log"
 	"pgregory.net/rapid"
 
 	"github.com/springrail/springrail/internal/spec"
@@ -132,3 +136,66 @@
 		Expect(l[2].Sequence).To(Equal(uint64(5)))
 	})
 })
+
+// serving is a part with one request in flight.
+type serving struct {
+	finish, drained chan struct{}
+	ended           bool
+}
+
+// Run implements Runner.
+func (p *serving) Run(ctx context.Context) error {
+	<-ctx.Done()
+	p.ended = true
+	return nil
+}
+
+// Drain implements Drainer: it returns once the request in flight is finished.
+func (p *serving) Drain(ctx context.Context) {
+	close(p.drained)
+	select {
+	case <-p.finish:
+	case <-ctx.Done():
+	}
+}
+
+// failing is a part whose Run returns what it is given.
+type failing chan error
+
+// Run implements Runner.
+func (p failing) Run(context.Context) error {
+	return <-p
+}
+
+var _ = Describe("a host one of whose parts fails", func() {
+	// Guards against a part that fails and ends the process with the requests in flight of all other parts.
+	DescribeTable("finishes the requests in flight and returns the error", func(beforeStop bool) {
+		p, f := &serving{finish: make(chan struct{}), drained: make(chan struct{})}, make(failing)
+		parts := []Part{
+			{Name: "serving", New: func(*Host) (any, error) { return p, nil }},
+			{Name: "failing", New: func(*Host) (any, error) { return f, nil }},
+		}
+		l := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+		h, err := NewHost(parts, DefaultSections(parts), l, NewClock(time.Now))
+		Expect(err).NotTo(HaveOccurred())
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		returned := make(chan error, 1)
+		go func() { returned <- h.Run(ctx) }()
+		failure := errors.New("the listener failed")
+		if beforeStop {
+			f <- failure
+		} else {
+			stop()
+			Eventually(p.drained).Should(BeClosed())
+			f <- failure
+		}
+		Eventually(p.drained).Should(BeClosed())
+		Consistently(returned).ShouldNot(Receive())
+		close(p.finish)
+		Eventually(returned).Should(Receive(MatchError(failure)))
+		Expect(p.ended).To(BeTrue())
+	},
+		Entry("while it runs", true),
+		Entry("during a planned stop", false))
+})
--- a/internal/kernel/part.go
+++ b/internal/kernel/part.go
@@ -29,7 +29,7 @@
 
 // Runner is implemented by parts that run in the background.
 type Runner interface {
-	// Run blocks until the context ends. An error that it returns stops the process.
+	// Run blocks until the context ends. An error that it returns begins a graceful shutdown of the process.
 	Run(ctx context.Context) error
 }
 
