Soak: signals in series around planned stops

The step signals-around-stop stops up to four gateways or stagers and sends them SIGHUP before, during and after that, in series, with SIGTERM, SIGINT and others again during the stop. Their settings file is changed, cut off or gone meanwhile, and the reader of their log exits and returns: processes log to a named pipe now, as under a collector.

--- a/internal/soak/cases.go
+++ b/internal/soak/cases.go
@@ -76,5 +76,10 @@
 			Seed: 11001, Seconds: 40, Gateways: 6, Stagers: 12, Domains: 3, EngineShare: 0.15, Faults: []string{doSilentCrash},
 		},
 		Cause: "a crash that closes no connection was never looked for, so requests that crash upstreams in silence were sent on and on",
+	}, {
+		Settings: Settings{
+			Seed: 12002, Seconds: 40, Gateways: 6, Stagers: 12, Domains: 3, EngineShare: 0.15, Faults: []string{doSignals},
+		},
+		Cause: "SIGHUP during a planned stop ended a process with its requests, and so did a log line once the log's reader had exited",
 	},
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -160,9 +160,13 @@
 	if err := os.WriteFile(file, []byte(all), 0o600); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	log, err := NewLogPipe(filepath.Join(w.settings.LogDir, name+".log"))
+	if err != nil {
+		return nil, err
+	}
 	p := &Process{
 		name: name, ip: ip, program: filepath.Join(w.settings.BinDir, "springrail-"+kind), settingsFile: file,
-		logFile: filepath.Join(w.settings.LogDir, name+".log"), store: d, history: w.history,
+		log: log, store: d, history: w.history,
 	}
 	return p, p.Start()
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -82,6 +82,8 @@
 		w.sendFromMany(ctx, s)
 	case doSilentCrash, doSilentLoss:
 		w.crashInSilence(ctx, s)
+	case doSignals:
+		w.signalAroundStops(ctx, s)
 	case doAnswersLost, doHerdKill:
 		w.injectStorm(ctx, s)
 	}
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -90,7 +90,7 @@
 
 // faultChoices returns the sorted names of everything that can be drawn.
 func faultChoices() []string {
-	l := append(append(slices.Clone(faultNames), actNames...), doCrasher, doLimit, doPauseUpstream, doRetryAfter, doStoreRestore, doOriginOutage, doStopSeries, doAnswersLost, doHerdKill, doCorruptInSwap, doHurtAfterHold, doLongHeld, doManySenders, doSilentCrash, doSilentLoss)
+	l := append(append(slices.Clone(faultNames), actNames...), doCrasher, doLimit, doPauseUpstream, doRetryAfter, doStoreRestore, doOriginOutage, doStopSeries, doAnswersLost, doHerdKill, doCorruptInSwap, doHurtAfterHold, doLongHeld, doManySenders, doSilentCrash, doSilentLoss, doSignals)
 	l = append(l, reservationFaults...)
 	slices.Sort(l)
 	return slices.Compact(l)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -51,6 +51,7 @@
 	doManySenders          = "many-senders"
 	doSilentCrash          = "crash-in-silence"
 	doSilentLoss           = "lost-in-silence"
+	doSignals              = "signals-around-stop"
 )
 
 // reservationFaults lists the faults of reservations, which are drawn at a mean interval of meanReservationInterval each.
@@ -144,6 +145,7 @@
 	p.drawLongHeld(allowed)
 	p.drawManySenders(allowed)
 	p.drawSilentCrashes(allowed)
+	p.drawSignals(allowed)
 	slices.SortStableFunc(p.steps, func(a, b Step) int { return int(a.At - b.At) })
 	return p.steps
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"os"
 	"os/exec"
 	"sync"
 	"sync/atomic"
@@ -29,7 +28,8 @@
 
 // Process is a program under test with its state.
 type Process struct {
-	name, ip, program, settingsFile, logFile string
+	name, ip, program, settingsFile string
+	log                             *LogPipe
 	// readyURL is the readiness probe of a gateway; empty for stagers.
 	readyURL string
 	// callerAddress is the address for callers.
@@ -53,13 +53,8 @@
 
 // Start starts the program. The kernel kills it if the soak process ends.
 func (p *Process) Start() error {
-	f, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	defer f.Close()
 	c := exec.Command(p.program, "--settings", p.settingsFile) //nolint:gosec // the program under test, as the command line names it
-	c.Stdout, c.Stderr = f, f
+	c.Stdout, c.Stderr = p.log.writer, p.log.writer
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	p.endExpected.Store(false)
 	p.termAt.Store(0)
@@ -94,6 +89,7 @@
 	p.mu.Lock()
 	c, ended := p.cmd, p.ended
 	p.mu.Unlock()
+	defer p.log.Close()
 	if c == nil {
 		return
 	}
