Take a response with an invalid status for a failed answer

An upstream in trouble sent an answer whose status was 000. Callers waited for their whole deadline (504), or got the answer's body as their answer, sealed, if it had the form of a response; a status of 600 or 999 reached callers of unsafe requests with the upstream's seal.

Every status below 200 was taken for an interim one, after which the next response is read; net/http parses 000 to 999 and "+20". What follows the header of an interim response is the next response, also where it is the body of one that has no interim status, or that must not have a body.

Interim is now 100 to 199 without 101, and without a length or chunks (RFC 9110, 15.2; RFC 9112, 6). All else outside 200 to 599 ends the attempt at once as upstream_answer_invalid: a failure of the upstream with an unknown outcome, even if the answer states that the request was not run. The connection is closed. Requests that may be repeated go on elsewhere, others get 502; a stream is continued, and such an answer wins no hedge. The line "invalid answer of an upstream" has the status code.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -93,6 +93,10 @@
 		f.attempts--
 		t.tracked.RecordFailure()
 		return notRunError("no connection to the upstream", refusedRetryAfter)
+	case errors.Is(err, upconn.ErrInvalidResponse):
+		f.gateway.log.Warn().Str("instance", string(t.choice.Instance)).Str("upstream", t.choice.Address).Err(err).Msg("invalid answer of an upstream")
+		t.invalidAnswer = true
+		return t.handleBreak("the upstream's answer is invalid")
 	case err != nil:
 		return t.handleBreak("the upstream broke off before its answer")
 	}
@@ -205,6 +209,8 @@
 	// answerComplete is true once the response has been read to its end, so that the connection can be reused.
 	answerComplete bool
 	startRecorded  bool
+	// invalidAnswer is true of an attempt whose upstream sent what HTTP does not allow.
+	invalidAnswer bool
 	// writtenRecorded is true once an answer was recorded that has been written for some time.
 	writtenRecorded bool
 	// startedAt is when the attempt was about to be sent.
--- a/internal/gateway/attempt_end.go
+++ b/internal/gateway/attempt_end.go
@@ -37,6 +37,7 @@
 	endVersionOver    endReason = "version_over"
 	endLoading        endReason = "upstream_loading"
 	endBrokeOff       endReason = "upstream_broke_off"
+	endInvalid        endReason = "upstream_answer_invalid"
 	// endUnread is an answer that the upstream cut off while the caller read it too slowly.
 	endUnread endReason = "caller_read_too_slowly"
 )
@@ -80,6 +81,8 @@
 		return endVersionOver
 	case t.ctx.Err() != nil:
 		return endStalled
+	case t.invalidAnswer:
+		return endInvalid
 	case g.aboutToLoad(t.choice.Address):
 		return endLoading
 	case t.pace.isUnread():
--- a/internal/gateway/broken.go
+++ b/internal/gateway/broken.go
@@ -31,7 +31,7 @@
 		// An upstream cancels its requests before it loads weights, which is no failure, unless it crashed under one of
 		// them.
 		f.gateway.crashDetector.RequestBroken(t.upstreamIncarnation(), t.followed.Request(), t.startedAt)
-	case endBrokeOff:
+	case endBrokeOff, endInvalid:
 		t.tracked.RecordFailure()
 		f.gateway.connections.CloseIdle(t.choice.Address)
 		f.gateway.crashDetector.RequestBroken(t.upstreamIncarnation(), t.followed.Request(), t.startedAt)
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -133,9 +133,12 @@
 			return err
 		}
 		e.conn.head.end()
-		if a.StatusCode < http.StatusOK {
+		if isInterim(a) {
 			continue
 		}
+		if a.StatusCode < http.StatusOK || a.StatusCode > maxStatus {
+			return trace.Wrap(ErrInvalidResponse, "status code %d", a.StatusCode)
+		}
 		if e.pool.isResponseTo(r.Header, a.Header) {
 			e.Response = a
 			return nil
@@ -147,6 +150,17 @@
 	return errors.New("received only responses to other requests")
 }
 
+// maxStatus is the highest valid status code (RFC 9110, section 15).
+const maxStatus = 599
+
+// isInterim reports whether another response follows on the connection. A response with an interim status and a body is
+// invalid (RFC 9112, section 6): what follows its header may be that body. The status 101 answers requests for another
+// protocol only, which are never sent.
+func isInterim(a *http.Response) bool {
+	interim := a.StatusCode >= http.StatusContinue && a.StatusCode < http.StatusOK && a.StatusCode != http.StatusSwitchingProtocols
+	return interim && a.ContentLength <= 0 && a.Header.Get("Content-Length") == "" && len(a.TransferEncoding) == 0
+}
+
 // skip reads the body of a response to another request to its end.
 func (e *Exchange) skip(body io.Reader) error {
 	start, skipped := e.pool.now(), 0
--- a/internal/upconn/request.go
+++ b/internal/upconn/request.go
@@ -23,6 +23,8 @@
 	ErrSendDenied = errors.New("the request was denied after its connection was established")
 	// ErrOutcomeUnknown reports that the request was sent, at least in part, and no complete response was received.
 	ErrOutcomeUnknown = errors.New("the upstream may have run the request, but sent no complete response")
+	// ErrInvalidResponse reports that the upstream sent a response that HTTP does not allow. It is joined to ErrOutcomeUnknown.
+	ErrInvalidResponse = errors.New("the upstream sent an invalid response")
 )
 
 // Request is an HTTP request to an upstream. Its header contains no hop-by-hop fields.
