--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -153,7 +153,7 @@
 	switch {
 	case a.StatusCode == http.StatusConflict:
 		return trace.Wrap(ErrStaleFence)
-	case a.StatusCode >= http.StatusMultipleChoices:
+	case a.StatusCode < http.StatusOK || a.StatusCode >= http.StatusMultipleChoices:
 		text, _ := io.ReadAll(io.LimitReader(a.Body, 512))
 		return trace.Wrap(ErrUnreachable, "status %d: %s", a.StatusCode, text)
 	case result == nil:
