Report answers with an invalid status as failed on the entry's own interface

An upstream that answered 000, 600 or the like made the agent beside it pass that status on. Of 000 and 099 the entry's HTTP server panicked, which broke off its caller's connection; 600 and 999 reached callers as answers.

Agents report such an answer as failed, with an unknown outcome, and so do entries that get it from an agent of an older release. Which codes are valid is said in one place, internal/httpconn.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/httpconn"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/router"
@@ -73,6 +74,9 @@
 	case *pb.RunResponse_Failed:
 		return t.unknownOutcome(part.Failed.GetDetail())
 	case *pb.RunResponse_Head:
+		if !httpconn.IsFinalStatus(int(part.Head.GetStatus())) {
+			return t.unknownOutcome("the answer has an invalid status code")
+		}
 		t.answerStarted = true
 		return sinkError(t.sink.Head(part.Head))
 	case *pb.RunResponse_Data:
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -28,15 +28,20 @@
 
 // newDispatcher returns a dispatcher with one upstream, whose agent begins each request and does not answer.
 func newDispatcher(dial dialFunc, begun chan struct{}) *Dispatcher {
-	c := kernel.NewClock(time.Now)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	s := rpc.NewWithDialer(l, dial, c)
-	s.Handle("/", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	return newDispatcherTo(dial, "/", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		begun <- struct{}{}
 		<-r.Context().Done()
 	}))
+}
+
+// newDispatcherTo returns a dispatcher with one upstream, whose agent serves a path with a handler.
+func newDispatcherTo(dial dialFunc, path string, agent http.Handler) *Dispatcher {
+	c := kernel.NewClock(time.Now)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := rpc.NewWithDialer(l, dial, c)
+	s.Handle(path, agent)
 	up := &pb.VMStatus{Vm: &pb.VM{Id: "vm", Domain: "d", Pool: "p", Address: l.Addr().String()}, UpstreamUp: true}
 	r := router.New("d", config.NewState, func() []*pb.VMStatus { return []*pb.VMStatus{up} },
 		func() <-chan struct{} { return nil }, membership.NewList(), kernel.NewEventRing(c, 64))
--- a/internal/httpconn/set.go
+++ b/internal/httpconn/set.go
@@ -1,4 +1,5 @@
-// Package httpconn ends the connections of an HTTP server without losing requests.
+// Package httpconn holds what HTTP connections need beyond package net/http: it ends those of a server without losing requests,
+// and tells which status codes are valid.
 package httpconn
 
 import (
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/springrail/springrail/internal/dial"
+	"github.com/springrail/springrail/internal/httpconn"
 	"github.com/springrail/springrail/internal/id"
 )
 
@@ -136,7 +137,7 @@
 		if isInterim(a) {
 			continue
 		}
-		if a.StatusCode < http.StatusOK || a.StatusCode > maxStatus {
+		if !httpconn.IsFinalStatus(a.StatusCode) {
 			return trace.Wrap(ErrInvalidResponse, "status code %d", a.StatusCode)
 		}
 		if e.pool.isResponseTo(r.Header, a.Header) {
@@ -150,9 +151,6 @@
 	return errors.New("received only responses to other requests")
 }
 
-// maxStatus is the highest valid status code (RFC 9110, section 15).
-const maxStatus = 599
-
 // isInterim reports whether another response follows on the connection. A response with an interim status and a body is
 // invalid (RFC 9112, section 6): what follows its header may be that body. The status 101 answers requests for another
 // protocol only, which are never sent.
--- a/internal/upstream/request_handler.go
+++ b/internal/upstream/request_handler.go
@@ -14,6 +14,7 @@
 	"connectrpc.com/connect"
 
 	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/httpconn"
 	"github.com/springrail/springrail/internal/id"
 	"github.com/springrail/springrail/internal/kernel"
 	"github.com/springrail/springrail/internal/rpc"
@@ -244,6 +245,9 @@
 	if of := got.Header.Get("X-Request-Id"); of != a.request.GetRequestId() {
 		return a.sendFailed(fmt.Sprintf("the upstream's answer is of another request (%q)", of))
 	}
+	if !httpconn.IsFinalStatus(got.StatusCode) {
+		return a.sendFailed(fmt.Sprintf("the upstream answered with the invalid status code %d", got.StatusCode))
+	}
 	if v := got.Header.Get("X-Model-Version"); d.hasEngine && v != string(a.version) && got.StatusCode == http.StatusOK {
 		return a.sendFailed(fmt.Sprintf("the engine served version %q, not %q", v, a.version))
 	}
--- a/internal/upstream/shutdown_test.go
+++ b/internal/upstream/shutdown_test.go
@@ -16,9 +16,15 @@
 	"github.com/springrail/springrail/internal/rpc"
 )
 
-// startAgent serves requests of a plain service whose upstream does not answer. The returned function ends the process after a
-// shutdown.
-func startAgent(sent *atomic.Int32) (springrailv1connect.UpstreamServiceClient, func(within time.Duration)) {
+// stayUnanswered is an upstream that does not answer.
+func stayUnanswered(r *http.Request) (*http.Response, error) {
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
+
+// startAgent serves requests of a plain service with the given answers of its upstream. The returned function ends the process
+// after a shutdown.
+func startAgent(sent *atomic.Int32, answer func(r *http.Request) (*http.Response, error)) (springrailv1connect.UpstreamServiceClient, func(within time.Duration)) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	c := kernel.NewClock(time.Now)
@@ -27,8 +33,7 @@
 		vm: "vm", capacity: 8, live: NewLiveVersions(), idempotency: NewIdempotencyCache(time.Now), events: kernel.NewEventRing(c, 64),
 		send: func(r *http.Request, _ bool) (*http.Response, error) {
 			sent.Add(1)
-			<-r.Context().Done()
-			return nil, r.Context().Err()
+			return answer(r)
 		},
 		url: func(path string) string { return "http://127.0.0.1" + path }, running: map[*responseStream]context.CancelFunc{}, drained: make(chan struct{}),
 	}
@@ -47,7 +52,7 @@
 var _ = Describe("a graceful shutdown of an agent", func() {
 	DescribeTable("reports a request that it can't complete as one that may have run, and breaks off no answer", func(key string) {
 		var sent atomic.Int32
-		client, leave := startAgent(&sent)
+		client, leave := startAgent(&sent, stayUnanswered)
 		var failed *pb.RunFailed
 		done := make(chan error, 1)
 		go func() {
