--- a/internal/soak/signals.go
+++ b/internal/soak/signals.go
@@ -106,7 +106,7 @@
 			kernel.Pause(ctx, time.Duration(r.Int64N(int64(maxSignalGap))))
 		}
 	}
-	_ = os.WriteFile(p.settingsFile, settings, 0o600)
+	p.writeSettings(settings)
 	_ = p.log.Attach()
 }
 
@@ -114,13 +114,17 @@
 func (p *Process) changeSettings(r *rand.Rand, settings []byte) {
 	switch r.IntN(4) {
 	case 0:
-		_ = os.WriteFile(p.settingsFile, settings, 0o600)
+		p.writeSettings(settings)
 	case 1:
 		changed := strings.Replace(string(settings), "drain = ", "log_level = \"warn\"\ndrain = ", 1)
-		_ = os.WriteFile(p.settingsFile, []byte(changed), 0o600)
+		p.writeSettings([]byte(changed))
 	case 2:
-		_ = os.WriteFile(p.settingsFile, settings[:r.IntN(len(settings))], 0o600)
+		p.writeSettings(settings[:r.IntN(len(settings))])
 	case 3:
 		_ = os.Remove(p.settingsFile)
 	}
 }
+
+func (p *Process) writeSettings(text []byte) {
+	_ = os.WriteFile(p.settingsFile, text, 0o600) //nolint:gosec // the path is the soak's own
+}
