Skip interim responses without counting them as answers

Callers of an upstream that had sent four interim responses, such as 102 while it works on a long request, got 502 although its answer followed: interim responses shared the bound of four for responses to other requests.

They now share the bound of the header that they precede, 256 KB, which RFC 9110 (15.2) lets a client do, and which ends interim responses without end as it ends a long header.

The spec sends 100 of them before an answer.

--- a/internal/upconn/head_test.go
+++ b/internal/upconn/head_test.go
@@ -86,6 +86,14 @@
 		Entry("000 after a late response to another request", response("b", "late")+head("000 x", "", "")),
 	)
 
+	// Guards against a request that fails because its upstream says several times that it works on it.
+	It("that is interim is skipped any number of times within the bound of a header", func() {
+		interim := "HTTP/1.1 102 Processing\r\n\r\n"
+		Expect(sendTo(strings.Repeat(interim, 100) + sealed)).To(Equal("smuggled"))
+		_, err := sendTo(strings.Repeat(interim, 2*maxResponseHeadBytes/len(interim)) + sealed)
+		Expect(err).To(MatchError(errHeadTooLong))
+	})
+
 	DescribeTable("that is interim is skipped", func(status string) {
 		Expect(sendTo(head(status, "", sealed))).To(Equal("smuggled"))
 	}, Entry("100", "100 Continue"), Entry("102", "102 Processing"), Entry("103", "103 Early Hints"), Entry("199", "199 x"))
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -125,21 +125,13 @@
 	}
 }
 
-// readHead reads the header of the response, and skips informational responses and those to other requests.
+// readHead reads the header of the response, and skips responses to other requests.
 func (e *Exchange) readHead(r *Request) error {
 	for range maxResponseHeads {
-		e.conn.head.start()
-		a, err := http.ReadResponse(e.conn.r, &http.Request{Method: r.Method}) //nolint:bodyclose // Release closes the connection
+		a, err := e.readFinal(r.Method) //nolint:bodyclose // Release closes the connection
 		if err != nil {
 			return err
 		}
-		e.conn.head.end()
-		if isInterim(a) {
-			continue
-		}
-		if !httpconn.IsFinalStatus(a.StatusCode) {
-			return trace.Wrap(ErrInvalidResponse, "status code %d", a.StatusCode)
-		}
 		if e.pool.isResponseTo(r.Header, a.Header) {
 			e.Response = a
 			return nil
@@ -151,6 +143,24 @@
 	return errors.New("received only responses to other requests")
 }
 
+// readFinal reads the header of the next response, and skips the interim ones before it. Together they are bounded as one
+// header.
+func (e *Exchange) readFinal(method string) (*http.Response, error) {
+	e.conn.head.start()
+	defer e.conn.head.end()
+	for {
+		a, err := http.ReadResponse(e.conn.r, &http.Request{Method: method}) //nolint:bodyclose // Release closes the connection
+		switch {
+		case err != nil:
+			return nil, err
+		case httpconn.IsFinalStatus(a.StatusCode):
+			return a, nil
+		case !isInterim(a):
+			return nil, trace.Wrap(ErrInvalidResponse, "status code %d", a.StatusCode)
+		}
+	}
+}
+
 // isInterim reports whether another response follows on the connection. A response with an interim status and a body is
 // invalid (RFC 9112, section 6): what follows its header may be that body. The status 101 answers requests for another
 // protocol only, which are never sent.
