--- a/internal/cmd/signals.go
+++ b/internal/cmd/signals.go
@@ -26,7 +26,8 @@
 	return s
 }
 
-// WatchStops returns a context that ends with the given one or at the first SIGTERM or SIGINT. Later ones change nothing.
+// WatchStops returns a context that ends with the given one or at the first SIGTERM or SIGINT. Later ones change nothing. Before
+// the call both end the process, which holds no requests yet.
 func (s *Signals) WatchStops(ctx context.Context, l *log.Logger) context.Context {
 	signal.Notify(s.stops, syscall.SIGTERM, syscall.SIGINT)
 	stopping, stop := context.WithCancel(ctx)
--- a/internal/gateway/attempt_end.go
+++ b/internal/gateway/attempt_end.go
@@ -37,7 +37,8 @@
 	endVersionOver    endReason = "version_over"
 	endLoading        endReason = "upstream_loading"
 	endBrokeOff       endReason = "upstream_broke_off"
-	endInvalid        endReason = "upstream_answer_invalid"
+	// endInvalid is an answer that HTTP does not allow, as with the status 000.
+	endInvalid endReason = "upstream_answer_invalid"
 	// endUnread is an answer that the upstream cut off while the caller read it too slowly.
 	endUnread endReason = "caller_read_too_slowly"
 )
