Pass the standard library's log lines to the log sink

net/http logs failed connections and failing accepts to standard error, in the goroutine that serves them. With a collector that runs and does not read, callers at these connections, and all new ones after a failed accept, waited for good once the pipe was full (64 KB).

The lines go to the log sink, which never blocks, as warnings.

The spec logs 1 MB under a request in flight while nobody reads standard error.

--- a/internal/cmd/daemon.go
+++ b/internal/cmd/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	stdlog "log"
 	"os"
 	"reflect"
 	"time"
@@ -75,6 +76,7 @@
 func runDaemon(name, file string, parts []kernel.Part, sections map[string]kernel.Section, signals *Signals) int {
 	sink := logsink.New(os.Stdout)
 	l := newLogger(sections["process"].(*kernel.ProcessSettings), sink)
+	redirectStandardLog(l)
 	h, err := kernel.NewHost(parts, sections, l, kernel.NewClock(time.Now))
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s: can't start: %v\n", name, err)
@@ -113,6 +115,15 @@
 	}
 }
 
+// redirectStandardLog passes what the standard library logs, as net/http does on failed connections, to the log sink. Written to
+// standard error, such a line would block its connection while nobody reads there.
+func redirectStandardLog(l *log.Logger) {
+	warnings := *l
+	warnings.Level = log.WarnLevel
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(warnings.Std("", 0).Writer())
+}
+
 // reloadSettings reads the settings file again and logs which sections changed. Only the log level takes effect at once;
 // all other settings take effect at the next start. An invalid file changes nothing.
 func reloadSettings(l *log.Logger, file string, parts []kernel.Part, current map[string]kernel.Section) {
--- a/internal/cmd/daemon_test.go
+++ b/internal/cmd/daemon_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -26,6 +27,9 @@
 	// daemonVariable is the environment variable that makes the test binary run as a daemon with the holder part.
 	daemonVariable = "SPRINGRAIL_TEST_DAEMON"
 	holderName     = "holder"
+	// pipeBytes is more than a pipe holds that nobody reads.
+	pipeBytes  = 1 << 20
+	stdlogLine = "a line of the standard library's log, as package net/http writes them for each connection that fails"
 )
 
 func TestMain(m *testing.M) {
@@ -77,6 +81,11 @@
 		fmt.Fprintln(os.Stderr, "line")
 		fmt.Fprint(w, h.Metrics())
 	})
+	mux.HandleFunc("/stdlog", func(http.ResponseWriter, *http.Request) {
+		for range pipeBytes / len(stdlogLine) {
+			stdlog.Print(stdlogLine)
+		}
+	})
 	p.server = &http.Server{Handler: mux}
 	return p, nil
 }
@@ -118,7 +127,7 @@
 }
 
 type logLine struct {
-	Message, Signal, Address, Problem string
+	Message, Signal, Address, Problem, Level string
 }
 
 const settingsText = "[process]\nvm = \"vm-1\"\ndomain = \"a\"\n"
@@ -136,7 +145,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	outEnd.Close()
 	errorEnd.Close()
-	d := &daemon{process: p, settings: settings, out: out, errorOutput: errorOutput, lines: make(chan logLine, 1000)}
+	d := &daemon{process: p, settings: settings, out: out, errorOutput: errorOutput, lines: make(chan logLine, 10000)}
 	DeferCleanup(func() { _ = p.Kill() })
 	go d.readLog()
 	return d
@@ -283,6 +292,21 @@
 	})
 })
 
+var _ = Describe("a daemon whose standard error is not read, although its reader runs", func() {
+	// Guards against package net/http, which blocks its connections while it writes to standard error.
+	It("serves on while the standard library logs", func() {
+		d, answer := startHolding()
+		c := &http.Client{Timeout: 5 * time.Second}
+		a, err := c.Get("http://" + d.address + "/stdlog")
+		Expect(err).NotTo(HaveOccurred())
+		a.Body.Close()
+		Expect(d.waitFor(stdlogLine + "\n").Level).To(Equal("warn"))
+		_, err = d.get("/release")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer()).To(Equal("begun complete"))
+	})
+})
+
 var _ = Describe("a daemon that starts", func() {
 	// Guards against a SIGHUP that arrives before its handler and ends the process.
 	It("is not ended by SIGHUP while it reads its settings, and reads them again", func() {
