Do not take the gateway's own read deadline for a caller who left

The read deadline of the caller's connection was the request's deadline. A read that fails, also by its deadline, makes net/http end the context of the request, as if the caller had left; whether that or the request's own timer came first was a race.

A caller who left in the midst of a long body ends its exchange at the upstream at once, before and after.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -88,9 +88,18 @@
 	f.buffers.add(uploadBufferBytes)
 	f.upload = &streamedBody{body: body}
 	f.unreadBody = f.upload
+	f.boundUpload()
 	return true
 }
 
+// boundUpload lets the context end a streamed body, and the connection only some time later. When a read fails, also by its
+// deadline, the server ends the request's context as if the caller had left, and the request would get no answer.
+func (f *callerRequest) boundUpload() {
+	f.progress.mu.Lock()
+	defer f.progress.mu.Unlock()
+	_ = http.NewResponseController(f.writer).SetReadDeadline(clock.DeadlineAfter(f.remaining() + unreadBodyTimeout))
+}
+
 // bufferBody reads up to maxBufferedBody. It returns nil if the buffer is full, and io.EOF if the body ended before.
 // Space for a stated length is reserved before anything is read; the buffer grows as the body arrives.
 func (f *callerRequest) bufferBody(body io.Reader) error {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -258,10 +258,16 @@
 // maxRetries bounds the retries of one request at other upstreams, also after refused connections.
 const maxRetries = 4
 
+// callerLeft reports whether the caller's connection ended before anything else ended the request. A read deadline of the gateway
+// ends the context of the server's request as well, so that nothing is known of the caller after the request's own deadline.
+func (f *callerRequest) callerLeft() bool {
+	return errors.Is(context.Cause(f.ctx), context.Canceled) && f.remaining() > 0
+}
+
 // answerFailure answers a request whose attempts have all failed.
 func (f *callerRequest) answerFailure(ctx context.Context, p *attemptError) {
 	switch {
-	case f.httpRequest.Context().Err() != nil:
+	case f.callerLeft():
 		f.gateway.metrics.count("caller_left")
 		f.logLine("caller left", p.text)
 		panic(http.ErrAbortHandler)
@@ -271,7 +277,8 @@
 		panic(http.ErrAbortHandler)
 	case p.notRun && f.allNotRun:
 		f.refuse(p.text, p.retryAfter)
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded), errors.Is(context.Cause(ctx), context.Canceled):
+		// The server ended the context after the deadline; before it, the caller has left.
 		f.fail(http.StatusGatewayTimeout, p.text)
 	default:
 		f.fail(http.StatusBadGateway, p.text)
