Confirm a version that no record has by a second report of the upstream

A version that an upstream serves counts as published, so that processes that start with old records do not go back to an older one. One reading was enough for that, it was passed on to all, and none of them goes back.

A stager reads again at once if a report has a version newer than any that it knows, and believes it only if two reports in succession agree; after four that do not, the upstream counts as unread. All other processes have it from stagers, so none passes on or keeps what is not confirmed. A server that serves a newer version than the records costs one more call, once.

--- a/internal/stager/part.go
+++ b/internal/stager/part.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"net"
 	"slices"
@@ -209,7 +210,7 @@
 func (s *Stager) pollUpstream(ctx context.Context) bool {
 	readAt := s.now()
 	s.polledAt.Store(readAt.UnixNano())
-	state, err := s.ports.Upstream.State(ctx)
+	state, err := s.readConfirmed(ctx)
 	for _, h := range state.Held {
 		// This precedes the update of the state: an upstream that serves a newer version than any record has would
 		// otherwise be reverted.
@@ -237,6 +238,35 @@
 	return changed
 }
 
+// maxConfirmReads bounds the reports that are read until two in succession state the same versions.
+const maxConfirmReads = 4
+
+// errReportsDiffer reports that no two reports in succession state the same versions.
+var errReportsDiffer = errors.New("successive reports of the upstream state different versions")
+
+// readConfirmed reads the upstream's state. If that has a version newer than any known one, it is read again until two reports
+// in succession agree: the version is passed on to all processes as published, and they never go back to an older one.
+func (s *Stager) readConfirmed(ctx context.Context) (State, error) {
+	state, err := s.ports.Upstream.State(ctx)
+	for n := 1; err == nil && s.hasUnknownVersion(state); n++ {
+		if n == maxConfirmReads {
+			return State{}, errReportsDiffer
+		}
+		before := state
+		state, err = s.ports.Upstream.State(ctx)
+		if err == nil && sameHeld(before.Held, state.Held) {
+			return state, nil
+		}
+		s.log.Warn().Err(err).Msg("a version that one report of the upstream states is not confirmed by the next")
+	}
+	return state, err
+}
+
+// hasUnknownVersion reports whether the upstream serves a version that is newer than any known one.
+func (s *Stager) hasUnknownVersion(state State) bool {
+	return slices.ContainsFunc(state.Held, func(h facts.Held) bool { return s.facts.Wanted(h.Model).Revision < h.Revision })
+}
+
 // limitWhileCold returns the rate limit of the upstream: the one that it announces, or the cold rate of its pool if that is
 // lower, while the list of upstreams has it as cold.
 func (s *Stager) limitWhileCold(announced throttle.LimitInfo) throttle.LimitInfo {
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -78,6 +78,8 @@
 	// misstated is what the next answer about the newest version states instead, and unpublished the first version without a
 	// manifest; 0 for none.
 	misstated, unpublished id.Revision
+	// misread holds the versions that the next reports state instead of the served one.
+	misread []id.Revision
 	// onLastChunkRead runs once, when the last staged chunk has been read.
 	onLastChunkRead func()
 	// onPoll runs before each read of the state.
@@ -120,7 +122,12 @@
 			if e.down {
 				return State{}, errUnavailable
 			}
-			return e.state, nil
+			state := e.state
+			if len(e.misread) > 0 {
+				state.Held = []facts.Held{{Model: "m", Revision: e.misread[0]}}
+				e.misread = e.misread[1:]
+			}
+			return state, nil
 		},
 		StagedChunks: func(context.Context, id.Model) ([]id.Chunk, error) {
 			e.mu.Lock()
