--- a/internal/reports/held_answer_test.go
+++ b/internal/reports/held_answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -41,12 +42,19 @@
 			}
 		}()
 	})
-	// join starts a gateway that holds something, and counts how often it lists that for an answer.
-	join := func(h []*pb.HeldNews, complete bool, delay time.Duration) (s *Subscriber, answers chan bool) {
+	// join starts a gateway that holds something, and counts how often it lists that for an answer. A function stored in onNews
+	// gets its news from then on.
+	join := func(h []*pb.HeldNews, complete bool, delay time.Duration) (s *Subscriber, answers chan bool, onNews *atomic.Pointer[func(*pb.CrashNews)]) {
 		f := facts.New(time.Now)
 		f.SetCatalog(catalog.New(1, nil, []*catalog.Service{{Name: "p", Engine: &catalog.Engine{}}}, nil, catalog.Limits{}))
 		f.SetInstance(&facts.Instance{ID: "i", Pool: "p", Address: address})
 		s, answers = NewSubscriber(newSocket(), portOf(r.conn), id.Domain("d"), f, time.Now, discardLog), make(chan bool, 100)
+		onNews = new(atomic.Pointer[func(*pb.CrashNews)])
+		s.OnCrashNews = func(n *pb.CrashNews) {
+			if take := onNews.Load(); take != nil {
+				(*take)(n)
+			}
+		}
 		s.Held = HeldSource{
 			List:     func() []*pb.HeldNews { answers <- true; return append([]*pb.HeldNews(nil), h...) },
 			Evidence: func() *pb.CrashNews { return evidence },
@@ -54,14 +62,14 @@
 		}
 		running := ctx
 		go func() { _ = s.Run(running) }()
-		return s, answers
+		return s, answers, onNews
 	}
 	count := func() int { return len(remembered(r)) }
 
 	it("is sent by a gateway after the stager's start, once", func() {
 		join(numberedHolds(7), true, 0)
 		Eventually(count).Should(Equal(7))
-		_, late := join(numberedHolds(7), true, 100*time.Millisecond)
+		_, late, _ := join(numberedHolds(7), true, 100*time.Millisecond)
 		Consistently(late).WithTimeout(300 * time.Millisecond).ShouldNot(Receive())
 	})
 
@@ -69,15 +77,16 @@
 		evidence = &pb.CrashNews{Remembered: []*pb.UpstreamEnd{numberedCrash(1, time.Minute, 40)}}
 		join(nil, true, 0)
 		Eventually(func() int { return len(suspected(r)) }).Should(Equal(1))
-		s, _ := join(nil, true, 0)
+		s, _, onNews := join(nil, true, 0)
 		requests, known := make(chan *pb.PresentRequest, 1000), map[uint32]bool{}
-		s.OnCrashNews = func(n *pb.CrashNews) {
+		take := func(n *pb.CrashNews) {
 			for _, e := range n.GetRemembered() {
 				for _, p := range e.GetRequests() {
 					requests <- p
 				}
 			}
 		}
+		onNews.Store(&take)
 		s.AskHeld(5)
 		Eventually(func() int {
 			for len(requests) > 0 {
@@ -88,15 +97,16 @@
 	})
 
 	it("is sent by a gateway that does not know all records as well, but not taken for complete", func() {
-		s, _ := join(numberedHolds(2), false, 0)
+		s, _, onNews := join(numberedHolds(2), false, 0)
 		Eventually(count).Should(Equal(2))
 		answers := make(chan *pb.CrashNews, 100)
-		s.OnCrashNews = func(n *pb.CrashNews) { answers <- n }
+		take := func(n *pb.CrashNews) { answers <- n }
+		onNews.Store(&take)
 		s.AskHeld(5)
 		var n *pb.CrashNews
 		Eventually(answers).WithTimeout(3 * time.Second).Should(Receive(&n))
 		Expect(n.GetIncomplete()).To(BeTrue())
-		_, complete := join(numberedHolds(2), true, 0)
+		_, complete, _ := join(numberedHolds(2), true, 0)
 		Eventually(complete).WithTimeout(3 * time.Second).Should(Receive())
 		Eventually(func() bool {
 			for len(answers) > 0 {
