Soak: a SIGTERM of a series may end a process before its planned one

A stager ends within a fraction of a second of its first SIGTERM, which a series may send before the soak's own: the end counted as unexpected if the soak's process was held up between the two. Found by reading, never seen.

--- a/internal/soak/signals.go
+++ b/internal/soak/signals.go
@@ -76,6 +76,8 @@
 	p.sendSignals(ctx, r, settings, reloadSignals, time.Duration(r.Int64N(int64(maxBeforeStop))))
 	end := p.history.BeginFault(p.name, spanTerminated)
 	stopping, ended := context.WithCancel(ctx)
+	// The first SIGTERM may come before the one of terminate.
+	p.endExpected.Store(true)
 	var sending sync.WaitGroup
 	sending.Go(func() { p.sendSignals(stopping, r, settings, stopSignals, drainTime) })
 	p.terminate(ctx)
