--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -367,6 +367,7 @@
 		Uint64("next_before", l.next.Offset()).Msg("the store was restored from an older copy")
 	if l.absences != nil {
 		l.absences.NoteListReturned()
+		l.logGrace("the store was restored from an older copy")
 	}
 }
 
--- a/internal/records/outage.go
+++ b/internal/records/outage.go
@@ -25,8 +25,9 @@
 		// process learned of a removal after 4.5 s.
 		return
 	}
-	if l.absences != nil {
+	if l.absences != nil && b.GraceUntil.After(l.now()) {
 		l.absences.ExtendGrace(b.GraceUntil)
+		l.logGrace("the source has one")
 	}
 	if l.started && l.next >= b.OutageEnd.next && b.OutageEnd.at.After(l.lastOutage.at) {
 		l.lastOutage = b.OutageEnd
@@ -34,9 +35,16 @@
 	if l.started && l.absences != nil && b.FirstReadAt.After(l.confirmedAt) {
 		// The source started after this process lost the store, so it cannot tell whether there was an outage.
 		l.absences.NoteListReturned()
+		l.logGrace("the source has started meanwhile")
 	}
 }
 
+// logGrace logs that upstreams without an entry are kept for a while. The caller holds the lock.
+func (l *Log) logGrace(reason string) {
+	l.log.Info().Int64("age_ms", l.now().Sub(l.confirmedAt).Milliseconds()).Int64("grace_ms", l.absences.RemainingGrace().Milliseconds()).Str("reason", reason).
+		Msg("upstreams without an entry are kept for a grace period")
+}
+
 // errStoreUnavailable is logged when the store gave no answer for longer than records stay fresh.
 var errStoreUnavailable = errors.New("no answer from the store for too long")
 
@@ -106,6 +114,7 @@
 		l.log.Info().Str("topic", l.topic.Name).Uint64("next", l.next.Offset()).Uint64("era", l.next.Era()).Msg("the store is back")
 		if l.absences != nil {
 			l.absences.NoteListReturned()
+			l.logGrace("the store was lost")
 		}
 	}
 	l.storeLost = err != nil
