Tell a hand-over of reading from an outage of the store

Callers: requests reached an upstream 2.1 to 3.0 s after its entry went (bound 2 s), where the store had turned away the process that reads for a failure domain.

Cause: a process whose records are older than 1.1 s takes a source that first read after that as no evidence of anything, and keeps each upstream without an entry for 2 s from then on. In a release, processes that have just started take over reading, though the store served all other failure domains. The grace period is then passed on to all others whose records are as old.

A process that reads the store after a break of 1.1 to 3 s, or for the first time, asks up to three stagers of other failure domains since when the store has been available, and followers get the answer with the records. If the store has been available since before the break, entries that went meanwhile have not lapsed for want of it. A longer break is taken for an outage as before: upstreams on machines that were cut off as long could not renew their entries. Evidence only ever takes a grace period away: without it, and with sources of earlier releases, all is as before.

--- a/internal/records/answer.go
+++ b/internal/records/answer.go
@@ -128,8 +128,10 @@
 		GraceUntil:  now.Add(time.Duration(t.GetGraceMs()) * time.Millisecond),
 		CaughtUpAt:  timeBefore(answeredAt, t.SettledMs),
 		FirstReadAt: timeBefore(answeredAt, t.BeganMs),
-		HasGap:      t.GapFrom != nil,
-		GapFrom:     id.Position(t.GetGapFrom()),
+		// Counted from the end of the request, so that the period is never taken to be longer.
+		AvailableSince: timeBefore(now, t.AvailableMs),
+		HasGap:         t.GapFrom != nil,
+		GapFrom:        id.Position(t.GetGapFrom()),
 	}
 	if n := id.Position(t.GetReturnedNext()); n > 0 {
 		// Without n, the offset that the source had read up to before the outage, it is unknown which records the outage
--- /dev/null
+++ b/internal/records/availability.go
@@ -0,0 +1,151 @@
+package records
+
+import (
+	"context"
+	"net"
+	"time"
+
+	pb "github.com/springrail/springrail/gen/springrail/v1"
+	"github.com/springrail/springrail/internal/facts"
+	"github.com/springrail/springrail/internal/id"
+	"github.com/springrail/springrail/internal/rendezvous"
+)
+
+// maxWitnesses bounds the processes of other failure domains that are asked since when the store has been available.
+const maxWitnesses = 3
+
+// isHandOver reports whether a batch follows a break in which the store is known to have served some process, so that only
+// this failure domain's reader had lost it. A longer break is none: upstreams on machines that were cut off as long could not
+// renew their entries. The caller holds the lock.
+func (l *Log) isHandOver(b Batch) bool {
+	missed := b.ConfirmedAt.Sub(l.confirmedAt)
+	return l.started && missed > maxFreshAge && missed <= outageThreshold &&
+		!b.AvailableSince.IsZero() && b.AvailableSince.Sub(l.confirmedAt) <= maxFreshAge
+}
+
+// noteAvailability updates since when the store is known to have been available. The caller holds the lock.
+func (l *Log) noteAvailability(b Batch) {
+	known := b.AvailableSince
+	if known.IsZero() {
+		known = b.ConfirmedAt
+	}
+	switch {
+	case b.ConfirmedAt.IsZero():
+	case !l.started || (b.ConfirmedAt.Sub(l.confirmedAt) > maxFreshAge && known.Sub(l.confirmedAt) > maxFreshAge):
+		l.availableSince = known
+	case known.Before(l.availableSince) && l.availableSince.Sub(b.ConfirmedAt) <= maxFreshAge:
+		l.availableSince = known
+	}
+}
+
+// needsWitness reports whether other failure domains can tell if the store was available while this process had no records
+// of it.
+func (l *Log) needsWitness() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	age := l.now().Sub(l.confirmedAt)
+	return l.topic.KeysAreUpstreams && l.started && age > maxFreshAge && age <= outageThreshold
+}
+
+// beginFirstRead makes followers wait for the end of firstReadDone. It reports whether this is the first reading of the list
+// of upstreams.
+func (l *Log) beginFirstRead() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settling = l.topic.KeysAreUpstreams && !l.started
+	return l.settling
+}
+
+// firstReadDone lets followers have the records, with the time since when the store is known to have been available; zero
+// if nobody could tell.
+func (l *Log) firstReadDone(availableSince time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settling = false
+	if !availableSince.IsZero() && availableSince.Before(l.availableSince) {
+		l.availableSince = availableSince
+	}
+}
+
+// availability returns the time since when the store is known to have been available, as of the age of the records; negative
+// if unknown.
+func (l *Log) availability() (available, age time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.started {
+		return -1, -1
+	}
+	now := l.now()
+	return ageOrUnknown(now, l.availableSince), ageOrUnknown(now, l.confirmedAt)
+}
+
+// availableElsewhere asks processes of other failure domains since when the store has been available; zero if none has fresh
+// records.
+func (f *Follower) availableElsewhere(ctx context.Context, l *Log) (since time.Time) {
+	targets := f.witnesses()
+	if len(targets) == 0 {
+		return time.Time{}
+	}
+	c := &pb.Claim{Topic: l.topic.Name, Claimant: f.self, Domain: string(f.domain), Witness: true}
+	requestedAt := f.now()
+	answers := f.askAll(ctx, targets, map[string]bool{f.self: true}, c, leaseRequestTimeout)
+	now := f.now()
+	for _, a := range answers {
+		until := timeBefore(requestedAt, a.AgeMs)
+		if a.AvailableMs == nil || until.IsZero() || now.Sub(until) > maxFreshAge {
+			continue
+		}
+		if s := timeBefore(now, a.AvailableMs); since.IsZero() || s.Before(since) {
+			since = s
+		}
+	}
+	f.log.Info().Int("asked", len(targets)).Int("answers", len(answers)).Int64("available_ms", ageOrUnknown(now, since).Milliseconds()).
+		Msg("other failure domains were asked whether the store was available")
+	return since
+}
+
+// answerWitness tells a process of another failure domain since when the store has been available.
+func (s *Service) answerWitness(c *pb.Claim) *pb.ClaimAnswer {
+	for _, l := range s.logs {
+		if l.topic.Name == c.GetTopic() {
+			available, age := l.availability()
+			return &pb.ClaimAnswer{AvailableMs: floorMillis(available), AgeMs: ceilMillis(age)}
+		}
+	}
+	return &pb.ClaimAnswer{}
+}
+
+// witnesses returns a function that lists stagers of other failure domains, one of each domain first.
+func witnesses(f *facts.Facts, d id.Domain, self string) func() []string {
+	_, port, err := net.SplitHostPort(self)
+	if err != nil {
+		return func() []string { return nil }
+	}
+	return func() (l []string) {
+		domainOf := map[id.VM]id.Domain{}
+		var vms []id.VM
+		for _, i := range f.Instances() {
+			host, _, err := net.SplitHostPort(i.Address)
+			if err == nil && i.Domain != d && len(i.Held) > 0 && !i.Leaving {
+				v := id.VM(net.JoinHostPort(host, port))
+				domainOf[v] = i.Domain
+				vms = append(vms, v)
+			}
+		}
+		asked := map[id.Domain]bool{}
+		var more []string
+		for _, v := range rendezvous.Order(witnessOrderKey+self, vms) {
+			if asked[domainOf[v]] {
+				more = append(more, string(v))
+				continue
+			}
+			asked[domainOf[v]] = true
+			l = append(l, string(v))
+		}
+		l = append(l, more...)
+		return l[:min(len(l), maxWitnesses)]
+	}
+}
+
+// witnessOrderKey makes the order of witnesses independent of other rendezvous orders of the same processes.
+const witnessOrderKey = "records/witnesses/"
--- a/internal/records/changes.go
+++ b/internal/records/changes.go
@@ -25,6 +25,9 @@
 	// offset up to which the topic had been read before that outage.
 	OutageEndAge time.Duration
 	OutageOffset id.Position
+	// AvailableAge is the time since the start of the period over which the store is known to have been available, up to
+	// Age; negative if unknown.
+	AvailableAge time.Duration
 	// FirstReadAge is the time since the topic was first read; negative if it was not.
 	FirstReadAge time.Duration
 	Digest       uint64
@@ -52,7 +55,7 @@
 	now := l.now()
 	c := Changes{LastChange: l.lastChange, Next: l.next, Age: now.Sub(l.confirmedAt), CaughtUpAge: ageOrUnknown(now, l.caughtUpAt), Digest: l.digest}
 	c.OutageEndAge, c.FirstReadAge = ageOrUnknown(now, l.lastOutage.at), ageOrUnknown(now, l.firstReadAt)
-	c.OutageOffset = l.lastOutage.next
+	c.OutageOffset, c.AvailableAge = l.lastOutage.next, ageOrUnknown(now, l.availableSince)
 	if l.absences != nil {
 		c.Grace = l.absences.RemainingGrace()
 	}
@@ -71,7 +74,7 @@
 			c.Records = append(c.Records, e.outgoing(e.previous.Position < cursor.Next, now, l.log))
 		}
 	}
-	return c, l.changed, l.started
+	return c, l.changed, l.started && !l.settling
 }
 
 // canResumeFrom reports whether a follower that has read everything up to an offset can get only the later changes.
--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -75,8 +75,8 @@
 	domain                       id.Domain
 	// gateways returns the known gateways of this failure domain, including this process once others have announced it.
 	gateways func() []string
-	// peers returns the stagers of this failure domain that the list of upstreams shows.
-	peers func() []string
+	// peers returns the stagers of this failure domain that the list of upstreams shows, and witnesses some of others.
+	peers, witnesses func() []string
 	// seeds are the configured addresses of other processes.
 	seeds []string
 	// ask sends a request to another process.
--- a/internal/records/lease_request.go
+++ b/internal/records/lease_request.go
@@ -112,6 +112,9 @@
 // its own from the store. A requester that is not refused becomes the hinted source here: its request announces the new
 // records sooner than polling would.
 func (s *Service) answerLeaseRequest(c *pb.Claim) *pb.FollowResponse {
+	if c.GetWitness() {
+		return &pb.FollowResponse{Claim: s.answerWitness(c)}
+	}
 	if c.GetDomain() != string(s.domain) {
 		return &pb.FollowResponse{Claim: &pb.ClaimAnswer{Rivals: s.remoteRequests.register(c)}}
 	}
--- a/internal/records/outage.go
+++ b/internal/records/outage.go
@@ -11,27 +11,33 @@
 // noteOutage updates what is known of store outages from a batch. The caller holds the lock.
 func (l *Log) noteOutage(b Batch) {
 	fresh := l.started && b.ConfirmedAt.Sub(l.confirmedAt) <= maxFreshAge
+	handOver := l.isHandOver(b)
+	l.noteAvailability(b)
 	if b.FromStore && b.Uninterrupted && l.started && !fresh {
 		// The store was unavailable, or too slow: this process was polling it throughout.
-		l.logAvailability(errStoreUnavailable, true)
+		l.logAvailability(errStoreUnavailable, true, false)
 	}
 	if b.FromStore && b.Uninterrupted && l.started && b.LastFailedAt.Sub(l.confirmedAt) > outageThreshold {
 		l.lastOutage = outageEnd{at: b.LastFailedAt, next: l.next}
 	}
-	l.logAvailability(nil, b.FromStore)
+	l.logAvailability(nil, b.FromStore, handOver)
 	if fresh {
 		// This process had fresh records throughout. Only its source had lost the store, so upstreams whose records are
 		// gone have left and get no grace period. With the grace period of a first reader that was cut off, the last
 		// process learned of a removal after 4.5 s.
 		return
 	}
+	if l.started && l.next >= b.OutageEnd.next && b.OutageEnd.at.After(l.lastOutage.at) {
+		l.lastOutage = b.OutageEnd
+	}
+	if handOver {
+		// Entries that went meanwhile have not lapsed for want of the store.
+		return
+	}
 	if l.absences != nil && b.GraceUntil.After(l.now()) {
 		l.absences.ExtendGrace(b.GraceUntil)
 		l.logGrace("the source has one")
 	}
-	if l.started && l.next >= b.OutageEnd.next && b.OutageEnd.at.After(l.lastOutage.at) {
-		l.lastOutage = b.OutageEnd
-	}
 	if l.started && l.absences != nil && b.FirstReadAt.After(l.confirmedAt) {
 		// The source started after this process lost the store, so it cannot tell whether there was an outage.
 		l.absences.NoteListReturned()
@@ -91,7 +97,7 @@
 	defer l.mu.Unlock()
 	l.storeFailedAt = l.now()
 	if l.now().Sub(l.confirmedAt) > maxFreshAge {
-		l.logAvailability(err, true)
+		l.logAvailability(err, true, false)
 	}
 }
 
@@ -103,8 +109,9 @@
 }
 
 // logAvailability logs when the records are lost and when they are available again. If another process provides them,
-// the store was not unavailable to all, and that process decides on a grace period. The caller holds the lock.
-func (l *Log) logAvailability(err error, fromStore bool) {
+// the store was not unavailable to all, and that process decides on a grace period; after a hand-over there is none. The
+// caller holds the lock.
+func (l *Log) logAvailability(err error, fromStore, handOver bool) {
 	switch {
 	case err != nil && !l.storeLost:
 		l.log.Warn().Err(err).Str("topic", l.topic.Name).Uint64("next", l.next.Offset()).Uint64("era", l.next.Era()).Msg("the store is lost")
@@ -112,7 +119,7 @@
 		l.log.Info().Str("topic", l.topic.Name).Uint64("next", l.next.Offset()).Uint64("era", l.next.Era()).Msg("another process provides the records")
 	case err == nil && l.storeLost:
 		l.log.Info().Str("topic", l.topic.Name).Uint64("next", l.next.Offset()).Uint64("era", l.next.Era()).Msg("the store is back")
-		if l.absences != nil {
+		if l.absences != nil && !handOver {
 			l.absences.NoteListReturned()
 			l.logGrace("the store was lost")
 		}
--- a/internal/records/part.go
+++ b/internal/records/part.go
@@ -117,13 +117,13 @@
 	o := newOrigin(self, now)
 	followers := newFollowerSet(now)
 	w := &Follower{
-		logs: logs, upstreamsGate: upstreamsGate, operatorsGate: operatorsGate, origin: o, peers: peers(f, d, self), self: self, domain: d, gateways: f.Gateways, now: now, log: l, metrics: metrics,
+		logs: logs, upstreamsGate: upstreamsGate, operatorsGate: operatorsGate, origin: o, peers: peers(f, d, self), witnesses: witnesses(f, d, self), self: self, domain: d, gateways: f.Gateways, now: now, log: l, metrics: metrics,
 		avoidUntil: map[string]time.Time{}, followsThisUntil: map[string]time.Time{}, withoutStoreUntil: map[string]time.Time{}, nextSnapshotAt: map[string]time.Time{}, startUntil: now().Add(s.StartWait), hint: t, seeds: withPortOf(self, s.Seeds), followers: followers,
 	}
 	return &Records{
 		readers: []*Reader{
-			{store: &p.Store, log: operators, facts: f, gate: operatorsGate, now: now, onStoreRead: o.setFromStore, backoff: w.storeBackoff, requestLease: w.requestLease, probeLog: upstreams, wait: s.ConfigWait},
-			{store: &p.Store, log: upstreams, facts: f, gate: upstreamsGate, now: now, onStoreRead: o.setFromStore, backoff: w.storeBackoff, requestLease: w.requestLease, probeLog: upstreams, pause: s.ListEvery},
+			{store: &p.Store, log: operators, facts: f, gate: operatorsGate, now: now, onStoreRead: o.setFromStore, backoff: w.storeBackoff, requestLease: w.requestLease, availableElsewhere: w.availableElsewhere, probeLog: upstreams, wait: s.ConfigWait},
+			{store: &p.Store, log: upstreams, facts: f, gate: upstreamsGate, now: now, onStoreRead: o.setFromStore, backoff: w.storeBackoff, requestLease: w.requestLease, availableElsewhere: w.availableElsewhere, probeLog: upstreams, pause: s.ListEvery},
 		},
 		follower: w,
 		service: &Service{
--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -34,6 +34,8 @@
 	backoff func() time.Duration
 	// requestLease asks the other processes of the failure domain for the lease to read the topic's snapshot.
 	requestLease func(ctx context.Context, l *Log, failed bool) bool
+	// availableElsewhere asks other failure domains since when the store has been available; zero if unknown.
+	availableElsewhere func(ctx context.Context, l *Log) time.Time
 	// probeLog is the log whose topic is probed to see whether the store is available: that of upstreams, whose records
 	// are short.
 	probeLog *Log
@@ -192,7 +194,7 @@
 		b.CaughtUpAt = time.Time{}
 	}
 	r.onStoreRead()
-	r.log.Merge(b)
+	r.merge(ctx, b)
 	r.announcePosition(a.Next)
 	return more, nil
 }
@@ -317,11 +319,25 @@
 	b := r.newBatch(requestedAt, 0)
 	b.Records, b.Snapshot, b.Next = l, true, next
 	r.onStoreRead()
-	r.log.Merge(b)
+	r.merge(ctx, b)
 	r.announcePosition(next)
 	return nil
 }
 
+// merge merges a batch. After a break, processes of other failure domains are asked whether the store was available.
+func (r *Reader) merge(ctx context.Context, b Batch) {
+	if r.log.needsWitness() {
+		b.AvailableSince = r.availableElsewhere(ctx, r.log)
+	}
+	if !r.log.beginFirstRead() {
+		r.log.Merge(b)
+		return
+	}
+	r.log.Merge(b)
+	// The list just read names the processes to ask.
+	r.log.firstReadDone(r.availableElsewhere(ctx, r.log))
+}
+
 // errNewerRecordsRead cancels a waiting read when another process has read newer records.
 var errNewerRecordsRead = errors.New("another process has read newer records")
 
--- a/internal/records/service.go
+++ b/internal/records/service.go
@@ -144,7 +144,7 @@
 	t := &pb.TopicChanges{
 		Topic: topic, Whole: c.Snapshot, From: c.LastChange, Next: uint64(c.Next), AgeMs: c.Age.Milliseconds(), GraceMs: c.Grace.Milliseconds(),
 		SettledMs: ceilMillis(c.CaughtUpAge), ReturnedMs: ceilMillis(c.OutageEndAge), BeganMs: ceilMillis(c.FirstReadAge), Digest: &c.Digest,
-		ReturnedNext: uint64(c.OutageOffset),
+		ReturnedNext: uint64(c.OutageOffset), AvailableMs: floorMillis(c.AvailableAge),
 	}
 	if c.HasGap {
 		from := uint64(c.GapFrom)
