Ask other failure domains also where the reader gets no answer from them

Cause: a stager that has just started and reads for its failure domain gets no answer from other domains in 150 ms, as its link is busy with weights. Its followers then begin a grace period as before.

Only followers with records 1.1 to 3 s old ask.

--- a/internal/records/answer.go
+++ b/internal/records/answer.go
@@ -1,6 +1,7 @@
 package records
 
 import (
+	"context"
 	"errors"
 	"math"
 	"slices"
@@ -15,7 +16,7 @@
 
 // mergeTopic merges the part of an answer on one topic, if that is fresh enough. A source may have one topic and lack
 // another, which this process then gets elsewhere.
-func (f *Follower) mergeTopic(i int, t *pb.TopicChanges, address string, answeredAt time.Time) error {
+func (f *Follower) mergeTopic(ctx context.Context, i int, t *pb.TopicChanges, address string, answeredAt time.Time) error {
 	f.logs[i].noteSourceReading(t.GetReading())
 	if t.GetReading().GetFirst() {
 		// The source has not numbered any change yet, so its changes from the first one on would not be complete.
@@ -25,6 +26,7 @@
 	if fresh := f.checkTopic(f.logs[i], t) == nil; !fresh {
 		return nil
 	}
+	f.askInPlaceOf(ctx, f.logs[i], t)
 	merged, err := f.mergeChanges(f.logs[i], t, answeredAt)
 	if errors.Is(err, errNoPatchBase) {
 		// Not an error of the source: this process has meanwhile read other records.
--- a/internal/records/availability.go
+++ b/internal/records/availability.go
@@ -19,8 +19,7 @@
 // renew their entries. The caller holds the lock.
 func (l *Log) isHandOver(b Batch) bool {
 	missed := b.ConfirmedAt.Sub(l.confirmedAt)
-	return l.started && missed > maxFreshAge && missed <= outageThreshold &&
-		!b.AvailableSince.IsZero() && b.AvailableSince.Sub(l.confirmedAt) <= maxFreshAge
+	return l.started && missed > maxFreshAge && missed <= outageThreshold && l.coversBreak(b.AvailableSince)
 }
 
 // noteAvailability updates since when the store is known to have been available. The caller holds the lock.
@@ -80,19 +79,17 @@
 }
 
 // availableElsewhere asks processes of other failure domains since when the store has been available; zero if none has fresh
-// records.
-func (f *Follower) availableElsewhere(ctx context.Context, l *Log) (since time.Time) {
+// records. Up to the first answer it waits for the given time.
+func (f *Follower) availableElsewhere(ctx context.Context, l *Log, timeout time.Duration) (since time.Time) {
 	targets := f.witnesses()
 	if len(targets) == 0 {
 		return time.Time{}
 	}
 	c := &pb.Claim{Topic: l.topic.Name, Claimant: f.self, Domain: string(f.domain), Witness: true}
-	requestedAt := f.now()
-	answers := f.askAll(ctx, targets, map[string]bool{f.self: true}, c, leaseRequestTimeout)
+	answers := f.askAll(ctx, targets, map[string]bool{f.self: true}, c, timeout)
 	now := f.now()
 	for _, a := range answers {
-		until := timeBefore(requestedAt, a.AgeMs)
-		if a.AvailableMs == nil || until.IsZero() || now.Sub(until) > maxFreshAge {
+		if a.AvailableMs == nil || a.AgeMs == nil || a.GetAgeMs() < 0 || a.GetAgeMs() > maxFreshAge.Milliseconds() {
 			continue
 		}
 		if s := timeBefore(now, a.AvailableMs); since.IsZero() || s.Before(since) {
@@ -104,6 +101,29 @@
 	return since
 }
 
+// askInPlaceOf asks other failure domains whether the store was available during a break of which the source of an answer
+// knows nothing. A process that has just started may get no answers, as its link is busy with weights.
+func (f *Follower) askInPlaceOf(ctx context.Context, l *Log, t *pb.TopicChanges) {
+	if !l.needsWitness() || l.wasAvailable(timeBefore(f.now(), t.AvailableMs)) {
+		return
+	}
+	if since := f.availableElsewhere(ctx, l, leaseRequestTimeout); !since.IsZero() {
+		t.AvailableMs = floorMillis(f.now().Sub(since))
+	}
+}
+
+// wasAvailable reports whether the store is known to have been available since this process's last records.
+func (l *Log) wasAvailable(since time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.coversBreak(since)
+}
+
+// coversBreak is wasAvailable for callers that hold the lock.
+func (l *Log) coversBreak(since time.Time) bool {
+	return !since.IsZero() && since.Sub(l.confirmedAt) <= maxFreshAge
+}
+
 // answerWitness tells a process of another failure domain since when the store has been available.
 func (s *Service) answerWitness(c *pb.Claim) *pb.ClaimAnswer {
 	for _, l := range s.logs {
--- a/internal/records/follow.go
+++ b/internal/records/follow.go
@@ -349,7 +349,7 @@
 	}
 	answeredAt := requestedAt.Add(time.Duration(max(0, a.GetHeldMs())) * time.Millisecond)
 	for i, t := range a.GetTopics() {
-		if err := f.mergeTopic(i, t, address, answeredAt); err != nil {
+		if err := f.mergeTopic(ctx, i, t, address, answeredAt); err != nil {
 			f.source = ""
 			return err
 		}
--- a/internal/records/hand_over_test.go
+++ b/internal/records/hand_over_test.go
@@ -21,6 +21,9 @@
 	reader, elsewhere *fakeStore
 	follower          *process
 
+	// unanswered is a process that gets no answers from the other failure domain.
+	unanswered string
+
 	mu     sync.Mutex
 	byName map[string]*process
 }
@@ -45,7 +48,7 @@
 		h.mu.Lock()
 		to := h.byName[address]
 		h.mu.Unlock()
-		if to == nil {
+		if to == nil || (address == "elsewhere" && name == h.unanswered) {
 			return nil, platform.ErrUnavailable
 		}
 		return to.service.Follow(ctx, q)
@@ -84,6 +87,13 @@
 		Expect(h.follower.facts.Instance("u")).To(BeNil())
 	})
 
+	It("is not kept for a grace period if that process gets no answers from other domains, but its followers do", func() {
+		h := newHandOver()
+		h.unanswered = "b"
+		h.turnAwayReader(false)
+		Expect(h.follower.facts.Instance("u")).To(BeNil())
+	})
+
 	It("is kept for a grace period if no other domain reached the store either", func() {
 		h := newHandOver()
 		h.turnAwayReader(true)
