Records: a process without a transport asks nobody instead of crashing

The programs set the transport before they run.

New sets one that reports that there is none. The spec "reads a list that names stagers of other failure domains without a crash" crashes without it. Specs set whom a process asks before it runs, which the race detector would have reported.

--- a/internal/records/hand_over_test.go
+++ b/internal/records/hand_over_test.go
@@ -59,8 +59,9 @@
 				p.facts.NoteGateway(g)
 			}
 		}
+	}, func(p *process) {
+		p.follower.witnesses = func() []string { return []string{"elsewhere"} }
 	})
-	p.follower.witnesses = func() []string { return []string{"elsewhere"} }
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.byName[name] = p
@@ -175,3 +176,27 @@
 		Expect(w()).To(ContainElement("10.0.2.1:7700"))
 	})
 })
+
+var _ = Describe("a process without a transport to others", func() {
+	It("reads a list that names stagers of other failure domains without a crash", func() {
+		s := &fakeStore{logs: map[string][]Record{}}
+		s.write("up", "10.0.1.1:8000", servingWeights)
+		f := facts.New(time.Now)
+		p := New(&Settings{ConfigWait: 50 * time.Millisecond, ListEvery: 20 * time.Millisecond}, &Platform{
+			Store:     s.store(),
+			Operators: Topic{Name: "op", Apply: func(Record) error { return nil }},
+			Upstreams: Topic{Name: "up", KeysAreUpstreams: true, Apply: func(r Record) error {
+				f.SetInstance(&facts.Instance{ID: id.Instance(r.Key), Address: r.Key, Domain: "other", Held: []facts.Held{{Model: "m", Revision: 1}}})
+				return nil
+			}},
+		}, f, "d", "10.0.0.1:7700", time.Now, silentLogger)
+		ctx, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		go func() { _ = p.Run(ctx) }()
+		Eventually(p.follower.allRead).WithTimeout(3 * time.Second).Should(BeTrue())
+		Eventually(func() bool {
+			_, _, read := p.follower.logs[1].ChangesSince(Cursor{})
+			return read
+		}).WithTimeout(3 * time.Second).Should(BeTrue())
+	})
+})
--- a/internal/records/harness_test.go
+++ b/internal/records/harness_test.go
@@ -175,7 +175,7 @@
 	return p
 }
 
-func startProcess(name string, wait time.Duration, store Store, ask askFunc, background func(ctx context.Context, p *process)) (*process, context.CancelFunc) {
+func startProcess(name string, wait time.Duration, store Store, ask askFunc, background func(ctx context.Context, p *process), prepare ...func(p *process)) (*process, context.CancelFunc) {
 	p := &process{name: name, facts: facts.New(time.Now), values: map[string]string{}}
 	apply := func(r Record) error {
 		p.mu.Lock()
@@ -198,6 +198,9 @@
 		Store: store, Operators: Topic{Name: "op", Apply: apply}, Upstreams: Topic{Name: "up", Apply: upstream, KeysAreUpstreams: true},
 	}, p.facts, "d", name, time.Now, silentLogger)
 	p.follower.ask = ask
+	for _, one := range prepare {
+		one(p)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	DeferCleanup(stop)
 	go func() { _ = p.Run(ctx) }()
--- a/internal/records/part.go
+++ b/internal/records/part.go
@@ -117,7 +117,7 @@
 	o := newOrigin(self, now)
 	followers := newFollowerSet(now)
 	w := &Follower{
-		logs: logs, upstreamsGate: upstreamsGate, operatorsGate: operatorsGate, origin: o, peers: peers(f, d, self), witnesses: witnesses(f, d, self), self: self, domain: d, gateways: f.Gateways, now: now, log: l, metrics: metrics,
+		logs: logs, upstreamsGate: upstreamsGate, operatorsGate: operatorsGate, origin: o, peers: peers(f, d, self), witnesses: witnesses(f, d, self), self: self, domain: d, gateways: f.Gateways, ask: noTransport, now: now, log: l, metrics: metrics,
 		avoidUntil: map[string]time.Time{}, followsThisUntil: map[string]time.Time{}, withoutStoreUntil: map[string]time.Time{}, nextSnapshotAt: map[string]time.Time{}, startUntil: now().Add(s.StartWait), hint: t, seeds: withPortOf(self, s.Seeds), followers: followers,
 	}
 	return &Records{
