Records: sources of releases that state no availability lead to no requests

By reading: a stager that follows a peer accepts records up to 3 s old, so with a peer of an earlier release each answer older than 1.1 s would have led to three requests to other failure domains, and a line.

--- a/internal/records/availability.go
+++ b/internal/records/availability.go
@@ -102,9 +102,10 @@
 }
 
 // askInPlaceOf asks other failure domains whether the store was available during a break of which the source of an answer
-// knows nothing. A process that has just started may get no answers, as its link is busy with weights.
+// knows nothing. A process that has just started may get no answers, as its link is busy with weights. A source
+// of a release that never tells is left out, as each of its answers would lead to requests.
 func (f *Follower) askInPlaceOf(ctx context.Context, l *Log, t *pb.TopicChanges) {
-	if !l.needsWitness() || l.wasAvailable(timeBefore(f.now(), t.AvailableMs)) {
+	if t.AvailableMs == nil || !l.needsWitness() || l.wasAvailable(timeBefore(f.now(), t.AvailableMs)) {
 		return
 	}
 	if since := f.availableElsewhere(ctx, l, leaseRequestTimeout); !since.IsZero() {
