A process that reads for the first time doesn't wait for other failure domains

After its first reading a process asked other domains for up to a second, where nobody answers, and read the second time a second late; its followers had no records as long. A process of a failure domain whose list names stagers that can't be reached would have started as late.

Followers ask in place of a source that has just started anyway, so it need not ask, and nothing waits.

--- a/internal/records/availability.go
+++ b/internal/records/availability.go
@@ -46,26 +46,6 @@
 	return l.topic.KeysAreUpstreams && l.started && age > maxFreshAge && age <= outageThreshold
 }
 
-// beginFirstRead makes followers wait for the end of firstReadDone. It reports whether this is the first reading of the list
-// of upstreams.
-func (l *Log) beginFirstRead() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.settling = l.topic.KeysAreUpstreams && !l.started
-	return l.settling
-}
-
-// firstReadDone lets followers have the records, with the time since when the store is known to have been available; zero
-// if nobody could tell.
-func (l *Log) firstReadDone(availableSince time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.settling = false
-	if !availableSince.IsZero() && availableSince.Before(l.availableSince) {
-		l.availableSince = availableSince
-	}
-}
-
 // availability returns the time since when the store is known to have been available, as of the age of the records; negative
 // if unknown.
 func (l *Log) availability() (available, age time.Duration) {
@@ -79,14 +59,14 @@
 }
 
 // availableElsewhere asks processes of other failure domains since when the store has been available; zero if none has fresh
-// records. Up to the first answer it waits for the given time.
-func (f *Follower) availableElsewhere(ctx context.Context, l *Log, timeout time.Duration) (since time.Time) {
+// records.
+func (f *Follower) availableElsewhere(ctx context.Context, l *Log) (since time.Time) {
 	targets := f.witnesses()
 	if len(targets) == 0 {
 		return time.Time{}
 	}
 	c := &pb.Claim{Topic: l.topic.Name, Claimant: f.self, Domain: string(f.domain), Witness: true}
-	answers := f.askAll(ctx, targets, map[string]bool{f.self: true}, c, timeout)
+	answers := f.askAll(ctx, targets, map[string]bool{f.self: true}, c, leaseRequestTimeout)
 	now := f.now()
 	for _, a := range answers {
 		if a.AvailableMs == nil || a.AgeMs == nil || a.GetAgeMs() < 0 || a.GetAgeMs() > maxFreshAge.Milliseconds() {
@@ -102,13 +82,13 @@
 }
 
 // askInPlaceOf asks other failure domains whether the store was available during a break of which the source of an answer
-// knows nothing. A process that has just started may get no answers, as its link is busy with weights. A source
+// knows nothing, as it has just started. It does not ask itself, as its link is busy with weights. A source
 // of a release that never tells is left out, as each of its answers would lead to requests.
 func (f *Follower) askInPlaceOf(ctx context.Context, l *Log, t *pb.TopicChanges) {
 	if t.AvailableMs == nil || !l.needsWitness() || l.wasAvailable(timeBefore(f.now(), t.AvailableMs)) {
 		return
 	}
-	if since := f.availableElsewhere(ctx, l, leaseRequestTimeout); !since.IsZero() {
+	if since := f.availableElsewhere(ctx, l); !since.IsZero() {
 		t.AvailableMs = floorMillis(f.now().Sub(since))
 	}
 }
--- a/internal/records/changes.go
+++ b/internal/records/changes.go
@@ -74,7 +74,7 @@
 			c.Records = append(c.Records, e.outgoing(e.previous.Position < cursor.Next, now, l.log))
 		}
 	}
-	return c, l.changed, l.started && !l.settling
+	return c, l.changed, l.started
 }
 
 // canResumeFrom reports whether a follower that has read everything up to an offset can get only the later changes.
--- a/internal/records/log.go
+++ b/internal/records/log.go
@@ -61,8 +61,6 @@
 	// availableSince is the start of the period up to confirmedAt over which the store is known to have served some process
 	// without a break longer than maxFreshAge; zero if unknown.
 	availableSince time.Time
-	// settling is true until the first reading of the list of upstreams has ended, and followers wait for that.
-	settling bool
 	// digest is the sum of digestOf over all keys held.
 	digest uint64
 	// confirmedAt is when the store last confirmed that no record is missing.
--- a/internal/records/reader.go
+++ b/internal/records/reader.go
@@ -35,7 +35,7 @@
 	// requestLease asks the other processes of the failure domain for the lease to read the topic's snapshot.
 	requestLease func(ctx context.Context, l *Log, failed bool) bool
 	// availableElsewhere asks other failure domains since when the store has been available; zero if unknown.
-	availableElsewhere func(ctx context.Context, l *Log, timeout time.Duration) time.Time
+	availableElsewhere func(ctx context.Context, l *Log) time.Time
 	// probeLog is the log whose topic is probed to see whether the store is available: that of upstreams, whose records
 	// are short.
 	probeLog *Log
@@ -327,15 +327,9 @@
 // merge merges a batch. After a break, processes of other failure domains are asked whether the store was available.
 func (r *Reader) merge(ctx context.Context, b Batch) {
 	if r.log.needsWitness() {
-		b.AvailableSince = r.availableElsewhere(ctx, r.log, leaseRequestTimeout)
-	}
-	if !r.log.beginFirstRead() {
-		r.log.Merge(b)
-		return
+		b.AvailableSince = r.availableElsewhere(ctx, r.log)
 	}
 	r.log.Merge(b)
-	// The list just read names the processes to ask, with which there is no connection yet.
-	r.log.firstReadDone(r.availableElsewhere(ctx, r.log, firstAnswerTimeout))
 }
 
 // errNewerRecordsRead cancels a waiting read when another process has read newer records.
